--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PROGRAMS := parsleyramp-control parsleyramp-entry parsleyctl parsleyramp-standin
+export CGO_ENABLED := 1
+
+.PHONY: demo test build generate lint clean
+
+# Builds the programs and runs the main job on loopback.
+demo: build
+	go run ./scripts/demo -bin bin
+
+# Runs every test. The seeds of rapid are fixed, so that the verdict is the same every time.
+test:
+	go test ./... -timeout 20m
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./cmd/$$p || exit 1; done
+
+# The generators are needed only after a change of the .proto files.
+generate:
+	GOBIN=$(CURDIR)/bin/tools go install github.com/bufbuild/buf/cmd/buf@v1.75.0
+	GOBIN=$(CURDIR)/bin/tools go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(CURDIR)/bin/tools go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+	PATH=$(CURDIR)/bin/tools:$$PATH buf generate
+
+lint:
+	@test -z "$$(gofmt -l cmd internal scripts)" || { gofmt -l cmd internal scripts; exit 1; }
+	go vet ./...
+	go tool -modfile=tools/go.mod staticcheck ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/parsleyctl/main.go
@@ -0,0 +1,19 @@
+// Command parsleyctl is the operators' tool: it checks, compares, applies and
+// watches a team's section of the closing document, and manages the replicas.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"parsleyramp/internal/ctl"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := ctl.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	cancel()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/parsleyramp-control/main.go
@@ -0,0 +1,45 @@
+// Command parsleyramp-control is one replica of the durable state: it accepts
+// changes of the closing document, leads placement and orders, and keeps
+// leases, claims and overnight work.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/control"
+	"parsleyramp/internal/program"
+	"parsleyramp/internal/telemetry"
+)
+
+func main() {
+	cfg := control.DefaultSettings()
+	d := program.Daemon{
+		Name:     "parsleyramp-control",
+		Settings: &cfg,
+		Identify: func() (string, telemetry.Settings) { return cfg.Address, cfg.Telemetry },
+		Run: func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
+			return run(ctx, stop, cfg, log)
+		},
+	}
+	os.Exit(d.Main(os.Args[1:]))
+}
+
+func run(ctx context.Context, stop func() (context.Context, context.CancelFunc), cfg control.Settings, log *logrus.Entry) error {
+	node, cancelNode := context.WithCancel(context.Background())
+	defer cancelNode()
+	s, err := control.Start(node, cfg, 0, log)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-s.Stopped():
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := stop()
+	defer cancel()
+	return s.Shutdown(shutdown, cancelNode)
+}
--- /dev/null
+++ b/internal/consensus/core.go
@@ -0,0 +1,258 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"parsleyramp/internal/wire"
+)
+
+// Role is what a replica currently does.
+type Role int
+
+// Roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Config holds the timing and limits of a replica.
+type Config struct {
+	// Heartbeat is the time between two broadcasts of an idle leader.
+	Heartbeat time.Duration
+	// Election is the shortest time without a leader after which a replica
+	// seeks election; the longest is twice as much.
+	Election time.Duration
+	// ClockDrift is the largest share by which the rates of two replicas'
+	// clocks may differ. It shortens the leader lease.
+	ClockDrift float64
+	// MaxEntries and MaxBytes bound one append message.
+	MaxEntries int
+	MaxBytes   int
+}
+
+// DefaultConfig returns the timing for replicas within one region.
+func DefaultConfig() Config {
+	return Config{
+		Heartbeat:  250 * time.Millisecond,
+		Election:   1000 * time.Millisecond,
+		ClockDrift: 0.1,
+		MaxEntries: 512,
+		MaxBytes:   1 << 20,
+	}
+}
+
+// Initial is what a replica finds in its storage when it starts.
+type Initial struct {
+	ID        uint64
+	HardState *wire.HardState
+	// Snapshot is nil for a blank replica.
+	Snapshot *wire.Snapshot
+	Entries  []*wire.LogEntry
+}
+
+// Core is one replica of the log. It is not safe for concurrent use.
+type Core struct {
+	id   uint64
+	cfg  Config
+	rand *rand.Rand
+	now  time.Duration
+
+	role   Role
+	term   uint64
+	vote   uint64
+	leader uint64
+
+	log         entryLog
+	commit      uint64
+	applied     uint64
+	memberships membershipLog
+
+	electionAt  time.Duration
+	heartbeatAt time.Duration
+	// heardAt is when the current leader was last heard. Votes are refused
+	// for an election timeout from then on, which the leader lease relies on.
+	heardAt  time.Duration
+	hasHeard bool
+	startAt  time.Duration
+
+	votes    map[uint64]bool
+	progress map[uint64]*progress
+	rounds   rounds
+	// termStart is the index of the leader's first entry of its term.
+	termStart uint64
+
+	savedHard       *wire.HardState
+	pendingSnapshot *wire.Snapshot
+	snapshot        *wire.Snapshot
+	messages        []*wire.RaftMessage
+}
+
+// New returns a replica that continues from what its storage holds. now is
+// any monotonic time; the seed makes its election timeouts repeatable.
+func New(cfg Config, initial Initial, now time.Duration, seed uint64) *Core {
+	c := &Core{
+		id:        initial.ID,
+		cfg:       cfg,
+		rand:      rand.New(rand.NewPCG(seed, initial.ID)),
+		now:       now,
+		startAt:   now,
+		term:      initial.HardState.GetTerm(),
+		vote:      initial.HardState.GetVote(),
+		savedHard: initial.HardState,
+		progress:  map[uint64]*progress{},
+	}
+	if s := initial.Snapshot; s != nil {
+		c.snapshot = s
+		c.log.restore(s.Index, s.Term)
+		c.commit, c.applied = s.Index, s.Index
+		c.memberships = membershipLog{{index: s.Index, value: s.Membership}}
+	}
+	c.log.entries = initial.Entries
+	c.log.stable = c.log.lastIndex()
+	c.noteMemberships(initial.Entries)
+	c.resetElection()
+	return c
+}
+
+// ID returns the replica's own id.
+func (c *Core) ID() uint64 { return c.id }
+
+// Role returns what the replica currently does.
+func (c *Core) Role() Role { return c.role }
+
+// Term returns the current term.
+func (c *Core) Term() uint64 { return c.term }
+
+// Leader returns the id of the known leader of the term, or zero.
+func (c *Core) Leader() uint64 { return c.leader }
+
+// Commit returns the highest index known to be committed.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// Membership returns the membership in force.
+func (c *Core) Membership() *wire.Membership { return c.memberships.current() }
+
+// Tick passes in the time. It starts elections and broadcasts when due.
+func (c *Core) Tick(now time.Duration) {
+	c.now = now
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if now >= c.electionAt {
+		c.campaign(PreCandidate)
+	}
+}
+
+// tickLeader broadcasts when due and steps down where no quorum answered for
+// an election timeout.
+func (c *Core) tickLeader() {
+	if c.now-c.quorumHeardAt() > c.cfg.Election {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	if c.now >= c.heartbeatAt {
+		c.broadcast()
+	}
+}
+
+func (c *Core) resetElection() {
+	c.electionAt = c.now + c.cfg.Election + time.Duration(c.rand.Int64N(int64(c.cfg.Election)))
+}
+
+func (c *Core) becomeFollower(term, leader uint64) {
+	if term > c.term {
+		c.term, c.vote = term, 0
+	}
+	c.role, c.leader = Follower, leader
+	c.votes = nil
+	c.progress = map[uint64]*progress{}
+	c.resetElection()
+}
+
+// campaign asks for votes, or first for pre-votes, which change no term.
+func (c *Core) campaign(role Role) {
+	c.resetElection()
+	if !isVoter(c.Membership(), c.id) {
+		return
+	}
+	c.role, c.leader = role, 0
+	c.votes = map[uint64]bool{c.id: true}
+	kind, term := wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, c.term+1
+	if role == Candidate {
+		c.term++
+		c.vote = c.id
+		kind, term = wire.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, c.term
+	}
+	for _, id := range voters(c.Membership()) {
+		if id != c.id {
+			c.send(&wire.RaftMessage{Type: kind, To: id, Term: term, LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm()})
+		}
+	}
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted, refused := 0, 0
+	for _, id := range voters(c.Membership()) {
+		if v, ok := c.votes[id]; ok && v {
+			granted++
+		} else if ok {
+			refused++
+		}
+	}
+	need := quorum(c.Membership())
+	switch {
+	case granted >= need && c.role == PreCandidate:
+		c.campaign(Candidate)
+	case granted >= need && c.role == Candidate:
+		c.becomeLeader()
+	case refused >= need:
+		c.becomeFollower(c.term, 0)
+	}
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader = Leader, c.id
+	c.votes = nil
+	c.rounds = rounds{}
+	c.progress = map[uint64]*progress{}
+	c.syncProgress()
+	for _, p := range c.progress {
+		p.heardAt = c.now
+	}
+	c.termStart = c.log.lastIndex() + 1
+	c.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_EMPTY, nil)
+	c.broadcast()
+}
+
+func (c *Core) appendLocal(kind wire.LogEntryKind, data []byte) uint64 {
+	e := &wire.LogEntry{Index: c.log.lastIndex() + 1, Term: c.term, Kind: kind, Data: data}
+	c.log.append(e)
+	c.noteMemberships([]*wire.LogEntry{e})
+	return e.Index
+}
+
+func (c *Core) noteMemberships(entries []*wire.LogEntry) {
+	for _, e := range entries {
+		if e.Kind == wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERSHIP {
+			c.memberships = append(c.memberships.truncate(e.Index), membershipAt{index: e.Index, value: decodeMembership(e)})
+		}
+	}
+}
+
+func (c *Core) send(m *wire.RaftMessage) {
+	m.From = c.id
+	c.messages = append(c.messages, m)
+}
+
+// Applied returns the highest index handed out to be applied.
+func (c *Core) Applied() uint64 { return c.applied }
+
+// EntriesAfter returns the log entries after the index.
+func (c *Core) EntriesAfter(index uint64) []*wire.LogEntry {
+	return c.log.slice(index+1, int(c.log.lastIndex()), 1<<62)
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,137 @@
+package consensus
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
+)
+
+// Propose appends a command to the log and returns its index. The command is
+// committed once an entry with this index and the current term is.
+func (c *Core) Propose(data []byte) (uint64, error) {
+	if c.role != Leader {
+		return 0, fail.New(fail.NotLeader, "this replica does not lead")
+	}
+	return c.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND, data), nil
+}
+
+// ProposeMembership appends a membership that differs from the one in force
+// by at most one voter. A second change waits until the first is committed.
+func (c *Core) ProposeMembership(m *wire.Membership) (uint64, error) {
+	if c.role != Leader {
+		return 0, fail.New(fail.NotLeader, "this replica does not lead")
+	}
+	if c.commit < c.termStart || c.memberships.currentIndex() > c.commit {
+		return 0, fail.New(fail.MembershipChange, "an earlier change is not committed yet").WithRetryAfter(c.cfg.Election)
+	}
+	if err := checkChange(c.Membership(), m); err != nil {
+		return 0, err
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return 0, fail.Wrap(err, fail.Internal, "encode membership")
+	}
+	index := c.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_MEMBERSHIP, data)
+	c.syncProgress()
+	return index, nil
+}
+
+// Flush sends what was proposed since the last broadcast.
+func (c *Core) Flush() {
+	if c.role != Leader {
+		return
+	}
+	for _, id := range c.peers() {
+		if p := c.progressOf(id); !p.probing && p.next <= c.log.lastIndex() {
+			c.sendAppend(id, c.rounds.sequence)
+		}
+	}
+}
+
+// CaughtUp reports whether the replica has stored all but the last few
+// committed entries, so that it can vote without a gap in availability.
+func (c *Core) CaughtUp(id uint64) bool {
+	const gap = 16
+	p, ok := c.progress[id]
+	return ok && c.role == Leader && p.match+gap >= c.commit && p.match > 0
+}
+
+func (c *Core) peers() []uint64 {
+	var ids []uint64
+	for _, r := range c.Membership().GetReplicas() {
+		if r.Id != c.id {
+			ids = append(ids, r.Id)
+		}
+	}
+	return ids
+}
+
+// broadcast opens a round and sends every replica what it lacks.
+func (c *Core) broadcast() {
+	c.heartbeatAt = c.now + c.cfg.Heartbeat
+	sequence := c.rounds.start(c.now)
+	for _, id := range c.peers() {
+		c.sendAppend(id, sequence)
+	}
+}
+
+func (c *Core) sendAppend(id, sequence uint64) {
+	p := c.progressOf(id)
+	term, ok := c.log.term(p.next - 1)
+	if !ok {
+		c.sendSnapshot(id, p, sequence)
+		return
+	}
+	m := &wire.RaftMessage{
+		Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: id, Term: c.term,
+		LogIndex: p.next - 1, LogTerm: term, Commit: c.commit, Sequence: sequence,
+	}
+	if p.probing {
+		c.send(m)
+		return
+	}
+	if p.next <= p.match || c.now >= p.resendAt {
+		p.next = p.match + 1
+		p.resendAt = c.now + c.cfg.Election
+		m.LogIndex = p.match
+		m.LogTerm, ok = c.log.term(p.match)
+		if !ok {
+			c.sendSnapshot(id, p, sequence)
+			return
+		}
+	}
+	m.Entries = c.log.slice(p.next, c.cfg.MaxEntries, c.cfg.MaxBytes)
+	p.next += uint64(len(m.Entries))
+	c.send(m)
+}
+
+// sendSnapshot sends the snapshot at most once in an election timeout, and an
+// append that matches every log in between, which keeps the lease.
+func (c *Core) sendSnapshot(id uint64, p *progress, sequence uint64) {
+	if c.snapshot == nil || c.now < p.snapshotAt {
+		c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: id, Term: c.term, Sequence: sequence})
+		return
+	}
+	p.snapshotAt = c.now + c.cfg.Election
+	c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT, To: id, Term: c.term, Snapshot: c.snapshot, Commit: c.commit, Sequence: sequence})
+}
+
+// Compact drops log entries that the snapshot covers, keeping a tail for slow
+// followers. The caller has synced the snapshot.
+func (c *Core) Compact(s *wire.Snapshot, keepEntries uint64) {
+	c.snapshot = s
+	if s.Index <= keepEntries {
+		return
+	}
+	upTo := s.Index - keepEntries
+	c.log.compact(upTo)
+	c.memberships = c.memberships.compact(upTo)
+}
+
+// MembershipAt returns the membership in force at an applied index, for a
+// snapshot of that index.
+func (c *Core) MembershipAt(index uint64) *wire.Membership { return c.memberships.at(index) }
+
+// TermAt returns the term of the entry at the index.
+func (c *Core) TermAt(index uint64) (uint64, bool) { return c.log.term(index) }
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,90 @@
+package consensus
+
+import "parsleyramp/internal/wire"
+
+// entryLog is the in-memory tail of the replicated log. Entries up to and
+// including snapIndex are covered by a snapshot.
+type entryLog struct {
+	snapIndex uint64
+	snapTerm  uint64
+	entries   []*wire.LogEntry
+	// stable is the last index that the caller has synced.
+	stable uint64
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.snapIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term of the entry at index, and false where the index is
+// compacted or beyond the end.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.snapIndex:
+		return l.snapTerm, true
+	case index < l.snapIndex || index > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[index-l.snapIndex-1].Term, true
+}
+
+// slice returns entries from index on, at most max of them and at most about
+// maxBytes of data, but one at least.
+func (l *entryLog) slice(from uint64, max, maxBytes int) []*wire.LogEntry {
+	if from <= l.snapIndex || from > l.lastIndex() {
+		return nil
+	}
+	tail := l.entries[from-l.snapIndex-1:]
+	size := 0
+	for i, e := range tail {
+		size += len(e.Data)
+		if i > 0 && (i >= max || size > maxBytes) {
+			return tail[:i:i]
+		}
+	}
+	return tail[:len(tail):len(tail)]
+}
+
+// append adds an entry at the end.
+func (l *entryLog) append(e *wire.LogEntry) { l.entries = append(l.entries, e) }
+
+// merge stores entries that follow a matching previous entry. An entry that
+// conflicts with a new one is removed with all that come after it. It returns
+// the index of the first entry that changed, or zero.
+func (l *entryLog) merge(entries []*wire.LogEntry) uint64 {
+	for i, e := range entries {
+		if e.Index <= l.snapIndex {
+			continue
+		}
+		t, ok := l.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		keep := e.Index - l.snapIndex - 1
+		l.entries = append(l.entries[:keep:keep], entries[i:]...)
+		l.stable = min(l.stable, e.Index-1)
+		return e.Index
+	}
+	return 0
+}
+
+// compact drops the entries up to index, which a snapshot covers.
+func (l *entryLog) compact(index uint64) {
+	t, ok := l.term(index)
+	if !ok || index <= l.snapIndex {
+		return
+	}
+	rest := l.entries[index-l.snapIndex:]
+	l.entries = append([]*wire.LogEntry(nil), rest...)
+	l.snapIndex, l.snapTerm = index, t
+}
+
+// restore replaces the whole log by a snapshot.
+func (l *entryLog) restore(index, term uint64) {
+	l.snapIndex, l.snapTerm = index, term
+	l.entries = nil
+	l.stable = index
+}
--- /dev/null
+++ b/internal/consensus/step.go
@@ -0,0 +1,215 @@
+package consensus
+
+import (
+	"time"
+
+	"parsleyramp/internal/wire"
+)
+
+// Step passes in a message from another replica at the time now.
+func (c *Core) Step(now time.Duration, m *wire.RaftMessage) {
+	c.now = max(c.now, now)
+	if m.To != c.id {
+		return
+	}
+	switch m.Type {
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, wire.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
+		c.handleVote(m)
+		return
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY:
+		c.handlePreVoteReply(m)
+		return
+	}
+	if m.Term > c.term {
+		c.becomeFollower(m.Term, 0)
+	}
+	if m.Term < c.term {
+		c.refuseStale(m)
+		return
+	}
+	switch m.Type {
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_REPLY:
+		if c.role == Candidate {
+			c.votes[m.From] = !m.Reject
+			c.countVotes()
+		}
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
+		c.hearLeader(m.From)
+		c.handleAppend(m)
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
+		c.hearLeader(m.From)
+		c.handleSnapshot(m)
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY:
+		if c.role == Leader {
+			c.handleAppendReply(m)
+		}
+	}
+}
+
+// refuseStale tells a former leader of the newer term.
+func (c *Core) refuseStale(m *wire.RaftMessage) {
+	if m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND || m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT {
+		c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Reject: true})
+	}
+}
+
+// leaseHolds reports whether a leader may still rely on this replica's
+// refusal to vote. A replica that just started may have answered a leader
+// before its restart, so it refuses for the same time.
+func (c *Core) leaseHolds() bool {
+	if c.role == Leader {
+		return c.now-c.quorumHeardAt() <= c.cfg.Election
+	}
+	if c.hasHeard {
+		return c.now-c.heardAt < c.cfg.Election
+	}
+	return c.term > 0 && c.now-c.startAt < c.cfg.Election
+}
+
+func (c *Core) upToDate(m *wire.RaftMessage) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.LogIndex >= c.log.lastIndex()
+}
+
+// handleVote answers a vote or pre-vote. While the lease of a leader may hold
+// the request is refused and its term ignored.
+func (c *Core) handleVote(m *wire.RaftMessage) {
+	pre := m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE
+	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_REPLY, To: m.From, Term: c.term, Reject: true}
+	if pre {
+		reply.Type = wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY
+	}
+	if c.leaseHolds() {
+		c.send(reply)
+		return
+	}
+	if !pre && m.Term > c.term {
+		c.becomeFollower(m.Term, 0)
+	}
+	switch {
+	case pre:
+		reply.Reject = m.Term <= c.term || !c.upToDate(m)
+	case m.Term == c.term && (c.vote == 0 || c.vote == m.From) && c.role == Follower && c.upToDate(m):
+		c.vote = m.From
+		c.resetElection()
+		reply.Reject = false
+	}
+	reply.Term = c.term
+	if pre && !reply.Reject {
+		reply.Term = m.Term
+	}
+	c.send(reply)
+}
+
+func (c *Core) handlePreVoteReply(m *wire.RaftMessage) {
+	if m.Reject && m.Term > c.term {
+		c.becomeFollower(m.Term, 0)
+		return
+	}
+	if c.role != PreCandidate || (!m.Reject && m.Term != c.term+1) {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	c.countVotes()
+}
+
+func (c *Core) hearLeader(id uint64) {
+	if c.role != Follower {
+		c.becomeFollower(c.term, id)
+	}
+	c.leader = id
+	c.heardAt, c.hasHeard = c.now, true
+	c.resetElection()
+}
+
+func (c *Core) handleAppend(m *wire.RaftMessage) {
+	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence}
+	defer c.send(reply)
+	if m.LogIndex < c.commit {
+		// Everything up to the commit index matches by definition.
+		reply.LogIndex = c.commit
+		return
+	}
+	if t, ok := c.log.term(m.LogIndex); !ok || t != m.LogTerm {
+		reply.Reject = true
+		reply.LogIndex, reply.LogTerm = c.conflictHint(m)
+		return
+	}
+	if first := c.log.merge(m.Entries); first > 0 {
+		c.memberships = c.memberships.truncate(first)
+		c.noteMemberships(c.log.slice(first, int(c.log.lastIndex()), 1<<62))
+	}
+	reply.LogIndex = m.LogIndex + uint64(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, reply.LogIndex))
+}
+
+// conflictHint returns the last index at which the logs may still match.
+func (c *Core) conflictHint(m *wire.RaftMessage) (uint64, uint64) {
+	index := min(m.LogIndex, c.log.lastIndex())
+	for index > c.commit {
+		t, _ := c.log.term(index)
+		if t <= m.LogTerm {
+			break
+		}
+		index--
+	}
+	if index == m.LogIndex && index > c.commit {
+		index--
+	}
+	t, _ := c.log.term(index)
+	return index, t
+}
+
+func (c *Core) handleSnapshot(m *wire.RaftMessage) {
+	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence}
+	defer c.send(reply)
+	s := m.Snapshot
+	if s.GetIndex() <= c.commit {
+		reply.LogIndex = c.commit
+		return
+	}
+	c.log.restore(s.Index, s.Term)
+	c.memberships = membershipLog{{index: s.Index, value: s.Membership}}
+	c.commit = s.Index
+	c.snapshot, c.pendingSnapshot = s, s
+	reply.LogIndex = s.Index
+}
+
+func (c *Core) handleAppendReply(m *wire.RaftMessage) {
+	if replicaOf(c.Membership(), m.From) == nil {
+		return
+	}
+	p := c.progressOf(m.From)
+	p.heardAt = c.now
+	p.acked = max(p.acked, m.Sequence)
+	if m.Reject {
+		p.next = max(p.match, min(m.LogIndex, c.log.lastIndex())) + 1
+		p.probing = true
+		if t, ok := c.log.term(p.next - 1); ok && t == m.LogTerm {
+			p.probing = false
+		}
+		c.continueAppend(m.From, p)
+		return
+	}
+	p.probing = false
+	if m.LogIndex > p.match {
+		p.match = m.LogIndex
+		p.resendAt = c.now + c.cfg.Election
+		c.advanceCommit()
+	}
+	p.next = max(p.next, p.match+1)
+	if p.next <= c.log.lastIndex() && c.role == Leader {
+		c.continueAppend(m.From, p)
+	}
+}
+
+// continueAppend sends the next entries after a reply. While a snapshot is on
+// its way nothing is sent, or replies and appends would chase each other.
+func (c *Core) continueAppend(id uint64, p *progress) {
+	if _, ok := c.log.term(p.next - 1); !ok && c.now < p.snapshotAt {
+		return
+	}
+	c.sendAppend(id, c.rounds.sequence)
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,136 @@
+// Package control is the wiring of parsleyramp-control: the replicated state,
+// the services for entries and operators, and the leader's duties towards
+// engines, entries and the platform.
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/consensus"
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/journal"
+	"parsleyramp/internal/platform"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// maxMessageBytes bounds one message between the system's own processes.
+const maxMessageBytes = 64 << 20
+
+// engineConnections bounds the idle connections kept to one engine.
+const engineConnections = 4
+
+// Server is one control process.
+type Server struct {
+	cfg     Settings
+	log     *logrus.Entry
+	node    *replica.Node
+	journal *journal.Journal
+	group   atomic.Pointer[string]
+	engines endpoint.Engine
+	list    platform.LiveList
+	leases  leaseTable
+	orders  *orderSender
+	clock   func() time.Duration
+	http    *transport.Server
+	stopped chan error
+}
+
+// Start opens the data folder and serves until ctx ends.
+func Start(ctx context.Context, cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
+	identity, err := journal.LoadIdentity(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
+	if err != nil {
+		return nil, err
+	}
+	j, recovered, err := journal.Open(cfg.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	s := &Server{
+		cfg:     cfg,
+		log:     log,
+		journal: j,
+		engines: endpoint.NewHTTP(transport.NewEndpointClient(engineConnections)),
+		list:    &platform.HTTPLiveList{Client: transport.NewEndpointClient(1), Address: cfg.LiveList},
+		clock:   func() time.Duration { return time.Since(start) },
+		stopped: make(chan error, 1),
+	}
+	s.group.Store(&identity.Group)
+	sender := replica.NewNetworkSender(ctx, transport.NewPeerClient(), func() string { return *s.group.Load() })
+	s.node, err = replica.NewNode(replica.Options{
+		Identity: identity, Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
+		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
+	})
+	if err != nil {
+		j.Close()
+		return nil, err
+	}
+	s.orders = newOrderSender(s)
+	listener, err := transport.Listen(cfg.Address)
+	if err != nil {
+		j.Close()
+		return nil, err
+	}
+	s.http = transport.Serve(listener, s.handler())
+	go func() { s.stopped <- s.node.Run(ctx) }()
+	go s.lead(ctx)
+	log.WithFields(logrus.Fields{"address": cfg.Address, "replica": identity.ID, "cut_bytes": recovered.CutBytes, "entries": len(recovered.Entries)}).Info("control started")
+	return s, nil
+}
+
+// Stopped yields the node's result once it has ended.
+func (s *Server) Stopped() <-chan error { return s.stopped }
+
+// Shutdown finishes the requests in progress, ends the node by calling
+// stopNode, which ends the context given to Start, and closes the data folder.
+func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
+	s.log.Info("draining")
+	err := s.http.Shutdown(ctx)
+	stopNode()
+	if nodeErr := <-s.stopped; err == nil {
+		err = nodeErr
+	}
+	if closeErr := s.journal.Close(); err == nil {
+		err = closeErr
+	}
+	s.log.Info("stopped")
+	return err
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
+	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
+	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
+	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+// propose commits a command with this process's wall clock.
+func (s *Server) propose(ctx context.Context, c *wire.Command) (*wire.CommandResult, error) {
+	c.ProposedUnixMs = time.Now().UnixMilli()
+	return s.node.Propose(ctx, c)
+}
+
+// rpcError returns the failure with the leader's address, where known.
+func (s *Server) rpcError(ctx context.Context, err error) error {
+	leader := ""
+	if status, statusErr := s.node.Status(ctx); statusErr == nil && !status.Leading {
+		leader = status.LeaderAddress()
+	}
+	return rpcerror.ToConnect(err, leader)
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"time"
+
+	"parsleyramp/internal/settings"
+	"parsleyramp/internal/telemetry"
+)
+
+// Settings of parsleyramp-control.
+type Settings struct {
+	// Address is where other processes reach this one, as ip:port.
+	Address string `json:"address"`
+	// Domain is the failure domain of this VM.
+	Domain string `json:"domain"`
+	// DataFolder holds identity, log and snapshot.
+	DataFolder string `json:"data_folder"`
+	// LiveList is the ip:port of the platform's list of live and leaving VMs.
+	LiveList string `json:"live_list"`
+	// EntryLease is how long an entry may serve after a heartbeat.
+	EntryLease settings.Duration `json:"entry_lease"`
+	// PollInterval is the time between two looks at the live list, the engines
+	// and the plan.
+	PollInterval settings.Duration `json:"poll_interval"`
+	// SnapshotEntries is how many log entries lead to a new snapshot.
+	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// ModelLoads and AdapterLoads bound the loads in flight.
+	ModelLoads   int `json:"model_loads"`
+	AdapterLoads int `json:"adapter_loads"`
+	// ClaimRetention is how long the record of a non-idempotent request is kept.
+	ClaimRetention settings.Duration `json:"claim_retention"`
+	// DeferredRetention is how long an overnight answer is kept after its deadline.
+	DeferredRetention settings.Duration `json:"deferred_retention"`
+	// SuspectRetention is how long a suspicion or a quarantine lasts.
+	SuspectRetention settings.Duration `json:"suspect_retention"`
+	// TeamTokens gives each team the token that lets it change its own section.
+	TeamTokens map[string]string  `json:"team_tokens"`
+	Telemetry  telemetry.Settings `json:"telemetry"`
+}
+
+// DefaultSettings returns the values of fields that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		EntryLease:        settings.Duration(2 * time.Second),
+		PollInterval:      settings.Duration(250 * time.Millisecond),
+		SnapshotEntries:   4096,
+		ModelLoads:        3,
+		AdapterLoads:      24,
+		ClaimRetention:    settings.Duration(24 * time.Hour),
+		DeferredRetention: settings.Duration(24 * time.Hour),
+		SuspectRetention:  settings.Duration(time.Hour),
+		Telemetry:         telemetry.Defaults(),
+	}
+}
+
+// Check reports fields that cannot be used.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Address("address", s.Address)
+	c.Require(s.Domain != "", "domain", "the name of a failure domain")
+	c.Require(s.DataFolder != "", "data_folder", "a folder path")
+	c.Address("live_list", s.LiveList)
+	c.Positive("entry_lease", s.EntryLease)
+	c.Positive("poll_interval", s.PollInterval)
+	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
+	c.Require(s.ModelLoads > 0, "model_loads", "1 or more")
+	c.Require(s.AdapterLoads > 0, "adapter_loads", "1 or more")
+	c.Positive("claim_retention", s.ClaimRetention)
+	c.Positive("deferred_retention", s.DeferredRetention)
+	c.Positive("suspect_retention", s.SuspectRetention)
+	c.Require(len(s.TeamTokens) > 0, "team_tokens", "a token for one team or more")
+	s.Telemetry.Check(c)
+}
--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,116 @@
+// Package controlclient reaches the control leader from entries and from
+// parsleyctl, whichever control VMs are down.
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const (
+	// attemptTimeout bounds one call, so that a silent control VM is passed over.
+	attemptTimeout = 1500 * time.Millisecond
+	retryDelay     = 100 * time.Millisecond
+)
+
+// Conn is the clients for one control VM.
+type Conn struct {
+	Address  string
+	Control  wireconnect.ControlServiceClient
+	Operator wireconnect.OperatorServiceClient
+}
+
+// Client finds the leader among the control VMs.
+type Client struct {
+	mu    sync.Mutex
+	conns []Conn
+	// preferred is the index of the control VM that answered last.
+	preferred int
+	http      *http.Client
+}
+
+// New returns a client for the control VMs at the addresses.
+func New(h *http.Client, addresses []string) *Client {
+	c := &Client{http: h}
+	for _, a := range addresses {
+		c.conns = append(c.conns, c.connTo(a))
+	}
+	return c
+}
+
+func (c *Client) connTo(address string) Conn {
+	url := "http://" + address
+	return Conn{
+		Address:  address,
+		Control:  wireconnect.NewControlServiceClient(c.http, url),
+		Operator: wireconnect.NewOperatorServiceClient(c.http, url),
+	}
+}
+
+func (c *Client) current() Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conns[c.preferred%len(c.conns)]
+}
+
+// moveOn turns to the leader that an answer named, or to the next control VM.
+func (c *Client) moveOn(from Conn, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[c.preferred%len(c.conns)].Address != from.Address {
+		return
+	}
+	if leader == "" || leader == from.Address {
+		c.preferred = (c.preferred + 1) % len(c.conns)
+		return
+	}
+	at := slices.IndexFunc(c.conns, func(x Conn) bool { return x.Address == leader })
+	if at < 0 {
+		c.conns = append(c.conns, c.connTo(leader))
+		at = len(c.conns) - 1
+	}
+	c.preferred = at
+}
+
+// Do calls f with the clients of the leader until f succeeds, fails for a
+// reason that another control VM would give too, or ctx ends. f must be safe
+// to repeat: its outcome may be unknown after a failure.
+func (c *Client) Do(ctx context.Context, f func(context.Context, Conn) error) error {
+	for {
+		conn := c.current()
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		err := f(attempt, conn)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		failure, leader := rpcerror.FromConnect(err)
+		if failure.Code != fail.NotLeader && failure.Code != fail.Unavailable {
+			return failure
+		}
+		c.moveOn(conn, leader)
+		select {
+		case <-ctx.Done():
+			return failure
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// Addresses returns the control VMs known so far.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]string, len(c.conns))
+	for i, x := range c.conns {
+		out[i] = x.Address
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,116 @@
+// Package ctl holds the commands of parsleyctl.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/program"
+	"parsleyramp/internal/transport"
+)
+
+// Exit codes beside those that every program has.
+const (
+	ExitInvalid  = 4
+	ExitConflict = 5
+	ExitNotMet   = 6
+	ExitNoLeader = 7
+)
+
+// exitCodes gives the exit code for a failure.
+var exitCodes = map[fail.Code]int{
+	fail.BadDocument:  ExitInvalid,
+	fail.Conflict:     ExitConflict,
+	fail.Unavailable:  ExitNoLeader,
+	fail.NotLeader:    ExitNoLeader,
+	fail.BadSettings:  program.ExitUsage,
+	fail.BadRequest:   program.ExitUsage,
+	fail.Unauthorized: program.ExitFailed,
+}
+
+// command is one subcommand.
+type command struct {
+	name  string
+	usage string
+	run   func(ctx context.Context, t *tool, args []string) error
+}
+
+var commands = []command{
+	{"bootstrap", "form a new group out of the blank control VMs given by -control", runBootstrap},
+	{"check", "FILE: check a section without sending it", runCheck},
+	{"apply", "FILE: apply a section", runApply},
+	{"get", "TEAM: print the accepted section", runGet},
+	{"status", "TEAM: tell how far the section has come into force", runStatus},
+	{"members", "list replicas, entries, endpoints and what is resident", runMembers},
+	{"replace", "replace a lost replica by a blank one", runReplace},
+}
+
+// tool is what the subcommands share.
+type tool struct {
+	out     io.Writer
+	control []string
+	token   string
+	json    bool
+	timeout time.Duration
+}
+
+func (t *tool) client() *controlclient.Client {
+	return controlclient.New(transport.NewPeerClient(), t.control)
+}
+
+// Main runs the subcommand that args name and returns the exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	t := &tool{out: out}
+	flags := flag.NewFlagSet("parsleyctl", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	control := flags.String("control", "127.0.0.1:7101", "control VMs as ip:port, separated by commas")
+	flags.StringVar(&t.token, "token", "", "the team's token")
+	flags.BoolVar(&t.json, "json", false, "print JSON")
+	flags.DurationVar(&t.timeout, "timeout", 10*time.Second, "time for the whole command")
+	flags.Usage = func() { usage(flags, errOut) }
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return program.ExitOK
+		}
+		return program.ExitUsage
+	}
+	t.control = strings.Split(*control, ",")
+	for _, c := range commands {
+		if c.name == flags.Arg(0) {
+			ctx, cancel := context.WithTimeout(ctx, t.timeout)
+			defer cancel()
+			return exitCode(c.run(ctx, t, flags.Args()[1:]), errOut)
+		}
+	}
+	usage(flags, errOut)
+	return program.ExitUsage
+}
+
+func usage(flags *flag.FlagSet, w io.Writer) {
+	fmt.Fprintln(w, "usage: parsleyctl [flags] COMMAND [arguments]")
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.usage)
+	}
+	flags.PrintDefaults()
+}
+
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return program.ExitOK
+	}
+	fmt.Fprintf(errOut, "parsleyctl: %v\n", err)
+	if code, ok := exitCodes[fail.From(err).Code]; ok {
+		return code
+	}
+	if errors.Is(err, errNotMet) {
+		return ExitNotMet
+	}
+	return program.ExitFailed
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,351 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/wire"
+)
+
+// Headers that callers send and receive.
+const (
+	// HeaderClass names the urgency class of a request.
+	HeaderClass = "Parsleyramp-Class"
+	// HeaderRan says whether a request that failed was executed.
+	HeaderRan = "Parsleyramp-Ran"
+	// HeaderIdempotencyKey is required on calls that must run at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID names the request in logs and traces.
+	HeaderRequestID = "Parsleyramp-Request"
+)
+
+// callerError is the JSON body of every failure.
+type callerError struct {
+	Error callerErrorDetail `json:"error"`
+}
+
+type callerErrorDetail struct {
+	Code         fail.Code `json:"code"`
+	Message      string    `json:"message"`
+	Ran          fail.Ran  `json:"ran"`
+	RetryAfterMS int64     `json:"retry_after_ms,omitempty"`
+}
+
+// writeError answers with a typed failure at once.
+func writeError(w http.ResponseWriter, err error) {
+	f := fail.From(err)
+	metrics.GetOrCreateCounter(`parsleyramp_refusals_total{code="` + string(f.Code) + `",ran="` + string(f.Ran) + `"}`).Inc()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderRan, string(f.Ran))
+	if f.RetryAfter > 0 {
+		seconds := (f.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	w.WriteHeader(f.Code.HTTPStatus())
+	_ = json.NewEncoder(w).Encode(callerError{callerErrorDetail{Code: f.Code, Message: f.Message, Ran: f.Ran, RetryAfterMS: f.RetryAfter.Milliseconds()}})
+}
+
+// callerMux returns the handlers for callers.
+func (s *Server) callerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/entries", s.serveEntries)
+	mux.HandleFunc("GET /v1/models", s.serveModels)
+	mux.HandleFunc("POST /v1/chat/completions", s.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", s.serveCompletion)
+	mux.HandleFunc("GET /v1/overnight/{id}", s.serveOvernight)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.HandleFunc("/", s.serveService)
+	return s.counted(mux)
+}
+
+// counted counts the requests in progress, which a shutdown waits for.
+func (s *Server) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inProgress.Add(1)
+		defer s.inProgress.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// entriesAnswer says which entries a caller may use and for how long.
+type entriesAnswer struct {
+	Entries     []entryAddress `json:"entries"`
+	KeepSeconds float64        `json:"keep_seconds"`
+}
+
+type entryAddress struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+}
+
+// serveEntries answers which addresses to use. Draining entries are left out;
+// ?domain= puts the entries of the caller's failure domain first.
+func (s *Server) serveEntries(w http.ResponseWriter, r *http.Request) {
+	c, err := s.session.catalog()
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer := entriesAnswer{KeepSeconds: s.cfg.KeepAddresses.D().Seconds(), Entries: []entryAddress{}}
+	for _, e := range c.view.Entries {
+		if e.Live && !e.Draining {
+			answer.Entries = append(answer.Entries, entryAddress{ID: e.Id, Address: e.CallerAddress, Domain: e.Domain})
+		}
+	}
+	near := r.URL.Query().Get("domain")
+	slices.SortStableFunc(answer.Entries, func(a, b entryAddress) int {
+		switch {
+		case (a.Domain == near) == (b.Domain == near):
+			return 0
+		case a.Domain == near:
+			return -1
+		}
+		return 1
+	})
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request) {
+	c, err := s.session.catalog()
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name, m := range c.models {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", Owner: m.team})
+	}
+	slices.SortFunc(list.Data, func(a, b modelItem) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if _, err := s.session.catalog(); err != nil {
+		writeError(w, err)
+		return
+	}
+	if s.draining.Load() {
+		writeError(w, fail.New(fail.Draining, "this entry is draining; use another entry"))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// readBody reads a caller's body within the limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fail.Wrap(err, fail.BodyTooLarge, "the body is over the limit of "+strconv.FormatInt(s.cfg.MaxBodyBytes, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, fail.Wrap(err, fail.BadRequest, "read body")
+	}
+	return body, nil
+}
+
+// completionFields are the parts of an OpenAI-style body that routing reads.
+type completionFields struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// serveCompletion answers the OpenAI-style calls.
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := s.requestContext(r)
+	defer cancel()
+	ctx, span := telemetry.StartSpan(ctx, "caller", attribute.String("path", r.URL.Path))
+	defer span.End()
+	j, fields, deferred, err := s.completionJob(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if deferred != nil {
+		s.acceptDeferred(ctx, w, deferred)
+		return
+	}
+	s.answer(ctx, w, j, fields.Stream)
+}
+
+func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx := telemetry.Extract(r.Context(), r.Header)
+	return context.WithTimeout(ctx, s.cfg.RequestTimeout.D())
+}
+
+// completionJob reads and checks a completion. It returns overnight work as a
+// deferred request instead of a job.
+func (s *Server) completionJob(w http.ResponseWriter, r *http.Request) (*job, *completionFields, *wire.DeferredRequest, error) {
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	c, err := s.session.catalog()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	var fields completionFields
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, nil, nil, fail.Wrap(err, fail.BadRequest, "the body is not the JSON of a completion")
+	}
+	m := c.models[fields.Model]
+	if m == nil {
+		return nil, nil, nil, fail.New(fail.UnknownModel, "no team declares the model "+strconv.Quote(fields.Model))
+	}
+	class, ok := c.class(m.team, r.Header.Get(HeaderClass))
+	if !ok {
+		return nil, nil, nil, fail.New(fail.BadRequest, "team "+m.team+" declares no class "+strconv.Quote(r.Header.Get(HeaderClass)))
+	}
+	if by, overnight := class.FinishTime(time.Now()); overnight {
+		return nil, nil, &wire.DeferredRequest{Id: uuid.NewString(), Path: r.URL.Path, Model: fields.Model, Body: body, FinishByUnixMs: by.UnixMilli()}, nil
+	}
+	j, err := newCompletionJob(r.URL.Path, fields.Model, m, body)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	j.template.Priority = class.Priority
+	j.template.FirstTokenDeadlineMs = class.FirstTokenMS
+	j.template.BetweenTokensMs = class.BetweenTokensMS
+	return j, &fields, nil, nil
+}
+
+// newCompletionJob returns the job for a body whose model is known.
+func newCompletionJob(path, name string, m *model, body []byte) (*job, error) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(body, &object); err != nil {
+		return nil, fail.Wrap(err, fail.BadRequest, "the body is not a JSON object")
+	}
+	j := &job{
+		id: uuid.NewString(),
+		template: &wire.ForwardRequest{
+			Method: http.MethodPost, Path: path, ContentType: "application/json", Model: m.name, Adapter: m.adapter,
+			Team: m.team, Idempotent: true, Fingerprint: xxhash.Sum64(body),
+		},
+		targets: func(c *catalog) []target {
+			if current := c.models[name]; current != nil {
+				return current.targets
+			}
+			return nil
+		},
+	}
+	j.body = func(t target) []byte {
+		served, _ := json.Marshal(endpoint.ServedName(m.name, t.version, m.adapter))
+		priority, _ := json.Marshal(j.template.Priority)
+		object["model"], object["priority"] = served, priority
+		data, _ := json.Marshal(object)
+		return data
+	}
+	return j, nil
+}
+
+// answer runs the job and passes its answer to the caller.
+func (s *Server) answer(ctx context.Context, w http.ResponseWriter, j *job, stream bool) {
+	w.Header().Set(HeaderRequestID, j.id)
+	if stream {
+		s.answerStream(ctx, w, j)
+		return
+	}
+	whole, err := s.collect(ctx, j)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeAnswer(w, whole)
+}
+
+func writeAnswer(w http.ResponseWriter, a *wire.RecordedAnswer) {
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(int(a.Status))
+	_, _ = w.Write(a.Body)
+}
+
+// collect runs the job and returns its whole answer.
+func (s *Server) collect(ctx context.Context, j *job) (*wire.RecordedAnswer, error) {
+	whole := &wire.RecordedAnswer{}
+	err := s.dispatcher.run(ctx, j, func(e *wire.ForwardEvent) error {
+		if head := e.GetHead(); head != nil {
+			whole.Status, whole.ContentType = head.Status, head.ContentType
+		}
+		whole.Body = append(whole.Body, e.GetChunk()...)
+		if int64(len(whole.Body)) > s.cfg.MaxAnswerBytes {
+			return fail.New(fail.TruncatedAnswer, "the answer is over the limit").WithRan(fail.RanYes)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return whole, nil
+}
+
+// answerStream passes events on as they come. A stream that breaks after its
+// head is cut off, so that the caller cannot take it for whole.
+func (s *Server) answerStream(ctx context.Context, w http.ResponseWriter, j *job) {
+	out := http.NewResponseController(w)
+	headSent := false
+	err := s.dispatcher.run(ctx, j, func(e *wire.ForwardEvent) error {
+		if head := e.GetHead(); head != nil {
+			headSent = true
+			w.Header().Set("Content-Type", head.ContentType)
+			w.WriteHeader(int(head.Status))
+		}
+		if chunk := e.GetChunk(); len(chunk) > 0 {
+			if _, err := w.Write(chunk); err != nil {
+				return fail.Wrap(err, fail.Canceled, "the caller went away").WithRan(fail.RanYes)
+			}
+			return out.Flush()
+		}
+		return nil
+	})
+	if err == nil {
+		return
+	}
+	if !headSent {
+		writeError(w, err)
+		return
+	}
+	s.log.WithError(err).WithField("request", j.id).Warn("stream broke; the connection is cut")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/entry/catalog.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"strings"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/wire"
+)
+
+// target is one endpoint that serves a model, an adapter or a service.
+type target struct {
+	vm      *wire.Endpoint
+	version string
+}
+
+// model is what callers reach under one name.
+type model struct {
+	team    string
+	name    string
+	adapter string
+	targets []target
+}
+
+// service is a declared plain service with its endpoints.
+type service struct {
+	team    string
+	spec    closing.Service
+	targets []target
+}
+
+// nonIdempotent reports whether the call must run at most once.
+func (s *service) nonIdempotent(method, path string) bool {
+	for _, c := range s.spec.NonIdempotent {
+		if c.Method == method && c.Path == path {
+			return true
+		}
+	}
+	return false
+}
+
+// catalog is an immutable index of one view. Traffic goroutines read it
+// through an atomic pointer.
+type catalog struct {
+	view      *wire.View
+	models    map[string]*model
+	services  []*service
+	classes   map[string][]closing.Class
+	endpoints map[string]*wire.Endpoint
+	entries   map[string]*wire.EntryVM
+	suspects  map[uint64]wire.SuspectState
+	ready     map[residentAt]bool
+}
+
+// residentAt names a resident on an endpoint.
+type residentAt struct {
+	endpoint string
+	resident residentName
+}
+
+func newCatalog(view *wire.View) *catalog {
+	c := &catalog{
+		view:      view,
+		models:    map[string]*model{},
+		classes:   map[string][]closing.Class{},
+		endpoints: map[string]*wire.Endpoint{},
+		entries:   map[string]*wire.EntryVM{},
+		suspects:  map[uint64]wire.SuspectState{},
+		ready:     map[residentAt]bool{},
+	}
+	for _, e := range view.Endpoints {
+		c.endpoints[e.Id] = e
+	}
+	for _, e := range view.Entries {
+		c.entries[e.Id] = e
+	}
+	for _, s := range view.Suspects {
+		c.suspects[s.Fingerprint] = s.State
+	}
+	for _, text := range view.Sections {
+		if s, err := closing.ParseError(text.Text); err == nil {
+			c.addSection(s)
+		}
+	}
+	c.addResidents()
+	return c
+}
+
+func (c *catalog) addSection(s *closing.Section) {
+	c.classes[s.Team] = s.Classes
+	for _, m := range s.Models {
+		name := closing.FullName(s.Team, m.Name)
+		c.models[name] = &model{team: s.Team, name: name}
+		for _, a := range m.Adapters {
+			c.models[name+":"+a.Name] = &model{team: s.Team, name: name, adapter: a.Name + "@" + a.Version}
+		}
+	}
+	for _, v := range s.Services {
+		added := &service{team: s.Team, spec: v}
+		for _, e := range c.view.Endpoints {
+			if e.Kind == wire.EndpointKind_ENDPOINT_KIND_SERVICE && e.Service == v.Name && !e.Leaving {
+				added.targets = append(added.targets, target{vm: e})
+			}
+		}
+		c.services = append(c.services, added)
+	}
+}
+
+// addResidents gives every model and adapter the engines that serve it. An
+// old version serves until the declared one is ready somewhere.
+func (c *catalog) addResidents() {
+	for _, r := range c.view.Residents {
+		if r.State == wire.ResidentState_RESIDENT_STATE_READY {
+			c.ready[residentAt{r.Endpoint, residentName{r.Model, r.Version, r.Adapter}}] = true
+		}
+		name := r.Model
+		if r.Adapter != "" {
+			adapter, _, _ := strings.Cut(r.Adapter, "@")
+			name += ":" + adapter
+		}
+		m, vm := c.models[name], c.endpoints[r.Endpoint]
+		if m == nil || vm == nil || vm.Leaving || r.State != wire.ResidentState_RESIDENT_STATE_READY {
+			continue
+		}
+		if r.Adapter != m.adapter {
+			continue
+		}
+		m.targets = append(m.targets, target{vm: vm, version: r.Version})
+	}
+}
+
+// serviceFor returns the service with the longest prefix of the path.
+func (c *catalog) serviceFor(path string) *service {
+	var best *service
+	for _, s := range c.services {
+		if strings.HasPrefix(path, s.spec.Path) && (best == nil || len(s.spec.Path) > len(best.spec.Path)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// class returns the team's class by name; the first one where name is empty.
+func (c *catalog) class(team, name string) (closing.Class, bool) {
+	for _, cl := range c.classes[team] {
+		if name == "" || cl.Name == name {
+			return cl, true
+		}
+	}
+	return closing.Class{}, name == ""
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,138 @@
+// Package entry is the wiring of parsleyramp-entry: callers' HTTP, the choice
+// of endpoints, and the ownership of endpoints that control assigns to it.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const (
+	// endpointConnections bounds the idle connections kept to one endpoint.
+	endpointConnections = 64
+	maxMessageBytes     = 64 << 20
+	drainPoll           = 20 * time.Millisecond
+)
+
+// Server is one entry process.
+type Server struct {
+	cfg         Settings
+	log         *logrus.Entry
+	incarnation string
+	session     *session
+	owner       *owner
+	dispatcher  *dispatcher
+	control     *controlclient.Client
+	callers     *transport.Server
+	peers       *transport.Server
+	draining    atomic.Bool
+	inProgress  atomic.Int64
+	// deferred holds the keys of the overnight work in progress.
+	deferred sync.Map
+	// background ends the heartbeats and the overnight work.
+	background context.Context
+	stop       context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// Start opens the sockets and begins to ask control for a lease. The entry
+// serves once it has one.
+func Start(cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
+	start := time.Now()
+	background, stop := context.WithCancel(context.Background())
+	s := &Server{
+		cfg: cfg, log: log, incarnation: uuid.NewString(),
+		control:    controlclient.New(transport.NewPeerClient(), cfg.Control),
+		background: background, stop: stop,
+	}
+	s.session = &session{
+		cfg: cfg, control: s.control, log: log, clock: func() time.Duration { return time.Since(start) },
+		self: s.self, wake: make(chan struct{}, 1), onDeferred: s.takeDeferred,
+	}
+	s.owner = newOwner(s.session, endpoint.NewHTTP(transport.NewEndpointClient(endpointConnections)), cfg.ServiceSlots)
+	s.session.report = s.report
+	s.dispatcher = newDispatcher(s.session, s.owner, newPeers(transport.NewPeerClient()), seed)
+	if err := s.listen(); err != nil {
+		stop()
+		return nil, err
+	}
+	s.done.Go(func() { s.session.run(background) })
+	log.WithFields(logrus.Fields{"caller_address": cfg.CallerAddress, "peer_address": cfg.PeerAddress}).Info("entry started")
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	callers, err := transport.Listen(s.cfg.CallerAddress)
+	if err != nil {
+		return err
+	}
+	peers, err := transport.Listen(s.cfg.PeerAddress)
+	if err != nil {
+		callers.Close()
+		return err
+	}
+	s.callers = transport.Serve(callers, s.callerMux())
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner}, connect.WithReadMaxBytes(maxMessageBytes)))
+	s.peers = transport.Serve(peers, mux)
+	return nil
+}
+
+// self returns what the entry says of itself in heartbeats.
+func (s *Server) self() *wire.EntryVM {
+	return &wire.EntryVM{
+		Id: s.cfg.ID, CallerAddress: s.cfg.CallerAddress, PeerAddress: s.cfg.PeerAddress, Domain: s.cfg.Domain,
+		Incarnation: s.incarnation, Draining: s.draining.Load(),
+	}
+}
+
+func (s *Server) report(req *wire.HeartbeatRequest) {
+	s.owner.report(req)
+	s.deferred.Range(func(key, _ any) bool {
+		req.KnownDeferred = append(req.KnownDeferred, key.(string))
+		return true
+	})
+}
+
+// Shutdown drains the entry: it is no longer handed out, goes on serving for
+// as long as callers may keep its address, finishes what is in progress and
+// then closes. ctx bounds the whole.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	s.session.poke()
+	s.log.Info("draining")
+	sleep(ctx, s.cfg.KeepAddresses.D())
+	for ctx.Err() == nil && (s.inProgress.Load() > 0 || s.owner.busy()) {
+		sleep(ctx, drainPoll)
+	}
+	err := s.callers.Shutdown(ctx)
+	if peerErr := s.peers.Shutdown(ctx); err == nil {
+		err = peerErr
+	}
+	s.stop()
+	s.done.Wait()
+	s.log.Info("stopped")
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"time"
+
+	"parsleyramp/internal/settings"
+	"parsleyramp/internal/telemetry"
+)
+
+// Settings of parsleyramp-entry.
+type Settings struct {
+	// ID names this entry VM.
+	ID string `json:"id"`
+	// CallerAddress and PeerAddress are where callers and other entries reach
+	// this one, as ip:port.
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	// Domain is the failure domain of this VM.
+	Domain string `json:"domain"`
+	// Control lists the control VMs as ip:port.
+	Control []string `json:"control"`
+	// Heartbeat is the time between two heartbeats to the control leader.
+	Heartbeat settings.Duration `json:"heartbeat"`
+	// KeepAddresses is how long callers may keep the answer to which entry to use.
+	KeepAddresses settings.Duration `json:"keep_addresses"`
+	// MaxBodyBytes bounds a caller's body, and MaxAnswerBytes an answer that
+	// is not streamed.
+	MaxBodyBytes   int64 `json:"max_body_bytes"`
+	MaxAnswerBytes int64 `json:"max_answer_bytes"`
+	// MaxAttempts bounds the attempts at one request.
+	MaxAttempts int `json:"max_attempts"`
+	// RequestTimeout bounds one request as a whole.
+	RequestTimeout settings.Duration `json:"request_timeout"`
+	// ServiceSlots is how many calls run at once on one plain service endpoint.
+	ServiceSlots int `json:"service_slots"`
+	// ClaimRetention must equal the one of control.
+	ClaimRetention settings.Duration  `json:"claim_retention"`
+	Telemetry      telemetry.Settings `json:"telemetry"`
+}
+
+// DefaultSettings returns the values of fields that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		Heartbeat:      settings.Duration(500 * time.Millisecond),
+		KeepAddresses:  settings.Duration(5 * time.Second),
+		MaxBodyBytes:   4 << 20,
+		MaxAnswerBytes: 4 << 20,
+		MaxAttempts:    3,
+		RequestTimeout: settings.Duration(2 * time.Minute),
+		ServiceSlots:   32,
+		ClaimRetention: settings.Duration(24 * time.Hour),
+		Telemetry:      telemetry.Defaults(),
+	}
+}
+
+// Check reports fields that cannot be used.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Require(s.ID != "", "id", "the name of this entry VM")
+	c.Address("caller_address", s.CallerAddress)
+	c.Address("peer_address", s.PeerAddress)
+	c.Require(s.Domain != "", "domain", "the name of a failure domain")
+	c.Require(len(s.Control) > 0, "control", "one control VM or more")
+	for _, a := range s.Control {
+		c.Address("control", a)
+	}
+	c.Positive("heartbeat", s.Heartbeat)
+	c.Positive("keep_addresses", s.KeepAddresses)
+	c.Require(s.MaxBodyBytes > 0, "max_body_bytes", "1 or more")
+	c.Require(s.MaxAnswerBytes > 0, "max_answer_bytes", "1 or more")
+	c.Require(s.MaxAttempts > 0, "max_attempts", "1 or more")
+	c.Positive("request_timeout", s.RequestTimeout)
+	c.Require(s.ServiceSlots > 0, "service_slots", "1 or more")
+	c.Positive("claim_retention", s.ClaimRetention)
+	s.Telemetry.Check(c)
+}
--- /dev/null
+++ b/internal/membership/owners.go
@@ -0,0 +1,61 @@
+// Package membership decides which entries are alive and which entry owns
+// which endpoint. It does no I/O.
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"parsleyramp/internal/wire"
+)
+
+// maxMovesAtOnce bounds how many endpoints are rebalanced in one step.
+const maxMovesAtOnce = 1
+
+// Owners returns the assignments that give every endpoint a live owner and
+// keep the owners' shares equal. Draining entries own nothing new and hand
+// over what they have.
+func Owners(entries []*wire.EntryVM, endpoints []*wire.Endpoint) []*wire.AssignOwner {
+	shares := map[string]int{}
+	var candidates []string
+	for _, e := range entries {
+		if e.Live && !e.Draining {
+			shares[e.Id] = 0
+			candidates = append(candidates, e.Id)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	for _, vm := range endpoints {
+		if _, ok := shares[vm.Owner]; ok {
+			shares[vm.Owner]++
+		}
+	}
+	lightest := func() string {
+		return slices.MinFunc(candidates, func(a, b string) int {
+			return cmp.Or(cmp.Compare(shares[a], shares[b]), cmp.Compare(a, b))
+		})
+	}
+	var out []*wire.AssignOwner
+	assign := func(vm *wire.Endpoint, owner string) {
+		shares[owner]++
+		out = append(out, &wire.AssignOwner{Endpoint: vm.Id, Owner: owner, ExpectedEpoch: vm.OwnerEpoch})
+	}
+	for _, vm := range endpoints {
+		if _, ok := shares[vm.Owner]; !ok {
+			assign(vm, lightest())
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, vm := range endpoints {
+		to := lightest()
+		if len(out) < maxMovesAtOnce && shares[vm.Owner] > shares[to]+1 {
+			shares[vm.Owner]--
+			assign(vm, to)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,81 @@
+// Package platform is the client of what the platform gives: the lagging list
+// of live and leaving VMs.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"parsleyramp/internal/fail"
+)
+
+// PathVMs is where the live list is served.
+const PathVMs = "/vms"
+
+const maxListBytes = 8 << 20
+
+// VMState is what the live list says of a VM.
+type VMState string
+
+// States of a VM.
+const (
+	Live    VMState = "live"
+	Leaving VMState = "leaving"
+)
+
+// VMKind is what runs on a VM.
+type VMKind string
+
+// Kinds of VMs that requests are routed to.
+const (
+	KindEngine  VMKind = "engine"
+	KindService VMKind = "service"
+)
+
+// VM is one line of the live list.
+type VM struct {
+	ID   string `json:"id"`
+	Kind VMKind `json:"kind"`
+	// Address as ip:port.
+	Address string  `json:"address"`
+	Domain  string  `json:"domain"`
+	State   VMState `json:"state"`
+	// Service is the name of a plain service; empty for engines.
+	Service      string `json:"service,omitempty"`
+	Accelerators uint32 `json:"accelerators,omitempty"`
+}
+
+// LiveList reads the list of live and leaving VMs. The list lags.
+type LiveList interface {
+	VMs(ctx context.Context) ([]VM, error)
+}
+
+// HTTPLiveList reads the list by HTTP as JSON.
+type HTTPLiveList struct {
+	Client *http.Client
+	// Address as ip:port.
+	Address string
+}
+
+// VMs reads the list.
+func (l *HTTPLiveList) VMs(ctx context.Context) ([]VM, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address+PathVMs, nil)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Internal, "live list request")
+	}
+	resp, err := l.Client.Do(req)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Unavailable, "live list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fail.New(fail.Unavailable, "live list: status "+resp.Status)
+	}
+	var vms []VM
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&vms); err != nil {
+		return nil, fail.Wrap(err, fail.Unavailable, "live list")
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,95 @@
+// Package program holds what the main functions of the programs share: flags,
+// settings, logs, traces, signals and exit codes.
+package program
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/settings"
+	"parsleyramp/internal/telemetry"
+)
+
+// Exit codes of every program.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+// shutdownTimeout bounds a graceful shutdown.
+const shutdownTimeout = 5 * time.Minute
+
+// Daemon is a program that runs until SIGTERM.
+type Daemon struct {
+	// Name of the program.
+	Name string
+	// Settings holds the defaults and receives the file.
+	Settings settings.Checked
+	// Identify returns, once the settings are read, the id for logs and the
+	// telemetry settings.
+	Identify func() (string, telemetry.Settings)
+	// Run serves until ctx ends and then shuts down gracefully within stop.
+	Run func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error
+}
+
+// Main reads flags and settings, runs the daemon and returns its exit code.
+func (d Daemon) Main(args []string) int {
+	flags := flag.NewFlagSet(d.Name, flag.ContinueOnError)
+	path := flags.String("settings", "", "settings file: JSON with comments")
+	check := flags.Bool("check", false, "only check the settings")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	if *path == "" {
+		fmt.Fprintf(os.Stderr, "%s: -settings is required\n", d.Name)
+		return ExitUsage
+	}
+	if err := settings.Load(*path, d.Settings); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
+		return ExitSettings
+	}
+	if *check {
+		fmt.Printf("%s: settings are valid\n", *path)
+		return ExitOK
+	}
+	id, t := d.Identify()
+	log := telemetry.NewLogger(t, os.Stderr, d.Name, id)
+	if err := d.serve(id, t, log); err != nil {
+		log.WithField("code", fail.From(err).Code).WithError(err).Error("stopped by a failure")
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func (d Daemon) serve(id string, t telemetry.Settings, log *logrus.Entry) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	flush, err := telemetry.StartTracing(ctx, t, d.Name, id)
+	if err != nil {
+		return err
+	}
+	stop := func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), shutdownTimeout)
+	}
+	err = d.Run(ctx, stop, log)
+	flushCtx, cancelFlush := stop()
+	defer cancelFlush()
+	if flushErr := flush(flushCtx); err == nil {
+		err = flushErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/replica/node.go
@@ -0,0 +1,240 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/consensus"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/journal"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	tickInterval = 25 * time.Millisecond
+	// inboxSize bounds the messages that wait for the control goroutine; the
+	// rest are dropped, and consensus sends them again.
+	inboxSize = 1024
+	// maxBatch bounds the events that share one sync of the journal.
+	maxBatch = 512
+)
+
+// Storage is what a node needs of its journal.
+type Storage interface {
+	Save(h *wire.HardState, entries []*wire.LogEntry) error
+	SaveSnapshot(s *wire.Snapshot, remaining []*wire.LogEntry) error
+}
+
+// Sender passes messages to other replicas without waiting. It may drop any.
+type Sender interface {
+	Send(messages []*wire.RaftMessage, membership *wire.Membership)
+}
+
+// Options are the parts that a node joins.
+type Options struct {
+	Identity  journal.Identity
+	Recovered *journal.Recovered
+	Storage   Storage
+	Sender    Sender
+	Consensus consensus.Config
+	// SnapshotEntries is how many applied entries lead to a new snapshot.
+	SnapshotEntries uint64
+	// Now returns the monotonic time.
+	Now  func() time.Duration
+	Seed uint64
+	Log  *logrus.Entry
+}
+
+// Node is one control replica.
+type Node struct {
+	opt     Options
+	core    *consensus.Core
+	machine *state.Machine
+	inbox   chan func()
+	stopped chan struct{}
+	pending map[uint64]pendingProposal
+	// snapshotIndex is the index of the newest stored snapshot.
+	snapshotIndex uint64
+	lastRole      consensus.Role
+}
+
+type pendingProposal struct {
+	term uint64
+	done chan proposalResult
+}
+
+type proposalResult struct {
+	result *wire.CommandResult
+	err    error
+}
+
+// NewNode restores a node from what its journal held.
+func NewNode(opt Options) (*Node, error) {
+	machine, err := state.Restore(opt.Recovered.Snapshot.GetData())
+	if err != nil {
+		return nil, err
+	}
+	initial := consensus.Initial{
+		ID:        opt.Identity.ID,
+		HardState: opt.Recovered.HardState,
+		Snapshot:  opt.Recovered.Snapshot,
+		Entries:   opt.Recovered.Entries,
+	}
+	return &Node{
+		opt:           opt,
+		core:          consensus.New(opt.Consensus, initial, opt.Now(), opt.Seed),
+		machine:       machine,
+		inbox:         make(chan func(), inboxSize),
+		stopped:       make(chan struct{}),
+		pending:       map[uint64]pendingProposal{},
+		snapshotIndex: opt.Recovered.Snapshot.GetIndex(),
+	}, nil
+}
+
+// Run owns the replica until ctx ends or its storage fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.stopped)
+	defer n.failPending()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-n.inbox:
+			f()
+			n.drainInbox()
+		case <-tick.C:
+		}
+		n.core.Tick(n.opt.Now())
+		n.core.Flush()
+		if err := n.carryOut(); err != nil {
+			n.opt.Log.WithError(err).Error("storage failed; the replica stops")
+			return err
+		}
+		n.noteRole()
+	}
+}
+
+// drainInbox takes what else is waiting, so that one sync serves many.
+func (n *Node) drainInbox() {
+	for range maxBatch {
+		select {
+		case f := <-n.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// carryOut syncs, sends and applies until the core has nothing more to do.
+// The sync comes first: a message may promise what it stores.
+func (n *Node) carryOut() error {
+	for {
+		e := n.core.Effects()
+		if e.Empty() {
+			return nil
+		}
+		if e.Snapshot != nil {
+			if err := n.install(e.Snapshot); err != nil {
+				return err
+			}
+		}
+		if err := n.opt.Storage.Save(e.HardState, e.Entries); err != nil {
+			return err
+		}
+		n.core.Persisted(e)
+		n.opt.Sender.Send(e.Messages, n.core.Membership())
+		n.apply(e.Committed)
+		if err := n.maybeSnapshot(); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) install(s *wire.Snapshot) error {
+	machine, err := state.Restore(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := n.opt.Storage.SaveSnapshot(s, nil); err != nil {
+		return err
+	}
+	n.machine = machine
+	n.snapshotIndex = s.Index
+	n.opt.Log.WithField("index", s.Index).Info("snapshot installed")
+	return nil
+}
+
+func (n *Node) apply(entries []*wire.LogEntry) {
+	for _, e := range entries {
+		result := n.applyEntry(e)
+		p, ok := n.pending[e.Index]
+		if !ok {
+			continue
+		}
+		delete(n.pending, e.Index)
+		if p.term == e.Term {
+			p.done <- proposalResult{result: result}
+		} else {
+			p.done <- proposalResult{err: errLostLeadership}
+		}
+	}
+}
+
+func (n *Node) applyEntry(e *wire.LogEntry) *wire.CommandResult {
+	if e.Kind != wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND {
+		return &wire.CommandResult{Applied: true}
+	}
+	var c wire.Command
+	if err := proto.Unmarshal(e.Data, &c); err != nil {
+		return &wire.CommandResult{Reason: "undecodable command"}
+	}
+	return n.machine.Apply(e.Index, &c)
+}
+
+func (n *Node) maybeSnapshot() error {
+	applied := n.core.Applied()
+	if applied < n.snapshotIndex+n.opt.SnapshotEntries {
+		return nil
+	}
+	data, err := n.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	term, _ := n.core.TermAt(applied)
+	s := &wire.Snapshot{Index: applied, Term: term, Membership: n.core.MembershipAt(applied), Data: data}
+	if err := n.opt.Storage.SaveSnapshot(s, n.core.EntriesAfter(applied)); err != nil {
+		return err
+	}
+	n.core.Compact(s, n.opt.SnapshotEntries/4)
+	n.snapshotIndex = applied
+	n.opt.Log.WithFields(logrus.Fields{"index": applied, "bytes": len(data)}).Info("snapshot stored")
+	return nil
+}
+
+func (n *Node) noteRole() {
+	role := n.core.Role()
+	if role == n.lastRole {
+		return
+	}
+	if n.lastRole == consensus.Leader {
+		n.failPending()
+	}
+	n.opt.Log.WithFields(logrus.Fields{"role": role.String(), "term": n.core.Term()}).Info("role changed")
+	n.lastRole = role
+}
+
+var errLostLeadership = fail.New(fail.Unavailable, "the leader changed while the change was being committed").WithRan(fail.RanUnknown)
+
+func (n *Node) failPending() {
+	for i, p := range n.pending {
+		p.done <- proposalResult{err: errLostLeadership}
+		delete(n.pending, i)
+	}
+}
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyramp/internal/endpoint"
+)
+
+// maxEvents bounds the events that are kept; older ones are a gap.
+const maxEvents = 1024
+
+// prefixCache remembers recent prompts by their first words, oldest out first.
+type prefixCache struct {
+	capacity int
+	used     int
+	order    []uint64
+	tokens   map[uint64]int
+	models   map[uint64]string
+	sequence uint64
+	events   []endpoint.CacheEvent
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, tokens: map[uint64]int{}, models: map[uint64]string{}}
+}
+
+// PrefixWords is how many words of a prompt make its prefix.
+const PrefixWords = 8
+
+// PrefixDigest returns the digest by which cache events name a prompt.
+func PrefixDigest(model, prompt string) uint64 {
+	words := strings.Fields(prompt)
+	return xxhash.Sum64String(model + "\x00" + strings.Join(words[:min(len(words), PrefixWords)], " "))
+}
+
+// use returns how many tokens of the prompt are not cached, and caches them.
+func (c *prefixCache) use(model, prompt string, dropEvent bool) int {
+	words := len(strings.Fields(prompt))
+	key := PrefixDigest(model, prompt)
+	if cached, ok := c.tokens[key]; ok {
+		return max(0, words-cached)
+	}
+	size := min(words, PrefixWords)
+	c.tokens[key], c.models[key] = size, model
+	c.order = append(c.order, key)
+	c.used += size
+	c.publish(endpoint.CacheEvent{Stored: true, Prefix: key, Model: model}, dropEvent)
+	for c.used > c.capacity && len(c.order) > 1 {
+		old := c.order[0]
+		c.order = c.order[1:]
+		c.used -= c.tokens[old]
+		c.publish(endpoint.CacheEvent{Prefix: old, Model: c.models[old]}, dropEvent)
+		delete(c.tokens, old)
+		delete(c.models, old)
+	}
+	return words
+}
+
+func (c *prefixCache) publish(e endpoint.CacheEvent, drop bool) {
+	c.sequence++
+	if drop {
+		return
+	}
+	e.Sequence = c.sequence
+	c.events = append(c.events, e)
+	if len(c.events) > maxEvents {
+		c.events = c.events[1:]
+	}
+}
+
+func (c *prefixCache) after(sequence uint64) []endpoint.CacheEvent {
+	out := []endpoint.CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > sequence {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,315 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"parsleyramp/internal/endpoint"
+)
+
+// EngineConfig is the shape of a stand-in engine.
+type EngineConfig struct {
+	ID           string
+	MemoryBytes  uint64
+	Slots        int
+	Accelerators int
+	// TokenInterval is the time between two tokens of one request.
+	TokenInterval time.Duration
+	// PrefillPerToken is the time that one prompt token takes before the first
+	// answer token, unless it is cached.
+	PrefillPerToken time.Duration
+	// CacheTokens bounds the prefix cache.
+	CacheTokens   int
+	ChecksFencing bool
+	// LoadTime and AdapterLoadTime are how long loads take besides the store.
+	LoadTime        time.Duration
+	AdapterLoadTime time.Duration
+	// ReportLag is how old the load report is.
+	ReportLag time.Duration
+	// Store is the weight store's ip:port; empty for loads without one.
+	Store string
+}
+
+type engineResident struct {
+	state endpoint.ResidentState
+	// loading is true until the weights have arrived; the memory counts already.
+	loading bool
+}
+
+// EngineCounts is what a stand-in engine counted; tests read it.
+type EngineCounts struct {
+	// Overcommits counts loads that took more memory than the engine has.
+	Overcommits int `json:"overcommits"`
+	Loads       int `json:"loads"`
+	Unloads     int `json:"unloads"`
+	Requests    int `json:"requests"`
+	Crashes     int `json:"crashes"`
+	StaleOrders int `json:"stale_orders"`
+	// UnloadedBusy counts unloads of a resident that requests were running on.
+	UnloadedBusy int `json:"unloaded_busy"`
+}
+
+// Engine is a stand-in model engine.
+type Engine struct {
+	cfg    EngineConfig
+	faults faultBox
+	mux    *http.ServeMux
+	client *http.Client
+
+	mu            sync.Mutex
+	incarnation   int64
+	crashed       context.Context
+	crash         context.CancelFunc
+	residents     map[string]*engineResident
+	fenceTerm     uint64
+	fenceSequence uint64
+	running       int
+	waiting       []*waiter
+	cancels       map[string]context.CancelFunc
+	cache         *prefixCache
+	counts        EngineCounts
+	reports       []timedReport
+}
+
+type waiter struct {
+	priority int
+	admitted chan struct{}
+}
+
+type timedReport struct {
+	at     time.Time
+	report endpoint.LoadReport
+}
+
+// NewEngine returns a stand-in engine with an empty memory.
+func NewEngine(cfg EngineConfig) *Engine {
+	e := &Engine{cfg: cfg, mux: http.NewServeMux(), client: &http.Client{}}
+	e.restart()
+	e.mux.HandleFunc("GET "+endpoint.PathState, e.serveState)
+	e.mux.HandleFunc("POST "+endpoint.PathOrders, e.serveOrder)
+	e.mux.HandleFunc("GET "+endpoint.PathLoad, e.serveLoad)
+	e.mux.HandleFunc("GET "+endpoint.PathEvents, e.serveEvents)
+	e.mux.HandleFunc("POST "+endpoint.PathCancel, e.serveCancel)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	e.mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	e.mux.HandleFunc("GET /standin/counts", e.serveCounts)
+	e.mux.Handle(PathFaults, &e.faults)
+	return e
+}
+
+// ServeHTTP answers the engine protocol.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != PathFaults {
+		e.faults.waitUnfrozen(r)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(f Faults) { e.faults.set(f) }
+
+// Counts returns what was counted so far, over all incarnations.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// restart empties the engine, as a new process would be.
+func (e *Engine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crash != nil {
+		e.crash()
+	}
+	e.crashed, e.crash = context.WithCancel(context.Background())
+	e.incarnation = time.Now().UnixNano()
+	e.residents = map[string]*engineResident{}
+	e.fenceTerm, e.fenceSequence = 0, 0
+	e.cancels = map[string]context.CancelFunc{}
+	e.cache = newPrefixCache(e.cfg.CacheTokens)
+	e.reports = nil
+}
+
+func (e *Engine) incarnationName() string {
+	return e.cfg.ID + "-" + strconv.FormatInt(e.incarnation, 36)
+}
+
+func (e *Engine) usedBytes() uint64 {
+	var sum uint64
+	for _, r := range e.residents {
+		sum += r.state.MemoryBytes
+	}
+	return sum
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	s := endpoint.EngineState{
+		Incarnation: e.incarnationName(), MemoryBytes: e.cfg.MemoryBytes, UsedBytes: e.usedBytes(),
+		Slots: e.cfg.Slots, Accelerators: e.cfg.Accelerators, FenceTerm: e.fenceTerm, FenceSequence: e.fenceSequence,
+		Residents: []endpoint.ResidentState{},
+	}
+	for _, r := range e.residents {
+		if !r.loading {
+			s.Residents = append(s.Residents, r.state)
+		}
+	}
+	e.mu.Unlock()
+	slices.SortFunc(s.Residents, func(a, b endpoint.ResidentState) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	writeJSON(w, s)
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) }
+
+// serveLoad answers with a report that is ReportLag old.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	e.mu.Lock()
+	current := endpoint.LoadReport{Running: e.running, Waiting: len(e.waiting), CacheTokens: e.cache.used, CacheCapacity: e.cfg.CacheTokens, ReportedUnix: now.UnixMilli()}
+	e.reports = append(e.reports, timedReport{at: now, report: current})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
+		e.reports = e.reports[1:]
+	}
+	report := e.reports[0].report
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	events := e.cache.after(after)
+	e.mu.Unlock()
+	writeJSON(w, events)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	cancel := e.cancels[r.URL.Query().Get("id")]
+	e.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o endpoint.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.faults.take(func(f *Faults) *int { return &f.LoseOrders }) {
+		panic(http.ErrAbortHandler)
+	}
+	if e.faults.take(func(f *Faults) *int { return &f.DelayOrders }) {
+		time.Sleep(time.Duration(e.faults.get().OrderDelayMS) * time.Millisecond)
+	}
+	result := e.execute(o)
+	if e.faults.take(func(f *Faults) *int { return &f.RepeatOrders }) {
+		e.execute(o)
+	}
+	if e.faults.take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, result)
+}
+
+// execute carries out an order. A repeated one that already holds is done.
+func (e *Engine) execute(o endpoint.Order) endpoint.OrderResult {
+	e.mu.Lock()
+	if o.Incarnation != e.incarnationName() {
+		e.mu.Unlock()
+		return endpoint.OrderResult{Reason: "incarnation"}
+	}
+	if e.cfg.ChecksFencing {
+		older := o.FenceTerm < e.fenceTerm || (o.FenceTerm == e.fenceTerm && o.FenceSequence < e.fenceSequence)
+		if older {
+			e.counts.StaleOrders++
+			e.mu.Unlock()
+			return endpoint.OrderResult{Reason: "stale_fence"}
+		}
+		e.fenceTerm, e.fenceSequence = o.FenceTerm, o.FenceSequence
+	}
+	name := endpoint.ServedName(o.Model, o.Version, o.Adapter)
+	switch o.Kind {
+	case endpoint.OrderLoad:
+		return e.load(name, o)
+	case endpoint.OrderUnload:
+		defer e.mu.Unlock()
+		if r := e.residents[name]; r != nil {
+			if r.state.Running > 0 {
+				e.counts.UnloadedBusy++
+			}
+			delete(e.residents, name)
+			e.counts.Unloads++
+		}
+		return endpoint.OrderResult{Done: true}
+	case endpoint.OrderRole:
+		defer e.mu.Unlock()
+		return endpoint.OrderResult{Done: true}
+	}
+	e.mu.Unlock()
+	return endpoint.OrderResult{Reason: "unknown order"}
+}
+
+// load takes the memory at once and the weights after a while. It is called
+// with the lock held and releases it.
+func (e *Engine) load(name string, o endpoint.Order) endpoint.OrderResult {
+	if r := e.residents[name]; r != nil {
+		e.mu.Unlock()
+		return endpoint.OrderResult{Done: true}
+	}
+	r := &engineResident{loading: true, state: endpoint.ResidentState{Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryBytes: o.MemoryBytes}}
+	e.residents[name] = r
+	if e.usedBytes() > e.cfg.MemoryBytes {
+		e.counts.Overcommits++
+	}
+	e.counts.Loads++
+	crashed := e.crashed
+	e.mu.Unlock()
+
+	if !e.fetchWeights(crashed, o) {
+		return endpoint.OrderResult{Reason: "crashed"}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.loading = false
+	return endpoint.OrderResult{Done: true}
+}
+
+// fetchWeights waits for the weight store and the copy into memory.
+func (e *Engine) fetchWeights(crashed context.Context, o endpoint.Order) bool {
+	wait := e.cfg.LoadTime
+	if o.Adapter != "" {
+		wait = e.cfg.AdapterLoadTime
+	}
+	if e.cfg.Store != "" {
+		kind := "model"
+		if o.Adapter != "" {
+			kind = "adapter"
+		}
+		url := fmt.Sprintf("http://%s%s?kind=%s", e.cfg.Store, PathFetch, kind)
+		if req, err := http.NewRequestWithContext(crashed, http.MethodPost, url, nil); err == nil {
+			if resp, err := e.client.Do(req); err == nil {
+				resp.Body.Close()
+			}
+		}
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-crashed.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"parsleyramp/internal/platform"
+)
+
+// LiveList is a stand-in list of live and leaving VMs. It lags.
+type LiveList struct {
+	mu  sync.Mutex
+	lag time.Duration
+	// current is what is true; published is what readers see.
+	current   []platform.VM
+	published []platform.VM
+}
+
+// NewLiveList returns a list that shows changes after the lag.
+func NewLiveList(vms []platform.VM, lag time.Duration) *LiveList {
+	return &LiveList{lag: lag, current: vms, published: vms}
+}
+
+// Set replaces the list; readers see it after the lag.
+func (l *LiveList) Set(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = vms
+	time.AfterFunc(l.lag, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.published = vms
+	})
+}
+
+// ServeHTTP answers GET with the list; PUT replaces it; POST with ?leaving=ID
+// marks a VM as leaving and with ?gone=ID removes it.
+func (l *LiveList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPut:
+		var vms []platform.VM
+		if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(vms)
+	case http.MethodPost:
+		l.Set(l.edited(r.URL.Query().Get("leaving"), r.URL.Query().Get("gone")))
+	}
+	l.mu.Lock()
+	vms := l.published
+	l.mu.Unlock()
+	writeJSON(w, vms)
+}
+
+func (l *LiveList) edited(leaving, gone string) []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []platform.VM
+	for _, vm := range l.current {
+		if vm.ID == gone {
+			continue
+		}
+		if vm.ID == leaving {
+			vm.State = platform.Leaving
+		}
+		out = append(out, vm)
+	}
+	return out
+}
+
+// PathFetch is where engines ask the weight store for weights.
+const PathFetch = "/fetch"
+
+// StoreConfig is the shape of a stand-in weight store.
+type StoreConfig struct {
+	// LoadsPerSecond bounds the model loads that start in a second.
+	LoadsPerSecond float64
+	// FullSpeed is how many loads run at once before each becomes slower.
+	FullSpeed int
+	LoadTime  time.Duration
+	// AdapterLoads is how many adapter loads run at once at full speed.
+	AdapterLoads    int
+	AdapterLoadTime time.Duration
+}
+
+// Store is a stand-in weight store.
+type Store struct {
+	cfg StoreConfig
+
+	mu       sync.Mutex
+	next     time.Time
+	models   int
+	adapters int
+}
+
+// NewStore returns a stand-in weight store.
+func NewStore(cfg StoreConfig) *Store { return &Store{cfg: cfg} }
+
+// ServeHTTP answers a fetch once the weights would have arrived. Beyond the
+// full-speed number of loads each takes longer in proportion.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("kind") == "adapter" {
+		s.transfer(r, &s.adapters, s.cfg.AdapterLoads, s.cfg.AdapterLoadTime)
+	} else {
+		s.waitForRate(r)
+		s.transfer(r, &s.models, s.cfg.FullSpeed, s.cfg.LoadTime)
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) waitForRate(r *http.Request) {
+	if s.cfg.LoadsPerSecond <= 0 {
+		return
+	}
+	s.mu.Lock()
+	start := s.next
+	if now := time.Now(); start.Before(now) {
+		start = now
+	}
+	s.next = start.Add(time.Duration(float64(time.Second) / s.cfg.LoadsPerSecond))
+	s.mu.Unlock()
+	sleep(r.Context(), time.Until(start))
+}
+
+func (s *Store) transfer(r *http.Request, running *int, fullSpeed int, t time.Duration) {
+	s.mu.Lock()
+	*running++
+	if fullSpeed > 0 && *running > fullSpeed {
+		t = t * time.Duration(*running) / time.Duration(fullSpeed)
+	}
+	s.mu.Unlock()
+	sleep(r.Context(), t)
+	s.mu.Lock()
+	*running--
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,80 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"parsleyramp/internal/endpoint"
+)
+
+// Service is a stand-in plain service that counts each call it runs.
+type Service struct {
+	id     string
+	faults faultBox
+	mux    *http.ServeMux
+	mu     sync.Mutex
+	runs   map[string]int
+}
+
+// ServiceAnswer is what the stand-in service answers.
+type ServiceAnswer struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Body    string `json:"body"`
+	// Runs counts the runs of a call with this path and body.
+	Runs int `json:"runs"`
+}
+
+// NewService returns a stand-in service.
+func NewService(id string) *Service {
+	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.Handle(PathFaults, &s.faults)
+	s.mux.HandleFunc("GET /standin/runs", s.serveRuns)
+	s.mux.HandleFunc("/", s.serveCall)
+	return s
+}
+
+// ServeHTTP answers a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != PathFaults {
+		s.faults.waitUnfrozen(r)
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(f Faults) { s.faults.set(f) }
+
+// Runs returns how often a call with this method, path and body has run.
+func (s *Service) Runs(method, path, body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[method+" "+path+" "+body]
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	data, _ := json.Marshal(s.runs)
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	key := r.Method + " " + r.URL.Path + " " + string(body)
+	s.runs[key]++
+	answer := ServiceAnswer{Service: s.id, Path: r.URL.Path, Body: string(body), Runs: s.runs[key]}
+	s.mu.Unlock()
+	if s.faults.take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
+	writeJSON(w, answer)
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,169 @@
+// Package state is the replicated state machine of the control replicas. It
+// does no I/O, reads no clock and iterates in sorted order, so that every
+// replica that applies the same commands holds the same state.
+package state
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/wire"
+)
+
+// residentKey names a model or adapter version on one engine.
+type residentKey struct {
+	endpoint, model, version, adapter string
+}
+
+type applyKey struct {
+	team, orderID string
+}
+
+// Machine holds the whole replicated state. It is not safe for concurrent use.
+type Machine struct {
+	applied      uint64
+	viewRevision uint64
+
+	sections  map[string]*wire.Section
+	applies   map[applyKey]*wire.ApplyRecord
+	entries   map[string]*wire.EntryVM
+	endpoints map[string]*wire.Endpoint
+	residents map[residentKey]*wire.Resident
+	orders    map[residentKey]*wire.Order
+	claims    map[string]*wire.Claim
+	deferred  map[string]*wire.DeferredRequest
+	suspects  map[uint64]*wire.Suspect
+
+	// claimsExpiredBefore refuses keys whose records may have been dropped.
+	claimsExpiredBefore int64
+}
+
+// New returns an empty state.
+func New() *Machine {
+	return &Machine{
+		sections:  map[string]*wire.Section{},
+		applies:   map[applyKey]*wire.ApplyRecord{},
+		entries:   map[string]*wire.EntryVM{},
+		endpoints: map[string]*wire.Endpoint{},
+		residents: map[residentKey]*wire.Resident{},
+		orders:    map[residentKey]*wire.Order{},
+		claims:    map[string]*wire.Claim{},
+		deferred:  map[string]*wire.DeferredRequest{},
+		suspects:  map[uint64]*wire.Suspect{},
+	}
+}
+
+// AppliedIndex returns the log index of the last command that was applied.
+func (m *Machine) AppliedIndex() uint64 { return m.applied }
+
+// ViewRevision returns the log index of the last command that changed the view.
+func (m *Machine) ViewRevision() uint64 { return m.viewRevision }
+
+// Apply executes the command at the log index. A command whose precondition
+// does not hold changes nothing and is answered with Applied false.
+func (m *Machine) Apply(index uint64, c *wire.Command) *wire.CommandResult {
+	m.applied = index
+	switch b := c.Body.(type) {
+	case *wire.Command_ApplySection:
+		return m.applySection(b.ApplySection, c.ProposedUnixMs)
+	case *wire.Command_SetEntry:
+		return m.setEntry(b.SetEntry.GetEntry())
+	case *wire.Command_SetEndpoint:
+		return m.setEndpoint(b.SetEndpoint.GetEndpoint())
+	case *wire.Command_RemoveEndpoint:
+		return m.removeEndpoint(b.RemoveEndpoint.Id)
+	case *wire.Command_ResetEngine:
+		return m.resetEngine(b.ResetEngine)
+	case *wire.Command_AssignOwner:
+		return m.assignOwner(b.AssignOwner)
+	case *wire.Command_SetResident:
+		return m.setResident(b.SetResident)
+	case *wire.Command_IssueOrder:
+		return m.issueOrder(b.IssueOrder.GetOrder(), c.ProposedUnixMs)
+	case *wire.Command_ResolveOrder:
+		return m.resolveOrder(b.ResolveOrder)
+	case *wire.Command_BeginClaim:
+		return m.beginClaim(b.BeginClaim, c.ProposedUnixMs)
+	case *wire.Command_FinishClaim:
+		return m.finishClaim(b.FinishClaim)
+	case *wire.Command_SubmitDeferred:
+		return m.submitDeferred(b.SubmitDeferred.GetRequest(), c.ProposedUnixMs)
+	case *wire.Command_StartDeferred:
+		return m.startDeferred(b.StartDeferred)
+	case *wire.Command_FinishDeferred:
+		return m.finishDeferred(b.FinishDeferred)
+	case *wire.Command_ReportCrash:
+		return m.reportCrash(b.ReportCrash, c.ProposedUnixMs)
+	case *wire.Command_ClearSuspect:
+		return m.clearSuspect(b.ClearSuspect.Fingerprint)
+	case *wire.Command_ExpireRecords:
+		return m.expireRecords(b.ExpireRecords)
+	}
+	return refused("unknown command")
+}
+
+func refused(reason string) *wire.CommandResult {
+	return &wire.CommandResult{Reason: reason}
+}
+
+func applied() *wire.CommandResult { return &wire.CommandResult{Applied: true} }
+
+// changeView records that the current command changed the view.
+func (m *Machine) changeView() { m.viewRevision = m.applied }
+
+func clone[T proto.Message](v T) T { return proto.Clone(v).(T) }
+
+// sorted returns clones of the values of a map, ordered by less.
+func sorted[K comparable, V proto.Message](in map[K]V, compare func(a, b V) int) []V {
+	out := make([]V, 0, len(in))
+	for _, v := range in {
+		out = append(out, clone(v))
+	}
+	slices.SortFunc(out, compare)
+	return out
+}
+
+func (m *Machine) sortedResidents() []*wire.Resident {
+	return sorted(m.residents, func(a, b *wire.Resident) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
+	})
+}
+
+func (m *Machine) sortedOrders() []*wire.Order {
+	return sorted(m.orders, func(a, b *wire.Order) int {
+		return cmp.Or(cmp.Compare(a.FenceTerm, b.FenceTerm), cmp.Compare(a.FenceSequence, b.FenceSequence))
+	})
+}
+
+func (m *Machine) sortedSections() []*wire.Section {
+	return sorted(m.sections, func(a, b *wire.Section) int { return cmp.Compare(a.Team, b.Team) })
+}
+
+func (m *Machine) sortedEntries() []*wire.EntryVM {
+	return sorted(m.entries, func(a, b *wire.EntryVM) int { return cmp.Compare(a.Id, b.Id) })
+}
+
+func (m *Machine) sortedEndpoints() []*wire.Endpoint {
+	return sorted(m.endpoints, func(a, b *wire.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
+}
+
+func (m *Machine) sortedSuspects() []*wire.Suspect {
+	return sorted(m.suspects, func(a, b *wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+}
+
+// View returns the part of the state that entries serve by.
+func (m *Machine) View() *wire.View {
+	return &wire.View{
+		Revision:  m.viewRevision,
+		Sections:  m.sortedSections(),
+		Entries:   m.sortedEntries(),
+		Endpoints: m.sortedEndpoints(),
+		Residents: m.sortedResidents(),
+		Suspects:  m.sortedSuspects(),
+	}
+}
+
+// Orders returns the orders whose outcome is not proved, oldest first.
+func (m *Machine) Orders() []*wire.Order { return m.sortedOrders() }
--- /dev/null
+++ b/internal/state/members.go
@@ -0,0 +1,102 @@
+package state
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/wire"
+)
+
+// Entries returns all entry VMs.
+func (m *Machine) Entries() []*wire.EntryVM { return m.sortedEntries() }
+
+// Endpoints returns all endpoints.
+func (m *Machine) Endpoints() []*wire.Endpoint { return m.sortedEndpoints() }
+
+// setEntry records an entry VM. Work that an earlier incarnation of it held
+// has an unknown outcome from here on, or is queued again.
+func (m *Machine) setEntry(e *wire.EntryVM) *wire.CommandResult {
+	old := m.entries[e.GetId()]
+	if proto.Equal(old, e) {
+		return applied()
+	}
+	m.entries[e.Id] = clone(e)
+	m.changeView()
+	if old != nil && (old.Incarnation != e.Incarnation || !e.Live) {
+		m.abandonWork(old.Id, old.Incarnation)
+	}
+	return applied()
+}
+
+// setEndpoint records what the platform says of an endpoint. Owner, memory
+// and incarnation stay as the state has them.
+func (m *Machine) setEndpoint(e *wire.Endpoint) *wire.CommandResult {
+	next := clone(e)
+	if old := m.endpoints[e.GetId()]; old != nil {
+		next.Owner, next.OwnerEpoch = old.Owner, old.OwnerEpoch
+		next.Incarnation, next.MemoryBytes, next.Slots = old.Incarnation, old.MemoryBytes, old.Slots
+		if proto.Equal(old, next) {
+			return applied()
+		}
+	}
+	m.endpoints[next.Id] = next
+	m.changeView()
+	return applied()
+}
+
+// removeEndpoint forgets an endpoint that no longer exists, with its memory.
+func (m *Machine) removeEndpoint(id string) *wire.CommandResult {
+	if m.endpoints[id] == nil {
+		return refused("no such endpoint")
+	}
+	delete(m.endpoints, id)
+	m.dropResidents(id)
+	m.changeView()
+	return applied()
+}
+
+// resetEngine records a new incarnation of an engine. Its memory is empty.
+func (m *Machine) resetEngine(r *wire.ResetEngine) *wire.CommandResult {
+	e := m.endpoints[r.Id]
+	if e == nil {
+		return refused("no such endpoint")
+	}
+	if e.Incarnation == r.Incarnation {
+		return applied()
+	}
+	e.Incarnation, e.MemoryBytes, e.Slots = r.Incarnation, r.MemoryBytes, r.Slots
+	m.dropResidents(r.Id)
+	m.changeView()
+	return applied()
+}
+
+func (m *Machine) dropResidents(endpoint string) {
+	for k := range m.residents {
+		if k.endpoint == endpoint {
+			delete(m.residents, k)
+		}
+	}
+	for k := range m.orders {
+		if k.endpoint == endpoint {
+			delete(m.orders, k)
+		}
+	}
+}
+
+// assignOwner moves an endpoint to another entry by compare-and-set on the
+// owner epoch.
+func (m *Machine) assignOwner(a *wire.AssignOwner) *wire.CommandResult {
+	e := m.endpoints[a.Endpoint]
+	if e == nil {
+		return refused("no such endpoint")
+	}
+	if e.OwnerEpoch != a.ExpectedEpoch {
+		return refused("the owner has changed")
+	}
+	e.Owner = a.Owner
+	e.OwnerEpoch++
+	m.changeView()
+	return applied()
+}
+
+// HasEntry reports whether the state holds exactly this record of the entry.
+func (m *Machine) HasEntry(e *wire.EntryVM) bool { return proto.Equal(m.entries[e.GetId()], e) }
--- /dev/null
+++ b/internal/state/sections.go
@@ -0,0 +1,81 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/wire"
+)
+
+// Section returns a team's section, or nil.
+func (m *Machine) Section(team string) *wire.Section {
+	s, ok := m.sections[team]
+	if !ok {
+		return nil
+	}
+	return clone(s)
+}
+
+// applySection is a compare-and-set on the section's base revision. An order
+// id that was seen before gets its first answer again.
+func (m *Machine) applySection(a *wire.ApplySection, now int64) *wire.CommandResult {
+	digest := xxhash.Sum64(a.Text)
+	key := applyKey{a.Team, a.OrderId}
+	if first, ok := m.applies[key]; ok {
+		if first.Digest == digest {
+			return &wire.CommandResult{Applied: first.Outcome == wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, Apply: clone(first)}
+		}
+		return applyAnswer(&wire.ApplyRecord{Team: a.Team, OrderId: a.OrderId, Digest: digest, Outcome: wire.ApplyOutcome_APPLY_OUTCOME_ORDER_ID_REUSED, Detail: "this order id was used with another text"})
+	}
+	record := &wire.ApplyRecord{Team: a.Team, OrderId: a.OrderId, Digest: digest}
+	current := m.sections[a.Team].GetRevision()
+	section, err := closing.ParseError(a.Text)
+	switch {
+	case err != nil:
+		record.Outcome, record.Detail = wire.ApplyOutcome_APPLY_OUTCOME_INVALID, err.Error()
+	case section.Team != a.Team:
+		record.Outcome = wire.ApplyOutcome_APPLY_OUTCOME_INVALID
+		record.Detail = fmt.Sprintf("the section says team %q", section.Team)
+	case a.BaseRevision != current:
+		record.Outcome, record.Revision = wire.ApplyOutcome_APPLY_OUTCOME_CONFLICT, current
+		record.Detail = fmt.Sprintf("the section is at revision %d, the change was made on %d", current, a.BaseRevision)
+	default:
+		if clash := m.pathClash(section); clash != "" {
+			record.Outcome, record.Detail = wire.ApplyOutcome_APPLY_OUTCOME_INVALID, clash
+			break
+		}
+		m.changeView()
+		record.Outcome = wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED
+		record.Revision, record.LogIndex = current+1, m.applied
+		m.sections[a.Team] = &wire.Section{Team: a.Team, Revision: current + 1, Text: a.Text, AcceptedUnixMs: now, LogIndex: m.applied}
+	}
+	m.applies[key] = record
+	return applyAnswer(clone(record))
+}
+
+func applyAnswer(r *wire.ApplyRecord) *wire.CommandResult {
+	return &wire.CommandResult{Applied: r.Outcome == wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, Apply: r, Reason: r.Detail}
+}
+
+// pathClash reports a service name or path that another team has declared.
+func (m *Machine) pathClash(section *closing.Section) string {
+	for _, other := range m.sortedSections() {
+		if other.Team == section.Team {
+			continue
+		}
+		parsed, err := closing.ParseError(other.Text)
+		if err != nil {
+			continue
+		}
+		for _, mine := range section.Services {
+			for _, theirs := range parsed.Services {
+				if mine.Path == theirs.Path || mine.Name == theirs.Name {
+					return fmt.Sprintf("service %s at %s is declared by team %s", mine.Name, mine.Path, other.Team)
+				}
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,74 @@
+package state
+
+import (
+	"cmp"
+
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
+)
+
+// Snapshot encodes the whole state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := &wire.State{
+		AppliedIndex: m.applied,
+		ViewRevision: m.viewRevision,
+		Sections:     m.sortedSections(),
+		ApplyRecords: sorted(m.applies, func(a, b *wire.ApplyRecord) int {
+			return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.OrderId, b.OrderId))
+		}),
+		Entries:                   m.sortedEntries(),
+		Endpoints:                 m.sortedEndpoints(),
+		Residents:                 m.sortedResidents(),
+		Orders:                    m.sortedOrders(),
+		Claims:                    sorted(m.claims, func(a, b *wire.Claim) int { return cmp.Compare(a.Key, b.Key) }),
+		Deferred:                  m.sortedDeferred(),
+		Suspects:                  m.sortedSuspects(),
+		ClaimsExpiredBeforeUnixMs: m.claimsExpiredBefore,
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Internal, "encode state")
+	}
+	return data, nil
+}
+
+// Restore returns the state that a snapshot holds. Empty data is an empty state.
+func Restore(data []byte) (*Machine, error) {
+	var s wire.State
+	if err := proto.Unmarshal(data, &s); err != nil {
+		return nil, fail.Wrap(err, fail.CorruptJournal, "decode state")
+	}
+	m := New()
+	m.applied, m.viewRevision = s.AppliedIndex, s.ViewRevision
+	m.claimsExpiredBefore = s.ClaimsExpiredBeforeUnixMs
+	for _, v := range s.Sections {
+		m.sections[v.Team] = v
+	}
+	for _, v := range s.ApplyRecords {
+		m.applies[applyKey{v.Team, v.OrderId}] = v
+	}
+	for _, v := range s.Entries {
+		m.entries[v.Id] = v
+	}
+	for _, v := range s.Endpoints {
+		m.endpoints[v.Id] = v
+	}
+	for _, v := range s.Residents {
+		m.residents[keyOfResident(v)] = v
+	}
+	for _, v := range s.Orders {
+		m.orders[keyOfOrder(v)] = v
+	}
+	for _, v := range s.Claims {
+		m.claims[v.Key] = v
+	}
+	for _, v := range s.Deferred {
+		m.deferred[v.Id] = v
+	}
+	for _, v := range s.Suspects {
+		m.suspects[v.Fingerprint] = v
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/state/suspects.go
@@ -0,0 +1,40 @@
+package state
+
+import "parsleyramp/internal/wire"
+
+// crashesToConvict is how many endpoints a request may cost.
+const crashesToConvict = 2
+
+// reportCrash makes every request that was in flight a suspect. The second
+// crash convicts.
+func (m *Machine) reportCrash(r *wire.ReportCrash, now int64) *wire.CommandResult {
+	crash := r.Endpoint + "/" + r.Incarnation
+	for _, f := range r.Fingerprints {
+		s := m.suspects[f]
+		if s == nil {
+			s = &wire.Suspect{Fingerprint: f, State: wire.SuspectState_SUSPECT_STATE_SUSPECT}
+			m.suspects[f] = s
+		}
+		if s.LastCrash == crash {
+			continue
+		}
+		s.LastCrash, s.SeenUnixMs = crash, now
+		s.Crashes++
+		if s.Crashes >= crashesToConvict {
+			s.State = wire.SuspectState_SUSPECT_STATE_CONVICTED
+		}
+		m.changeView()
+	}
+	return applied()
+}
+
+// clearSuspect drops the suspicion of a request that has completed.
+func (m *Machine) clearSuspect(fingerprint uint64) *wire.CommandResult {
+	s := m.suspects[fingerprint]
+	if s == nil || s.State == wire.SuspectState_SUSPECT_STATE_CONVICTED {
+		return refused("not a suspect")
+	}
+	delete(m.suspects, fingerprint)
+	m.changeView()
+	return applied()
+}
--- /dev/null
+++ b/scripts/demo/main.go
@@ -0,0 +1,56 @@
+// Command demo runs the main job on loopback: it starts every program as a
+// process of its own, applies a section of the closing document, sends
+// requests as a caller would and stops everything with SIGTERM.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	keep := flag.Bool("keep", false, "keep the demo's folder with settings and logs")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if err := run(ctx, *bin, *keep); err != nil {
+		fmt.Printf("FAILED: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, bin string, keep bool) (err error) {
+	start := time.Now()
+	dir, err := os.MkdirTemp("", "parsleyramp-demo-")
+	if err != nil {
+		return err
+	}
+	bin, err = filepath.Abs(bin)
+	if err != nil {
+		return err
+	}
+	d := &demo{dir: dir, bin: bin}
+	defer func() {
+		d.killAll()
+		if err != nil || keep {
+			fmt.Println("settings and logs are in", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	}()
+	for _, s := range d.steps() {
+		result, err := s.run(ctx)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.name, err)
+		}
+		fmt.Printf("ok  %-44s %s\n", s.name, result)
+	}
+	fmt.Printf("done in %s\n", time.Since(start).Round(time.Millisecond))
+	return nil
+}
--- /dev/null
+++ b/scripts/demo/steps.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"parsleyramp/internal/standin"
+)
+
+const readyTimeout = 15 * time.Second
+
+type step struct {
+	name string
+	run  func(context.Context) (string, error)
+}
+
+func (d *demo) steps() []step {
+	return []step{
+		{"start stand-ins", d.startStandins},
+		{"start the system", d.startSystem},
+		{"form the control group", func(ctx context.Context) (string, error) { return d.ctl(ctx, "bootstrap") }},
+		{"entries hold a lease", d.waitReady},
+		{"check the section", func(ctx context.Context) (string, error) {
+			return d.ctl(ctx, "check", "examples/demo/closing-desk.jsonc")
+		}},
+		{"apply the section", func(ctx context.Context) (string, error) {
+			return d.ctl(ctx, "apply", "examples/demo/closing-desk.jsonc")
+		}},
+		{"the section is met", func(ctx context.Context) (string, error) { return d.ctl(ctx, "status", "-watch", team) }},
+		{"ask which entry to use", d.askEntries},
+		{"streamed answer from a model", func(ctx context.Context) (string, error) {
+			return d.stream(ctx, team+"/purity-note", "draft a purity note for pledge 4711")
+		}},
+		{"streamed answer from an adapter", func(ctx context.Context) (string, error) {
+			return d.stream(ctx, team+"/purity-note:kandy", "draft a purity note for pledge 4712")
+		}},
+		{"unary answer from the plain service", d.callService},
+		{"non-idempotent call and its repeat", d.callOnce},
+		{"overnight work is accepted and finished", d.overnight},
+		{"a refusal says that it did not run", d.refusal},
+		{"status", func(ctx context.Context) (string, error) { return d.ctl(ctx, "status", team) }},
+		{"stop everything with SIGTERM", d.stopAll},
+	}
+}
+
+func (d *demo) waitReady(ctx context.Context) (string, error) {
+	for _, a := range d.entries {
+		for deadline := time.Now().Add(readyTimeout); ; time.Sleep(50 * time.Millisecond) {
+			status, _, err := call(ctx, http.MethodGet, "http://"+a+"/readyz", "", "")
+			if err == nil && status == http.StatusOK {
+				break
+			}
+			if time.Now().After(deadline) {
+				return "", fmt.Errorf("%s is not ready: status %d, %v", a, status, err)
+			}
+		}
+	}
+	return "all ready", nil
+}
+
+// call sends one request and returns status and body.
+func call(ctx context.Context, method, url, key, body string) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+func (d *demo) askEntries(ctx context.Context) (string, error) {
+	_, data, err := call(ctx, http.MethodGet, "http://"+d.entries[0]+"/v1/entries?domain=domain-2", "", "")
+	if err != nil {
+		return "", err
+	}
+	var answer struct {
+		Entries []struct{ ID, Address, Domain string }
+		Keep    float64 `json:"keep_seconds"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "", err
+	}
+	if len(answer.Entries) != numEntries || answer.Entries[0].Domain != "domain-2" {
+		return "", fmt.Errorf("unexpected answer %s", data)
+	}
+	d.chosen = answer.Entries[0].Address
+	return fmt.Sprintf("%s at %s, to keep for %gs", answer.Entries[0].ID, d.chosen, answer.Keep), nil
+}
+
+func (d *demo) stream(ctx context.Context, model, prompt string) (string, error) {
+	body, _ := json.Marshal(map[string]any{"model": model, "stream": true, "max_tokens": 12, "messages": []map[string]string{{"role": "user", "content": prompt}}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.chosen+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var text strings.Builder
+	var first time.Duration
+	done := false
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		if first == 0 {
+			first = time.Since(start)
+		}
+		var c standin.Completion
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			return "", err
+		}
+		text.WriteString(c.Choices[0].Delta.Content)
+	}
+	var want strings.Builder
+	for i := range 12 {
+		want.WriteString(standin.AnswerToken(" "+prompt, i))
+	}
+	if resp.StatusCode != http.StatusOK || !done || text.String() != want.String() {
+		return "", fmt.Errorf("status %d, whole %t, answer %q", resp.StatusCode, done, text.String())
+	}
+	return fmt.Sprintf("whole and our own, 12 tokens, first after %s", first.Round(time.Millisecond)), nil
+}
+
+func (d *demo) callService(ctx context.Context) (string, error) {
+	status, data, err := call(ctx, http.MethodGet, "http://"+d.chosen+"/ledger/pledges/4711", "", "")
+	if err != nil || status != http.StatusOK {
+		return "", fmt.Errorf("status %d: %s: %v", status, data, err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// callOnce sends one payout twice with the same key, through two entries.
+func (d *demo) callOnce(ctx context.Context) (string, error) {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return "", err
+	}
+	const path, body = "/ledger/payouts", `{"pledge":4711,"amount":120}`
+	var answers [2]string
+	for i, entry := range []string{d.chosen, d.entries[0]} {
+		status, data, err := call(ctx, http.MethodPost, "http://"+entry+path, key.String(), body)
+		if err != nil || status != http.StatusOK {
+			return "", fmt.Errorf("status %d: %s: %v", status, data, err)
+		}
+		answers[i] = string(data)
+	}
+	_, runs, err := call(ctx, http.MethodGet, "http://"+d.service+"/standin/runs", "", "")
+	if err != nil {
+		return "", err
+	}
+	var counts map[string]int
+	if err := json.Unmarshal(runs, &counts); err != nil {
+		return "", err
+	}
+	if n := counts["POST "+path+" "+body]; n != 1 || answers[0] != answers[1] {
+		return "", fmt.Errorf("%d runs, answers %q", n, answers)
+	}
+	return "recorded answer, 1 run", nil
+}
+
+func (d *demo) overnight(ctx context.Context) (string, error) {
+	body, _ := json.Marshal(map[string]any{"model": team + "/valuation", "prompt": "summarise the valuations of today"})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.chosen+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Parsleyramp-Class", "overnight")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted {
+		return "", fmt.Errorf("status %d", resp.StatusCode)
+	}
+	location := resp.Header.Get("Location")
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		status, _, err := call(ctx, http.MethodGet, "http://"+d.entries[0]+location, "", "")
+		if err == nil && status == http.StatusOK {
+			return "202, then the answer through another entry", nil
+		}
+	}
+	return "", fmt.Errorf("no answer at %s", location)
+}
+
+func (d *demo) refusal(ctx context.Context) (string, error) {
+	status, data, err := call(ctx, http.MethodPost, "http://"+d.chosen+"/ledger/payouts", "", "{}")
+	if err != nil || status != http.StatusBadRequest || !strings.Contains(string(data), `"ran":"no"`) {
+		return "", fmt.Errorf("status %d: %s: %v", status, data, err)
+	}
+	return "400, ran no: the key is missing", nil
+}
