control: split the leader's duties into files

Cause: lead.go held planning, the live list, owners and overnight work in one file. plan.go now holds planning and livelist.go the live list and owners; no code changed. Ruled out: nothing else; moved text only.

--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -7,10 +7,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"parsleyramp/internal/closing"
-	"parsleyramp/internal/membership"
-	"parsleyramp/internal/placement"
-	"parsleyramp/internal/platform"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
@@ -114,123 +110,6 @@
 	}
 }
 
-func endpointOf(vm platform.VM) *wire.Endpoint {
-	kind := wire.EndpointKind_ENDPOINT_KIND_ENGINE
-	if vm.Kind == platform.KindService {
-		kind = wire.EndpointKind_ENDPOINT_KIND_SERVICE
-	}
-	return &wire.Endpoint{
-		Id: vm.ID, Kind: kind, Address: vm.Address, Domain: vm.Domain, Service: vm.Service,
-		Accelerators: vm.Accelerators, Leaving: vm.State == platform.Leaving, Reachable: true,
-	}
-}
-
-// followLiveList records what the platform says. A VM that the list no longer
-// names is leaving; it is forgotten only once it holds nothing.
-func (s *Server) followLiveList(ctx context.Context, p *picture) {
-	vms, err := s.list.VMs(ctx)
-	if err != nil {
-		s.log.WithError(err).Warn("live list not read")
-		return
-	}
-	fencing := checksFencing(p.view.Sections)
-	listed := map[string]bool{}
-	for _, vm := range vms {
-		listed[vm.ID] = true
-		e := endpointOf(vm)
-		e.ChecksFencing = fencing[vm.ID]
-		if !s.knows(p, e) {
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: e}}}, "follow live list")
-		}
-	}
-	for _, e := range p.view.Endpoints {
-		if !listed[e.Id] && !e.Leaving {
-			gone := proto.Clone(e).(*wire.Endpoint)
-			gone.Leaving = true
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: gone}}}, "follow live list")
-		}
-	}
-}
-
-// knows reports whether the view holds what the platform says of an endpoint.
-func (s *Server) knows(p *picture, e *wire.Endpoint) bool {
-	for _, old := range p.view.Endpoints {
-		if old.Id != e.Id {
-			continue
-		}
-		e.Owner, e.OwnerEpoch = old.Owner, old.OwnerEpoch
-		e.Incarnation, e.MemoryBytes, e.Slots = old.Incarnation, old.MemoryBytes, old.Slots
-		e.Reachable = old.Reachable
-		return proto.Equal(old, e)
-	}
-	return false
-}
-
-// checksFencing returns the engines of which a section says that they refuse
-// older fencing numbers.
-func checksFencing(sections []*wire.Section) map[string]bool {
-	out := map[string]bool{}
-	for _, s := range sections {
-		parsed, err := closing.ParseError(s.Text)
-		if err != nil {
-			continue
-		}
-		for _, id := range parsed.ChecksFencing {
-			out[id] = true
-		}
-	}
-	return out
-}
-
-func (s *Server) assignOwners(ctx context.Context, p *picture) {
-	for _, a := range membership.Owners(p.view.Entries, p.view.Endpoints) {
-		s.try(ctx, &wire.Command{Body: &wire.Command_AssignOwner{AssignOwner: a}}, "assign owner")
-	}
-}
-
-// plan asks the planner for the next steps and carries them out.
-func (s *Server) plan(ctx context.Context, p *picture) {
-	in := placement.Input{
-		Endpoints: p.view.Endpoints, Residents: p.view.Residents, Orders: p.orders,
-		Idle:   func(r *wire.Resident) bool { return p.idle[residentName(r)] },
-		Budget: placement.Budget{ModelLoads: s.cfg.ModelLoads, AdapterLoads: s.cfg.AdapterLoads},
-	}
-	for _, section := range p.view.Sections {
-		if parsed, err := closing.ParseError(section.Text); err == nil {
-			in.Sections = append(in.Sections, parsed)
-		}
-	}
-	incarnations := map[string]string{}
-	for _, e := range p.view.Endpoints {
-		incarnations[e.Id] = e.Incarnation
-	}
-	for _, step := range placement.Plan(in) {
-		if s.try(ctx, commandOf(step, p.term, incarnations[step.Endpoint]), "placement") {
-			s.log.WithFields(logrus.Fields{
-				"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
-				"version": step.Version, "adapter": step.Adapter, "reason": step.Reason,
-			}).Info("move decided")
-		}
-	}
-}
-
-func commandOf(step placement.Step, term uint64, incarnation string) *wire.Command {
-	if step.Action == placement.Drain {
-		return &wire.Command{Body: &wire.Command_SetResident{SetResident: &wire.SetResident{
-			Endpoint: step.Endpoint, Model: step.Model, Version: step.Version, Adapter: step.Adapter,
-			State: wire.ResidentState_RESIDENT_STATE_DRAINING,
-		}}}
-	}
-	kind := wire.OrderKind_ORDER_KIND_LOAD
-	if step.Action == placement.Unload {
-		kind = wire.OrderKind_ORDER_KIND_UNLOAD
-	}
-	return &wire.Command{Body: &wire.Command_IssueOrder{IssueOrder: &wire.IssueOrder{Order: &wire.Order{
-		FenceTerm: term, Kind: kind, Endpoint: step.Endpoint, Model: step.Model, Version: step.Version,
-		Adapter: step.Adapter, MemoryBytes: step.Memory, Incarnation: incarnation, Reason: step.Reason,
-	}}}}
-}
-
 // assignDeferred gives queued overnight work to live entries in turn.
 func (s *Server) assignDeferred(ctx context.Context, p *picture) {
 	var live []*wire.EntryVM
