orders: resolve orders by evidence and keep late copies from taking effect

Cause: an order was resent until the engine said done; a refusal never ended, a late copy of an old load could return after its memory was released, and a delayed reset could bring back an earlier incarnation with an empty ledger.

Now a load is done once a read that began later lists it, an unload once the engine neither lists it nor can load it again; what cannot be proved is given up with its charge and goes by a proved unload. Orders that may still arrive are kept until former leaders send nothing and the engine has answered for the lifetime of a copy; an engine that ignores numbers takes no other order about that resident before. Only the term on record may record orders. A reset names the incarnation that it replaces and adopts what a new engine holds.

--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -17,10 +17,14 @@
 
 // picture is a consistent copy of what the leader's duties depend on.
 type picture struct {
-	term     uint64
-	view     *wire.View
-	orders   []*wire.Order
-	deferred []*wire.DeferredRequest
+	term   uint64
+	view   *wire.View
+	orders []*wire.Order
+	// copies are resolved orders that may still arrive.
+	copies    []*wire.Order
+	sendTerms []*wire.SendTerm
+	members   []*wire.Replica
+	deferred  []*wire.DeferredRequest
 	// dead lists live-marked entries whose lease is over for certain.
 	dead []*wire.EntryVM
 	idle map[string]bool
@@ -39,8 +43,10 @@
 		}
 		p, err := s.picture(ctx)
 		if err != nil {
+			s.orders.enterTerm(ctx, 0)
 			continue
 		}
+		s.orders.enterTerm(ctx, p.term)
 		s.step(ctx, p)
 		if time.Since(lastExpiry) > time.Minute {
 			lastExpiry = time.Now()
@@ -56,16 +62,24 @@
 	s.followLiveList(ctx, p)
 	s.meetEngines(ctx, p)
 	s.assignOwners(ctx, p)
-	s.orders.resume(p)
-	s.plan(ctx, p)
+	if s.startTerm(ctx, p) {
+		s.orders.follow(ctx, p)
+		s.plan(ctx, p)
+	}
 	s.assignDeferred(ctx, p)
 }
 
 func (s *Server) picture(ctx context.Context) (*picture, error) {
 	p := &picture{idle: map[string]bool{}}
-	err := s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+	status, err := s.node.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.members = status.Membership.GetReplicas()
+	err = s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
 		s.leases.enterTerm(l.Term, l.Now)
 		p.term, p.view, p.orders, p.deferred = l.Term, m.View(), m.Orders(), m.DeferredWork()
+		p.copies, p.sendTerms = m.Copies(), m.SendTerms()
 		lease := s.cfg.EntryLease.D()
 		for _, e := range p.view.Entries {
 			if e.Live && s.leases.expired(e.Id, lease, l.Now) {
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/orders"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const (
+	// orderTimeout bounds one sending of an order, with the load that it waits for.
+	orderTimeout = 60 * time.Second
+	quietTimeout = 500 * time.Millisecond
+)
+
+// orderSender sends recorded orders while this replica leads and records what
+// is proved about them.
+type orderSender struct {
+	s    *Server
+	gate *orders.Gate
+	// peers is used to ask former leaders.
+	peers *http.Client
+	mu    sync.Mutex
+	// tracker and stop belong to the term. mu guards them.
+	tracker *orders.Tracker
+	term    uint64
+	termCtx context.Context
+	stop    context.CancelFunc
+}
+
+func newOrderSender(s *Server) *orderSender {
+	return &orderSender{s: s, gate: orders.NewGate(), peers: transport.NewPeerClient(), tracker: orders.NewTracker(orders.DefaultConfig())}
+}
+
+// enterTerm ends the sendings of every other term. A term of zero ends all.
+func (o *orderSender) enterTerm(ctx context.Context, term uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == term {
+		return
+	}
+	if o.stop != nil {
+		o.stop()
+		o.stop = nil
+	}
+	o.term = term
+	if term != 0 {
+		o.termCtx, o.stop = context.WithCancel(ctx)
+	}
+}
+
+func (o *orderSender) stateRead(term uint64, id string, began time.Duration, st *endpoint.EngineState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tracker.StateRead(term, id, began, st)
+}
+
+// follow carries out what the tracker decides on the picture.
+func (o *orderSender) follow(ctx context.Context, p *picture) {
+	o.mu.Lock()
+	effects := o.tracker.Step(o.s.clock(), p.orderPicture())
+	termCtx := o.termCtx
+	o.mu.Unlock()
+	addresses := map[string]string{}
+	for _, e := range p.view.Endpoints {
+		addresses[e.Id] = e.Address
+	}
+	for _, order := range effects.Send {
+		go o.send(termCtx, p.term, addresses[order.Endpoint], order)
+	}
+	for _, r := range effects.Resolve {
+		if o.s.try(ctx, &wire.Command{Body: &wire.Command_ResolveOrder{ResolveOrder: r.Command}}, "resolve order") {
+			logOrder(o.s.log, r.Order).WithFields(logrus.Fields{"outcome": r.Command.Outcome.String(), "evidence": r.Evidence}).Info("order resolved")
+		}
+	}
+	for _, c := range effects.Clear {
+		o.s.try(ctx, &wire.Command{Body: &wire.Command_ClearCopies{ClearCopies: c}}, "clear copies of orders")
+	}
+	for _, l := range effects.Lose {
+		if o.s.try(ctx, &wire.Command{Body: &wire.Command_SetResident{SetResident: l}}, "resident lost") {
+			o.s.log.WithFields(logrus.Fields{"engine": l.Endpoint, "model": l.Model, "version": l.Version, "adapter": l.Adapter}).Warn("engine no longer holds a resident")
+		}
+	}
+	o.askQuiet(ctx, p, effects.Ask)
+}
+
+func logOrder(log *logrus.Entry, o *wire.Order) *logrus.Entry {
+	return log.WithFields(logrus.Fields{
+		"engine": o.Endpoint, "kind": o.Kind.String(), "model": o.Model, "version": o.Version, "adapter": o.Adapter,
+		"fence_term": o.FenceTerm, "fence_sequence": o.FenceSequence,
+	})
+}
+
+// send gives the order once. The sending is registered before the lease is
+// checked, and it ends with the term.
+func (o *orderSender) send(ctx context.Context, term uint64, address string, order *wire.Order) {
+	var result *endpoint.OrderResult
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.tracker.Answered(o.s.clock(), term, order, result)
+	}()
+	if !o.gate.Begin(term) {
+		return
+	}
+	defer o.gate.End(term)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	leads := false
+	err := o.s.node.Read(ctx, func(l replica.Leadership, _ *state.Machine) { leads = l.Term == term })
+	if err != nil || !leads {
+		return
+	}
+	r, err := o.s.engines.Order(ctx, address, wireOrder(order))
+	log := logOrder(o.s.log, order)
+	switch {
+	case err != nil:
+		log.WithError(err).Warn("order not answered; it stays open")
+	case !r.Done:
+		log.WithField("reason", r.Reason).Warn("order refused; it stays open")
+		result = r
+	default:
+		result = r
+	}
+}
+
+func wireOrder(o *wire.Order) endpoint.Order {
+	kind := endpoint.OrderLoad
+	if o.Kind == wire.OrderKind_ORDER_KIND_UNLOAD {
+		kind = endpoint.OrderUnload
+	}
+	return endpoint.Order{
+		FenceTerm: o.FenceTerm, FenceSequence: o.FenceSequence, Kind: kind, Model: o.Model, Version: o.Version,
+		Adapter: o.Adapter, MemoryBytes: o.MemoryBytes, Incarnation: o.Incarnation,
+	}
+}
+
+// askQuiet asks former leaders whether they are still sending orders.
+func (o *orderSender) askQuiet(ctx context.Context, p *picture, replicas []uint64) {
+	for _, id := range replicas {
+		if id == o.s.node.Identity().ID {
+			if o.gate.Quiet(p.term) == 0 {
+				o.noteQuiet(p.term, id)
+			}
+			continue
+		}
+		for _, r := range p.members {
+			if r.Id == id {
+				go o.askReplica(ctx, p.term, r)
+			}
+		}
+	}
+}
+
+func (o *orderSender) askReplica(ctx context.Context, term uint64, r *wire.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, quietTimeout)
+	defer cancel()
+	client := wireconnect.NewSenderServiceClient(o.peers, "http://"+r.Address)
+	resp, err := client.Quiet(ctx, connect.NewRequest(&wire.QuietRequest{Group: *o.s.group.Load(), Term: term}))
+	if err == nil && resp.Msg.Replica == r.Id && resp.Msg.Sending == 0 {
+		o.noteQuiet(term, r.Id)
+	}
+}
+
+func (o *orderSender) noteQuiet(term, replica uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tracker.Quiet(o.s.clock(), term, replica)
+}
+
+// senderService answers the leader's question what this replica still sends.
+type senderService struct{ s *Server }
+
+// Quiet keeps earlier terms from sending and counts what they still send.
+func (q *senderService) Quiet(_ context.Context, req *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error) {
+	if group := *q.s.group.Load(); group == "" || req.Msg.Group != group {
+		return nil, rpcerror.ToConnect(fail.New(fail.ForeignFolder, "the replica belongs to another group"), "")
+	}
+	return connect.NewResponse(&wire.QuietResponse{
+		Replica: q.s.node.Identity().ID, Sending: uint32(q.s.orders.gate.Quiet(req.Msg.Term)),
+	}), nil
+}
+
+// startTerm records that this replica sends orders in the term.
+func (s *Server) startTerm(ctx context.Context, p *picture) bool {
+	if n := len(p.sendTerms); n > 0 && p.sendTerms[n-1].Term == p.term {
+		return true
+	}
+	s.try(ctx, &wire.Command{Body: &wire.Command_StartTerm{StartTerm: &wire.StartTerm{
+		Term: &wire.SendTerm{Term: p.term, Replica: s.node.Identity().ID},
+	}}}, "start term")
+	return false
+}
+
+// orderPicture returns what the tracker depends on.
+func (p *picture) orderPicture() orders.Picture {
+	out := orders.Picture{
+		Term: p.term, Endpoints: p.view.Endpoints, Residents: p.view.Residents,
+		Orders: p.orders, Copies: p.copies, SendTerms: p.sendTerms,
+	}
+	for _, r := range p.members {
+		out.Members = append(out.Members, r.Id)
+	}
+	return out
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -41,6 +41,7 @@
 	list    platform.LiveList
 	leases  leaseTable
 	orders  *orderSender
+	health  *healthTable
 	clock   func() time.Duration
 	http    *transport.Server
 	stopped chan error
@@ -77,6 +78,7 @@
 		return nil, err
 	}
 	s.orders = newOrderSender(s)
+	s.health = newHealthTable()
 	listener, err := transport.Listen(cfg.Address)
 	if err != nil {
 		j.Close()
@@ -112,6 +114,7 @@
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewSenderServiceHandler(&senderService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
 	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"parsleyramp/internal/closing"
 	"parsleyramp/internal/wire"
@@ -15,6 +16,14 @@
 	AdapterLoads int
 }
 
+// Health is how steady an engine has been.
+type Health struct {
+	// LostFor is how long the engine has not answered; zero while it answers.
+	LostFor time.Duration
+	// Unstable engines came back a short while ago and are avoided.
+	Unstable bool
+}
+
 // Input is everything that a plan depends on.
 type Input struct {
 	Sections  []*closing.Section
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -1,9 +1,44 @@
 package state
 
 import (
+	"slices"
+
 	"parsleyramp/internal/wire"
 )
 
+// Charge is the memory of one engine by what it is charged for, in bytes.
+type Charge struct {
+	Ready    uint64
+	Loading  uint64
+	Draining uint64
+	// Unloading includes what an unload with no proved outcome may have left.
+	Unloading uint64
+}
+
+// Total returns the sum of all charges.
+func (c Charge) Total() uint64 { return c.Ready + c.Loading + c.Draining + c.Unloading }
+
+// Charge returns what the ledger charges to an engine.
+func (m *Machine) Charge(endpoint string) Charge {
+	var c Charge
+	for k, r := range m.residents {
+		if k.endpoint != endpoint {
+			continue
+		}
+		switch r.State {
+		case wire.ResidentState_RESIDENT_STATE_READY:
+			c.Ready += r.MemoryBytes
+		case wire.ResidentState_RESIDENT_STATE_LOADING:
+			c.Loading += r.MemoryBytes
+		case wire.ResidentState_RESIDENT_STATE_DRAINING:
+			c.Draining += r.MemoryBytes
+		default:
+			c.Unloading += r.MemoryBytes
+		}
+	}
+	return c
+}
+
 func keyOfResident(r *wire.Resident) residentKey {
 	return residentKey{r.Endpoint, r.Model, r.Version, r.Adapter}
 }
@@ -14,15 +49,7 @@
 
 // ChargedBytes returns the memory that the ledger charges to an engine: what
 // is resident, loading, draining, or possibly still there.
-func (m *Machine) ChargedBytes(endpoint string) uint64 {
-	var sum uint64
-	for k, r := range m.residents {
-		if k.endpoint == endpoint {
-			sum += r.MemoryBytes
-		}
-	}
-	return sum
-}
+func (m *Machine) ChargedBytes(endpoint string) uint64 { return m.Charge(endpoint).Total() }
 
 // issueOrder is the one place that admits a load. It records the order, which
 // is what permits its sending, and charges the memory at once.
@@ -36,6 +63,10 @@
 		return refused("the engine has restarted")
 	case m.hasOrder(e.Id):
 		return refused("an earlier order to the engine is not resolved")
+	case o.FenceTerm != m.sendTerm():
+		return refused("the order is not of the term that may send orders")
+	case !e.ChecksFencing && m.mayArrive(key):
+		return refused("a copy of an earlier order may still arrive")
 	}
 	var result *wire.CommandResult
 	switch o.Kind {
@@ -75,7 +106,8 @@
 	if o.Adapter != "" && !m.ready(residentKey{key.endpoint, key.model, key.version, ""}) {
 		return refused("the adapter's model is not ready there")
 	}
-	if m.ChargedBytes(e.Id)+o.MemoryBytes > e.MemoryBytes {
+	charged := m.ChargedBytes(e.Id)
+	if charged > e.MemoryBytes || o.MemoryBytes > e.MemoryBytes-charged {
 		return refused("the engine's memory would be overcommitted")
 	}
 	m.residents[key] = &wire.Resident{
@@ -117,33 +149,106 @@
 		if o.Endpoint != r.Endpoint || o.FenceTerm != r.FenceTerm || o.FenceSequence != r.FenceSequence {
 			continue
 		}
-		m.settle(key, o, r.Outcome == wire.OrderOutcome_ORDER_OUTCOME_DONE)
+		m.settle(key, o, r.Outcome)
 		return applied()
 	}
 	return refused("no such order")
 }
 
-func (m *Machine) settle(key residentKey, o *wire.Order, done bool) {
+// settle ends an order. A copy of it may still be on its way, whatever the
+// outcome, so that it is kept until ClearCopies.
+func (m *Machine) settle(key residentKey, o *wire.Order, outcome wire.OrderOutcome) {
 	delete(m.orders, key)
+	m.copies = append(m.copies, o)
 	resident := m.residents[key]
+	isLoad := o.Kind == wire.OrderKind_ORDER_KIND_LOAD
+	done := outcome == wire.OrderOutcome_ORDER_OUTCOME_DONE
 	switch {
 	case resident == nil:
-	case o.Kind == wire.OrderKind_ORDER_KIND_LOAD && done:
+	case isLoad && done:
 		m.enter(resident, wire.ResidentState_RESIDENT_STATE_READY)
-	case o.Kind == wire.OrderKind_ORDER_KIND_UNLOAD && !done:
-		m.enter(resident, wire.ResidentState_RESIDENT_STATE_DRAINING)
-	default:
+	case !isLoad && done:
 		delete(m.residents, key)
 		m.changeView()
+	default:
+		// Nothing is proved of the memory. Only a later unload releases it.
+		m.enter(resident, wire.ResidentState_RESIDENT_STATE_DRAINING)
 	}
 }
 
+// mayArrive reports whether a copy of a resolved order about the resident may
+// still reach the engine.
+func (m *Machine) mayArrive(key residentKey) bool {
+	return slices.ContainsFunc(m.copies, func(o *wire.Order) bool { return keyOfOrder(o) == key })
+}
+
+// sendTerm returns the newest term in which orders may be recorded.
+func (m *Machine) sendTerm() uint64 {
+	if len(m.sendTerms) == 0 {
+		return 0
+	}
+	return m.sendTerms[len(m.sendTerms)-1].Term
+}
+
+// startTerm records which replica sends orders from here on. Orders of an
+// earlier term are not recorded any more, so that fencing numbers only grow.
+func (m *Machine) startTerm(t *wire.SendTerm) *wire.CommandResult {
+	switch {
+	case t.GetTerm() < m.sendTerm():
+		return refused("a later term has started")
+	case t.GetTerm() == m.sendTerm():
+		return applied()
+	}
+	m.sendTerms = append(m.sendTerms, clone(t))
+	m.pruneSendTerms()
+	return applied()
+}
+
+// clearCopies forgets orders of which no copy can take effect any more.
+func (m *Machine) clearCopies(c *wire.ClearCopies) *wire.CommandResult {
+	e := m.endpoints[c.Endpoint]
+	if e == nil || e.Incarnation != c.Incarnation || c.Term != m.sendTerm() {
+		return refused("the proof is of another incarnation or term")
+	}
+	m.copies = slices.DeleteFunc(m.copies, func(o *wire.Order) bool {
+		return o.Endpoint == c.Endpoint && o.FenceSequence <= c.ThroughSequence
+	})
+	m.pruneSendTerms()
+	return applied()
+}
+
+// pruneSendTerms keeps the terms whose leaders may have a copy in flight.
+func (m *Machine) pruneSendTerms() {
+	oldest := m.sendTerm()
+	for _, o := range m.orders {
+		oldest = min(oldest, o.FenceTerm)
+	}
+	for _, o := range m.copies {
+		oldest = min(oldest, o.FenceTerm)
+	}
+	m.sendTerms = slices.DeleteFunc(m.sendTerms, func(t *wire.SendTerm) bool { return t.Term < oldest })
+}
+
+// Copies returns the resolved orders of which a copy may still arrive.
+func (m *Machine) Copies() []*wire.Order { return clones(m.copies) }
+
+// SendTerms returns, oldest first, the terms whose leaders may have a copy of
+// an order in flight. The last one is the term that may send orders.
+func (m *Machine) SendTerms() []*wire.SendTerm { return clones(m.sendTerms) }
+
 // setResident starts or takes back the draining of a resident.
 func (m *Machine) setResident(s *wire.SetResident) *wire.CommandResult {
-	r := m.residents[residentKey{s.Endpoint, s.Model, s.Version, s.Adapter}]
+	key := residentKey{s.Endpoint, s.Model, s.Version, s.Adapter}
+	r := m.residents[key]
 	ready, draining := wire.ResidentState_RESIDENT_STATE_READY, wire.ResidentState_RESIDENT_STATE_DRAINING
-	if r == nil || (s.State != ready && s.State != draining) || (r.State != ready && r.State != draining) {
+	switch {
+	case r == nil || (s.State != ready && s.State != draining) || (r.State != ready && r.State != draining):
 		return refused("only a ready or draining resident can change so")
+	case s.ExpectedStateRevision != 0 && s.ExpectedStateRevision != r.StateRevision:
+		return refused("the resident has changed")
+	case s.State == ready && r.State == draining:
+		// It may have been given up or be subject to an unload on its way.
+		return refused("a draining resident does not return")
 	}
 	if r.State != s.State {
 		m.enter(r, s.State)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -35,6 +35,10 @@
 	claims    map[string]*wire.Claim
 	deferred  map[string]*wire.DeferredRequest
 	suspects  map[uint64]*wire.Suspect
+	// copies are resolved orders of which a copy may still arrive, by sequence.
+	copies []*wire.Order
+	// sendTerms grow in term.
+	sendTerms []*wire.SendTerm
 
 	// claimsExpiredBefore refuses keys whose records may have been dropped.
 	claimsExpiredBefore int64
@@ -84,6 +88,10 @@
 		return m.issueOrder(b.IssueOrder.GetOrder(), c.ProposedUnixMs)
 	case *wire.Command_ResolveOrder:
 		return m.resolveOrder(b.ResolveOrder)
+	case *wire.Command_StartTerm:
+		return m.startTerm(b.StartTerm.GetTerm())
+	case *wire.Command_ClearCopies:
+		return m.clearCopies(b.ClearCopies)
 	case *wire.Command_BeginClaim:
 		return m.beginClaim(b.BeginClaim, c.ProposedUnixMs)
 	case *wire.Command_FinishClaim:
@@ -115,6 +123,14 @@
 
 func clone[T proto.Message](v T) T { return proto.Clone(v).(T) }
 
+func clones[T proto.Message](in []T) []T {
+	out := make([]T, len(in))
+	for i, v := range in {
+		out[i] = clone(v)
+	}
+	return out
+}
+
 // sorted returns clones of the values of a map, ordered by less.
 func sorted[K comparable, V proto.Message](in map[K]V, compare func(a, b V) int) []V {
 	out := make([]V, 0, len(in))
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"parsleyramp/internal/wire"
@@ -43,10 +45,14 @@
 	return applied()
 }
 
-// removeEndpoint forgets an endpoint that no longer exists, with its memory.
+// removeEndpoint forgets an endpoint that holds nothing. One that may still
+// hold memory is kept, in case it comes back.
 func (m *Machine) removeEndpoint(id string) *wire.CommandResult {
-	if m.endpoints[id] == nil {
+	switch {
+	case m.endpoints[id] == nil:
 		return refused("no such endpoint")
+	case m.ChargedBytes(id) > 0 || m.hasOrder(id):
+		return refused("the endpoint may still hold memory")
 	}
 	delete(m.endpoints, id)
 	m.dropResidents(id)
@@ -54,17 +60,27 @@
 	return applied()
 }
 
-// resetEngine records a new incarnation of an engine. Its memory is empty.
+// resetEngine records a new incarnation of an engine. Nothing remains of the
+// memory of an earlier one. The expected incarnation keeps a delayed command
+// from bringing back an earlier one, which would release memory in use.
 func (m *Machine) resetEngine(r *wire.ResetEngine) *wire.CommandResult {
 	e := m.endpoints[r.Id]
-	if e == nil {
+	switch {
+	case e == nil:
 		return refused("no such endpoint")
-	}
-	if e.Incarnation == r.Incarnation {
+	case e.Incarnation == r.Incarnation:
 		return applied()
+	case e.Incarnation != r.ExpectedIncarnation:
+		return refused("another incarnation was recorded meanwhile")
 	}
 	e.Incarnation, e.MemoryBytes, e.Slots = r.Incarnation, r.MemoryBytes, r.Slots
 	m.dropResidents(r.Id)
+	for _, adopted := range r.Residents {
+		v := clone(adopted)
+		v.Endpoint = r.Id
+		m.residents[keyOfResident(v)] = v
+		m.enter(v, wire.ResidentState_RESIDENT_STATE_READY)
+	}
 	m.changeView()
 	return applied()
 }
@@ -80,6 +96,7 @@
 			delete(m.orders, k)
 		}
 	}
+	m.copies = slices.DeleteFunc(m.copies, func(o *wire.Order) bool { return o.Endpoint == endpoint })
 }
 
 // assignOwner moves an endpoint to another entry by compare-and-set on the
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -26,6 +26,8 @@
 		Deferred:                  m.sortedDeferred(),
 		Suspects:                  m.sortedSuspects(),
 		ClaimsExpiredBeforeUnixMs: m.claimsExpiredBefore,
+		Copies:                    m.copies,
+		SendTerms:                 m.sendTerms,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -43,6 +45,7 @@
 	m := New()
 	m.applied, m.viewRevision = s.AppliedIndex, s.ViewRevision
 	m.claimsExpiredBefore = s.ClaimsExpiredBeforeUnixMs
+	m.copies, m.sendTerms = s.Copies, s.SendTerms
 	for _, v := range s.Sections {
 		m.sections[v.Team] = v
 	}
--- a/internal/wire/wireconnect/control.connect.go
+++ b/internal/wire/wireconnect/control.connect.go
@@ -27,6 +27,8 @@
 	OperatorServiceName = "parsleyramp.wire.OperatorService"
 	// EntryServiceName is the fully-qualified name of the EntryService service.
 	EntryServiceName = "parsleyramp.wire.EntryService"
+	// SenderServiceName is the fully-qualified name of the SenderService service.
+	SenderServiceName = "parsleyramp.wire.SenderService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -75,6 +77,8 @@
 	OperatorServiceReplaceReplicaProcedure = "/parsleyramp.wire.OperatorService/ReplaceReplica"
 	// EntryServiceForwardProcedure is the fully-qualified name of the EntryService's Forward RPC.
 	EntryServiceForwardProcedure = "/parsleyramp.wire.EntryService/Forward"
+	// SenderServiceQuietProcedure is the fully-qualified name of the SenderService's Quiet RPC.
+	SenderServiceQuietProcedure = "/parsleyramp.wire.SenderService/Quiet"
 )
 
 // ControlServiceClient is a client for the parsleyramp.wire.ControlService service.
@@ -572,3 +576,73 @@
 func (UnimplementedEntryServiceHandler) Forward(context.Context, *connect.Request[wire.ForwardRequest], *connect.ServerStream[wire.ForwardEvent]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.EntryService.Forward is not implemented"))
 }
+
+// SenderServiceClient is a client for the parsleyramp.wire.SenderService service.
+type SenderServiceClient interface {
+	Quiet(context.Context, *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error)
+}
+
+// NewSenderServiceClient constructs a client for the parsleyramp.wire.SenderService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewSenderServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) SenderServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	senderServiceMethods := wire.File_control_proto.Services().ByName("SenderService").Methods()
+	return &senderServiceClient{
+		quiet: connect.NewClient[wire.QuietRequest, wire.QuietResponse](
+			httpClient,
+			baseURL+SenderServiceQuietProcedure,
+			connect.WithSchema(senderServiceMethods.ByName("Quiet")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// senderServiceClient implements SenderServiceClient.
+type senderServiceClient struct {
+	quiet *connect.Client[wire.QuietRequest, wire.QuietResponse]
+}
+
+// Quiet calls parsleyramp.wire.SenderService.Quiet.
+func (c *senderServiceClient) Quiet(ctx context.Context, req *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error) {
+	return c.quiet.CallUnary(ctx, req)
+}
+
+// SenderServiceHandler is an implementation of the parsleyramp.wire.SenderService service.
+type SenderServiceHandler interface {
+	Quiet(context.Context, *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error)
+}
+
+// NewSenderServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewSenderServiceHandler(svc SenderServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	senderServiceMethods := wire.File_control_proto.Services().ByName("SenderService").Methods()
+	senderServiceQuietHandler := connect.NewUnaryHandler(
+		SenderServiceQuietProcedure,
+		svc.Quiet,
+		connect.WithSchema(senderServiceMethods.ByName("Quiet")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/parsleyramp.wire.SenderService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case SenderServiceQuietProcedure:
+			senderServiceQuietHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedSenderServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedSenderServiceHandler struct{}
+
+func (UnimplementedSenderServiceHandler) Quiet(context.Context, *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.SenderService.Quiet is not implemented"))
+}
