--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -27,7 +27,7 @@
 		incarnations[e.Id] = e.Incarnation
 	}
 	for _, step := range placement.Plan(in) {
-		if s.try(ctx, commandOf(step, p.term, incarnations[step.Endpoint]), "placement") {
+		if s.try(ctx, step.Command(p.term, incarnations[step.Endpoint]), "placement") {
 			s.log.WithFields(logrus.Fields{
 				"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
 				"version": step.Version, "adapter": step.Adapter, "reason": step.Reason,
@@ -35,20 +35,3 @@
 		}
 	}
 }
-
-func commandOf(step placement.Step, term uint64, incarnation string) *wire.Command {
-	if step.Action == placement.Drain {
-		return &wire.Command{Body: &wire.Command_SetResident{SetResident: &wire.SetResident{
-			Endpoint: step.Endpoint, Model: step.Model, Version: step.Version, Adapter: step.Adapter,
-			State: wire.ResidentState_RESIDENT_STATE_DRAINING,
-		}}}
-	}
-	kind := wire.OrderKind_ORDER_KIND_LOAD
-	if step.Action == placement.Unload {
-		kind = wire.OrderKind_ORDER_KIND_UNLOAD
-	}
-	return &wire.Command{Body: &wire.Command_IssueOrder{IssueOrder: &wire.IssueOrder{Order: &wire.Order{
-		FenceTerm: term, Kind: kind, Endpoint: step.Endpoint, Model: step.Model, Version: step.Version,
-		Adapter: step.Adapter, MemoryBytes: step.Memory, Incarnation: incarnation, Reason: step.Reason,
-	}}}}
-}
--- /dev/null
+++ b/internal/orders/sim_test.go
@@ -0,0 +1,497 @@
+package orders
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/placement"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+		set := false
+		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+		if !set {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	tick       = time.Second
+	engineMB   = 100
+	numEngines = 4
+)
+
+var simConfig = Config{CopyLifetime: 5 * time.Second, RetryInterval: tick, MaxRetry: 2 * tick, GiveUp: 10 * time.Second, MaxRefusals: 2}
+
+// fakeEngine polices its true memory.
+type fakeEngine struct {
+	id             string
+	checks         bool
+	frozen         bool
+	incarnation    int
+	fence          number
+	held           map[string]*fakeResident
+	overcommitted  bool
+	refuseNextLoad bool
+}
+
+type fakeResident struct {
+	state   endpoint.ResidentState
+	loading bool
+}
+
+func (e *fakeEngine) name() string { return fmt.Sprintf("%s-%d", e.id, e.incarnation) }
+
+func (e *fakeEngine) restart() {
+	e.incarnation++
+	e.fence = number{}
+	e.held = map[string]*fakeResident{}
+}
+
+func (e *fakeEngine) used() uint64 {
+	var sum uint64
+	for _, r := range e.held {
+		sum += r.state.MemoryBytes
+	}
+	return sum
+}
+
+func (e *fakeEngine) execute(o *wire.Order) *endpoint.OrderResult {
+	n := numberOf(o)
+	if o.Incarnation != e.name() {
+		return &endpoint.OrderResult{Reason: "incarnation"}
+	}
+	if e.checks && (n.term < e.fence.term || (n.term == e.fence.term && n.sequence < e.fence.sequence)) {
+		return &endpoint.OrderResult{Reason: "stale_fence"}
+	}
+	e.fence = n
+	key := endpoint.ServedName(o.Model, o.Version, o.Adapter)
+	if o.Kind == wire.OrderKind_ORDER_KIND_UNLOAD {
+		delete(e.held, key)
+		return &endpoint.OrderResult{Done: true}
+	}
+	if e.refuseNextLoad {
+		e.refuseNextLoad = false
+		return &endpoint.OrderResult{Reason: "busy"}
+	}
+	if e.held[key] == nil {
+		e.held[key] = &fakeResident{loading: true, state: endpoint.ResidentState{Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryBytes: o.MemoryBytes}}
+		e.overcommitted = e.overcommitted || e.used() > engineMB<<20
+	}
+	return &endpoint.OrderResult{Done: true}
+}
+
+func (e *fakeEngine) read() *endpoint.EngineState {
+	s := &endpoint.EngineState{Incarnation: e.name(), MemoryBytes: engineMB << 20, UsedBytes: e.used(), Slots: 4}
+	if e.checks {
+		s.FenceTerm, s.FenceSequence = e.fence.term, e.fence.sequence
+	}
+	for _, r := range e.held {
+		if !r.loading {
+			s.Residents = append(s.Residents, r.state)
+		}
+	}
+	return s
+}
+
+// transit is one copy of an order on its way.
+type transit struct {
+	order   *wire.Order
+	replica uint64
+	term    uint64
+	// held copies passed the lease check and have not left the replica.
+	held bool
+	// closed copies have no connection; they die at deadline.
+	closed   bool
+	deadline time.Duration
+}
+
+type sim struct {
+	t        *rapid.T
+	now      time.Duration
+	index    uint64
+	machine  *state.Machine
+	leader   uint64
+	term     uint64
+	tracker  *Tracker
+	gates    map[uint64]*Gate
+	frozen   map[uint64]bool
+	engines  []*fakeEngine
+	transits []*transit
+	past     []*wire.Command
+	revision uint64
+	healed   bool
+}
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{t: t, machine: state.New(), leader: 1, term: 1, tracker: NewTracker(simConfig), gates: map[uint64]*Gate{}, frozen: map[uint64]bool{}}
+	for id := uint64(1); id <= 3; id++ {
+		s.gates[id] = NewGate()
+	}
+	for i := range numEngines {
+		e := &fakeEngine{id: fmt.Sprintf("engine-%d", i), checks: rapid.Bool().Draw(t, "checks")}
+		e.restart()
+		s.engines = append(s.engines, e)
+		s.apply(&wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: &wire.Endpoint{
+			Id: e.id, Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Domain: fmt.Sprintf("domain-%d", i%2), ChecksFencing: e.checks, Reachable: true,
+		}}}})
+	}
+	s.changeDocument()
+	return s
+}
+
+func (s *sim) apply(c *wire.Command) *wire.CommandResult {
+	s.index++
+	return s.machine.Apply(s.index, c)
+}
+
+// changeDocument declares two to four models of drawn sizes and versions.
+func (s *sim) changeDocument() {
+	var models []string
+	for i := range rapid.IntRange(2, 4).Draw(s.t, "models") {
+		version := rapid.IntRange(1, 3).Draw(s.t, "version")
+		memory := rapid.SampledFrom([]int{25, 40, 45}).Draw(s.t, "memory")
+		adapter := ""
+		if i == 0 {
+			adapter = `{"name": "a", "version": "1", "memory_mb": 5}`
+		}
+		models = append(models, fmt.Sprintf(`{"name": "m%d", "version": "%d-%d", "memory_mb": %d, "replicas": 2, "adapters": [%s]}`, i, version, memory, memory, adapter))
+	}
+	text := fmt.Sprintf(`{"team": "t", "models": [%s]}`, strings.Join(models, ","))
+	r := s.apply(&wire.Command{Body: &wire.Command_ApplySection{ApplySection: &wire.ApplySection{
+		Team: "t", BaseRevision: s.revision, OrderId: fmt.Sprintf("o%d", s.index), Text: []byte(text),
+	}}})
+	if r.Apply.GetOutcome() != wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED {
+		s.t.Fatalf("section not accepted: %v", r)
+	}
+	s.revision = r.Apply.Revision
+}
+
+func (s *sim) engine(id string) *fakeEngine {
+	return s.engines[slices.IndexFunc(s.engines, func(e *fakeEngine) bool { return e.id == id })]
+}
+
+// tick is one look of the leader with all that follows.
+func (s *sim) tick() {
+	s.now += tick
+	for _, e := range s.engines {
+		for _, r := range e.held {
+			if !e.frozen {
+				r.loading = false
+			}
+		}
+	}
+	s.expireTransits()
+	if s.frozen[s.leader] {
+		return
+	}
+	s.readEngines()
+	if terms := s.machine.SendTerms(); len(terms) == 0 || terms[len(terms)-1].Term != s.term {
+		s.apply(&wire.Command{Body: &wire.Command_StartTerm{StartTerm: &wire.StartTerm{Term: &wire.SendTerm{Term: s.term, Replica: s.leader}}}})
+		return
+	}
+	s.followOrders()
+	s.plan()
+}
+
+// expireTransits ends closed copies whose engine answered for a lifetime.
+func (s *sim) expireTransits() {
+	for _, c := range s.transits {
+		if c.closed && s.engine(c.order.Endpoint).frozen {
+			c.deadline = s.now + simConfig.CopyLifetime
+		}
+	}
+	s.transits = slices.DeleteFunc(s.transits, func(c *transit) bool { return c.closed && s.now >= c.deadline })
+}
+
+func (s *sim) readEngines() {
+	recorded := map[string]*wire.Endpoint{}
+	for _, vm := range s.machine.Endpoints() {
+		recorded[vm.Id] = vm
+	}
+	for _, e := range s.engines {
+		vm := recorded[e.id]
+		if reachable := !e.frozen; reachable != vm.Reachable {
+			vm.Reachable = reachable
+			s.apply(&wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: vm}}})
+		}
+		if e.frozen {
+			s.tracker.StateRead(s.term, e.id, s.now, nil)
+			continue
+		}
+		st := e.read()
+		s.tracker.StateRead(s.term, e.id, s.now, st)
+		if st.Incarnation == vm.Incarnation {
+			continue
+		}
+		c := &wire.Command{Body: &wire.Command_ResetEngine{ResetEngine: &wire.ResetEngine{
+			Id: e.id, Incarnation: st.Incarnation, ExpectedIncarnation: vm.Incarnation, MemoryBytes: st.MemoryBytes, Slots: 4,
+		}}}
+		s.past = append(s.past, c)
+		s.apply(c)
+	}
+}
+
+func (s *sim) followOrders() {
+	view := s.machine.View()
+	effects := s.tracker.Step(s.now+tick/2, Picture{
+		Term: s.term, Endpoints: view.Endpoints, Residents: view.Residents, Orders: s.machine.Orders(),
+		Copies: s.machine.Copies(), SendTerms: s.machine.SendTerms(), Members: []uint64{1, 2, 3},
+	})
+	for _, o := range effects.Send {
+		if s.gates[s.leader].Begin(s.term) {
+			s.transits = append(s.transits, &transit{order: o, replica: s.leader, term: s.term, held: !s.healed && rapid.Bool().Draw(s.t, "held")})
+		}
+	}
+	for _, r := range effects.Resolve {
+		s.apply(&wire.Command{Body: &wire.Command_ResolveOrder{ResolveOrder: r.Command}})
+	}
+	for _, c := range effects.Clear {
+		s.apply(&wire.Command{Body: &wire.Command_ClearCopies{ClearCopies: c}})
+	}
+	for _, l := range effects.Lose {
+		s.apply(&wire.Command{Body: &wire.Command_SetResident{SetResident: l}})
+	}
+	for _, id := range effects.Ask {
+		if !s.frozen[id] && s.gates[id].Quiet(s.term) == 0 {
+			s.tracker.Quiet(s.now+tick/2, s.term, id)
+		}
+	}
+}
+
+func (s *sim) planInput() placement.Input {
+	view := s.machine.View()
+	in := placement.Input{
+		Endpoints: view.Endpoints, Residents: view.Residents, Orders: s.machine.Orders(),
+		Idle:   func(*wire.Resident) bool { return true },
+		Budget: placement.Budget{ModelLoads: 3, AdapterLoads: 4},
+	}
+	for _, section := range view.Sections {
+		if parsed, err := closing.ParseError(section.Text); err == nil {
+			in.Sections = append(in.Sections, parsed)
+		}
+	}
+	return in
+}
+
+func (s *sim) plan() {
+	incarnations := map[string]string{}
+	for _, vm := range s.machine.Endpoints() {
+		incarnations[vm.Id] = vm.Incarnation
+	}
+	for _, step := range placement.Plan(s.planInput()) {
+		s.apply(step.Command(s.term, incarnations[step.Endpoint]))
+	}
+}
+
+// pick draws a copy in flight for which ok holds.
+func (s *sim) pick(ok func(*transit) bool) *transit {
+	var open []*transit
+	for _, c := range s.transits {
+		if ok(c) {
+			open = append(open, c)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(open).Draw(s.t, "copy")
+}
+
+// deliver carries a copy out. Its answer is passed on, or it is left behind
+// without a connection, to arrive once more.
+func (s *sim) deliver(again bool) {
+	c := s.pick(func(c *transit) bool { return !c.held && !s.engine(c.order.Endpoint).frozen })
+	if c == nil {
+		return
+	}
+	result := s.engine(c.order.Endpoint).execute(c.order)
+	if !c.closed {
+		s.end(c, result)
+	}
+	if !again {
+		s.transits = slices.DeleteFunc(s.transits, func(x *transit) bool { return x == c })
+	}
+}
+
+// end closes the connection of a copy and tells its sender.
+func (s *sim) end(c *transit, result *endpoint.OrderResult) {
+	c.closed, c.deadline = true, s.now+simConfig.CopyLifetime
+	s.gates[c.replica].End(c.term)
+	if c.replica == s.leader && c.term == s.term {
+		s.tracker.Answered(s.now, c.term, c.order, result)
+	}
+}
+
+// elect makes another replica lead. A former leader that is not frozen ends
+// its sendings; a frozen one keeps what it has not sent yet.
+func (s *sim) elect() {
+	for _, c := range s.transits {
+		if c.replica == s.leader && !c.closed && !s.frozen[s.leader] {
+			if c.held {
+				// It passed the check: what is sent leaves after the term.
+				continue
+			}
+			s.end(c, nil)
+		}
+	}
+	candidates := slices.DeleteFunc([]uint64{1, 2, 3}, func(id uint64) bool { return s.frozen[id] })
+	s.leader = rapid.SampledFrom(candidates).Draw(s.t, "leader")
+	s.term++
+	s.tracker = NewTracker(simConfig)
+}
+
+func (s *sim) actions() map[string]func(*rapid.T) {
+	engine := func() *fakeEngine { return rapid.SampledFrom(s.engines).Draw(s.t, "engine") }
+	tickAction := func(*rapid.T) { s.tick() }
+	deliver := func(*rapid.T) { s.deliver(false) }
+	return map[string]func(*rapid.T){
+		"tick": tickAction, "tick2": tickAction, "tick3": tickAction, "tick4": tickAction,
+		"deliver": deliver, "deliver2": deliver, "deliver3": deliver,
+		"repeat": func(*rapid.T) { s.deliver(true) },
+		"close": func(*rapid.T) {
+			if c := s.pick(func(c *transit) bool { return !c.closed && !c.held }); c != nil {
+				s.end(c, nil)
+			}
+		},
+		"lose": func(*rapid.T) {
+			if c := s.pick(func(c *transit) bool { return !c.closed && !c.held }); c != nil {
+				s.end(c, nil)
+				s.transits = slices.DeleteFunc(s.transits, func(x *transit) bool { return x == c })
+			}
+		},
+		"release": func(*rapid.T) {
+			if c := s.pick(func(c *transit) bool { return c.held && !s.frozen[c.replica] }); c != nil {
+				c.held = false
+			}
+		},
+		"restart": func(*rapid.T) {
+			if rapid.IntRange(0, 3).Draw(s.t, "rare") == 0 {
+				engine().restart()
+			}
+		},
+		"freeze engine":   func(*rapid.T) { engine().frozen = true },
+		"unfreeze engine": func(*rapid.T) { engine().frozen = false },
+		"refuse":          func(*rapid.T) { engine().refuseNextLoad = true },
+		"freeze leader": func(*rapid.T) {
+			if len(s.frozen) == 0 {
+				s.frozen[s.leader] = true
+				s.elect()
+			}
+		},
+		"thaw replicas": func(*rapid.T) { clear(s.frozen) },
+		"elect":         func(*rapid.T) { s.elect() },
+		"document": func(*rapid.T) {
+			if rapid.IntRange(0, 2).Draw(s.t, "rare") == 0 {
+				s.changeDocument()
+			}
+		},
+		"delayed command": func(*rapid.T) {
+			if len(s.past) > 0 {
+				s.apply(rapid.SampledFrom(s.past).Draw(s.t, "past"))
+			}
+		},
+		"snapshot": func(*rapid.T) {
+			data, err := s.machine.Snapshot()
+			if err == nil {
+				s.machine, err = state.Restore(data)
+			}
+			if err != nil {
+				s.t.Fatal(err)
+			}
+		},
+		"": func(*rapid.T) { s.check() },
+	}
+}
+
+// check compares the ledger with the engines' true memory.
+func (s *sim) check() {
+	for _, vm := range s.machine.Endpoints() {
+		e := s.engine(vm.Id)
+		if e.overcommitted {
+			s.t.Fatalf("%s took more memory than it has", e.id)
+		}
+		if charged := s.machine.ChargedBytes(e.id); vm.Incarnation == e.name() && charged < e.used() {
+			s.t.Fatalf("%s uses %d bytes and %d are charged", e.id, e.used(), charged)
+		}
+	}
+}
+
+// heal ends all faults and lets every copy arrive in turn.
+func (s *sim) heal(ticks int) {
+	s.healed = true
+	clear(s.frozen)
+	for _, e := range s.engines {
+		e.frozen = false
+	}
+	for _, c := range s.transits {
+		c.held = false
+	}
+	for range ticks {
+		for len(s.transits) > 0 {
+			s.deliver(false)
+			s.check()
+		}
+		s.tick()
+		s.check()
+	}
+}
+
+// checkReachable requires every declared model and adapter to be in service
+// and truly there, and no engine to have an open order.
+func (s *sim) checkReachable() {
+	ready := map[string]bool{}
+	for _, r := range s.machine.View().Residents {
+		key := endpoint.ServedName(r.Model, r.Version, r.Adapter)
+		held := s.engine(r.Endpoint).held[key]
+		if r.State == wire.ResidentState_RESIDENT_STATE_READY && held != nil && !held.loading {
+			ready[key] = true
+		}
+	}
+	for _, section := range s.planInput().Sections {
+		for _, m := range section.Models {
+			name := closing.FullName(section.Team, m.Name)
+			if !ready[endpoint.ServedName(name, m.Version, "")] {
+				s.t.Fatalf("%s version %s is not reachable", name, m.Version)
+			}
+			for _, a := range m.Adapters {
+				if !ready[endpoint.ServedName(name, m.Version, a.Name+"@"+a.Version)] {
+					s.t.Fatalf("adapter %s of %s is not reachable", a.Name, name)
+				}
+			}
+		}
+	}
+	if open := s.machine.Orders(); len(open) > 0 {
+		s.t.Fatalf("orders stay open: %v", open)
+	}
+}
+
+// healTicks bounds the time to full reachability once faults stop: an order
+// given up, its copies cleared, its unload and the loads that wait for it.
+const healTicks = 90
+
+// TestOrdersUnderFaults drives planner, orders and ledger through lost, late,
+// repeated and reordered orders, restarts, freezes, leader and document changes.
+func TestOrdersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		t.Repeat(s.actions())
+		s.heal(healTicks)
+		s.checkReachable()
+	})
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -307,3 +307,22 @@
 	}
 	return "unload"
 }
+
+// Command returns the command that records the step, for the term's leader
+// and the engine's incarnation on record.
+func (step Step) Command(term uint64, incarnation string) *wire.Command {
+	if step.Action == Drain {
+		return &wire.Command{Body: &wire.Command_SetResident{SetResident: &wire.SetResident{
+			Endpoint: step.Endpoint, Model: step.Model, Version: step.Version, Adapter: step.Adapter,
+			State: wire.ResidentState_RESIDENT_STATE_DRAINING,
+		}}}
+	}
+	kind := wire.OrderKind_ORDER_KIND_LOAD
+	if step.Action == Unload {
+		kind = wire.OrderKind_ORDER_KIND_UNLOAD
+	}
+	return &wire.Command{Body: &wire.Command_IssueOrder{IssueOrder: &wire.IssueOrder{Order: &wire.Order{
+		FenceTerm: term, Kind: kind, Endpoint: step.Endpoint, Model: step.Model, Version: step.Version,
+		Adapter: step.Adapter, MemoryBytes: step.Memory, Incarnation: incarnation, Reason: step.Reason,
+	}}}}
+}
