placement: plan by urgency, demand, spread and room, with reasons for what is unmet

Cause: the planner knew no demand, counted unreachable engines' orders against the budgets, let a lost engine's residents count for ever, and had no way to make room. It now places first replicas, adapters, spread and demand in this order, frees memory by sparing or moving replicas, and never drains the last serving replica of a declared model.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -15,7 +15,7 @@
 	in := placement.Input{
 		Endpoints: p.view.Endpoints, Residents: p.view.Residents, Orders: p.orders,
 		Idle:   func(r *wire.Resident) bool { return p.idle[residentName(r)] },
-		Budget: placement.Budget{ModelLoads: s.cfg.ModelLoads, AdapterLoads: s.cfg.AdapterLoads},
+		Budget: placement.Budget{ModelLoads: s.cfg.ModelLoads, AdapterLoads: s.cfg.AdapterLoads, ModelStarts: s.cfg.ModelLoads},
 	}
 	for _, section := range p.view.Sections {
 		if parsed, err := closing.ParseError(section.Text); err == nil {
@@ -26,7 +26,7 @@
 	for _, e := range p.view.Endpoints {
 		incarnations[e.Id] = e.Incarnation
 	}
-	for _, step := range placement.Plan(in) {
+	for _, step := range placement.Plan(in).Steps {
 		if s.try(ctx, step.Command(p.term, incarnations[step.Endpoint]), "placement") {
 			s.log.WithFields(logrus.Fields{
 				"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
--- a/internal/orders/sim_test.go
+++ b/internal/orders/sim_test.go
@@ -279,7 +279,7 @@
 	in := placement.Input{
 		Endpoints: view.Endpoints, Residents: view.Residents, Orders: s.machine.Orders(),
 		Idle:   func(*wire.Resident) bool { return true },
-		Budget: placement.Budget{ModelLoads: 3, AdapterLoads: 4},
+		Budget: placement.Budget{ModelLoads: 3, AdapterLoads: 4, ModelStarts: 3},
 	}
 	for _, section := range view.Sections {
 		if parsed, err := closing.ParseError(section.Text); err == nil {
@@ -294,7 +294,7 @@
 	for _, vm := range s.machine.Endpoints() {
 		incarnations[vm.Id] = vm.Incarnation
 	}
-	for _, step := range placement.Plan(s.planInput()) {
+	for _, step := range placement.Plan(s.planInput()).Steps {
 		s.apply(step.Command(s.term, incarnations[step.Endpoint]))
 	}
 }
@@ -361,7 +361,12 @@
 	tickAction := func(*rapid.T) { s.tick() }
 	deliver := func(*rapid.T) { s.deliver(false) }
 	return map[string]func(*rapid.T){
-		"tick": tickAction, "tick2": tickAction, "tick3": tickAction, "tick4": tickAction,
+		"tick": tickAction, "tick2": tickAction, "tick3": tickAction,
+		"wait": func(*rapid.T) {
+			for range 6 {
+				s.tick()
+			}
+		},
 		"deliver": deliver, "deliver2": deliver, "deliver3": deliver,
 		"repeat": func(*rapid.T) { s.deliver(true) },
 		"close": func(*rapid.T) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -2,327 +2,267 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
-	"parsleyramp/internal/closing"
 	"parsleyramp/internal/wire"
 )
 
-// Budget bounds what may be in flight at the weight store.
-type Budget struct {
-	// ModelLoads and AdapterLoads are how many may be in flight at once.
-	ModelLoads   int
-	AdapterLoads int
-}
-
-// Health is how steady an engine has been.
-type Health struct {
-	// LostFor is how long the engine has not answered; zero while it answers.
-	LostFor time.Duration
-	// Unstable engines came back a short while ago and are avoided.
-	Unstable bool
-}
-
-// Input is everything that a plan depends on.
-type Input struct {
-	Sections  []*closing.Section
-	Endpoints []*wire.Endpoint
-	Residents []*wire.Resident
-	Orders    []*wire.Order
-	// Idle reports that no request runs on a draining resident any more.
-	Idle   func(*wire.Resident) bool
-	Budget Budget
-}
-
-// Action is what a step does to a resident.
-type Action int
-
-// Actions of a step.
-const (
-	Load Action = iota
-	Drain
-	Unload
-)
-
-// Step is one change of what is resident, with the reason for operators.
-type Step struct {
-	Action   Action
-	Endpoint string
-	Model    string
-	Version  string
-	Adapter  string
-	Memory   uint64
-	Reason   string
-}
-
-const bytesPerMB = 1 << 20
+// spreadReplicas is how many replicas in separate failure domains every model
+// gets where memory allows.
+const spreadReplicas = 2
 
-// wanted is one declared model.
-type wanted struct {
-	team     string
-	name     string
-	version  string
-	memory   uint64
-	replicas int
-	adapters []closing.Adapter
-}
-
-// Plan returns the next steps towards the declared state. Calling it again
-// after they were carried out leads on.
-func Plan(in Input) []Step {
+// Plan returns the next steps towards the declared state, the most urgent
+// first. Calling it again after they were carried out leads on. A plan never
+// drains the last serving replica of a declared model.
+func Plan(in Input) Result {
 	p := newPlanner(in)
+	p.retire()
 	for _, w := range p.wanted {
-		p.placeModel(w)
+		p.placeFirst(w)
 	}
 	for _, w := range p.wanted {
-		p.placeAdapters(w)
+		p.placeFirstAdapters(w)
 	}
-	p.retire()
-	return p.steps
-}
-
-type planner struct {
-	in      Input
-	wanted  []wanted
-	engines []*engine
-	steps   []Step
-	// modelLoads and adapterLoads are in flight, with those of this plan.
-	modelLoads   int
-	adapterLoads int
+	for _, w := range p.wanted {
+		p.placeSpread(w)
+	}
+	p.placeDemand()
+	for _, w := range p.wanted {
+		p.placeMoreAdapters(w)
+	}
+	p.unload()
+	return p.result
 }
 
-// engine is the planner's picture of one engine.
-type engine struct {
-	vm        *wire.Endpoint
-	usable    bool
-	busy      bool
-	free      uint64
-	residents []*wire.Resident
-}
+// budgetLeft reports whether a model load may start.
+func (p *planner) budgetLeft() bool { return p.modelLoads > 0 && p.modelStarts > 0 }
 
-func newPlanner(in Input) *planner {
-	p := &planner{in: in}
-	byID := map[string]*engine{}
-	for _, vm := range in.Endpoints {
-		if vm.Kind != wire.EndpointKind_ENDPOINT_KIND_ENGINE {
-			continue
-		}
-		e := &engine{vm: vm, usable: vm.Reachable && !vm.Leaving && vm.Incarnation != "", free: vm.MemoryBytes}
-		byID[vm.Id] = e
-		p.engines = append(p.engines, e)
+// placeFirst gives a model its first replica of the declared version.
+func (p *planner) placeFirst(w *wanted) {
+	if len(p.serving(w.held, w.version)) > 0 {
+		return
 	}
-	for _, r := range in.Residents {
-		if e := byID[r.Endpoint]; e != nil {
-			e.residents = append(e.residents, r)
-			e.free -= min(e.free, r.MemoryBytes)
-		}
+	if len(p.coming(w, lostGrace)) > 0 {
+		p.unmet(w, "", "it is being loaded, or its engine has just stopped answering")
+		return
 	}
-	for _, o := range in.Orders {
-		if e := byID[o.Endpoint]; e != nil {
-			e.busy = true
-		}
-		p.countLoad(o.Kind == wire.OrderKind_ORDER_KIND_LOAD, o.Adapter)
+	if !p.budgetLeft() {
+		p.unmet(w, "", "waits for the weight store")
+		return
 	}
-	for _, s := range in.Sections {
-		for _, m := range s.Models {
-			p.wanted = append(p.wanted, wanted{
-				team: s.Team, name: closing.FullName(s.Team, m.Name), version: m.Version,
-				memory: (m.MemoryMB + m.HeadroomMB) * bytesPerMB, replicas: max(1, m.Replicas), adapters: m.Adapters,
-			})
-		}
+	reason := "no engine serves the declared model"
+	if len(p.serving(w.held, "")) > 0 {
+		reason = "the declared version replaces an older one"
 	}
-	return p
-}
-
-func (p *planner) countLoad(isLoad bool, adapter string) {
-	switch {
-	case !isLoad:
-	case adapter == "":
-		p.modelLoads++
-	default:
-		p.adapterLoads++
+	if e := p.bestEngine(w, w.memory+unhomedBytes(w), nil); e != nil {
+		p.load(e, w, "", w.memory, reason)
+		p.unmet(w, "", "it is being loaded")
+		return
+	}
+	if e := p.bestEngine(w, w.memory, nil); e != nil && !p.canMakeRoom(w) {
+		p.load(e, w, "", w.memory, reason)
+		p.unmet(w, "", "it is being loaded")
+		return
 	}
+	p.unmet(w, "", p.makeRoom(w, func(*wanted, int) bool { return true }))
 }
 
-// has reports whether the engine holds, or is loading, a resident.
-func (e *engine) find(model, version, adapter string) *wire.Resident {
-	for _, r := range e.residents {
-		if r.Model == model && r.Version == version && r.Adapter == adapter {
-			return r
+// unhomedBytes is the memory of the adapters that no engine holds yet.
+func unhomedBytes(w *wanted) uint64 {
+	var sum uint64
+	for _, a := range w.adapters {
+		if len(w.homes[adapterName(a)]) == 0 {
+			sum += a.MemoryMB * bytesPerMB
 		}
 	}
-	return nil
+	return sum
 }
 
-func serving(r *wire.Resident) bool {
-	return r.GetState() == wire.ResidentState_RESIDENT_STATE_READY
+// placeSpread gives a model its declared replicas, two at least, in separate
+// failure domains where there is room.
+func (p *planner) placeSpread(w *wanted) {
+	target := max(spreadReplicas, w.replicas)
+	grace := p.spareGrace()
+	for range target {
+		have := p.coming(w, grace)
+		if len(have) == 0 || len(have) >= target || !p.budgetLeft() {
+			return
+		}
+		reason := "declared replicas are missing"
+		if len(have) >= w.replicas {
+			reason = "a second failure domain keeps the model reachable"
+		}
+		e := p.bestEngine(w, w.memory, have)
+		if e == nil {
+			p.makeRoom(w, func(victim *wanted, left int) bool { return left >= max(spreadReplicas, victim.replicas) })
+			return
+		}
+		p.load(e, w, "", w.memory, reason)
+	}
 }
 
-func coming(r *wire.Resident) bool {
-	return serving(r) || r.GetState() == wire.ResidentState_RESIDENT_STATE_LOADING
+func (p *planner) spareGrace() time.Duration {
+	return time.Duration(float64(spareGrace) * (1 + 3*p.in.Policy.MoveWeight))
 }
 
-// placeModel loads the model until it has its replicas, spreading them over
-// failure domains.
-func (p *planner) placeModel(w wanted) {
-	have := 0
-	domains := map[string]bool{}
-	for _, e := range p.engines {
-		if e.usable && coming(e.find(w.name, w.version, "")) {
-			have++
-			domains[e.vm.Domain] = true
+// placeDemand adds replicas to the most overloaded models, one each in a plan.
+func (p *planner) placeDemand() {
+	policy := p.in.Policy
+	grace := p.spareGrace()
+	type overloaded struct {
+		w     *wanted
+		have  []placed
+		ratio float64
+	}
+	var list []overloaded
+	for _, w := range p.wanted {
+		have := p.coming(w, grace)
+		if ratio := policy.ratio(w, len(have)); len(have) > 0 && ratio > policy.overload() {
+			list = append(list, overloaded{w, have, ratio})
 		}
 	}
-	for have < w.replicas && p.modelLoads < p.in.Budget.ModelLoads {
-		e := p.bestEngine(w, domains)
-		if e == nil {
+	slices.SortStableFunc(list, func(a, b overloaded) int {
+		return cmp.Or(cmp.Compare(a.w.urgency, b.w.urgency), cmp.Compare(b.ratio, a.ratio))
+	})
+	for _, o := range list {
+		if !p.budgetLeft() {
 			return
 		}
-		p.load(e, Step{Action: Load, Endpoint: e.vm.Id, Model: w.name, Version: w.version, Memory: w.memory, Reason: "declared model lacks a replica"})
-		domains[e.vm.Domain] = true
-		have++
+		if e := p.bestEngine(o.w, o.w.memory, o.have); e != nil {
+			p.load(e, o.w, "", o.w.memory, fmt.Sprintf("demand is %.1f times what %d replicas answer in time", o.ratio, len(o.have)))
+			continue
+		}
+		p.makeRoom(o.w, func(victim *wanted, left int) bool {
+			after := policy.ratio(victim, left)
+			return left >= max(1, victim.replicas) && after < policy.overload() && o.ratio-after > policy.evictionGap()
+		})
 	}
 }
 
-// bestEngine returns the engine with room, preferring another failure domain
-// and then the most free memory.
-func (p *planner) bestEngine(w wanted, domains map[string]bool) *engine {
-	var candidates []*engine
+// bestEngine returns the engine with room for the bytes: steady before
+// unstable, in a failure domain and with an owner that no replica has, not
+// busy, and with the least load and used memory.
+func (p *planner) bestEngine(w *wanted, bytes uint64, have []placed) *engine {
+	var best *engine
+	var bestRank [4]bool
 	for _, e := range p.engines {
-		if e.usable && !e.busy && e.free >= w.memory && e.find(w.name, w.version, "") == nil {
-			candidates = append(candidates, e)
+		if !e.usable || e.free < bytes || e.find(w.name, w.version, "") != nil {
+			continue
+		}
+		rank := [4]bool{e.unstable, sharesDomain(e, have), sharesOwner(e, have), e.busy}
+		if best == nil || before(rank, bestRank, e, best, p.in.Policy) {
+			best, bestRank = e, rank
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	return slices.MinFunc(candidates, func(a, b *engine) int {
-		return cmp.Or(
-			compareBool(domains[a.vm.Domain], domains[b.vm.Domain]),
-			cmp.Compare(b.free, a.free),
-			cmp.Compare(a.vm.Id, b.vm.Id),
-		)
-	})
+	return best
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+func before(rank, bestRank [4]bool, e, best *engine, policy Policy) bool {
+	for i := range rank {
+		if rank[i] != bestRank[i] {
+			return !rank[i]
+		}
 	}
-	return 1
+	return cmp.Or(cmp.Compare(e.pressure(policy), best.pressure(policy)), cmp.Compare(e.vm.Id, best.vm.Id)) < 0
 }
 
-func (p *planner) load(e *engine, s Step) {
-	p.steps = append(p.steps, s)
-	p.countLoad(true, s.Adapter)
-	e.busy = true
-	e.free -= s.Memory
-	e.residents = append(e.residents, &wire.Resident{
-		Endpoint: s.Endpoint, Model: s.Model, Version: s.Version, Adapter: s.Adapter,
-		MemoryBytes: s.Memory, State: wire.ResidentState_RESIDENT_STATE_LOADING,
-	})
+// pressure is the load in units of one replica's rate and the used share.
+func (e *engine) pressure(policy Policy) float64 {
+	used := 1 - float64(e.free)/float64(max(1, e.vm.MemoryBytes))
+	return e.load/max(policy.ReplicaRate, 1e-9) + used
 }
 
-// placeAdapters loads every adapter of the model wherever the model serves.
-func (p *planner) placeAdapters(w wanted) {
-	for _, e := range p.engines {
-		if !e.usable || !serving(e.find(w.name, w.version, "")) {
-			continue
-		}
-		for _, a := range w.adapters {
-			memory := a.MemoryMB * bytesPerMB
-			if e.busy || p.adapterLoads >= p.in.Budget.AdapterLoads || memory > e.free || e.find(w.name, w.version, adapterName(a)) != nil {
-				continue
-			}
-			p.load(e, Step{Action: Load, Endpoint: e.vm.Id, Model: w.name, Version: w.version, Adapter: adapterName(a), Memory: memory, Reason: "declared adapter is not resident"})
-		}
-	}
+func sharesDomain(e *engine, have []placed) bool {
+	return slices.ContainsFunc(have, func(x placed) bool { return x.engine.vm.Domain == e.vm.Domain })
 }
 
-// adapterName is the name under which an adapter's version is resident.
-func adapterName(a closing.Adapter) string { return a.Name + "@" + a.Version }
+func sharesOwner(e *engine, have []placed) bool {
+	return slices.ContainsFunc(have, func(x placed) bool { return x.engine.vm.Owner == e.vm.Owner })
+}
 
-// retire drains what is no longer wanted and unloads what has drained. An old
-// version goes only once its successor serves.
+// retire drains what is no longer wanted. An old version goes only once its
+// successor serves with as many replicas, or serves and has no room for more.
 func (p *planner) retire() {
 	for _, e := range p.engines {
 		for _, r := range e.residents {
-			switch r.State {
-			case wire.ResidentState_RESIDENT_STATE_READY:
-				if reason := p.unwanted(r); reason != "" {
-					p.steps = append(p.steps, Step{Action: Drain, Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Reason: reason})
-				}
-			case wire.ResidentState_RESIDENT_STATE_DRAINING:
-				if !e.busy && p.in.Idle(r) && !hasAdapters(e, r) {
-					e.busy = true
-					p.steps = append(p.steps, Step{Action: Unload, Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Reason: "drained"})
-				}
+			if r.State != wire.ResidentState_RESIDENT_STATE_READY {
+				continue
+			}
+			if reason := p.unwanted(e, r); reason != "" {
+				p.drain(placed{e, r}, reason)
+				p.drainOne(r, reason)
 			}
 		}
 	}
 }
 
-func hasAdapters(e *engine, r *wire.Resident) bool {
-	return r.Adapter == "" && slices.ContainsFunc(e.residents, func(x *wire.Resident) bool {
-		return x.Model == r.Model && x.Version == r.Version && x.Adapter != ""
-	})
-}
-
 // unwanted returns why a ready resident should go, or "".
-func (p *planner) unwanted(r *wire.Resident) string {
-	at := slices.IndexFunc(p.wanted, func(w wanted) bool { return w.name == r.Model })
-	if at < 0 {
+func (p *planner) unwanted(e *engine, r *wire.Resident) string {
+	w := p.byName[r.Model]
+	if w == nil {
 		return "no longer declared"
 	}
-	w := p.wanted[at]
-	if w.version != r.Version {
-		if p.serves(w.name, w.version, "") {
-			return "replaced by version " + w.version
+	if r.Adapter != "" {
+		host := e.find(r.Model, r.Version, "")
+		if host == nil || host.State == wire.ResidentState_RESIDENT_STATE_DRAINING {
+			return "its model leaves the engine"
+		}
+		if r.Version == w.version && !w.declares(r.Adapter) {
+			return "adapter no longer declared"
 		}
 		return ""
 	}
-	if r.Adapter != "" && !slices.ContainsFunc(w.adapters, func(a closing.Adapter) bool { return adapterName(a) == r.Adapter }) {
-		return "adapter no longer declared"
+	if r.Version == w.version {
+		return ""
+	}
+	now := len(p.serving(w.held, w.version))
+	old := len(p.serving(w.held, "")) - now
+	if now > 0 && now >= min(old, max(spreadReplicas, w.replicas)) && p.adaptersServe(w) {
+		return "replaced by version " + w.version
 	}
 	return ""
 }
 
-func (p *planner) serves(model, version, adapter string) bool {
-	return slices.ContainsFunc(p.engines, func(e *engine) bool {
-		return e.usable && serving(e.find(model, version, adapter))
-	})
+func (w *wanted) declares(adapter string) bool {
+	for _, a := range w.adapters {
+		if adapterName(a) == adapter {
+			return true
+		}
+	}
+	return false
 }
 
-// String returns the action's name.
-func (a Action) String() string {
-	switch a {
-	case Load:
-		return "load"
-	case Drain:
-		return "drain"
+// adaptersServe reports whether every declared adapter serves on the declared
+// version.
+func (p *planner) adaptersServe(w *wanted) bool {
+	for _, a := range w.adapters {
+		if len(p.serving(w.homes[adapterName(a)], w.version)) == 0 {
+			return false
+		}
 	}
-	return "unload"
+	return true
 }
 
-// Command returns the command that records the step, for the term's leader
-// and the engine's incarnation on record.
-func (step Step) Command(term uint64, incarnation string) *wire.Command {
-	if step.Action == Drain {
-		return &wire.Command{Body: &wire.Command_SetResident{SetResident: &wire.SetResident{
-			Endpoint: step.Endpoint, Model: step.Model, Version: step.Version, Adapter: step.Adapter,
-			State: wire.ResidentState_RESIDENT_STATE_DRAINING,
-		}}}
-	}
-	kind := wire.OrderKind_ORDER_KIND_LOAD
-	if step.Action == Unload {
-		kind = wire.OrderKind_ORDER_KIND_UNLOAD
+// unload removes what has drained, adapters before their model.
+func (p *planner) unload() {
+	for _, e := range p.engines {
+		if e.busy || !e.vm.Reachable {
+			continue
+		}
+		for _, r := range e.residents {
+			if r.State == wire.ResidentState_RESIDENT_STATE_DRAINING && p.in.Idle(r) && !hasAdapters(e, r) {
+				e.busy = true
+				p.result.Steps = append(p.result.Steps, Step{Action: Unload, Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Reason: "drained"})
+				break
+			}
+		}
 	}
-	return &wire.Command{Body: &wire.Command_IssueOrder{IssueOrder: &wire.IssueOrder{Order: &wire.Order{
-		FenceTerm: term, Kind: kind, Endpoint: step.Endpoint, Model: step.Model, Version: step.Version,
-		Adapter: step.Adapter, MemoryBytes: step.Memory, Incarnation: incarnation, Reason: step.Reason,
-	}}}}
+}
+
+func hasAdapters(e *engine, r *wire.Resident) bool {
+	return r.Adapter == "" && slices.ContainsFunc(e.residents, func(x *wire.Resident) bool {
+		return x.Model == r.Model && x.Version == r.Version && x.Adapter != ""
+	})
 }
--- /dev/null
+++ b/internal/placement/room.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"parsleyramp/internal/wire"
+)
+
+// maxSearches bounds the searches for room in one plan.
+const maxSearches = 8
+
+// Costs of the ways to free memory, in model loads.
+const (
+	costDrain    = 1
+	costRelocate = 4
+)
+
+// mayLose decides whether a model may lose a replica and keep left of them.
+type mayLose func(victim *wanted, left int) bool
+
+// eviction is a set of residents to remove from one engine.
+type eviction struct {
+	engine *engine
+	cost   int
+	// drains serve elsewhere; relocates must first be loaded elsewhere.
+	drains    []placed
+	relocates []placed
+}
+
+// makeRoom frees memory for a model that fits nowhere and returns why the
+// model is not in service meanwhile. What is freed is held back for it.
+func (p *planner) makeRoom(w *wanted, may mayLose) string {
+	best := p.cheapestEviction(w, w.memory, nil, may)
+	if best == nil {
+		return p.noRoom(w)
+	}
+	p.evict(best, w, w.memory)
+	return "waits for memory on " + best.engine.vm.Id
+}
+
+// canMakeRoom reports whether an engine could take the model with its adapters.
+func (p *planner) canMakeRoom(w *wanted) bool {
+	return p.cheapestEviction(w, w.memory+unhomedBytes(w), nil, func(*wanted, int) bool { return true }) != nil
+}
+
+// makeRoomOn is makeRoom for an adapter, on one of its model's replicas.
+func (p *planner) makeRoomOn(replicas []placed, memory uint64, w *wanted) string {
+	best := p.cheapestEviction(w, memory, replicas, func(*wanted, int) bool { return true })
+	if best == nil {
+		return "no replica of its model has memory for it"
+	}
+	p.evict(best, w, memory)
+	return "waits for memory on " + best.engine.vm.Id
+}
+
+func (p *planner) noRoom(w *wanted) string {
+	need := w.memory / bytesPerMB
+	largest := uint64(0)
+	for _, e := range p.engines {
+		if e.usable {
+			largest = max(largest, e.free/bytesPerMB)
+		}
+	}
+	reason := fmt.Sprintf("it needs %d MiB; the largest free memory is %d MiB and no replica of another model can be spared or moved", need, largest)
+	if len(p.serving(w.held, "")) > 0 {
+		return reason + "; an older version stays in service"
+	}
+	return reason
+}
+
+// cheapestEviction returns the cheapest way to free the bytes, on the engines
+// of on where given, else on any engine without the model.
+func (p *planner) cheapestEviction(w *wanted, bytes uint64, on []placed, may mayLose) *eviction {
+	if p.searches >= maxSearches {
+		return nil
+	}
+	p.searches++
+	var best *eviction
+	try := func(e *engine) {
+		if !e.usable || e.vm.MemoryBytes < bytes {
+			return
+		}
+		if v := p.evictionOn(e, w, bytes, may); v != nil && (best == nil || v.cost < best.cost) {
+			best = v
+		}
+	}
+	for _, x := range on {
+		try(x.engine)
+	}
+	if on != nil {
+		return best
+	}
+	for _, e := range p.engines {
+		if e.find(w.name, w.version, "") == nil {
+			try(e)
+		}
+	}
+	return best
+}
+
+// evictionOn counts what is leaving already, then the replicas that can be
+// spared, then those that can move, the cheapest and largest first.
+func (p *planner) evictionOn(e *engine, w *wanted, bytes uint64, may mayLose) *eviction {
+	free := e.free
+	for _, r := range e.residents {
+		leaving := r.State == wire.ResidentState_RESIDENT_STATE_DRAINING || r.State == wire.ResidentState_RESIDENT_STATE_UNLOADING
+		if leaving || p.drained[r] {
+			free += r.MemoryBytes
+		}
+	}
+	out := &eviction{engine: e}
+	if e.unstable {
+		out.cost++
+	}
+	for _, c := range p.candidates(e, w, may) {
+		if free >= bytes {
+			break
+		}
+		free += c.bytes
+		out.cost += c.cost
+		if c.cost == costRelocate {
+			out.relocates = append(out.relocates, c.placed)
+		} else {
+			out.drains = append(out.drains, c.placed)
+		}
+	}
+	if free < bytes {
+		return nil
+	}
+	return out
+}
+
+type candidate struct {
+	placed
+	cost  int
+	bytes uint64
+}
+
+func (p *planner) candidates(e *engine, w *wanted, may mayLose) []candidate {
+	var out []candidate
+	for _, r := range e.residents {
+		x := placed{e, r}
+		victim := p.byName[r.Model]
+		if r.Adapter != "" || victim == nil || !p.serves(x) || (victim == w && r.Version == w.version) {
+			continue
+		}
+		c := candidate{placed: x, bytes: withAdapters(e, r)}
+		switch left := len(p.serving(victim.held, "")) - 1; {
+		case left >= 1 && may(victim, left) && p.adaptersElsewhere(victim, e):
+			c.cost = costDrain
+		case r.Version == victim.version && p.refuge(victim, c.bytes, e) != nil && may(victim, 1):
+			c.cost = costRelocate
+		default:
+			continue
+		}
+		out = append(out, c)
+	}
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.bytes, a.bytes))
+	})
+	return out
+}
+
+// withAdapters is the memory of a model with its adapters on one engine.
+func withAdapters(e *engine, model *wire.Resident) uint64 {
+	var sum uint64
+	for _, r := range e.residents {
+		if r.Model == model.Model && r.Version == model.Version {
+			sum += r.MemoryBytes
+		}
+	}
+	return sum
+}
+
+// adaptersElsewhere reports whether every adapter of the model that serves on
+// the engine serves on another one too.
+func (p *planner) adaptersElsewhere(w *wanted, e *engine) bool {
+	for _, a := range w.adapters {
+		homes := p.serving(w.homes[adapterName(a)], w.version)
+		if len(homes) == 1 && homes[0].engine == e {
+			return false
+		}
+	}
+	return true
+}
+
+// refuge returns another engine that has room for the model now.
+func (p *planner) refuge(w *wanted, bytes uint64, from *engine) *engine {
+	for _, e := range p.engines {
+		if e != from && e.usable && !e.unstable && e.free >= bytes && e.find(w.name, w.version, "") == nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// evict starts the drains and the loads elsewhere. A relocated model drains in
+// a later plan, once its new replica serves and it can be spared here.
+func (p *planner) evict(v *eviction, w *wanted, bytes uint64) {
+	reason := "makes room for " + w.name + " version " + w.version
+	for _, x := range v.drains {
+		victim := p.byName[x.resident.Model]
+		// An earlier drain of this plan may have left this as the last one.
+		if len(p.serving(victim.held, "")) > 1 {
+			p.drain(x, reason)
+		}
+	}
+	for _, x := range v.relocates {
+		victim := p.byName[x.resident.Model]
+		e := p.refuge(victim, withAdapters(x.engine, x.resident), x.engine)
+		if e != nil && p.budgetLeft() {
+			p.load(e, victim, "", victim.memory, "moves off "+x.engine.vm.Id+": "+reason)
+		}
+	}
+	v.engine.hold(bytes)
+}
