control: give the planner demand, the store's rate and engines' health; say why a section is not met

Cause: the planner's inputs for demand, rate and flapping engines had no source, and a model on an engine that does not answer counted as in service.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -21,6 +21,7 @@
 	if err := s.register(ctx, m.Entry); err != nil {
 		return nil, s.rpcError(ctx, err)
 	}
+	s.placing.addDemand(m.Demand)
 	resp := &wire.HeartbeatResponse{LeaseMs: s.cfg.EntryLease.D().Milliseconds()}
 	err := s.node.Read(ctx, func(l replica.Leadership, machine *state.Machine) {
 		s.leases.enterTerm(l.Term, l.Now)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -76,7 +76,7 @@
 	if resp.Section == nil {
 		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
 	}
-	resp.Unmet = unmet(resp.Section, view)
+	resp.Unmet = unmet(resp.Section, view, o.s.placing.reason)
 	resp.Status = wire.ChangeStatus_CHANGE_STATUS_MET
 	switch {
 	case len(resp.LaggingEntries) > 0:
@@ -88,14 +88,24 @@
 }
 
 // unmet lists what of the section no endpoint serves.
-func unmet(section *wire.Section, view *wire.View) []string {
+func unmet(section *wire.Section, view *wire.View, reason func(model, version, adapter string) string) []string {
+	because := func(model, version, adapter string) string {
+		if why := reason(model, version, adapter); why != "" {
+			return ": " + why
+		}
+		return ""
+	}
 	s, err := closing.ParseError(section.Text)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	ready := map[string]bool{}
+	answers := map[string]bool{}
+	for _, e := range view.Endpoints {
+		answers[e.Id] = e.Reachable && !e.Leaving
+	}
 	for _, r := range view.Residents {
-		if r.State == wire.ResidentState_RESIDENT_STATE_READY {
+		if r.State == wire.ResidentState_RESIDENT_STATE_READY && answers[r.Endpoint] {
 			ready[r.Model+"@"+r.Version+":"+r.Adapter] = true
 		}
 	}
@@ -103,11 +113,11 @@
 	for _, m := range s.Models {
 		name := closing.FullName(s.Team, m.Name)
 		if !ready[name+"@"+m.Version+":"] {
-			out = append(out, fmt.Sprintf("model %s version %s is not ready on any engine", name, m.Version))
+			out = append(out, fmt.Sprintf("model %s version %s is not ready on any engine%s", name, m.Version, because(name, m.Version, "")))
 		}
 		for _, a := range m.Adapters {
 			if !ready[name+"@"+m.Version+":"+a.Name+"@"+a.Version] {
-				out = append(out, fmt.Sprintf("adapter %s version %s of %s is not ready on any engine", a.Name, a.Version, name))
+				out = append(out, fmt.Sprintf("adapter %s version %s of %s is not ready on any engine%s", a.Name, a.Version, name, because(name, m.Version, a.Name+"@"+a.Version)))
 			}
 		}
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -42,6 +42,7 @@
 	leases  leaseTable
 	orders  *orderSender
 	health  *healthTable
+	placing placing
 	clock   func() time.Duration
 	http    *transport.Server
 	stopped chan error
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -27,6 +27,12 @@
 	// ModelLoads and AdapterLoads bound the loads in flight.
 	ModelLoads   int `json:"model_loads"`
 	AdapterLoads int `json:"adapter_loads"`
+	// ModelLoadRate is how many model loads the store starts in a second.
+	ModelLoadRate float64 `json:"model_load_rate"`
+	// MoveWeight is 0 where attainment alone counts and 1 where moves count most.
+	MoveWeight float64 `json:"move_weight"`
+	// ReplicaRate is how many requests a second one replica answers in time.
+	ReplicaRate float64 `json:"replica_rate"`
 	// ClaimRetention is how long the record of a non-idempotent request is kept.
 	ClaimRetention settings.Duration `json:"claim_retention"`
 	// DeferredRetention is how long an overnight answer is kept after its deadline.
@@ -46,6 +52,9 @@
 		SnapshotEntries:   4096,
 		ModelLoads:        3,
 		AdapterLoads:      24,
+		ModelLoadRate:     3,
+		MoveWeight:        0.5,
+		ReplicaRate:       2,
 		ClaimRetention:    settings.Duration(24 * time.Hour),
 		DeferredRetention: settings.Duration(24 * time.Hour),
 		SuspectRetention:  settings.Duration(time.Hour),
@@ -64,6 +73,9 @@
 	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
 	c.Require(s.ModelLoads > 0, "model_loads", "1 or more")
 	c.Require(s.AdapterLoads > 0, "adapter_loads", "1 or more")
+	c.Require(s.ModelLoadRate > 0, "model_load_rate", "above 0 loads a second")
+	c.Require(s.MoveWeight >= 0 && s.MoveWeight <= 1, "move_weight", "0 to 1")
+	c.Require(s.ReplicaRate > 0, "replica_rate", "above 0 requests a second")
 	c.Positive("claim_retention", s.ClaimRetention)
 	c.Positive("deferred_retention", s.DeferredRetention)
 	c.Positive("suspect_retention", s.SuspectRetention)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	mu     sync.Mutex
 	lastID uint64
 	gates  map[string]*ownedEndpoint
+	// arrived counts the attempts since the last report, for placement.
+	arrived map[residentName]uint32
 }
 
 // ownedEndpoint is the gate of one endpoint with those who wait at it.
@@ -47,7 +50,7 @@
 }
 
 func newOwner(s *session, r endpoint.Runner, serviceSlots int) *owner {
-	return &owner{session: s, runner: r, slots: serviceSlots, clock: s.clock, gates: map[string]*ownedEndpoint{}}
+	return &owner{session: s, runner: r, slots: serviceSlots, clock: s.clock, gates: map[string]*ownedEndpoint{}, arrived: map[residentName]uint32{}}
 }
 
 // run admits one attempt, runs it and passes the answer to the sink.
@@ -114,6 +117,10 @@
 func (o *owner) admit(ctx context.Context, vm *wire.Endpoint, name residentName, r *wire.ForwardRequest) (uint64, error) {
 	o.mu.Lock()
 	o.lastID++
+	if r.Model != "" {
+		// Demand is of the model, whichever version answers it.
+		o.arrived[residentName{model: r.Model, adapter: adapterOnly(r.Adapter)}]++
+	}
 	id := o.lastID
 	e := o.endpoint(vm)
 	now := o.clock()
@@ -143,6 +150,12 @@
 	}
 }
 
+// adapterOnly returns an adapter's name without its version.
+func adapterOnly(adapter string) string {
+	name, _, _ := strings.Cut(adapter, "@")
+	return name
+}
+
 func (o *owner) release(endpointID string, name residentName, id uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -207,6 +220,10 @@
 func (o *owner) report(req *wire.HeartbeatRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for name, n := range o.arrived {
+		req.Demand = append(req.Demand, &wire.DemandReport{Model: name.model, Adapter: name.adapter, Requests: n})
+	}
+	clear(o.arrived)
 	for id, e := range o.gates {
 		if len(e.running) == 0 {
 			continue
--- a/internal/orders/sim_test.go
+++ b/internal/orders/sim_test.go
@@ -20,7 +20,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400", "rapid.steps": "150", "rapid.nofailfile": "true"} {
 		set := false
 		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
 		if !set {
