--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		set := false
+		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+		if !set {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// readyIn counts, by model, the replicas that answer.
+func (f *fleet) readyIn() map[string]int {
+	out := map[string]int{}
+	for _, r := range f.residents {
+		e := f.endpoint(r.Endpoint)
+		if r.Adapter == "" && r.State == wire.ResidentState_RESIDENT_STATE_READY && e.Reachable && !e.Leaving {
+			out[r.Model]++
+		}
+	}
+	return out
+}
+
+func TestExamplesAreFullyPlaced(t *testing.T) {
+	for _, d := range []deployment{ranmuthu(t), kalnins(t)} {
+		f := newFleet(d)
+		if ticks := f.settle(d, d.moveWeight, 300); ticks < 0 || f.overcommitted {
+			t.Fatalf("%s: not settled, or overcommitted: %v", d.name, Plan(f.input(d, d.moveWeight, nil)).Unmet)
+		}
+		adapters := 0
+		domains := map[string]map[string]bool{}
+		for _, r := range f.residents {
+			if r.Adapter != "" {
+				adapters++
+				continue
+			}
+			if domains[r.Model] == nil {
+				domains[r.Model] = map[string]bool{}
+			}
+			domains[r.Model][f.endpoint(r.Endpoint).Domain] = true
+		}
+		for model, in := range domains {
+			if len(in) < spreadReplicas {
+				t.Errorf("%s: %s is in %d domains", d.name, model, len(in))
+			}
+		}
+		if adapters < 240 {
+			t.Errorf("%s: %d adapter homes", d.name, adapters)
+		}
+	}
+}
+
+// TestReachableAfterLoss loses an engine and a domain of a settled fleet at
+// every size of loss that leaves models without a replica.
+func TestReachableAfterLoss(t *testing.T) {
+	for _, d := range []deployment{ranmuthu(t), kalnins(t)} {
+		for _, lost := range []string{"engine-0000", "domain-0"} {
+			f := newFleet(d)
+			f.settle(d, d.moveWeight, 300)
+			f.lose(func(e *wire.Endpoint) bool { return e.Id == lost || e.Domain == lost })
+			before := f.loads
+			const graces = 60
+			if took, ok := f.reachable(d, d.moveWeight, 10*time.Minute); !ok || took != 0 {
+				t.Errorf("%s without %s: reachable after %v: %v", d.name, lost, took, ok)
+			}
+			for range graces {
+				f.carryOut(Plan(f.input(d, d.moveWeight, nil)).Steps)
+			}
+			f.settle(d, d.moveWeight, 600)
+			spare := f.loads - before
+			lacking := 0
+			for _, n := range f.readyIn() {
+				if n < spreadReplicas {
+					lacking++
+				}
+			}
+			f.restore()
+			f.settle(d, d.moveWeight, 600)
+			if again := f.loads - before - spare; again > lacking {
+				t.Errorf("%s: %d loads because %s came back, %d models lacked a replica", d.name, again, lost, lacking)
+			}
+		}
+	}
+}
+
+// TestNoThrashUnderMovingDemand moves demand tenfold from model to model; the
+// loads are bounded by the bursts, and every model stays in service.
+func TestNoThrashUnderMovingDemand(t *testing.T) {
+	d := ranmuthu(t)
+	f := newFleet(d)
+	f.settle(d, d.moveWeight, 300)
+	settled := f.loads
+	e := NewEstimator(f.now, time.Minute, 30*time.Minute)
+	names := d.models()
+	const bursts, length = 12, 300
+	for burst := range bursts {
+		for range length {
+			for i, name := range names {
+				requests := uint64(1)
+				if i == burst%len(names) {
+					requests = 10
+				}
+				e.Add(name, requests)
+			}
+			f.carryOut(Plan(f.input(d, d.moveWeight, e.Advance(f.now+step))).Steps)
+			for _, name := range names {
+				if f.readyIn()[name] == 0 {
+					t.Fatalf("%s is out of service", name)
+				}
+			}
+		}
+	}
+	// A tenfold burst needs five replicas of two requests a second each.
+	if moved := f.loads - settled; moved > bursts*5 {
+		t.Errorf("%d loads in %d bursts", moved, bursts)
+	}
+}
+
+func (d deployment) models() []string {
+	var out []string
+	for _, s := range d.sections {
+		for _, m := range s.Models {
+			out = append(out, closing.FullName(s.Team, m.Name))
+		}
+	}
+	return out
+}
+
+func TestFlappingEngineIsAvoided(t *testing.T) {
+	d := ranmuthu(t)
+	f := newFleet(d)
+	f.settle(d, d.moveWeight, 300)
+	in := f.input(d, d.moveWeight, nil)
+	d.sections[0].Models[0].Version = "next"
+	first := Plan(in).Steps[0]
+	if first.Action != Load || first.Version != "next" {
+		t.Fatalf("first step is %+v", first)
+	}
+	in.Health[first.Endpoint] = Health{Unstable: true}
+	if second := Plan(in).Steps[0]; second.Endpoint == first.Endpoint {
+		t.Errorf("an unstable engine takes a new model while others have room")
+	}
+}
+
+// TestFrozenEnginesDoNotStopPlanning has open loads on frozen engines for
+// every load that the store allows.
+func TestFrozenEnginesDoNotStopPlanning(t *testing.T) {
+	d := ranmuthu(t)
+	f := newFleet(d)
+	for i := range d.modelLoads {
+		f.endpoints[i].Reachable = false
+		f.orders = append(f.orders, &order{done: time.Hour, Order: &wire.Order{Endpoint: f.endpoints[i].Id, Kind: wire.OrderKind_ORDER_KIND_LOAD}})
+	}
+	if steps := Plan(f.input(d, d.moveWeight, nil)).Steps; len(steps) == 0 {
+		t.Error("no load while frozen engines have open orders")
+	}
+}
+
+// TestDocumentChangesUnderShortMemory draws documents that fit one replica
+// each and changes them on a small fleet. No engine is overcommitted, no
+// declared model that served is ever without a replica, and each document is
+// met or every item that is not has a reason.
+func TestDocumentChangesUnderShortMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := deployment{name: "small", engines: 4, domains: 2, modelLoads: 2, adapterLoads: 4, loadRate: 2}
+		f := newFleet(d)
+		for range rapid.IntRange(1, 4).Draw(t, "documents") {
+			d.sections = []*closing.Section{drawSection(t)}
+			served := f.readyIn()
+			var result Result
+			for range 120 {
+				result = Plan(f.input(d, 0.5, nil))
+				f.carryOut(result.Steps)
+				if f.overcommitted {
+					t.Fatal("an engine is overcommitted")
+				}
+				for _, name := range d.models() {
+					if served[name] > 0 && f.readyIn()[name] == 0 {
+						t.Fatalf("%s went out of service", name)
+					}
+				}
+			}
+			for _, u := range result.Unmet {
+				if !strings.Contains(u.Reason, "MiB") && !strings.Contains(u.Reason, "its model is not in service") && !strings.Contains(u.Reason, "no replica of its model has memory") {
+					t.Fatalf("%s %s is unmet for no lack of memory: %s", u.Model, u.Adapter, u.Reason)
+				}
+			}
+			if len(result.Unmet) > 0 && d.bytes() < 2*engineMemory {
+				t.Fatalf("half of the memory would do, and unmet are %v", result.Unmet)
+			}
+		}
+	})
+}
+
+// bytes is what one replica of everything needs.
+func (d deployment) bytes() uint64 {
+	var sum uint64
+	for _, s := range d.sections {
+		for _, m := range s.Models {
+			sum += (m.MemoryMB + m.HeadroomMB) * bytesPerMB
+			for _, a := range m.Adapters {
+				sum += a.MemoryMB * bytesPerMB
+			}
+		}
+	}
+	return sum
+}
+
+func drawSection(t *rapid.T) *closing.Section {
+	s := &closing.Section{Team: "t"}
+	for i := range rapid.IntRange(1, 8).Draw(t, "models") {
+		m := closing.Model{
+			Name: fmt.Sprintf("m%d", i), Version: fmt.Sprint(rapid.IntRange(1, 2).Draw(t, "version")),
+			MemoryMB: rapid.SampledFrom([]uint64{10000, 20000, 38000}).Draw(t, "memory"),
+		}
+		m.Version += fmt.Sprint("-", m.MemoryMB)
+		if rapid.Bool().Draw(t, "adapter") {
+			m.Adapters = []closing.Adapter{{Name: "a", Version: "1", MemoryMB: 1000}}
+		}
+		s.Models = append(s.Models, m)
+	}
+	return s
+}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		c := candidate{placed: x, bytes: withAdapters(e, r)}
-		switch left := len(p.serving(victim.held, "")) - 1; {
+		switch left := p.leftWithout(victim, r); {
 		case left >= 1 && may(victim, left) && p.adaptersElsewhere(victim, e):
 			c.cost = costDrain
 		case r.Version == victim.version && p.refuge(victim, c.bytes, e) != nil && may(victim, 1):
@@ -163,6 +163,15 @@
 	return out
 }
 
+// leftWithout is how many replicas serve once the resident is gone. An older
+// version does not stand in for the declared one, which would only come back.
+func (p *planner) leftWithout(w *wanted, r *wire.Resident) int {
+	if r.Version == w.version {
+		return len(p.serving(w.held, w.version)) - 1
+	}
+	return len(p.serving(w.held, "")) - 1
+}
+
 // withAdapters is the memory of a model with its adapters on one engine.
 func withAdapters(e *engine, model *wire.Resident) uint64 {
 	var sum uint64
@@ -203,7 +212,7 @@
 	for _, x := range v.drains {
 		victim := p.byName[x.resident.Model]
 		// An earlier drain of this plan may have left this as the last one.
-		if len(p.serving(victim.held, "")) > 1 {
+		if p.leftWithout(victim, x.resident) > 0 {
 			p.drain(x, reason)
 		}
 	}
