--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -56,17 +56,19 @@
 	if len(p.serving(w.held, "")) > 0 {
 		reason = "the declared version replaces an older one"
 	}
-	if e := p.bestEngine(w, w.memory+unhomedBytes(w), nil); e != nil {
-		p.load(e, w, "", w.memory, reason)
-		p.unmet(w, "", "it is being loaded")
-		return
-	}
-	if e := p.bestEngine(w, w.memory, nil); e != nil && !p.canMakeRoom(w) {
-		p.load(e, w, "", w.memory, reason)
-		p.unmet(w, "", "it is being loaded")
-		return
+	// Room for the adapters as well comes first, then room for the model alone.
+	for _, bytes := range []uint64{w.memory + unhomedBytes(w), w.memory} {
+		if e := p.bestEngine(w, bytes, nil); e != nil {
+			p.load(e, w, "", w.memory, reason)
+			p.unmet(w, "", "it is being loaded")
+			return
+		}
+		if e := p.makeRoom(w, bytes, func(*wanted, int) bool { return true }); e != nil {
+			p.unmet(w, "", "waits for memory on "+e.vm.Id)
+			return
+		}
 	}
-	p.unmet(w, "", p.makeRoom(w, func(*wanted, int) bool { return true }))
+	p.unmet(w, "", p.noRoom(w))
 }
 
 // unhomedBytes is the memory of the adapters that no engine holds yet.
@@ -96,7 +98,7 @@
 		}
 		e := p.bestEngine(w, w.memory, have)
 		if e == nil {
-			p.makeRoom(w, func(victim *wanted, left int) bool { return left >= max(spreadReplicas, victim.replicas) })
+			p.makeRoom(w, w.memory, func(victim *wanted, left int) bool { return left >= max(spreadReplicas, victim.replicas) })
 			return
 		}
 		p.load(e, w, "", w.memory, reason)
@@ -134,7 +136,7 @@
 			p.load(e, o.w, "", o.w.memory, fmt.Sprintf("demand is %.1f times what %d replicas answer in time", o.ratio, len(o.have)))
 			continue
 		}
-		p.makeRoom(o.w, func(victim *wanted, left int) bool {
+		p.makeRoom(o.w, o.w.memory, func(victim *wanted, left int) bool {
 			after := policy.ratio(victim, left)
 			return left >= max(1, victim.replicas) && after < policy.overload() && o.ratio-after > policy.evictionGap()
 		})
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -29,20 +29,15 @@
 	relocates []placed
 }
 
-// makeRoom frees memory for a model that fits nowhere and returns why the
-// model is not in service meanwhile. What is freed is held back for it.
-func (p *planner) makeRoom(w *wanted, may mayLose) string {
-	best := p.cheapestEviction(w, w.memory, nil, may)
+// makeRoom frees memory for a model that fits nowhere and returns the engine,
+// or nil where it cannot. What is freed is held back for the model.
+func (p *planner) makeRoom(w *wanted, bytes uint64, may mayLose) *engine {
+	best := p.cheapestEviction(w, bytes, nil, may)
 	if best == nil {
-		return p.noRoom(w)
+		return nil
 	}
-	p.evict(best, w, w.memory)
-	return "waits for memory on " + best.engine.vm.Id
-}
-
-// canMakeRoom reports whether an engine could take the model with its adapters.
-func (p *planner) canMakeRoom(w *wanted) bool {
-	return p.cheapestEviction(w, w.memory+unhomedBytes(w), nil, func(*wanted, int) bool { return true }) != nil
+	p.evict(best, w, bytes)
+	return best.engine
 }
 
 // makeRoomOn is makeRoom for an adapter, on one of its model's replicas.
