--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -55,6 +55,15 @@
 	h.met, h.lost, h.incarnation = true, false, st.Incarnation
 }
 
+// failed makes an engine be avoided on which an order had to be given up.
+func (t *healthTable) failed(id string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.engines[id]; h != nil {
+		h.returned(now)
+	}
+}
+
 func (h *engineHealth) returned(now time.Duration) {
 	if h.hold == 0 || now-h.returnedAt > maxHold {
 		h.hold = firstHold
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -15,6 +15,9 @@
 // stepTimeout bounds one duty of the leader.
 const stepTimeout = 2 * time.Second
 
+// answerDelay gathers answers of engines that come close together.
+const answerDelay = 10 * time.Millisecond
+
 // picture is a consistent copy of what the leader's duties depend on.
 type picture struct {
 	term   uint64
@@ -40,6 +43,9 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-s.orders.answered:
+			// One more look a little later sees what else was answered.
+			time.Sleep(answerDelay)
 		}
 		p, err := s.picture(ctx)
 		if err != nil {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -33,7 +33,9 @@
 	gate *orders.Gate
 	// peers is used to ask former leaders.
 	peers *http.Client
-	mu    sync.Mutex
+	// answered asks the leader to look at once.
+	answered chan struct{}
+	mu       sync.Mutex
 	// tracker and stop belong to the term. mu guards them.
 	tracker *orders.Tracker
 	term    uint64
@@ -42,7 +44,7 @@
 }
 
 func newOrderSender(s *Server) *orderSender {
-	return &orderSender{s: s, gate: orders.NewGate(), peers: transport.NewPeerClient(), tracker: orders.NewTracker(orders.DefaultConfig())}
+	return &orderSender{s: s, gate: orders.NewGate(), peers: transport.NewPeerClient(), answered: make(chan struct{}, 1), tracker: orders.NewTracker(orders.DefaultConfig())}
 }
 
 // enterTerm ends the sendings of every other term. A term of zero ends all.
@@ -84,6 +86,9 @@
 	for _, r := range effects.Resolve {
 		if o.s.try(ctx, &wire.Command{Body: &wire.Command_ResolveOrder{ResolveOrder: r.Command}}, "resolve order") {
 			logOrder(o.s.log, r.Order).WithFields(logrus.Fields{"outcome": r.Command.Outcome.String(), "evidence": r.Evidence}).Info("order resolved")
+			if r.Command.Outcome == wire.OrderOutcome_ORDER_OUTCOME_UNKNOWN {
+				o.s.health.failed(r.Order.Endpoint, o.s.clock())
+			}
 		}
 	}
 	for _, c := range effects.Clear {
@@ -112,6 +117,10 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.tracker.Answered(o.s.clock(), term, order, result)
+		select {
+		case o.answered <- struct{}{}:
+		default:
+		}
 	}()
 	if !o.gate.Begin(term) {
 		return
--- /dev/null
+++ b/internal/placement/baseline_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/wire"
+)
+
+// policy decides the next steps of a fleet.
+type policy struct {
+	name string
+	plan func(f *fleet, d deployment, demand map[string]Demand) []Step
+}
+
+func policies() []policy {
+	var out []policy
+	for _, w := range []struct {
+		name   string
+		weight float64
+	}{{"weight-0.2", 0.2}, {"weight-0.5", 0.5}, {"weight-0.8", 0.8}} {
+		out = append(out, policy{w.name, func(f *fleet, d deployment, demand map[string]Demand) []Step {
+			return Plan(f.input(d, w.weight, demand)).Steps
+		}})
+	}
+	return append(out, policy{"static", staticPacking}, policy{"chase", chaseDemand})
+}
+
+// fixed are models in the order of the document.
+func (d deployment) fixed() []closing.Model {
+	var out []closing.Model
+	for _, s := range d.sections {
+		for _, m := range s.Models {
+			m.Name = closing.FullName(s.Team, m.Name)
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func footprint(m closing.Model) uint64 {
+	sum := (m.MemoryMB + m.HeadroomMB) * bytesPerMB
+	for _, a := range m.Adapters {
+		sum += a.MemoryMB * bytesPerMB
+	}
+	return sum
+}
+
+// staticPacking keeps each model on the two engines that first-fit decreasing
+// over whole engines gives it, and loads it there again after a restart.
+func staticPacking(f *fleet, d deployment, _ map[string]Demand) []Step {
+	models := d.fixed()
+	slices.SortStableFunc(models, func(a, b closing.Model) int { return cmp.Compare(footprint(b), footprint(a)) })
+	free := make([]uint64, len(f.endpoints))
+	for i := range free {
+		free[i] = engineMemory
+	}
+	b := newBaseline(f, d)
+	at := 0
+	for replica := range 2 {
+		for _, m := range models {
+			for range f.endpoints {
+				at = (at + 1) % len(f.endpoints)
+				e := f.endpoints[at]
+				if free[at] < footprint(m) || (replica == 1 && b.sameDomain(m.Name, e)) {
+					continue
+				}
+				free[at] -= footprint(m)
+				b.home[m.Name] = append(b.home[m.Name], e)
+				b.ensure(e, m)
+				break
+			}
+		}
+	}
+	return b.steps
+}
+
+// baseline holds one plan of a baseline.
+type baseline struct {
+	f        *fleet
+	d        deployment
+	busy     map[string]bool
+	charged  map[string]uint64
+	held     map[Step]*wire.Resident
+	home     map[string][]*wire.Endpoint
+	models   int
+	adapters int
+	steps    []Step
+}
+
+func newBaseline(f *fleet, d deployment) *baseline {
+	b := &baseline{
+		f: f, d: d, busy: map[string]bool{}, charged: map[string]uint64{}, held: map[Step]*wire.Resident{},
+		home: map[string][]*wire.Endpoint{}, models: min(d.modelLoads, f.starts.Left(f.now)), adapters: d.adapterLoads,
+	}
+	for _, r := range f.residents {
+		b.charged[r.Endpoint] += r.MemoryBytes
+		b.held[Step{Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter}] = r
+	}
+	for _, o := range f.orders {
+		b.busy[o.Endpoint] = true
+	}
+	return b
+}
+
+func (b *baseline) sameDomain(model string, e *wire.Endpoint) bool {
+	return slices.ContainsFunc(b.home[model], func(x *wire.Endpoint) bool { return x.Domain == e.Domain })
+}
+
+// ensure loads the model, then its adapters, on an engine.
+func (b *baseline) ensure(e *wire.Endpoint, m closing.Model) {
+	if !e.Reachable || b.busy[e.Id] {
+		return
+	}
+	s := Step{Endpoint: e.Id, Model: m.Name, Version: m.Version}
+	r := b.held[s]
+	if r == nil {
+		b.load(s, (m.MemoryMB+m.HeadroomMB)*bytesPerMB)
+		return
+	}
+	if r.State != wire.ResidentState_RESIDENT_STATE_READY {
+		return
+	}
+	for _, a := range m.Adapters {
+		s.Adapter = adapterName(a)
+		if b.held[s] == nil {
+			b.load(s, a.MemoryMB*bytesPerMB)
+			return
+		}
+	}
+}
+
+func (b *baseline) load(s Step, memory uint64) bool {
+	left := &b.models
+	if s.Adapter != "" {
+		left = &b.adapters
+	}
+	if *left <= 0 || b.charged[s.Endpoint]+memory > engineMemory || b.busy[s.Endpoint] {
+		return false
+	}
+	*left--
+	b.busy[s.Endpoint] = true
+	b.charged[s.Endpoint] += memory
+	s.Action, s.Memory = Load, memory
+	b.steps = append(b.steps, s)
+	return true
+}
+
+// chaseDemand gives each model at every step the replicas that its demand of
+// the last minute asks for, drains what is more, and lets the model with the
+// least demand for each replica make room.
+func chaseDemand(f *fleet, d deployment, demand map[string]Demand) []Step {
+	b := newBaseline(f, d)
+	models := d.fixed()
+	wants := func(m closing.Model) int {
+		return max(2, int(math.Ceil(demand[m.Name].Short/(engineRate/2))))
+	}
+	ready := f.readyIn()
+	for _, m := range models {
+		b.chase(m, wants(m), ready)
+	}
+	for _, r := range f.residents {
+		if r.State == wire.ResidentState_RESIDENT_STATE_DRAINING && !b.busy[r.Endpoint] && f.endpoint(r.Endpoint).Reachable {
+			b.busy[r.Endpoint] = true
+			b.steps = append(b.steps, Step{Action: Unload, Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter})
+		}
+	}
+	return b.steps
+}
+
+// chase brings one model to the wanted number of replicas.
+func (b *baseline) chase(m closing.Model, want int, ready map[string]int) {
+	have := 0
+	for _, e := range b.f.endpoints {
+		r := b.held[Step{Endpoint: e.Id, Model: m.Name, Version: m.Version}]
+		if r == nil || !e.Reachable || r.State == wire.ResidentState_RESIDENT_STATE_DRAINING || r.State == wire.ResidentState_RESIDENT_STATE_UNLOADING {
+			continue
+		}
+		have++
+		if have > want && ready[m.Name] > want {
+			ready[m.Name]--
+			b.drain(e, m)
+			continue
+		}
+		b.home[m.Name] = append(b.home[m.Name], e)
+		b.ensure(e, m)
+	}
+	byFree := slices.Clone(b.f.endpoints)
+	slices.SortStableFunc(byFree, func(x, y *wire.Endpoint) int { return cmp.Compare(b.charged[x.Id], b.charged[y.Id]) })
+	for _, e := range byFree {
+		if have >= want {
+			return
+		}
+		s := Step{Endpoint: e.Id, Model: m.Name, Version: m.Version}
+		if e.Reachable && b.held[s] == nil && (have > 1 || !b.sameDomain(m.Name, e)) && b.load(s, (m.MemoryMB+m.HeadroomMB)*bytesPerMB) {
+			have++
+		}
+	}
+}
+
+func (b *baseline) drain(e *wire.Endpoint, m closing.Model) {
+	for _, r := range b.f.residents {
+		if r.Endpoint == e.Id && r.Model == m.Name && r.State == wire.ResidentState_RESIDENT_STATE_READY {
+			b.steps = append(b.steps, Step{Action: Drain, Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter})
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	hoursOfDay = 24
+	// compressedShort and compressedLong are the windows of a compressed day.
+	compressedShort = ShortWindow / 12
+	compressedLong  = LongWindow / 12
+)
+
+// BenchmarkDay runs compressed days of both deployments. A move is a load of a
+// model; loads of adapters are given beside it.
+func BenchmarkDay(b *testing.B) {
+	for _, d := range []deployment{ranmuthu(b), kalnins(b)} {
+		for _, day := range days(len(d.models()), d.engines) {
+			for _, p := range policies() {
+				b.Run(fmt.Sprintf("%s/%s/%s", d.name, day.name, p.name), func(b *testing.B) {
+					for b.Loop() {
+						runDay(b, d, day, p)
+					}
+				})
+			}
+		}
+	}
+}
+
+func runDay(b *testing.B, d deployment, day day, p policy) {
+	f := newFleet(d)
+	e := NewEstimator(0, compressedShort, compressedLong)
+	names := d.models()
+	var offered, answered float64
+	unreachable := 0
+	warm := 5 * time.Minute
+	carry := make([]float64, len(names))
+	for f.now < warm+dayLength {
+		if f.now == warm {
+			f.loads, f.adapters = 0, 0
+		}
+		at := max(0, float64(f.now-warm)/float64(dayLength))
+		if day.fails {
+			f.failAt(at)
+		}
+		demand := map[string]float64{}
+		for i, name := range names {
+			demand[name] = day.level(i, at)
+			carry[i] += demand[name] * step.Seconds()
+			e.Add(name, uint64(carry[i]))
+			carry[i] -= float64(uint64(carry[i]))
+			if f.now >= warm {
+				offered += demand[name]
+			}
+		}
+		if f.now >= warm {
+			answered += f.answered(d, demand)
+			if len(f.readyIn()) < len(names) {
+				unreachable++
+			}
+		}
+		f.carryOut(p.plan(f, d, e.Advance(f.now+step)))
+	}
+	if f.overcommitted {
+		b.Fatal("overcommitted")
+	}
+	b.ReportMetric(float64(f.loads)/hoursOfDay, "moves/h")
+	b.ReportMetric(float64(f.adapters)/hoursOfDay, "adapter-loads/h")
+	b.ReportMetric(100*answered/offered, "%attained")
+	b.ReportMetric(answered/dayLength.Seconds()/float64(d.engines), "attained/s/engine")
+	b.ReportMetric(float64(unreachable)*step.Seconds(), "s-with-a-model-unreachable")
+}
+
+// failAt loses an engine in the morning and a domain at noon; both come back
+// an hour of the day later with empty memory. One engine flaps all evening.
+func (f *fleet) failAt(at float64) {
+	hour := at * hoursOfDay
+	lost := func(e *wire.Endpoint) bool {
+		switch {
+		case hour >= 6 && hour < 7:
+			return e.Id == "engine-0001"
+		case hour >= 12 && hour < 13:
+			return e.Domain == "domain-0"
+		case hour >= 18 && hour < 22:
+			return e.Id == "engine-0002" && int(f.now/(20*time.Second))%2 == 0
+		}
+		return false
+	}
+	back := false
+	for _, e := range f.endpoints {
+		back = back || (!e.Reachable && !lost(e))
+	}
+	if back {
+		f.restore()
+	}
+	f.lose(func(e *wire.Endpoint) bool { return e.Reachable && lost(e) })
+}
+
+// BenchmarkRecovery measures the time to full reachability after a loss that
+// leaves models without a replica: every model starts with one alone.
+func BenchmarkRecovery(b *testing.B) {
+	for _, d := range []deployment{ranmuthu(b), kalnins(b)} {
+		for _, lost := range []string{"engine-0000", "domain-0"} {
+			b.Run(d.name+"/"+lost, func(b *testing.B) {
+				for b.Loop() {
+					f := newFleet(d)
+					f.settle(d, d.moveWeight, 300)
+					f.keepOneReplica()
+					f.lose(func(e *wire.Endpoint) bool { return e.Id == lost || e.Domain == lost })
+					missing := len(d.models()) - len(f.readyIn())
+					took, ok := f.reachable(d, d.moveWeight, 10*time.Minute)
+					if !ok {
+						b.Fatal("not reachable again")
+					}
+					b.ReportMetric(float64(missing), "models-to-load")
+					b.ReportMetric(float64(missing)/d.loadRate*1.3, "s-goal")
+					b.ReportMetric(took.Seconds(), "s-to-reachable")
+				}
+			})
+		}
+	}
+}
+
+// keepOneReplica takes all but the first replica of every model away.
+func (f *fleet) keepOneReplica() {
+	home := map[string]string{}
+	var kept []*wire.Resident
+	for _, r := range f.residents {
+		if home[r.Model] == "" {
+			home[r.Model] = r.Endpoint
+		}
+		if home[r.Model] == r.Endpoint {
+			kept = append(kept, r)
+		}
+	}
+	f.residents = kept
+}
+
+// BenchmarkPlan measures one plan of a settled fleet whose demand has moved,
+// and one after a domain was lost, at three sizes.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ engines, models, domains int }{{22, 20, 4}, {220, 120, 4}, {2200, 390, 13}} {
+		d := deployment{
+			name: "grown", engines: size.engines, domains: size.domains, modelLoads: 3 * size.engines / 22,
+			adapterLoads: 24 * size.engines / 22, loadRate: float64(3 * size.engines / 22),
+		}
+		section := &closing.Section{Team: "t"}
+		for i := range size.models {
+			m := closing.Model{Name: fmt.Sprintf("m%d", i), Version: "1", MemoryMB: uint64(6000 + 3000*(i%5))}
+			for a := range 6 {
+				m.Adapters = append(m.Adapters, closing.Adapter{Name: fmt.Sprintf("a%d", a), Version: "1", MemoryMB: 100})
+			}
+			section.Models = append(section.Models, m)
+		}
+		d.sections = []*closing.Section{section}
+		f := newFleet(d)
+		demand := map[string]Demand{}
+		for i, name := range d.models() {
+			rate := float64(size.engines*engineRate) * 0.4 / float64(size.models) * (0.5 + float64(i%3)/2)
+			demand[name] = Demand{Short: rate, Long: rate}
+		}
+		for range 400 {
+			steps := Plan(f.input(d, 0.5, demand)).Steps
+			if len(steps) == 0 && len(f.orders) == 0 {
+				break
+			}
+			f.carryOut(steps)
+		}
+		moved := map[string]Demand{}
+		for i, name := range d.models() {
+			moved[name] = demand[name]
+			if i%10 == 0 {
+				moved[name] = Demand{Short: 10 * demand[name].Short, Long: 10 * demand[name].Long}
+			}
+		}
+		b.Run(fmt.Sprintf("demand/%d-engines/%d-models", size.engines, size.models), func(b *testing.B) {
+			benchPlan(b, f, d, moved)
+		})
+		f.lose(func(e *wire.Endpoint) bool { return e.Domain == "domain-0" })
+		f.now += time.Minute
+		b.Run(fmt.Sprintf("domain-lost/%d-engines/%d-models", size.engines, size.models), func(b *testing.B) {
+			benchPlan(b, f, d, demand)
+		})
+	}
+}
+
+func benchPlan(b *testing.B, f *fleet, d deployment, demand map[string]Demand) {
+	in := f.input(d, 0.5, demand)
+	steps := 0
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	n := 0
+	for b.Loop() {
+		steps = len(Plan(in).Steps)
+		n++
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(n)/bytesPerMB, "MiB/plan")
+	b.ReportMetric(float64(steps), "steps")
+	b.ReportMetric(float64(len(f.residents)), "residents")
+}
--- a/internal/placement/picture.go
+++ b/internal/placement/picture.go
@@ -13,7 +13,7 @@
 const (
 	// lostGrace is how long a lost engine's only replicas still count, so that
 	// one late answer causes no load.
-	lostGrace = 2 * time.Second
+	lostGrace = time.Second
 	// spareGrace is the same for models that serve elsewhere. The weight of
 	// moves lengthens it up to fourfold.
 	spareGrace = 10 * time.Second
