Count the bytes of connections by kind of peer

Cause: the target bounds the bytes that a process sends for control, and nothing counted them. Change: listeners and dialers count the payload bytes that pass, as parsleyramp_sent_bytes_total and parsleyramp_received_bytes_total with the kind of peer (system, caller, endpoint) and the side that opened the connection. Headers of TCP and IP are not counted. Ruled out: counting in the HTTP handlers, which misses framing and pings.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -75,7 +75,7 @@
 }
 
 func (s *Server) listen() error {
-	callers, err := transport.Listen(s.cfg.CallerAddress)
+	callers, err := transport.ListenCallers(s.cfg.CallerAddress)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/transport/count.go
@@ -0,0 +1,83 @@
+package transport
+
+import (
+	"context"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// PeerKind says who is at the other end of a connection.
+type PeerKind string
+
+// Kinds of peers, by which the bytes of connections are counted.
+const (
+	// PeerSystem is another process of the system, or parsleyctl.
+	PeerSystem PeerKind = "system"
+	// PeerCaller is a caller of an entry.
+	PeerCaller PeerKind = "caller"
+	// PeerEndpoint is an engine, a plain service or the platform.
+	PeerEndpoint PeerKind = "endpoint"
+)
+
+// byteCounters count the payload bytes of the connections of one kind. Bytes
+// of TCP and IP headers are not in them.
+type byteCounters struct {
+	sent     *metrics.Counter
+	received *metrics.Counter
+}
+
+func newByteCounters(kind PeerKind, side string) byteCounters {
+	labels := `{peer="` + string(kind) + `",side="` + side + `"}`
+	return byteCounters{
+		sent:     metrics.GetOrCreateCounter("parsleyramp_sent_bytes_total" + labels),
+		received: metrics.GetOrCreateCounter("parsleyramp_received_bytes_total" + labels),
+	}
+}
+
+// countingConn counts what passes through a connection.
+type countingConn struct {
+	net.Conn
+	bytes byteCounters
+}
+
+// Read reads from the connection.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.received.Add(n)
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.sent.Add(n)
+	return n, err
+}
+
+// countingListener counts the bytes of accepted connections.
+type countingListener struct {
+	net.Listener
+	bytes byteCounters
+}
+
+// Accept waits for the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, bytes: l.bytes}, nil
+}
+
+// countingDial returns a dial function whose connections are counted.
+func countingDial(kind PeerKind) func(ctx context.Context, network, address string) (net.Conn, error) {
+	bytes := newByteCounters(kind, "dialed")
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: c, bytes: bytes}, nil
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -24,13 +24,19 @@
 	peerPingTimeout  = 5 * time.Second
 )
 
-// Listen opens a TCP socket on an IPv4 address by number.
-func Listen(address string) (net.Listener, error) {
+// Listen opens a TCP socket on an IPv4 address by number for the system's own
+// processes.
+func Listen(address string) (net.Listener, error) { return listen(address, PeerSystem) }
+
+// ListenCallers is Listen for a socket that callers connect to.
+func ListenCallers(address string) (net.Listener, error) { return listen(address, PeerCaller) }
+
+func listen(address string, kind PeerKind) (net.Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fail.Wrap(err, fail.BadSettings, "listen on "+address)
 	}
-	return l, nil
+	return &countingListener{Listener: l, bytes: newByteCounters(kind, "accepted")}, nil
 }
 
 func dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -44,7 +50,7 @@
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, Protocols: &p, IdleConnTimeout: idleTimeout,
+		DialContext: countingDial(PeerSystem), Protocols: &p, IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout},
 	}}
 }
@@ -56,7 +62,7 @@
 	p.SetHTTP1(true)
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, Protocols: &p, IdleConnTimeout: idleTimeout,
+			DialContext: countingDial(PeerEndpoint), Protocols: &p, IdleConnTimeout: idleTimeout,
 			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
