Keep a stand-in engine's incarnations apart

Cause: a request that ended after a restart took itself off the new incarnation's resident of the same name; a load that was repeated while it was still running answered done; a load that was unloaded meanwhile answered done; the read-back left out residents that were loading. Change: what a restart empties is one value, life, and a request or load ends on the one that it began on. The read-back lists loading residents with loading=true. A repeated load answers reason=loading until it is done. The engine can be told to crash at once (POST /standin/crash).

--- a/internal/endpoint/api.go
+++ b/internal/endpoint/api.go
@@ -53,6 +53,8 @@
 	Adapter     string `json:"adapter,omitempty"`
 	MemoryBytes uint64 `json:"memory_bytes"`
 	Running     int    `json:"running"`
+	// Loading is true until the weights have arrived. The memory is taken already.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // EngineState is the body of GET /engine/state: exact, not lagging.
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -61,112 +61,67 @@
 	id := r.Header.Get(endpoint.HeaderRequestID)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	crashed, ok := e.begin(id, &c, r.Header.Get(endpoint.HeaderIncarnation), cancel)
-	if !ok {
+	run := e.begin(id, &c, r.Header.Get(endpoint.HeaderIncarnation), cancel)
+	if run == nil {
 		w.Header().Set(endpoint.HeaderRequestID, id)
 		http.Error(w, "the model is not resident", http.StatusNotFound)
 		return
 	}
-	defer e.end(id, &c)
+	defer e.end(run)
 	if mark := e.faults.get().CrashMark; mark != "" && strings.Contains(string(body), mark) {
-		e.mu.Lock()
-		e.counts.Crashes++
-		e.mu.Unlock()
-		e.restart()
+		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	stop := context.AfterFunc(crashed, cancel)
+	stop := context.AfterFunc(run.life.crashed, cancel)
 	defer stop()
-	if !e.admit(ctx, c.Priority) {
+	if !run.life.admit(ctx, &e.mu, e.cfg.Slots, c.Priority) {
 		panic(http.ErrAbortHandler)
 	}
-	defer e.release()
-	e.answer(ctx, w, id, &c)
+	defer run.life.release(&e.mu)
+	e.answer(ctx, w, run, &c)
 }
 
-// begin notes the request on its resident. It fails for another incarnation
-// and for a model that is not there.
-func (e *Engine) begin(id string, c *completionRequest, incarnation string, cancel context.CancelFunc) (context.Context, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r := e.residents[c.Model]
-	if r == nil || r.loading || (incarnation != "" && incarnation != e.incarnationName()) {
-		return nil, false
-	}
-	r.state.Running++
-	e.counts.Requests++
-	e.cancels[id] = cancel
-	return e.crashed, true
+// running is one request on a resident of one incarnation.
+type running struct {
+	id       string
+	life     *life
+	resident *engineResident
 }
 
-func (e *Engine) end(id string, c *completionRequest) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.cancels, id)
-	if r := e.residents[c.Model]; r != nil && r.state.Running > 0 {
-		r.state.Running--
-	}
-}
-
-// admit waits for a slot; a lower priority number goes first.
-func (e *Engine) admit(ctx context.Context, priority int) bool {
-	e.mu.Lock()
-	if e.running < e.cfg.Slots {
-		e.running++
-		e.mu.Unlock()
-		return true
-	}
-	me := &waiter{priority: priority, admitted: make(chan struct{})}
-	at := len(e.waiting)
-	for at > 0 && e.waiting[at-1].priority > priority {
-		at--
-	}
-	e.waiting = append(e.waiting[:at], append([]*waiter{me}, e.waiting[at:]...)...)
-	e.mu.Unlock()
-	select {
-	case <-me.admitted:
-		return true
-	case <-ctx.Done():
-	}
+// begin notes the request on its resident. It returns nil for another
+// incarnation and for a model that is not there.
+func (e *Engine) begin(id string, c *completionRequest, incarnation string, cancel context.CancelFunc) *running {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for i, w := range e.waiting {
-		if w == me {
-			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
-			return false
-		}
+	r := e.life.residents[c.Model]
+	if r == nil || r.state.Loading || (incarnation != "" && incarnation != e.life.incarnation) {
+		return nil
 	}
-	e.handOver()
-	return false
+	r.state.Running++
+	e.counts.Requests++
+	e.life.cancels[id] = cancel
+	return &running{id: id, life: e.life, resident: r}
 }
 
-func (e *Engine) release() {
+// end takes the request off the incarnation that it began on.
+func (e *Engine) end(r *running) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.handOver()
-}
-
-// handOver gives a slot to the first waiter, or frees it.
-func (e *Engine) handOver() {
-	if len(e.waiting) == 0 {
-		e.running--
-		return
-	}
-	close(e.waiting[0].admitted)
-	e.waiting = e.waiting[1:]
+	delete(r.life.cancels, r.id)
+	r.resident.state.Running--
 }
 
-func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, id string, c *completionRequest) {
+func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, run *running, c *completionRequest) {
 	prompt := c.text()
 	e.mu.Lock()
-	fresh := e.cache.use(c.Model, prompt, e.faults.take(func(f *Faults) *int { return &f.DropEvents }))
+	fresh := run.life.cache.use(c.Model, prompt, e.faults.take(func(f *Faults) *int { return &f.DropEvents }))
 	e.mu.Unlock()
 	if !sleep(ctx, time.Duration(fresh)*e.cfg.PrefillPerToken) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(endpoint.HeaderRequestID, id)
+	w.Header().Set(endpoint.HeaderRequestID, run.id)
 	if c.Stream {
-		e.stream(ctx, w, id, c, prompt)
+		e.stream(ctx, w, run.id, c, prompt)
 		return
 	}
 	if !sleep(ctx, time.Duration(c.MaxTokens)*e.cfg.TokenInterval) {
@@ -176,7 +131,7 @@
 	for i := c.ResumeFrom; i < c.MaxTokens; i++ {
 		text.WriteString(AnswerToken(prompt, i))
 	}
-	writeJSON(w, completion(id, c.Model, text.String(), "stop"))
+	writeJSON(w, completion(run.id, c.Model, text.String(), "stop"))
 }
 
 func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, id string, c *completionRequest, prompt string) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -37,12 +37,6 @@
 	Store string
 }
 
-type engineResident struct {
-	state endpoint.ResidentState
-	// loading is true until the weights have arrived; the memory counts already.
-	loading bool
-}
-
 // EngineCounts is what a stand-in engine counted; tests read it.
 type EngineCounts struct {
 	// Overcommits counts loads that took more memory than the engine has.
@@ -63,29 +57,10 @@
 	mux    *http.ServeMux
 	client *http.Client
 
-	mu            sync.Mutex
-	incarnation   int64
-	crashed       context.Context
-	crash         context.CancelFunc
-	residents     map[string]*engineResident
-	fenceTerm     uint64
-	fenceSequence uint64
-	running       int
-	waiting       []*waiter
-	cancels       map[string]context.CancelFunc
-	cache         *prefixCache
-	counts        EngineCounts
-	reports       []timedReport
-}
-
-type waiter struct {
-	priority int
-	admitted chan struct{}
-}
-
-type timedReport struct {
-	at     time.Time
-	report endpoint.LoadReport
+	mu     sync.Mutex
+	life   *life
+	lives  int64
+	counts EngineCounts
 }
 
 // NewEngine returns a stand-in engine with an empty memory.
@@ -100,13 +75,14 @@
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	e.mux.HandleFunc("GET /standin/counts", e.serveCounts)
+	e.mux.HandleFunc("POST "+PathCrash, e.serveCrash)
 	e.mux.Handle(PathFaults, &e.faults)
 	return e
 }
 
 // ServeHTTP answers the engine protocol.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != PathFaults {
+	if r.URL.Path != PathFaults && r.URL.Path != PathCrash {
 		e.faults.waitUnfrozen(r)
 	}
 	e.mux.ServeHTTP(w, r)
@@ -122,45 +98,41 @@
 	return e.counts
 }
 
-// restart empties the engine, as a new process would be.
+// Crash breaks off everything that runs and empties the engine, which goes on
+// as a new incarnation.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	e.counts.Crashes++
+	e.mu.Unlock()
+	e.restart()
+}
+
+// restart empties the engine, as a new process would be. Requests and loads
+// of the incarnation before end on that one.
 func (e *Engine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crash != nil {
-		e.crash()
+	if e.life != nil {
+		e.life.crash()
 	}
-	e.crashed, e.crash = context.WithCancel(context.Background())
-	e.incarnation = time.Now().UnixNano()
-	e.residents = map[string]*engineResident{}
-	e.fenceTerm, e.fenceSequence = 0, 0
-	e.cancels = map[string]context.CancelFunc{}
-	e.cache = newPrefixCache(e.cfg.CacheTokens)
-	e.reports = nil
-}
-
-func (e *Engine) incarnationName() string {
-	return e.cfg.ID + "-" + strconv.FormatInt(e.incarnation, 36)
+	e.lives = max(e.lives+1, time.Now().UnixNano())
+	e.life = newLife(e.cfg.ID, e.lives, e.cfg.CacheTokens)
 }
 
-func (e *Engine) usedBytes() uint64 {
-	var sum uint64
-	for _, r := range e.residents {
-		sum += r.state.MemoryBytes
-	}
-	return sum
+func (e *Engine) serveCrash(w http.ResponseWriter, _ *http.Request) {
+	e.Crash()
+	w.WriteHeader(http.StatusOK)
 }
 
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	s := endpoint.EngineState{
-		Incarnation: e.incarnationName(), MemoryBytes: e.cfg.MemoryBytes, UsedBytes: e.usedBytes(),
-		Slots: e.cfg.Slots, Accelerators: e.cfg.Accelerators, FenceTerm: e.fenceTerm, FenceSequence: e.fenceSequence,
+		Incarnation: e.life.incarnation, MemoryBytes: e.cfg.MemoryBytes, UsedBytes: e.life.usedBytes(),
+		Slots: e.cfg.Slots, Accelerators: e.cfg.Accelerators, FenceTerm: e.life.fenceTerm, FenceSequence: e.life.fenceSequence,
 		Residents: []endpoint.ResidentState{},
 	}
-	for _, r := range e.residents {
-		if !r.loading {
-			s.Residents = append(s.Residents, r.state)
-		}
+	for _, r := range e.life.residents {
+		s.Residents = append(s.Residents, r.state)
 	}
 	e.mu.Unlock()
 	slices.SortFunc(s.Residents, func(a, b endpoint.ResidentState) int {
@@ -175,12 +147,9 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	e.mu.Lock()
-	current := endpoint.LoadReport{Running: e.running, Waiting: len(e.waiting), CacheTokens: e.cache.used, CacheCapacity: e.cfg.CacheTokens, ReportedUnix: now.UnixMilli()}
-	e.reports = append(e.reports, timedReport{at: now, report: current})
-	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
-		e.reports = e.reports[1:]
-	}
-	report := e.reports[0].report
+	l := e.life
+	current := endpoint.LoadReport{Running: l.running, Waiting: len(l.waiting), CacheTokens: l.cache.used, CacheCapacity: e.cfg.CacheTokens, ReportedUnix: now.UnixMilli()}
+	report := l.lagging(now, e.cfg.ReportLag, current)
 	e.mu.Unlock()
 	writeJSON(w, report)
 }
@@ -188,14 +157,14 @@
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
-	events := e.cache.after(after)
+	events := e.life.cache.after(after)
 	e.mu.Unlock()
 	writeJSON(w, events)
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	cancel := e.cancels[r.URL.Query().Get("id")]
+	cancel := e.life.cancels[r.URL.Query().Get("id")]
 	e.mu.Unlock()
 	if cancel != nil {
 		cancel()
@@ -228,30 +197,31 @@
 // execute carries out an order. A repeated one that already holds is done.
 func (e *Engine) execute(o endpoint.Order) endpoint.OrderResult {
 	e.mu.Lock()
-	if o.Incarnation != e.incarnationName() {
+	l := e.life
+	if o.Incarnation != l.incarnation {
 		e.mu.Unlock()
 		return endpoint.OrderResult{Reason: "incarnation"}
 	}
 	if e.cfg.ChecksFencing {
-		older := o.FenceTerm < e.fenceTerm || (o.FenceTerm == e.fenceTerm && o.FenceSequence < e.fenceSequence)
+		older := o.FenceTerm < l.fenceTerm || (o.FenceTerm == l.fenceTerm && o.FenceSequence < l.fenceSequence)
 		if older {
 			e.counts.StaleOrders++
 			e.mu.Unlock()
 			return endpoint.OrderResult{Reason: "stale_fence"}
 		}
-		e.fenceTerm, e.fenceSequence = o.FenceTerm, o.FenceSequence
+		l.fenceTerm, l.fenceSequence = o.FenceTerm, o.FenceSequence
 	}
 	name := endpoint.ServedName(o.Model, o.Version, o.Adapter)
 	switch o.Kind {
 	case endpoint.OrderLoad:
-		return e.load(name, o)
+		return e.load(l, name, o)
 	case endpoint.OrderUnload:
 		defer e.mu.Unlock()
-		if r := e.residents[name]; r != nil {
+		if r := l.residents[name]; r != nil {
 			if r.state.Running > 0 {
 				e.counts.UnloadedBusy++
 			}
-			delete(e.residents, name)
+			delete(l.residents, name)
 			e.counts.Unloads++
 		}
 		return endpoint.OrderResult{Done: true}
@@ -265,26 +235,32 @@
 
 // load takes the memory at once and the weights after a while. It is called
 // with the lock held and releases it.
-func (e *Engine) load(name string, o endpoint.Order) endpoint.OrderResult {
-	if r := e.residents[name]; r != nil {
+func (e *Engine) load(l *life, name string, o endpoint.Order) endpoint.OrderResult {
+	if r := l.residents[name]; r != nil {
+		done := !r.state.Loading
 		e.mu.Unlock()
+		if !done {
+			return endpoint.OrderResult{Reason: "loading"}
+		}
 		return endpoint.OrderResult{Done: true}
 	}
-	r := &engineResident{loading: true, state: endpoint.ResidentState{Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryBytes: o.MemoryBytes}}
-	e.residents[name] = r
-	if e.usedBytes() > e.cfg.MemoryBytes {
+	r := &engineResident{state: endpoint.ResidentState{Model: o.Model, Version: o.Version, Adapter: o.Adapter, MemoryBytes: o.MemoryBytes, Loading: true}}
+	l.residents[name] = r
+	if l.usedBytes() > e.cfg.MemoryBytes {
 		e.counts.Overcommits++
 	}
 	e.counts.Loads++
-	crashed := e.crashed
 	e.mu.Unlock()
 
-	if !e.fetchWeights(crashed, o) {
+	if !e.fetchWeights(l.crashed, o) {
 		return endpoint.OrderResult{Reason: "crashed"}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.loading = false
+	if l.residents[name] != r {
+		return endpoint.OrderResult{Reason: "unloaded"}
+	}
+	r.state.Loading = false
 	return endpoint.OrderResult{Done: true}
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -10,6 +10,9 @@
 // PathFaults is where a stand-in takes the faults it is to show.
 const PathFaults = "/standin/faults"
 
+// PathCrash is where a stand-in engine is told to crash at once.
+const PathCrash = "/standin/crash"
+
 // Faults is what a stand-in does wrong on request.
 type Faults struct {
 	// LoseOrders, RepeatOrders and DelayOrders count orders still to be lost
