Share the starting of processes between scripts

Cause: the demo held the only code that starts the programs, and measuring scripts need the same. Change: scripts/internal/testbed starts any size, reads processor time, memory and metrics of a process; parsleyramp-standin serves several engines in one process, so that large sizes need few processes.

--- a/cmd/parsleyramp-standin/main.go
+++ b/cmd/parsleyramp-standin/main.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -33,14 +35,15 @@
 func run(args []string) error {
 	flags := flag.NewFlagSet("parsleyramp-standin", flag.ContinueOnError)
 	kind := flags.String("kind", "", "engine, service, store or livelist")
-	address := flags.String("address", "", "ip:port to listen on")
-	id := flags.String("id", "", "id of the engine or service")
+	address := flags.String("address", "", "ip:port to listen on; several engines take several, separated by commas")
+	id := flags.String("id", "", "id of the engine or service, as many as addresses")
 	memoryMB := flags.Uint64("memory-mb", 24000, "memory of the engine in MiB")
 	slots := flags.Int("slots", 8, "requests that the engine batches at once")
 	token := flags.Duration("token", 5*time.Millisecond, "time between two tokens")
 	prefill := flags.Duration("prefill", 100*time.Microsecond, "time for one prompt token")
 	cache := flags.Int("cache", 4096, "prefix cache in tokens")
 	fencing := flags.Bool("fencing", false, "refuse orders with an older fencing number")
+	fencingIDs := flags.String("fencing-ids", "", "ids of the engines that do so, where not all do")
 	load := flags.Duration("load", 200*time.Millisecond, "time of one model load at full speed")
 	adapterLoad := flags.Duration("adapter-load", 5*time.Millisecond, "time of one adapter load")
 	lag := flags.Duration("lag", 500*time.Millisecond, "lag of load reports and of the live list")
@@ -52,27 +55,35 @@
 	if err := flags.Parse(args); err != nil {
 		return fail.Wrap(err, fail.BadSettings, "flags")
 	}
-	var handler http.Handler
+	addresses, ids := strings.Split(*address, ","), strings.Split(*id, ",")
+	if len(addresses) != len(ids) || (len(ids) > 1 && *kind != "engine") {
+		return fail.New(fail.BadSettings, "-address and -id must name the same number, and more than one only for engines")
+	}
+	var handlers []http.Handler
 	switch *kind {
 	case "engine":
-		handler = standin.NewEngine(standin.EngineConfig{
-			ID: *id, MemoryBytes: *memoryMB << 20, Slots: *slots, Accelerators: 2, TokenInterval: *token, PrefillPerToken: *prefill,
-			CacheTokens: *cache, ChecksFencing: *fencing, LoadTime: *load / 10, AdapterLoadTime: *adapterLoad, ReportLag: *lag, Store: *store,
-		})
+		checks := strings.Split(*fencingIDs, ",")
+		for _, name := range ids {
+			handlers = append(handlers, standin.NewEngine(standin.EngineConfig{
+				ID: name, MemoryBytes: *memoryMB << 20, Slots: *slots, Accelerators: 2, TokenInterval: *token, PrefillPerToken: *prefill,
+				CacheTokens: *cache, ChecksFencing: *fencing || slices.Contains(checks, name), LoadTime: *load / 10,
+				AdapterLoadTime: *adapterLoad, ReportLag: *lag, Store: *store,
+			}))
+		}
 	case "service":
-		handler = standin.NewService(*id)
+		handlers = append(handlers, standin.NewService(*id))
 	case "store":
-		handler = standin.NewStore(standin.StoreConfig{LoadsPerSecond: *rate, FullSpeed: *fullSpeed, LoadTime: *load, AdapterLoads: *adapters, AdapterLoadTime: *adapterLoad})
+		handlers = append(handlers, standin.NewStore(standin.StoreConfig{LoadsPerSecond: *rate, FullSpeed: *fullSpeed, LoadTime: *load, AdapterLoads: *adapters, AdapterLoadTime: *adapterLoad}))
 	case "livelist":
 		list, err := readVMs(*vms)
 		if err != nil {
 			return err
 		}
-		handler = standin.NewLiveList(list, *lag)
+		handlers = append(handlers, standin.NewLiveList(list, *lag))
 	default:
 		return fail.New(fail.BadSettings, "-kind must be engine, service, store or livelist")
 	}
-	return serve(*address, handler)
+	return serve(addresses, handlers)
 }
 
 func readVMs(path string) ([]platform.VM, error) {
@@ -87,16 +98,24 @@
 	return vms, nil
 }
 
-func serve(address string, h http.Handler) error {
+func serve(addresses []string, handlers []http.Handler) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	l, err := transport.Listen(address)
-	if err != nil {
-		return err
+	var servers []*transport.Server
+	for i, a := range addresses {
+		l, err := transport.Listen(a)
+		if err != nil {
+			return err
+		}
+		servers = append(servers, transport.Serve(l, handlers[i]))
 	}
-	s := transport.Serve(l, h)
 	<-ctx.Done()
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
-	return s.Shutdown(stop)
+	for _, s := range servers {
+		if err := s.Shutdown(stop); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/scripts/demo/main.go
+++ b/scripts/demo/main.go
@@ -9,8 +9,9 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"time"
+
+	"parsleyramp/scripts/internal/testbed"
 )
 
 func main() {
@@ -31,13 +32,13 @@
 	if err != nil {
 		return err
 	}
-	bin, err = filepath.Abs(bin)
+	bed, err := testbed.New(dir, bin, options())
 	if err != nil {
 		return err
 	}
-	d := &demo{dir: dir, bin: bin}
+	d := &demo{bed: bed}
 	defer func() {
-		d.killAll()
+		bed.KillAll()
 		if err != nil || keep {
 			fmt.Println("settings and logs are in", dir)
 			return
--- a/scripts/demo/steps.go
+++ b/scripts/demo/steps.go
@@ -53,18 +53,7 @@
 }
 
 func (d *demo) waitReady(ctx context.Context) (string, error) {
-	for _, a := range d.entries {
-		for deadline := time.Now().Add(readyTimeout); ; time.Sleep(50 * time.Millisecond) {
-			status, _, err := call(ctx, http.MethodGet, "http://"+a+"/readyz", "", "")
-			if err == nil && status == http.StatusOK {
-				break
-			}
-			if time.Now().After(deadline) {
-				return "", fmt.Errorf("%s is not ready: status %d, %v", a, status, err)
-			}
-		}
-	}
-	return "all ready", nil
+	return "all ready", d.bed.WaitReady(ctx)
 }
 
 // call sends one request and returns status and body.
@@ -87,7 +76,7 @@
 }
 
 func (d *demo) askEntries(ctx context.Context) (string, error) {
-	_, data, err := call(ctx, http.MethodGet, "http://"+d.entries[0]+"/v1/entries?domain=domain-2", "", "")
+	_, data, err := call(ctx, http.MethodGet, "http://"+d.bed.Entries[0].Address+"/v1/entries?domain=domain-2", "", "")
 	if err != nil {
 		return "", err
 	}
@@ -98,7 +87,7 @@
 	if err := json.Unmarshal(data, &answer); err != nil {
 		return "", err
 	}
-	if len(answer.Entries) != numEntries || answer.Entries[0].Domain != "domain-2" {
+	if len(answer.Entries) != len(d.bed.Entries) || answer.Entries[0].Domain != "domain-2" {
 		return "", fmt.Errorf("unexpected answer %s", data)
 	}
 	d.chosen = answer.Entries[0].Address
@@ -165,14 +154,14 @@
 	}
 	const path, body = "/ledger/payouts", `{"pledge":4711,"amount":120}`
 	var answers [2]string
-	for i, entry := range []string{d.chosen, d.entries[0]} {
+	for i, entry := range []string{d.chosen, d.bed.Entries[0].Address} {
 		status, data, err := call(ctx, http.MethodPost, "http://"+entry+path, key.String(), body)
 		if err != nil || status != http.StatusOK {
 			return "", fmt.Errorf("status %d: %s: %v", status, data, err)
 		}
 		answers[i] = string(data)
 	}
-	_, runs, err := call(ctx, http.MethodGet, "http://"+d.service+"/standin/runs", "", "")
+	_, runs, err := call(ctx, http.MethodGet, "http://"+d.bed.Services[0].Address+"/standin/runs", "", "")
 	if err != nil {
 		return "", err
 	}
@@ -203,7 +192,7 @@
 	}
 	location := resp.Header.Get("Location")
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		status, _, err := call(ctx, http.MethodGet, "http://"+d.entries[0]+location, "", "")
+		status, _, err := call(ctx, http.MethodGet, "http://"+d.bed.Entries[0].Address+location, "", "")
 		if err == nil && status == http.StatusOK {
 			return "202, then the answer through another entry", nil
 		}
--- /dev/null
+++ b/scripts/internal/testbed/bed.go
@@ -0,0 +1,296 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"parsleyramp/internal/platform"
+)
+
+const (
+	readyPoll    = 50 * time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
+// Size is how much of everything a test bed starts.
+type Size struct {
+	Domains  int
+	Controls int
+	Entries  int
+	Engines  int
+	Services int
+}
+
+// Options of a test bed.
+type Options struct {
+	Size Size
+	// Engine, Store and List are further flags of the stand-ins.
+	Engine []string
+	Store  []string
+	List   []string
+	// OneProcessEach starts a process for every engine; otherwise the engines
+	// of a failure domain share one.
+	OneProcessEach bool
+	// Control and Entry are further settings by their names in the file.
+	Control map[string]any
+	Entry   map[string]any
+	// Tokens gives each team its token.
+	Tokens map[string]string
+}
+
+// Node is one VM of the test bed.
+type Node struct {
+	ID      string
+	Domain  string
+	Address string
+	// Peer is where other entries reach an entry.
+	Peer string
+	// Process is shared by engines of one failure domain.
+	Process *Process
+}
+
+// Bed holds the processes with the addresses that they listen on.
+type Bed struct {
+	Dir      string
+	Store    string
+	List     string
+	Controls []*Node
+	Entries  []*Node
+	Engines  []*Node
+	Services []*Node
+
+	bin       string
+	options   Options
+	processes []*Process
+}
+
+// New reserves the addresses of a test bed. dir receives settings and logs;
+// bin holds the built programs.
+func New(dir, bin string, o Options) (*Bed, error) {
+	bin, err := filepath.Abs(bin)
+	if err != nil {
+		return nil, err
+	}
+	s := o.Size
+	free, err := freeAddresses(2 + s.Controls + 2*s.Entries + s.Engines + s.Services)
+	if err != nil {
+		return nil, err
+	}
+	b := &Bed{Dir: dir, bin: bin, options: o}
+	next := func() string {
+		a := free[0]
+		free = free[1:]
+		return a
+	}
+	nodes := func(kind string, n int) []*Node {
+		out := make([]*Node, n)
+		for i := range out {
+			out[i] = &Node{ID: fmt.Sprintf("%s-%d", kind, i+1), Domain: b.domain(i), Address: next()}
+		}
+		return out
+	}
+	b.Store, b.List = next(), next()
+	b.Controls, b.Entries = nodes("control", s.Controls), nodes("entry", s.Entries)
+	b.Engines, b.Services = nodes("engine", s.Engines), nodes("ledger", s.Services)
+	for _, e := range b.Entries {
+		e.Peer = next()
+	}
+	return b, nil
+}
+
+func (b *Bed) domain(i int) string { return fmt.Sprintf("domain-%d", i%b.options.Size.Domains+1) }
+
+// Path returns the path of a file of the test bed.
+func (b *Bed) Path(name string) string { return filepath.Join(b.Dir, name) }
+
+// WriteJSON writes a file of the test bed and returns its path.
+func (b *Bed) WriteJSON(name string, v any) (string, error) {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	return b.Path(name), os.WriteFile(b.Path(name), data, 0o644)
+}
+
+// StartStandins starts the weight store, the live list, services and engines.
+func (b *Bed) StartStandins(ctx context.Context) error {
+	file, err := b.WriteJSON("vms.json", b.vms())
+	if err != nil {
+		return err
+	}
+	store := append([]string{"-kind", "store", "-address", b.Store}, b.options.Store...)
+	if _, err := b.Launch("store", "parsleyramp-standin", store...); err != nil {
+		return err
+	}
+	list := append([]string{"-kind", "livelist", "-address", b.List, "-vms", file}, b.options.List...)
+	if _, err := b.Launch("livelist", "parsleyramp-standin", list...); err != nil {
+		return err
+	}
+	for _, n := range b.Services {
+		if n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address); err != nil {
+			return err
+		}
+	}
+	if err := b.startEngines(); err != nil {
+		return err
+	}
+	return waitListening(ctx, append([]string{b.Store, b.List}, append(Addresses(b.Services), Addresses(b.Engines)...)...)...)
+}
+
+func (b *Bed) vms() []platform.VM {
+	var vms []platform.VM
+	for _, n := range b.Services {
+		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindService, Address: n.Address, Domain: n.Domain, State: platform.Live, Service: "ledger"})
+	}
+	for _, n := range b.Engines {
+		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindEngine, Address: n.Address, Domain: n.Domain, State: platform.Live, Accelerators: 2})
+	}
+	return vms
+}
+
+// startEngines starts the engines. Every second one refuses older fencing
+// numbers.
+func (b *Bed) startEngines() error {
+	groups := map[string][]*Node{}
+	var names []string
+	for _, n := range b.Engines {
+		name := "engines-" + n.Domain
+		if b.options.OneProcessEach {
+			name = n.ID
+		}
+		if groups[name] == nil {
+			names = append(names, name)
+		}
+		groups[name] = append(groups[name], n)
+	}
+	for _, name := range names {
+		group := groups[name]
+		var ids []string
+		for _, n := range group {
+			ids = append(ids, n.ID)
+		}
+		args := append([]string{
+			"-kind", "engine", "-id", strings.Join(ids, ","), "-address", strings.Join(Addresses(group), ","),
+			"-store", b.Store, "-fencing-ids", strings.Join(b.FencingEngines(), ","),
+		}, b.options.Engine...)
+		p, err := b.Launch(name, "parsleyramp-standin", args...)
+		if err != nil {
+			return err
+		}
+		for _, n := range group {
+			n.Process = p
+		}
+	}
+	return nil
+}
+
+// FencingEngines returns the ids of the engines that refuse older fencing numbers.
+func (b *Bed) FencingEngines() []string {
+	var out []string
+	for i, n := range b.Engines {
+		if i%2 == 0 {
+			out = append(out, n.ID)
+		}
+	}
+	return out
+}
+
+// StartSystem starts the control and entry processes.
+func (b *Bed) StartSystem(ctx context.Context) error {
+	for _, n := range b.Controls {
+		file := map[string]any{
+			"address": n.Address, "domain": n.Domain, "data_folder": b.Path(n.ID), "live_list": b.List, "team_tokens": b.options.Tokens,
+		}
+		if err := b.startNode(n, "parsleyramp-control", file, b.options.Control); err != nil {
+			return err
+		}
+	}
+	for _, n := range b.Entries {
+		file := map[string]any{
+			"id": n.ID, "caller_address": n.Address, "peer_address": n.Peer, "domain": n.Domain, "control": Addresses(b.Controls),
+		}
+		if err := b.startNode(n, "parsleyramp-entry", file, b.options.Entry); err != nil {
+			return err
+		}
+	}
+	return waitListening(ctx, append(Addresses(b.Controls), Addresses(b.Entries)...)...)
+}
+
+func (b *Bed) startNode(n *Node, program string, file, more map[string]any) error {
+	for k, v := range more {
+		file[k] = v
+	}
+	if file["telemetry"] == "trace" {
+		file["telemetry"] = map[string]string{"trace_file": b.Path(n.ID + ".spans")}
+	}
+	path, err := b.WriteJSON(n.ID+".json", file)
+	if err != nil {
+		return err
+	}
+	n.Process, err = b.Launch(n.ID, program, "-settings", path)
+	return err
+}
+
+// WaitReady waits until every entry holds a lease.
+func (b *Bed) WaitReady(ctx context.Context) error {
+	for _, n := range b.Entries {
+		if err := b.waitReady(ctx, n.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Bed) waitReady(ctx context.Context, address string) error {
+	for deadline := time.Now().Add(readyTimeout); ctx.Err() == nil; time.Sleep(readyPoll) {
+		resp, err := http.Get("http://" + address + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = errors.New(resp.Status)
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s is not ready: %w", address, err)
+		}
+	}
+	return ctx.Err()
+}
+
+// Ctl runs parsleyctl for a team and returns its output.
+func (b *Bed) Ctl(ctx context.Context, token string, args ...string) (string, error) {
+	all := []string{"-control", strings.Join(Addresses(b.Controls), ","), "-token", token, "-timeout", "120s"}
+	out, err := b.Run(ctx, "parsleyctl", append(all, args...)...)
+	return strings.TrimSpace(out), err
+}
+
+// Form starts everything, forms the control group and waits for the entries.
+func (b *Bed) Form(ctx context.Context) error {
+	if err := b.StartStandins(ctx); err != nil {
+		return err
+	}
+	if err := b.StartSystem(ctx); err != nil {
+		return err
+	}
+	if _, err := b.Ctl(ctx, "", "bootstrap"); err != nil {
+		return err
+	}
+	return b.WaitReady(ctx)
+}
+
+// Addresses returns where the nodes listen.
+func Addresses(nodes []*Node) []string {
+	out := make([]string, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.Address
+	}
+	return out
+}
--- /dev/null
+++ b/scripts/internal/testbed/measure.go
@@ -0,0 +1,113 @@
+package testbed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTicks is how many clock ticks /proc counts in a second of processor time.
+const clockTicks = 100
+
+// Usage is what a process has used up to a moment.
+type Usage struct {
+	At time.Time
+	// CPU is the processor time of the process.
+	CPU time.Duration
+	// RSSBytes is the resident memory.
+	RSSBytes float64
+	// Metrics holds the process's metrics by name with labels.
+	Metrics map[string]float64
+}
+
+// Sum returns the sum of the metrics whose name starts with the prefix and
+// contains every part.
+func (u Usage) Sum(prefix string, parts ...string) float64 {
+	var sum float64
+next:
+	for name, v := range u.Metrics {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		for _, p := range parts {
+			if !strings.Contains(name, p) {
+				continue next
+			}
+		}
+		sum += v
+	}
+	return sum
+}
+
+// Measure reads what the node's process has used.
+func Measure(n *Node) (Usage, error) {
+	u := Usage{At: time.Now()}
+	var err error
+	if u.CPU, err = processorTime(n.Process.PID()); err != nil {
+		return u, err
+	}
+	if u.RSSBytes, err = residentBytes(n.Process.PID()); err != nil {
+		return u, err
+	}
+	u.Metrics, err = scrape(n.Address)
+	return u, err
+}
+
+// processorTime reads fields 14 and 15, utime and stime, of proc(5) stat.
+func processorTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, after, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(after)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("unexpected stat of process %d", pid)
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks, nil
+}
+
+func residentBytes(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(text)[0], 64)
+			return kb * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("no VmRSS of process %d", pid)
+}
+
+func scrape(address string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return parseMetrics(resp.Body)
+}
+
+func parseMetrics(r io.Reader) (map[string]float64, error) {
+	out := map[string]float64{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		at := strings.LastIndexByte(lines.Text(), ' ')
+		if at < 0 || strings.HasPrefix(lines.Text(), "#") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(lines.Text()[at+1:], 64); err == nil {
+			out[lines.Text()[:at]] = v
+		}
+	}
+	return out, lines.Err()
+}
--- /dev/null
+++ b/scripts/internal/testbed/process.go
@@ -0,0 +1,161 @@
+// Package testbed starts the programs as processes of their own on loopback
+// and measures them. It serves scripts and tests only.
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	stopTimeout  = 60 * time.Second
+	listenPoll   = 20 * time.Millisecond
+)
+
+// Process is a program that the test bed started.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Stop sends SIGTERM and expects exit 0.
+func (p *Process) Stop() error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	return p.wait()
+}
+
+func (p *Process) wait() error {
+	select {
+	case <-p.done:
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s did not stop", p.Name)
+	}
+	if p.err != nil {
+		return fmt.Errorf("%s: %w", p.Name, p.err)
+	}
+	return nil
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// running reports whether the process has not ended yet.
+func (p *Process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Launch starts a program with its output in a log file.
+func (b *Bed) Launch(name, program string, args ...string) (*Process, error) {
+	out, err := os.Create(b.Path(name + ".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	cmd := exec.Command(filepath.Join(b.bin, program), args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	b.processes = append(b.processes, p)
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Run runs a program to its end and returns its output.
+func (b *Bed) Run(ctx context.Context, program string, args ...string) (string, error) {
+	out, err := exec.CommandContext(ctx, filepath.Join(b.bin, program), args...).CombinedOutput()
+	if err != nil {
+		return string(out), fmt.Errorf("%s: %w: %s", program, err, out)
+	}
+	return string(out), nil
+}
+
+// StopAll sends SIGTERM to every process that still runs, last started first,
+// and expects exit 0. It returns how many there were.
+func (b *Bed) StopAll() (int, error) {
+	count := 0
+	for len(b.processes) > 0 {
+		p := b.processes[len(b.processes)-1]
+		b.processes = b.processes[:len(b.processes)-1]
+		if !p.running() {
+			continue
+		}
+		if err := p.Stop(); err != nil {
+			return count, err
+		}
+		count++
+	}
+	return count, nil
+}
+
+// KillAll ends everything that still runs.
+func (b *Bed) KillAll() {
+	for _, p := range b.processes {
+		if p.running() {
+			p.Kill()
+		}
+	}
+	b.processes = nil
+}
+
+// freeAddresses returns loopback addresses that nothing listens on.
+func freeAddresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
+
+func waitListening(ctx context.Context, addresses ...string) error {
+	for _, a := range addresses {
+		if err := waitOne(ctx, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitOne(ctx context.Context, address string) error {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(listenPoll) {
+		c, err := net.DialTimeout("tcp4", address, time.Second)
+		if err == nil {
+			return c.Close()
+		}
+	}
+	return fmt.Errorf("nothing listens on %s", address)
+}
