Add parsleyload, an open-loop load tool, and the script that runs it

Cause: nothing measured first-token times, refusals or the share of requests within their targets. Change: parsleyload draws the arrivals of a seeded Poisson process ahead and counts latency from the scheduled time, checks every token of an answer against the caller's own, and reports as text, JSON and one HTML page; compare puts two reports side by side. scripts/bench runs scenarios and routing policies alternately at a deployment's size, with a crash and a domain loss. Ruled out: a closed loop of callers, which sends less when the system is slow.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := parsleyramp-control parsleyramp-entry parsleyctl parsleyramp-standin
+PROGRAMS := parsleyramp-control parsleyramp-entry parsleyctl parsleyramp-standin parsleyload
 export CGO_ENABLED := 1
 
 .PHONY: demo test build generate lint clean
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"parsleyramp/internal/fail"
+)
+
+// Arrival is one request of a caller.
+type Arrival struct {
+	Index int
+	// At is when the caller asks, counted from the start of the run.
+	At        time.Duration
+	Class     ClassShare
+	Model     string
+	Prompt    string
+	MaxTokens int
+	// Caller is the number of the caller that asks.
+	Caller int
+}
+
+// Scenario is how the demand moves during a run.
+type Scenario struct {
+	Name string
+	// rate multiplies the base rate at a fraction of the run.
+	rate func(at float64) float64
+	// focus is the share of requests that go to the focused names then.
+	focus func(at float64) float64
+	// peak is the greatest value of rate.
+	peak float64
+}
+
+// Parts of a run between which a burst lasts.
+const (
+	burstStart = 1.0 / 3
+	burstEnd   = 2.0 / 3
+	marketRate = 2.5
+	waveRate   = 2.2
+	// marketFocus is the share of a market day's burst that asks for the
+	// focused models; focusedModels is how many they are.
+	marketFocus   = 0.6
+	waveFocus     = 0.7
+	focusedModels = 3
+)
+
+func constant(v float64) func(float64) float64 { return func(float64) float64 { return v } }
+
+func during(v, otherwise float64) func(float64) float64 {
+	return func(at float64) float64 {
+		if at >= burstStart && at < burstEnd {
+			return v
+		}
+		return otherwise
+	}
+}
+
+// wave rises from base to peak and falls again over the run.
+func wave(base, peak float64) func(float64) float64 {
+	return func(at float64) float64 { return base + (peak-base)*(1-math.Cos(2*math.Pi*at))/2 }
+}
+
+// Scenarios returns every scenario. A crash and a domain loss are a steady
+// demand; whoever runs the load brings the fault about.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", rate: constant(1), focus: constant(0), peak: 1},
+		{Name: "market-day", rate: during(marketRate, 1), focus: during(marketFocus, 0), peak: marketRate},
+		{Name: "festival", rate: wave(1, waveRate), focus: wave(0, waveFocus), peak: waveRate},
+		{Name: "engine-crash", rate: constant(1), focus: constant(0), peak: 1},
+		{Name: "domain-loss", rate: constant(1), focus: constant(0), peak: 1},
+	}
+}
+
+// ScenarioNamed returns the scenario with the name.
+func ScenarioNamed(name string) (Scenario, error) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Scenario{}, fail.New(fail.BadRequest, "no scenario is named "+name)
+}
+
+// Demand is what a plan is drawn from.
+type Demand struct {
+	Shape    Shape
+	Scenario Scenario
+	// Rate is the base rate in requests a second.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	Callers  int
+	// MaxTokens is the mean length of an answer.
+	MaxTokens int
+}
+
+const (
+	// zipfExponent makes a few names popular and most rare.
+	zipfExponent = 0.9
+	// promptGroups is how many prompt prefixes each name has.
+	promptGroups = 16
+)
+
+// Plan draws the arrivals of a Poisson process by thinning (Lewis and Shedler,
+// 1979). The same demand gives the same arrivals.
+func Plan(d Demand) []Arrival {
+	rng := rand.New(rand.NewPCG(d.Seed, 2))
+	pick := newPicker(d.Shape)
+	peak := d.Rate * d.Scenario.peak
+	var out []Arrival
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / peak
+		part := at / d.Duration.Seconds()
+		if part >= 1 {
+			return out
+		}
+		if rng.Float64()*peak > d.Rate*d.Scenario.rate(part) {
+			continue
+		}
+		a := Arrival{
+			Index: len(out), At: time.Duration(at * float64(time.Second)), Class: pick.class(rng),
+			Model: pick.name(rng, d.Scenario.focus(part)), Caller: rng.IntN(d.Callers),
+			MaxTokens: max(1, d.MaxTokens/2+rng.IntN(d.MaxTokens+1)),
+		}
+		a.Prompt = prompt(d.Seed, a.Index, rng.IntN(promptGroups))
+		out = append(out, a)
+	}
+}
+
+// prompt returns a text whose first words many requests share and whose whole
+// no other request has.
+func prompt(seed uint64, index, group int) string {
+	return fmt.Sprintf("you draft notes for the desk of group %d please answer request %d-%d with the history of the last twelve months in mind", group, seed, index)
+}
+
+// picker draws classes and names by their weights.
+type picker struct {
+	classes []ClassShare
+	names   []served
+	// cumulative holds the running sums of the names' weights.
+	cumulative []float64
+}
+
+func newPicker(s Shape) *picker {
+	p := &picker{classes: s.Classes, names: s.names()}
+	sum := 0.0
+	for rank := range p.names {
+		sum += math.Pow(float64(rank+1), -zipfExponent)
+		p.cumulative = append(p.cumulative, sum)
+	}
+	return p
+}
+
+func (p *picker) class(rng *rand.Rand) ClassShare {
+	at := rng.Float64()
+	for _, c := range p.classes {
+		if at -= c.Share; at < 0 {
+			return c
+		}
+	}
+	return p.classes[0]
+}
+
+// name draws a name; the share focus goes to the last few models alone, which
+// are rare otherwise.
+func (p *picker) name(rng *rand.Rand, focus float64) string {
+	if rng.Float64() < focus {
+		return p.names[len(p.names)-1-rng.IntN(min(focusedModels, len(p.names)))].name
+	}
+	at := rng.Float64() * p.cumulative[len(p.cumulative)-1]
+	for i, c := range p.cumulative {
+		if at < c {
+			return p.names[i].name
+		}
+	}
+	return p.names[0].name
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,203 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"parsleyramp/internal/fail"
+)
+
+// Quantiles of a latency in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// ClassReport is what came of the requests of one class.
+type ClassReport struct {
+	Name            string    `json:"name"`
+	Offered         int       `json:"offered"`
+	Whole           int       `json:"whole"`
+	Attained        int       `json:"attained"`
+	FirstTokenMS    Quantiles `json:"first_token_ms"`
+	BetweenTokensMS Quantiles `json:"between_tokens_ms"`
+}
+
+// RefusalReport counts attempts that were refused or broke.
+type RefusalReport struct {
+	Class string `json:"class"`
+	Code  string `json:"code"`
+	Ran   string `json:"ran"`
+	Count int    `json:"count"`
+}
+
+// SecondReport is what came of the requests scheduled in one second.
+type SecondReport struct {
+	Offered         int     `json:"offered"`
+	Attained        int     `json:"attained"`
+	Refused         int     `json:"refused"`
+	Broken          int     `json:"broken"`
+	FirstTokenP95MS float64 `json:"first_token_p95_ms"`
+}
+
+// CurvePoint is one point of the distribution of first-token times.
+type CurvePoint struct {
+	Quantile float64 `json:"quantile"`
+	MS       float64 `json:"ms"`
+}
+
+// curveQuantiles are the points of the distribution that a report holds.
+var curveQuantiles = []float64{0, 10, 25, 50, 75, 90, 95, 99, 99.9, 100}
+
+// Mark is an event during the run, such as a fault.
+type Mark struct {
+	AtSeconds float64 `json:"at_seconds"`
+	Text      string  `json:"text"`
+}
+
+// OvernightReport counts overnight requests.
+type OvernightReport struct {
+	Accepted int `json:"accepted"`
+	// Done were answered with their own whole answer, Wrong with another one.
+	Done  int `json:"done"`
+	Wrong int `json:"wrong"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Shape           string  `json:"shape"`
+	Scenario        string  `json:"scenario"`
+	Policy          string  `json:"policy,omitempty"`
+	Seed            uint64  `json:"seed"`
+	RatePerSecond   float64 `json:"rate_per_second"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	Accelerators    int     `json:"accelerators"`
+
+	Offered  int `json:"offered"`
+	Whole    int `json:"whole"`
+	Attained int `json:"attained"`
+	// Failed counts requests without a whole answer after their retries.
+	Failed int `json:"failed"`
+	// Foreign counts answers passed as whole that were not the caller's own
+	// whole answer.
+	Foreign       int     `json:"foreign"`
+	Retries       int     `json:"retries"`
+	Tokens        int     `json:"tokens"`
+	AttainedShare float64 `json:"attained_share"`
+	// AttainedPerAcceleratorSecond is requests within their targets for each
+	// accelerator and second.
+	AttainedPerAcceleratorSecond float64         `json:"attained_per_accelerator_second"`
+	FirstTokenMS                 Quantiles       `json:"first_token_ms"`
+	BetweenTokensMS              Quantiles       `json:"between_tokens_ms"`
+	Classes                      []ClassReport   `json:"classes"`
+	Refusals                     []RefusalReport `json:"refusals"`
+	Overnight                    OvernightReport `json:"overnight"`
+	// GeneratorLateMS is the most that a request was sent after its time.
+	GeneratorLateMS float64        `json:"generator_late_ms"`
+	FirstTokenCurve []CurvePoint   `json:"first_token_curve"`
+	Timeline        []SecondReport `json:"timeline"`
+	Marks           []Mark         `json:"marks,omitempty"`
+}
+
+// ReadReport reads a report that was written as JSON.
+func ReadReport(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.BadRequest, "read report")
+	}
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fail.Wrap(err, fail.BadRequest, path)
+	}
+	return &r, nil
+}
+
+// WriteJSON writes the report to a file.
+func (r *Report) WriteJSON(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode report")
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "write report")
+	}
+	return nil
+}
+
+// title names the run.
+func (r *Report) title() string {
+	t := fmt.Sprintf("%s, %s, %g requests/s for %s, seed %d", r.Shape, r.Scenario, r.RatePerSecond, time.Duration(r.DurationSeconds*float64(time.Second)), r.Seed)
+	if r.Policy != "" {
+		t += ", routing " + r.Policy
+	}
+	return t
+}
+
+// figure is one line of a report.
+type figure struct {
+	name  string
+	value func(*Report) float64
+	// format is the verb for the value.
+	format string
+}
+
+var figures = []figure{
+	{"offered", func(r *Report) float64 { return float64(r.Offered) }, "%.0f"},
+	{"whole answers", func(r *Report) float64 { return float64(r.Whole) }, "%.0f"},
+	{"within targets", func(r *Report) float64 { return float64(r.Attained) }, "%.0f"},
+	{"share within targets", func(r *Report) float64 { return r.AttainedShare }, "%.4f"},
+	{"within targets per accelerator and second", func(r *Report) float64 { return r.AttainedPerAcceleratorSecond }, "%.3f"},
+	{"failed after retries", func(r *Report) float64 { return float64(r.Failed) }, "%.0f"},
+	{"not the caller's own whole answer", func(r *Report) float64 { return float64(r.Foreign) }, "%.0f"},
+	{"retries", func(r *Report) float64 { return float64(r.Retries) }, "%.0f"},
+	{"first token p50 ms", func(r *Report) float64 { return r.FirstTokenMS.P50 }, "%.1f"},
+	{"first token p95 ms", func(r *Report) float64 { return r.FirstTokenMS.P95 }, "%.1f"},
+	{"first token p99 ms", func(r *Report) float64 { return r.FirstTokenMS.P99 }, "%.1f"},
+	{"between tokens p50 ms", func(r *Report) float64 { return r.BetweenTokensMS.P50 }, "%.1f"},
+	{"between tokens p95 ms", func(r *Report) float64 { return r.BetweenTokensMS.P95 }, "%.1f"},
+	{"between tokens p99 ms", func(r *Report) float64 { return r.BetweenTokensMS.P99 }, "%.1f"},
+	{"overnight accepted", func(r *Report) float64 { return float64(r.Overnight.Accepted) }, "%.0f"},
+	{"overnight done", func(r *Report) float64 { return float64(r.Overnight.Done) }, "%.0f"},
+	{"overnight wrong", func(r *Report) float64 { return float64(r.Overnight.Wrong) }, "%.0f"},
+	{"generator late ms", func(r *Report) float64 { return r.GeneratorLateMS }, "%.1f"},
+}
+
+func (f figure) text(r *Report) string { return fmt.Sprintf(f.format, f.value(r)) }
+
+// WriteText writes the report as tables.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintln(w, r.title())
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range figures {
+		fmt.Fprintf(t, "%s\t%s\n", f.name, f.text(r))
+	}
+	fmt.Fprintln(t, "\nCLASS\tOFFERED\tWHOLE\tWITHIN\tFIRST P50\tP95\tP99\tBETWEEN P50\tP95\tP99")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", c.Name, c.Offered, c.Whole, c.Attained,
+			c.FirstTokenMS.P50, c.FirstTokenMS.P95, c.FirstTokenMS.P99, c.BetweenTokensMS.P50, c.BetweenTokensMS.P95, c.BetweenTokensMS.P99)
+	}
+	if len(r.Refusals) > 0 {
+		fmt.Fprintln(t, "\nREFUSED OR BROKEN\tCODE\tRAN\tATTEMPTS")
+	}
+	for _, f := range r.Refusals {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", f.Class, f.Code, f.Ran, f.Count)
+	}
+	t.Flush()
+}
+
+// Compare writes the figures of two reports side by side.
+func Compare(w io.Writer, a, b *Report) {
+	fmt.Fprintf(w, "A: %s\nB: %s\n", a.title(), b.title())
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FIGURE\tA\tB\tB - A")
+	for _, f := range figures {
+		fmt.Fprintf(t, "%s\t%s\t%s\t"+f.format+"\n", f.name, f.text(a), f.text(b), f.value(b)-f.value(a))
+	}
+	t.Flush()
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,211 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/standin"
+)
+
+// Options of a run.
+type Options struct {
+	Demand Demand
+	// Entries are addresses of entries to ask first, as ip:port.
+	Entries []string
+	// Retries is how often a caller asks again after a refusal that says when.
+	Retries int
+	// RequestTimeout bounds one request with its retries.
+	RequestTimeout time.Duration
+	// OvernightWait is how long to wait for overnight answers after the run.
+	OvernightWait time.Duration
+	// Progress receives a line every ProgressInterval; nil for none.
+	Progress         io.Writer
+	ProgressInterval time.Duration
+	// Policy and Marks are noted in the report.
+	Policy string
+	Marks  []Mark
+}
+
+// outcome is what came of one arrival.
+type outcome struct {
+	arrival Arrival
+	answer  answer
+	// started is when the request was sent, counted from the start of the run.
+	started time.Duration
+	retries int
+	// refusals are the attempts that were refused or broke.
+	refusals []answer
+}
+
+type runner struct {
+	options     Options
+	client      *http.Client
+	directories []*directory
+	start       time.Time
+	results     *results
+	sent        atomic.Int64
+	inFlight    atomic.Int64
+	overnight   sync.Map
+}
+
+// Run sends every arrival of the plan at its time and returns the report.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if len(o.Entries) == 0 {
+		return nil, fail.New(fail.BadRequest, "no entries to ask")
+	}
+	plan := Plan(o.Demand)
+	start := time.Now()
+	r := &runner{options: o, client: newClient(), results: newResults(o, start), start: start}
+	for i := range o.Demand.Callers {
+		r.directories = append(r.directories, newDirectory(r.client, o.Entries, o.Demand.Seed+uint64(i)))
+	}
+	stopProgress := r.progress(len(plan))
+	var requests sync.WaitGroup
+	for _, a := range plan {
+		if !sleepUntil(ctx, r.start.Add(a.At)) {
+			break
+		}
+		requests.Go(func() { r.results.add(r.request(ctx, a)) })
+	}
+	requests.Wait()
+	stopProgress()
+	r.fetchOvernight(ctx)
+	return r.results.report(), ctx.Err()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request asks as a caller does: again after the time that a refusal names,
+// at another entry after a broken connection.
+func (r *runner) request(ctx context.Context, a Arrival) outcome {
+	r.sent.Add(1)
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, r.options.RequestTimeout)
+	defer cancel()
+	out := outcome{arrival: a, started: time.Since(r.start)}
+	d := r.directories[a.Caller]
+	entry := ""
+	for {
+		entry = d.choose(ctx, entry)
+		out.answer = ask(ctx, r.client, entry, a)
+		if out.answer.whole {
+			if out.answer.location != "" {
+				r.overnight.Store(out.answer.location, a)
+			}
+			return out
+		}
+		out.refusals = append(out.refusals, out.answer)
+		if out.answer.code == codeConnection || out.answer.code == fail.Draining {
+			d.forget()
+		}
+		if !out.answer.retryable || out.retries >= r.options.Retries {
+			return out
+		}
+		out.retries++
+		if !sleepUntil(ctx, time.Now().Add(max(out.answer.retryAfter, minRetryDelay))) {
+			return out
+		}
+	}
+}
+
+// progress prints a line at every interval until the returned function is called.
+func (r *runner) progress(planned int) func() {
+	if r.options.Progress == nil {
+		return func() {}
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		tick := time.NewTicker(r.options.ProgressInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				whole, attained, failed := r.results.totals()
+				fmt.Fprintf(r.options.Progress, "%6s  sent %d of %d  in flight %d  whole %d  attained %d  failed %d\n",
+					time.Since(r.start).Round(time.Second), r.sent.Load(), planned, r.inFlight.Load(), whole, attained, failed)
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+	}
+}
+
+const overnightPoll = 100 * time.Millisecond
+
+// fetchOvernight asks for the answers of the accepted overnight work until
+// all have come or the time is over.
+func (r *runner) fetchOvernight(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.OvernightWait)
+	defer cancel()
+	for left := true; left && ctx.Err() == nil; {
+		left = false
+		r.overnight.Range(func(location, a any) bool {
+			switch r.fetchOne(ctx, location.(string), a.(Arrival)) {
+			case http.StatusOK:
+				r.overnight.Delete(location)
+			default:
+				left = true
+			}
+			return ctx.Err() == nil
+		})
+		if left {
+			sleepUntil(ctx, time.Now().Add(overnightPoll))
+		}
+	}
+}
+
+func (r *runner) fetchOne(ctx context.Context, location string, a Arrival) int {
+	entry := r.directories[a.Caller].choose(ctx, "")
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+location, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode
+	}
+	var c standin.Completion
+	own := json.NewDecoder(resp.Body).Decode(&c) == nil && len(c.Choices) == 1 && c.Choices[0].Text == wholeAnswer(a)
+	r.results.overnightDone(own)
+	return resp.StatusCode
+}
+
+// wholeAnswer returns the answer that the arrival must get.
+func wholeAnswer(a Arrival) string {
+	var text strings.Builder
+	for i := range a.MaxTokens {
+		text.WriteString(standin.AnswerToken(a.Prompt, i))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/load/shape.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"fmt"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/fail"
+)
+
+// Shape is the size of one deployment and what its callers ask for.
+type Shape struct {
+	Name    string
+	Domains int
+	Entries int
+	Engines int
+	// EngineAccelerators is how many accelerators one engine has.
+	EngineAccelerators int
+	// ModelLoads and AdapterLoads are what the weight store serves at full speed.
+	ModelLoads   int
+	AdapterLoads int
+	Teams        []Team
+	// Classes are the urgency classes with their share of the requests.
+	Classes []ClassShare
+}
+
+// Team is one section of the closing document.
+type Team struct {
+	Name string
+	// Models and AdaptersEach are how many the team declares.
+	Models       int
+	AdaptersEach int
+}
+
+// ClassShare is an urgency class with its share of the requests.
+type ClassShare struct {
+	closing.Class
+	Share float64
+}
+
+// Memory of the declared models and adapters, in MiB.
+const (
+	modelMB    = 4000
+	headroomMB = 1000
+	adapterMB  = 20
+)
+
+var (
+	counterClass   = closing.Class{Name: "counter", FirstTokenMS: 690, BetweenTokensMS: 34}
+	deskClass      = closing.Class{Name: "desk", FirstTokenMS: 3000, BetweenTokensMS: 100, Priority: 10}
+	overnightClass = closing.Class{Name: "overnight", FinishBy: "06:00", Priority: 100}
+)
+
+// Shapes returns the shapes of the two deployments.
+func Shapes() []Shape {
+	return []Shape{
+		{
+			Name: "ranmuthu", Domains: 4, Entries: 8, Engines: 22, EngineAccelerators: 2, ModelLoads: 3, AdapterLoads: 24,
+			Teams:   []Team{{"colombo", 10, 6}, {"kandy", 10, 6}},
+			Classes: []ClassShare{{counterClass, 0.78}, {deskClass, 0.2}, {overnightClass, 0.02}},
+		},
+		{
+			Name: "kalnins", Domains: 3, Entries: 8, Engines: 21, EngineAccelerators: 2, ModelLoads: 4, AdapterLoads: 32,
+			Teams:   []Team{{"contracts", 20, 4}, {"bookings", 10, 4}},
+			Classes: []ClassShare{{counterClass, 0.4}, {deskClass, 0.57}, {overnightClass, 0.03}},
+		},
+	}
+}
+
+// ShapeNamed returns the shape with the name.
+func ShapeNamed(name string) (Shape, error) {
+	for _, s := range Shapes() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Shape{}, fail.New(fail.BadRequest, "no shape is named "+name)
+}
+
+// Accelerators returns how many accelerators the shape has.
+func (s Shape) Accelerators() int { return s.Engines * s.EngineAccelerators }
+
+// Section returns what a team of the shape declares.
+func (s Shape) Section(t Team, checksFencing []string) closing.Section {
+	out := closing.Section{Team: t.Name, ChecksFencing: checksFencing, Services: []closing.Service{}, Models: []closing.Model{}}
+	for m := range t.Models {
+		model := closing.Model{Name: modelName(m), Version: "1", MemoryMB: modelMB, HeadroomMB: headroomMB, Replicas: 2, Adapters: []closing.Adapter{}}
+		for a := range t.AdaptersEach {
+			model.Adapters = append(model.Adapters, closing.Adapter{Name: adapterName(a), Version: "1", MemoryMB: adapterMB})
+		}
+		out.Models = append(out.Models, model)
+	}
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, c.Class)
+	}
+	return out
+}
+
+func modelName(i int) string   { return fmt.Sprintf("model-%d", i+1) }
+func adapterName(i int) string { return fmt.Sprintf("adapter-%d", i+1) }
+
+// served is one name that callers ask for: a model or one of its adapters.
+type served struct {
+	team int
+	name string
+}
+
+// names returns every name that callers ask for, models of different teams in
+// turn, so that a rank of popularity spreads over the teams.
+func (s Shape) names() []served {
+	var out []served
+	for m := 0; ; m++ {
+		before := len(out)
+		for i, t := range s.Teams {
+			if m >= t.Models {
+				continue
+			}
+			name := closing.FullName(t.Name, modelName(m))
+			out = append(out, served{i, name})
+			for a := range t.AdaptersEach {
+				out = append(out, served{i, name + ":" + adapterName(a)})
+			}
+		}
+		if len(out) == before {
+			return out
+		}
+	}
+}
--- /dev/null
+++ b/scripts/bench/main.go
@@ -0,0 +1,78 @@
+// Command bench runs scenarios of load against the real programs at a
+// deployment's size, one routing policy after the other, and writes a table.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"parsleyramp/internal/load"
+)
+
+type options struct {
+	bin, out        string
+	shape           load.Shape
+	scenarios       []string
+	policies        []string
+	rounds          int
+	rate            float64
+	duration        time.Duration
+	tokens, retries int
+	token           time.Duration
+	slots           int
+	keep            bool
+	note, command   string
+	requestTimeout  time.Duration
+	loadsPerSecond  float64
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	o, err := parse()
+	if err == nil {
+		err = run(ctx, o)
+	}
+	if err != nil {
+		fmt.Printf("FAILED: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// longestRun bounds one run.
+const longestRun = 30 * time.Second
+
+func parse() (*options, error) {
+	o := &options{command: "go run ./scripts/bench " + strings.Join(os.Args[1:], " ")}
+	flag.StringVar(&o.bin, "bin", "bin", "folder with the built programs")
+	flag.StringVar(&o.out, "out", "", "folder for the table and the reports; empty for none")
+	shape := flag.String("shape", "ranmuthu", "ranmuthu or kalnins")
+	scenarios := flag.String("scenarios", "steady,market-day,festival,engine-crash,domain-loss", "scenarios, separated by commas")
+	policies := flag.String("policies", "", "routing policies to run alternately, such as owner,round_robin,least_in_flight; empty for the default")
+	flag.IntVar(&o.rounds, "rounds", 1, "runs of each scenario and policy")
+	flag.Float64Var(&o.rate, "rate", 70, "base rate in requests a second")
+	flag.DurationVar(&o.duration, "duration", 12*time.Second, "length of one run")
+	flag.IntVar(&o.tokens, "tokens", 24, "mean length of an answer in tokens")
+	flag.IntVar(&o.retries, "retries", 0, "retries of a caller")
+	flag.DurationVar(&o.token, "token", 20*time.Millisecond, "time between two tokens of a stand-in engine")
+	flag.IntVar(&o.slots, "slots", 8, "requests that a stand-in engine batches")
+	flag.Float64Var(&o.loadsPerSecond, "loads", 3, "loads a second of the weight store")
+	flag.DurationVar(&o.requestTimeout, "timeout", 8*time.Second, "bound for one request")
+	flag.BoolVar(&o.keep, "keep", false, "keep the folder with settings and logs")
+	flag.StringVar(&o.note, "note", "", "note for the table, such as what else the machine did")
+	flag.Parse()
+	if o.duration > longestRun {
+		return nil, fmt.Errorf("a run lasts at most %s", longestRun)
+	}
+	o.scenarios = strings.Split(*scenarios, ",")
+	o.policies = strings.Split(*policies, ",")
+	var err error
+	o.shape, err = load.ShapeNamed(*shape)
+	return o, err
+}
--- /dev/null
+++ b/scripts/bench/run.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"parsleyramp/internal/load"
+	"parsleyramp/internal/standin"
+	"parsleyramp/scripts/internal/testbed"
+)
+
+// faultAt is the part of a run after which a fault is brought about.
+const faultAt = 3
+
+// result is one run.
+type result struct {
+	scenario, policy string
+	round            int
+	report           *load.Report
+}
+
+type bench struct {
+	o       *options
+	bed     *testbed.Bed
+	results []result
+}
+
+func run(ctx context.Context, o *options) (err error) {
+	dir, err := os.MkdirTemp("", "parsleyramp-bench-")
+	if err != nil {
+		return err
+	}
+	bo := testbed.ShapeOptions(o.shape)
+	bo.Engine = []string{"-token", o.token.String(), "-slots", fmt.Sprint(o.slots)}
+	bo.Store = append(bo.Store, "-rate", fmt.Sprint(o.loadsPerSecond))
+	bed, err := testbed.New(dir, o.bin, bo)
+	if err != nil {
+		return err
+	}
+	b := &bench{o: o, bed: bed}
+	defer func() {
+		bed.KillAll()
+		if err != nil || o.keep {
+			fmt.Println("settings and logs are in", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	}()
+	start := time.Now()
+	if err := b.prepare(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d engines, %d entries, sections met after %s\n", o.shape.Name, o.shape.Engines, o.shape.Entries, time.Since(start).Round(time.Second))
+	if err := b.runAll(ctx); err != nil {
+		return err
+	}
+	if _, err := bed.StopAll(); err != nil {
+		return err
+	}
+	return b.write()
+}
+
+func (b *bench) prepare(ctx context.Context) error {
+	if err := b.bed.Form(ctx); err != nil {
+		return err
+	}
+	if err := b.bed.Apply(ctx, b.o.shape); err != nil {
+		return err
+	}
+	return b.bed.WaitMet(ctx, b.o.shape)
+}
+
+// runAll runs the policies of a scenario alternately, so that what else the
+// machine does falls on all of them.
+func (b *bench) runAll(ctx context.Context) error {
+	for _, scenario := range b.o.scenarios {
+		for round := range b.o.rounds {
+			for _, policy := range b.o.policies {
+				r, err := b.runOne(ctx, scenario, policy, round)
+				if err != nil {
+					return fmt.Errorf("%s %s: %w", scenario, policy, err)
+				}
+				b.results = append(b.results, *r)
+				fmt.Printf("%-13s %-16s round %d  within targets %.4f  first token p95 %.1f ms  failed %d\n",
+					scenario, policy, round+1, r.report.AttainedShare, r.report.FirstTokenMS.P95, r.report.Failed)
+			}
+		}
+	}
+	return nil
+}
+
+func (b *bench) runOne(ctx context.Context, scenario, policy string, round int) (*result, error) {
+	if policy != "" {
+		if err := b.bed.RestartEntries(ctx, map[string]any{"routing_policy": policy}); err != nil {
+			return nil, err
+		}
+	}
+	name := strings.Join([]string{b.o.shape.Name, scenario, policy, fmt.Sprint(round + 1)}, "-")
+	args := []string{
+		"-entries", strings.Join(testbed.Addresses(b.bed.Entries), ","), "-shape", b.o.shape.Name, "-scenario", scenario,
+		"-rate", fmt.Sprint(b.o.rate), "-duration", b.o.duration.String(), "-seed", fmt.Sprint(round + 1), "-tokens", fmt.Sprint(b.o.tokens),
+		"-retries", fmt.Sprint(b.o.retries), "-timeout", b.o.requestTimeout.String(), "-progress", "0", "-policy", policy,
+		"-json", b.bed.Path(name + ".json"), "-html", b.bed.Path(name + ".html"),
+	}
+	if scenario == "engine-crash" || scenario == "domain-loss" {
+		args = append(args, "-mark", (b.o.duration/faultAt).String()+"="+scenario)
+	}
+	recovered := make(chan error, 1)
+	go func() { recovered <- b.fault(ctx, scenario) }()
+	_, err := b.bed.Run(ctx, "parsleyload", args...)
+	if err != nil {
+		return nil, err
+	}
+	if err := <-recovered; err != nil {
+		return nil, err
+	}
+	if err := b.bed.WaitMet(ctx, b.o.shape); err != nil {
+		return nil, err
+	}
+	report, err := load.ReadReport(b.bed.Path(name + ".json"))
+	if err != nil {
+		return nil, err
+	}
+	return &result{scenario: scenario, policy: policy, round: round, report: report}, b.keepReport(name)
+}
+
+// fault brings about what the scenario is named for and mends it after the run.
+func (b *bench) fault(ctx context.Context, scenario string) error {
+	at := time.After(b.o.duration / faultAt)
+	end := time.After(b.o.duration + b.o.requestTimeout)
+	switch scenario {
+	case "engine-crash":
+		<-at
+		resp, err := http.Post("http://"+b.bed.Engines[0].Address+standin.PathCrash, "", nil)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	case "domain-loss":
+		domain := fmt.Sprintf("domain-%d", b.o.shape.Domains)
+		<-at
+		b.bed.LoseDomain(domain)
+		<-end
+		return b.bed.ReviveDomain(ctx, domain)
+	}
+	return nil
+}
+
+// keepReport copies the JSON and the page of a run to the folder for results.
+func (b *bench) keepReport(name string) error {
+	if b.o.out == "" {
+		return nil
+	}
+	if err := os.MkdirAll(b.o.out, 0o755); err != nil {
+		return err
+	}
+	for _, suffix := range []string{".json", ".html"} {
+		data, err := os.ReadFile(b.bed.Path(name + suffix))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(b.o.out+"/"+name+suffix, data, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/scripts/internal/testbed/bed.go
+++ b/scripts/internal/testbed/bed.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"parsleyramp/internal/platform"
@@ -43,6 +45,8 @@
 	Entry   map[string]any
 	// Tokens gives each team its token.
 	Tokens map[string]string
+	// Trace writes the spans of each process to a file ID.spans.
+	Trace bool
 }
 
 // Node is one VM of the test bed.
@@ -134,16 +138,21 @@
 		return err
 	}
 	for _, n := range b.Services {
-		if n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address); err != nil {
+		if err := b.startService(n); err != nil {
 			return err
 		}
 	}
-	if err := b.startEngines(); err != nil {
+	if err := b.startEngines(b.Engines); err != nil {
 		return err
 	}
 	return waitListening(ctx, append([]string{b.Store, b.List}, append(Addresses(b.Services), Addresses(b.Engines)...)...)...)
 }
 
+func (b *Bed) startService(n *Node) (err error) {
+	n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address)
+	return err
+}
+
 func (b *Bed) vms() []platform.VM {
 	var vms []platform.VM
 	for _, n := range b.Services {
@@ -157,10 +166,10 @@
 
 // startEngines starts the engines. Every second one refuses older fencing
 // numbers.
-func (b *Bed) startEngines() error {
+func (b *Bed) startEngines(engines []*Node) error {
 	groups := map[string][]*Node{}
 	var names []string
-	for _, n := range b.Engines {
+	for _, n := range engines {
 		name := "engines-" + n.Domain
 		if b.options.OneProcessEach {
 			name = n.ID
@@ -205,29 +214,99 @@
 // StartSystem starts the control and entry processes.
 func (b *Bed) StartSystem(ctx context.Context) error {
 	for _, n := range b.Controls {
-		file := map[string]any{
-			"address": n.Address, "domain": n.Domain, "data_folder": b.Path(n.ID), "live_list": b.List, "team_tokens": b.options.Tokens,
+		if err := b.startControl(n); err != nil {
+			return err
 		}
-		if err := b.startNode(n, "parsleyramp-control", file, b.options.Control); err != nil {
+	}
+	for _, n := range b.Entries {
+		if err := b.startEntry(n, nil); err != nil {
 			return err
 		}
 	}
+	return waitListening(ctx, append(Addresses(b.Controls), Addresses(b.Entries)...)...)
+}
+
+func (b *Bed) startControl(n *Node) error {
+	return b.startNode(n, "parsleyramp-control", map[string]any{
+		"address": n.Address, "domain": n.Domain, "data_folder": b.Path(n.ID), "live_list": b.List, "team_tokens": b.options.Tokens,
+	}, b.options.Control)
+}
+
+func (b *Bed) startEntry(n *Node, more map[string]any) error {
+	file := map[string]any{
+		"id": n.ID, "caller_address": n.Address, "peer_address": n.Peer, "domain": n.Domain, "control": Addresses(b.Controls),
+	}
+	maps.Copy(file, b.options.Entry)
+	return b.startNode(n, "parsleyramp-entry", file, more)
+}
+
+// RestartEntries stops every entry and starts it again with further settings.
+func (b *Bed) RestartEntries(ctx context.Context, more map[string]any) error {
+	for _, n := range b.Entries {
+		if err := n.Process.Signal(syscall.SIGTERM); err != nil {
+			return fmt.Errorf("%s: %w", n.ID, err)
+		}
+	}
 	for _, n := range b.Entries {
-		file := map[string]any{
-			"id": n.ID, "caller_address": n.Address, "peer_address": n.Peer, "domain": n.Domain, "control": Addresses(b.Controls),
+		if err := n.Process.wait(); err != nil {
+			return err
 		}
-		if err := b.startNode(n, "parsleyramp-entry", file, b.options.Entry); err != nil {
+		if err := b.startEntry(n, more); err != nil {
 			return err
 		}
 	}
-	return waitListening(ctx, append(Addresses(b.Controls), Addresses(b.Entries)...)...)
+	return b.WaitReady(ctx)
 }
 
-func (b *Bed) startNode(n *Node, program string, file, more map[string]any) error {
-	for k, v := range more {
-		file[k] = v
+// LoseDomain kills everything in the failure domain.
+func (b *Bed) LoseDomain(domain string) {
+	for _, nodes := range [][]*Node{b.Engines, b.Entries, b.Controls, b.Services} {
+		for _, n := range nodes {
+			if n.Domain == domain && n.Process.running() {
+				n.Process.Kill()
+			}
+		}
 	}
-	if file["telemetry"] == "trace" {
+}
+
+// ReviveDomain starts again what LoseDomain killed, engines with empty memory.
+func (b *Bed) ReviveDomain(ctx context.Context, domain string) error {
+	var engines []*Node
+	for _, n := range b.Engines {
+		if n.Domain == domain {
+			engines = append(engines, n)
+		}
+	}
+	if err := b.startEngines(engines); err != nil {
+		return err
+	}
+	for _, n := range b.Services {
+		if n.Domain == domain {
+			if err := b.startService(n); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range b.Controls {
+		if n.Domain == domain {
+			if err := b.startControl(n); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range b.Entries {
+		if n.Domain == domain {
+			if err := b.startEntry(n, nil); err != nil {
+				return err
+			}
+		}
+	}
+	return b.WaitReady(ctx)
+}
+
+func (b *Bed) startNode(n *Node, program string, file, more map[string]any) error {
+	maps.Copy(file, more)
+	if b.options.Trace {
 		file["telemetry"] = map[string]string{"trace_file": b.Path(n.ID + ".spans")}
 	}
 	path, err := b.WriteJSON(n.ID+".json", file)
