Bring about failures against the real programs, with callers and an operator

Cause: the proofs of the packages drive fakes; nothing showed the processes together under kills, freezes, lost disks and faulty orders. Ruled out: doing it in make test, for it takes wall-clock time and its verdict would vary.

The domain-loss row first reported payouts that never ran: the stand-in service lost its counts with its process; it keeps them in a file now, and the check is as strict as before.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,16 @@
 PROGRAMS := parsleyramp-control parsleyramp-entry parsleyctl parsleyramp-standin parsleyload
 export CGO_ENABLED := 1
 
-.PHONY: demo test build generate lint clean
+.PHONY: faults demo test build generate lint clean
 
 # Builds the programs and runs the main job on loopback.
 demo: build
 	go run ./scripts/demo -bin bin
 
+# Brings about failures against the real programs and prints what held.
+faults: build
+	go run ./scripts/faults -bin bin
+
 # Runs every test. The seeds of rapid are fixed, so that the verdict is the same every time.
 test:
 	go test ./... -timeout 20m
--- a/cmd/parsleyramp-standin/main.go
+++ b/cmd/parsleyramp-standin/main.go
@@ -51,6 +51,7 @@
 	rate := flags.Float64("rate", 3, "model loads that the store starts in a second")
 	fullSpeed := flags.Int("full-speed", 3, "model loads that the store serves at full speed at once")
 	adapters := flags.Int("adapters", 24, "adapter loads at full speed at once")
+	runs := flags.String("runs", "", "file that keeps a service's count of runs over restarts")
 	vms := flags.String("vms", "", "file with the live list as JSON")
 	if err := flags.Parse(args); err != nil {
 		return fail.Wrap(err, fail.BadSettings, "flags")
@@ -71,7 +72,13 @@
 			}))
 		}
 	case "service":
-		handlers = append(handlers, standin.NewService(*id))
+		service := standin.NewService(*id)
+		if *runs != "" {
+			if err := service.RecordRuns(*runs); err != nil {
+				return err
+			}
+		}
+		handlers = append(handlers, service)
 	case "store":
 		handlers = append(handlers, standin.NewStore(standin.StoreConfig{LoadsPerSecond: *rate, FullSpeed: *fullSpeed, LoadTime: *load, AdapterLoads: *adapters, AdapterLoadTime: *adapterLoad}))
 	case "livelist":
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 
 	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
 )
 
 // Service is a stand-in plain service that counts each call it runs.
@@ -16,6 +20,8 @@
 	mux    *http.ServeMux
 	mu     sync.Mutex
 	runs   map[string]int
+	// record receives a line for each run, so that counts outlive a restart.
+	record *os.File
 }
 
 // ServiceAnswer is what the stand-in service answers.
@@ -36,6 +42,24 @@
 	return s
 }
 
+// RecordRuns counts the runs that the file holds and adds each new one to it.
+func (s *Service) RecordRuns(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fail.Wrap(err, fail.StorageFailed, "read runs")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for line := range strings.Lines(string(data)) {
+		s.runs[strings.TrimSuffix(line, "\n")]++
+	}
+	s.record, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "open runs")
+	}
+	return nil
+}
+
 // ServeHTTP answers a call.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != PathFaults {
@@ -70,6 +94,9 @@
 	s.mu.Lock()
 	key := r.Method + " " + r.URL.Path + " " + string(body)
 	s.runs[key]++
+	if s.record != nil {
+		_, _ = s.record.WriteString(key + "\n")
+	}
 	answer := ServiceAnswer{Service: s.id, Path: r.URL.Path, Body: string(body), Runs: s.runs[key]}
 	s.mu.Unlock()
 	if s.faults.take(func(f *Faults) *int { return &f.LoseAnswers }) {
--- /dev/null
+++ b/scripts/faults/callers.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"parsleyramp/internal/standin"
+	"parsleyramp/scripts/internal/testbed"
+)
+
+const (
+	streamCallers  = 8
+	payoutCallers  = 4
+	callerPause    = 40 * time.Millisecond
+	payoutTries    = 20
+	dialTries      = 5
+	payoutPause    = 250 * time.Millisecond
+	requestTimeout = 20 * time.Second
+	payoutPath     = "/ledger/payouts"
+	streamTokens   = 40
+)
+
+// callers send requests without pause and check every answer.
+type callers struct {
+	bed  *testbed.Bed
+	http *http.Client
+	quit atomic.Bool
+	done sync.WaitGroup
+
+	mu      sync.Mutex
+	result  result
+	payouts map[string]*payout
+}
+
+// payout is what a caller was told about one call that runs at most once.
+type payout struct {
+	answered bool
+	// maybeRan is set once an answer did not say that the call did not run.
+	maybeRan bool
+}
+
+func startCallers(bed *testbed.Bed) *callers {
+	c := &callers{bed: bed, http: &http.Client{Timeout: requestTimeout}, payouts: map[string]*payout{}}
+	for i := range streamCallers {
+		c.done.Go(func() { c.loop(uint64(i), c.stream) })
+	}
+	for i := range payoutCallers {
+		c.done.Go(func() { c.loop(uint64(100+i), c.payout) })
+	}
+	return c
+}
+
+func (c *callers) loop(seed uint64, send func(*rand.Rand, *directory)) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	d := &directory{http: c.http, bed: c.bed, rng: rng}
+	for !c.quit.Load() {
+		send(rng, d)
+		time.Sleep(callerPause)
+	}
+}
+
+// stop ends the callers and returns what they counted.
+func (c *callers) stop() *result {
+	c.quit.Store(true)
+	c.done.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.result
+	return &r
+}
+
+func (c *callers) violate(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.violations = append(c.result.violations, fmt.Sprintf(format, args...))
+}
+
+// directory keeps the system's answer to which entries to use.
+type directory struct {
+	http  *http.Client
+	bed   *testbed.Bed
+	rng   *rand.Rand
+	known []string
+	until time.Time
+}
+
+// choose returns an entry by the newest answer that may still be kept.
+func (d *directory) choose() string {
+	if time.Now().After(d.until) {
+		d.ask()
+	}
+	if len(d.known) == 0 {
+		return d.bed.Entries[d.rng.IntN(len(d.bed.Entries))].Address
+	}
+	return d.known[d.rng.IntN(len(d.known))]
+}
+
+func (d *directory) ask() {
+	for range d.bed.Entries {
+		at := d.bed.Entries[d.rng.IntN(len(d.bed.Entries))].Address
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		known, keep, err := d.entries(ctx, at)
+		cancel()
+		if err == nil && len(known) > 0 {
+			d.known, d.until = known, time.Now().Add(keep)
+			return
+		}
+	}
+}
+
+func (d *directory) entries(ctx context.Context, at string) ([]string, time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/v1/entries", nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Entries []struct{ Address string }
+		Keep    float64 `json:"keep_seconds"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return nil, 0, err
+	}
+	var out []string
+	for _, e := range answer.Entries {
+		out = append(out, e.Address)
+	}
+	return out, time.Duration(answer.Keep * float64(time.Second)), nil
+}
+
+// forget drops an entry that could not be reached.
+func (d *directory) forget(entry string) {
+	d.known = slices.DeleteFunc(d.known, func(e string) bool { return e == entry })
+	if len(d.known) == 0 {
+		d.until = time.Time{}
+	}
+}
+
+// reply is one answer as the caller saw it. Err is set where it broke.
+type reply struct {
+	status int
+	body   string
+	ran    string
+	err    error
+}
+
+// sendAny sends to an entry that the system named, and to another one where
+// no connection can be opened: nothing was sent then.
+func (c *callers) sendAny(d *directory, path, key, body string) reply {
+	var r reply
+	for range dialTries {
+		entry := d.choose()
+		r = c.send(entry, path, key, body)
+		var op *net.OpError
+		if !errors.As(r.err, &op) || op.Op != "dial" {
+			return r
+		}
+		d.forget(entry)
+	}
+	return r
+}
+
+func (c *callers) send(entry, path, key, body string) reply {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(data), ran: resp.Header.Get("Parsleyramp-Ran"), err: err}
+}
+
+func (c *callers) count(r reply, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.requests++
+	switch {
+	case whole:
+		c.result.whole++
+	case r.err == nil && r.ran == "no":
+		c.result.refused++
+	default:
+		c.result.failed++
+	}
+}
+
+// stream asks for a streamed answer and checks that it is whole and its own.
+func (c *callers) stream(rng *rand.Rand, d *directory) {
+	prompt := fmt.Sprintf("note %d", rng.Uint64())
+	models := []string{"/purity-note", "/purity-note:kandy", "/valuation"}
+	body, _ := json.Marshal(map[string]any{"model": team + models[rng.IntN(len(models))], "prompt": prompt, "stream": true, "max_tokens": streamTokens})
+	r := c.sendAny(d, "/v1/completions", "", string(body))
+	ended := r.err == nil && r.status == http.StatusOK
+	whole := ended && streamText(r.body) == wholeAnswer(prompt)
+	if ended && !whole {
+		c.violate("an answer was passed on as whole that is not the caller's own or not whole")
+	}
+	c.count(r, whole)
+}
+
+// wholeAnswer is what the stand-in engines answer to a prompt.
+func wholeAnswer(prompt string) string {
+	var text strings.Builder
+	for i := range streamTokens {
+		text.WriteString(standin.AnswerToken(prompt, i))
+	}
+	return text.String()
+}
+
+// streamText joins the texts of a stream that has its last event.
+func streamText(body string) string {
+	if !strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") {
+		return ""
+	}
+	var text strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		var event standin.Completion
+		if ok && json.Unmarshal([]byte(data), &event) == nil && len(event.Choices) > 0 {
+			text.WriteString(event.Choices[0].Text)
+		}
+	}
+	return text.String()
+}
+
+// payout sends a call that must run at most once and repeats it with the same
+// key, through whichever entry, until it has its answer.
+func (c *callers) payout(_ *rand.Rand, d *directory) {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	body := fmt.Sprintf(`{"payout":%q}`, key)
+	p := &payout{}
+	c.mu.Lock()
+	c.payouts[body] = p
+	c.mu.Unlock()
+	for range payoutTries {
+		r := c.sendAny(d, payoutPath, key.String(), body)
+		p.answered = r.err == nil && r.status == http.StatusOK
+		if !p.answered && (r.err != nil || r.ran != "no") {
+			p.maybeRan = true
+		}
+		c.count(r, p.answered)
+		if p.answered || c.quit.Load() {
+			return
+		}
+		time.Sleep(payoutPause)
+	}
+}
--- /dev/null
+++ b/scripts/faults/check.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"parsleyramp/internal/standin"
+)
+
+// fetch reads JSON from a stand-in.
+func fetch(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// checkEndpoints compares what callers were told with what the stand-ins counted.
+func (b *bench) checkEndpoints(ctx context.Context) []string {
+	runs := map[string]int{}
+	var out []string
+	for _, n := range b.bed.Services {
+		counts := map[string]int{}
+		if err := fetch(ctx, "http://"+n.Address+"/standin/runs", &counts); err != nil {
+			out = append(out, err.Error())
+		}
+		for k, v := range counts {
+			runs[k] += v
+		}
+	}
+	for body, p := range b.callers.payouts {
+		n := runs["POST "+payoutPath+" "+body]
+		switch {
+		case n > 1:
+			out = append(out, fmt.Sprintf("a payout ran %d times", n))
+		case n == 0 && p.answered:
+			out = append(out, "a payout was answered that never ran")
+		case n > 0 && !p.answered && !p.maybeRan:
+			out = append(out, "a payout ran of which it was said that it did not")
+		}
+	}
+	for _, n := range b.bed.Engines {
+		var c standin.EngineCounts
+		if err := fetch(ctx, "http://"+n.Address+"/standin/counts", &c); err != nil {
+			continue
+		}
+		if c.Overcommits > 0 {
+			out = append(out, fmt.Sprintf("%s: memory overcommitted %d times", n.ID, c.Overcommits))
+		}
+		if c.UnloadedBusy > 0 {
+			out = append(out, fmt.Sprintf("%s: %d residents unloaded while in use", n.ID, c.UnloadedBusy))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/scripts/faults/main.go
@@ -0,0 +1,139 @@
+// Command faults brings about failures against the real programs, one
+// scenario after another, while callers and an operator go on. It prints for
+// each what was violated and how long work stood still, and exits non-zero
+// where a guarantee did not hold.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"parsleyramp/scripts/internal/testbed"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	only := flag.String("only", "", "regular expression of the scenarios to run")
+	keep := flag.Bool("keep", false, "keep settings and logs")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	filter, err := regexp.Compile(*only)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	fmt.Println("| scenario | requests | whole and own | refused, ran no | failed otherwise | longest wait for a commit | violations |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	ok := true
+	for _, s := range scenarios {
+		if filter.MatchString(s.name) {
+			ok = runScenario(ctx, *bin, *keep, s) && ok
+		}
+	}
+	if !ok {
+		os.Exit(1)
+	}
+}
+
+// bench is one running system with its callers and its operator.
+type bench struct {
+	bed      *testbed.Bed
+	callers  *callers
+	operator *operator
+}
+
+// options are those of a small system with every kind of process.
+func options() testbed.Options {
+	return testbed.Options{
+		Size:           testbed.Size{Domains: 3, Controls: 3, Entries: 3, Engines: 6, Services: 2},
+		OneProcessEach: true,
+		Engine:         []string{"-load", "100ms"},
+		Store:          []string{"-load", "100ms", "-rate", "20"},
+		Entry:          map[string]any{"keep_addresses": "1s"},
+		Tokens:         map[string]string{team: token},
+	}
+}
+
+func runScenario(ctx context.Context, bin string, keep bool, s scenario) bool {
+	result, err := measure(ctx, bin, keep, s)
+	if err != nil {
+		fmt.Printf("| %s | | | | | | could not run: %v |\n", s.name, err)
+		return false
+	}
+	violations := "none"
+	if len(result.violations) > 0 {
+		violations = summarize(result.violations)
+	}
+	fmt.Printf("| %s | %d | %d | %d | %d | %s | %s |\n", s.name, result.requests, result.whole, result.refused, result.failed,
+		result.longestCommit.Round(10*time.Millisecond), violations)
+	return len(result.violations) == 0
+}
+
+// summarize counts equal violations.
+func summarize(violations []string) string {
+	counts := map[string]int{}
+	for _, v := range violations {
+		counts[strings.TrimSpace(v)]++
+	}
+	var out []string
+	for _, v := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%d × %s", counts[v], v))
+	}
+	return strings.Join(out, "; ")
+}
+
+// result is what one scenario showed.
+type result struct {
+	requests, whole, refused, failed int
+	longestCommit                    time.Duration
+	violations                       []string
+}
+
+// settle is how long callers go on before and after the failure.
+const settle = 2 * time.Second
+
+func measure(ctx context.Context, bin string, keep bool, s scenario) (*result, error) {
+	dir, err := os.MkdirTemp("", "parsleyramp-faults-")
+	if err != nil {
+		return nil, err
+	}
+	if keep {
+		fmt.Println("settings and logs are in", dir)
+	} else {
+		defer os.RemoveAll(dir)
+	}
+	bed, err := testbed.New(dir, bin, options())
+	if err != nil {
+		return nil, err
+	}
+	defer bed.KillAll()
+	if err := bed.Form(ctx); err != nil {
+		return nil, err
+	}
+	b := &bench{bed: bed, operator: newOperator(bed)}
+	if err := b.operator.start(ctx); err != nil {
+		return nil, err
+	}
+	b.callers = startCallers(bed)
+	time.Sleep(settle)
+	violations, err := s.run(ctx, b)
+	time.Sleep(settle)
+	r := b.callers.stop()
+	r.violations = append(r.violations, violations...)
+	r.longestCommit = b.operator.stop()
+	if err != nil {
+		return nil, err
+	}
+	r.violations = append(r.violations, b.operator.check(ctx)...)
+	r.violations = append(r.violations, b.checkEndpoints(ctx)...)
+	return r, nil
+}
--- /dev/null
+++ b/scripts/faults/operator.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyramp/scripts/internal/testbed"
+)
+
+const (
+	team         = "closing-desk"
+	token        = "faults-token"
+	sectionFile  = "examples/demo/closing-desk.jsonc"
+	applyPause   = 100 * time.Millisecond
+	applyTimeout = 60 * time.Second
+)
+
+// operator applies one change of the section after another. Each is repeated
+// with its order id until it has an answer.
+type operator struct {
+	bed      *testbed.Bed
+	mu       sync.Mutex
+	text     string
+	quit     atomic.Bool
+	done     sync.WaitGroup
+	accepted int
+	longest  time.Duration
+	failures []string
+}
+
+func newOperator(bed *testbed.Bed) *operator { return &operator{bed: bed} }
+
+// start applies the section, waits until it is met and goes on with changes.
+func (o *operator) start(ctx context.Context) error {
+	text, err := os.ReadFile(sectionFile)
+	if err != nil {
+		return err
+	}
+	o.setText(string(text))
+	if err := o.apply(ctx, 0); err != nil {
+		return err
+	}
+	if _, err := o.bed.Ctl(ctx, token, "status", "-watch", team); err != nil {
+		return err
+	}
+	o.done.Go(func() { o.loop(ctx) })
+	return nil
+}
+
+func (o *operator) setText(text string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.text = text
+}
+
+func (o *operator) getText() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text
+}
+
+// apply makes change n on top of revision n.
+func (o *operator) apply(ctx context.Context, n int) error {
+	file := o.bed.Path("section.jsonc")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf("// change %d\n%s", n, o.getText())), 0o644); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	start := time.Now()
+	_, err := o.bed.Ctl(ctx, token, "apply", "-base", fmt.Sprint(n), "-order", fmt.Sprintf("change-%d", n), file)
+	o.longest = max(o.longest, time.Since(start))
+	if err == nil {
+		o.accepted++
+	}
+	return err
+}
+
+func (o *operator) loop(ctx context.Context) {
+	for !o.quit.Load() {
+		if err := o.apply(ctx, o.accepted); err != nil {
+			o.failures = append(o.failures, fmt.Sprintf("change %d: %v", o.accepted, err))
+			return
+		}
+		time.Sleep(applyPause)
+	}
+}
+
+// stop ends the changes and returns the longest time that one took.
+func (o *operator) stop() time.Duration {
+	o.quit.Store(true)
+	o.done.Wait()
+	return o.longest
+}
+
+// check compares the section with the last change that was accepted.
+func (o *operator) check(ctx context.Context) []string {
+	text, err := o.bed.Ctl(ctx, token, "get", team)
+	if err != nil {
+		return append(o.failures, err.Error())
+	}
+	if want := fmt.Sprintf("// change %d\n", o.accepted-1); !strings.HasPrefix(text, want) {
+		return append(o.failures, fmt.Sprintf("an accepted change is lost: %d were accepted", o.accepted))
+	}
+	return o.failures
+}
--- a/scripts/internal/testbed/bed.go
+++ b/scripts/internal/testbed/bed.go
@@ -149,7 +149,7 @@
 }
 
 func (b *Bed) startService(n *Node) (err error) {
-	n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address)
+	n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address, "-runs", b.Path(n.ID+".runs"))
 	return err
 }
 
