Expose the control group, leases, queues and first-token times as metrics

Cause: nothing told from outside which replica leads, how many orders are open, how long a queue is or how requests of a class end. Change: control adds its part in the group and, on the leader, revision, open orders, overnight work and entries with a lease; entries add requests by class and outcome, first-token seconds, lease, and the load of owned endpoints. Only requests whose class is declared are counted by class, so that callers cannot add labels. Ruled out: gauges registered for the process, which two servers in one test process would share.

--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/state"
+)
+
+// measureTimeout bounds reading the state for one scrape.
+const measureTimeout = time.Second
+
+// measure adds the replica's part in the group and, on the leader, what the
+// state holds.
+func (s *Server) measure(ctx context.Context, set *metrics.Set) {
+	ctx, cancel := context.WithTimeout(ctx, measureTimeout)
+	defer cancel()
+	gauge := func(name string, v float64) { set.GetOrCreateGauge(name, nil).Set(v) }
+	status, err := s.node.Status(ctx)
+	if err != nil {
+		return
+	}
+	leading := 0.0
+	if status.Leading {
+		leading = 1
+	}
+	gauge("parsleyramp_raft_leading", leading)
+	gauge("parsleyramp_raft_term", float64(status.Term))
+	gauge("parsleyramp_raft_commit_index", float64(status.Commit))
+	gauge("parsleyramp_raft_members", float64(len(status.Membership.GetReplicas())))
+	_ = s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+		s.leases.enterTerm(l.Term, l.Now)
+		gauge("parsleyramp_view_revision", float64(m.ViewRevision()))
+		gauge("parsleyramp_open_orders", float64(len(m.Orders())))
+		gauge("parsleyramp_overnight_requests", float64(len(m.DeferredWork())))
+		gauge("parsleyramp_endpoints", float64(len(m.Endpoints())))
+		live := 0
+		for _, e := range m.Entries() {
+			if e.Live && !s.leases.expired(e.Id, s.cfg.EntryLease.D(), l.Now) {
+				live++
+			}
+		}
+		gauge("parsleyramp_entry_leases", float64(live))
+	})
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -115,7 +115,7 @@
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
 	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -69,7 +69,7 @@
 	mux.HandleFunc("GET /v1/overnight/{id}", s.serveOvernight)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	mux.HandleFunc("/", s.serveService)
 	return s.counted(mux)
 }
@@ -79,7 +79,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inProgress.Add(1)
 		defer s.inProgress.Add(-1)
-		next.ServeHTTP(w, r)
+		o := newObserver(w)
+		defer o.finish()
+		next.ServeHTTP(o, r)
+		o.returned = true
 	})
 }
 
@@ -235,6 +238,7 @@
 	if !ok {
 		return nil, nil, nil, fail.New(fail.BadRequest, "team "+m.team+" declares no class "+strconv.Quote(r.Header.Get(HeaderClass)))
 	}
+	noteClass(w, class.Name)
 	if by, overnight := class.FinishTime(time.Now()); overnight {
 		return nil, nil, &wire.DeferredRequest{Id: uuid.NewString(), Path: r.URL.Path, Model: fields.Model, Body: body, FinishByUnixMs: by.UnixMilli()}, nil
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -112,8 +112,14 @@
 }
 
 // MetricsHandler serves the metrics of the process in Prometheus' text format.
-func MetricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+// Each function adds what is read at the moment of the request.
+func MetricsHandler(current ...func(context.Context, *metrics.Set)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		set := metrics.NewSet()
+		for _, add := range current {
+			add(r.Context(), set)
+		}
+		set.WritePrometheus(w)
 		metrics.WritePrometheus(w, true)
 	})
 }
