--- /dev/null
+++ b/scripts/slopes/measure.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"parsleyramp/internal/load"
+	"parsleyramp/scripts/internal/testbed"
+)
+
+// size is what one measurement runs.
+type size struct {
+	entries, engines, models int
+}
+
+// base is the size that each series varies in one direction.
+var base = size{entries: 6, engines: 24, models: 60}
+
+// series varies one direction of the size.
+type series struct {
+	name  string
+	of    func(size) float64
+	sizes []size
+}
+
+var allSeries = []series{
+	{"entries", func(s size) float64 { return float64(s.entries) }, []size{{3, 24, 60}, base, {9, 24, 60}, {18, 24, 60}}},
+	{"engines", func(s size) float64 { return float64(s.engines) }, []size{{6, 12, 60}, base, {6, 48, 60}, {6, 96, 60}}},
+	{"models", func(s size) float64 { return float64(s.models) }, []size{{6, 24, 20}, base, {6, 24, 120}, {6, 24, 390}}},
+}
+
+// spent is what one process spent in a measurement.
+type spent struct {
+	seconds float64
+	// cpuPercent is the share of one processor core.
+	cpuPercent float64
+	rssMB      float64
+	// sent and received are KB a second to and from the system's own
+	// processes; endpoints is both ways to endpoints and the platform.
+	sent, received, endpoints float64
+}
+
+// roles are the processes that are measured; entry is the mean over all.
+type roles struct{ leader, follower, entry spent }
+
+// point is one size with what was spent.
+type point struct {
+	size      size
+	idle      roles
+	busy      roles
+	changing  roles
+	converged time.Duration
+}
+
+const (
+	kilobyte = 1000
+	megabyte = 1000 * 1000
+	// settle lets connections and garbage collection come to rest.
+	settle = 2 * time.Second
+	// loadTokens is the mean length of an answer under load.
+	loadTokens = 16
+	teamName   = "team"
+)
+
+// shapeOf returns one team with the models; the engines have room for all.
+func shapeOf(s size) load.Shape {
+	shape := load.Shape{Name: "slopes", Domains: 3, Entries: s.entries, Engines: s.engines, EngineAccelerators: 2, ModelLoads: 64, AdapterLoads: 64}
+	shape.Teams = []load.Team{{Name: teamName, Models: s.models}}
+	ranmuthu, _ := load.ShapeNamed("ranmuthu")
+	shape.Classes = ranmuthu.Classes
+	return shape
+}
+
+// withoutOvernight leaves the classes that are answered at once.
+func withoutOvernight(s load.Shape) load.Shape {
+	var out []load.ClassShare
+	for _, c := range s.Classes {
+		if c.FinishBy == "" {
+			out = append(out, c)
+		}
+	}
+	s.Classes = out
+	return s
+}
+
+// onlyOvernight leaves the overnight class alone.
+func onlyOvernight(s load.Shape) load.Shape {
+	for _, c := range s.Classes {
+		if c.FinishBy != "" {
+			c.Share = 1
+			s.Classes = []load.ClassShare{c}
+			return s
+		}
+	}
+	return s
+}
+
+func start(ctx context.Context, o *options, s size) (*testbed.Bed, time.Duration, error) {
+	dir, err := os.MkdirTemp("", "parsleyramp-slopes-")
+	if err != nil {
+		return nil, 0, err
+	}
+	shape := shapeOf(s)
+	bo := testbed.ShapeOptions(shape)
+	bo.Engine = []string{"-memory-mb", "400000", "-slots", "64", "-token", "5ms"}
+	bo.Store = []string{"-rate", "1000", "-full-speed", "64", "-load", "10ms", "-adapters", "64"}
+	bed, err := testbed.New(dir, o.bin, bo)
+	if err != nil {
+		return nil, 0, err
+	}
+	begin := time.Now()
+	for _, step := range []func() error{
+		func() error { return bed.Form(ctx) },
+		func() error { return bed.Apply(ctx, shape) },
+		func() error { return bed.WaitMet(ctx, shape) },
+	} {
+		if err := step(); err != nil {
+			bed.KillAll()
+			return nil, 0, fmt.Errorf("%w (settings and logs are in %s)", err, dir)
+		}
+	}
+	converged := time.Since(begin)
+	time.Sleep(settle)
+	return bed, converged, nil
+}
+
+func finish(bed *testbed.Bed) {
+	bed.KillAll()
+	_ = os.RemoveAll(bed.Dir)
+}
+
+func measureSize(ctx context.Context, o *options, s size) (*point, error) {
+	bed, converged, err := start(ctx, o, s)
+	if err != nil {
+		return nil, err
+	}
+	defer finish(bed)
+	p := &point{size: s, converged: converged}
+	if p.idle, err = during(bed, func() error { time.Sleep(o.idle); return nil }); err != nil {
+		return nil, err
+	}
+	p.busy, err = during(bed, func() error {
+		return send(ctx, bed, withoutOvernight(shapeOf(s)), o.rate, o.busy, loadTokens)
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.changing, err = during(bed, func() error { return change(ctx, o, bed, s) })
+	return p, err
+}
+
+// errFailedRequests tells that a load was not answered whole.
+var errFailedRequests = errors.New("requests of the load failed")
+
+// send runs a load from this process.
+func send(ctx context.Context, bed *testbed.Bed, shape load.Shape, rate float64, d time.Duration, tokens int) error {
+	scenario, err := load.ScenarioNamed("steady")
+	if err != nil {
+		return err
+	}
+	r, err := load.Run(ctx, load.Options{
+		Demand:  load.Demand{Shape: shape, Scenario: scenario, Rate: rate, Duration: d, Seed: 1, Callers: 16, MaxTokens: tokens},
+		Entries: testbed.Addresses(bed.Entries), RequestTimeout: 10 * time.Second,
+	})
+	if err == nil && r.Failed > r.Offered/20 {
+		err = fmt.Errorf("%w: %d of %d", errFailedRequests, r.Failed, r.Offered)
+	}
+	return err
+}
+
+// change applies a changed section again and again, at even times.
+func change(ctx context.Context, o *options, bed *testbed.Bed, s size) error {
+	shape := shapeOf(s)
+	tick := time.NewTicker(max(o.busy/time.Duration(max(1, o.changes)), 100*time.Millisecond))
+	defer tick.Stop()
+	for i := range o.changes {
+		for c := range shape.Classes {
+			if shape.Classes[c].FinishBy == "" {
+				shape.Classes[c].BetweenTokensMS += int64(i + 1)
+			}
+		}
+		if err := bed.Apply(ctx, shape); err != nil {
+			return err
+		}
+		<-tick.C
+	}
+	return nil
+}
+
+// during measures every process around what f does.
+func during(bed *testbed.Bed, f func() error) (roles, error) {
+	before, err := measureNodes(bed)
+	if err != nil {
+		return roles{}, err
+	}
+	if err := f(); err != nil {
+		return roles{}, err
+	}
+	after, err := measureNodes(bed)
+	if err != nil {
+		return roles{}, err
+	}
+	var out roles
+	var entries []spent
+	for _, n := range bed.Controls {
+		v := difference(before[n], after[n])
+		if after[n].Metrics["parsleyramp_raft_leading"] == 1 {
+			out.leader = v
+		} else {
+			out.follower = v
+		}
+	}
+	for _, n := range bed.Entries {
+		entries = append(entries, difference(before[n], after[n]))
+	}
+	out.entry = mean(entries)
+	return out, nil
+}
+
+func measureNodes(bed *testbed.Bed) (map[*testbed.Node]testbed.Usage, error) {
+	out := map[*testbed.Node]testbed.Usage{}
+	for _, n := range append(append([]*testbed.Node{}, bed.Controls...), bed.Entries...) {
+		u, err := testbed.Measure(n)
+		if err != nil {
+			return nil, err
+		}
+		out[n] = u
+	}
+	return out, nil
+}
+
+func difference(a, b testbed.Usage) spent {
+	seconds := b.At.Sub(a.At).Seconds()
+	rate := func(name, part string) float64 {
+		return (b.Sum(name, part) - a.Sum(name, part)) / seconds / kilobyte
+	}
+	const sent, received = "parsleyramp_sent_bytes_total", "parsleyramp_received_bytes_total"
+	return spent{
+		seconds: seconds, cpuPercent: 100 * (b.CPU - a.CPU).Seconds() / seconds, rssMB: b.RSSBytes / megabyte,
+		sent: rate(sent, `"system"`), received: rate(received, `"system"`),
+		endpoints: rate(sent, `"endpoint"`) + rate(received, `"endpoint"`),
+	}
+}
+
+func mean(list []spent) spent {
+	var out spent
+	for _, s := range list {
+		n := float64(len(list))
+		out.seconds += s.seconds / n
+		out.cpuPercent += s.cpuPercent / n
+		out.rssMB += s.rssMB / n
+		out.sent += s.sent / n
+		out.received += s.received / n
+		out.endpoints += s.endpoints / n
+	}
+	return out
+}
