Test the stand-ins: incarnations, order faults, freeze, gaps and lag

Cause: other parts are proved against the stand-ins, which nothing checked. Change: tests in virtual time for what a restart empties, lost, late and repeated orders, lost answers, fencing, crashes, freezes, truncated streams, cache events with gaps, the lagging load report and the lagging live list. Seen to fail with the mechanism removed: ending a request on the new incarnation fails TestEndOfARequestTouchesItsOwnIncarnationAlone; leaving out loading residents, or answering a repeated load as done, fails TestReadBackMarksLoadingResidents; a report without lag fails TestLoadReportLags.

--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,321 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/platform"
+)
+
+const (
+	loadTime      = 100 * time.Millisecond
+	tokenInterval = 10 * time.Millisecond
+	reportLag     = 500 * time.Millisecond
+	model         = "desk/note"
+)
+
+func newTestEngine(change func(*EngineConfig)) *Engine {
+	cfg := EngineConfig{
+		ID: "engine-1", MemoryBytes: 1000, Slots: 2, TokenInterval: tokenInterval, CacheTokens: 64,
+		LoadTime: loadTime, AdapterLoadTime: time.Millisecond, ReportLag: reportLag,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	return NewEngine(cfg)
+}
+
+// call serves one request. It reports false where the connection was cut.
+func call(h http.Handler, method, path string, in any) (w *httptest.ResponseRecorder, whole bool) {
+	body, _ := json.Marshal(in)
+	w = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+			whole = false
+		}
+	}()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(body)))
+	return w, true
+}
+
+func stateOf(t *testing.T, e *Engine) endpoint.EngineState {
+	t.Helper()
+	var s endpoint.EngineState
+	w, _ := call(e, http.MethodGet, endpoint.PathState, nil)
+	if err := json.Unmarshal(w.Body.Bytes(), &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// order sends an order for the current incarnation.
+func order(t *testing.T, e *Engine, kind endpoint.OrderKind, sequence uint64, bytes uint64) (endpoint.OrderResult, bool) {
+	t.Helper()
+	var r endpoint.OrderResult
+	w, whole := call(e, http.MethodPost, endpoint.PathOrders, endpoint.Order{
+		FenceTerm: 1, FenceSequence: sequence, Kind: kind, Model: model, Version: "1", MemoryBytes: bytes, Incarnation: stateOf(t, e).Incarnation,
+	})
+	if whole {
+		if err := json.Unmarshal(w.Body.Bytes(), &r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r, whole
+}
+
+func complete(e *Engine, prompt string, tokens int) (string, bool) {
+	w, whole := call(e, http.MethodPost, "/v1/completions", map[string]any{
+		"model": endpoint.ServedName(model, "1", ""), "prompt": prompt, "max_tokens": tokens, "stream": true,
+	})
+	return w.Body.String(), whole && strings.HasSuffix(w.Body.String(), "data: [DONE]\n\n")
+}
+
+func TestEndOfARequestTouchesItsOwnIncarnationAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 100)
+		oldEnded := make(chan bool, 1)
+		go func() {
+			_, whole := complete(e, "old", 100)
+			oldEnded <- whole
+		}()
+		synctest.Wait()
+		// The crash breaks the old request off, but its handler may end late:
+		// hold it back until a new request runs on the new incarnation.
+		old := e.life
+		late := &running{id: "late", life: old, resident: old.residents[endpoint.ServedName(model, "1", "")]}
+		e.Crash()
+		if <-oldEnded {
+			t.Fatal("a request outlived the crash of its engine")
+		}
+		order(t, e, endpoint.OrderLoad, 2, 100)
+		go complete(e, "new", 100)
+		synctest.Wait()
+		e.end(late)
+		if got := stateOf(t, e).Residents[0].Running; got != 1 {
+			t.Fatalf("%d requests run on the new incarnation, want 1", got)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestReadBackMarksLoadingResidents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		go order(t, e, endpoint.OrderLoad, 1, 100)
+		synctest.Wait()
+		s := stateOf(t, e)
+		if len(s.Residents) != 1 || !s.Residents[0].Loading || s.UsedBytes != 100 {
+			t.Fatalf("while loading: %+v", s)
+		}
+		if r, _ := order(t, e, endpoint.OrderLoad, 1, 100); r.Done {
+			t.Fatal("a repeated load is done before the weights are there")
+		}
+		if _, whole := complete(e, "early", 1); whole {
+			t.Fatal("a loading resident answered")
+		}
+		time.Sleep(2 * loadTime)
+		if s := stateOf(t, e); s.Residents[0].Loading {
+			t.Fatalf("after loading: %+v", s)
+		}
+		if r, _ := order(t, e, endpoint.OrderLoad, 1, 100); !r.Done {
+			t.Fatal("a repeated load of what is resident is not done")
+		}
+	})
+}
+
+func TestOrderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		faults       Faults
+		whole        bool
+		loads        int
+		atLeast      time.Duration
+		thenResident bool
+	}{
+		{"none", Faults{}, true, 1, loadTime, true},
+		{"lost", Faults{LoseOrders: 1}, false, 0, 0, false},
+		{"answer lost", Faults{LoseAnswers: 1}, false, 1, loadTime, true},
+		{"repeated", Faults{RepeatOrders: 1}, true, 1, loadTime, true},
+		{"late", Faults{DelayOrders: 1, OrderDelayMS: 3000}, true, 1, 3*time.Second + loadTime, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEngine(nil)
+				e.SetFaults(c.faults)
+				start := time.Now()
+				_, whole := order(t, e, endpoint.OrderLoad, 1, 100)
+				if whole != c.whole || e.Counts().Loads != c.loads || time.Since(start) < c.atLeast {
+					t.Fatalf("answered %t, %d loads, after %s", whole, e.Counts().Loads, time.Since(start))
+				}
+				if resident := len(stateOf(t, e).Residents) == 1; resident != c.thenResident {
+					t.Fatalf("resident %t", resident)
+				}
+				if _, whole := order(t, e, endpoint.OrderLoad, 1, 100); !whole {
+					t.Fatal("the fault was shown more often than told")
+				}
+			})
+		})
+	}
+}
+
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks=%t", checks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEngine(func(c *EngineConfig) { c.ChecksFencing = checks })
+				order(t, e, endpoint.OrderLoad, 5, 100)
+				r, _ := order(t, e, endpoint.OrderUnload, 4, 0)
+				if r.Done == checks || (checks && r.Reason != "stale_fence") {
+					t.Fatalf("older order: %+v", r)
+				}
+				w, _ := call(e, http.MethodPost, endpoint.PathOrders, endpoint.Order{FenceTerm: 9, Kind: endpoint.OrderLoad, Model: model, Version: "1", Incarnation: "another"})
+				if !strings.Contains(w.Body.String(), `"reason":"incarnation"`) {
+					t.Fatalf("order for another incarnation: %s", w.Body)
+				}
+			})
+		})
+	}
+}
+
+func TestCrashMarkBreaksOffEveryRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 100)
+		before := stateOf(t, e).Incarnation
+		e.SetFaults(Faults{CrashMark: "poison"})
+		ended := make(chan bool, 1)
+		go func() {
+			_, whole := complete(e, "innocent", 100)
+			ended <- whole
+		}()
+		synctest.Wait()
+		if _, whole := complete(e, "a poison text", 1); whole || <-ended {
+			t.Fatal("a request outlived the crash")
+		}
+		s := stateOf(t, e)
+		if s.Incarnation == before || len(s.Residents) != 0 || e.Counts().Crashes != 1 {
+			t.Fatalf("after the crash: %+v, %+v", s, e.Counts())
+		}
+	})
+}
+
+func TestFrozenEngineAnswersOnceItThaws(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		call(e, http.MethodPost, PathFaults, Faults{Frozen: true})
+		answered := make(chan time.Time, 1)
+		start := time.Now()
+		go func() {
+			stateOf(t, e)
+			answered <- time.Now()
+		}()
+		time.Sleep(time.Second)
+		call(e, http.MethodPost, PathFaults, Faults{})
+		if d := (<-answered).Sub(start); d < time.Second {
+			t.Fatalf("answered after %s", d)
+		}
+	})
+}
+
+func TestTruncatedStreamHasNoLastEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 100)
+		e.SetFaults(Faults{TruncateAnswers: 1})
+		if text, whole := complete(e, "a", 8); whole || !strings.Contains(text, AnswerToken("a", 3)) {
+			t.Fatalf("whole %t: %s", whole, text)
+		}
+		if _, whole := complete(e, "a", 8); !whole {
+			t.Fatal("the fault was shown more often than told")
+		}
+	})
+}
+
+func TestCacheEventsHaveGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 100)
+		complete(e, "first prompt", 1)
+		e.SetFaults(Faults{DropEvents: 1})
+		complete(e, "second prompt", 1)
+		complete(e, "third prompt", 1)
+		var events []endpoint.CacheEvent
+		w, _ := call(e, http.MethodGet, endpoint.PathEvents+"?after=0", nil)
+		if err := json.Unmarshal(w.Body.Bytes(), &events); err != nil {
+			t.Fatal(err)
+		}
+		if len(events) != 2 || events[0].Sequence != 1 || events[1].Sequence != 3 {
+			t.Fatalf("events: %+v", events)
+		}
+		if want := PrefixDigest(endpoint.ServedName(model, "1", ""), "third prompt"); events[1].Prefix != want {
+			t.Fatalf("prefix %x, want %x", events[1].Prefix, want)
+		}
+	})
+}
+
+func TestLoadReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 100)
+		report := func() (r endpoint.LoadReport) {
+			w, _ := call(e, http.MethodGet, endpoint.PathLoad, nil)
+			_ = json.Unmarshal(w.Body.Bytes(), &r)
+			return r
+		}
+		report()
+		go complete(e, "a", 1000)
+		synctest.Wait()
+		if r := report(); r.Running != 0 {
+			t.Fatalf("the report is not old: %+v", r)
+		}
+		time.Sleep(2 * reportLag)
+		if r := report(); r.Running != 1 {
+			t.Fatalf("the report never follows: %+v", r)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestCountsOfHarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(nil)
+		order(t, e, endpoint.OrderLoad, 1, 2000)
+		go complete(e, "a", 10)
+		synctest.Wait()
+		order(t, e, endpoint.OrderUnload, 2, 0)
+		if c := e.Counts(); c.Overcommits != 1 || c.UnloadedBusy != 1 {
+			t.Fatalf("counts: %+v", c)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestLiveListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLiveList([]platform.VM{{ID: "engine-1", State: platform.Live}}, time.Second)
+		call(l, http.MethodPost, platform.PathVMs+"?leaving=engine-1", nil)
+		read := func() string {
+			w, _ := call(l, http.MethodGet, platform.PathVMs, nil)
+			return w.Body.String()
+		}
+		if !strings.Contains(read(), `"live"`) {
+			t.Fatalf("the list does not lag: %s", read())
+		}
+		time.Sleep(2 * time.Second)
+		if !strings.Contains(read(), `"leaving"`) {
+			t.Fatalf("the list never follows: %s", read())
+		}
+	})
+}
