Test the load tool: plan, checks of answers, latency, retries, report

Cause: a load tool that takes a cut or foreign answer for whole, or counts from when it got round to sending, proves nothing. Seen to fail with the mechanism removed: latency from the sending fails TestLatencyCountsFromTheScheduledTime; leaving out the check of the number of tokens, of the last event or of each token's text fails TestAnswersAreCheckedTokenByToken.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,204 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "50")
+	os.Exit(m.Run())
+}
+
+func TestPlanIsDrawnAheadAndAlikeForAlikeDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := Demand{
+			Shape:    rapid.SampledFrom(Shapes()).Draw(t, "shape"),
+			Scenario: rapid.SampledFrom(Scenarios()).Draw(t, "scenario"),
+			Rate:     float64(rapid.IntRange(5, 200).Draw(t, "rate")),
+			Duration: time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second,
+			Seed:     rapid.Uint64().Draw(t, "seed"), Callers: 4, MaxTokens: 8,
+		}
+		plan := Plan(d)
+		if !reflect.DeepEqual(plan, Plan(d)) {
+			t.Fatal("two plans of one demand differ")
+		}
+		prompts := map[string]bool{}
+		for i, a := range plan {
+			if a.At < 0 || a.At >= d.Duration || a.MaxTokens < 1 || (i > 0 && a.At < plan[i-1].At) {
+				t.Fatalf("arrival %d: %+v", i, a)
+			}
+			prompts[a.Prompt] = true
+		}
+		if len(prompts) != len(plan) {
+			t.Fatal("two requests have the same prompt, so their answers cannot be told apart")
+		}
+	})
+}
+
+func TestMarketDayBringsABurstToFewModels(t *testing.T) {
+	shape, _ := ShapeNamed("ranmuthu")
+	scenario, _ := ScenarioNamed("market-day")
+	plan := Plan(Demand{Shape: shape, Scenario: scenario, Rate: 200, Duration: 30 * time.Second, Seed: 1, Callers: 4, MaxTokens: 8})
+	names := shape.names()
+	var focused []string
+	for _, n := range names[len(names)-focusedModels:] {
+		focused = append(focused, n.name)
+	}
+	var thirds, inFocus [3]int
+	for _, a := range plan {
+		third := int(a.At / (10 * time.Second))
+		thirds[third]++
+		if slices.Contains(focused, a.Model) {
+			inFocus[third]++
+		}
+	}
+	if thirds[1] < 2*thirds[0] || thirds[1] < 2*thirds[2] || inFocus[1] < 10*inFocus[0] {
+		t.Fatalf("requests by thirds %v, of these for the focused models %v", thirds, inFocus)
+	}
+}
+
+// event returns one event of a stream.
+func event(text string) string {
+	data, _ := json.Marshal(standin.Completion{Choices: []standin.Choice{{Text: text}}})
+	return "data: " + string(data) + "\n\n"
+}
+
+func TestAnswersAreCheckedTokenByToken(t *testing.T) {
+	a := Arrival{Prompt: "mine", MaxTokens: 3}
+	own := func(prompt string, tokens ...int) string {
+		var s string
+		for _, i := range tokens {
+			s += event(standin.AnswerToken(prompt, i))
+		}
+		return s
+	}
+	const done = "data: [DONE]\n\n"
+	for _, c := range []struct {
+		name, stream string
+		whole        bool
+		code         fail.Code
+	}{
+		{"whole", own("mine", 0, 1, 2) + done, true, ""},
+		{"cut off", own("mine", 0, 1), false, codeTruncated},
+		{"cut off before the last event", own("mine", 0, 1, 2), false, codeTruncated},
+		{"passed as whole though a token is missing", own("mine", 0, 1) + done, false, codeForeign},
+		{"a token left out", own("mine", 0, 2, 3) + done, false, codeForeign},
+		{"a token twice", own("mine", 0, 1, 1, 2) + done, false, codeForeign},
+		{"another caller's answer", own("theirs", 0, 1, 2) + done, false, codeForeign},
+		{"another caller's answer from the middle on", own("mine", 0) + own("theirs", 1, 2) + done, false, codeForeign},
+		{"no JSON", "data: {\n\n" + done, false, codeForeign},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out answer
+			readStream(strings.NewReader(c.stream), a, &out)
+			if out.whole != c.whole || out.code != c.code {
+				t.Fatalf("whole %t, code %q", out.whole, out.code)
+			}
+		})
+	}
+}
+
+func TestLatencyCountsFromTheScheduledTime(t *testing.T) {
+	shape, _ := ShapeNamed("ranmuthu")
+	scenario, _ := ScenarioNamed("steady")
+	start := time.Now()
+	r := newResults(Options{Demand: Demand{Shape: shape, Scenario: scenario, Duration: 10 * time.Second}}, start)
+	class := shape.Classes[0]
+	// The request was to be sent after 1 s, was sent after 5 s because the
+	// generator was late, and answered within 100 ms of that.
+	r.add(outcome{
+		arrival: Arrival{At: time.Second, Class: class}, started: 5 * time.Second,
+		answer: answer{whole: true, first: start.Add(5100 * time.Millisecond)},
+	})
+	got := r.report()
+	if got.FirstTokenMS.P50 < 4000 || got.Attained != 0 || got.GeneratorLateMS < 3999 {
+		t.Fatalf("first token %v ms, attained %d, generator late %v ms", got.FirstTokenMS.P50, got.Attained, got.GeneratorLateMS)
+	}
+}
+
+func TestCallerAsksAgainAsTheRefusalSays(t *testing.T) {
+	var asked, entryLists int
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/entries", func(w http.ResponseWriter, r *http.Request) {
+		entryLists++
+		fmt.Fprintf(w, `{"entries":[{"address":%q}],"keep_seconds":60}`, r.Host)
+	})
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		var body struct{ Prompt string }
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		if asked++; asked == 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+			fmt.Fprint(w, `{"error":{"code":"overloaded","ran":"no","retry_after_ms":1}}`)
+			return
+		}
+		fmt.Fprint(w, event(standin.AnswerToken(body.Prompt, 0))+"data: [DONE]\n\n")
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	shape, _ := ShapeNamed("ranmuthu")
+	arrival := Arrival{Class: shape.Classes[0], Model: "colombo/model-1", Prompt: "mine", MaxTokens: 1}
+	for _, retries := range []int{0, 1} {
+		asked = 0
+		o := Options{Demand: Demand{Shape: shape}, Entries: []string{strings.TrimPrefix(server.URL, "http://")}, Retries: retries, RequestTimeout: time.Minute}
+		client := newClient()
+		r := &runner{options: o, client: client, results: newResults(o, time.Now()), start: time.Now(), directories: []*directory{newDirectory(client, o.Entries, 1)}}
+		out := r.request(context.Background(), arrival)
+		if out.answer.whole != (retries == 1) || out.retries != retries || len(out.refusals) != 1 || out.refusals[0].ran != fail.RanNo {
+			t.Fatalf("with %d retries: %+v", retries, out)
+		}
+	}
+	if entryLists != 2 {
+		t.Fatalf("two callers asked %d times which entries to use", entryLists)
+	}
+}
+
+func TestReportIsOnePageAndReadsBack(t *testing.T) {
+	shape, _ := ShapeNamed("kalnins")
+	scenario, _ := ScenarioNamed("festival")
+	o := Options{Demand: Demand{Shape: shape, Scenario: scenario, Rate: 1, Duration: 3 * time.Second}, Marks: []Mark{{AtSeconds: 1, Text: "<crash>"}}}
+	r := newResults(o, time.Now())
+	r.add(outcome{arrival: Arrival{Class: shape.Classes[0]}, refusals: []answer{{code: fail.Overloaded, ran: fail.RanNo}}, answer: answer{code: fail.Overloaded, ran: fail.RanNo}})
+	report := r.report()
+	page, data := filepath.Join(t.TempDir(), "r.html"), filepath.Join(t.TempDir(), "r.json")
+	if err := report.WriteHTML(page); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, outside := range []string{"http://", "https://", "src=", "<link", "<crash>"} {
+		if strings.Contains(string(text), outside) {
+			t.Errorf("the page contains %s", outside)
+		}
+	}
+	if strings.Count(string(text), "<svg") != 3 {
+		t.Error("the page has not three plots")
+	}
+	if err := report.WriteJSON(data); err != nil {
+		t.Fatal(err)
+	}
+	back, err := ReadReport(data)
+	if err != nil || !reflect.DeepEqual(back, report) {
+		t.Fatalf("read back %+v, want %+v: %v", back, report, err)
+	}
+}
