Keep team tokens out of everything that is printed

Cause: a settings value that is logged or encoded would have shown the tokens. Change: tokens are of type settings.Secret, which prints and encodes as "(secret)"; only Reveal gives the text.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -44,7 +44,7 @@
 // authorize lets a team change its own section alone.
 func (s *Server) authorize(team, token string) error {
 	want, ok := s.cfg.TeamTokens[team]
-	if !ok || subtle.ConstantTimeCompare([]byte(want), []byte(token)) != 1 {
+	if !ok || subtle.ConstantTimeCompare([]byte(want.Reveal()), []byte(token)) != 1 {
 		return fail.New(fail.Unauthorized, "the token does not let you change the section of team "+team)
 	}
 	return nil
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -34,8 +34,8 @@
 	// SuspectRetention is how long a suspicion or a quarantine lasts.
 	SuspectRetention settings.Duration `json:"suspect_retention"`
 	// TeamTokens gives each team the token that lets it change its own section.
-	TeamTokens map[string]string  `json:"team_tokens"`
-	Telemetry  telemetry.Settings `json:"telemetry"`
+	TeamTokens map[string]settings.Secret `json:"team_tokens"`
+	Telemetry  telemetry.Settings         `json:"telemetry"`
 }
 
 // DefaultSettings returns the values of fields that a file leaves out.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,24 @@
 // D returns the value as a time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// redacted stands for a secret wherever one would be printed.
+const redacted = "(secret)"
+
+// Secret is a text that must not be printed or logged.
+type Secret string
+
+// String returns a stand-in for the secret.
+func (Secret) String() string { return redacted }
+
+// GoString returns a stand-in for the secret.
+func (Secret) GoString() string { return redacted }
+
+// MarshalJSON writes a stand-in for the secret.
+func (Secret) MarshalJSON() ([]byte, error) { return json.Marshal(redacted) }
+
+// Reveal returns the secret itself.
+func (s Secret) Reveal() string { return string(s) }
+
 // Problem is one field that is not as it must be.
 type Problem struct {
 	Field   string
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -54,7 +54,7 @@
 	var s endpoint.EngineState
 	w, _ := call(e, http.MethodGet, endpoint.PathState, nil)
 	if err := json.Unmarshal(w.Body.Bytes(), &s); err != nil {
-		t.Fatal(err)
+		t.Error(err)
 	}
 	return s
 }
@@ -68,7 +68,7 @@
 	})
 	if whole {
 		if err := json.Unmarshal(w.Body.Bytes(), &r); err != nil {
-			t.Fatal(err)
+			t.Error(err)
 		}
 	}
 	return r, whole
