--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,7 +110,7 @@
 
 // Parse is Load for a text that was read already; name stands for the file.
 func Parse(name string, text []byte, value Checked) error {
-	plain, err := hujson.Standardize(text)
+	plain, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
 		return fail.Wrap(err, fail.BadSettings, name)
 	}
