--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	PATH=$(CURDIR)/bin/tools:$$PATH buf generate
 
 lint:
-	@test -z "$$(gofmt -l cmd internal scripts)" || { gofmt -l cmd internal scripts; exit 1; }
+	@test -z "$$(gofmt -l cmd docs internal scripts)" || { gofmt -l cmd docs internal scripts; exit 1; }
 	go vet ./...
 	go tool -modfile=tools/go.mod staticcheck ./...
 
