Keep one lease per entry and hand out views as deltas

Cause: by its id alone, an entry could hold two leases: a hung incarnation and its successor. A heartbeat could be granted while the entry was being marked dead, so that a status said in force though the entry still served. A late heartbeat took back draining. Requests were built once for all attempts, with old reports. Two clocks that are each off by 10 % differ by 22 %, not by 10 %. The whole view went out with every change.

Now: a registration is compare-and-set on the index of the record's last change; a new incarnation waits until the lease of the earlier one is over or was released; an entry about to be marked is granted nothing until the mark is committed, in the term that decided it; the leader waits lease*1.1/0.9; deltas replace the view where the leader still has them.

Ruled out: compare-and-set on incarnation, or on incarnation and liveness (an entry that dies and comes back passes both; the property test found it).

Comparing the incarnation in the lease table changed nothing and was taken out.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
@@ -14,42 +15,63 @@
 // entryService answers entries. Every method works on the leader alone.
 type entryService struct{ s *Server }
 
-// Heartbeat renews the entry's lease and hands it a newer view where there is
-// one. The lease is granted only while the leader lease holds.
+// maxRegistrations bounds how often one heartbeat registers its entry.
+const maxRegistrations = 3
+
+// Heartbeat renews the entry's lease and hands it what its view lacks. The
+// lease is granted only while the leader lease holds.
 func (e *entryService) Heartbeat(ctx context.Context, req *connect.Request[wire.HeartbeatRequest]) (*connect.Response[wire.HeartbeatResponse], error) {
-	s, m := e.s, req.Msg
-	if err := s.register(ctx, m.Entry); err != nil {
-		return nil, s.rpcError(ctx, err)
-	}
-	resp := &wire.HeartbeatResponse{LeaseMs: s.cfg.EntryLease.D().Milliseconds()}
-	err := s.node.Read(ctx, func(l replica.Leadership, machine *state.Machine) {
-		s.leases.enterTerm(l.Term, l.Now)
-		s.leases.heartbeat(m, l.Now)
-		resp.Term = l.Term
-		if m.ViewRevision != machine.ViewRevision() {
-			resp.View = machine.View()
-		}
-		resp.Deferred = deferredFor(machine, m)
-	})
+	resp, err := e.s.heartbeat(ctx, req.Msg)
 	if err != nil {
-		return nil, s.rpcError(ctx, err)
+		return nil, e.s.rpcError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
 
-// register records the entry where what it says of itself is new.
-func (s *Server) register(ctx context.Context, entry *wire.EntryVM) error {
-	entry = proto.Clone(entry).(*wire.EntryVM)
-	entry.Live = true
-	known := false
-	err := s.node.Read(ctx, func(_ replica.Leadership, machine *state.Machine) {
-		known = machine.HasEntry(entry)
-	})
-	if err != nil || known {
-		return err
+func (s *Server) heartbeat(ctx context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	if r.Entry.GetId() == "" || r.Entry.GetIncarnation() == "" {
+		return nil, fail.New(fail.BadRequest, "a heartbeat names its entry and incarnation")
+	}
+	if r.Released {
+		return s.release(ctx, r.Entry)
+	}
+	for range maxRegistrations {
+		var resp *wire.HeartbeatResponse
+		var register *wire.SetEntry
+		var term uint64
+		var refusal error
+		err := s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+			term = l.Term
+			s.leases.enterTerm(l.Term, l.Now)
+			if resp, register, refusal = s.leases.renew(m, r, s.cfg.EntryLease.D(), l.Now); resp != nil {
+				resp.Deferred = deferredFor(m, r)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if refusal != nil || resp != nil {
+			return resp, refusal
+		}
+		if _, err := s.node.ProposeInTerm(ctx, term, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: register}}); err != nil {
+			return nil, err
+		}
+	}
+	return nil, fail.New(fail.Unavailable, "the entry's registration changes too fast").WithRetryAfter(time.Second)
+}
+
+// release marks an entry as not live that has ended its lease by itself.
+func (s *Server) release(ctx context.Context, entry *wire.EntryVM) (*wire.HeartbeatResponse, error) {
+	var gone *wire.EntryVM
+	err := s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { gone = m.Entry(entry.Id) })
+	if err != nil || gone.GetIncarnation() != entry.Incarnation {
+		return &wire.HeartbeatResponse{}, err
 	}
-	_, err = s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: entry}}})
-	return err
+	gone.Live = false
+	_, err = s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{
+		Entry: gone, ExpectedRegistration: gone.Registration,
+	}}})
+	return &wire.HeartbeatResponse{}, err
 }
 
 // deferredFor returns the overnight work that the entry is to run and does
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -25,8 +25,9 @@
 	view     *wire.View
 	orders   []*wire.Order
 	deferred []*wire.DeferredRequest
-	// dead lists live-marked entries whose lease is over for certain.
-	dead []*wire.EntryVM
+	// dead lists the entries whose lease is over for certain, as they are to
+	// be recorded.
+	dead []*wire.SetEntry
 	idle map[string]bool
 }
 
@@ -71,11 +72,8 @@
 		s.leases.enterTerm(l.Term, l.Now)
 		p.term, p.view, p.orders, p.deferred = l.Term, m.View(), m.Orders(), m.DeferredWork()
 		lease := s.cfg.EntryLease.D()
-		for _, e := range p.view.Entries {
-			if e.Live && s.leases.expired(e.Id, lease, l.Now) {
-				p.dead = append(p.dead, e)
-			}
-		}
+		p.dead = s.leases.condemn(p.view.Entries, lease, l.Now)
+		s.leases.prune(l.Now)
 		for _, r := range p.view.Residents {
 			if r.State != wire.ResidentState_RESIDENT_STATE_DRAINING {
 				continue
@@ -104,12 +102,17 @@
 	return r.Applied
 }
 
+// markDead records entries as lost. The mark is valid only in the term that
+// condemned them.
 func (s *Server) markDead(ctx context.Context, p *picture) {
-	for _, e := range p.dead {
-		gone := proto.Clone(e).(*wire.EntryVM)
-		gone.Live = false
-		if s.try(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: gone}}}, "mark entry dead") {
-			s.log.WithField("entry", e.Id).Warn("entry lost: its lease is over")
+	for _, gone := range p.dead {
+		log := s.log.WithField("entry", gone.Entry.Id)
+		r, err := s.node.ProposeInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: gone}})
+		switch {
+		case err != nil:
+			log.WithError(err).Warn("entry not marked as lost")
+		case r.Applied:
+			log.Warn("entry lost: its lease is over")
 		}
 	}
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -3,15 +3,22 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
 )
 
-// clockDrift is the largest share by which two VMs' clock rates may differ.
+// clockDrift is the largest share by which the rate of a VM's clock may differ
+// from true time.
 const clockDrift = 0.1
 
+// reportRetention is how long the last report of a silent entry counts.
+const reportRetention = 5 * time.Minute
+
 // entryLease is what the leader remembers of one entry's last heartbeat.
 type entryLease struct {
-	incarnation  string
 	heardAt      time.Duration
 	viewRevision uint64
 	reports      map[string]*wire.EndpointReport
@@ -19,10 +26,20 @@
 
 // leaseTable is the leader's memory of heartbeats. It starts empty in every
 // term. Only the control goroutine touches it.
+//
+// Two invariants make its answers true. At most one incarnation of an entry
+// holds a lease: another one is registered only once the lease of the first
+// is over. An entry that the state marks as not live holds no lease: it is
+// condemned before the mark is proposed, and a condemned incarnation is
+// granted nothing until the mark is committed.
 type leaseTable struct {
 	term    uint64
 	since   time.Duration
 	entries map[string]*entryLease
+	// condemned gives the incarnation of an entry that is being marked dead or
+	// replaced.
+	condemned map[string]string
+	views     viewHistory
 }
 
 // enterTerm empties the table where the term is a new one.
@@ -30,12 +47,56 @@
 	if t.term == term && t.entries != nil {
 		return
 	}
-	*t = leaseTable{term: term, since: now, entries: map[string]*entryLease{}}
+	*t = leaseTable{term: term, since: now, entries: map[string]*entryLease{}, condemned: map[string]string{}}
+}
+
+var (
+	errCondemned   = fail.New(fail.Unavailable, "the entry is being marked dead; send the heartbeat again").WithRetryAfter(time.Second)
+	errIncarnation = fail.New(fail.Unavailable, "an earlier incarnation of the entry may still hold its lease").WithRetryAfter(time.Second)
+)
+
+// renew answers a heartbeat by the state that the leader has applied. It
+// grants the lease, or returns the registration that is to be committed first.
+func (t *leaseTable) renew(m *state.Machine, r *wire.HeartbeatRequest, lease, now time.Duration) (*wire.HeartbeatResponse, *wire.SetEntry, error) {
+	id := r.Entry.GetId()
+	current := m.Entry(id)
+	t.acquit(id, current)
+	_, condemned := t.condemned[id]
+	same := current.GetIncarnation() == r.Entry.GetIncarnation()
+	switch {
+	case same && condemned:
+		return nil, nil, errCondemned
+	case current.GetLive() && !same && !t.expired(id, lease, now):
+		return nil, nil, errIncarnation
+	case !m.Registered(r.Entry):
+		if current.GetLive() && !same {
+			t.condemned[id] = current.Incarnation
+		}
+		return nil, registration(r.Entry, current), nil
+	}
+	t.heartbeat(r, now)
+	resp := &wire.HeartbeatResponse{LeaseMs: lease.Milliseconds(), Term: t.term}
+	t.views.update(m)
+	t.views.fill(r.ViewRevision, resp)
+	return resp, nil, nil
+}
+
+func registration(entry, current *wire.EntryVM) *wire.SetEntry {
+	next := proto.Clone(entry).(*wire.EntryVM)
+	next.Live = true
+	return &wire.SetEntry{Entry: next, ExpectedRegistration: current.GetRegistration()}
+}
+
+// acquit ends the condemnation of an entry once the state says that its
+// incarnation is dead or replaced.
+func (t *leaseTable) acquit(id string, current *wire.EntryVM) {
+	if incarnation, ok := t.condemned[id]; ok && (!current.GetLive() || current.GetIncarnation() != incarnation) {
+		delete(t.condemned, id)
+	}
 }
 
 func (t *leaseTable) heartbeat(r *wire.HeartbeatRequest, now time.Duration) {
 	l := &entryLease{
-		incarnation:  r.Entry.GetIncarnation(),
 		heardAt:      now,
 		viewRevision: r.ViewRevision,
 		reports:      map[string]*wire.EndpointReport{},
@@ -46,6 +107,12 @@
 	t.entries[r.Entry.GetId()] = l
 }
 
+// overAfter is how long a lease can last by the leader's clock, where the
+// leader's clock is fast and the entry's slow.
+func overAfter(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * (1 + clockDrift) / (1 - clockDrift))
+}
+
 // expired reports whether the entry's lease is over for certain, on its own
 // clock too. A new leader waits a whole lease before it says so.
 func (t *leaseTable) expired(entry string, lease, now time.Duration) bool {
@@ -53,15 +120,33 @@
 	if l := t.entries[entry]; l != nil {
 		last = l.heardAt
 	}
-	return now-last > time.Duration(float64(lease)*(1+clockDrift))
+	return now-last > overAfter(lease)
 }
 
-// lagging returns the live entries that may still serve by a view older than
-// the revision.
+// condemn returns the entries that are marked as live though their lease is
+// over, as they are to be recorded. None of them is granted a lease until that
+// is committed.
+func (t *leaseTable) condemn(entries []*wire.EntryVM, lease, now time.Duration) []*wire.SetEntry {
+	var out []*wire.SetEntry
+	for _, e := range entries {
+		t.acquit(e.Id, e)
+		if !e.Live || !t.expired(e.Id, lease, now) {
+			continue
+		}
+		t.condemned[e.Id] = e.Incarnation
+		gone := proto.Clone(e).(*wire.EntryVM)
+		gone.Live = false
+		out = append(out, &wire.SetEntry{Entry: gone, ExpectedRegistration: e.Registration})
+	}
+	return out
+}
+
+// lagging returns the entries that may still serve by a view older than the
+// revision.
 func (t *leaseTable) lagging(entries []*wire.EntryVM, revision uint64, lease, now time.Duration) []string {
 	var out []string
 	for _, e := range entries {
-		if t.expired(e.Id, lease, now) {
+		if !e.Live || t.expired(e.Id, lease, now) {
 			continue
 		}
 		if l := t.entries[e.Id]; l == nil || l.viewRevision < revision {
@@ -71,6 +156,15 @@
 	return out
 }
 
+// prune forgets the reports of entries that have been silent for long.
+func (t *leaseTable) prune(now time.Duration) {
+	for id, l := range t.entries {
+		if now-l.heardAt > reportRetention {
+			delete(t.entries, id)
+		}
+	}
+}
+
 // inFlight returns how many requests the entries run on a resident.
 func (t *leaseTable) inFlight(r *wire.Resident) int {
 	n := 0
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -10,9 +10,13 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/lease"
 	"parsleyramp/internal/wire"
 )
 
+// releaseTimeout bounds the last message to control at a shutdown.
+const releaseTimeout = 2 * time.Second
+
 // served is a catalog with the time until which the entry may serve by it.
 type served struct {
 	catalog *catalog
@@ -25,8 +29,10 @@
 	control *controlclient.Client
 	log     *logrus.Entry
 	clock   func() time.Duration
-	served  atomic.Pointer[served]
-	self    func() *wire.EntryVM
+	// holder is touched only by the goroutine of run.
+	holder lease.Holder
+	served atomic.Pointer[served]
+	self   func() *wire.EntryVM
 	// report fills in what the entry knows of its endpoints.
 	report func(*wire.HeartbeatRequest)
 	// onDeferred takes overnight work that this entry is to run.
@@ -60,16 +66,13 @@
 }
 
 // heartbeat renews the lease, counted from before the request was sent, so
-// that it ends here no later than the leader assumes.
+// that it ends here no later than the leader assumes. Every attempt says anew
+// what the entry serves by and runs.
 func (s *session) heartbeat(ctx context.Context) {
-	req := &wire.HeartbeatRequest{Entry: s.self()}
-	if v := s.served.Load(); v != nil {
-		req.ViewRevision = v.catalog.view.Revision
-	}
-	s.report(req)
 	var sent time.Duration
 	var resp *wire.HeartbeatResponse
 	err := s.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+		req := s.request()
 		sent = s.clock()
 		r, err := c.Control.Heartbeat(ctx, connect.NewRequest(req))
 		if err == nil {
@@ -86,28 +89,51 @@
 	s.accept(sent, resp)
 }
 
+// request reads the revision before the report: what the report leaves out
+// started later, by this revision or a newer one.
+func (s *session) request() *wire.HeartbeatRequest {
+	req := &wire.HeartbeatRequest{Entry: s.self(), ViewRevision: s.holder.Revision()}
+	s.report(req)
+	return req
+}
+
 // accept takes a confirmed view. An older one than the one served is never
 // taken, from whichever leader it comes.
 func (s *session) accept(sent time.Duration, resp *wire.HeartbeatResponse) {
-	until := sent + time.Duration(resp.LeaseMs)*time.Millisecond
-	old := s.served.Load()
-	next := &served{until: until}
-	switch {
-	case resp.View != nil && (old == nil || resp.View.Revision >= old.catalog.view.Revision):
-		next.catalog = newCatalog(resp.View)
-	case resp.View != nil || old == nil:
+	outcome := s.holder.Accept(sent, resp)
+	if outcome == lease.Refused {
 		s.log.WithField("revision", resp.View.GetRevision()).Warn("older configuration refused")
 		return
-	default:
-		next.catalog = old.catalog
+	}
+	next := &served{until: s.holder.Until()}
+	if outcome == lease.Changed {
+		next.catalog = newCatalog(s.holder.View())
+	} else {
+		next.catalog = s.served.Load().catalog
 	}
 	s.served.Store(next)
-	if resp.View != nil {
+	if outcome == lease.Changed {
 		s.poke()
 	}
 	s.onDeferred(resp.Deferred)
 }
 
+// release ends the lease and tells control, which then need not wait for its
+// end. It is called once run has returned.
+func (s *session) release(ctx context.Context) {
+	s.served.Store(nil)
+	s.holder.Release()
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	err := s.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+		_, err := c.Control.Heartbeat(ctx, connect.NewRequest(&wire.HeartbeatRequest{Entry: s.self(), Released: true}))
+		return err
+	})
+	if err != nil {
+		s.log.WithError(err).Warn("lease not released; it runs out")
+	}
+}
+
 // poke asks for a heartbeat at once, which acknowledges the new view.
 func (s *session) poke() {
 	select {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -124,6 +124,7 @@
 	}
 	s.stop()
 	s.done.Wait()
+	s.session.release(context.WithoutCancel(ctx))
 	s.log.Info("stopped")
 	return err
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -69,7 +69,7 @@
 	case *wire.Command_ApplySection:
 		return m.applySection(b.ApplySection, c.ProposedUnixMs)
 	case *wire.Command_SetEntry:
-		return m.setEntry(b.SetEntry.GetEntry())
+		return m.setEntry(b.SetEntry)
 	case *wire.Command_SetEndpoint:
 		return m.setEndpoint(b.SetEndpoint.GetEndpoint())
 	case *wire.Command_RemoveEndpoint:
@@ -126,9 +126,7 @@
 }
 
 func (m *Machine) sortedResidents() []*wire.Resident {
-	return sorted(m.residents, func(a, b *wire.Resident) int {
-		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter))
-	})
+	return sorted(m.residents, compareResidents)
 }
 
 func (m *Machine) sortedOrders() []*wire.Order {
@@ -138,19 +136,19 @@
 }
 
 func (m *Machine) sortedSections() []*wire.Section {
-	return sorted(m.sections, func(a, b *wire.Section) int { return cmp.Compare(a.Team, b.Team) })
+	return sorted(m.sections, compareSections)
 }
 
 func (m *Machine) sortedEntries() []*wire.EntryVM {
-	return sorted(m.entries, func(a, b *wire.EntryVM) int { return cmp.Compare(a.Id, b.Id) })
+	return sorted(m.entries, compareEntries)
 }
 
 func (m *Machine) sortedEndpoints() []*wire.Endpoint {
-	return sorted(m.endpoints, func(a, b *wire.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
+	return sorted(m.endpoints, compareEndpoints)
 }
 
 func (m *Machine) sortedSuspects() []*wire.Suspect {
-	return sorted(m.suspects, func(a, b *wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return sorted(m.suspects, compareSuspects)
 }
 
 // View returns the part of the state that entries serve by.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -12,16 +12,35 @@
 // Endpoints returns all endpoints.
 func (m *Machine) Endpoints() []*wire.Endpoint { return m.sortedEndpoints() }
 
-// setEntry records an entry VM. Work that an earlier incarnation of it held
-// has an unknown outcome from here on, or is queued again.
-func (m *Machine) setEntry(e *wire.EntryVM) *wire.CommandResult {
-	old := m.entries[e.GetId()]
-	if proto.Equal(old, e) {
+// Entry returns the record of an entry VM, or nil.
+func (m *Machine) Entry(id string) *wire.EntryVM {
+	e, ok := m.entries[id]
+	if !ok {
+		return nil
+	}
+	return clone(e)
+}
+
+// setEntry records an entry VM by compare-and-set on its registration. Work
+// that an earlier incarnation of it held has an unknown outcome from here on,
+// or is queued again. Draining lasts as long as the incarnation.
+func (m *Machine) setEntry(s *wire.SetEntry) *wire.CommandResult {
+	old := m.entries[s.Entry.GetId()]
+	if old.GetRegistration() != s.ExpectedRegistration {
+		return refused("the entry's record has changed")
+	}
+	next := clone(s.Entry)
+	next.Registration = old.GetRegistration()
+	if old.GetIncarnation() == next.Incarnation {
+		next.Draining = next.Draining || old.GetDraining()
+	}
+	if proto.Equal(old, next) {
 		return applied()
 	}
-	m.entries[e.Id] = clone(e)
+	next.Registration = m.applied
+	m.entries[next.Id] = next
 	m.changeView()
-	if old != nil && (old.Incarnation != e.Incarnation || !e.Live) {
+	if old != nil && (old.Incarnation != next.Incarnation || !next.Live) {
 		m.abandonWork(old.Id, old.Incarnation)
 	}
 	return applied()
@@ -98,5 +117,13 @@
 	return applied()
 }
 
-// HasEntry reports whether the state holds exactly this record of the entry.
-func (m *Machine) HasEntry(e *wire.EntryVM) bool { return proto.Equal(m.entries[e.GetId()], e) }
+// Registered reports whether the state holds this incarnation of the entry as
+// live, with what it says of itself.
+func (m *Machine) Registered(e *wire.EntryVM) bool {
+	want := clone(e)
+	want.Live = true
+	old := m.entries[e.GetId()]
+	want.Draining = want.Draining || old.GetDraining()
+	want.Registration = old.GetRegistration()
+	return proto.Equal(old, want)
+}
