--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -31,6 +31,10 @@
 	// MaxEntries and MaxBytes bound one append message.
 	MaxEntries int
 	MaxBytes   int
+	// MaxCommandBytes bounds one command, and MaxUncommittedBytes all that a
+	// leader has appended and not yet committed.
+	MaxCommandBytes     int
+	MaxUncommittedBytes int
 }
 
 // DefaultConfig returns the timing for replicas within one region.
@@ -41,6 +45,9 @@
 		ClockDrift: 0.1,
 		MaxEntries: 512,
 		MaxBytes:   1 << 20,
+
+		MaxCommandBytes:     2 << 20,
+		MaxUncommittedBytes: 4 << 20,
 	}
 }
 
@@ -83,6 +90,9 @@
 	rounds   rounds
 	// termStart is the index of the leader's first entry of its term.
 	termStart uint64
+	// uncommitted counts the bytes of the leader's own entries of this term
+	// that are not committed.
+	uncommitted int
 
 	savedHard       *wire.HardState
 	pendingSnapshot *wire.Snapshot
@@ -113,6 +123,10 @@
 	c.log.entries = initial.Entries
 	c.log.stable = c.log.lastIndex()
 	c.noteMemberships(initial.Entries)
+	if t := c.log.lastTerm(); t > c.term {
+		// A snapshot may have been synced before the term it came with.
+		c.term, c.vote = t, 0
+	}
 	c.resetElection()
 	return c
 }
@@ -225,6 +239,7 @@
 		p.heardAt = c.now
 	}
 	c.termStart = c.log.lastIndex() + 1
+	c.uncommitted = 0
 	c.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_EMPTY, nil)
 	c.broadcast()
 }
@@ -232,6 +247,7 @@
 func (c *Core) appendLocal(kind wire.LogEntryKind, data []byte) uint64 {
 	e := &wire.LogEntry{Index: c.log.lastIndex() + 1, Term: c.term, Kind: kind, Data: data}
 	c.log.append(e)
+	c.uncommitted += len(data)
 	c.noteMemberships([]*wire.LogEntry{e})
 	return e.Index
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -13,6 +13,12 @@
 	if c.role != Leader {
 		return 0, fail.New(fail.NotLeader, "this replica does not lead")
 	}
+	if len(data) > c.cfg.MaxCommandBytes {
+		return 0, fail.New(fail.BodyTooLarge, "the change is larger than the replicated log takes")
+	}
+	if c.uncommitted+len(data) > c.cfg.MaxUncommittedBytes {
+		return 0, fail.New(fail.Overloaded, "too many changes wait to be committed").WithRetryAfter(c.cfg.Heartbeat)
+	}
 	return c.appendLocal(wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND, data), nil
 }
 
@@ -57,6 +63,16 @@
 	return ok && c.role == Leader && p.match+gap >= c.commit && p.match > 0
 }
 
+// Reachable reports whether the replica answered this leader within an
+// election timeout.
+func (c *Core) Reachable(id uint64) bool {
+	if c.role != Leader {
+		return false
+	}
+	p, ok := c.progress[id]
+	return id == c.id || ok && p.acked > 0 && c.now-p.heardAt <= c.cfg.Election
+}
+
 func (c *Core) peers() []uint64 {
 	var ids []uint64
 	for _, r := range c.Membership().GetReplicas() {
@@ -78,6 +94,11 @@
 
 func (c *Core) sendAppend(id, sequence uint64) {
 	p := c.progressOf(id)
+	if !p.probing && p.next > p.match+1 && c.now >= p.resendAt {
+		// What was sent is taken for lost. An empty append finds out whether
+		// the replica is there before the entries are sent again.
+		p.next, p.probing = p.match+1, true
+	}
 	term, ok := c.log.term(p.next - 1)
 	if !ok {
 		c.sendSnapshot(id, p, sequence)
@@ -91,17 +112,10 @@
 		c.send(m)
 		return
 	}
-	if p.next <= p.match || c.now >= p.resendAt {
-		p.next = p.match + 1
+	m.Entries = c.log.slice(p.next, c.cfg.MaxEntries, c.cfg.MaxBytes)
+	if p.next == p.match+1 {
 		p.resendAt = c.now + c.cfg.Election
-		m.LogIndex = p.match
-		m.LogTerm, ok = c.log.term(p.match)
-		if !ok {
-			c.sendSnapshot(id, p, sequence)
-			return
-		}
 	}
-	m.Entries = c.log.slice(p.next, c.cfg.MaxEntries, c.cfg.MaxBytes)
 	p.next += uint64(len(m.Entries))
 	c.send(m)
 }
@@ -118,13 +132,11 @@
 }
 
 // Compact drops log entries that the snapshot covers, keeping a tail for slow
-// followers. The caller has synced the snapshot.
-func (c *Core) Compact(s *wire.Snapshot, keepEntries uint64) {
+// followers of at most keepEntries and keepBytes. The caller has synced the
+// snapshot.
+func (c *Core) Compact(s *wire.Snapshot, keepEntries uint64, keepBytes int) {
 	c.snapshot = s
-	if s.Index <= keepEntries {
-		return
-	}
-	upTo := s.Index - keepEntries
+	upTo := c.log.tailStart(s.Index, keepEntries, keepBytes) - 1
 	c.log.compact(upTo)
 	c.memberships = c.memberships.compact(upTo)
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -64,7 +64,11 @@
 			continue
 		}
 		keep := e.Index - l.snapIndex - 1
-		l.entries = append(l.entries[:keep:keep], entries[i:]...)
+		if keep < uint64(len(l.entries)) {
+			// Slices handed out earlier share the array and must not change.
+			l.entries = l.entries[:keep:keep]
+		}
+		l.entries = append(l.entries, entries[i:]...)
 		l.stable = min(l.stable, e.Index-1)
 		return e.Index
 	}
@@ -82,6 +86,21 @@
 	l.snapIndex, l.snapTerm = index, t
 }
 
+// tailStart returns the first index such that the entries from there up to
+// last number at most maxEntries and hold at most maxBytes.
+func (l *entryLog) tailStart(last, maxEntries uint64, maxBytes int) uint64 {
+	from := last + 1
+	size := 0
+	for from > l.snapIndex+1 && last+1-from < maxEntries {
+		size += len(l.entries[from-l.snapIndex-2].Data)
+		if size > maxBytes {
+			break
+		}
+		from--
+	}
+	return from
+}
+
 // restore replaces the whole log by a snapshot.
 func (l *entryLog) restore(index, term uint64) {
 	l.snapIndex, l.snapTerm = index, term
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -95,6 +95,13 @@
 // checkChange allows a change of at most one voter: two memberships that
 // differ by one voter always share a member in any two of their quorums.
 func checkChange(from, to *wire.Membership) error {
+	seen := map[uint64]bool{}
+	for _, r := range to.GetReplicas() {
+		if r.Id == 0 || seen[r.Id] {
+			return fail.New(fail.MembershipChange, "every replica of a membership needs an id of its own")
+		}
+		seen[r.Id] = true
+	}
 	changed := 0
 	for _, id := range voters(from) {
 		if !isVoter(to, id) {
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -120,6 +120,9 @@
 	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit {
 		return
 	}
+	for i := max(c.commit+1, c.termStart); i <= index; i++ {
+		c.uncommitted -= len(c.log.entries[i-c.log.snapIndex-1].Data)
+	}
 	c.commit = index
 	if c.memberships.currentIndex() <= c.commit && !isVoter(c.Membership(), c.id) {
 		c.broadcast()
--- /dev/null
+++ b/internal/consensus/sim_test.go
@@ -0,0 +1,388 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/wire"
+)
+
+const simStep = 10 * time.Millisecond
+
+// disk is what a replica has synced.
+type disk struct {
+	hard    *wire.HardState
+	snap    *wire.Snapshot
+	entries []*wire.LogEntry
+}
+
+func (d *disk) saveEntries(entries []*wire.LogEntry) {
+	for _, e := range entries {
+		keep := e.Index - d.snap.GetIndex() - 1
+		d.entries = append(d.entries[:keep:keep], e)
+	}
+}
+
+// simReplica is a core with its disk, its clock and its state machine, which
+// is a running hash of the commands.
+type simReplica struct {
+	id      uint64
+	core    *Core
+	disk    disk
+	rate    float64
+	up      bool
+	frozen  bool
+	applied uint64
+	hash    uint64
+	crashAt int // effects until a crash; negative for none
+}
+
+type flight struct {
+	at time.Duration
+	m  *wire.RaftMessage
+}
+
+// sim drives cores through faults and checks what must always hold.
+type sim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	replicas map[uint64]*simReplica
+	ids      []uint64
+	flights  []flight
+	cut      map[[2]uint64]bool
+	loss     float64
+	quiet    bool
+	nextID   uint64
+	value    uint64
+
+	leaders   map[uint64]uint64 // term -> leader
+	committed map[uint64]uint64 // index -> term
+	hashes    map[uint64]uint64 // index -> state hash
+	maxCommit uint64
+	fault     string
+}
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), replicas: map[uint64]*simReplica{}, cut: map[[2]uint64]bool{},
+		leaders: map[uint64]uint64{}, committed: map[uint64]uint64{}, hashes: map[uint64]uint64{1: 0}, loss: 0.02,
+	}
+	m := &wire.Membership{}
+	for range n {
+		s.nextID++
+		m.Replicas = append(m.Replicas, &wire.Replica{Id: s.nextID})
+	}
+	snap := &wire.Snapshot{Index: 1, Term: 1, Membership: m, Data: make([]byte, 8)}
+	for _, r := range m.Replicas {
+		s.add(r.Id, disk{hard: &wire.HardState{Term: 1}, snap: snap})
+	}
+	return s
+}
+
+func (s *sim) add(id uint64, d disk) *simReplica {
+	r := &simReplica{id: id, disk: d, rate: 1 + 0.1*s.rng.Float64()}
+	s.replicas[id] = r
+	s.ids = append(s.ids, id)
+	s.start(r)
+	return r
+}
+
+func (s *sim) local(r *simReplica) time.Duration { return time.Duration(float64(s.now) * r.rate) }
+
+func simConfig() Config {
+	c := DefaultConfig()
+	c.MaxEntries = 4
+	return c
+}
+
+func (s *sim) start(r *simReplica) {
+	initial := Initial{ID: r.id, HardState: r.disk.hard, Snapshot: r.disk.snap, Entries: slices.Clone(r.disk.entries)}
+	r.core = New(simConfig(), initial, s.local(r), s.rng.Uint64())
+	r.up, r.frozen, r.crashAt = true, false, -1
+	r.applied, r.hash = r.disk.snap.GetIndex(), 0
+	if r.disk.snap != nil {
+		r.hash = binary.LittleEndian.Uint64(r.disk.snap.Data)
+	}
+}
+
+func (s *sim) failf(format string, args ...any) {
+	if s.fault == "" {
+		s.fault = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// carryOut syncs, sends and applies, and crashes between any two steps.
+func (s *sim) carryOut(r *simReplica) {
+	for {
+		e := r.core.Effects()
+		if e.Empty() {
+			break
+		}
+		if s.crashes(r) {
+			return
+		}
+		if e.Snapshot != nil {
+			r.disk.snap, r.disk.entries = e.Snapshot, nil
+			if s.crashes(r) {
+				return
+			}
+		}
+		if e.HardState != nil {
+			r.disk.hard = e.HardState
+		}
+		if r.crashAt == 0 && len(e.Entries) > 0 {
+			r.disk.saveEntries(e.Entries[:s.rng.IntN(len(e.Entries))])
+		}
+		if s.crashes(r) {
+			return
+		}
+		r.disk.saveEntries(e.Entries)
+		r.core.Persisted(e)
+		if s.crashes(r) {
+			return
+		}
+		for _, m := range e.Messages {
+			s.send(m)
+		}
+		if e.Snapshot != nil {
+			s.restore(r, e.Snapshot)
+		}
+		for _, entry := range e.Committed {
+			s.apply(r, entry)
+		}
+	}
+	s.checkReplica(r)
+}
+
+func (s *sim) crashes(r *simReplica) bool {
+	if r.crashAt < 0 {
+		return false
+	}
+	r.crashAt--
+	if r.crashAt < 0 {
+		r.up = false
+	}
+	return !r.up
+}
+
+func (s *sim) send(m *wire.RaftMessage) {
+	copies := 1
+	if s.rng.Float64() < s.loss {
+		copies = 0
+	} else if s.rng.Float64() < 0.05 {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(s.rng.Int64N(int64(30 * time.Millisecond)))
+		if s.rng.Float64() < 0.02 {
+			delay += time.Duration(s.rng.Int64N(int64(4 * time.Second)))
+		}
+		s.flights = append(s.flights, flight{at: s.now + delay, m: proto.Clone(m).(*wire.RaftMessage)})
+	}
+}
+
+func (s *sim) restore(r *simReplica, snap *wire.Snapshot) {
+	r.applied, r.hash = snap.Index, binary.LittleEndian.Uint64(snap.Data)
+	if want, ok := s.hashes[snap.Index]; !ok || want != r.hash {
+		s.failf("replica %d restored a state at %d that was never committed", r.id, snap.Index)
+	}
+}
+
+func (s *sim) apply(r *simReplica, e *wire.LogEntry) {
+	if e.Index != r.applied+1 {
+		s.failf("replica %d applied %d after %d", r.id, e.Index, r.applied)
+	}
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(nil, r.hash))
+	h.Write(e.Data)
+	r.applied, r.hash = e.Index, h.Sum64()
+	if t, ok := s.committed[e.Index]; ok && t != e.Term {
+		s.failf("replica %d applied term %d at %d where term %d was committed", r.id, e.Term, e.Index, t)
+	}
+	if want, ok := s.hashes[e.Index]; ok && want != r.hash {
+		s.failf("replica %d holds another state at %d", r.id, e.Index)
+	}
+	if _, ok := s.committed[e.Index]; !ok {
+		s.committed[e.Index] = e.Term
+		s.checkDurable(e)
+	}
+	s.hashes[e.Index] = r.hash
+	s.maxCommit = max(s.maxCommit, e.Index)
+}
+
+// checkDurable demands that a quorum of voters has synced a committed entry.
+func (s *sim) checkDurable(e *wire.LogEntry) {
+	for _, holder := range s.ids {
+		m := s.replicas[holder].core.Membership()
+		n := 0
+		for _, id := range voters(m) {
+			if x := s.replicas[id]; x != nil && x.disk.holds(e) {
+				n++
+			}
+		}
+		if n >= quorum(m) {
+			return
+		}
+	}
+	s.failf("entry %d was committed and no quorum has synced it", e.Index)
+}
+
+func (d *disk) holds(e *wire.LogEntry) bool {
+	if e.Index <= d.snap.GetIndex() {
+		return true
+	}
+	i := e.Index - d.snap.GetIndex() - 1
+	return i < uint64(len(d.entries)) && d.entries[i].Term == e.Term
+}
+
+// checkReplica checks one replica after each event.
+func (s *sim) checkReplica(r *simReplica) {
+	if r.core.Role() != Leader {
+		return
+	}
+	term := r.core.Term()
+	id, seen := s.leaders[term]
+	s.leaders[term] = r.id
+	if seen && id != r.id {
+		s.failf("replicas %d and %d both lead term %d", id, r.id, term)
+	}
+	if seen {
+		return
+	}
+	for index := r.core.log.snapIndex + 1; index <= s.maxCommit; index++ {
+		if t, ok := r.core.log.term(index); !ok || t != s.committed[index] {
+			s.failf("the new leader %d of term %d lacks the committed entry %d", r.id, term, index)
+		}
+	}
+}
+
+// checkAll checks what holds between replicas.
+func (s *sim) checkAll() {
+	for _, a := range s.ids {
+		x := s.replicas[a]
+		if !x.up {
+			continue
+		}
+		if x.core.LeaseUntil() > s.local(x) {
+			for term, leader := range s.leaders {
+				if term > x.core.Term() {
+					s.failf("replica %d holds the lease of term %d while %d became leader of term %d", a, x.core.Term(), leader, term)
+				}
+			}
+		}
+		for _, b := range s.ids {
+			if y := s.replicas[b]; b > a && y.up {
+				s.checkLogs(x, y)
+			}
+		}
+	}
+}
+
+func (s *sim) checkLogs(x, y *simReplica) {
+	matched := false
+	from := min(x.core.log.lastIndex(), y.core.log.lastIndex())
+	for i := from; i > max(x.core.log.snapIndex, y.core.log.snapIndex); i-- {
+		t, _ := x.core.log.term(i)
+		u, _ := y.core.log.term(i)
+		if matched && t != u {
+			s.failf("logs of %d and %d match after %d and not there", x.id, y.id, i)
+		}
+		matched = matched || t == u
+	}
+}
+
+// step passes one step of true time.
+func (s *sim) step() {
+	s.now += simStep
+	due := s.flights
+	s.flights = nil
+	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, f := range due {
+		to := s.replicas[f.m.To]
+		switch {
+		case f.at > s.now || to != nil && to.up && to.frozen:
+			s.flights = append(s.flights, f)
+		case to == nil || !to.up || s.cut[[2]uint64{f.m.From, f.m.To}]:
+		default:
+			to.core.Step(s.local(to), f.m)
+			if s.rng.IntN(4) > 0 {
+				s.carryOut(to)
+			}
+		}
+	}
+	for _, id := range s.ids {
+		r := s.replicas[id]
+		if !r.up || r.frozen {
+			continue
+		}
+		r.core.Tick(s.local(r))
+		if r.core.Role() == Leader && !s.quiet && s.rng.IntN(8) == 0 {
+			for range 1 + s.rng.IntN(6) {
+				s.value++
+				r.core.Propose(binary.LittleEndian.AppendUint64(nil, s.value))
+			}
+		}
+		r.core.Flush()
+		s.carryOut(r)
+		if r.up && s.rng.IntN(100) == 0 {
+			s.compact(r)
+		}
+	}
+	s.checkAll()
+}
+
+// compact takes a snapshot, keeping a short tail for slow replicas.
+func (s *sim) compact(r *simReplica) {
+	if r.applied <= r.disk.snap.GetIndex() {
+		return
+	}
+	term, _ := r.core.TermAt(r.applied)
+	snap := &wire.Snapshot{
+		Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied),
+		Data: binary.LittleEndian.AppendUint64(nil, r.hash),
+	}
+	r.disk.snap, r.disk.entries = snap, slices.Clone(r.core.EntriesAfter(r.applied))
+	r.core.Compact(snap, uint64(s.rng.IntN(8)), 1<<20)
+}
+
+func (s *sim) leader() *simReplica {
+	var found *simReplica
+	for _, id := range s.ids {
+		r := s.replicas[id]
+		if r.up && !r.frozen && r.core.Role() == Leader && (found == nil || r.core.Term() > found.core.Term()) {
+			found = r
+		}
+	}
+	return found
+}
+
+// operate is the operator who replaces the replica lost by one with an
+// emptied disk: learner first, removal of the lost one, then a vote.
+func (s *sim) operate(lost, added uint64) bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	m := proto.Clone(l.core.Membership()).(*wire.Membership)
+	switch r := replicaOf(m, added); {
+	case r == nil:
+		m.Replicas = append(m.Replicas, &wire.Replica{Id: added, Learner: true})
+	case !l.core.CaughtUp(added):
+		return false
+	case replicaOf(m, lost) != nil:
+		m.Replicas = slices.DeleteFunc(m.Replicas, func(x *wire.Replica) bool { return x.Id == lost })
+	case r.Learner:
+		r.Learner = false
+	default:
+		return l.core.memberships.currentIndex() <= l.core.commit
+	}
+	l.core.ProposeMembership(m)
+	s.carryOut(l)
+	return false
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -170,11 +170,17 @@
 		reply.LogIndex = c.commit
 		return
 	}
+	reply.LogIndex = s.Index
+	if t, ok := c.log.term(s.Index); ok && t == s.Term {
+		// The log holds all that the snapshot covers. The entries after it may
+		// have been acknowledged and must stay.
+		c.commit = s.Index
+		return
+	}
 	c.log.restore(s.Index, s.Term)
 	c.memberships = membershipLog{{index: s.Index, value: s.Membership}}
 	c.commit = s.Index
 	c.snapshot, c.pendingSnapshot = s, s
-	reply.LogIndex = s.Index
 }
 
 func (c *Core) handleAppendReply(m *wire.RaftMessage) {
@@ -185,11 +191,7 @@
 	p.heardAt = c.now
 	p.acked = max(p.acked, m.Sequence)
 	if m.Reject {
-		p.next = max(p.match, min(m.LogIndex, c.log.lastIndex())) + 1
-		p.probing = true
-		if t, ok := c.log.term(p.next - 1); ok && t == m.LogTerm {
-			p.probing = false
-		}
+		c.rewind(p, m)
 		c.continueAppend(m.From, p)
 		return
 	}
@@ -205,6 +207,23 @@
 	}
 }
 
+// rewind goes back to where the logs may still match. Equal terms at one
+// index prove that they match up to there (Raft, 5.3).
+func (c *Core) rewind(p *progress, m *wire.RaftMessage) {
+	index := min(m.LogIndex, c.log.lastIndex())
+	t, ok := c.log.term(index)
+	for ok && index > p.match && t > m.LogTerm {
+		index--
+		t, ok = c.log.term(index)
+	}
+	p.probing = true
+	if ok && index == m.LogIndex && t == m.LogTerm {
+		p.match = max(p.match, index)
+		p.probing = false
+	}
+	p.next = max(p.match, index) + 1
+}
+
 // continueAppend sends the next entries after a reply. While a snapshot is on
 // its way nothing is sent, or replies and appends would chase each other.
 func (c *Core) continueAppend(id uint64, p *progress) {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -212,7 +212,7 @@
 	if err := n.opt.Storage.SaveSnapshot(s, n.core.EntriesAfter(applied)); err != nil {
 		return err
 	}
-	n.core.Compact(s, n.opt.SnapshotEntries/4)
+	n.core.Compact(s, n.opt.SnapshotEntries/4, 1<<20)
 	n.snapshotIndex = applied
 	n.opt.Log.WithFields(logrus.Fields{"index": applied, "bytes": len(data)}).Info("snapshot stored")
 	return nil
