--- a/internal/control/replace.go
+++ b/internal/control/replace.go
@@ -2,88 +2,129 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
 	"parsleyramp/internal/wire"
 )
 
-const catchUpPoll = 100 * time.Millisecond
+const (
+	catchUpPoll = 100 * time.Millisecond
+	// replaceTime bounds one call, so that its answer comes before the
+	// client's attempt is over. The client then calls again.
+	replaceTime = time.Second
+)
 
+// replaceReplica carries out the steps of a replacement until it is done. It
+// decides each step by the membership in force, so a repeated call, also to a
+// new leader, goes on where the last one stopped. An error with a time to come
+// back means that the replacement is under way.
 func (s *Server) replaceReplica(ctx context.Context, r *wire.ReplaceReplicaRequest) (*wire.Membership, error) {
-	if add := r.Add; add != nil {
-		if err := s.addLearner(ctx, add); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, replaceTime)
+	defer cancel()
+	for {
+		status, err := s.node.Status(ctx)
+		if err != nil {
 			return nil, err
 		}
-		if err := s.waitCaughtUp(ctx, add.Id); err != nil {
-			return nil, err
+		if !status.Leading {
+			return nil, fail.New(fail.NotLeader, "this replica does not lead")
 		}
-		if err := s.changeMembership(ctx, func(m *wire.Membership) { setLearner(m, add.Id, false) }); err != nil {
-			return nil, err
+		next, err := nextMembership(status, r)
+		if err == nil && next == nil {
+			return status.Membership, nil
 		}
-	}
-	if r.RemoveId != 0 {
-		if err := s.changeMembership(ctx, func(m *wire.Membership) { remove(m, r.RemoveId) }); err != nil {
-			return nil, err
+		if err == nil {
+			err = s.node.ProposeMembership(ctx, next)
 		}
-	}
-	status, err := s.node.Status(ctx)
-	return status.Membership, err
-}
-
-func (s *Server) addLearner(ctx context.Context, add *wire.Replica) error {
-	return s.changeMembership(ctx, func(m *wire.Membership) {
-		if !slices.ContainsFunc(m.Replicas, func(x *wire.Replica) bool { return x.Id == add.Id }) {
-			added := proto.Clone(add).(*wire.Replica)
-			added.Learner = true
-			m.Replicas = append(m.Replicas, added)
+		if err == nil {
+			continue
 		}
-	})
-}
-
-func (s *Server) waitCaughtUp(ctx context.Context, id uint64) error {
-	for {
-		ok, err := s.node.CaughtUp(ctx, id)
-		if err != nil || ok {
-			return err
+		if fail.From(err).RetryAfter == 0 {
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
-			return fail.Wrap(ctx.Err(), fail.MembershipChange, "the new replica has not caught up yet; run the same command again")
+			return nil, err
 		case <-time.After(catchUpPoll):
 		}
 	}
 }
 
-// changeMembership commits the edited membership, or nothing where the edit
-// changes nothing.
-func (s *Server) changeMembership(ctx context.Context, edit func(*wire.Membership)) error {
-	status, err := s.node.Status(ctx)
-	if err != nil {
-		return err
+// nextMembership returns the next step of a replacement, or nil where it is
+// complete. The new replica first learns the log without a vote. A lost
+// replica is removed before the new one may vote, for until then it only
+// raises the quorum; one that still answers is removed last.
+func nextMembership(s replica.Status, r *wire.ReplaceReplicaRequest) (*wire.Membership, error) {
+	if r.Add == nil && r.RemoveId == 0 || r.Add != nil && (r.Add.Id == 0 || r.Add.Id == r.RemoveId) {
+		return nil, fail.New(fail.BadRequest, "a replacement names a new replica, a lost one, or two different ones")
 	}
-	if !status.Leading {
-		return fail.New(fail.NotLeader, "this replica does not lead")
+	m := proto.Clone(s.Membership).(*wire.Membership)
+	lost, added := find(m, r.RemoveId), find(m, r.Add.GetId())
+	switch {
+	case r.Add != nil && added == nil:
+		learner := proto.Clone(r.Add).(*wire.Replica)
+		learner.Learner = true
+		m.Replicas = append(m.Replicas, learner)
+		return m, nil
+	case added != nil && added.Learner && !s.CaughtUp[added.Id]:
+		return nil, catchingUp(s, added)
+	case lost != nil && (lost.Learner || !s.Reachable[lost.Id]):
+		return checkQuorum(s, without(m, lost.Id))
+	case added != nil && added.Learner:
+		added.Learner = false
+		return checkQuorum(s, m)
+	case lost != nil:
+		return checkQuorum(s, without(m, lost.Id))
 	}
-	next := proto.Clone(status.Membership).(*wire.Membership)
-	edit(next)
-	if proto.Equal(next, status.Membership) {
-		return nil
+	return nil, nil
+}
+
+func catchingUp(s replica.Status, r *wire.Replica) error {
+	message := fmt.Sprintf("replica %d at %s is learning the log; run the same command again to go on", r.Id, r.Address)
+	if !s.Reachable[r.Id] {
+		message = fmt.Sprintf("replica %d at %s does not answer the leader; check that it runs and is blank, then run the same command again", r.Id, r.Address)
 	}
-	return s.node.ProposeMembership(ctx, next)
+	return fail.New(fail.MembershipChange, message).WithRetryAfter(catchUpPoll)
 }
 
-func setLearner(m *wire.Membership, id uint64, learner bool) {
+// checkQuorum refuses a membership whose voters in reach are no quorum, which
+// could never decide anything again.
+func checkQuorum(s replica.Status, m *wire.Membership) (*wire.Membership, error) {
+	voters, reachable := 0, 0
+	var missing []string
 	for _, r := range m.Replicas {
-		if r.Id == id {
-			r.Learner = learner
+		if r.Learner {
+			continue
+		}
+		voters++
+		if s.Reachable[r.Id] {
+			reachable++
+		} else {
+			missing = append(missing, fmt.Sprintf("%d at %s", r.Id, r.Address))
 		}
 	}
+	if reachable < voters/2+1 {
+		return nil, fail.New(fail.MembershipChange, fmt.Sprintf(
+			"refused: only %d of the %d voters that would remain answer; first bring back or replace replica %v", reachable, voters, missing))
+	}
+	return m, nil
+}
+
+func find(m *wire.Membership, id uint64) *wire.Replica {
+	i := slices.IndexFunc(m.Replicas, func(r *wire.Replica) bool { return id != 0 && r.Id == id })
+	if i < 0 {
+		return nil
+	}
+	return m.Replicas[i]
 }
 
-func remove(m *wire.Membership, id uint64) {
+func without(m *wire.Membership, id uint64) *wire.Membership {
 	m.Replicas = slices.DeleteFunc(m.Replicas, func(r *wire.Replica) bool { return r.Id == id })
+	return m
 }
--- /dev/null
+++ b/internal/control/replace_test.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"flag"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/wire"
+)
+
+// The seed is fixed, so that the verdict is the same every time; flags on the
+// command line come later and win.
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "100")
+	flag.Set("rapid.nofailfile", "true")
+}
+
+func statusOf(learners, reachable, caughtUp []uint64, ids ...uint64) replica.Status {
+	s := replica.Status{Leading: true, Membership: &wire.Membership{}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
+	for _, id := range ids {
+		s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{Id: id})
+	}
+	for _, id := range learners {
+		find(s.Membership, id).Learner = true
+	}
+	for _, id := range reachable {
+		s.Reachable[id] = true
+	}
+	for _, id := range caughtUp {
+		s.CaughtUp[id] = true
+	}
+	return s
+}
+
+func votersOf(m *wire.Membership) []uint64 {
+	var ids []uint64
+	for _, r := range m.GetReplicas() {
+		if !r.Learner {
+			ids = append(ids, r.Id)
+		}
+	}
+	return ids
+}
+
+// A replacement repeated from any membership ends with the new replica voting
+// and the lost one gone. Each step changes one voter, and no step leaves a
+// quorum out of reach or one that the loss of a further voter takes away while
+// the step before it did not.
+func TestReplacementIsResumableAndKeepsAQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lostAnswers := rapid.Bool().Draw(t, "lostAnswers")
+		up := []uint64{1, 2}
+		if lostAnswers {
+			up = append(up, 3)
+		}
+		s := statusOf(nil, append(up, 4), nil, 1, 2, 3)
+		r := &wire.ReplaceReplicaRequest{RemoveId: 3, Add: &wire.Replica{Id: 4}}
+		for range 20 {
+			s.CaughtUp[4] = find(s.Membership, 4) != nil && rapid.Bool().Draw(t, "caughtUp")
+			next, err := nextMembership(s, r)
+			if fail.From(err).RetryAfter > 0 {
+				continue
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if next == nil {
+				break
+			}
+			needed := len(votersOf(next))/2 + 1
+			reach := 0
+			for _, id := range votersOf(next) {
+				if s.Reachable[id] {
+					reach++
+				}
+			}
+			if reach < needed || !lostAnswers && needed > 2 {
+				t.Fatalf("voters %v: %d of %d needed are in reach", votersOf(next), reach, needed)
+			}
+			s.Membership = next
+		}
+		s.CaughtUp[4] = true
+		for {
+			next, err := nextMembership(s, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if next == nil {
+				break
+			}
+			s.Membership = next
+		}
+		want := &wire.Membership{Replicas: []*wire.Replica{{Id: 1}, {Id: 2}, {Id: 4}}}
+		if !proto.Equal(s.Membership, want) {
+			t.Fatalf("ended with %v", s.Membership)
+		}
+	})
+}
+
+func TestReplacementRefusals(t *testing.T) {
+	tests := []struct {
+		name string
+		s    replica.Status
+		r    *wire.ReplaceReplicaRequest
+		code fail.Code
+		wait bool
+	}{
+		{"nothing named", statusOf(nil, nil, nil, 1), &wire.ReplaceReplicaRequest{}, fail.BadRequest, false},
+		{"same replica", statusOf(nil, nil, nil, 1), &wire.ReplaceReplicaRequest{RemoveId: 1, Add: &wire.Replica{Id: 1}}, fail.BadRequest, false},
+		{"a live one while another is lost", statusOf(nil, []uint64{1, 2}, nil, 1, 2, 3), &wire.ReplaceReplicaRequest{RemoveId: 2}, fail.MembershipChange, false},
+		{"learner behind", statusOf([]uint64{4}, []uint64{1, 2, 4}, nil, 1, 2, 3, 4), &wire.ReplaceReplicaRequest{Add: &wire.Replica{Id: 4}}, fail.MembershipChange, true},
+		{"learner silent", statusOf([]uint64{4}, []uint64{1, 2}, nil, 1, 2, 3, 4), &wire.ReplaceReplicaRequest{Add: &wire.Replica{Id: 4}}, fail.MembershipChange, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			next, err := nextMembership(tt.s, tt.r)
+			if !fail.Is(err, tt.code) || next != nil || fail.From(err).RetryAfter > 0 != tt.wait {
+				t.Fatalf("next %v, error %v", next, err)
+			}
+		})
+	}
+}
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"connectrpc.com/connect"
 
 	"parsleyramp/internal/fail"
-	"parsleyramp/internal/journal"
+	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/wire"
 )
@@ -26,25 +27,46 @@
 
 // Deliver passes messages to the replica, and drops those of another group.
 func (r *replicaService) Deliver(_ context.Context, req *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
-	group := *r.s.group.Load()
-	if group == "" && req.Msg.Group != "" {
-		// A blank replica joins the group that first adds it as a learner.
+	if *r.s.group.Load() == "" && r.s.invited(req.Msg) {
 		if err := r.s.joinGroup(req.Msg.Group); err != nil {
 			return nil, rpcerror.ToConnect(err, "")
 		}
-		group = req.Msg.Group
 	}
-	if req.Msg.Group != group {
-		return nil, rpcerror.ToConnect(fail.New(fail.ForeignFolder, "the replica belongs to another group"), "")
+	if req.Msg.Group == "" || req.Msg.Group != *r.s.group.Load() {
+		return nil, rpcerror.ToConnect(errOtherGroup, "")
 	}
 	r.s.node.Deliver(req.Msg.Messages)
 	return connect.NewResponse(&wire.DeliverResponse{}), nil
 }
 
-// joinGroup stores the group in the replica's identity.
+var errOtherGroup = fail.New(fail.MembershipChange, "the replica belongs to another group or to none")
+
+// invited reports whether a leader sends this blank replica its log, which
+// shows that the group has added it. Messages to a replica that had the same
+// address before, and requests for votes, are no invitation.
+func (s *Server) invited(r *wire.DeliverRequest) bool {
+	for _, m := range r.Messages {
+		fromLeader := m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND || m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT
+		if fromLeader && m.To == s.node.Identity().ID {
+			return true
+		}
+	}
+	return false
+}
+
+// joinGroup stores the group in the replica's identity. The first of two that
+// race wins. The identity is written before anything of the group's log.
 func (s *Server) joinGroup(group string) error {
-	id := s.node.Identity()
-	if err := journal.SaveIdentity(s.cfg.DataFolder, journal.Identity{ID: id.ID, Group: group}); err != nil {
+	s.joining.Lock()
+	defer s.joining.Unlock()
+	switch *s.group.Load() {
+	case group:
+		return nil
+	case "":
+	default:
+		return errOtherGroup
+	}
+	if err := s.journal.SetGroup(group); err != nil {
 		return err
 	}
 	s.group.Store(&group)
@@ -61,19 +83,25 @@
 	}), nil
 }
 
-// Bootstrap installs the first membership of a new group.
+// Bootstrap installs the first membership of a new group. A repeated call
+// changes nothing and succeeds.
 func (b *bootstrapService) Bootstrap(ctx context.Context, req *connect.Request[wire.BootstrapRequest]) (*connect.Response[wire.BootstrapResponse], error) {
-	group := *b.s.group.Load()
-	if group != "" && group != req.Msg.Group {
-		return nil, rpcerror.ToConnect(fail.New(fail.MembershipChange, "the replica belongs to another group"), "")
-	}
-	if group == "" {
-		if err := b.s.joinGroup(req.Msg.Group); err != nil {
-			return nil, rpcerror.ToConnect(err, "")
-		}
-	}
-	if err := b.s.node.Bootstrap(ctx, req.Msg.Membership); err != nil && group == "" {
+	if err := b.s.bootstrap(ctx, req.Msg); err != nil {
 		return nil, rpcerror.ToConnect(err, "")
 	}
 	return connect.NewResponse(&wire.BootstrapResponse{}), nil
 }
+
+func (s *Server) bootstrap(ctx context.Context, r *wire.BootstrapRequest) error {
+	if r.Group != replica.GroupName(r.Membership) {
+		return fail.New(fail.BadRequest, "the name of the group does not stand for its replicas")
+	}
+	self := func(x *wire.Replica) bool { return x.Id == s.node.Identity().ID && !x.Learner }
+	if !slices.ContainsFunc(r.Membership.GetReplicas(), self) {
+		return fail.New(fail.BadRequest, "the replica is not a voter of the group")
+	}
+	if err := s.joinGroup(r.Group); err != nil {
+		return err
+	}
+	return s.node.Bootstrap(ctx, r.Membership)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	node    *replica.Node
 	journal *journal.Journal
 	group   atomic.Pointer[string]
+	joining sync.Mutex
 	engines endpoint.Engine
 	list    platform.LiveList
 	leases  leaseTable
@@ -48,14 +50,11 @@
 
 // Start opens the data folder and serves until ctx ends.
 func Start(ctx context.Context, cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
-	identity, err := journal.LoadIdentity(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
-	if err != nil {
-		return nil, err
-	}
-	j, recovered, err := journal.Open(cfg.DataFolder)
+	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
 	if err != nil {
 		return nil, err
 	}
+	identity := recovered.Identity
 	start := time.Now()
 	s := &Server{
 		cfg:     cfg,
@@ -69,7 +68,7 @@
 	s.group.Store(&identity.Group)
 	sender := replica.NewNetworkSender(ctx, transport.NewPeerClient(), func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
-		Identity: identity, Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
 	})
 	if err != nil {
--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -5,13 +5,15 @@
 	"flag"
 	"fmt"
 	"strconv"
+	"sync"
 	"text/tabwriter"
+	"time"
 
 	"connectrpc.com/connect"
-	"github.com/google/uuid"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
@@ -28,27 +30,33 @@
 	return r.Msg, c, nil
 }
 
-// runBootstrap forms a group. It refuses where any VM belongs to one already,
-// for a second group would forget what the first accepted.
+// runBootstrap forms a group. A repeated run goes on where an earlier one
+// stopped. It refuses where any VM belongs to another group, for a second
+// group would forget what the first accepted.
 func runBootstrap(ctx context.Context, t *tool, _ []string) error {
 	membership := &wire.Membership{}
 	var clients []wireconnect.BootstrapServiceClient
+	var groups []string
 	for _, a := range t.control {
 		id, c, err := identify(ctx, a)
 		if err != nil {
 			return err
 		}
-		if id.Group != "" {
-			return fail.New(fail.MembershipChange, "control VM "+a+" belongs to group "+id.Group+" already")
-		}
 		membership.Replicas = append(membership.Replicas, &wire.Replica{Id: id.Id, Address: a, Domain: id.Domain})
 		clients = append(clients, c)
+		groups = append(groups, id.Group)
+	}
+	group := replica.GroupName(membership)
+	for i, g := range groups {
+		if g != "" && g != group {
+			return fail.New(fail.MembershipChange, "control VM "+t.control[i]+" belongs to group "+g+
+				", which other replicas formed; to bring in a blank VM use replace, not bootstrap")
+		}
 	}
-	group := uuid.NewString()
-	for _, c := range clients {
+	for i, c := range clients {
 		if _, err := c.Bootstrap(ctx, connect.NewRequest(&wire.BootstrapRequest{Group: group, Membership: membership})); err != nil {
 			f, _ := rpcerror.FromConnect(err)
-			return f
+			return fail.Wrap(f, f.Code, "control VM "+t.control[i]+" (run the same command again)")
 		}
 	}
 	fmt.Fprintf(t.out, "group %s formed with %d replicas\n", group, len(clients))
@@ -67,17 +75,16 @@
 	if err != nil {
 		return err
 	}
+	states := replicaStates(ctx, m.Membership)
 	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "REPLICA\tADDRESS\tDOMAIN\tROLE")
-	for _, r := range m.Membership.Replicas {
-		role := "voter"
-		switch {
-		case r.Id == m.Leader:
-			role = "leader"
-		case r.Learner:
-			role = "learner"
+	fmt.Fprintln(w, "REPLICA\tADDRESS\tDOMAIN\tROLE\tSTATE")
+	for i, r := range m.Membership.Replicas {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", r.Id, r.Address, r.Domain, roleName(r, m.Leader), states[i])
+	}
+	for i, r := range m.Membership.Replicas {
+		if next := states[i].nextStep(r); next != "" {
+			fmt.Fprintln(w, "next: "+next)
 		}
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", r.Id, r.Address, r.Domain, role)
 	}
 	fmt.Fprintln(w, "\nENTRY\tADDRESS\tDOMAIN\tLIVE\tDRAINING")
 	for _, e := range m.Entries {
@@ -90,42 +97,133 @@
 	return w.Flush()
 }
 
-// runReplace adds the blank control VM at an address and removes a lost one.
-func runReplace(ctx context.Context, t *tool, args []string) error {
+func roleName(r *wire.Replica, leader uint64) string {
+	switch {
+	case r.Id == leader:
+		return "leader"
+	case r.Learner:
+		return "learner"
+	}
+	return "voter"
+}
+
+// replicaState is what parsleyctl found at a replica's address.
+type replicaState string
+
+const (
+	stateAnswers  replicaState = "answers"
+	stateSilent   replicaState = "no answer"
+	stateReplaced replicaState = "another replica answers"
+)
+
+// identifyTimeout bounds the question to one replica.
+const identifyTimeout = time.Second
+
+func replicaStates(ctx context.Context, m *wire.Membership) []replicaState {
+	states := make([]replicaState, len(m.Replicas))
+	var wg sync.WaitGroup
+	for i, r := range m.Replicas {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+			defer cancel()
+			id, _, err := identify(ctx, r.Address)
+			switch {
+			case err != nil:
+				states[i] = stateSilent
+			case id.Id != r.Id:
+				states[i] = stateReplaced
+			default:
+				states[i] = stateAnswers
+			}
+		})
+	}
+	wg.Wait()
+	return states
+}
+
+// nextStep tells the operator what to do about a replica, or "".
+func (s replicaState) nextStep(r *wire.Replica) string {
+	switch {
+	case s == stateSilent:
+		return fmt.Sprintf("restart the control VM at %s; if its disk is lost, run: parsleyctl replace -remove %d -add IP:PORT-OF-A-BLANK-VM", r.Address, r.Id)
+	case s == stateReplaced:
+		return fmt.Sprintf("the disk at %s was emptied; run: parsleyctl replace -remove %d -add %s", r.Address, r.Id, r.Address)
+	case r.Learner:
+		return fmt.Sprintf("replica %d has no vote yet; run again: parsleyctl replace -add %s, with the same -remove as before", r.Id, r.Address)
+	}
+	return ""
+}
+
+// replaceRequest reads the flags and asks the blank VM for its id.
+func replaceRequest(ctx context.Context, args []string) (*wire.ReplaceReplicaRequest, error) {
 	flags := flag.NewFlagSet("replace", flag.ContinueOnError)
 	lost := flags.String("remove", "", "id of the lost replica, as members prints it")
 	added := flags.String("add", "", "ip:port of the blank control VM")
 	if err := flags.Parse(args); err != nil {
-		return fail.Wrap(err, fail.BadSettings, "flags")
+		return nil, fail.Wrap(err, fail.BadSettings, "flags")
 	}
 	req := &wire.ReplaceReplicaRequest{}
 	if *lost != "" {
 		id, err := strconv.ParseUint(*lost, 10, 64)
 		if err != nil {
-			return fail.Wrap(err, fail.BadSettings, "-remove")
+			return nil, fail.Wrap(err, fail.BadSettings, "-remove")
 		}
 		req.RemoveId = id
 	}
 	if *added != "" {
 		id, _, err := identify(ctx, *added)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		req.Add = &wire.Replica{Id: id.Id, Address: *added, Domain: id.Domain}
 	}
+	return req, nil
+}
+
+// runReplace adds the blank control VM at an address and removes a lost one.
+// It asks again while the replacement is under way.
+func runReplace(ctx context.Context, t *tool, args []string) error {
+	req, err := replaceRequest(ctx, args)
+	if err != nil {
+		return err
+	}
 	var m *wire.Membership
-	err := t.client().Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
-		r, err := c.Operator.ReplaceReplica(ctx, connect.NewRequest(req))
+	for {
+		err = t.client().Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+			r, err := c.Operator.ReplaceReplica(ctx, connect.NewRequest(req))
+			if err == nil {
+				m = r.Msg.Membership
+			}
+			return err
+		})
 		if err == nil {
-			m = r.Msg.Membership
+			break
+		}
+		wait := fail.From(err).RetryAfter
+		if wait == 0 || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait):
 		}
-		return err
-	})
-	if err != nil {
-		return err
 	}
+	t.printReplaced(m)
+	return nil
+}
+
+func (t *tool) printReplaced(m *wire.Membership) {
+	voters := 0
 	for _, r := range m.Replicas {
-		fmt.Fprintf(t.out, "replica %d at %s learner=%t\n", r.Id, r.Address, r.Learner)
+		fmt.Fprintf(t.out, "replica %d at %s is a %s\n", r.Id, r.Address, roleName(r, 0))
+		if !r.Learner {
+			voters++
+		}
 	}
-	return nil
+	if voters%2 == 0 {
+		fmt.Fprintf(t.out, "next: %d voters outlive no more losses than %d; remove a lost replica or add a blank VM\n", voters, voters-1)
+		return
+	}
+	fmt.Fprintln(t.out, "done. next: put the new address into the control lists of the entries' settings")
 }
--- /dev/null
+++ b/internal/journal/folder.go
@@ -0,0 +1,121 @@
+package journal
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+
+	"parsleyramp/internal/fail"
+)
+
+const (
+	identityName = "identity.json"
+	lockName     = "lock"
+	logName      = "replica.log"
+	tempSuffix   = ".tmp"
+)
+
+// Identity names a replica for as long as its data folder exists. A folder
+// that was emptied gets a new one, so that a replica never votes twice under
+// one identity.
+type Identity struct {
+	ID uint64 `json:"id"`
+	// Group is empty until the replica belongs to one.
+	Group string `json:"group"`
+}
+
+// lockFolder keeps other processes off the folder until the file is closed.
+func lockFolder(dir string) (*os.File, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fail.Wrap(err, fail.StorageFailed, "create data folder")
+	}
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.StorageFailed, "open lock of data folder")
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fail.Wrap(err, fail.StorageFailed, "another process uses the data folder "+dir)
+	}
+	return f, nil
+}
+
+// loadIdentity returns the folder's identity, and creates one with newID in
+// an empty folder. A folder that holds anything else is foreign.
+func loadIdentity(dir string, newID func() uint64) (Identity, error) {
+	content, err := os.ReadFile(filepath.Join(dir, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		if err := checkEmpty(dir); err != nil {
+			return Identity{}, err
+		}
+		id := Identity{ID: newID()}
+		return id, saveIdentity(dir, id)
+	}
+	if err != nil {
+		return Identity{}, fail.Wrap(err, fail.StorageFailed, "read identity")
+	}
+	var id Identity
+	if err := json.Unmarshal(content, &id); err != nil || id.ID == 0 {
+		return Identity{}, fail.New(fail.ForeignFolder, dir+"/"+identityName+" is not a replica's identity")
+	}
+	return id, nil
+}
+
+// checkEmpty allows what a new file system or a crash at the first start leaves.
+func checkEmpty(dir string) error {
+	allowed := []string{lockName, identityName + tempSuffix, "lost+found"}
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "read data folder")
+	}
+	for _, f := range files {
+		if !slices.Contains(allowed, f.Name()) {
+			return fail.New(fail.ForeignFolder, dir+" holds "+f.Name()+" and no "+identityName+"; use an empty folder")
+		}
+	}
+	return nil
+}
+
+func saveIdentity(dir string, id Identity) error {
+	content, err := json.Marshal(id)
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode identity")
+	}
+	return replaceFile(dir, identityName, content)
+}
+
+// replaceFile writes a file so that a crash leaves the old or the new content.
+func replaceFile(dir, name string, content []byte) error {
+	path := filepath.Join(dir, name)
+	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "create "+name)
+	}
+	_, err = f.Write(content)
+	if err == nil {
+		err = f.Sync()
+	}
+	err = errors.Join(err, f.Close())
+	if err == nil {
+		err = os.Rename(path+tempSuffix, path)
+	}
+	if err != nil {
+		os.Remove(path + tempSuffix)
+		return fail.Wrap(err, fail.StorageFailed, "replace "+name)
+	}
+	return syncFolder(dir)
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "open data folder")
+	}
+	if err := errors.Join(d.Sync(), d.Close()); err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "sync data folder")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/journal/frame.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// A frame is magic, payload length, sequence number and checksum, little
+// endian, then the payload. The checksum covers length, number and payload.
+const (
+	frameMagic   = "PRJ1"
+	lengthAt     = 4
+	sequenceAt   = 8
+	checksumAt   = 16
+	headerBytes  = 20
+	maxFrameSize = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendFrame adds one message as a frame. One frame is what one sync makes
+// durable: it counts whole or not at all, in whichever order the disk wrote
+// its parts.
+func appendFrame(buf []byte, sequence uint64, m proto.Message) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, frameMagic...)
+	buf = append(buf, make([]byte, headerBytes-len(frameMagic))...)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return nil, err
+	}
+	header := buf[start : start+headerBytes]
+	payload := buf[start+headerBytes:]
+	binary.LittleEndian.PutUint32(header[lengthAt:], uint32(len(payload)))
+	binary.LittleEndian.PutUint64(header[sequenceAt:], sequence)
+	binary.LittleEndian.PutUint32(header[checksumAt:], checksum(header, payload))
+	return buf, nil
+}
+
+func checksum(header, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(header[lengthAt:checksumAt], castagnoli), castagnoli, payload)
+}
+
+// readFrame returns the payload and the sequence number of the frame that buf
+// starts with, and false where it is cut off or broken.
+func readFrame(buf []byte) (payload []byte, sequence uint64, ok bool) {
+	if len(buf) < headerBytes || string(buf[:lengthAt]) != frameMagic {
+		return nil, 0, false
+	}
+	size := int(binary.LittleEndian.Uint32(buf[lengthAt:]))
+	if size > maxFrameSize || size > len(buf)-headerBytes {
+		return nil, 0, false
+	}
+	payload = buf[headerBytes : headerBytes+size]
+	if checksum(buf, payload) != binary.LittleEndian.Uint32(buf[checksumAt:]) {
+		return nil, 0, false
+	}
+	return payload, binary.LittleEndian.Uint64(buf[sequenceAt:]), true
+}
+
+// findFrame reports whether a valid frame with a number above the given one
+// starts anywhere in buf.
+func findFrame(buf []byte, above uint64) bool {
+	for {
+		i := bytes.Index(buf, []byte(frameMagic))
+		if i < 0 {
+			return false
+		}
+		buf = buf[i:]
+		if _, sequence, ok := readFrame(buf); ok && sequence > above {
+			return true
+		}
+		buf = buf[1:]
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,16 +1,14 @@
-// Package journal keeps a control replica's identity, log and snapshot in one
-// data folder. A record counts only once it is synced. A broken record at the
-// end of the log is an unfinished write and is cut; one in the middle is an
-// error, for cutting there would lose synced records.
+// Package journal keeps a control replica's identity, snapshot and log in one
+// data folder, which it locks. Snapshot and log share one file, so that they
+// change together.
+//
+// A record counts only once it is synced. A broken record at the end of the
+// file is an unfinished write and is cut; one that a valid record follows is
+// an error, for cutting there would lose synced records.
 package journal
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/binary"
 	"errors"
-	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
 
@@ -20,284 +18,227 @@
 	"parsleyramp/internal/wire"
 )
 
-const (
-	walName      = "log.wal"
-	snapshotName = "state.snapshot"
-	tempSuffix   = ".tmp"
-	headerBytes  = 9
-	// maxRecordBytes bounds one record, so that a damaged length is noticed.
-	maxRecordBytes = 64 << 20
-)
-
-type recordKind byte
-
-const (
-	recordHardState recordKind = 1
-	recordEntry     recordKind = 2
-	recordSnapshot  recordKind = 3
-)
-
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+// format is the version of the journal's records.
+const format = 1
 
 // Recovered is what a data folder held when it was opened.
 type Recovered struct {
+	Identity  Identity
 	HardState *wire.HardState
 	Snapshot  *wire.Snapshot
 	Entries   []*wire.LogEntry
 	// CutBytes counts the bytes of an unfinished write that were removed.
-	CutBytes int64
+	CutBytes int
 }
 
-// Journal appends to the log of one data folder.
+// Journal appends to the log of one data folder. After a failed write every
+// further call fails, for what the disk holds is unknown until the next Open.
 type Journal struct {
-	dir  string
-	wal  *os.File
-	buf  []byte
-	last *wire.HardState
+	dir      string
+	lock     *os.File
+	log      *os.File
+	identity Identity
+	sequence uint64
+	buf      []byte
+	hard     *wire.HardState
+	failed   error
 }
 
-// Open reads the folder, creating it where it does not exist, and cuts an
-// unfinished write at the end of the log.
-func Open(dir string) (*Journal, *Recovered, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, nil, fail.Wrap(err, fail.StorageFailed, "create data folder")
-	}
-	r := &Recovered{HardState: &wire.HardState{}}
-	if err := readSnapshot(filepath.Join(dir, snapshotName), r); err != nil {
-		return nil, nil, err
-	}
-	f, err := os.OpenFile(filepath.Join(dir, walName), os.O_CREATE|os.O_RDWR, 0o644)
+// Open locks and reads the folder, creating it where it does not exist. It
+// writes the whole log again before it returns, so that what is recovered is
+// on the disk also where an earlier sync had failed.
+func Open(dir string, newID func() uint64) (*Journal, *Recovered, error) {
+	lock, err := lockFolder(dir)
 	if err != nil {
-		return nil, nil, fail.Wrap(err, fail.StorageFailed, "open log")
-	}
-	if err := recoverLog(f, r); err != nil {
-		f.Close()
 		return nil, nil, err
 	}
-	if err := syncDir(dir); err != nil {
-		f.Close()
+	j := &Journal{dir: dir, lock: lock}
+	r, err := j.recover(newID)
+	if err != nil {
+		j.Close()
 		return nil, nil, err
 	}
-	return &Journal{dir: dir, wal: f, last: r.HardState}, r, nil
+	return j, r, nil
 }
 
-// Save appends the hard state, where not nil, and the entries, and syncs.
-func (j *Journal) Save(h *wire.HardState, entries []*wire.LogEntry) error {
-	j.buf = j.buf[:0]
-	if h != nil {
-		j.last = h
-		j.buf = appendRecord(j.buf, recordHardState, h)
-	}
-	for _, e := range entries {
-		j.buf = appendRecord(j.buf, recordEntry, e)
-	}
-	if len(j.buf) == 0 {
-		return nil
-	}
-	if _, err := j.wal.Write(j.buf); err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "write log")
+func (j *Journal) recover(newID func() uint64) (*Recovered, error) {
+	identity, err := loadIdentity(j.dir, newID)
+	if err != nil {
+		return nil, err
 	}
-	if err := j.wal.Sync(); err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "sync log")
+	j.identity = identity
+	r := &Recovered{Identity: identity, HardState: &wire.HardState{}}
+	path := filepath.Join(j.dir, logName)
+	content, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist) && identity.Group != "":
+		return nil, fail.New(fail.CorruptJournal, path+" is missing from a replica of a group; empty the folder and replace the replica")
+	case err != nil && !errors.Is(err, os.ErrNotExist):
+		return nil, fail.Wrap(err, fail.StorageFailed, "read log")
+	case err == nil:
+		if err := r.read(path, content); err != nil {
+			return nil, err
+		}
 	}
-	return nil
+	j.hard = r.HardState
+	return r, j.rewrite(r.Snapshot, r.Entries)
 }
 
-// SaveSnapshot replaces the stored snapshot and rewrites the log to hold the
-// hard state and the entries that remain.
-func (j *Journal) SaveSnapshot(s *wire.Snapshot, remaining []*wire.LogEntry) error {
-	if err := j.replace(snapshotName, appendRecord(nil, recordSnapshot, s)); err != nil {
-		return err
-	}
-	buf := appendRecord(nil, recordHardState, j.last)
-	for _, e := range remaining {
-		buf = appendRecord(buf, recordEntry, e)
+// read takes every record of the log and checks that they fit together.
+func (r *Recovered) read(path string, content []byte) error {
+	payload, sequence, ok := readFrame(content)
+	var header wire.JournalHeader
+	if !ok || sequence != 0 || proto.Unmarshal(payload, &header) != nil || header.Format != format {
+		return fail.New(fail.CorruptJournal, path+" does not start with a journal's header")
 	}
-	if err := j.replace(walName, buf); err != nil {
-		return err
+	if header.ReplicaId != r.Identity.ID {
+		return fail.New(fail.ForeignFolder, path+" belongs to another replica than "+identityName)
 	}
-	f, err := os.OpenFile(filepath.Join(j.dir, walName), os.O_RDWR|os.O_APPEND, 0o644)
-	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "reopen log")
+	for next := uint64(1); ; next++ {
+		content = content[headerBytes+len(payload):]
+		if len(content) == 0 {
+			break
+		}
+		payload, sequence, ok = readFrame(content)
+		if !ok && next > 1 && !findFrame(content, next) {
+			r.CutBytes = len(content)
+			break
+		}
+		if !ok || sequence != next {
+			return fail.New(fail.CorruptJournal, path+": a record in the middle is broken")
+		}
+		if err := r.add(payload); err != nil {
+			return err
+		}
 	}
-	j.wal.Close()
-	j.wal = f
-	return nil
-}
-
-// Close closes the log.
-func (j *Journal) Close() error { return j.wal.Close() }
-
-// replace writes a file so that a crash leaves the old or the new content.
-func (j *Journal) replace(name string, content []byte) error {
-	return replaceFile(j.dir, name, content)
+	return r.check(path)
 }
 
-func replaceFile(dir, name string, content []byte) error {
-	path := filepath.Join(dir, name)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
-	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "create "+name)
+// add takes one batch. Entries up to the snapshot are skipped; an entry that
+// was written again replaces the old one and all that followed it.
+func (r *Recovered) add(payload []byte) error {
+	var b wire.JournalBatch
+	if err := proto.Unmarshal(payload, &b); err != nil {
+		return fail.Wrap(err, fail.CorruptJournal, "decode journal")
 	}
-	_, err = f.Write(content)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(path+tempSuffix, path)
+	if b.Snapshot != nil {
+		r.Snapshot, r.Entries = b.Snapshot, nil
 	}
-	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "replace "+name)
+	if b.HardState != nil {
+		r.HardState = b.HardState
+	}
+	for _, e := range b.Entries {
+		first := r.Snapshot.GetIndex() + 1
+		if e.Index < first || e.Index-first > uint64(len(r.Entries)) {
+			return fail.New(fail.CorruptJournal, "a log entry is missing")
+		}
+		r.Entries = append(r.Entries[:e.Index-first], e)
 	}
-	return syncDir(dir)
+	return nil
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "open data folder")
+// check refuses a log whose terms go back, or exceed the stored term.
+func (r *Recovered) check(path string) error {
+	term := r.Snapshot.GetTerm()
+	for _, e := range r.Entries {
+		if e.Term < term {
+			return fail.New(fail.CorruptJournal, path+": the terms of the log go back")
+		}
+		term = e.Term
 	}
-	if err := errors.Join(d.Sync(), d.Close()); err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "sync data folder")
+	if len(r.Entries) > 0 && term > r.HardState.Term {
+		return fail.New(fail.CorruptJournal, path+": the term of the log was not stored")
 	}
 	return nil
 }
 
-// appendRecord adds length, checksum, kind and payload. The checksum covers
-// kind and payload.
-func appendRecord(buf []byte, kind recordKind, m proto.Message) []byte {
-	start := len(buf)
-	buf = append(buf, make([]byte, headerBytes)...)
-	buf[start+8] = byte(kind)
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
-	if err != nil {
-		panic(err) // Only invalid UTF-8 can fail, and texts are kept as bytes.
-	}
-	binary.LittleEndian.PutUint32(buf[start:], uint32(len(buf)-start-headerBytes))
-	binary.LittleEndian.PutUint32(buf[start+4:], crc32.Checksum(buf[start+8:], castagnoli))
-	return buf
-}
+// Identity returns the folder's identity as it was when opened.
+func (j *Journal) Identity() Identity { return j.identity }
 
-// errBroken marks a record that is cut off or fails its checksum.
-var errBroken = fail.New(fail.CorruptJournal, "broken record")
+// SetGroup records the group that the replica belongs to. It may be called
+// while another goroutine saves to the log.
+func (j *Journal) SetGroup(group string) error {
+	return saveIdentity(j.dir, Identity{ID: j.identity.ID, Group: group})
+}
 
-// readRecord returns the kind, the payload and the record's size in bytes.
-func readRecord(r io.Reader) (recordKind, []byte, int64, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		if errors.Is(err, io.EOF) {
-			return 0, nil, 0, io.EOF
-		}
-		return 0, nil, 0, errBroken
-	}
-	size := binary.LittleEndian.Uint32(header[:])
-	if size > maxRecordBytes {
-		return 0, nil, 0, errBroken
+// Save appends the hard state, where not nil, and the entries, and syncs.
+func (j *Journal) Save(h *wire.HardState, entries []*wire.LogEntry) error {
+	if h == nil && len(entries) == 0 {
+		return nil
 	}
-	payload, err := io.ReadAll(io.LimitReader(r, int64(size)))
-	if err != nil || len(payload) != int(size) {
-		return 0, nil, 0, errBroken
+	if j.failed != nil {
+		return j.failed
 	}
-	sum := crc32.Update(crc32.Checksum(header[8:], castagnoli), castagnoli, payload)
-	if sum != binary.LittleEndian.Uint32(header[4:]) {
-		return 0, nil, 0, errBroken
+	j.failed = j.append(&wire.JournalBatch{HardState: h, Entries: entries})
+	if h != nil {
+		j.hard = h
 	}
-	return recordKind(header[8]), payload, int64(headerBytes) + int64(size), nil
+	return j.failed
 }
 
-func readSnapshot(path string, r *Recovered) error {
-	content, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
+func (j *Journal) append(b *wire.JournalBatch) error {
+	buf, err := appendFrame(j.buf[:0], j.sequence+1, b)
 	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "read snapshot")
+		return fail.Wrap(err, fail.Internal, "encode journal")
 	}
-	kind, payload, _, err := readRecord(bytes.NewReader(content))
-	if err != nil || kind != recordSnapshot {
-		return fail.New(fail.CorruptJournal, path+": the snapshot fails its checksum")
+	j.buf = buf
+	if cap(buf) > maxKeptBuffer {
+		j.buf = nil
 	}
-	r.Snapshot = &wire.Snapshot{}
-	if err := proto.Unmarshal(payload, r.Snapshot); err != nil {
-		return fail.Wrap(err, fail.CorruptJournal, path)
+	if _, err := j.log.Write(buf); err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "write log")
 	}
+	if err := j.log.Sync(); err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "sync log")
+	}
+	j.sequence++
 	return nil
 }
 
-// recoverLog reads every record, cuts a broken tail and leaves the file
-// positioned for appending.
-func recoverLog(f *os.File, r *Recovered) error {
-	in := bufio.NewReaderSize(f, 1<<20)
-	var offset int64
-	for {
-		kind, payload, size, err := readRecord(in)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return cutTail(f, offset, r)
-		}
-		if err := r.add(kind, payload); err != nil {
-			return err
-		}
-		offset += size
+// maxKeptBuffer bounds the buffer kept between two writes.
+const maxKeptBuffer = 1 << 20
+
+// SaveSnapshot replaces the stored snapshot and the log before it by the
+// snapshot, the hard state, where not nil, and the entries that remain.
+func (j *Journal) SaveSnapshot(s *wire.Snapshot, h *wire.HardState, remaining []*wire.LogEntry) error {
+	if j.failed != nil {
+		return j.failed
 	}
-	_, err := f.Seek(offset, io.SeekStart)
-	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "seek log")
+	if h != nil {
+		j.hard = h
 	}
-	return nil
+	j.failed = j.rewrite(s, remaining)
+	return j.failed
 }
 
-// cutTail removes a broken record that nothing valid follows.
-func cutTail(f *os.File, offset int64, r *Recovered) error {
-	tail, err := io.ReadAll(io.NewSectionReader(f, offset, 1<<62))
+// rewrite replaces the log file at once.
+func (j *Journal) rewrite(s *wire.Snapshot, entries []*wire.LogEntry) error {
+	buf, err := appendFrame(nil, 0, &wire.JournalHeader{ReplicaId: j.identity.ID, Format: format})
+	if err == nil {
+		buf, err = appendFrame(buf, 1, &wire.JournalBatch{Snapshot: s, HardState: j.hard, Entries: entries})
+	}
 	if err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "read log")
+		return fail.Wrap(err, fail.Internal, "encode journal")
 	}
-	for i := 1; i+headerBytes < len(tail); i++ {
-		if kind, _, _, err := readRecord(bytes.NewReader(tail[i:])); err == nil && kind >= recordHardState && kind <= recordSnapshot {
-			return fail.New(fail.CorruptJournal, f.Name()+": a record in the middle fails its checksum")
-		}
+	if err := replaceFile(j.dir, logName, buf); err != nil {
+		return err
 	}
-	r.CutBytes = int64(len(tail))
-	if err := errors.Join(f.Truncate(offset), f.Sync()); err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "cut log")
+	f, err := os.OpenFile(filepath.Join(j.dir, logName), os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return fail.Wrap(err, fail.StorageFailed, "open log")
 	}
-	if _, err := f.Seek(offset, io.SeekStart); err != nil {
-		return fail.Wrap(err, fail.StorageFailed, "seek log")
+	if j.log != nil {
+		j.log.Close()
 	}
+	j.log, j.sequence = f, 1
 	return nil
 }
 
-// add takes one record. Entries up to the snapshot are skipped; an entry that
-// was written again replaces the old one and all that followed it.
-func (r *Recovered) add(kind recordKind, payload []byte) error {
-	switch kind {
-	case recordHardState:
-		h := &wire.HardState{}
-		if err := proto.Unmarshal(payload, h); err != nil {
-			return fail.Wrap(err, fail.CorruptJournal, "hard state")
-		}
-		r.HardState = h
-		return nil
-	case recordEntry:
-		e := &wire.LogEntry{}
-		if err := proto.Unmarshal(payload, e); err != nil {
-			return fail.Wrap(err, fail.CorruptJournal, "log entry")
-		}
-		return r.addEntry(e)
-	}
-	return fail.New(fail.CorruptJournal, "unknown kind of record")
-}
-
-func (r *Recovered) addEntry(e *wire.LogEntry) error {
-	first := r.Snapshot.GetIndex() + 1
-	if e.Index < first {
-		return nil
+// Close closes the log and unlocks the folder.
+func (j *Journal) Close() error {
+	var err error
+	if j.log != nil {
+		err = j.log.Close()
 	}
-	keep := e.Index - first
-	if keep > uint64(len(r.Entries)) {
-		return fail.New(fail.CorruptJournal, "a log entry is missing")
-	}
-	r.Entries = append(r.Entries[:keep], e)
-	return nil
+	return errors.Join(err, j.lock.Close())
 }
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,243 @@
+package journal
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
+)
+
+// The seed is fixed, so that the verdict is the same every time; flags on the
+// command line come later and win.
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "60")
+	flag.Set("rapid.nofailfile", "true")
+}
+
+func newID() uint64 { return 7 }
+
+// model is what a journal must hold after the saves so far.
+type model struct {
+	hard    *wire.HardState
+	snap    *wire.Snapshot
+	entries []*wire.LogEntry
+}
+
+func (m *model) save(t *rapid.T, j *Journal) {
+	term := max(m.hard.GetTerm(), 1) + uint64(rapid.IntRange(0, 1).Draw(t, "newTerm"))
+	first := m.snap.GetIndex() + 1
+	at := rapid.Uint64Range(first, first+uint64(len(m.entries))).Draw(t, "at")
+	var batch []*wire.LogEntry
+	for i := range rapid.Uint64Range(1, 4).Draw(t, "n") {
+		batch = append(batch, &wire.LogEntry{Index: at + i, Term: term, Data: rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "data")})
+	}
+	h := &wire.HardState{Term: term}
+	if err := j.Save(h, batch); err != nil {
+		t.Fatal(err)
+	}
+	m.hard, m.entries = h, append(slices.Clone(m.entries[:at-first]), batch...)
+}
+
+// snapshot covers part of the log, or replaces all of it as an installed one.
+func (m *model) snapshot(t *rapid.T, j *Journal) {
+	s := &wire.Snapshot{Index: m.snap.GetIndex() + uint64(len(m.entries)) + 3, Term: m.hard.GetTerm(), Data: []byte("state")}
+	var rest []*wire.LogEntry
+	if len(m.entries) > 0 && rapid.Bool().Draw(t, "own") {
+		k := rapid.IntRange(1, len(m.entries)).Draw(t, "covered")
+		s.Index, s.Term, rest = m.entries[k-1].Index, m.entries[k-1].Term, m.entries[k:]
+	}
+	if err := j.SaveSnapshot(s, nil, rest); err != nil {
+		t.Fatal(err)
+	}
+	m.snap, m.entries = s, rest
+}
+
+func (m *model) equal(r *Recovered) bool {
+	same := func(a, b *wire.LogEntry) bool { return proto.Equal(a, b) }
+	return r.HardState.GetTerm() == m.hard.GetTerm() && proto.Equal(r.Snapshot, m.snap) && slices.EqualFunc(r.Entries, m.entries, same)
+}
+
+// A write cut off at any byte, or whose parts reached the disk in any order,
+// leaves what was synced before; a finished one is there whole. A broken byte
+// before the last record is an error.
+func TestTornAndBrokenRecords(t *testing.T) {
+	root := t.TempDir()
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp(root, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		j, _, err := Open(dir, newID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var m model
+		for range rapid.IntRange(0, 6).Draw(t, "saves") {
+			if rapid.IntRange(0, 3).Draw(t, "op") == 0 {
+				m.snapshot(t, j)
+			} else {
+				m.save(t, j)
+			}
+		}
+		path := filepath.Join(dir, logName)
+		before := mustRead(t, path)
+		old := m
+		m.save(t, j)
+		after := mustRead(t, path)
+		j.Close()
+		for n := len(before); n <= len(after); n++ {
+			want := &old
+			if n == len(after) {
+				want = &m
+			}
+			mustRecover(t, dir, after[:n], want)
+		}
+		hole := rapid.IntRange(len(before), len(after)-1).Draw(t, "hole")
+		torn := slices.Clone(after)
+		clear(torn[hole:min(hole+8, len(after))])
+		if !slices.Equal(torn, after) {
+			mustRecover(t, dir, torn, &old)
+		}
+		flip := slices.Clone(after)
+		flip[rapid.IntRange(0, len(before)-1).Draw(t, "flip")] ^= 0x10
+		os.WriteFile(path, flip, 0o644)
+		if j, _, err := Open(dir, newID); err == nil {
+			j.Close()
+			t.Fatal("a record broken in the middle was accepted")
+		}
+	})
+}
+
+func mustRead(t *rapid.T, path string) []byte {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+func mustRecover(t *rapid.T, dir string, content []byte, want *model) {
+	if err := os.WriteFile(filepath.Join(dir, logName), content, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		j, r, err := Open(dir, newID)
+		if err != nil {
+			t.Fatalf("%d bytes: %v", len(content), err)
+		}
+		j.Close()
+		if !want.equal(r) {
+			t.Fatalf("%d bytes: got %v, want %v", len(content), r, want)
+		}
+	}
+}
+
+func openCode(t *testing.T, dir string, want fail.Code) {
+	t.Helper()
+	j, _, err := Open(dir, newID)
+	if err == nil {
+		j.Close()
+	}
+	if !fail.Is(err, want) {
+		t.Fatalf("got %v, want %v", err, want)
+	}
+}
+
+func TestBadFolders(t *testing.T) {
+	filled := func(t *testing.T) string {
+		dir := t.TempDir()
+		j, _, err := Open(dir, newID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := j.SetGroup("g"); err != nil {
+			t.Fatal(err)
+		}
+		j.Close()
+		return dir
+	}
+	t.Run("foreign file", func(t *testing.T) {
+		dir := t.TempDir()
+		os.WriteFile(filepath.Join(dir, "ledger.db"), nil, 0o644)
+		openCode(t, dir, fail.ForeignFolder)
+	})
+	t.Run("another replica's log", func(t *testing.T) {
+		dir := filled(t)
+		saveIdentity(dir, Identity{ID: 8, Group: "g"})
+		openCode(t, dir, fail.ForeignFolder)
+	})
+	t.Run("log lost", func(t *testing.T) {
+		dir := filled(t)
+		os.Remove(filepath.Join(dir, logName))
+		openCode(t, dir, fail.CorruptJournal)
+	})
+	t.Run("identity lost", func(t *testing.T) {
+		dir := filled(t)
+		os.Remove(filepath.Join(dir, identityName))
+		openCode(t, dir, fail.ForeignFolder)
+	})
+	t.Run("folder is a file", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "x")
+		os.WriteFile(path, nil, 0o644)
+		openCode(t, path, fail.StorageFailed)
+	})
+	t.Run("two processes", func(t *testing.T) {
+		dir := filled(t)
+		j, _, err := Open(dir, newID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer j.Close()
+		openCode(t, dir, fail.StorageFailed)
+	})
+}
+
+// A full disk fails the write with a type, and the next open finds what was
+// synced before. The file size limit stands for the full disk.
+func TestFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	j, _, err := Open(dir, newID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Save(&wire.HardState{Term: 3}, []*wire.LogEntry{{Index: 1, Term: 3}}); err != nil {
+		t.Fatal(err)
+	}
+	var old syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_FSIZE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 4096, Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	big := []*wire.LogEntry{{Index: 2, Term: 3, Data: make([]byte, 8192)}}
+	saveErr := j.Save(nil, big)
+	againErr := j.Save(nil, []*wire.LogEntry{{Index: 2, Term: 3}})
+	snapErr := j.SaveSnapshot(&wire.Snapshot{Index: 1, Term: 3}, nil, nil)
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &old); err != nil {
+		t.Fatal(err)
+	}
+	for _, err := range []error{saveErr, againErr, snapErr} {
+		if !fail.Is(err, fail.StorageFailed) {
+			t.Fatalf("got %v, want %v", err, fail.StorageFailed)
+		}
+	}
+	j.Close()
+	j, r, err := Open(dir, newID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	if r.HardState.Term != 3 || len(r.Entries) != 1 || r.CutBytes == 0 {
+		t.Fatalf("recovered %+v", r)
+	}
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,12 +22,23 @@
 	inboxSize = 1024
 	// maxBatch bounds the events that share one sync of the journal.
 	maxBatch = 512
+	// maxInboxBytes bounds the messages that wait for the control goroutine.
+	maxInboxBytes = 8 << 20
+	// snapshotBytes is how many bytes of applied entries lead to a new
+	// snapshot, whatever their number.
+	snapshotBytes = 4 << 20
+	// keptBytes bounds the entries kept for slow followers after a snapshot.
+	keptBytes = 1 << 20
 )
 
-// Storage is what a node needs of its journal.
+// Storage is what a node needs of its journal. Each call is synced whole or
+// not at all.
 type Storage interface {
+	// Save appends the hard state, where not nil, and the entries.
 	Save(h *wire.HardState, entries []*wire.LogEntry) error
-	SaveSnapshot(s *wire.Snapshot, remaining []*wire.LogEntry) error
+	// SaveSnapshot replaces the log by the snapshot, the hard state, where not
+	// nil, and the entries that remain.
+	SaveSnapshot(s *wire.Snapshot, h *wire.HardState, remaining []*wire.LogEntry) error
 }
 
 // Sender passes messages to other replicas without waiting. It may drop any.
@@ -36,7 +48,6 @@
 
 // Options are the parts that a node joins.
 type Options struct {
-	Identity  journal.Identity
 	Recovered *journal.Recovered
 	Storage   Storage
 	Sender    Sender
@@ -57,9 +68,15 @@
 	inbox   chan func()
 	stopped chan struct{}
 	pending map[uint64]pendingProposal
-	// snapshotIndex is the index of the newest stored snapshot.
+	// snapshotIndex is the index of the newest stored snapshot, and
+	// sinceSnapshot counts the bytes of the entries applied after it.
 	snapshotIndex uint64
+	sinceSnapshot int
+	inboxBytes    atomic.Int64
 	lastRole      consensus.Role
+	lastTerm      uint64
+	// failure is a failed write outside of carryOut.
+	failure error
 }
 
 type pendingProposal struct {
@@ -79,7 +96,7 @@
 		return nil, err
 	}
 	initial := consensus.Initial{
-		ID:        opt.Identity.ID,
+		ID:        opt.Recovered.Identity.ID,
 		HardState: opt.Recovered.HardState,
 		Snapshot:  opt.Recovered.Snapshot,
 		Entries:   opt.Recovered.Entries,
@@ -98,7 +115,7 @@
 // Run owns the replica until ctx ends or its storage fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.stopped)
-	defer n.failPending()
+	defer n.failAll()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -112,7 +129,11 @@
 		}
 		n.core.Tick(n.opt.Now())
 		n.core.Flush()
-		if err := n.carryOut(); err != nil {
+		err := n.failure
+		if err == nil {
+			err = n.carryOut()
+		}
+		if err != nil {
 			n.opt.Log.WithError(err).Error("storage failed; the replica stops")
 			return err
 		}
@@ -140,12 +161,7 @@
 		if e.Empty() {
 			return nil
 		}
-		if e.Snapshot != nil {
-			if err := n.install(e.Snapshot); err != nil {
-				return err
-			}
-		}
-		if err := n.opt.Storage.Save(e.HardState, e.Entries); err != nil {
+		if err := n.save(e); err != nil {
 			return err
 		}
 		n.core.Persisted(e)
@@ -157,16 +173,20 @@
 	}
 }
 
-func (n *Node) install(s *wire.Snapshot) error {
+func (n *Node) save(e consensus.Effects) error {
+	if e.Snapshot == nil {
+		return n.opt.Storage.Save(e.HardState, e.Entries)
+	}
+	s := e.Snapshot
 	machine, err := state.Restore(s.Data)
 	if err != nil {
 		return err
 	}
-	if err := n.opt.Storage.SaveSnapshot(s, nil); err != nil {
+	if err := n.opt.Storage.SaveSnapshot(s, e.HardState, e.Entries); err != nil {
 		return err
 	}
 	n.machine = machine
-	n.snapshotIndex = s.Index
+	n.snapshotIndex, n.sinceSnapshot = s.Index, 0
 	n.opt.Log.WithField("index", s.Index).Info("snapshot installed")
 	return nil
 }
@@ -174,6 +194,7 @@
 func (n *Node) apply(entries []*wire.LogEntry) {
 	for _, e := range entries {
 		result := n.applyEntry(e)
+		n.sinceSnapshot += len(e.Data)
 		p, ok := n.pending[e.Index]
 		if !ok {
 			continue
@@ -200,7 +221,7 @@
 
 func (n *Node) maybeSnapshot() error {
 	applied := n.core.Applied()
-	if applied < n.snapshotIndex+n.opt.SnapshotEntries {
+	if applied < n.snapshotIndex+n.opt.SnapshotEntries && n.sinceSnapshot < snapshotBytes {
 		return nil
 	}
 	data, err := n.machine.Snapshot()
@@ -209,31 +230,43 @@
 	}
 	term, _ := n.core.TermAt(applied)
 	s := &wire.Snapshot{Index: applied, Term: term, Membership: n.core.MembershipAt(applied), Data: data}
-	if err := n.opt.Storage.SaveSnapshot(s, n.core.EntriesAfter(applied)); err != nil {
+	if err := n.opt.Storage.SaveSnapshot(s, nil, n.core.EntriesAfter(applied)); err != nil {
 		return err
 	}
-	n.core.Compact(s, n.opt.SnapshotEntries/4, 1<<20)
-	n.snapshotIndex = applied
+	n.core.Compact(s, n.opt.SnapshotEntries/4, keptBytes)
+	n.snapshotIndex, n.sinceSnapshot = applied, 0
 	n.opt.Log.WithFields(logrus.Fields{"index": applied, "bytes": len(data)}).Info("snapshot stored")
 	return nil
 }
 
 func (n *Node) noteRole() {
-	role := n.core.Role()
-	if role == n.lastRole {
+	role, term := n.core.Role(), n.core.Term()
+	if role == n.lastRole && (role != consensus.Leader || term == n.lastTerm) {
 		return
 	}
 	if n.lastRole == consensus.Leader {
 		n.failPending()
 	}
-	n.opt.Log.WithFields(logrus.Fields{"role": role.String(), "term": n.core.Term()}).Info("role changed")
-	n.lastRole = role
+	n.opt.Log.WithFields(logrus.Fields{"role": role.String(), "term": term}).Info("role changed")
+	n.lastRole, n.lastTerm = role, term
 }
 
 var errLostLeadership = fail.New(fail.Unavailable, "the leader changed while the change was being committed").WithRan(fail.RanUnknown)
 
+func (n *Node) failAll() {
+	for i, p := range n.pending {
+		p.done <- proposalResult{err: errLostLeadership}
+		delete(n.pending, i)
+	}
+}
+
+// failPending answers the proposals of earlier terms, or all of them where the
+// replica does not lead.
 func (n *Node) failPending() {
 	for i, p := range n.pending {
+		if n.core.Role() == consensus.Leader && p.term == n.core.Term() {
+			continue
+		}
 		p.done <- proposalResult{err: errLostLeadership}
 		delete(n.pending, i)
 	}
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"parsleyramp/internal/consensus"
@@ -21,6 +25,10 @@
 	Commit     uint64
 	Leading    bool
 	Membership *wire.Membership
+	// Reachable and CaughtUp are known to a leader alone: who answered within
+	// an election timeout, and who stores nearly the whole log.
+	Reachable map[uint64]bool
+	CaughtUp  map[uint64]bool
 }
 
 // LeaderAddress returns the address of the known leader, or "".
@@ -36,7 +44,13 @@
 // Deliver passes in messages from other replicas. It drops them where the
 // control goroutine cannot keep up.
 func (n *Node) Deliver(messages []*wire.RaftMessage) {
+	size := int64(messageBytes(messages...))
+	if n.inboxBytes.Add(size) > maxInboxBytes+size {
+		n.inboxBytes.Add(-size)
+		return
+	}
 	f := func() {
+		n.inboxBytes.Add(-size)
 		now := n.opt.Now()
 		for _, m := range messages {
 			n.core.Step(now, m)
@@ -45,10 +59,25 @@
 	select {
 	case n.inbox <- f:
 	default:
+		n.inboxBytes.Add(-size)
+	}
+}
+
+// messageBytes returns about how much memory the messages take.
+func messageBytes(messages ...*wire.RaftMessage) int {
+	const overhead = 64
+	n := 0
+	for _, m := range messages {
+		n += overhead + len(m.Snapshot.GetData())
+		for _, e := range m.Entries {
+			n += overhead + len(e.Data)
+		}
 	}
+	return n
 }
 
-// do runs f on the control goroutine and waits for it.
+// do runs f on the control goroutine and waits for it. After an error with an
+// unknown outcome f may still run, so the caller must not read what f writes.
 func (n *Node) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
@@ -61,7 +90,15 @@
 	select {
 	case <-done:
 		return nil
+	case <-ctx.Done():
+		return fail.Wrap(ctx.Err(), fail.Unavailable, "control is busy").WithRan(fail.RanUnknown)
 	case <-n.stopped:
+	}
+	// Nothing runs after the stop, but f may have run just before it.
+	select {
+	case <-done:
+		return nil
+	default:
 		return errStopped
 	}
 }
@@ -92,6 +129,9 @@
 			done <- proposalResult{err: err}
 			return
 		}
+		if old, ok := n.pending[index]; ok {
+			old.done <- proposalResult{err: errLostLeadership}
+		}
 		n.pending[index] = pendingProposal{term: n.core.Term(), done: done}
 	})
 	if err != nil {
@@ -138,32 +178,44 @@
 		s = Status{
 			ID: n.core.ID(), Leader: n.core.Leader(), Term: n.core.Term(), Commit: n.core.Commit(),
 			Leading: n.core.Role() == consensus.Leader, Membership: proto.Clone(n.core.Membership()).(*wire.Membership),
+			Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{},
+		}
+		for _, r := range s.Membership.Replicas {
+			s.Reachable[r.Id], s.CaughtUp[r.Id] = n.core.Reachable(r.Id), n.core.CaughtUp(r.Id)
 		}
 	})
-	return s, err
+	if err != nil {
+		return Status{}, err
+	}
+	return s, nil
 }
 
-// CaughtUp reports whether a learner has stored nearly the whole log.
-func (n *Node) CaughtUp(ctx context.Context, id uint64) (bool, error) {
-	var ok bool
-	err := n.do(ctx, func() { ok = n.core.CaughtUp(id) })
-	return ok, err
+// GroupName returns the name of the group that the replicas first form. It
+// depends on them alone, so that a repeated bootstrap forms the same group and
+// one of other replicas is told apart.
+func GroupName(m *wire.Membership) string {
+	var names []string
+	for _, r := range m.GetReplicas() {
+		names = append(names, fmt.Sprintf("%d@%s", r.Id, r.Address))
+	}
+	slices.Sort(names)
+	return fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(names, ",")))
 }
 
-// Bootstrap installs the first membership on a blank replica.
+// Bootstrap installs the first membership on a blank replica, with one write.
+// A replica that has the membership of its group already keeps it. The caller
+// has checked the name of the group and stored it in the identity.
 func (n *Node) Bootstrap(ctx context.Context, m *wire.Membership) error {
 	var failure error
 	err := n.do(ctx, func() {
-		if len(n.core.Membership().GetReplicas()) > 0 {
-			failure = fail.New(fail.MembershipChange, "the replica belongs to a group already")
+		if n.core.Term() > 0 || len(n.core.Membership().GetReplicas()) > 0 {
+			// It heard the group's leader before, and learns the rest from it.
 			return
 		}
 		s := &wire.Snapshot{Index: 1, Term: 1, Membership: m}
-		if failure = n.opt.Storage.SaveSnapshot(s, nil); failure != nil {
-			return
-		}
 		initial := consensus.Initial{ID: n.core.ID(), HardState: &wire.HardState{Term: 1}, Snapshot: s}
-		if failure = n.opt.Storage.Save(initial.HardState, nil); failure != nil {
+		if failure = n.opt.Storage.SaveSnapshot(s, initial.HardState, nil); failure != nil {
+			n.failure = failure
 			return
 		}
 		n.core = consensus.New(n.opt.Consensus, initial, n.opt.Now(), n.opt.Seed)
@@ -176,4 +228,4 @@
 }
 
 // Identity returns the replica's identity as it was at start.
-func (n *Node) Identity() journal.Identity { return n.opt.Identity }
+func (n *Node) Identity() journal.Identity { return n.opt.Recovered.Identity }
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,7 +14,10 @@
 )
 
 const (
-	peerQueueSize  = 256
+	peerQueueSize = 256
+	// peerQueueBytes bounds what waits for one peer. A single larger message,
+	// such as a snapshot, is queued alone.
+	peerQueueBytes = 4 << 20
 	deliverTimeout = 2 * time.Second
 )
 
@@ -23,13 +27,33 @@
 	client *http.Client
 	group  func() string
 	mu     sync.Mutex
-	peers  map[string]chan *wire.RaftMessage
+	peers  map[string]*peerQueue
+}
+
+// peerQueue holds the messages that wait for one peer.
+type peerQueue struct {
+	messages chan *wire.RaftMessage
+	bytes    atomic.Int64
+}
+
+// push queues a message, or drops it where the queue is full.
+func (q *peerQueue) push(m *wire.RaftMessage) {
+	size := int64(messageBytes(m))
+	if waiting := q.bytes.Load(); waiting > 0 && waiting+size > peerQueueBytes {
+		return
+	}
+	q.bytes.Add(size)
+	select {
+	case q.messages <- m:
+	default:
+		q.bytes.Add(-size)
+	}
 }
 
 // NewNetworkSender returns a sender that works until ctx ends. group names
 // the group that receivers are to check.
 func NewNetworkSender(ctx context.Context, client *http.Client, group func() string) *NetworkSender {
-	return &NetworkSender{ctx: ctx, client: client, group: group, peers: map[string]chan *wire.RaftMessage{}}
+	return &NetworkSender{ctx: ctx, client: client, group: group, peers: map[string]*peerQueue{}}
 }
 
 // Send queues the messages. A full queue drops the message.
@@ -39,10 +63,7 @@
 		if address == "" {
 			continue
 		}
-		select {
-		case s.queue(address) <- m:
-		default:
-		}
+		s.queue(address).push(m)
 	}
 }
 
@@ -55,12 +76,12 @@
 	return ""
 }
 
-func (s *NetworkSender) queue(address string) chan *wire.RaftMessage {
+func (s *NetworkSender) queue(address string) *peerQueue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q, ok := s.peers[address]
 	if !ok {
-		q = make(chan *wire.RaftMessage, peerQueueSize)
+		q = &peerQueue{messages: make(chan *wire.RaftMessage, peerQueueSize)}
 		s.peers[address] = q
 		go s.deliver(address, q)
 	}
@@ -68,19 +89,20 @@
 }
 
 // deliver sends what is queued for one peer, as many messages at once as wait.
-func (s *NetworkSender) deliver(address string, q chan *wire.RaftMessage) {
+func (s *NetworkSender) deliver(address string, q *peerQueue) {
 	client := wireconnect.NewReplicaServiceClient(s.client, "http://"+address)
 	for {
 		var batch []*wire.RaftMessage
 		select {
 		case <-s.ctx.Done():
 			return
-		case m := <-q:
+		case m := <-q.messages:
 			batch = append(batch, m)
 		}
-		for len(q) > 0 {
-			batch = append(batch, <-q)
+		for len(q.messages) > 0 {
+			batch = append(batch, <-q.messages)
 		}
+		q.bytes.Add(-int64(messageBytes(batch...)))
 		ctx, cancel := context.WithTimeout(s.ctx, deliverTimeout)
 		// A lost batch is sent again by consensus.
 		_, _ = client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Group: s.group(), Messages: batch}))
