--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -224,6 +224,37 @@
 	}
 }
 
+// A vote is stored before it is sent, also where the term was known before,
+// and stands after a restart.
+func TestVoteIsStored(t *testing.T) {
+	cfg := simConfig()
+	initial := Initial{ID: 2, HardState: &wire.HardState{Term: 3}, Snapshot: &wire.Snapshot{Index: 1, Term: 1, Membership: threeReplicas}}
+	vote := func(from uint64) Effects {
+		c := New(cfg, initial, 0, 1)
+		c.Step(cfg.Election, &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, From: from, To: 2, Term: 3, LogIndex: 1, LogTerm: 1})
+		return c.Effects()
+	}
+	e := vote(1)
+	if e.Messages[0].Reject || e.HardState.GetVote() != 1 {
+		t.Fatalf("reject %t, stored %v", e.Messages[0].Reject, e.HardState)
+	}
+	initial.HardState = e.HardState
+	if e := vote(3); !e.Messages[0].Reject {
+		t.Fatal("a second vote in one term after a restart")
+	}
+}
+
+// The lease ends, on the slowest clock allowed, before a vote is granted on
+// the fastest.
+func TestLeaseEndsBeforeVotesOnEveryClock(t *testing.T) {
+	c := leaderOf(t)
+	ack(c, 3)
+	slowest := float64(c.LeaseUntil()-c.now) * (1 + c.cfg.ClockDrift)
+	if slowest > float64(c.cfg.Election) {
+		t.Fatalf("lease of %v for an election timeout of %v", c.LeaseUntil()-c.now, c.cfg.Election)
+	}
+}
+
 // leaderOf returns replica 1 as leader of term 3 with an entry of term 2.
 func leaderOf(t *testing.T) *Core {
 	c := New(simConfig(), Initial{
--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,245 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/consensus"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/journal"
+	"parsleyramp/internal/wire"
+)
+
+// memoryStorage is a disk that keeps what was synced and nothing else.
+type memoryStorage struct {
+	mu      sync.Mutex
+	hard    *wire.HardState
+	snap    *wire.Snapshot
+	entries []*wire.LogEntry
+	failing bool
+	syncs   int
+	// delay is the time of one sync.
+	delay time.Duration
+}
+
+func (d *memoryStorage) write(s *wire.Snapshot, h *wire.HardState, entries []*wire.LogEntry) error {
+	time.Sleep(d.delay)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.syncs++
+	if d.failing {
+		return fail.New(fail.StorageFailed, "disk full")
+	}
+	if s != nil {
+		d.snap, d.entries = s, nil
+	}
+	if h != nil {
+		d.hard = proto.Clone(h).(*wire.HardState)
+	}
+	for _, e := range entries {
+		keep := e.Index - d.snap.GetIndex() - 1
+		d.entries = append(d.entries[:keep:keep], e)
+	}
+	return nil
+}
+
+func (d *memoryStorage) Save(h *wire.HardState, entries []*wire.LogEntry) error {
+	return d.write(nil, h, entries)
+}
+
+func (d *memoryStorage) SaveSnapshot(s *wire.Snapshot, h *wire.HardState, rest []*wire.LogEntry) error {
+	return d.write(s, h, rest)
+}
+
+func (d *memoryStorage) recovered(id uint64) *journal.Recovered {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &journal.Recovered{Identity: journal.Identity{ID: id}, HardState: d.hard, Snapshot: d.snap, Entries: slices.Clone(d.entries)}
+}
+
+// group is nodes joined by an in-memory network.
+type group struct {
+	t     testing.TB
+	mu    sync.Mutex
+	nodes map[uint64]*member
+	start time.Time
+	bytes int
+	cut   map[uint64]bool
+}
+
+type member struct {
+	node    *Node
+	storage Storage
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newGroup(t testing.TB) *group {
+	return &group{t: t, nodes: map[uint64]*member{}, start: time.Now(), cut: map[uint64]bool{}}
+}
+
+// port is the sender of one replica.
+type port struct {
+	g    *group
+	from uint64
+}
+
+func (p port) Send(messages []*wire.RaftMessage, _ *wire.Membership) {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	for _, m := range messages {
+		p.g.bytes += proto.Size(m)
+		to := p.g.nodes[m.To]
+		if to != nil && !p.g.cut[m.To] && !p.g.cut[p.from] {
+			to.node.Deliver([]*wire.RaftMessage{m})
+		}
+	}
+}
+
+func (g *group) run(id uint64, r *journal.Recovered, s Storage) *member {
+	g.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	node, err := NewNode(Options{
+		Recovered: r, Storage: s, Sender: port{g, id}, Consensus: consensus.DefaultConfig(),
+		SnapshotEntries: 64, Now: func() time.Duration { return time.Since(g.start) }, Seed: id, Log: logrus.NewEntry(log),
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{node: node, storage: s, stop: cancel, done: make(chan error, 1)}
+	go func() { m.done <- node.Run(ctx) }()
+	g.mu.Lock()
+	g.nodes[id] = m
+	g.mu.Unlock()
+	return m
+}
+
+func (g *group) add(id uint64) *member {
+	d := &memoryStorage{}
+	return g.run(id, d.recovered(id), d)
+}
+
+// kill ends the process of a replica, losing what it has not synced.
+func (g *group) kill(id uint64) *member {
+	g.mu.Lock()
+	m := g.nodes[id]
+	delete(g.nodes, id)
+	g.mu.Unlock()
+	m.stop()
+	<-m.done
+	return m
+}
+
+func (g *group) restart(id uint64, old *member) *member {
+	d := old.storage.(*memoryStorage)
+	return g.run(id, d.recovered(id), d)
+}
+
+func (g *group) stop() {
+	g.mu.Lock()
+	members := g.nodes
+	g.nodes = map[uint64]*member{}
+	g.mu.Unlock()
+	for _, m := range members {
+		m.stop()
+		<-m.done
+	}
+}
+
+func membershipOf(ids ...uint64) *wire.Membership {
+	m := &wire.Membership{}
+	for _, id := range ids {
+		m.Replicas = append(m.Replicas, &wire.Replica{Id: id})
+	}
+	return m
+}
+
+func (g *group) bootstrap(ids ...uint64) {
+	for _, id := range ids {
+		if err := g.add(id).node.Bootstrap(context.Background(), membershipOf(ids...)); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+}
+
+// leader waits for the replica that holds the lease.
+func (g *group) leader() *Node {
+	g.t.Helper()
+	for range 4000 {
+		g.mu.Lock()
+		var nodes []*Node
+		for id, m := range g.nodes {
+			if !g.cut[id] {
+				nodes = append(nodes, m.node)
+			}
+		}
+		g.mu.Unlock()
+		for _, n := range nodes {
+			if s, err := n.Status(context.Background()); err == nil && s.Leading && s.Reachable[s.ID] && g.holdsLease(n) {
+				return n
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.t.Fatal("no leader")
+	return nil
+}
+
+func (g *group) holdsLease(n *Node) bool {
+	return n.Read(context.Background(), func(Leadership, *stateMachine) {}) == nil
+}
+
+func entryCommand(id string) *wire.Command {
+	return &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: &wire.EntryVM{Id: id, Live: true}}}}
+}
+
+// commit proposes until one proposal is acknowledged.
+func (g *group) commit(id string) {
+	g.t.Helper()
+	for range 200 {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := g.leader().Propose(ctx, entryCommand(id))
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	g.t.Fatal("not committed: " + id)
+}
+
+func (g *group) entries() []string {
+	var ids []string
+	err := g.leader().Read(context.Background(), func(_ Leadership, m *stateMachine) {
+		for _, e := range m.View().Entries {
+			ids = append(ids, e.Id)
+		}
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return ids
+}
+
+// change commits one membership change.
+func (g *group) change(m *wire.Membership) {
+	g.t.Helper()
+	for range 200 {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		err := g.leader().ProposeMembership(ctx, m)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatal("membership not committed")
+}
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,270 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+type stateMachine = state.Machine
+
+func TestGroup(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(t *testing.T, g *group)
+	}{
+		{"restart after hundreds of changes", restartAfterHundredsOfChanges},
+		{"second loss right after a repair", secondLossAfterRepair},
+		{"replaced replica comes back", replacedReplicaComesBack},
+		{"half-formed group", halfFormedGroup},
+		{"full disk", fullDisk},
+		{"lost leadership", lostLeadership},
+		{"group commit", groupCommit},
+		{"slow disk", slowDisk},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t)
+				defer g.stop()
+				tt.run(t, g)
+			})
+		})
+	}
+}
+
+func mustHold(t *testing.T, g *group, n int) {
+	t.Helper()
+	got := g.entries()
+	if len(got) != n {
+		t.Fatalf("%d changes in force, want %d", len(got), n)
+	}
+}
+
+func restartAfterHundredsOfChanges(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	for i := range 400 {
+		g.commit(fmt.Sprintf("e%03d", i))
+	}
+	var old []*member
+	for id := range uint64(3) {
+		old = append(old, g.kill(id+1))
+	}
+	for i, m := range old {
+		d := m.storage.(*memoryStorage)
+		if d.snap.Index < 300 || len(d.entries) > 128 {
+			t.Fatalf("snapshot at %d with %d entries after it", d.snap.Index, len(d.entries))
+		}
+		g.restart(uint64(i+1), m)
+	}
+	mustHold(t, g, 400)
+}
+
+// repair replaces a lost replica as an operator does.
+func repair(t *testing.T, g *group, lost, added uint64, left ...uint64) {
+	t.Helper()
+	all := append(slices.Clone(left), lost)
+	learner := membershipOf(all...)
+	learner.Replicas = append(learner.Replicas, &wire.Replica{Id: added, Learner: true})
+	g.add(added)
+	g.change(learner)
+	for {
+		s, err := g.leader().Status(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.CaughtUp[added] {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	removed := membershipOf(left...)
+	removed.Replicas = append(removed.Replicas, &wire.Replica{Id: added, Learner: true})
+	g.change(removed)
+	g.change(membershipOf(append(slices.Clone(left), added)...))
+}
+
+func secondLossAfterRepair(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	for i := range 200 {
+		g.commit(fmt.Sprintf("e%03d", i))
+	}
+	g.kill(3)
+	repair(t, g, 3, 4, 1, 2)
+	g.kill(1)
+	g.commit("last")
+	mustHold(t, g, 201)
+	repair(t, g, 1, 5, 2, 4)
+	g.kill(2)
+	mustHold(t, g, 201)
+}
+
+func replacedReplicaComesBack(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	g.commit("a")
+	old := g.kill(3)
+	repair(t, g, 3, 4, 1, 2)
+	g.commit("b")
+	before, err := g.leader().Status(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := g.restart(3, old)
+	time.Sleep(10 * time.Second)
+	after, err := g.leader().Status(context.Background())
+	if err != nil || after.Term != before.Term || after.Leader != before.Leader {
+		t.Fatalf("the leader changed from %+v to %+v", before, after)
+	}
+	g.kill(1)
+	g.kill(2)
+	time.Sleep(10 * time.Second)
+	for _, n := range []*Node{back.node, g.nodes[4].node} {
+		if s, _ := n.Status(context.Background()); s.Leading {
+			t.Fatalf("replica %d leads without a quorum", s.ID)
+		}
+	}
+}
+
+func halfFormedGroup(t *testing.T, g *group) {
+	ctx, m := context.Background(), membershipOf(1, 2, 3)
+	first := g.add(1)
+	if err := first.node.Bootstrap(ctx, m); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	if s, _ := first.node.Status(ctx); s.Leading {
+		t.Fatal("one replica of three leads")
+	}
+	first = g.restart(1, g.kill(1))
+	second := g.add(2)
+	for range 2 {
+		for _, x := range []*member{first, second} {
+			if err := x.node.Bootstrap(ctx, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	g.commit("a")
+	// The third learns the group from its leader, or by a late bootstrap.
+	third := g.add(3)
+	time.Sleep(3 * time.Second)
+	if err := third.node.Bootstrap(ctx, m); err != nil {
+		t.Fatal(err)
+	}
+	g.kill(1)
+	g.commit("b")
+	mustHold(t, g, 2)
+}
+
+func fullDisk(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	g.commit("a")
+	n := g.leader()
+	id := n.Identity().ID
+	m := g.nodes[id]
+	d := m.storage.(*memoryStorage)
+	d.mu.Lock()
+	d.failing = true
+	d.mu.Unlock()
+	_, err := n.Propose(context.Background(), entryCommand("b"))
+	if f := fail.From(err); f.Ran != fail.RanUnknown {
+		t.Fatalf("proposal on a full disk: %v, ran %s", err, f.Ran)
+	}
+	if err := <-m.done; !fail.Is(err, fail.StorageFailed) {
+		t.Fatalf("the node ended with %v", err)
+	}
+	m.done <- nil
+	g.kill(id)
+	g.commit("c")
+	d.failing = false
+	g.restart(id, m)
+	g.commit("d")
+	if got := g.entries(); !slices.Contains(got, "a") || !slices.Contains(got, "c") || !slices.Contains(got, "d") {
+		t.Fatalf("in force: %v", got)
+	}
+}
+
+// A leader cut off from the others answers its callers with an unknown
+// outcome, reads nothing once its lease is over, and its change is dropped.
+func lostLeadership(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	g.commit("a")
+	old := g.leader()
+	id := old.Identity().ID
+	g.mu.Lock()
+	g.cut[id] = true
+	g.mu.Unlock()
+	_, err := old.Propose(context.Background(), entryCommand("b"))
+	if f := fail.From(err); f.Ran != fail.RanUnknown {
+		t.Fatalf("proposal on a cut off leader: %v, ran %s", err, f.Ran)
+	}
+	if err := old.Read(context.Background(), func(Leadership, *stateMachine) {}); !fail.Is(err, fail.NotLeader) {
+		t.Fatalf("read on a cut off leader: %v", err)
+	}
+	g.commit("c")
+	g.mu.Lock()
+	g.cut[id] = false
+	g.mu.Unlock()
+	g.commit("d")
+	if got := g.entries(); !slices.Equal(got, []string{"a", "c", "d"}) {
+		t.Fatalf("in force: %v", got)
+	}
+}
+
+// Proposals that come while the disk is busy share the next sync.
+func groupCommit(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	g.commit("a")
+	leader := g.leader()
+	d := g.nodes[leader.Identity().ID].storage.(*memoryStorage)
+	synctest.Wait()
+	const n, maxSyncs = 200, 10
+	d.mu.Lock()
+	d.delay = 5 * time.Millisecond
+	before := d.syncs
+	d.mu.Unlock()
+	results := make(chan error, n)
+	for i := range n {
+		go func() {
+			_, err := leader.Propose(context.Background(), entryCommand(fmt.Sprintf("e%03d", i)))
+			results <- err
+		}()
+	}
+	for range n {
+		if err := <-results; err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.mu.Lock()
+	syncs := d.syncs - before
+	d.mu.Unlock()
+	if syncs > maxSyncs {
+		t.Fatalf("%d syncs for %d proposals", syncs, n)
+	}
+}
+
+// A caller's deadline holds while the journal does not answer.
+func slowDisk(t *testing.T, g *group) {
+	g.bootstrap(1, 2, 3)
+	leader := g.leader()
+	g.mu.Lock()
+	g.cut[leader.Identity().ID] = true
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	release := make(chan struct{})
+	leader.inbox <- func() { <-release }
+	start := time.Now()
+	_, err := leader.Propose(ctx, entryCommand("a"))
+	if f := fail.From(err); f.Ran != fail.RanUnknown || time.Since(start) > time.Second {
+		t.Fatalf("after %v: %v", time.Since(start), err)
+	}
+	close(release)
+}
