Test that a blank replica joins one group and that bootstrap can be repeated

Two groups that race for one blank replica, messages meant for an earlier replica at its address, requests for votes, a crash between the two writes of bootstrap, and a repeated call, over loopback against a real server.

--- /dev/null
+++ b/internal/control/replicas_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const blankSeed = 9
+
+// blankServer is a control process with an empty data folder.
+func blankServer(t *testing.T) *Server {
+	t.Helper()
+	cfg := DefaultSettings()
+	cfg.Address, cfg.LiveList, cfg.DataFolder = "127.0.0.1:0", "127.0.0.1:1", t.TempDir()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := Start(ctx, cfg, blankSeed, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Shutdown(context.Background(), cancel) })
+	return s
+}
+
+func client(s *Server) (wireconnect.ReplicaServiceClient, wireconnect.BootstrapServiceClient) {
+	url := "http://" + s.http.Address()
+	return wireconnect.NewReplicaServiceClient(http.DefaultClient, url), wireconnect.NewBootstrapServiceClient(http.DefaultClient, url)
+}
+
+func deliver(t *testing.T, s *Server, group string, kind wire.RaftMessageType, to uint64) error {
+	t.Helper()
+	c, _ := client(s)
+	_, err := c.Deliver(t.Context(), connect.NewRequest(&wire.DeliverRequest{Group: group, Messages: []*wire.RaftMessage{{Type: kind, From: 1, To: to, Term: 1}}}))
+	return err
+}
+
+// A blank replica joins the group whose leader sends it the log, and no other:
+// not one that means an earlier replica at this address, nor one that only
+// asks for a vote, nor a second one.
+func TestBlankReplicaJoinsTheGroupThatInvitesIt(t *testing.T) {
+	s := blankServer(t)
+	id := s.node.Identity().ID
+	appendType, voteType := wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE
+	if deliver(t, s, "earlier", appendType, id+2) == nil || deliver(t, s, "asks", voteType, id) == nil {
+		t.Fatal("a message that is no invitation was taken")
+	}
+	results := make(chan error, 2)
+	for _, group := range []string{"a", "b"} {
+		go func() { results <- deliver(t, s, group, appendType, id) }()
+	}
+	first, second := <-results, <-results
+	if (first == nil) == (second == nil) {
+		t.Fatalf("two groups raced: %v and %v", first, second)
+	}
+	joined := *s.group.Load()
+	if joined != "a" && joined != "b" {
+		t.Fatalf("joined %q", joined)
+	}
+}
+
+// Bootstrap repeated after a lost answer, and after a crash between its two
+// writes, forms the same group; another group is refused.
+func TestBootstrapIsIdempotent(t *testing.T) {
+	s := blankServer(t)
+	_, c := client(s)
+	m := &wire.Membership{Replicas: []*wire.Replica{{Id: s.node.Identity().ID, Address: "127.0.0.1:1"}}}
+	call := func(group string, m *wire.Membership) error {
+		_, err := c.Bootstrap(t.Context(), connect.NewRequest(&wire.BootstrapRequest{Group: group, Membership: m}))
+		return err
+	}
+	refused := func(err error) {
+		t.Helper()
+		if f, _ := rpcerror.FromConnect(err); err == nil || !fail.Is(f, fail.BadRequest) && !fail.Is(f, fail.MembershipChange) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	refused(call("g", m))
+	foreign := &wire.Membership{Replicas: []*wire.Replica{{Id: 1}}}
+	refused(call(replica.GroupName(foreign), foreign))
+	if err := s.joinGroup(replica.GroupName(m)); err != nil { // The crash came after the first write.
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := call(replica.GroupName(m), m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	other := &wire.Membership{Replicas: append(m.Replicas, &wire.Replica{Id: 4})}
+	refused(call(replica.GroupName(other), other))
+}
