--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -155,6 +155,9 @@
 // Identity returns the folder's identity as it was when opened.
 func (j *Journal) Identity() Identity { return j.identity }
 
+// Folder returns the path of the data folder.
+func (j *Journal) Folder() string { return j.dir }
+
 // SetGroup records the group that the replica belongs to. It may be called
 // while another goroutine saves to the log.
 func (j *Journal) SetGroup(group string) error {
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -17,6 +17,8 @@
 	"parsleyramp/internal/wire"
 )
 
+var groupConsensus = consensus.DefaultConfig()
+
 // memoryStorage is a disk that keeps what was synced and nothing else.
 type memoryStorage struct {
 	mu      sync.Mutex
@@ -70,7 +72,6 @@
 	mu    sync.Mutex
 	nodes map[uint64]*member
 	start time.Time
-	bytes int
 	cut   map[uint64]bool
 }
 
@@ -95,7 +96,6 @@
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 	for _, m := range messages {
-		p.g.bytes += proto.Size(m)
 		to := p.g.nodes[m.To]
 		if to != nil && !p.g.cut[m.To] && !p.g.cut[p.from] {
 			to.node.Deliver([]*wire.RaftMessage{m})
@@ -104,12 +104,17 @@
 }
 
 func (g *group) run(id uint64, r *journal.Recovered, s Storage) *member {
+	const snapshotEntries = 64
+	return g.runWith(id, r, s, port{g, id}, snapshotEntries)
+}
+
+func (g *group) runWith(id uint64, r *journal.Recovered, s Storage, sender Sender, snapshotEntries uint64) *member {
 	g.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	node, err := NewNode(Options{
-		Recovered: r, Storage: s, Sender: port{g, id}, Consensus: consensus.DefaultConfig(),
-		SnapshotEntries: 64, Now: func() time.Duration { return time.Since(g.start) }, Seed: id, Log: logrus.NewEntry(log),
+		Recovered: r, Storage: s, Sender: sender, Consensus: groupConsensus,
+		SnapshotEntries: snapshotEntries, Now: func() time.Duration { return time.Since(g.start) }, Seed: id, Log: logrus.NewEntry(log),
 	})
 	if err != nil {
 		g.t.Fatal(err)
