--- /dev/null
+++ b/internal/entry/fuzz_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
+)
+
+// FuzzCompletionBody reads any body of a caller. What is accepted must reach
+// the engine with the served model and the priority of its class, and with
+// everything else as the caller sent it.
+func FuzzCompletionBody(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var fields completionFields
+		if json.Unmarshal(body, &fields) != nil || fields.Model == "" {
+			return
+		}
+		m := &model{team: "desk", name: "desk/note", adapter: "kandy@1"}
+		j, err := newCompletionJob("/v1/completions", fields.Model, m, body)
+		if err != nil {
+			if !fail.Is(err, fail.BadRequest) {
+				t.Fatalf("untyped failure: %v", err)
+			}
+			return
+		}
+		j.template.Priority = 7
+		var in, out map[string]json.RawMessage
+		if err := json.Unmarshal(body, &in); err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(j.body(target{version: "2"}), &out); err != nil {
+			t.Fatalf("the body for the engine is no JSON object: %v", err)
+		}
+		served, _ := json.Marshal(endpoint.ServedName("desk/note", "2", "kandy@1"))
+		if !bytes.Equal(out["model"], served) || string(out["priority"]) != "7" {
+			t.Fatalf("model %s, priority %s", out["model"], out["priority"])
+		}
+		for key, value := range in {
+			if key != "model" && key != "priority" && !sameJSON(value, out[key]) {
+				t.Fatalf("%q was %s and became %s", key, value, out[key])
+			}
+		}
+	})
+}
+
+// sameJSON compares two values without regard to white space and escapes.
+func sameJSON(a, b []byte) bool {
+	decode := func(text []byte) (v any, err error) {
+		d := json.NewDecoder(bytes.NewReader(text))
+		// Numbers are compared as texts: a float64 does not hold every one.
+		d.UseNumber()
+		err = d.Decode(&v)
+		return v, err
+	}
+	x, errX := decode(a)
+	y, errY := decode(b)
+	return errX == nil && errY == nil && reflect.DeepEqual(x, y)
+}
--- /dev/null
+++ b/internal/journal/fuzz_test.go
@@ -0,0 +1,71 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
+)
+
+// FuzzOpen opens a folder whose log holds any bytes. What opens must open
+// again with the same content and nothing more to cut, and take new entries.
+func FuzzOpen(f *testing.F) {
+	f.Fuzz(func(t *testing.T, log []byte) {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, walName), log, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		j, first, err := Open(dir)
+		if err != nil {
+			if fail.From(err).Code == fail.Internal {
+				t.Fatalf("untyped failure: %v", err)
+			}
+			return
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		j, second, err := Open(dir)
+		if err != nil {
+			t.Fatalf("opened once, but not again: %v", err)
+		}
+		if second.CutBytes != 0 || !sameContent(first, second) {
+			t.Fatalf("opened with %d entries, then with %d, cutting %d bytes", len(first.Entries), len(second.Entries), second.CutBytes)
+		}
+		next := uint64(1)
+		if n := len(second.Entries); n > 0 {
+			next = second.Entries[n-1].Index + 1
+		}
+		added := &wire.LogEntry{Index: next, Term: 1, Data: []byte("added")}
+		if err := j.Save(nil, []*wire.LogEntry{added}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		j, third, err := Open(dir)
+		if err != nil {
+			t.Fatalf("not opened after an append: %v", err)
+		}
+		defer j.Close()
+		if n := len(third.Entries); n == 0 || !proto.Equal(third.Entries[n-1], added) {
+			t.Fatal("the appended entry is lost")
+		}
+	})
+}
+
+func sameContent(a, b *Recovered) bool {
+	if len(a.Entries) != len(b.Entries) || !proto.Equal(a.HardState, b.HardState) {
+		return false
+	}
+	for i := range a.Entries {
+		if !proto.Equal(a.Entries[i], b.Entries[i]) {
+			return false
+		}
+	}
+	return true
+}
