Trace a request through every process that it passes

Cause: spans ended at the entries; the control leader and the stand-ins opened none, so a trace did not show what a claim cost. Change: calls between processes carry the trace context, the leader opens a span for a call and for its commit, and the stand-ins for a run. Seen to fail: without passing the context on, TestTraceContextCrossesCallsBetweenProcesses finds no parent.

--- a/cmd/parsleyramp-standin/main.go
+++ b/cmd/parsleyramp-standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"net/http"
@@ -20,6 +21,7 @@
 	"parsleyramp/internal/platform"
 	"parsleyramp/internal/program"
 	"parsleyramp/internal/standin"
+	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
 )
 
@@ -53,6 +55,7 @@
 	adapters := flags.Int("adapters", 24, "adapter loads at full speed at once")
 	runs := flags.String("runs", "", "file that keeps a service's count of runs over restarts")
 	vms := flags.String("vms", "", "file with the live list as JSON")
+	traceFile := flags.String("trace-file", "", "file for the spans of engines and services; empty for none")
 	if err := flags.Parse(args); err != nil {
 		return fail.Wrap(err, fail.BadSettings, "flags")
 	}
@@ -90,7 +93,17 @@
 	default:
 		return fail.New(fail.BadSettings, "-kind must be engine, service, store or livelist")
 	}
-	return serve(addresses, handlers)
+	for i := range handlers {
+		handlers[i] = telemetry.Traced("standin", handlers[i])
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	flush, err := telemetry.StartTracing(ctx, telemetry.Settings{TraceFile: *traceFile}, "parsleyramp-standin", *id)
+	if err != nil {
+		return err
+	}
+	err = serve(ctx, addresses, handlers)
+	return errors.Join(err, flush(context.Background()))
 }
 
 func readVMs(path string) ([]platform.VM, error) {
@@ -105,9 +118,7 @@
 	return vms, nil
 }
 
-func serve(addresses []string, handlers []http.Handler) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+func serve(ctx context.Context, addresses []string, handlers []http.Handler) error {
 	var servers []*transport.Server
 	for i, a := range addresses {
 		l, err := transport.Listen(a)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -110,7 +110,7 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
@@ -122,6 +122,8 @@
 
 // propose commits a command with this process's wall clock.
 func (s *Server) propose(ctx context.Context, c *wire.Command) (*wire.CommandResult, error) {
+	ctx, span := telemetry.StartChild(ctx, "commit")
+	defer span.End()
 	c.ProposedUnixMs = time.Now().UnixMilli()
 	return s.node.Propose(ctx, c)
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -9,8 +9,11 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/wire/wireconnect"
 )
 
@@ -47,10 +50,11 @@
 
 func (c *Client) connTo(address string) Conn {
 	url := "http://" + address
+	traced := connect.WithInterceptors(telemetry.Interceptor())
 	return Conn{
 		Address:  address,
-		Control:  wireconnect.NewControlServiceClient(c.http, url),
-		Operator: wireconnect.NewOperatorServiceClient(c.http, url),
+		Control:  wireconnect.NewControlServiceClient(c.http, url, traced),
+		Operator: wireconnect.NewOperatorServiceClient(c.http, url, traced),
 	}
 }
 
--- /dev/null
+++ b/internal/telemetry/hops.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// StartChild is StartSpan for work that is traced only as a part of a
+// request, not on its own. The span does nothing where ctx has none.
+func StartChild(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span) {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx, trace.SpanFromContext(ctx)
+	}
+	return StartSpan(ctx, name, attrs...)
+}
+
+// Interceptor carries the trace context over unary calls between the system's
+// own processes and opens a span where one arrives.
+func Interceptor() connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if req.Spec().IsClient {
+				Inject(ctx, req.Header())
+				return next(ctx, req)
+			}
+			procedure := req.Spec().Procedure
+			ctx, span := StartChild(Extract(ctx, req.Header()), procedure[strings.LastIndexByte(procedure, '/')+1:])
+			defer span.End()
+			return next(ctx, req)
+		}
+	})
+}
+
+// Traced opens a span for each request that carries a trace context.
+func Traced(name string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, span := StartChild(Extract(r.Context(), r.Header), name, attribute.String("path", r.URL.Path))
+		defer span.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,111 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// startTracing installs the tracer for one test.
+func startTracing(t *testing.T, s Settings) (flush func()) {
+	t.Helper()
+	stop, err := StartTracing(context.Background(), s, "program", "id")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { otel.SetTracerProvider(noop.NewTracerProvider()) })
+	return func() {
+		if err := stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestTracingIsOffByDefault(t *testing.T) {
+	flush := startTracing(t, Defaults())
+	_, span := StartSpan(t.Context(), "caller")
+	if span.IsRecording() {
+		t.Fatal("a span is recorded")
+	}
+	flush()
+}
+
+func TestSpansGoToTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.json")
+	flush := startTracing(t, Settings{TraceFile: path})
+	_, span := StartSpan(t.Context(), "caller")
+	span.End()
+	flush()
+	text, err := os.ReadFile(path)
+	if err != nil || !strings.Contains(string(text), `"Name":"caller"`) {
+		t.Fatalf("%s: %v", text, err)
+	}
+}
+
+func TestSpansGoToTheCollector(t *testing.T) {
+	var received atomic.Int64
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.Method == http.MethodPost && r.URL.Path == "/v1/traces" && len(body) > 0 {
+			received.Add(1)
+		}
+	}))
+	defer collector.Close()
+	flush := startTracing(t, Settings{TraceOTLP: strings.TrimPrefix(collector.URL, "http://")})
+	_, span := StartSpan(t.Context(), "caller")
+	span.End()
+	flush()
+	if received.Load() != 1 {
+		t.Fatalf("the collector received %d exports", received.Load())
+	}
+}
+
+// spanNoting is a control service that notes the span that it is called in.
+type spanNoting struct {
+	wireconnect.UnimplementedControlServiceHandler
+	seen trace.SpanContext
+}
+
+func (s *spanNoting) BeginClaim(ctx context.Context, _ *connect.Request[wire.BeginClaim]) (*connect.Response[wire.BeginClaimResponse], error) {
+	s.seen = trace.SpanContextFromContext(ctx)
+	return connect.NewResponse(&wire.BeginClaimResponse{}), nil
+}
+
+func TestTraceContextCrossesCallsBetweenProcesses(t *testing.T) {
+	startTracing(t, Settings{TraceFile: filepath.Join(t.TempDir(), "spans.json")})
+	s := &spanNoting{}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewControlServiceHandler(s, connect.WithInterceptors(Interceptor())))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	client := wireconnect.NewControlServiceClient(http.DefaultClient, server.URL, connect.WithInterceptors(Interceptor()))
+	call := func(ctx context.Context) trace.SpanContext {
+		if _, err := client.BeginClaim(ctx, connect.NewRequest(&wire.BeginClaim{})); err != nil {
+			t.Fatal(err)
+		}
+		return s.seen
+	}
+	if alone := call(t.Context()); alone.IsValid() {
+		t.Error("a call outside any trace opened one")
+	}
+	ctx, span := StartSpan(t.Context(), "caller")
+	defer span.End()
+	got := call(ctx)
+	if got.TraceID() != span.SpanContext().TraceID() || got.SpanID() == span.SpanContext().SpanID() {
+		t.Errorf("called in %v, want a span of its own in the trace of %v", got, span.SpanContext())
+	}
+}
--- a/scripts/internal/testbed/bed.go
+++ b/scripts/internal/testbed/bed.go
@@ -19,6 +19,7 @@
 const (
 	readyPoll    = 50 * time.Millisecond
 	readyTimeout = 30 * time.Second
+	spansSuffix  = ".spans"
 )
 
 // Size is how much of everything a test bed starts.
@@ -149,10 +150,18 @@
 }
 
 func (b *Bed) startService(n *Node) (err error) {
-	n.Process, err = b.Launch(n.ID, "parsleyramp-standin", "-kind", "service", "-id", n.ID, "-address", n.Address, "-runs", b.Path(n.ID+".runs"))
+	n.Process, err = b.Launch(n.ID, "parsleyramp-standin", b.traced(n.ID, "-kind", "service", "-id", n.ID, "-address", n.Address, "-runs", b.Path(n.ID+".runs"))...)
 	return err
 }
 
+// traced adds the flag for a stand-in's spans, where they are wanted.
+func (b *Bed) traced(name string, args ...string) []string {
+	if b.options.Trace {
+		args = append(args, "-trace-file", b.Path(name+spansSuffix))
+	}
+	return args
+}
+
 func (b *Bed) vms() []platform.VM {
 	var vms []platform.VM
 	for _, n := range b.Services {
@@ -189,7 +198,7 @@
 			"-kind", "engine", "-id", strings.Join(ids, ","), "-address", strings.Join(Addresses(group), ","),
 			"-store", b.Store, "-fencing-ids", strings.Join(b.FencingEngines(), ","),
 		}, b.options.Engine...)
-		p, err := b.Launch(name, "parsleyramp-standin", args...)
+		p, err := b.Launch(name, "parsleyramp-standin", b.traced(name, args...)...)
 		if err != nil {
 			return err
 		}
@@ -307,7 +316,7 @@
 func (b *Bed) startNode(n *Node, program string, file, more map[string]any) error {
 	maps.Copy(file, more)
 	if b.options.Trace {
-		file["telemetry"] = map[string]string{"trace_file": b.Path(n.ID + ".spans")}
+		file["telemetry"] = map[string]string{"trace_file": b.Path(n.ID + spansSuffix)}
 	}
 	path, err := b.WriteJSON(n.ID+".json", file)
 	if err != nil {
