Bound how long a caller may take for its body and for an answer

Cause: a caller that never ended its body, or never took its answer, held a connection, a goroutine and a place at an endpoint without end.

--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,199 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// short is a limit that a test waits out. No verdict depends on being faster.
+const short = 50 * time.Millisecond
+
+// serve starts a server on loopback and returns its address.
+func serve(t *testing.T, listen func(string) (net.Listener, error), h http.Handler) string {
+	t.Helper()
+	l, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Serve(l, h)
+	t.Cleanup(func() { s.Close() })
+	return s.Address()
+}
+
+func connect(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestBodyThatNeverEndsIsCutOff(t *testing.T) {
+	failed := make(chan error, 1)
+	h := limits{body: short, write: time.Hour}.guard(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		failed <- err
+	}))
+	c := connect(t, serve(t, ListenCallers, h))
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nonly a part")
+	if err := <-failed; err == nil {
+		t.Fatal("a part of a body was taken for whole")
+	}
+}
+
+func TestReaderThatTakesNothingIsCutOff(t *testing.T) {
+	failed := make(chan error, 1)
+	h := limits{body: time.Hour, write: short}.guard(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := make([]byte, 64<<10)
+		for {
+			if _, err := w.Write(part); err != nil {
+				failed <- err
+				return
+			}
+		}
+	}))
+	c := connect(t, serve(t, ListenCallers, h))
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-failed
+}
+
+// TestDeadlinesDoNotOutliveTheirPart sends two requests on one connection, and
+// the handler takes longer than both limits between reading and answering.
+func TestDeadlinesDoNotOutliveTheirPart(t *testing.T) {
+	// The answer is larger than what the server holds back until the end.
+	const repeats = 64 << 10
+	h := limits{body: short, write: short}.guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Errorf("body: %v", err)
+		}
+		select {
+		case <-r.Context().Done():
+			t.Error("the request ended with the deadline of its body")
+		case <-time.After(3 * short):
+		}
+		_, _ = w.Write(bytes.Repeat(body, repeats))
+		time.Sleep(3 * short)
+	}))
+	c := connect(t, serve(t, ListenCallers, h))
+	in := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(resp.Body); err != nil || len(text) != len("body")*repeats {
+			t.Fatalf("answer of %d bytes: %v", len(text), err)
+		}
+		time.Sleep(3 * short)
+	}
+}
+
+func TestHeadersOverTheLimitAreRefused(t *testing.T) {
+	address := serve(t, ListenCallers, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Long", strings.Repeat("a", 2*maxHeaderBytes))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return // The server closed the connection while the header was sent.
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+}
+
+// counted returns what a counter has counted.
+func counted(name string) uint64 { return metrics.GetOrCreateCounter(name).Get() }
+
+func TestBytesAreCountedOnBothSides(t *testing.T) {
+	const size = 100_000
+	answer := strings.Repeat("a", size)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, answer)
+	})
+	for _, c := range []struct {
+		name, dialed, accepted string
+		listen                 func(string) (net.Listener, error)
+		client                 *http.Client
+	}{
+		{"between processes", `{peer="system",side="dialed"}`, `{peer="system",side="accepted"}`, Listen, NewPeerClient()},
+		{"to an endpoint", `{peer="endpoint",side="dialed"}`, `{peer="caller",side="accepted"}`, ListenCallers, NewEndpointClient(1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := serve(t, c.listen, h)
+			names := []string{
+				"parsleyramp_sent_bytes_total" + c.dialed, "parsleyramp_received_bytes_total" + c.dialed,
+				"parsleyramp_sent_bytes_total" + c.accepted, "parsleyramp_received_bytes_total" + c.accepted,
+			}
+			var before []uint64
+			for _, n := range names {
+				before = append(before, counted(n))
+			}
+			resp, err := c.client.Post("http://"+address, "text/plain", strings.NewReader(answer))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Fatal(err)
+			}
+			for i, n := range names {
+				if got := counted(n) - before[i]; got < size || got > size+size/10 {
+					t.Errorf("%s counted %d bytes for %d", n, got, size)
+				}
+			}
+		})
+	}
+}
+
+func TestShutdownFinishesWhatIsInProgress(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}))
+	answers := make(chan string, 1)
+	go func() {
+		resp, err := http.Get("http://" + s.Address())
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		answers <- string(text)
+	}()
+	<-started
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	close(release)
+	if got := <-answers; got != "whole" {
+		t.Errorf("answer %q", got)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
