--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -84,7 +84,7 @@
 		callers.Close()
 		return err
 	}
-	s.callers = transport.ServeCallers(callers, s.callerMux())
+	s.callers = transport.Serve(callers, s.callerMux())
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner}, connect.WithReadMaxBytes(maxMessageBytes)))
 	s.peers = transport.Serve(peers, mux)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -94,10 +94,6 @@
 	return s
 }
 
-// ServeCallers is Serve for callers, who may be slow: a body must arrive and
-// each part of an answer must be taken within a limited time.
-func ServeCallers(l net.Listener, h http.Handler) *Server { return Serve(l, callerLimits.guard(h)) }
-
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
