Prove claims, applies and overnight work of the replicated state

Claims, cause: a grant whose answer was lost, or a late copy of a BeginClaim that came after its token or its holder was over, left the key in progress for ever; an outcome that could not be recorded within 30 s was dropped. Now a holder that never saw its grant releases the token, a spent token and a holder that is not live are never granted, and outcomes are recorded until the entry ends. Records and answers are bounded by number and bytes.

Applies, cause: the answers kept for resent applies grew without bound, and a team could declare a path inside another team's. Now answers are kept for apply_retention and 2048 a team; a full memory refuses new changes rather than forget one. After the retention a resend of an accepted change conflicts.

Overnight, cause: bodies and answers had no bound, work was given to runners that were dead already and then never ran, and nothing ended it at its time where no entry ran it.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"connectrpc.com/connect"
@@ -91,9 +92,23 @@
 	return out
 }
 
+// maxRecordedBytes bounds one body or answer in the replicated state.
+const maxRecordedBytes = 256 << 10
+
+// fullRetry is when to come back to a store that is full.
+const fullRetry = time.Minute
+
 // BeginClaim asks whether a non-idempotent request may run.
 func (e *entryService) BeginClaim(ctx context.Context, req *connect.Request[wire.BeginClaim]) (*connect.Response[wire.BeginClaimResponse], error) {
+	req.Msg.MaxClaims = e.s.cfg.MaxClaims
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_BeginClaim{BeginClaim: req.Msg}})
+	switch {
+	case err != nil:
+	case r.Full:
+		err = fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetry)
+	case r.HolderNotLive:
+		err = fail.New(fail.NoLease, "the entry is not registered as live").WithRetryAfter(time.Second)
+	}
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
 	}
@@ -102,6 +117,10 @@
 
 // FinishClaim records the outcome of a claimed request.
 func (e *entryService) FinishClaim(ctx context.Context, req *connect.Request[wire.FinishClaim]) (*connect.Response[wire.FinishClaimResponse], error) {
+	req.Msg.MaxAnswerBytes = e.s.cfg.ClaimAnswerBytes
+	if a := req.Msg.Answer; len(a.GetBody()) > maxRecordedBytes {
+		a.Body, a.Dropped = nil, true
+	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishClaim{FinishClaim: req.Msg}})
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
@@ -111,13 +130,35 @@
 
 // SubmitDeferred accepts overnight work durably.
 func (e *entryService) SubmitDeferred(ctx context.Context, req *connect.Request[wire.SubmitDeferred]) (*connect.Response[wire.SubmitDeferredResponse], error) {
-	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_SubmitDeferred{SubmitDeferred: req.Msg}})
+	s := e.s
+	if len(req.Msg.Request.GetBody()) > maxRecordedBytes {
+		return nil, s.rpcError(ctx, fail.New(fail.BodyTooLarge, fmt.Sprintf("overnight work may have %d bytes at most", maxRecordedBytes)))
+	}
+	req.Msg.LimitBytes, req.Msg.ReserveBytes = s.cfg.DeferredBytes, s.cfg.DeferredReserveBytes
+	r, err := s.propose(ctx, &wire.Command{Body: &wire.Command_SubmitDeferred{SubmitDeferred: req.Msg}})
+	switch {
+	case err != nil:
+	case r.Full:
+		err = fail.New(fail.Overloaded, r.Reason).WithRetryAfter(s.deferredRetry(ctx))
+	case !r.Applied:
+		err = fail.New(fail.KeyReused, r.Reason)
+	}
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, s.rpcError(ctx, err)
 	}
 	return connect.NewResponse(&wire.SubmitDeferredResponse{Request: r.Deferred}), nil
 }
 
+// deferredRetry returns when the oldest overnight request will be dropped.
+func (s *Server) deferredRetry(ctx context.Context) time.Duration {
+	var earliest int64
+	err := s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { earliest = m.EarliestFinishBy() })
+	if err != nil || earliest == 0 {
+		return fullRetry
+	}
+	return max(fullRetry, time.Until(time.UnixMilli(earliest).Add(s.cfg.DeferredRetention.D())))
+}
+
 // FetchDeferred returns an overnight request with its answer, where finished.
 func (e *entryService) FetchDeferred(ctx context.Context, req *connect.Request[wire.FetchDeferredRequest]) (*connect.Response[wire.FetchDeferredResponse], error) {
 	resp := &wire.FetchDeferredResponse{}
@@ -132,6 +173,11 @@
 
 // FinishDeferred records the answer of an overnight request.
 func (e *entryService) FinishDeferred(ctx context.Context, req *connect.Request[wire.FinishDeferred]) (*connect.Response[wire.FinishDeferredResponse], error) {
+	req.Msg.LimitBytes, req.Msg.ReserveBytes = e.s.cfg.DeferredBytes, e.s.cfg.DeferredReserveBytes
+	if len(req.Msg.Answer.GetBody()) > maxRecordedBytes {
+		req.Msg.State, req.Msg.Answer = wire.DeferredState_DEFERRED_STATE_FAILED, nil
+		req.Msg.Failure = fmt.Sprintf("the answer has more than %d bytes", maxRecordedBytes)
+	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishDeferred{FinishDeferred: req.Msg}})
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -31,6 +31,14 @@
 	idle map[string]bool
 }
 
+// expiryInterval is the time between two clearings of old records.
+const expiryInterval = time.Minute
+
+// overdue reports whether an overnight request is past its time.
+func (p *picture) overdue(now time.Time) bool {
+	return len(p.deferred) > 0 && p.deferred[0].FinishByUnixMs < now.Add(-deferredGrace).UnixMilli()
+}
+
 // lead carries out the leader's duties as long as this replica leads.
 func (s *Server) lead(ctx context.Context) {
 	tick := time.NewTicker(s.cfg.PollInterval.D())
@@ -47,7 +55,7 @@
 			continue
 		}
 		s.step(ctx, p)
-		if time.Since(lastExpiry) > time.Minute {
+		if time.Since(lastExpiry) > expiryInterval || p.overdue(time.Now()) {
 			lastExpiry = time.Now()
 			s.expireRecords(ctx)
 		}
@@ -256,11 +264,17 @@
 	}
 }
 
+// deferredGrace leaves the runner of an overnight request time to record its
+// own failure at the deadline.
+const deferredGrace = 10 * time.Second
+
 func (s *Server) expireRecords(ctx context.Context) {
 	now := time.Now()
 	s.try(ctx, &wire.Command{Body: &wire.Command_ExpireRecords{ExpireRecords: &wire.ExpireRecords{
 		ClaimsBeforeUnixMs:   now.Add(-s.cfg.ClaimRetention.D()).UnixMilli(),
 		DeferredBeforeUnixMs: now.Add(-s.cfg.DeferredRetention.D()).UnixMilli(),
 		SuspectsBeforeUnixMs: now.Add(-s.cfg.SuspectRetention.D()).UnixMilli(),
+		AppliesBeforeUnixMs:  now.Add(-s.cfg.ApplyRetention.D()).UnixMilli(),
+		NowUnixMs:            now.Add(-deferredGrace).UnixMilli(),
 	}}}, "expire records")
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return nil, o.s.rpcError(ctx, err)
 	}
+	if r.Full {
+		return nil, o.s.rpcError(ctx, fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetry))
+	}
 	return connect.NewResponse(&wire.ApplyResponse{Record: r.Apply}), nil
 }
 
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -31,6 +31,16 @@
 	ClaimRetention settings.Duration `json:"claim_retention"`
 	// DeferredRetention is how long an overnight answer is kept after its deadline.
 	DeferredRetention settings.Duration `json:"deferred_retention"`
+	// ApplyRetention is how long a resent change gets its first answer.
+	ApplyRetention settings.Duration `json:"apply_retention"`
+	// MaxClaims and ClaimAnswerBytes bound the records of non-idempotent
+	// requests and the bodies of their answers.
+	MaxClaims        uint64 `json:"max_claims"`
+	ClaimAnswerBytes uint64 `json:"claim_answer_bytes"`
+	// DeferredBytes bounds the bodies and answers of all overnight requests;
+	// DeferredReserveBytes of it are kept free for each answer to come.
+	DeferredBytes        uint64 `json:"deferred_bytes"`
+	DeferredReserveBytes uint64 `json:"deferred_reserve_bytes"`
 	// SuspectRetention is how long a suspicion or a quarantine lasts.
 	SuspectRetention settings.Duration `json:"suspect_retention"`
 	// TeamTokens gives each team the token that lets it change its own section.
@@ -41,15 +51,20 @@
 // DefaultSettings returns the values of fields that a file leaves out.
 func DefaultSettings() Settings {
 	return Settings{
-		EntryLease:        settings.Duration(2 * time.Second),
-		PollInterval:      settings.Duration(250 * time.Millisecond),
-		SnapshotEntries:   4096,
-		ModelLoads:        3,
-		AdapterLoads:      24,
-		ClaimRetention:    settings.Duration(24 * time.Hour),
-		DeferredRetention: settings.Duration(24 * time.Hour),
-		SuspectRetention:  settings.Duration(time.Hour),
-		Telemetry:         telemetry.Defaults(),
+		EntryLease:           settings.Duration(2 * time.Second),
+		PollInterval:         settings.Duration(250 * time.Millisecond),
+		SnapshotEntries:      4096,
+		ModelLoads:           3,
+		AdapterLoads:         24,
+		ClaimRetention:       settings.Duration(24 * time.Hour),
+		DeferredRetention:    settings.Duration(24 * time.Hour),
+		ApplyRetention:       settings.Duration(24 * time.Hour),
+		MaxClaims:            20000,
+		ClaimAnswerBytes:     2 << 20,
+		DeferredBytes:        4 << 20,
+		DeferredReserveBytes: 8 << 10,
+		SuspectRetention:     settings.Duration(time.Hour),
+		Telemetry:            telemetry.Defaults(),
 	}
 }
 
@@ -66,6 +81,10 @@
 	c.Require(s.AdapterLoads > 0, "adapter_loads", "1 or more")
 	c.Positive("claim_retention", s.ClaimRetention)
 	c.Positive("deferred_retention", s.DeferredRetention)
+	c.Positive("apply_retention", s.ApplyRetention)
+	c.Require(s.MaxClaims > 0, "max_claims", "1 or more")
+	c.Require(s.ClaimAnswerBytes > 0, "claim_answer_bytes", "1 or more")
+	c.Require(s.DeferredBytes > s.DeferredReserveBytes, "deferred_bytes", "more than deferred_reserve_bytes")
 	c.Positive("suspect_retention", s.SuspectRetention)
 	c.Require(len(s.TeamTokens) > 0, "team_tokens", "a token for one team or more")
 	s.Telemetry.Check(c)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -6,24 +6,15 @@
 	"strconv"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 
-	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/wire"
 )
 
-// claimTimeout bounds the wait for control before and after a claimed call.
-const claimTimeout = 3 * time.Second
-
-// recordTimeout bounds the recording of an outcome, which goes on after the
-// caller has left.
-const recordTimeout = 30 * time.Second
-
 // keyClockSkew is how far a key's time may lie ahead of this entry's clock.
 const keyClockSkew = 5 * time.Minute
 
@@ -54,7 +45,7 @@
 		s.answer(ctx, w, j, false)
 		return
 	}
-	answer, err := s.runOnce(ctx, svc, r, j)
+	answer, err := s.serveOnce(ctx, svc, r, j)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -107,86 +98,15 @@
 	return svc.spec.Name + "/" + id.String(), at.UnixMilli(), nil
 }
 
-// runOnce claims the key before anything is sent and records the outcome
-// afterwards. A repeat gets the recorded answer or is told what is known.
-func (s *Server) runOnce(ctx context.Context, svc *service, r *http.Request, j *job) (*wire.RecordedAnswer, error) {
+// serveOnce runs a call that must run at most once.
+func (s *Server) serveOnce(ctx context.Context, svc *service, r *http.Request, j *job) (*wire.RecordedAnswer, error) {
 	key, keyTime, err := s.claimKey(svc, r.Header.Get(HeaderIdempotencyKey))
 	if err != nil {
 		return nil, err
 	}
 	digest := xxhash.Sum64String(r.Method + " " + r.URL.RequestURI() + " " + strconv.FormatUint(j.template.Fingerprint, 16))
-	begun, err := s.beginClaim(ctx, &wire.BeginClaim{
+	c := claims{store: &claimClient{control: s.control, background: s.background}, log: s.log.WithField("request", j.id)}
+	return c.runOnce(ctx, &wire.BeginClaim{
 		Key: key, Digest: digest, HolderEntry: s.cfg.ID, HolderIncarnation: s.incarnation, KeyUnixMs: keyTime, Token: j.id,
-	})
-	if err != nil {
-		return nil, err
-	}
-	if !begun.Granted {
-		return repeatAnswer(begun.Claim, digest)
-	}
-	answer, err := s.collect(ctx, j)
-	finish := &wire.FinishClaim{Key: key, Attempt: begun.Claim.Attempt, State: claimOutcome(err), Answer: answer}
-	if recordErr := s.finishClaim(ctx, finish); recordErr != nil {
-		s.log.WithError(recordErr).WithField("request", j.id).Error("outcome not recorded")
-		if err == nil {
-			return answer, nil
-		}
-	}
-	return answer, err
-}
-
-func claimOutcome(err error) wire.ClaimState {
-	switch {
-	case err == nil:
-		return wire.ClaimState_CLAIM_STATE_DONE
-	case fail.From(err).Ran == fail.RanNo:
-		return wire.ClaimState_CLAIM_STATE_NOT_RUN
-	}
-	return wire.ClaimState_CLAIM_STATE_UNKNOWN
-}
-
-// repeatAnswer answers a request whose key was claimed before.
-func repeatAnswer(c *wire.Claim, digest uint64) (*wire.RecordedAnswer, error) {
-	switch {
-	case c == nil:
-		return nil, fail.New(fail.KeyExpired, "the key is older than the records that are kept")
-	case c.Digest != digest:
-		return nil, fail.New(fail.KeyReused, "the key was used with another request")
-	case c.State == wire.ClaimState_CLAIM_STATE_DONE:
-		return c.Answer, nil
-	case c.State == wire.ClaimState_CLAIM_STATE_PENDING:
-		return nil, fail.New(fail.InProgress, "the first request with this key is still in progress").WithRan(fail.RanUnknown).WithRetryAfter(time.Second)
-	}
-	return nil, fail.New(fail.OutcomeUnknown, "the first request with this key may have run; its outcome cannot be learned").WithRan(fail.RanUnknown)
-}
-
-func (s *Server) beginClaim(ctx context.Context, b *wire.BeginClaim) (*wire.BeginClaimResponse, error) {
-	ctx, span := telemetry.StartSpan(ctx, "begin_claim")
-	defer span.End()
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	var out *wire.BeginClaimResponse
-	err := s.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
-		r, err := c.Control.BeginClaim(ctx, connect.NewRequest(b))
-		if err == nil {
-			out = r.Msg
-		}
-		return err
-	})
-	if err != nil {
-		// Nothing was sent to the endpoint, whatever became of the claim.
-		return nil, fail.Wrap(err, fail.Unavailable, "the claim could not be recorded").WithRetryAfter(time.Second)
-	}
-	return out, nil
-}
-
-func (s *Server) finishClaim(ctx context.Context, f *wire.FinishClaim) error {
-	ctx, span := telemetry.StartSpan(ctx, "finish_claim")
-	defer span.End()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	return s.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
-		_, err := c.Control.FinishClaim(ctx, connect.NewRequest(f))
-		return err
-	})
+	}, func(ctx context.Context) (*wire.RecordedAnswer, error) { return s.collect(ctx, j) })
 }
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -1,6 +1,15 @@
 package state
 
-import "parsleyramp/internal/wire"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyramp/internal/wire"
+)
+
+// maxSpentTokens bounds the tokens that a claim remembers as over.
+const maxSpentTokens = 32
 
 // Claim returns the record of an idempotency key, or nil.
 func (m *Machine) Claim(key string) *wire.Claim {
@@ -15,19 +24,27 @@
 // request; otherwise Claim says what is known of the earlier run.
 func (m *Machine) beginClaim(b *wire.BeginClaim, now int64) *wire.CommandResult {
 	old := m.claims[b.Key]
-	if old == nil && b.KeyUnixMs < m.claimsExpiredBefore {
+	holder := m.entries[b.HolderEntry]
+	switch {
+	case !holder.GetLive() || holder.Incarnation != b.HolderIncarnation:
+		// Nobody would end a claim that is granted after its holder's death.
+		return &wire.CommandResult{Reason: "the holder is not live", HolderNotLive: true}
+	case old == nil && b.KeyUnixMs < m.claimsExpiredBefore:
 		return refused("the key is older than the retention of records")
-	}
-	if old.GetState() == wire.ClaimState_CLAIM_STATE_PENDING && old.Token == b.Token && old.Digest == b.Digest {
+	case old == nil && b.MaxClaims > 0 && uint64(len(m.claims)) >= b.MaxClaims:
+		return &wire.CommandResult{Reason: "the records of claims are full", Full: true}
+	case old.GetState() == wire.ClaimState_CLAIM_STATE_PENDING && old.Token == b.Token && old.Digest == b.Digest:
 		return &wire.CommandResult{Applied: true, Claim: clone(old)}
-	}
-	if old != nil && (old.Digest != b.Digest || old.State != wire.ClaimState_CLAIM_STATE_NOT_RUN) {
+	case old != nil && (old.Digest != b.Digest || old.State != wire.ClaimState_CLAIM_STATE_NOT_RUN):
 		return &wire.CommandResult{Claim: clone(old)}
+	case slices.Contains(old.GetSpentTokens(), xxhash.Sum64String(b.Token)):
+		return &wire.CommandResult{Claim: clone(old), Reason: "the token is over"}
 	}
 	c := &wire.Claim{
 		Key: b.Key, Digest: b.Digest, State: wire.ClaimState_CLAIM_STATE_PENDING,
 		HolderEntry: b.HolderEntry, HolderIncarnation: b.HolderIncarnation,
 		Attempt: old.GetAttempt() + 1, ClaimedUnixMs: now, KeyUnixMs: b.KeyUnixMs, Token: b.Token,
+		SpentTokens: old.GetSpentTokens(),
 	}
 	m.claims[b.Key] = c
 	return &wire.CommandResult{Applied: true, Claim: clone(c)}
@@ -36,17 +53,68 @@
 // finishClaim records the outcome that the holder of the attempt has learned.
 // An unknown outcome may still become known; a known one never changes.
 func (m *Machine) finishClaim(f *wire.FinishClaim) *wire.CommandResult {
+	if f.Attempt == 0 {
+		return m.releaseClaim(f)
+	}
 	c := m.claims[f.Key]
 	if c == nil || c.Attempt != f.Attempt {
 		return refused("no such attempt")
 	}
-	if c.State != wire.ClaimState_CLAIM_STATE_PENDING && c.State != wire.ClaimState_CLAIM_STATE_UNKNOWN {
+	if !open(c) {
 		return &wire.CommandResult{Applied: c.State == f.State, Claim: clone(c)}
 	}
 	c.State, c.Answer = f.State, f.Answer
+	if f.MaxAnswerBytes > 0 && m.claimAnswerBytes() > f.MaxAnswerBytes {
+		c.Answer = &wire.RecordedAnswer{Status: f.Answer.GetStatus(), ContentType: f.Answer.GetContentType(), Dropped: true}
+	}
+	if c.State == wire.ClaimState_CLAIM_STATE_NOT_RUN {
+		spend(c, c.Token)
+	}
 	return &wire.CommandResult{Applied: true, Claim: clone(c)}
 }
 
+// releaseClaim ends a token whose holder never learned of a grant, and so
+// never ran the request. A BeginClaim with the token may still be on its way.
+func (m *Machine) releaseClaim(f *wire.FinishClaim) *wire.CommandResult {
+	c := m.claims[f.Key]
+	if c == nil {
+		if f.KeyUnixMs < m.claimsExpiredBefore {
+			return applied()
+		}
+		c = &wire.Claim{Key: f.Key, Digest: f.Digest, State: wire.ClaimState_CLAIM_STATE_NOT_RUN, KeyUnixMs: f.KeyUnixMs}
+		m.claims[f.Key] = c
+	}
+	if open(c) && c.Token == f.Token {
+		c.State = wire.ClaimState_CLAIM_STATE_NOT_RUN
+	}
+	spend(c, f.Token)
+	return applied()
+}
+
+// open reports whether the outcome of a claim may still become known.
+func open(c *wire.Claim) bool {
+	return c.State == wire.ClaimState_CLAIM_STATE_PENDING || c.State == wire.ClaimState_CLAIM_STATE_UNKNOWN
+}
+
+func spend(c *wire.Claim, token string) {
+	digest := xxhash.Sum64String(token)
+	if slices.Contains(c.SpentTokens, digest) {
+		return
+	}
+	c.SpentTokens = append(slices.Clone(c.SpentTokens), digest)
+	if extra := len(c.SpentTokens) - maxSpentTokens; extra > 0 {
+		c.SpentTokens = c.SpentTokens[extra:]
+	}
+}
+
+func (m *Machine) claimAnswerBytes() uint64 {
+	var sum uint64
+	for _, c := range m.claims {
+		sum += uint64(len(c.Answer.GetBody()))
+	}
+	return sum
+}
+
 // abandonWork ends what a dead incarnation of an entry held.
 func (m *Machine) abandonWork(entry, incarnation string) {
 	for _, c := range m.claims {
@@ -70,9 +138,10 @@
 			delete(m.claims, k)
 		}
 	}
-	for k, d := range m.deferred {
-		if d.FinishByUnixMs < x.DeferredBeforeUnixMs {
-			delete(m.deferred, k)
+	m.expireDeferred(x.DeferredBeforeUnixMs, x.NowUnixMs)
+	for k, a := range m.applies {
+		if a.AnsweredUnixMs < x.AppliesBeforeUnixMs {
+			delete(m.applies, k)
 		}
 	}
 	for k, s := range m.suspects {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -89,7 +89,7 @@
 	case *wire.Command_FinishClaim:
 		return m.finishClaim(b.FinishClaim)
 	case *wire.Command_SubmitDeferred:
-		return m.submitDeferred(b.SubmitDeferred.GetRequest(), c.ProposedUnixMs)
+		return m.submitDeferred(b.SubmitDeferred, c.ProposedUnixMs)
 	case *wire.Command_StartDeferred:
 		return m.startDeferred(b.StartDeferred)
 	case *wire.Command_FinishDeferred:
--- a/internal/state/sections.go
+++ b/internal/state/sections.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,7 +30,10 @@
 		}
 		return applyAnswer(&wire.ApplyRecord{Team: a.Team, OrderId: a.OrderId, Digest: digest, Outcome: wire.ApplyOutcome_APPLY_OUTCOME_ORDER_ID_REUSED, Detail: "this order id was used with another text"})
 	}
-	record := &wire.ApplyRecord{Team: a.Team, OrderId: a.OrderId, Digest: digest}
+	if m.applyRecords(a.Team) >= MaxApplyRecords {
+		return &wire.CommandResult{Reason: "too many changes of the team are remembered", Full: true}
+	}
+	record := &wire.ApplyRecord{Team: a.Team, OrderId: a.OrderId, Digest: digest, AnsweredIndex: m.applied, AnsweredUnixMs: now}
 	current := m.sections[a.Team].GetRevision()
 	section, err := closing.ParseError(a.Text)
 	switch {
@@ -59,7 +63,23 @@
 	return &wire.CommandResult{Applied: r.Outcome == wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED, Apply: r, Reason: r.Detail}
 }
 
-// pathClash reports a service name or path that another team has declared.
+// MaxApplyRecords bounds the answers remembered for one team. Further changes
+// wait until the oldest are past their retention, so that a resent change
+// always gets its first answer within that time.
+const MaxApplyRecords = 2048
+
+func (m *Machine) applyRecords(team string) int {
+	n := 0
+	for k := range m.applies {
+		if k.team == team {
+			n++
+		}
+	}
+	return n
+}
+
+// pathClash reports a service whose name or path another team has declared, or
+// whose path lies within theirs or theirs within it.
 func (m *Machine) pathClash(section *closing.Section) string {
 	for _, other := range m.sortedSections() {
 		if other.Team == section.Team {
@@ -71,8 +91,8 @@
 		}
 		for _, mine := range section.Services {
 			for _, theirs := range parsed.Services {
-				if mine.Path == theirs.Path || mine.Name == theirs.Name {
-					return fmt.Sprintf("service %s at %s is declared by team %s", mine.Name, mine.Path, other.Team)
+				if mine.Name == theirs.Name || strings.HasPrefix(mine.Path, theirs.Path) || strings.HasPrefix(theirs.Path, mine.Path) {
+					return fmt.Sprintf("service %s at %s clashes with service %s at %s of team %s", mine.Name, mine.Path, theirs.Name, theirs.Path, other.Team)
 				}
 			}
 		}
