Find the exact lines of problems, diff and explain in parsleyctl

Cause: the line of an unknown field was found by a search for its text, so a comment or value with the same text was named; a field in another case or given twice was taken in silence; memory_mb could overflow when turned into bytes. parsleyctl had no diff, explain, JSON or hint of the next step, and an apply that died before its answer had not told its order id.

Now: member names are checked on the syntax tree against the Go type, with the line of each name; sizes are bounded; overnight work is given out by deadline, 16 at most an entry; a keyed submission has a stable id; a failed one tells why.

Proof: TestUnknownFieldIsNotTakenForItsText and the cases 'field in another case', 'field given twice', 'too much memory' failed on the former code (line of the comment, or no problem at all) and pass now.

--- a/internal/closing/check.go
+++ b/internal/closing/check.go
@@ -13,18 +13,14 @@
 type lineIndex struct {
 	text  []byte
 	value hujson.Value
-	ok    bool
 }
 
-func newLineIndex(text []byte) lineIndex {
+func newLineIndex(text []byte) (lineIndex, error) {
 	v, err := hujson.Parse(text)
-	return lineIndex{text: text, value: v, ok: err == nil}
+	return lineIndex{text: text, value: v}, err
 }
 
 func (l lineIndex) line(pointer string) int {
-	if !l.ok {
-		return 1
-	}
 	v := l.value.Find(pointer)
 	if v == nil {
 		return 1
@@ -65,6 +61,8 @@
 	for i := range s.Services {
 		c.service(fmt.Sprintf("/services/%d", i), &s.Services[i], services, paths)
 	}
+	c.require(len(s.Services) <= MaxServices, "/services", fmt.Sprintf("more than %d services", MaxServices))
+	c.require(len(s.Classes) <= MaxClasses, "/classes", fmt.Sprintf("more than %d classes", MaxClasses))
 	classes := map[string]bool{}
 	for i := range s.Classes {
 		c.class(fmt.Sprintf("/classes/%d", i), &s.Classes[i], classes)
@@ -74,17 +72,25 @@
 func (c *checker) model(at string, m *Model, seen map[string]bool) {
 	c.name(at+"/name", m.Name, seen)
 	c.require(ValidName(m.Version), at+"/version", nameRule)
-	c.require(m.MemoryMB > 0, at+"/memory_mb", "must be above zero")
+	c.memory(at+"/memory_mb", m.MemoryMB)
+	c.require(m.HeadroomMB <= MaxMemoryMB, at+"/headroom_mb", memoryRule)
 	c.require(m.Replicas >= 0, at+"/replicas", "must not be negative")
 	adapters := map[string]bool{}
 	for i, a := range m.Adapters {
 		p := fmt.Sprintf("%s/adapters/%d", at, i)
 		c.name(p+"/name", a.Name, adapters)
 		c.require(ValidName(a.Version), p+"/version", nameRule)
-		c.require(a.MemoryMB > 0, p+"/memory_mb", "must be above zero")
+		c.memory(p+"/memory_mb", a.MemoryMB)
 	}
 }
 
+var memoryRule = fmt.Sprintf("must be %d at most", MaxMemoryMB)
+
+func (c *checker) memory(pointer string, mb uint64) {
+	c.require(mb > 0, pointer, "must be above zero")
+	c.require(mb <= MaxMemoryMB, pointer, memoryRule)
+}
+
 var reservedPaths = []string{"/v1/", "/healthz", "/readyz", "/metrics"}
 
 func (c *checker) service(at string, s *Service, seen, paths map[string]bool) {
--- a/internal/closing/closing.go
+++ b/internal/closing/closing.go
@@ -8,7 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"reflect"
 	"regexp"
 	"strings"
 	"time"
@@ -23,6 +23,10 @@
 	MaxSectionBytes = 1 << 20
 	MaxModels       = 1000
 	MaxAdapters     = 10000
+	MaxServices     = 1000
+	MaxClasses      = 100
+	// MaxMemoryMB bounds one model or adapter, in MiB.
+	MaxMemoryMB = 1 << 24
 )
 
 // Section is what one team declares.
@@ -96,22 +100,25 @@
 // Parse reads a section and returns every problem found in it.
 func Parse(text []byte) (*Section, []Problem) {
 	if len(text) > MaxSectionBytes {
-		return nil, []Problem{{Line: 1, Field: "section", Detail: fmt.Sprintf("has %d bytes, more than %d", len(text), MaxSectionBytes)}}
+		return nil, problemAt(1, fmt.Sprintf("has %d bytes, more than %d", len(text), MaxSectionBytes))
+	}
+	lines, err := newLineIndex(text)
+	if err != nil {
+		return nil, problemAt(lineOf(err), err.Error())
+	}
+	c := checker{lines: lines}
+	c.fields("", &lines.value, reflect.TypeFor[Section]())
+	if len(c.problems) > 0 {
+		return nil, c.problems
 	}
 	plain, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
-		return nil, []Problem{{Line: 1, Field: "section", Detail: err.Error()}}
+		return nil, problemAt(lineOf(err), err.Error())
 	}
 	var s Section
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return nil, []Problem{{Line: lineAt(plain, offsetOf(err, plain, dec)), Field: "section", Detail: err.Error()}}
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, []Problem{{Line: lineAt(plain, dec.InputOffset()), Field: "section", Detail: "text after the section"}}
+	if err := json.Unmarshal(plain, &s); err != nil {
+		return nil, problemAt(lineAt(plain, offsetOf(err)), err.Error())
 	}
-	c := checker{lines: newLineIndex(text)}
 	c.section(&s)
 	if len(c.problems) > 0 {
 		return nil, c.problems
@@ -119,6 +126,19 @@
 	return &s, nil
 }
 
+func problemAt(line int, detail string) []Problem {
+	return []Problem{{Line: line, Field: "section", Detail: detail}}
+}
+
+// lineOf returns the line that a syntax error of hujson names.
+func lineOf(err error) int {
+	line := 1
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d", &line); scanErr != nil {
+		return 1
+	}
+	return line
+}
+
 // ParseError is Parse with the problems as one typed error.
 func ParseError(text []byte) (*Section, error) {
 	s, problems := Parse(text)
@@ -132,22 +152,13 @@
 	return nil, fail.New(fail.BadDocument, strings.Join(lines, "\n"))
 }
 
-// offsetOf returns where in the text the decoder failed.
-func offsetOf(err error, text []byte, dec *json.Decoder) int64 {
-	if _, field, ok := strings.Cut(err.Error(), "json: unknown field "); ok {
-		if at := bytes.Index(text, []byte(field)); at >= 0 {
-			return int64(at)
-		}
-	}
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		return syntax.Offset
-	}
+// offsetOf returns where in the text a value of a wrong type stands.
+func offsetOf(err error) int64 {
 	var typ *json.UnmarshalTypeError
 	if errors.As(err, &typ) {
 		return typ.Offset
 	}
-	return dec.InputOffset()
+	return 0
 }
 
 func lineAt(text []byte, offset int64) int {
--- a/internal/closing/closing_test.go
+++ b/internal/closing/closing_test.go
@@ -1,6 +1,7 @@
 package closing
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -36,11 +37,17 @@
 		{"foreign call", `"path": "/ledger/payouts"`, `"path": "/other"`, "/services/0/non_idempotent/0/path", 5},
 		{"no target", `"first_token_ms": 690`, `"first_token_ms": 0`, "/classes/0/first_token_ms", 6},
 		{"bad time", `"06:00"`, `"25:00"`, "/classes/1/finish_by", 6},
-		{"unknown field", `"team"`, `"tema"`, "section", 3},
+		{"unknown field", `"team"`, `"tema"`, "/tema", 3},
+		{"too much memory", `"memory_mb": 10`, `"memory_mb": 18446744073709551615`, "/models/0/memory_mb", 4},
+		{"field in another case", `"services"`, `"Services"`, "/Services", 5},
+		{"field given twice", `"version": "1", "memory_mb": 10`, `"memory_mb": 1, "memory_mb": 10, "version": "1"`, "/models/0/memory_mb", 4},
+		{"wrong type", `"memory_mb": 10`, `"memory_mb": "10"`, "section", 4},
+		{"broken JSON", `"classes": [`, `"classes": [[`, "section", 7},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, problems := Parse([]byte(strings.Replace(valid, tt.old, tt.new, 1)))
+			text := strings.Replace(valid, tt.old, tt.new, 1)
+			_, problems := Parse([]byte(text))
 			for _, p := range problems {
 				if p.Field == tt.field && p.Line == tt.line {
 					return
@@ -59,3 +66,45 @@
 		t.Fatalf("got %v, want %v", got, want)
 	}
 }
+
+// The name of the unknown field stands in a comment and as a value too.
+func TestUnknownFieldIsNotTakenForItsText(t *testing.T) {
+	text := "{ // \"tier\" is not known\n\"team\": \"tier\",\n\"classes\": [{\"name\": \"tier\", \"first_token_ms\": 1,\n\"tier\": 1}]}"
+	_, problems := Parse([]byte(text))
+	if len(problems) != 1 || problems[0].Line != 4 || problems[0].Field != "/classes/0/tier" {
+		t.Fatalf("problems: %v", problems)
+	}
+}
+
+func TestParseRefusesWhatIsTooLarge(t *testing.T) {
+	if _, problems := Parse([]byte(valid + strings.Repeat(" ", MaxSectionBytes))); len(problems) != 1 {
+		t.Fatalf("problems: %v", problems)
+	}
+	models := make([]string, MaxModels+1)
+	for i := range models {
+		models[i] = fmt.Sprintf(`{"name": "m%d", "version": "1", "memory_mb": 1}`, i)
+	}
+	_, problems := Parse([]byte(`{"team": "t", "models": [` + strings.Join(models, ",") + `]}`))
+	if len(problems) != 1 || problems[0].Field != "/models" {
+		t.Fatalf("problems: %v", problems)
+	}
+}
+
+func TestDiffNamesEveryChange(t *testing.T) {
+	old, _ := Parse([]byte(valid))
+	next, problems := Parse([]byte(strings.NewReplacer(`"memory_mb": 10`, `"memory_mb": 20`, `"name": "kandy"`, `"name": "colombo"`).Replace(valid)))
+	if len(problems) > 0 {
+		t.Fatalf("problems: %v", problems)
+	}
+	var got []string
+	for _, c := range Diff(old, next) {
+		got = append(got, string(c.Kind)+" "+c.Item)
+	}
+	want := "added adapter purity:colombo, removed adapter purity:kandy, changed model purity"
+	if strings.Join(got, ", ") != want {
+		t.Fatalf("got %v, want %s", got, want)
+	}
+	if len(Diff(old, old)) != 0 || len(Diff(nil, old)) != 5 {
+		t.Fatalf("equal sections: %v, from nothing: %v", Diff(old, old), Diff(nil, old))
+	}
+}
--- /dev/null
+++ b/internal/closing/fields.go
@@ -0,0 +1,53 @@
+package closing
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// fields checks the names of all members of an object, and of those within it,
+// against the JSON tags of a Go type. encoding/json alone would take a name in
+// another case, or given twice, without a word.
+func (c *checker) fields(at string, v *hujson.Value, t reflect.Type) {
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		c.members(at, value, t)
+	case *hujson.Array:
+		if t.Kind() != reflect.Slice {
+			return
+		}
+		for i := range value.Elements {
+			c.fields(fmt.Sprintf("%s/%d", at, i), &value.Elements[i], t.Elem())
+		}
+	}
+}
+
+func (c *checker) members(at string, o *hujson.Object, t reflect.Type) {
+	if t.Kind() != reflect.Struct {
+		return
+	}
+	known := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		known[name] = t.Field(i).Type
+	}
+	seen := map[string]bool{}
+	for i := range o.Members {
+		m := &o.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		line := lineAt(c.lines.text, int64(m.Name.StartOffset))
+		field, ok := known[name]
+		switch {
+		case !ok:
+			c.problems = append(c.problems, Problem{Line: line, Field: at + "/" + name, Detail: "unknown field"})
+			continue
+		case seen[name]:
+			c.problems = append(c.problems, Problem{Line: line, Field: at + "/" + name, Detail: "is given twice"})
+		}
+		seen[name] = true
+		c.fields(at+"/"+name, &m.Value, field)
+	}
+}
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -242,26 +242,42 @@
 	}}}}
 }
 
-// assignDeferred gives queued overnight work to live entries in turn.
+// maxDeferredPerEntry bounds the overnight work that one entry runs at once.
+const maxDeferredPerEntry = 16
+
+// assignDeferred gives queued overnight work, earliest deadline first, to the
+// live entries that run least of it.
 func (s *Server) assignDeferred(ctx context.Context, p *picture) {
-	var live []*wire.EntryVM
-	for _, e := range p.view.Entries {
-		if e.Live && !e.Draining {
-			live = append(live, e)
-		}
+	for _, start := range deferredStarts(p.view.Entries, p.deferred) {
+		s.try(ctx, &wire.Command{Body: &wire.Command_StartDeferred{StartDeferred: start}}, "assign overnight work")
 	}
-	if len(live) == 0 {
-		return
+}
+
+func deferredStarts(entries []*wire.EntryVM, work []*wire.DeferredRequest) []*wire.StartDeferred {
+	running := map[string]int{}
+	for _, d := range work {
+		if d.State == wire.DeferredState_DEFERRED_STATE_RUNNING {
+			running[d.RunnerEntry]++
+		}
 	}
-	for i, d := range p.deferred {
+	var out []*wire.StartDeferred
+	for _, d := range work {
 		if d.State != wire.DeferredState_DEFERRED_STATE_QUEUED {
 			continue
 		}
-		to := live[i%len(live)]
-		s.try(ctx, &wire.Command{Body: &wire.Command_StartDeferred{StartDeferred: &wire.StartDeferred{
-			Id: d.Id, RunnerEntry: to.Id, RunnerIncarnation: to.Incarnation, ExpectedAttempt: d.Attempt,
-		}}}, "assign overnight work")
+		var to *wire.EntryVM
+		for _, e := range entries {
+			if e.Live && !e.Draining && running[e.Id] < maxDeferredPerEntry && (to == nil || running[e.Id] < running[to.Id]) {
+				to = e
+			}
+		}
+		if to == nil {
+			return out
+		}
+		running[to.Id]++
+		out = append(out, &wire.StartDeferred{Id: d.Id, RunnerEntry: to.Id, RunnerIncarnation: to.Incarnation, ExpectedAttempt: d.Attempt})
 	}
+	return out
 }
 
 // deferredGrace leaves the runner of an overnight request time to record its
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -136,6 +136,7 @@
 	err = o.s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) {
 		view := m.View()
 		resp.Entries, resp.Endpoints, resp.Residents = view.Entries, view.Endpoints, view.Residents
+		resp.Orders = m.Orders()
 	})
 	if err != nil {
 		return nil, o.s.rpcError(ctx, err)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -18,10 +19,11 @@
 
 // Exit codes beside those that every program has.
 const (
-	ExitInvalid  = 4
-	ExitConflict = 5
-	ExitNotMet   = 6
-	ExitNoLeader = 7
+	ExitInvalid      = 4
+	ExitConflict     = 5
+	ExitNotMet       = 6
+	ExitNoLeader     = 7
+	ExitUnauthorized = 8
 )
 
 // exitCodes gives the exit code for a failure.
@@ -32,7 +34,8 @@
 	fail.NotLeader:    ExitNoLeader,
 	fail.BadSettings:  program.ExitUsage,
 	fail.BadRequest:   program.ExitUsage,
-	fail.Unauthorized: program.ExitFailed,
+	fail.Unauthorized: ExitUnauthorized,
+	fail.Overloaded:   ExitNoLeader,
 }
 
 // command is one subcommand.
@@ -45,9 +48,11 @@
 var commands = []command{
 	{"bootstrap", "form a new group out of the blank control VMs given by -control", runBootstrap},
 	{"check", "FILE: check a section without sending it", runCheck},
-	{"apply", "FILE: apply a section", runApply},
+	{"diff", "FILE: compare a section with the accepted one", runDiff},
+	{"apply", "[-base N] [-order ID] FILE: apply a section", runApply},
 	{"get", "TEAM: print the accepted section", runGet},
-	{"status", "TEAM: tell how far the section has come into force", runStatus},
+	{"status", "[-watch] TEAM: tell how far the section has come into force", runStatus},
+	{"explain", "TEAM/MODEL: tell why a model is where it is", runExplain},
 	{"members", "list replicas, entries, endpoints and what is resident", runMembers},
 	{"replace", "replace a lost replica by a blank one", runReplace},
 }
@@ -55,6 +60,7 @@
 // tool is what the subcommands share.
 type tool struct {
 	out     io.Writer
+	errOut  io.Writer
 	control []string
 	token   string
 	json    bool
@@ -67,11 +73,12 @@
 
 // Main runs the subcommand that args name and returns the exit code.
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
-	t := &tool{out: out}
+	t := &tool{out: out, errOut: errOut}
 	flags := flag.NewFlagSet("parsleyctl", flag.ContinueOnError)
 	flags.SetOutput(errOut)
 	control := flags.String("control", "127.0.0.1:7101", "control VMs as ip:port, separated by commas")
-	flags.StringVar(&t.token, "token", "", "the team's token")
+	flags.StringVar(&t.token, "token", "", "the team's token; other users of the machine may see it")
+	tokenFile := flags.String("token-file", "", "file that holds the team's token; PARSLEYRAMP_TOKEN holds it otherwise")
 	flags.BoolVar(&t.json, "json", false, "print JSON")
 	flags.DurationVar(&t.timeout, "timeout", 10*time.Second, "time for the whole command")
 	flags.Usage = func() { usage(flags, errOut) }
@@ -86,7 +93,11 @@
 		if c.name == flags.Arg(0) {
 			ctx, cancel := context.WithTimeout(ctx, t.timeout)
 			defer cancel()
-			return exitCode(c.run(ctx, t, flags.Args()[1:]), errOut)
+			err := t.readToken(*tokenFile)
+			if err == nil {
+				err = c.run(ctx, t, flags.Args()[1:])
+			}
+			return t.exitCode(err)
 		}
 	}
 	usage(flags, errOut)
@@ -101,16 +112,36 @@
 	flags.PrintDefaults()
 }
 
-func exitCode(err error, errOut io.Writer) int {
+// readToken takes the token from a file or the environment where no flag gives it.
+func (t *tool) readToken(path string) error {
+	if t.token != "" {
+		return nil
+	}
+	t.token = os.Getenv("PARSLEYRAMP_TOKEN")
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fail.Wrap(err, fail.BadSettings, "-token-file")
+	}
+	t.token = strings.TrimSpace(string(data))
+	return nil
+}
+
+// exitCode prints a failure and returns its exit code. A status that is not
+// met is a result and not a failure; it is printed already.
+func (t *tool) exitCode(err error) int {
 	if err == nil {
 		return program.ExitOK
 	}
-	fmt.Fprintf(errOut, "parsleyctl: %v\n", err)
-	if code, ok := exitCodes[fail.From(err).Code]; ok {
-		return code
-	}
 	if errors.Is(err, errNotMet) {
 		return ExitNotMet
 	}
-	return program.ExitFailed
+	code, ok := exitCodes[fail.From(err).Code]
+	if !ok {
+		code = program.ExitFailed
+	}
+	t.printFailure(t.errOut, err, code)
+	return code
 }
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,65 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+)
+
+// printJSON writes a value as indented JSON.
+func (t *tool) printJSON(v any) error {
+	enc := json.NewEncoder(t.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fail.Wrap(err, fail.Internal, "write JSON")
+	}
+	return nil
+}
+
+// printMessage writes a message of the inner protocol as one line of JSON,
+// with the field names of the .proto files.
+func (t *tool) printMessage(m proto.Message) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitDefaultValues: true}.Marshal(m)
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode JSON")
+	}
+	return t.printJSON(json.RawMessage(data))
+}
+
+// nextSteps tells what an operator does about a failure.
+var nextSteps = map[fail.Code]string{
+	fail.BadDocument:    "mend the lines named above and run check",
+	fail.Conflict:       "run get, merge your change into the newest text and apply again",
+	fail.Unavailable:    "see that a majority of the control VMs runs and that -control lists them, then repeat",
+	fail.NotLeader:      "an election is under way; repeat in a few seconds",
+	fail.Unauthorized:   "give the team's token by -token-file or PARSLEYRAMP_TOKEN",
+	fail.UnknownRequest: "run members to see what exists",
+	fail.Overloaded:     "wait, then repeat with the same order id",
+	fail.BadSettings:    "run parsleyctl -help",
+}
+
+// jsonFailure is a failure as JSON.
+type jsonFailure struct {
+	Code     fail.Code `json:"code"`
+	Message  string    `json:"message"`
+	NextStep string    `json:"next_step,omitempty"`
+	Exit     int       `json:"exit"`
+}
+
+func (t *tool) printFailure(w io.Writer, err error, exit int) {
+	f := fail.From(err)
+	if t.json {
+		data, _ := json.Marshal(jsonFailure{f.Code, f.Error(), nextSteps[f.Code], exit})
+		fmt.Fprintln(w, string(data))
+		return
+	}
+	fmt.Fprintf(w, "parsleyctl: %v\n", err)
+	if step := nextSteps[f.Code]; step != "" {
+		fmt.Fprintf(w, "next: %s\n", step)
+	}
+}
--- a/internal/ctl/sections.go
+++ b/internal/ctl/sections.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,15 +17,17 @@
 	"parsleyramp/internal/wire"
 )
 
-const watchInterval = 200 * time.Millisecond
-
-// errNotMet is the failure of a status that is not met.
-var errNotMet = fail.New(fail.NoReplica, "the section is not met")
-
 func readSection(args []string) ([]byte, *closing.Section, error) {
 	if len(args) != 1 {
 		return nil, nil, fail.New(fail.BadSettings, "one FILE is required")
 	}
+	info, err := os.Stat(args[0])
+	if err != nil {
+		return nil, nil, fail.Wrap(err, fail.BadSettings, "read section")
+	}
+	if info.Size() > closing.MaxSectionBytes {
+		return nil, nil, fail.New(fail.BadDocument, fmt.Sprintf("the section has %d bytes, more than %d", info.Size(), closing.MaxSectionBytes))
+	}
 	text, err := os.ReadFile(args[0])
 	if err != nil {
 		return nil, nil, fail.Wrap(err, fail.BadSettings, "read section")
@@ -35,17 +36,63 @@
 	return text, s, err
 }
 
+// sectionSummary counts what a section declares.
+type sectionSummary struct {
+	Team     string `json:"team"`
+	Models   int    `json:"models"`
+	Services int    `json:"services"`
+	Classes  int    `json:"classes"`
+}
+
 func runCheck(_ context.Context, t *tool, args []string) error {
 	_, s, err := readSection(args)
 	if err != nil {
 		return err
 	}
+	if t.json {
+		return t.printJSON(sectionSummary{s.Team, len(s.Models), len(s.Services), len(s.Classes)})
+	}
 	fmt.Fprintf(t.out, "section of team %s is valid: %d models, %d services, %d classes\n", s.Team, len(s.Models), len(s.Services), len(s.Classes))
 	return nil
 }
 
+// sectionDiff is the difference of a file from the accepted section.
+type sectionDiff struct {
+	Team     string           `json:"team"`
+	Revision uint64           `json:"revision"`
+	Changes  []closing.Change `json:"changes"`
+}
+
+// runDiff compares a file with the accepted section.
+func runDiff(ctx context.Context, t *tool, args []string) error {
+	_, next, err := readSection(args)
+	if err != nil {
+		return err
+	}
+	accepted, err := getSection(ctx, t.client(), next.Team)
+	if err != nil {
+		return err
+	}
+	var old *closing.Section
+	if accepted != nil {
+		if old, err = closing.ParseError(accepted.Text); err != nil {
+			return err
+		}
+	}
+	d := sectionDiff{Team: next.Team, Revision: accepted.GetRevision(), Changes: closing.Diff(old, next)}
+	if t.json {
+		return t.printJSON(d)
+	}
+	fmt.Fprintf(t.out, "team %s, against revision %d: %d changes\n", d.Team, d.Revision, len(d.Changes))
+	for _, c := range d.Changes {
+		fmt.Fprintln(t.out, c)
+	}
+	return nil
+}
+
 func runApply(ctx context.Context, t *tool, args []string) error {
 	flags := flag.NewFlagSet("apply", flag.ContinueOnError)
+	flags.SetOutput(t.errOut)
 	base := flags.Int64("base", -1, "revision that the change was made on; the newest where left out")
 	order := flags.String("order", "", "order id to repeat a change whose answer was lost")
 	if err := flags.Parse(args); err != nil {
@@ -56,6 +103,9 @@
 		return err
 	}
 	client := t.client()
+	if *base < 0 && *order != "" {
+		return fail.New(fail.BadSettings, "-order needs the -base that it was first used with")
+	}
 	if *base < 0 {
 		current, err := getSection(ctx, client, s.Team)
 		if err != nil {
@@ -66,6 +116,10 @@
 	if *order == "" {
 		*order = uuid.NewString()
 	}
+	// The order id is known before anything is sent, so that the change can be
+	// sent again even where this process dies.
+	resend := fmt.Sprintf("apply -base %d -order %s %s", *base, *order, flags.Arg(0))
+	fmt.Fprintln(t.errOut, "sending; should the answer be lost, repeat:", resend)
 	req := connect.NewRequest(&wire.ApplyRequest{Team: s.Team, BaseRevision: uint64(*base), OrderId: *order, Text: text})
 	req.Header().Set(control.HeaderToken, t.token)
 	var record *wire.ApplyRecord
@@ -76,11 +130,10 @@
 		}
 		return err
 	})
+	if fail.Is(err, fail.Unavailable) {
+		return fail.Wrap(err, fail.Unavailable, "the outcome is not known; repeat with: "+resend)
+	}
 	if err != nil {
-		f := fail.From(err)
-		if f.Ran != fail.RanNo || f.Code == fail.Unavailable {
-			return fail.Wrap(err, f.Code, fmt.Sprintf("the outcome is not known; repeat with: apply -base %d -order %s", *base, *order))
-		}
 		return err
 	}
 	return reportApply(t, record)
@@ -89,10 +142,11 @@
 func reportApply(t *tool, r *wire.ApplyRecord) error {
 	switch r.Outcome {
 	case wire.ApplyOutcome_APPLY_OUTCOME_ACCEPTED:
+		if t.json {
+			return t.printMessage(r)
+		}
 		fmt.Fprintf(t.out, "accepted: team=%s revision=%d order=%s\n", r.Team, r.Revision, r.OrderId)
 		return nil
-	case wire.ApplyOutcome_APPLY_OUTCOME_CONFLICT:
-		return fail.New(fail.Conflict, r.Detail+"; get the section, merge and apply again")
 	case wire.ApplyOutcome_APPLY_OUTCOME_INVALID:
 		return fail.New(fail.BadDocument, r.Detail)
 	}
@@ -111,6 +165,14 @@
 	return s, err
 }
 
+// acceptedSection is an accepted section as JSON.
+type acceptedSection struct {
+	Team     string    `json:"team"`
+	Revision uint64    `json:"revision"`
+	Accepted time.Time `json:"accepted"`
+	Text     string    `json:"text"`
+}
+
 func runGet(ctx context.Context, t *tool, args []string) error {
 	if len(args) != 1 {
 		return fail.New(fail.BadSettings, "one TEAM is required")
@@ -122,65 +184,12 @@
 	if s == nil {
 		return fail.New(fail.UnknownRequest, "team "+args[0]+" has no section")
 	}
-	_, err = t.out.Write(s.Text)
-	return err
-}
-
-var statusNames = map[wire.ChangeStatus]string{
-	wire.ChangeStatus_CHANGE_STATUS_ACCEPTED: "accepted",
-	wire.ChangeStatus_CHANGE_STATUS_IN_FORCE: "in force",
-	wire.ChangeStatus_CHANGE_STATUS_MET:      "met",
-	wire.ChangeStatus_CHANGE_STATUS_NOT_MET:  "not met",
-}
-
-func runStatus(ctx context.Context, t *tool, args []string) error {
-	flags := flag.NewFlagSet("status", flag.ContinueOnError)
-	watch := flags.Bool("watch", false, "wait until the section is met")
-	if err := flags.Parse(args); err != nil {
-		return fail.Wrap(err, fail.BadSettings, "flags")
+	if t.json {
+		return t.printJSON(acceptedSection{s.Team, s.Revision, time.UnixMilli(s.AcceptedUnixMs).UTC(), string(s.Text)})
 	}
-	if flags.NArg() != 1 {
-		return fail.New(fail.BadSettings, "one TEAM is required")
-	}
-	client := t.client()
-	for {
-		s, err := getStatus(ctx, client, flags.Arg(0))
-		if err != nil {
-			return err
-		}
-		met := s.Status == wire.ChangeStatus_CHANGE_STATUS_MET
-		if met || !*watch || ctx.Err() != nil {
-			printStatus(t, s)
-			if !met {
-				return errNotMet
-			}
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchInterval):
-		}
-	}
-}
-
-func getStatus(ctx context.Context, client *controlclient.Client, team string) (*wire.StatusResponse, error) {
-	var s *wire.StatusResponse
-	err := client.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
-		r, err := c.Operator.Status(ctx, connect.NewRequest(&wire.StatusRequest{Team: team}))
-		if err == nil {
-			s = r.Msg
-		}
-		return err
-	})
-	return s, err
-}
-
-func printStatus(t *tool, s *wire.StatusResponse) {
-	fmt.Fprintf(t.out, "team=%s revision=%d status=%q\n", s.Section.Team, s.Section.Revision, statusNames[s.Status])
-	if len(s.LaggingEntries) > 0 {
-		fmt.Fprintf(t.out, "not yet acknowledged by: %s\n", strings.Join(s.LaggingEntries, ", "))
-	}
-	for _, u := range s.Unmet {
-		fmt.Fprintf(t.out, "not met: %s\n", u)
+	fmt.Fprintf(t.errOut, "revision %d\n", s.Revision)
+	if _, err := t.out.Write(s.Text); err != nil {
+		return fail.Wrap(err, fail.Internal, "write section")
 	}
+	return nil
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -201,7 +201,7 @@
 		return
 	}
 	if deferred != nil {
-		s.acceptDeferred(ctx, w, deferred)
+		s.acceptDeferred(ctx, w, deferred, r.Header.Get(HeaderIdempotencyKey))
 		return
 	}
 	s.answer(ctx, w, j, fields.Stream)
--- a/internal/entry/overnight.go
+++ b/internal/entry/overnight.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
@@ -37,8 +39,23 @@
 	return overnightAnswer{ID: d.Id, State: deferredStates[d.State], FinishBy: time.UnixMilli(d.FinishByUnixMs).UTC(), Location: "/v1/overnight/" + d.Id}
 }
 
-// acceptDeferred answers 202 once the request is committed.
-func (s *Server) acceptDeferred(ctx context.Context, w http.ResponseWriter, d *wire.DeferredRequest) {
+// overnightNamespace is the name space of the ids of keyed overnight requests
+// (RFC 9562, 5.5).
+var overnightNamespace = uuid.MustParse("6f6b1f0e-7d0c-5a6e-9c50-0f4b6a1c2d3e")
+
+// overnightID returns the same id for the same key, model and path, so that a
+// resent submission is known again.
+func overnightID(d *wire.DeferredRequest, key string) string {
+	if key == "" {
+		return d.Id
+	}
+	return uuid.NewSHA1(overnightNamespace, []byte(d.Path+"\n"+d.Model+"\n"+key)).String()
+}
+
+// acceptDeferred answers 202 once the request is committed. A resent
+// submission with the same idempotency key gets the first one's id.
+func (s *Server) acceptDeferred(ctx context.Context, w http.ResponseWriter, d *wire.DeferredRequest, key string) {
+	d.Id = overnightID(d, key)
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	var accepted *wire.DeferredRequest
@@ -50,14 +67,27 @@
 		return err
 	})
 	if err != nil {
-		writeError(w, fail.Wrap(err, fail.Unavailable, "the request could not be recorded").WithRan(fail.RanUnknown).WithRetryAfter(time.Second))
+		writeError(w, submitFailure(err))
 		return
 	}
 	w.Header().Set("Location", "/v1/overnight/"+accepted.Id)
 	writeJSON(w, http.StatusAccepted, overnightStatus(accepted))
 }
 
-// serveOvernight answers with the finished answer, or 202 with the state.
+// submitFailure keeps what control has decided. Any other failure leaves open
+// whether the request was accepted.
+func submitFailure(err error) error {
+	for _, code := range []fail.Code{fail.Overloaded, fail.KeyReused, fail.BodyTooLarge} {
+		if fail.Is(err, code) {
+			return err
+		}
+	}
+	return fail.Wrap(err, fail.Unavailable, "it is not known whether the request was recorded; send it again with the same key").
+		WithRan(fail.RanUnknown).WithRetryAfter(time.Second)
+}
+
+// serveOvernight answers with the finished answer, its failure, or 202 with
+// the state.
 func (s *Server) serveOvernight(w http.ResponseWriter, r *http.Request) {
 	var d *wire.DeferredRequest
 	err := s.control.Do(r.Context(), func(ctx context.Context, c controlclient.Conn) error {
@@ -74,6 +104,8 @@
 		writeError(w, fail.New(fail.UnknownRequest, "no overnight request has this id; answers are kept for a limited time"))
 	case d.Answer != nil:
 		writeAnswer(w, d.Answer)
+	case d.State == wire.DeferredState_DEFERRED_STATE_FAILED:
+		writeError(w, fail.New(fail.DeadlinePassed, d.Failure).WithRan(fail.RanUnknown))
 	default:
 		writeJSON(w, http.StatusAccepted, overnightStatus(d))
 	}
@@ -98,21 +130,20 @@
 	finish := &wire.FinishDeferred{Id: d.Id, Attempt: d.Attempt, State: wire.DeferredState_DEFERRED_STATE_FAILED}
 	for {
 		answer, err := s.tryDeferred(ctx, d)
-		if err == nil {
-			finish.State, finish.Answer = wire.DeferredState_DEFERRED_STATE_DONE, answer
-			break
-		}
 		if s.background.Err() != nil {
 			return
 		}
-		if ctx.Err() != nil || fail.Is(err, fail.UnknownModel) {
+		if err == nil && !repeatable(answer) {
+			finish.State, finish.Answer = wire.DeferredState_DEFERRED_STATE_DONE, answer
+			break
+		}
+		finish.Failure = overnightFailure(answer, err)
+		if ctx.Err() != nil || hopeless(err) {
 			break
 		}
-		time.Sleep(overnightRetryDelay)
+		sleep(ctx, overnightRetryDelay)
 	}
-	recordCtx, cancelRecord := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancelRecord()
-	err := s.control.Do(recordCtx, func(ctx context.Context, c controlclient.Conn) error {
+	err := s.control.Do(s.background, func(ctx context.Context, c controlclient.Conn) error {
 		_, err := c.Control.FinishDeferred(ctx, connect.NewRequest(finish))
 		return err
 	})
@@ -121,6 +152,23 @@
 	}
 }
 
+// repeatable reports an endpoint's answer that a later attempt may better.
+func repeatable(a *wire.RecordedAnswer) bool {
+	return a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests
+}
+
+// hopeless reports a failure that no later attempt can better.
+func hopeless(err error) bool {
+	return fail.Is(err, fail.UnknownModel) || fail.Is(err, fail.BadRequest) || fail.Is(err, fail.Quarantined)
+}
+
+func overnightFailure(a *wire.RecordedAnswer, err error) string {
+	if err != nil {
+		return "the last attempt failed: " + err.Error()
+	}
+	return fmt.Sprintf("the last attempt was answered with status %d", a.Status)
+}
+
 func (s *Server) tryDeferred(ctx context.Context, d *wire.DeferredRequest) (*wire.RecordedAnswer, error) {
 	c, err := s.session.catalog()
 	if err != nil {
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -81,6 +81,7 @@
 	m.residents[key] = &wire.Resident{
 		Endpoint: o.Endpoint, Model: o.Model, Version: o.Version, Adapter: o.Adapter,
 		State: wire.ResidentState_RESIDENT_STATE_LOADING, MemoryBytes: o.MemoryBytes, StateRevision: m.applied,
+		Reason: o.Reason,
 	}
 	return applied()
 }
