--- a/internal/journal/fuzz_test.go
+++ b/internal/journal/fuzz_test.go
@@ -16,10 +16,17 @@
 func FuzzOpen(f *testing.F) {
 	f.Fuzz(func(t *testing.T, log []byte) {
 		dir := t.TempDir()
-		if err := os.WriteFile(filepath.Join(dir, walName), log, 0o644); err != nil {
+		blank, _, err := Open(dir, newID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := blank.Close(); err != nil {
 			t.Fatal(err)
 		}
-		j, first, err := Open(dir)
+		if err := os.WriteFile(filepath.Join(dir, logName), log, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		j, first, err := Open(dir, newID)
 		if err != nil {
 			if fail.From(err).Code == fail.Internal {
 				t.Fatalf("untyped failure: %v", err)
@@ -29,25 +36,23 @@
 		if err := j.Close(); err != nil {
 			t.Fatal(err)
 		}
-		j, second, err := Open(dir)
+		j, second, err := Open(dir, newID)
 		if err != nil {
 			t.Fatalf("opened once, but not again: %v", err)
 		}
 		if second.CutBytes != 0 || !sameContent(first, second) {
 			t.Fatalf("opened with %d entries, then with %d, cutting %d bytes", len(first.Entries), len(second.Entries), second.CutBytes)
 		}
-		next := uint64(1)
-		if n := len(second.Entries); n > 0 {
-			next = second.Entries[n-1].Index + 1
-		}
-		added := &wire.LogEntry{Index: next, Term: 1, Data: []byte("added")}
-		if err := j.Save(nil, []*wire.LogEntry{added}); err != nil {
+		next := second.Snapshot.GetIndex() + uint64(len(second.Entries)) + 1
+		term := max(1, second.HardState.Term, second.Snapshot.GetTerm())
+		added := &wire.LogEntry{Index: next, Term: term, Data: []byte("added")}
+		if err := j.Save(&wire.HardState{Term: term}, []*wire.LogEntry{added}); err != nil {
 			t.Fatal(err)
 		}
 		if err := j.Close(); err != nil {
 			t.Fatal(err)
 		}
-		j, third, err := Open(dir)
+		j, third, err := Open(dir, newID)
 		if err != nil {
 			t.Fatalf("not opened after an append: %v", err)
 		}
