Read the section as JSON in the fault runs

Cause: parsleyctl get prints the revision beside the text now, which the check took for a lost change in all 13 scenarios. The check is as strict as before.

--- a/scripts/faults/operator.go
+++ b/scripts/faults/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -100,11 +101,15 @@
 
 // check compares the section with the last change that was accepted.
 func (o *operator) check(ctx context.Context) []string {
-	text, err := o.bed.Ctl(ctx, token, "get", team)
+	out, err := o.bed.Ctl(ctx, token, "-json", "get", team)
 	if err != nil {
 		return append(o.failures, err.Error())
 	}
-	if want := fmt.Sprintf("// change %d\n", o.accepted-1); !strings.HasPrefix(text, want) {
+	var section struct{ Text string }
+	if err := json.Unmarshal([]byte(out), &section); err != nil {
+		return append(o.failures, err.Error())
+	}
+	if want := fmt.Sprintf("// change %d\n", o.accepted-1); !strings.HasPrefix(section.Text, want) {
 		return append(o.failures, fmt.Sprintf("an accepted change is lost: %d were accepted", o.accepted))
 	}
 	return o.failures
