Keep an unknown outcome over later refusals; operators' commands tested

Cause: the control client returned the failure of its last attempt alone: an apply whose first answer was lost, and that then met replicas that did not lead, was reported as not run. Seen as a failure of TestOperatorCommands (the last step, no majority left).

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -81,8 +81,10 @@
 
 // Do calls f with the clients of the leader until f succeeds, fails for a
 // reason that another control VM would give too, or ctx ends. f must be safe
-// to repeat: its outcome may be unknown after a failure.
+// to repeat. The failure says that f took no effect only where that is known
+// of every call of f.
 func (c *Client) Do(ctx context.Context, f func(context.Context, Conn) error) error {
+	ran := fail.RanNo
 	for {
 		conn := c.current()
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -92,13 +94,16 @@
 			return nil
 		}
 		failure, leader := rpcerror.FromConnect(err)
+		if failure.Ran != fail.RanNo {
+			ran = fail.RanUnknown
+		}
 		if failure.Code != fail.NotLeader && failure.Code != fail.Unavailable {
-			return failure
+			return failure.WithRan(ran)
 		}
 		c.moveOn(conn, leader)
 		select {
 		case <-ctx.Done():
-			return failure
+			return fail.Wrap(failure, fail.Unavailable, "no control leader answered in time").WithRan(ran)
 		case <-time.After(retryDelay):
 		}
 	}
--- /dev/null
+++ b/internal/controlclient/client_test.go
@@ -0,0 +1,61 @@
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+)
+
+var (
+	notLeader = rpcerror.ToConnect(fail.New(fail.NotLeader, "another leads"), "127.0.0.1:3")
+	broken    = connect.NewError(connect.CodeUnavailable, context.DeadlineExceeded)
+	conflict  = rpcerror.ToConnect(fail.New(fail.Conflict, "no"), "")
+)
+
+// TestDoFindsTheLeaderAndKeepsTheOutcome drives Do through answers of control
+// VMs. A failure must not say that nothing took effect where one call of it may have.
+func TestDoFindsTheLeaderAndKeepsTheOutcome(t *testing.T) {
+	tests := []struct {
+		name    string
+		answers []error
+		code    fail.Code
+		ran     fail.Ran
+		asked   string
+	}{
+		{"at once", []error{nil}, "", "", "1"},
+		{"next after a break", []error{broken, nil}, "", "", "12"},
+		{"named leader", []error{notLeader, nil}, "", "", "13"},
+		{"refused by the leader", []error{conflict}, fail.Conflict, fail.RanNo, "1"},
+		{"refused after a break", []error{broken, conflict}, fail.Conflict, fail.RanUnknown, "12"},
+		{"never a leader", []error{notLeader}, fail.Unavailable, fail.RanNo, ""},
+		{"no leader after a break", []error{broken, notLeader}, fail.Unavailable, fail.RanUnknown, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				asked, calls := "", 0
+				err := New(http.DefaultClient, []string{"127.0.0.1:1", "127.0.0.1:2"}).Do(ctx, func(_ context.Context, c Conn) error {
+					answer := tt.answers[min(calls, len(tt.answers)-1)]
+					calls++
+					asked += c.Address[len(c.Address)-1:]
+					return answer
+				})
+				if tt.asked != "" && asked != tt.asked {
+					t.Errorf("asked %s, want %s", asked, tt.asked)
+				}
+				if tt.code == "" && err != nil || tt.code != "" && (!fail.Is(err, tt.code) || fail.From(err).Ran != tt.ran) {
+					t.Errorf("got %v, want %s with ran %s", err, tt.code, tt.ran)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,129 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func writeFile(t testing.TB, path, text string) {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const deskSection = `{
+  // The desk's own section.
+  "team": "desk",
+  "models": [{"name": "purity", "version": "%s", "memory_mb": 16}],
+  "classes": [{"name": "counter", "first_token_ms": 690}]
+}`
+
+var orderID = regexp.MustCompile(`-base (\d+) -order (\S+)`)
+
+// TestOperatorCommands drives one group of three control servers with an entry
+// through parsleyctl, as operators do, and then with the leader lost.
+func TestOperatorCommands(t *testing.T) {
+	f := newFleet(t)
+	f.startEntry("entry-1", f.controls)
+	one := f.sectionFile("one.jsonc", fmt.Sprintf(deskSection, "1"))
+	two := f.sectionFile("two.jsonc", fmt.Sprintf(deskSection, "2"))
+	expect := func(want int, contains string, args ...string) string {
+		t.Helper()
+		code, out := f.run(args...)
+		if code != want || !strings.Contains(out, contains) {
+			t.Fatalf("%v: exit %d, want %d with %q, output:\n%s", args, code, want, contains, out)
+		}
+		return out
+	}
+	expect(0, "is valid", "check", one)
+	expect(ExitInvalid, "line 4: /models/0/version", "check", f.sectionFile("bad.jsonc", fmt.Sprintf(deskSection, "")))
+	expect(2, "one FILE", "check")
+	expect(ExitUnauthorized, "PARSLEYRAMP_TOKEN", "-token", "wrong", "apply", one)
+	expect(1, "no section", "get", "desk")
+
+	first := expect(0, "accepted: team=desk revision=1", "apply", "-base", "0", one)
+	expect(ExitConflict, "run get, merge", "apply", "-base", "0", two)
+	order := orderID.FindStringSubmatch(first)
+	expect(0, "revision=1", "apply", "-base", order[1], "-order", order[2], one)
+	expect(ExitConflict, "used with another text", "apply", "-base", order[1], "-order", order[2], two)
+	expect(2, "-order needs the -base", "apply", "-order", order[2], one)
+	expect(0, "changed model purity", "diff", two)
+	expect(0, `status="met"`, "status", "-watch", "desk")
+	expect(0, "desk/purity@1", "explain", "desk/purity")
+	var status jsonStatus
+	if err := json.Unmarshal([]byte(expect(0, "", "-json", "status", "desk")), &status); err != nil || !status.InForce {
+		t.Fatalf("status %+v: %v", status, err)
+	}
+	for _, args := range [][]string{{"check", one}, {"diff", two}, {"get", "desk"}, {"explain", "desk/purity"}} {
+		if out := expect(0, "", append([]string{"-json"}, args...)...); !json.Valid([]byte(out)) {
+			t.Fatalf("%v printed no JSON: %s", args, out)
+		}
+	}
+
+	// With one control VM down, whichever it is, every command still works.
+	f.stops[f.leader()]()
+	expect(0, "revision=2", "apply", "-base", "1", two)
+	expect(0, "revision=1", "apply", "-base", order[1], "-order", order[2], one)
+	expect(0, fmt.Sprintf(deskSection, "2"), "get", "desk")
+	expect(0, `revision=2 status="met"`, "status", "-watch", "desk")
+
+	// Without a majority the commands say so and change nothing.
+	f.stops[f.leader()]()
+	expect(ExitNoLeader, "majority", "-timeout", "3s", "apply", "-base", "2", one)
+}
+
+// BenchmarkApplyToInForce measures the time from the sending of a change until
+// the status says that it is in force on every entry.
+func BenchmarkApplyToInForce(b *testing.B) {
+	for _, entries := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			f := newFleet(b)
+			for i := range entries {
+				f.startEntry(fmt.Sprintf("entry-%02d", i), f.controls)
+			}
+			f.until("every entry", func() bool { _, out := f.run("members"); return strings.Count(out, "entry-") >= entries })
+			time.Sleep(time.Second)
+			var took []time.Duration
+			for b.Loop() {
+				path := f.sectionFile("s.jsonc", fmt.Sprintf(deskSection, fmt.Sprint(len(took)+1)))
+				start := time.Now()
+				if code, out := f.run("apply", path); code != 0 {
+					b.Fatalf("apply: %d %s", code, out)
+				}
+				for inForce := false; !inForce; {
+					_, out := f.run("-json", "status", "desk")
+					inForce = strings.Contains(out, `"in_force": true`)
+				}
+				took = append(took, time.Since(start))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50_ms")
+			b.ReportMetric(float64(took[len(took)*99/100].Milliseconds()), "p99_ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkIdleEntry measures the bytes that an entry and the control leader
+// exchange while nothing changes.
+func BenchmarkIdleEntry(b *testing.B) {
+	const window = 10 * time.Second
+	f := newFleet(b)
+	p := newCountingProxy(b, f.leader())
+	f.startEntry("entry-1", []string{p.address})
+	time.Sleep(3 * time.Second)
+	sent, received := p.sent.Load(), p.received.Load()
+	for b.Loop() {
+		time.Sleep(window)
+	}
+	seconds := b.Elapsed().Seconds()
+	b.ReportMetric(float64(p.sent.Load()-sent)/seconds, "sent_B/s")
+	b.ReportMetric(float64(p.received.Load()-received)/seconds, "received_B/s")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/ctl/sections.go
+++ b/internal/ctl/sections.go
@@ -130,8 +130,8 @@
 		}
 		return err
 	})
-	if fail.Is(err, fail.Unavailable) {
-		return fail.Wrap(err, fail.Unavailable, "the outcome is not known; repeat with: "+resend)
+	if err != nil && fail.From(err).Ran != fail.RanNo {
+		return fail.Wrap(err, fail.From(err).Code, "the outcome is not known; repeat with: "+resend)
 	}
 	if err != nil {
 		return err
