Tell exactly why a section is not met

Cause: status counted a model as met where its only engine was leaving, out of reach or without an owner, ignored the declared replicas, and gave no reason.

Proof: TestStatusTellsWhyASectionIsNotMet, one case for each reason; the former code gave 'met' for the cases leaving, unreachable, without owner, service leaving and fewer replicas, since it looked at residents and names alone.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"fmt"
 
 	"connectrpc.com/connect"
 
@@ -63,69 +62,6 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Status tells how far the team's section has come into force.
-func (o *operatorService) Status(ctx context.Context, req *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
-	resp := &wire.StatusResponse{}
-	var view *wire.View
-	err := o.s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
-		resp.Section = m.Section(req.Msg.Team)
-		o.s.leases.enterTerm(l.Term, l.Now)
-		resp.LaggingEntries = o.s.leases.lagging(m.Entries(), resp.Section.GetLogIndex(), o.s.cfg.EntryLease.D(), l.Now)
-		view = m.View()
-	})
-	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
-	}
-	if resp.Section == nil {
-		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
-	}
-	resp.Unmet = unmet(resp.Section, view)
-	resp.Status = wire.ChangeStatus_CHANGE_STATUS_MET
-	switch {
-	case len(resp.LaggingEntries) > 0:
-		resp.Status = wire.ChangeStatus_CHANGE_STATUS_ACCEPTED
-	case len(resp.Unmet) > 0:
-		resp.Status = wire.ChangeStatus_CHANGE_STATUS_NOT_MET
-	}
-	return connect.NewResponse(resp), nil
-}
-
-// unmet lists what of the section no endpoint serves.
-func unmet(section *wire.Section, view *wire.View) []string {
-	s, err := closing.ParseError(section.Text)
-	if err != nil {
-		return []string{err.Error()}
-	}
-	ready := map[string]bool{}
-	for _, r := range view.Residents {
-		if r.State == wire.ResidentState_RESIDENT_STATE_READY {
-			ready[r.Model+"@"+r.Version+":"+r.Adapter] = true
-		}
-	}
-	var out []string
-	for _, m := range s.Models {
-		name := closing.FullName(s.Team, m.Name)
-		if !ready[name+"@"+m.Version+":"] {
-			out = append(out, fmt.Sprintf("model %s version %s is not ready on any engine", name, m.Version))
-		}
-		for _, a := range m.Adapters {
-			if !ready[name+"@"+m.Version+":"+a.Name+"@"+a.Version] {
-				out = append(out, fmt.Sprintf("adapter %s version %s of %s is not ready on any engine", a.Name, a.Version, name))
-			}
-		}
-	}
-	services := map[string]bool{}
-	for _, e := range view.Endpoints {
-		services[e.Service] = true
-	}
-	for _, v := range s.Services {
-		if !services[v.Name] {
-			out = append(out, fmt.Sprintf("service %s has no endpoint", v.Name))
-		}
-	}
-	return out
-}
-
 // Members lists replicas, entries, endpoints and what is resident.
 func (o *operatorService) Members(ctx context.Context, _ *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
 	status, err := o.s.node.Status(ctx)
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/closing"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+// Status tells how far the team's section has come into force.
+func (o *operatorService) Status(ctx context.Context, req *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
+	resp := &wire.StatusResponse{}
+	var view *wire.View
+	var orders []*wire.Order
+	err := o.s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+		resp.Section = m.Section(req.Msg.Team)
+		o.s.leases.enterTerm(l.Term, l.Now)
+		resp.LaggingEntries = o.s.leases.lagging(m.Entries(), resp.Section.GetLogIndex(), o.s.cfg.EntryLease.D(), l.Now)
+		view, orders = m.View(), m.Orders()
+	})
+	if err != nil {
+		return nil, o.s.rpcError(ctx, err)
+	}
+	if resp.Section == nil {
+		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
+	}
+	resp.Unmet = unmet(resp.Section, view, orders)
+	resp.Status = changeStatus(resp)
+	return connect.NewResponse(resp), nil
+}
+
+func changeStatus(r *wire.StatusResponse) wire.ChangeStatus {
+	switch {
+	case len(r.LaggingEntries) > 0:
+		return wire.ChangeStatus_CHANGE_STATUS_ACCEPTED
+	case len(r.Unmet) > 0:
+		return wire.ChangeStatus_CHANGE_STATUS_NOT_MET
+	}
+	return wire.ChangeStatus_CHANGE_STATUS_MET
+}
+
+// item is a model or an adapter that a section declares.
+type item struct {
+	model, version, adapter string
+	memoryMB                uint64
+	replicas                int
+}
+
+func (i item) String() string {
+	if i.adapter != "" {
+		return fmt.Sprintf("adapter %s of %s version %s", i.adapter, i.model, i.version)
+	}
+	return fmt.Sprintf("model %s version %s", i.model, i.version)
+}
+
+func itemsOf(s *closing.Section) []item {
+	var out []item
+	for _, m := range s.Models {
+		name := closing.FullName(s.Team, m.Name)
+		out = append(out, item{model: name, version: m.Version, memoryMB: m.MemoryMB + m.HeadroomMB, replicas: max(1, m.Replicas)})
+		for _, a := range m.Adapters {
+			out = append(out, item{model: name, version: m.Version, adapter: a.Name + "@" + a.Version, memoryMB: a.MemoryMB, replicas: 1})
+		}
+	}
+	return out
+}
+
+// unmet lists what of the section callers cannot reach, and why.
+func unmet(section *wire.Section, view *wire.View, orders []*wire.Order) []string {
+	s, err := closing.ParseError(section.Text)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	f := newFleetState(view, orders)
+	var out []string
+	for _, i := range itemsOf(s) {
+		if ready := f.ready(i); ready < i.replicas {
+			out = append(out, fmt.Sprintf("%s is ready on %d of %d engines: %s", i, ready, i.replicas, f.whyNot(i)))
+		}
+	}
+	for _, v := range s.Services {
+		if why := f.serviceProblem(v.Name); why != "" {
+			out = append(out, fmt.Sprintf("service %s: %s", v.Name, why))
+		}
+	}
+	return out
+}
+
+// fleetState is a view indexed by endpoint.
+type fleetState struct {
+	view    *wire.View
+	orders  []*wire.Order
+	engines map[string]*wire.Endpoint
+	charged map[string]uint64
+}
+
+func newFleetState(view *wire.View, orders []*wire.Order) fleetState {
+	f := fleetState{view: view, orders: orders, engines: map[string]*wire.Endpoint{}, charged: map[string]uint64{}}
+	for _, e := range view.Endpoints {
+		f.engines[e.Id] = e
+	}
+	for _, r := range view.Residents {
+		f.charged[r.Endpoint] += r.MemoryBytes
+	}
+	return f
+}
+
+// endpointProblem tells why callers cannot be sent to an endpoint, or "".
+func endpointProblem(e *wire.Endpoint) string {
+	switch {
+	case e == nil:
+		return "is not known"
+	case e.Leaving:
+		return "is leaving"
+	case !e.Reachable:
+		return "cannot be reached"
+	case e.Owner == "":
+		return "has no owner yet"
+	}
+	return ""
+}
+
+func (i item) is(r *wire.Resident) bool {
+	return r.Model == i.model && r.Version == i.version && r.Adapter == i.adapter
+}
+
+// ready counts the engines that serve the item to callers.
+func (f fleetState) ready(i item) int {
+	n := 0
+	for _, r := range f.view.Residents {
+		if i.is(r) && r.State == wire.ResidentState_RESIDENT_STATE_READY && endpointProblem(f.engines[r.Endpoint]) == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// whyNot tells what stands between an item and one more engine.
+func (f fleetState) whyNot(i item) string {
+	for _, o := range f.orders {
+		if o.Model == i.model && o.Version == i.version && o.Adapter == i.adapter && o.Kind == wire.OrderKind_ORDER_KIND_LOAD {
+			return fmt.Sprintf("load order %d.%d to %s has no proved outcome yet", o.FenceTerm, o.FenceSequence, o.Endpoint)
+		}
+	}
+	for _, r := range f.view.Residents {
+		if why := endpointProblem(f.engines[r.Endpoint]); i.is(r) && why != "" {
+			return fmt.Sprintf("%s holds it but %s", r.Endpoint, why)
+		}
+	}
+	return f.noRoom(i)
+}
+
+const mebibyte = 1 << 20
+
+func (f fleetState) noRoom(i item) string {
+	var best *wire.Endpoint
+	var free uint64
+	for _, e := range f.view.Endpoints {
+		if e.Kind != wire.EndpointKind_ENDPOINT_KIND_ENGINE || endpointProblem(e) != "" {
+			continue
+		}
+		if left := e.MemoryBytes - min(e.MemoryBytes, f.charged[e.Id]); best == nil || left > free {
+			best, free = e, left
+		}
+	}
+	switch {
+	case best == nil:
+		return "no engine can be used"
+	case free < i.memoryMB*mebibyte:
+		return fmt.Sprintf("it needs %d MB, and the most free memory is %d MB on %s", i.memoryMB, free/mebibyte, best.Id)
+	}
+	return "it waits for its turn to be loaded"
+}
+
+// serviceProblem tells why no endpoint serves a plain service, or "".
+func (f fleetState) serviceProblem(name string) string {
+	why := "no endpoint of this name is on the live list"
+	for _, e := range f.view.Endpoints {
+		if e.Kind != wire.EndpointKind_ENDPOINT_KIND_SERVICE || e.Service != name {
+			continue
+		}
+		problem := endpointProblem(e)
+		if problem == "" {
+			return ""
+		}
+		why = e.Id + " " + problem
+	}
+	return why
+}
--- /dev/null
+++ b/internal/control/status_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/wire"
+)
+
+// TestStatusTellsWhyASectionIsNotMet checks the reasons one by one.
+func TestStatusTellsWhyASectionIsNotMet(t *testing.T) {
+	section := &wire.Section{Team: "t", Text: []byte(`{"team": "t",
+		"models": [{"name": "m", "version": "1", "memory_mb": 8, "replicas": 2}],
+		"services": [{"name": "ledger", "path": "/ledger/"}]}`)}
+	engine := func(id string) *wire.Endpoint {
+		return &wire.Endpoint{Id: id, Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, MemoryBytes: 10 * mebibyte, Owner: "e", Reachable: true}
+	}
+	resident := func(id string) *wire.Resident {
+		return &wire.Resident{Endpoint: id, Model: "t/m", Version: "1", State: wire.ResidentState_RESIDENT_STATE_READY, MemoryBytes: 8 * mebibyte}
+	}
+	met := &wire.View{
+		Endpoints: []*wire.Endpoint{engine("a"), engine("b"), {Id: "s", Kind: wire.EndpointKind_ENDPOINT_KIND_SERVICE, Service: "ledger", Owner: "e", Reachable: true}},
+		Residents: []*wire.Resident{resident("a"), resident("b")},
+	}
+	tests := []struct {
+		name   string
+		change func(*wire.View)
+		orders []*wire.Order
+		want   string
+	}{
+		{"met", func(*wire.View) {}, nil, ""},
+		{"older version", func(v *wire.View) { v.Residents[1].Version = "0" }, nil, "1 of 2 engines: it needs 8 MB, and the most free memory is 2 MB on a"},
+		{"loading", func(v *wire.View) { v.Residents[1].State = wire.ResidentState_RESIDENT_STATE_LOADING }, []*wire.Order{{
+			FenceTerm: 3, FenceSequence: 7, Kind: wire.OrderKind_ORDER_KIND_LOAD, Endpoint: "b", Model: "t/m", Version: "1",
+		}}, "load order 3.7 to b has no proved outcome yet"},
+		{"leaving", func(v *wire.View) { v.Endpoints[1].Leaving = true }, nil, "b holds it but is leaving"},
+		{"unreachable", func(v *wire.View) { v.Endpoints[1].Reachable = false }, nil, "b holds it but cannot be reached"},
+		{"without owner", func(v *wire.View) { v.Endpoints[1].Owner = "" }, nil, "b holds it but has no owner yet"},
+		{"no engine", func(v *wire.View) { v.Endpoints, v.Residents = v.Endpoints[2:], nil }, nil, "0 of 2 engines: no engine can be used"},
+		{"waiting", func(v *wire.View) { v.Residents = v.Residents[:1] }, nil, "it waits for its turn"},
+		{"no service", func(v *wire.View) { v.Endpoints = v.Endpoints[:2] }, nil, "service ledger: no endpoint of this name"},
+		{"service leaving", func(v *wire.View) { v.Endpoints[2].Leaving = true }, nil, "service ledger: s is leaving"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			view := proto.Clone(met).(*wire.View)
+			tt.change(view)
+			got := strings.Join(unmet(section, view, tt.orders), "\n")
+			if (got == "") != (tt.want == "") || !strings.Contains(got, tt.want) {
+				t.Fatalf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		c.release(ctx, b)
 		if fail.Is(err, fail.Overloaded) || fail.Is(err, fail.NoLease) {
-			return nil, err
+			return nil, fail.From(err).WithRan(fail.RanNo)
 		}
 		// Nothing was sent to an endpoint, whatever became of the claim.
 		return nil, fail.Wrap(err, fail.Unavailable, "the claim could not be recorded").WithRetryAfter(claimRetry)
