--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -143,9 +143,14 @@
 func (c *claimClient) finish(ctx context.Context, f *wire.FinishClaim) error {
 	ctx, span := telemetry.StartSpan(ctx, "finish_claim")
 	defer span.End()
+	// The recording outlives the caller, and ends with the entry.
+	record, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(c.background, cancel)
 	recorded := make(chan error, 1)
 	go func() {
-		recorded <- c.control.Do(c.background, func(ctx context.Context, conn controlclient.Conn) error {
+		defer cancel()
+		defer stop()
+		recorded <- c.control.Do(record, func(ctx context.Context, conn controlclient.Conn) error {
 			_, err := conn.Control.FinishClaim(ctx, connect.NewRequest(f))
 			return err
 		})
