Prove that an attempt gets its own whole answer or a truthful failure

Cause: the client took a close-delimited body for whole, checked no id within events or bodies, and called every failure after a connection was got "unknown", also where the idle connection was closed before a byte was written.

Change: connections to endpoints count the writes begun; after Close the count proves whether a byte can have left. A stale idle connection is passed over. Streams are passed on event by event with each id checked; JSON of engines is read whole, checked and must name the attempt; a body that only the end of the connection ends must be a whole JSON value.

Ruled out: reading net/http's error values; the one that says that nothing was written is not exported, so the count of the connection decides.

--- /dev/null
+++ b/internal/endpoint/answer.go
@@ -0,0 +1,296 @@
+package endpoint
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"parsleyramp/internal/fail"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxJSONBytes bounds an answer that is checked as a whole.
+	maxJSONBytes = 16 << 20
+	readBytes    = 16 << 10
+)
+
+// doneData is the data of the last event of a whole OpenAI-style stream.
+const doneData = "[DONE]"
+
+// eventEnd ends every event that a stream of this package passes on.
+const eventEnd = "\n\n"
+
+func truncated(err error, message string) error {
+	if err == nil || errors.Is(err, io.EOF) {
+		return fail.New(fail.TruncatedAnswer, message).WithRan(fail.RanUnknown)
+	}
+	return fail.Wrap(err, fail.TruncatedAnswer, message).WithRan(fail.RanUnknown)
+}
+
+func foreign(message string) error {
+	return fail.New(fail.ForeignAnswer, message).WithRan(fail.RanUnknown)
+}
+
+// eventStream passes on whole server-sent events, each ended by an empty line
+// and checked to name the attempt. It drops comments. It ends with io.EOF only
+// after the last event of a whole stream.
+type eventStream struct {
+	body     io.ReadCloser
+	id       string
+	answerID string
+	named    bool
+	scratch  []byte
+	// pending holds the bytes of the event that is not whole yet.
+	pending []byte
+	ready   []byte
+	done    bool
+	err     error
+}
+
+func newEventStream(body io.ReadCloser, r Request) *eventStream {
+	return &eventStream{body: body, id: r.ID, answerID: r.AnswerID, named: r.NamedAnswer, scratch: make([]byte, readBytes)}
+}
+
+// Read reads whole events, as far as p holds them.
+func (s *eventStream) Read(p []byte) (int, error) {
+	for len(s.ready) == 0 && s.err == nil {
+		s.fill()
+	}
+	if len(s.ready) == 0 {
+		return 0, s.err
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// Close closes the connection's stream.
+func (s *eventStream) Close() error { return s.body.Close() }
+
+func (s *eventStream) fill() {
+	n, err := s.body.Read(s.scratch)
+	s.pending = append(s.pending, s.scratch[:n]...)
+	s.ready = s.ready[:0]
+	for s.err == nil {
+		event, rest, ok := cutEvent(s.pending)
+		if !ok {
+			break
+		}
+		s.pending = rest
+		s.err = s.take(event)
+	}
+	switch {
+	case s.err != nil:
+	case len(s.pending) > maxEventBytes:
+		s.err = truncated(nil, "an event is over the limit")
+	case err != nil:
+		s.err = s.end(err)
+	}
+}
+
+// end returns how a stream ends whose connection ended with err.
+func (s *eventStream) end(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return truncated(err, "the stream broke")
+	}
+	if !s.done || len(bytes.TrimSpace(s.pending)) > 0 {
+		return truncated(err, "the stream ended before its last event")
+	}
+	return io.EOF
+}
+
+// cutEvent cuts off the first event, which an empty line ends.
+func cutEvent(b []byte) (event, rest []byte, ok bool) {
+	at := 0
+	for {
+		n := bytes.IndexByte(b[at:], '\n')
+		if n < 0 {
+			return nil, b, false
+		}
+		line := bytes.TrimSuffix(b[at:at+n], []byte("\r"))
+		at += n + 1
+		if len(line) == 0 {
+			return b[:at], b[at:], true
+		}
+	}
+}
+
+// take checks one event and makes it ready. Events without data are dropped.
+func (s *eventStream) take(event []byte) error {
+	data := eventData(event)
+	if len(data) == 0 {
+		return nil
+	}
+	if s.done {
+		return foreign("data after the last event")
+	}
+	if string(data) == doneData {
+		s.done = true
+		s.ready = append(s.ready, "data: "+doneData+eventEnd...)
+		return nil
+	}
+	if !s.named {
+		s.ready = append(append(append(s.ready, "data: "...), data...), eventEnd...)
+		return nil
+	}
+	start, end, ok := topLevelString(data, "id")
+	if !ok || !namesRequest(string(data[start:end]), s.id) {
+		return foreign("an event does not name this request")
+	}
+	s.ready = append(s.ready, "data: "...)
+	if s.answerID == "" {
+		s.ready = append(append(s.ready, data...), eventEnd...)
+		return nil
+	}
+	s.ready = append(s.ready, data[:start]...)
+	s.ready = append(s.ready, s.answerID...)
+	s.ready = append(append(s.ready, data[end:]...), eventEnd...)
+	return nil
+}
+
+// eventData returns the data lines of an event, joined as the WHATWG HTML
+// standard says, 9.2.6.
+func eventData(event []byte) []byte {
+	var data []byte
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		value = bytes.TrimPrefix(value, []byte(" "))
+		if data == nil {
+			data = value
+			continue
+		}
+		data = append(append(bytes.Clone(data), ' '), value...)
+	}
+	return data
+}
+
+// namesRequest reports whether an id in an answer stands for the request.
+// Engines put their own prefix before it, such as chatcmpl-.
+func namesRequest(id, request string) bool {
+	prefix, ok := strings.CutSuffix(id, request)
+	return ok && (prefix == "" || strings.HasSuffix(prefix, "-"))
+}
+
+// TokenEvents counts the events in a chunk of whole events, without the last
+// event of the stream. Engines send one token an event.
+func TokenEvents(chunk []byte) int {
+	n := bytes.Count(chunk, []byte(eventEnd))
+	if bytes.HasSuffix(chunk, []byte("data: "+doneData+eventEnd)) {
+		n--
+	}
+	return n
+}
+
+// EndsEvent reports whether the chunk ends where an event ends.
+func EndsEvent(chunk []byte) bool { return bytes.HasSuffix(chunk, []byte(eventEnd)) }
+
+// topLevelString finds the value of a string field of a JSON object without
+// decoding it. It returns the bounds of the value without its quotes.
+func topLevelString(object []byte, field string) (start, end int, ok bool) {
+	depth, key := 0, false
+	for i := 0; i < len(object); i++ {
+		switch object[i] {
+		case '{', '[':
+			depth++
+			key = depth == 1
+		case '}', ']':
+			depth--
+		case ',':
+			key = depth == 1
+		case ':':
+			key = false
+		case '"':
+			from := i + 1
+			i = stringEnd(object, from)
+			if i < 0 {
+				return 0, 0, false
+			}
+			if key && string(object[from:i]) == field {
+				return stringValue(object, i+1)
+			}
+		}
+	}
+	return 0, 0, false
+}
+
+// stringEnd returns the index of the quote that ends the string, or -1.
+func stringEnd(b []byte, from int) int {
+	for i := from; i < len(b); i++ {
+		switch b[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
+		}
+	}
+	return -1
+}
+
+// stringValue returns the bounds of the string after a colon.
+func stringValue(b []byte, at int) (start, end int, ok bool) {
+	rest := bytes.TrimLeft(b[at:], " \t\r\n")
+	if len(rest) == 0 || rest[0] != ':' {
+		return 0, 0, false
+	}
+	rest = bytes.TrimLeft(rest[1:], " \t\r\n")
+	if len(rest) == 0 || rest[0] != '"' {
+		return 0, 0, false
+	}
+	start = len(b) - len(rest) + 1
+	end = stringEnd(b, start)
+	return start, end, end >= 0
+}
+
+// jsonBody passes a JSON answer on once it is read to its end and found
+// whole. Where id is set the answer must name it.
+type jsonBody struct {
+	body io.ReadCloser
+	id   string
+	read *bytes.Reader
+	err  error
+}
+
+// Read reads the checked answer.
+func (j *jsonBody) Read(p []byte) (int, error) {
+	if j.read == nil && j.err == nil {
+		j.load()
+	}
+	if j.err != nil {
+		return 0, j.err
+	}
+	return j.read.Read(p)
+}
+
+// Close closes the connection's stream.
+func (j *jsonBody) Close() error { return j.body.Close() }
+
+func (j *jsonBody) load() {
+	data, err := io.ReadAll(io.LimitReader(j.body, maxJSONBytes+1))
+	object := bytes.TrimSpace(data)
+	isContainer := len(object) > 0 && (object[0] == '{' || object[0] == '[')
+	switch {
+	case err != nil:
+		j.err = truncated(err, "the answer broke off")
+	case len(data) > maxJSONBytes:
+		j.err = truncated(nil, "the answer is over the limit")
+	case !isContainer || !json.Valid(data):
+		j.err = truncated(nil, "the answer cannot be proved whole")
+	case j.id != "" && !j.named(object):
+		j.err = foreign("the answer does not name this request")
+	default:
+		j.read = bytes.NewReader(data)
+	}
+}
+
+func (j *jsonBody) named(object []byte) bool {
+	start, end, ok := topLevelString(object, "id")
+	return ok && namesRequest(string(object[start:end]), j.id)
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -18,6 +18,15 @@
 	Body        []byte
 	// Incarnation is the one that the attempt is meant for; empty for services.
 	Incarnation string
+	// NamedAnswer is true for model engines, whose answers must name the
+	// attempt in the header and in every event or JSON body.
+	NamedAnswer bool
+	// AnswerID replaces ID in the events of a stream; empty leaves them as
+	// they are.
+	AnswerID string
+	// BeforeSend is asked when a connection is ready and before the first byte
+	// is written. An error keeps the attempt from being sent; it may be nil.
+	BeforeSend func() error
 }
 
 // Answer is the head of an answer. Body must be read to its end and closed.
@@ -25,7 +34,9 @@
 type Answer struct {
 	Status      int
 	ContentType string
-	Body        io.ReadCloser
+	// Named is true where the answer names the attempt.
+	Named bool
+	Body  io.ReadCloser
 }
 
 // Runner runs attempts on an endpoint.
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -15,13 +15,32 @@
 	"parsleyramp/internal/telemetry"
 )
 
+// maxStaleConns bounds how many idle connections that the endpoint has closed
+// are passed over before an attempt counts as failed.
+const maxStaleConns = 8
+
 // Run sends the attempt over HTTP. The failure says that it did not run only
 // where no byte of it was written to a connection.
 func (h *HTTP) Run(ctx context.Context, address string, r Request) (*Answer, error) {
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
-	})
+	for stale := 0; ; stale++ {
+		w := &sendWatch{before: r.BeforeSend}
+		resp, err := h.send(ctx, address, r, w)
+		if err == nil {
+			return checkAnswer(r, resp)
+		}
+		ran := w.ran()
+		if refused := w.refused.Load(); refused != nil && ran == fail.RanNo {
+			return nil, *refused
+		}
+		if ran == fail.RanNo && w.reused.Load() && ctx.Err() == nil && stale < maxStaleConns {
+			continue
+		}
+		return nil, runFailure(ctx, err, ran)
+	}
+}
+
+func (h *HTTP) send(ctx context.Context, address string, r Request, w *sendWatch) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
 	// A body without GetBody keeps net/http from sending the request twice.
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, io.NopCloser(bytes.NewReader(r.Body)))
 	if err != nil {
@@ -39,66 +58,102 @@
 		req.Header.Set(HeaderIncarnation, r.Incarnation)
 	}
 	telemetry.Inject(ctx, req.Header)
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return nil, runFailure(err, written.Load())
+	return h.client.Do(req)
+}
+
+// writeCounter is a connection that counts the writes begun on it.
+type writeCounter interface {
+	net.Conn
+	Writes() uint64
+}
+
+// sendWatch learns whether any byte of one attempt can have left.
+type sendWatch struct {
+	before  func() error
+	refused atomic.Pointer[error]
+	reused  atomic.Bool
+	// sent is true once a byte can have left on an earlier connection: net/http
+	// repeats some requests without a body by itself.
+	sent   atomic.Bool
+	gotAny atomic.Bool
+	conn   atomic.Pointer[writeCounter]
+	writes atomic.Uint64
+}
+
+// gotConn notes the connection's count of writes. Closing a connection here
+// makes every later write fail, since net/http writes only after this returns.
+func (w *sendWatch) gotConn(info httptrace.GotConnInfo) {
+	if w.ran() != fail.RanNo {
+		w.sent.Store(true)
+	}
+	if c, ok := info.Conn.(writeCounter); ok {
+		w.writes.Store(c.Writes())
+		w.conn.Store(&c)
+	}
+	w.reused.Store(info.Reused)
+	w.gotAny.Store(true)
+	if w.before == nil {
+		return
+	}
+	if err := w.before(); err != nil {
+		w.refused.Store(&err)
+		_ = info.Conn.Close()
+	}
+}
+
+// ran tells what a failure proves. The connection is closed before its count
+// is read: a write that begins later cannot succeed.
+func (w *sendWatch) ran() fail.Ran {
+	switch c := w.conn.Load(); {
+	case w.sent.Load():
+		return fail.RanUnknown
+	case !w.gotAny.Load():
+		return fail.RanNo
+	case c == nil:
+		return fail.RanUnknown
+	default:
+		_ = (*c).Close()
+		if (*c).Writes() != w.writes.Load() {
+			return fail.RanUnknown
+		}
+		return fail.RanNo
 	}
-	return checkAnswer(r, resp)
 }
 
-func runFailure(err error, written bool) error {
-	ran := fail.RanUnknown
-	var op *net.OpError
-	if !written || (errors.As(err, &op) && op.Op == "dial") {
-		ran = fail.RanNo
+func runFailure(ctx context.Context, err error, ran fail.Ran) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fail.Wrap(err, fail.DeadlinePassed, "the endpoint did not answer in time").WithRan(ran)
+	case ctx.Err() != nil:
+		return fail.Wrap(err, fail.Canceled, "the caller went away").WithRan(ran)
 	}
 	return fail.Wrap(err, fail.EndpointFailed, "the endpoint did not answer").WithRan(ran)
 }
 
 // checkAnswer refuses an answer that names another request, and wraps the
-// body so that a stream without its last event is not taken for whole.
+// body so that reading it ends with io.EOF only where it is whole.
 func checkAnswer(r Request, resp *http.Response) (*Answer, error) {
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != r.ID {
+	id := resp.Header.Get(HeaderRequestID)
+	missing := r.NamedAnswer && id == "" && resp.StatusCode == http.StatusOK
+	if missing || (id != "" && id != r.ID) {
 		resp.Body.Close()
-		return nil, fail.New(fail.ForeignAnswer, "the answer names another request").WithRan(fail.RanUnknown)
+		return nil, fail.New(fail.ForeignAnswer, "the answer does not name this request").WithRan(fail.RanUnknown)
 	}
-	a := &Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body}
-	if strings.HasPrefix(a.ContentType, "text/event-stream") && resp.StatusCode == http.StatusOK {
-		a.Body = &eventStream{body: resp.Body}
+	a := &Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Named: id == r.ID, Body: resp.Body}
+	stream := strings.HasPrefix(a.ContentType, "text/event-stream") && resp.StatusCode == http.StatusOK
+	switch {
+	case stream:
+		a.Body = newEventStream(resp.Body, r)
+	case r.NamedAnswer && resp.StatusCode == http.StatusOK:
+		a.Body = &jsonBody{body: resp.Body, id: r.ID}
+	case closeDelimited(resp):
+		a.Body = &jsonBody{body: resp.Body}
 	}
 	return a, nil
 }
 
-// doneEvent is the last event of a whole OpenAI-style stream.
-var doneEvent = []byte("data: [DONE]")
-
-// eventStream passes a stream on and ends with an error where the last event
-// is missing.
-type eventStream struct {
-	body io.ReadCloser
-	tail []byte
+// closeDelimited reports whether only the end of the connection ends the
+// body, so that a break looks like an end (RFC 9112, 6.3).
+func closeDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1
 }
-
-const tailBytes = 64
-
-// Read reads from the stream.
-func (s *eventStream) Read(p []byte) (int, error) {
-	n, err := s.body.Read(p)
-	s.tail = append(s.tail, p[:n]...)
-	if len(s.tail) > tailBytes {
-		s.tail = append(s.tail[:0], s.tail[len(s.tail)-tailBytes:]...)
-	}
-	if err == nil {
-		return n, nil
-	}
-	if errors.Is(err, io.EOF) && bytes.HasSuffix(bytes.TrimRight(s.tail, "\r\n"), doneEvent) {
-		return n, io.EOF
-	}
-	if errors.Is(err, io.EOF) {
-		return n, fail.New(fail.TruncatedAnswer, "the stream ended before its last event").WithRan(fail.RanYes)
-	}
-	return n, fail.Wrap(err, fail.TruncatedAnswer, "the stream broke").WithRan(fail.RanYes)
-}
-
-// Close closes the connection's stream.
-func (s *eventStream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/internal/endpoint/run_test.go
@@ -0,0 +1,327 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/transport"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	log.SetOutput(io.Discard)
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// wireFault is what the raw endpoint does with one request.
+type wireFault int
+
+const (
+	wholeAnswer wireFault = iota
+	closeUnread
+	closeAfterRead
+	closeWithinBody
+	endWithoutLength
+	dropLastEvent
+	foreignHeader
+	foreignEvent
+	missingID
+	repeatAnswer
+	closeIdle
+	waitForCancel
+	wireFaults
+)
+
+// rawEndpoint speaks HTTP/1.1 on plain sockets, so that it can break anywhere.
+type rawEndpoint struct {
+	net.Listener
+	mu     sync.Mutex
+	script []wireFault
+	// seen counts the requests whose first byte arrived.
+	seen map[string]int
+	// waiting tells that a request has arrived that only a cancel ends.
+	waiting chan struct{}
+}
+
+func startRaw(t interface{ Fatal(...any) }) *rawEndpoint {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &rawEndpoint{Listener: l, seen: map[string]int{}, waiting: make(chan struct{}, 1)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *rawEndpoint) next() wireFault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.script[0]
+	if len(e.script) > 1 {
+		e.script = e.script[1:]
+	}
+	return f
+}
+
+func (e *rawEndpoint) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		fault := e.next()
+		if fault == closeUnread {
+			return
+		}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get(HeaderRequestID)
+		e.mu.Lock()
+		e.seen[id]++
+		e.mu.Unlock()
+		if !e.answer(c, req, id, fault) {
+			return
+		}
+	}
+}
+
+func body(id string, stream bool) string {
+	if !stream {
+		return `{"choices":[{"id":"x","text":"of ` + id + `"}],"id":"cmpl-` + id + `"}`
+	}
+	return `data: {"id":"` + id + `","text":"a \"id\": b"}` + "\n\n: ping\n\n" + `data: {"id":"` + id + `","text":"end"}` + "\n\ndata: [DONE]\n\n"
+}
+
+func wantBody(id string, stream bool) string {
+	return strings.ReplaceAll(body(id, stream), ": ping\n\n", "")
+}
+
+// answer reports whether the connection stays open.
+func (e *rawEndpoint) answer(c net.Conn, req *http.Request, id string, fault wireFault) bool {
+	stream := strings.Contains(req.URL.Path, "stream")
+	named, text := id, body(id, stream)
+	switch fault {
+	case closeAfterRead:
+		return false
+	case waitForCancel:
+		e.waiting <- struct{}{}
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case foreignHeader:
+		named = "other"
+	case foreignEvent:
+		text = strings.Replace(text, `"id":"`+id, `"id":"other`, 1)
+		text = strings.Replace(text, `cmpl-`+id, `cmpl-other`, 1)
+	case missingID:
+		text = strings.ReplaceAll(text, `"id":"`, `"no":"`)
+	case dropLastEvent:
+		text = strings.TrimSuffix(text, "data: [DONE]\n\n")
+		if !stream {
+			text = text[:len(text)-2]
+		}
+	}
+	kind := "application/json"
+	if stream {
+		kind = "text/event-stream"
+	}
+	head := "HTTP/1.1 200 OK\r\nContent-Type: " + kind + "\r\n" + HeaderRequestID + ": " + named + "\r\n"
+	length := "Content-Length: " + strconv.Itoa(len(text)) + "\r\n"
+	switch fault {
+	case endWithoutLength:
+		fmt.Fprint(c, head, "Connection: close\r\n\r\n", text[:len(text)/2])
+		return false
+	case closeWithinBody:
+		fmt.Fprint(c, head, length, "\r\n", text[:len(text)/2])
+		return false
+	case repeatAnswer:
+		whole := head + length + "\r\n" + text
+		fmt.Fprint(c, whole+whole)
+		return true
+	}
+	fmt.Fprint(c, head, length, "\r\n", text)
+	return fault != closeIdle
+}
+
+// TestOwnWholeAnswer sends attempts over reused connections to an endpoint
+// that breaks in every way: an answer without an error is the attempt's own
+// and whole, and a failure that says "not run" is of an attempt never seen.
+func TestOwnWholeAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := startRaw(t)
+		defer e.Close()
+		client := transport.NewEndpointClient(4)
+		defer client.CloseIdleConnections()
+		h := NewHTTP(client)
+		last := wholeAnswer
+		for i := range rapid.IntRange(1, 12).Draw(t, "attempts") {
+			fault := wireFault(rapid.IntRange(0, int(wireFaults)-1).Draw(t, "fault"))
+			stream := rapid.Bool().Draw(t, "stream")
+			// Events and bodies of plain services carry no id.
+			named := fault == foreignEvent || fault == missingID || fault == dropLastEvent || rapid.Bool().Draw(t, "named")
+			e.mu.Lock()
+			e.script = []wireFault{fault}
+			e.mu.Unlock()
+			id := fmt.Sprintf("job-%d", i)
+			got, err := attempt(h, e, id, stream, named, fault)
+			e.mu.Lock()
+			seen := e.seen[id]
+			e.mu.Unlock()
+			if err == nil && got != wantBody(id, stream) {
+				t.Fatalf("fault %d: got %q", fault, got)
+			}
+			if err != nil && fail.From(err).Ran == fail.RanNo && seen > 0 {
+				t.Fatalf("fault %d: said not run, seen %d times: %v", fault, seen, err)
+			}
+			if seen > 1 {
+				t.Fatalf("fault %d: sent %d times", fault, seen)
+			}
+			honest := fault == wholeAnswer || fault == closeIdle || fault == repeatAnswer
+			// The second copy of an answer may reach the next attempt, which refuses it.
+			late := last == repeatAnswer && fail.Is(err, fail.ForeignAnswer)
+			last = fault
+			if honest && err != nil && !late {
+				t.Fatalf("fault %d: whole answer refused: %v", fault, err)
+			}
+			if !honest && err == nil {
+				t.Fatalf("fault %d: taken for whole: %q", fault, got)
+			}
+		}
+	})
+}
+
+func attempt(h *HTTP, e *rawEndpoint, id string, stream, named bool, fault wireFault) (string, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if fault == waitForCancel {
+		go func() { <-e.waiting; cancel() }()
+	}
+	path := "/v1/completions"
+	if stream {
+		path += "/stream"
+	}
+	a, err := h.Run(ctx, e.Addr().String(), Request{ID: id, Method: http.MethodPost, Path: path, Body: []byte(`{"n":1}`), NamedAnswer: named})
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return string(data), err
+}
+
+// TestRanOutcome brings about each place where an attempt can break.
+func TestRanOutcome(t *testing.T) {
+	e := startRaw(t)
+	defer e.Close()
+	h := NewHTTP(transport.NewEndpointClient(4))
+	lapsed := func() error { return fail.New(fail.NoLease, "the lease is over") }
+	closed, _ := net.Listen("tcp4", "127.0.0.1:0")
+	closed.Close()
+	tests := []struct {
+		name    string
+		address string
+		fault   wireFault
+		before  func() error
+		code    fail.Code
+		ran     fail.Ran
+	}{
+		{"dial refused", closed.Addr().String(), wholeAnswer, nil, fail.EndpointFailed, fail.RanNo},
+		{"lease over before sending", e.Addr().String(), wholeAnswer, lapsed, fail.NoLease, fail.RanNo},
+		{"closed unread", e.Addr().String(), closeUnread, nil, fail.EndpointFailed, fail.RanUnknown},
+		{"closed after read", e.Addr().String(), closeAfterRead, nil, fail.EndpointFailed, fail.RanUnknown},
+		{"foreign answer", e.Addr().String(), foreignHeader, nil, fail.ForeignAnswer, fail.RanUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e.mu.Lock()
+			e.script = []wireFault{tt.fault}
+			e.mu.Unlock()
+			_, err := h.Run(t.Context(), tt.address, Request{ID: "a-0", Method: http.MethodPost, Path: "/", Body: []byte("x"), BeforeSend: tt.before})
+			if f := fail.From(err); err == nil || f.Code != tt.code || f.Ran != tt.ran {
+				t.Fatalf("got %v, ran %s", err, fail.From(err).Ran)
+			}
+		})
+	}
+}
+
+// deadOnReuse is a connection that the endpoint closed while it was idle,
+// which the client learns only when it writes.
+type deadOnReuse struct {
+	*transport.Conn
+	// counts is true where the failed write may have sent something.
+	counts bool
+	dead   atomic.Bool
+	failed atomic.Uint64
+}
+
+func (c *deadOnReuse) Write(p []byte) (int, error) {
+	if !c.dead.Load() {
+		return c.Conn.Write(p)
+	}
+	if c.counts {
+		c.failed.Add(1)
+	}
+	return 0, net.ErrClosed
+}
+
+func (c *deadOnReuse) Writes() uint64 { return c.Conn.Writes() + c.failed.Load() }
+
+// TestStaleIdleConnection goes on with a fresh connection where nothing was
+// written to the stale one, and reports an unknown outcome where it may have been.
+func TestStaleIdleConnection(t *testing.T) {
+	for _, counts := range []bool{false, true} {
+		e := startRaw(t)
+		defer e.Close()
+		e.script = []wireFault{wholeAnswer}
+		var conns []*deadOnReuse
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			var d net.Dialer
+			c, err := d.DialContext(ctx, network, address)
+			conns = append(conns, &deadOnReuse{Conn: &transport.Conn{Conn: c}, counts: counts})
+			return conns[len(conns)-1], err
+		}
+		h := NewHTTP(&http.Client{Transport: &http.Transport{DialContext: dial}})
+		if _, err := attempt(h, e, "a-0", false, true, wholeAnswer); err != nil {
+			t.Fatal(err)
+		}
+		conns[0].dead.Store(true)
+		_, err := attempt(h, e, "a-1", false, true, wholeAnswer)
+		switch {
+		case !counts && err != nil:
+			t.Fatalf("nothing was written, yet it failed: %v", err)
+		case counts && (err == nil || fail.From(err).Ran != fail.RanUnknown):
+			t.Fatalf("a write that was begun proves nothing: %v", err)
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -56,7 +56,7 @@
 	p.SetHTTP1(true)
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dial, Protocols: &p, IdleConnTimeout: idleTimeout,
+			DialContext: dialCounted, Protocols: &p, IdleConnTimeout: idleTimeout,
 			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
