--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,165 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+)
+
+// key orders waiting requests: level first, then tag, then arrival.
+type key struct {
+	level int64
+	tag   float64
+	seq   uint64
+}
+
+func (a key) compare(b key) int {
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.tag, b.tag), cmp.Compare(a.seq, b.seq))
+}
+
+// entry is one waiting request.
+type entry struct {
+	key  key
+	req  Request
+	hold time.Duration
+	// arrived is when the request was offered.
+	arrived time.Duration
+}
+
+// queue is a treap of waiting requests that counts requests and sums expected
+// work before a key in O(log n) (Seidel and Aragon, "Randomized Search Trees",
+// 1996). The heap priorities come from a hash, so that its shape is the same
+// in every run.
+type queue struct{ root *node }
+
+type node struct {
+	entry       *entry
+	heap        uint64
+	left, right *node
+	size        int
+	hold        time.Duration
+}
+
+func (n *node) update() {
+	n.size, n.hold = 1, n.entry.hold
+	for _, child := range [...]*node{n.left, n.right} {
+		if child != nil {
+			n.size += child.size
+			n.hold += child.hold
+		}
+	}
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (q *queue) len() int {
+	if q.root == nil {
+		return 0
+	}
+	return q.root.size
+}
+
+func (q *queue) insert(e *entry) {
+	less, more := split(q.root, e.key)
+	n := &node{entry: e, heap: mix(e.key.seq)}
+	n.update()
+	q.root = merge(merge(less, n), more)
+}
+
+func (q *queue) remove(k key) { q.root = remove(q.root, k) }
+
+// first returns the request that goes next, or nil.
+func (q *queue) first() *entry {
+	if q.root == nil {
+		return nil
+	}
+	n := q.root
+	for n.left != nil {
+		n = n.left
+	}
+	return n.entry
+}
+
+// last returns the request that goes last, or nil.
+func (q *queue) last() *entry {
+	if q.root == nil {
+		return nil
+	}
+	n := q.root
+	for n.right != nil {
+		n = n.right
+	}
+	return n.entry
+}
+
+// before returns the number of requests before k and their expected work.
+func (q *queue) before(k key) (int, time.Duration) {
+	count, hold := 0, time.Duration(0)
+	for n := q.root; n != nil; {
+		if n.entry.key.compare(k) >= 0 {
+			n = n.left
+			continue
+		}
+		count++
+		hold += n.entry.hold
+		if n.left != nil {
+			count += n.left.size
+			hold += n.left.hold
+		}
+		n = n.right
+	}
+	return count, hold
+}
+
+// split parts a tree into the keys before k and the others.
+func split(n *node, k key) (less, more *node) {
+	if n == nil {
+		return nil, nil
+	}
+	if n.entry.key.compare(k) < 0 {
+		n.right, more = split(n.right, k)
+		n.update()
+		return n, more
+	}
+	less, n.left = split(n.left, k)
+	n.update()
+	return less, n
+}
+
+// merge joins two trees; every key of a goes before every key of b.
+func merge(a, b *node) *node {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case a.heap < b.heap:
+		a.right = merge(a.right, b)
+		a.update()
+		return a
+	}
+	b.left = merge(a, b.left)
+	b.update()
+	return b
+}
+
+func remove(n *node, k key) *node {
+	if n == nil {
+		return nil
+	}
+	switch c := k.compare(n.entry.key); {
+	case c < 0:
+		n.left = remove(n.left, k)
+	case c > 0:
+		n.right = remove(n.right, k)
+	default:
+		return merge(n.left, n.right)
+	}
+	n.update()
+	return n
+}
