--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,45 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// TestRetriesStayAShare lets every request of a team fail: retries stay a
+// share of its requests, and another team's retries are untouched.
+func TestRetriesStayAShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		now := time.Duration(0)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "gap")) * time.Millisecond
+			b.Request(now, "failing")
+			requests++
+			for range 3 {
+				if b.Take(now, "failing", CostRan) {
+					retries++
+				}
+			}
+		}
+		limit := maxTokens + requestShare*float64(requests) + refillPerSecond*now.Seconds()
+		if float64(retries) > limit {
+			t.Fatalf("%d retries of %d requests, limit %v", retries, requests, limit)
+		}
+		if !b.Take(now, "quiet", CostRan) {
+			t.Fatal("a quiet team cannot retry")
+		}
+	})
+}
