Resume broken answers, retry within a budget, isolate suspects, drain with directions

Change: the dispatcher counts the events that reached the caller and resumes the stream elsewhere, or begins anew only where nothing was passed on; retries are paid for by team and prefer another failure domain. A break after which the engine has another incarnation or cannot be reached is a crash: what was in flight is recorded, runs alone and is refused after the second one. A draining entry waits for new owners and for overnight work, and tells callers which entries to use. Bodies, pieces of answers and whole requests have time limits.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -183,12 +183,17 @@
 // event of the stream. Engines send one token an event.
 func TokenEvents(chunk []byte) int {
 	n := bytes.Count(chunk, []byte(eventEnd))
-	if bytes.HasSuffix(chunk, []byte("data: "+doneData+eventEnd)) {
+	if EndsStream(chunk) {
 		n--
 	}
 	return n
 }
 
+// EndsStream reports whether the chunk ends with the last event of a stream.
+func EndsStream(chunk []byte) bool {
+	return bytes.HasSuffix(chunk, []byte("data: "+doneData+eventEnd))
+}
+
 // EndsEvent reports whether the chunk ends where an event ends.
 func EndsEvent(chunk []byte) bool { return bytes.HasSuffix(chunk, []byte(eventEnd)) }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +19,7 @@
 
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/routing"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/wire"
 )
@@ -29,6 +32,8 @@
 	HeaderRan = "Parsleyramp-Ran"
 	// HeaderIdempotencyKey is required on calls that must run at most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderUseEntries lists, while an entry drains, the addresses to use instead.
+	HeaderUseEntries = "Parsleyramp-Use-Entries"
 	// HeaderRequestID names the request in logs and traces.
 	HeaderRequestID = "Parsleyramp-Request"
 )
@@ -74,15 +79,38 @@
 	return s.counted(mux)
 }
 
-// counted counts the requests in progress, which a shutdown waits for.
+// counted counts the requests in progress, which a shutdown waits for, and
+// bounds how long one may take. A draining entry answers and then closes the
+// connection, with the entries to use instead in a header.
 func (s *Server) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inProgress.Add(1)
 		defer s.inProgress.Add(-1)
+		limit := s.cfg.BodyTimeout.D() + s.cfg.RequestTimeout.D() + s.cfg.WriteTimeout.D()
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+			w.Header().Set(HeaderUseEntries, strings.Join(s.otherEntries(), ","))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// otherEntries returns the addresses that callers may use instead of this one.
+func (s *Server) otherEntries() []string {
+	c, err := s.session.catalog()
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, e := range c.view.Entries {
+		if e.Live && !e.Draining && e.Id != s.cfg.ID {
+			out = append(out, e.CallerAddress)
+		}
+	}
+	return out
+}
+
 // entriesAnswer says which entries a caller may use and for how long.
 type entriesAnswer struct {
 	Entries     []entryAddress `json:"entries"`
@@ -105,7 +133,8 @@
 	}
 	answer := entriesAnswer{KeepSeconds: s.cfg.KeepAddresses.D().Seconds(), Entries: []entryAddress{}}
 	for _, e := range c.view.Entries {
-		if e.Live && !e.Draining {
+		leaving := e.Draining || (e.Id == s.cfg.ID && s.draining.Load())
+		if e.Live && !leaving {
 			answer.Entries = append(answer.Entries, entryAddress{ID: e.Id, Address: e.CallerAddress, Domain: e.Domain})
 		}
 	}
@@ -172,6 +201,9 @@
 
 // readBody reads a caller's body within the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(s.cfg.BodyTimeout.D()))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -227,6 +259,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, nil, nil, fail.Wrap(err, fail.BadRequest, "the body is not the JSON of a completion")
 	}
+	if c.suspects[xxhash.Sum64(body)] == wire.SuspectState_SUSPECT_STATE_CONVICTED {
+		return nil, nil, nil, quarantined()
+	}
 	m := c.models[fields.Model]
 	if m == nil {
 		return nil, nil, nil, fail.New(fail.UnknownModel, "no team declares the model "+strconv.Quote(fields.Model))
@@ -267,19 +302,39 @@
 			return nil
 		},
 	}
-	j.body = func(t target) []byte {
-		served, _ := json.Marshal(endpoint.ServedName(m.name, t.version, m.adapter))
-		priority, _ := json.Marshal(j.template.Priority)
-		object["model"], object["priority"] = served, priority
-		data, _ := json.Marshal(object)
-		return data
-	}
+	j.body = func(t target) []byte { return completionBody(object, j, t, 0) }
+	j.resume = func(t target, tokens int) []byte { return completionBody(object, j, t, tokens) }
+	j.prefix = routing.PrefixDigest(name, promptStart(object))
 	return j, nil
 }
 
+// completionBody returns the caller's body with what the engine needs: the
+// name of the resident, the priority, and how many tokens to leave out.
+func completionBody(object map[string]json.RawMessage, j *job, t target, resumeFrom int) []byte {
+	out := maps.Clone(object)
+	out["model"], _ = json.Marshal(endpoint.ServedName(j.template.Model, t.version, j.template.Adapter))
+	out["priority"], _ = json.Marshal(j.template.Priority)
+	delete(out, "resume_from")
+	if resumeFrom > 0 {
+		out["resume_from"], _ = json.Marshal(resumeFrom)
+	}
+	data, _ := json.Marshal(out)
+	return data
+}
+
+// promptStart returns the part of a body that engines cache by: the prompt or
+// the messages.
+func promptStart(object map[string]json.RawMessage) string {
+	if p := object["prompt"]; len(p) > 0 {
+		return string(p)
+	}
+	return string(object["messages"])
+}
+
 // answer runs the job and passes its answer to the caller.
 func (s *Server) answer(ctx context.Context, w http.ResponseWriter, j *job, stream bool) {
 	w.Header().Set(HeaderRequestID, j.id)
+	j.stream = stream
 	if stream {
 		s.answerStream(ctx, w, j)
 		return
@@ -292,6 +347,20 @@
 	writeAnswer(w, whole)
 }
 
+// writeChunk writes one piece within the time limit, so that a caller who
+// reads slowly holds no endpoint and no memory for long.
+func (s *Server) writeChunk(w http.ResponseWriter, out *http.ResponseController, chunk []byte) error {
+	_ = out.SetWriteDeadline(time.Now().Add(s.cfg.WriteTimeout.D()))
+	_, err := w.Write(chunk)
+	if err == nil {
+		err = out.Flush()
+	}
+	if err != nil {
+		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanUnknown)
+	}
+	return nil
+}
+
 func writeAnswer(w http.ResponseWriter, a *wire.RecordedAnswer) {
 	if a.ContentType != "" {
 		w.Header().Set("Content-Type", a.ContentType)
@@ -306,7 +375,9 @@
 	whole := &wire.RecordedAnswer{}
 	err := s.dispatcher.run(ctx, j, func(e *wire.ForwardEvent) error {
 		if head := e.GetHead(); head != nil {
-			whole.Status, whole.ContentType = head.Status, head.ContentType
+			// A head begins an answer anew: what came before belongs to an
+			// attempt that broke.
+			*whole = wire.RecordedAnswer{Status: head.Status, ContentType: head.ContentType}
 		}
 		whole.Body = append(whole.Body, e.GetChunk()...)
 		if int64(len(whole.Body)) > s.cfg.MaxAnswerBytes {
@@ -332,10 +403,7 @@
 			w.WriteHeader(int(head.Status))
 		}
 		if chunk := e.GetChunk(); len(chunk) > 0 {
-			if _, err := w.Write(chunk); err != nil {
-				return fail.Wrap(err, fail.Canceled, "the caller went away").WithRan(fail.RanYes)
-			}
-			return out.Flush()
+			return s.writeChunk(w, out, chunk)
 		}
 		return nil
 	})
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"parsleyramp/internal/closing"
+	"parsleyramp/internal/routing"
 	"parsleyramp/internal/wire"
 )
 
@@ -11,6 +12,12 @@
 type target struct {
 	vm      *wire.Endpoint
 	version string
+	replica routing.Replica
+}
+
+func newTarget(vm *wire.Endpoint, version string) target {
+	doubtful := vm.Kind == wire.EndpointKind_ENDPOINT_KIND_ENGINE && !vm.Reachable
+	return target{vm: vm, version: version, replica: routing.NewReplica(vm.Id, vm.Owner, vm.Domain, int(vm.Slots), doubtful)}
 }
 
 // model is what callers reach under one name.
@@ -98,7 +105,7 @@
 		added := &service{team: s.Team, spec: v}
 		for _, e := range c.view.Endpoints {
 			if e.Kind == wire.EndpointKind_ENDPOINT_KIND_SERVICE && e.Service == v.Name && !e.Leaving {
-				added.targets = append(added.targets, target{vm: e})
+				added.targets = append(added.targets, newTarget(e, ""))
 			}
 		}
 		c.services = append(c.services, added)
@@ -124,8 +131,18 @@
 		if r.Adapter != m.adapter {
 			continue
 		}
-		m.targets = append(m.targets, target{vm: vm, version: r.Version})
+		m.targets = append(m.targets, newTarget(vm, r.Version))
+	}
+}
+
+// owns reports whether any endpoint belongs to the entry.
+func (c *catalog) owns(entryID string) bool {
+	for _, e := range c.view.Endpoints {
+		if e.Owner == entryID {
+			return true
+		}
 	}
+	return false
 }
 
 // serviceFor returns the service with the longest prefix of the path.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -4,16 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"go.opentelemetry.io/otel/attribute"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/quarantine"
+	"parsleyramp/internal/retry"
 	"parsleyramp/internal/routing"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/telemetry"
@@ -30,64 +31,210 @@
 	targets func(*catalog) []target
 	// body returns the body to send to a target.
 	body func(target) []byte
+	// resume returns the body that asks for the answer without its first
+	// tokens; nil where answers cannot be resumed.
+	resume func(t target, tokens int) []byte
+	// stream is true where the caller gets the answer as it comes.
+	stream bool
+	// prefix is the digest of the prompt's beginning; zero for none.
+	prefix uint64
+	// finishBy is set for overnight work.
+	finishBy time.Time
+}
+
+// forwarder sends an attempt to its owner at another entry.
+type forwarder interface {
+	forward(ctx context.Context, address string, r *wire.ForwardRequest, out sink) error
 }
 
 // dispatcher chooses endpoints and sends attempts to their owners.
 type dispatcher struct {
-	session *session
-	owner   *owner
-	peers   *peers
-	max     int
+	session  *session
+	owner    *owner
+	peers    forwarder
+	reporter crashReporter
+	max      int
 
-	mu    sync.Mutex
-	rng   *rand.Rand
-	loads map[string]*wire.EndpointLoad
-	// sent counts this entry's own attempts in flight to each endpoint.
-	sent map[string]int
+	mu     sync.Mutex
+	table  *routing.Table
+	budget *retry.Budget
+	// seen is the view that the table was last cleaned for.
+	seen uint64
 }
 
-func newDispatcher(s *session, o *owner, p *peers, seed uint64) *dispatcher {
+func newDispatcher(s *session, o *owner, p forwarder, r crashReporter, seed uint64) *dispatcher {
 	return &dispatcher{
-		session: s, owner: o, peers: p, max: s.cfg.MaxAttempts,
-		rng:   rand.New(rand.NewPCG(seed, 1)),
-		loads: map[string]*wire.EndpointLoad{}, sent: map[string]int{},
+		session: s, owner: o, peers: p, reporter: r, max: s.cfg.MaxAttempts,
+		table: routing.NewTable(routing.Policy(s.cfg.RoutingPolicy), seed), budget: retry.NewBudget(),
 	}
 }
 
-// run sends the job to one endpoint after another until one answers. Once the
-// sink took an event, or the request may have run and must not run twice,
-// there is no other attempt.
+const (
+	// deadlineMargin is how much earlier an owner gives up than the entry that
+	// asked it, so that the owner's exact outcome arrives.
+	deadlineMargin = 50 * time.Millisecond
+	// defaultRetryAfter is told to callers where nothing better is known.
+	defaultRetryAfter = time.Second
+	// clearTimeout bounds the clearing of a suspicion.
+	clearTimeout = 5 * time.Second
+)
+
+// progress is what became of one job so far.
+type progress struct {
+	query   routing.Query
+	relay   *relay
+	ran     fail.Ran
+	crashes int
+	// alone is set once an owner said that the request is a suspect.
+	alone bool
+	// broke holds the endpoints whose answers broke while they went on running.
+	broke []string
+	// refusals counts attempts that an owner refused for overload.
+	refusals int
+	last     *fail.Error
+}
+
+// run sends the job to one endpoint after another until one answers. There is
+// no other attempt once it could repeat what reached the caller, or where the
+// request may have run and must not run twice.
 func (d *dispatcher) run(ctx context.Context, j *job, out sink) error {
-	tried := map[string]bool{}
-	last := fail.New(fail.NoReplica, "no endpoint serves the request now").WithRetryAfter(time.Second)
-	ran := fail.RanNo
+	p := &progress{
+		query: routing.Query{Group: j.template.Model + j.template.Path, Prefix: j.prefix},
+		relay: &relay{stream: j.stream, out: out},
+		ran:   fail.RanNo,
+		last:  fail.New(fail.NoReplica, "no endpoint serves the request now").WithRetryAfter(defaultRetryAfter),
+	}
+	d.arrived(j)
 	for attempt := range d.max {
-		c, err := d.session.catalog()
-		if err != nil {
-			return err
+		err := d.once(ctx, j, p, attempt)
+		if err == nil {
+			d.completed(j, p)
+			return nil
 		}
-		t, ok := d.choose(j.targets(c), tried)
-		if !ok {
+		if errors.Is(err, errNoMore) {
 			break
 		}
-		tried[t.vm.Id] = true
-		var started atomic.Bool
-		err = d.attempt(ctx, c, j, t, attempt, func(e *wire.ForwardEvent) error {
-			started.Store(true)
-			return out(e)
-		})
-		if err == nil {
+		p.note(fail.From(err))
+		if p.relay.done {
+			d.completed(j, p)
 			return nil
 		}
-		last = fail.From(err)
-		if last.Ran != fail.RanNo {
-			ran = fail.RanUnknown
-		}
-		if started.Load() || ctx.Err() != nil || (last.Ran != fail.RanNo && !j.template.Idempotent) {
+		if !d.mayRetry(ctx, j, p) {
 			break
 		}
 	}
-	return last.WithRan(worst(last.Ran, ran))
+	return d.final(ctx, p)
+}
+
+// errNoMore ends a job for which no endpoint is left.
+var errNoMore = fail.New(fail.NoReplica, "no endpoint is left")
+
+// once makes one attempt.
+func (d *dispatcher) once(ctx context.Context, j *job, p *progress, attempt int) error {
+	c, err := d.session.catalog()
+	if err != nil {
+		return err
+	}
+	switch quarantine.Treat(c.suspects[j.template.Fingerprint], p.crashes) {
+	case quarantine.Refused:
+		return quarantined()
+	case quarantine.Alone:
+		p.alone = true
+	}
+	p.query.Alone = p.alone
+	t, ok := d.choose(j.targets(c), p, c)
+	if !ok && len(p.broke) > 0 {
+		// An endpoint whose answer broke may still give the rest.
+		p.query.Tried = slices.DeleteFunc(p.query.Tried, func(e string) bool { return slices.Contains(p.broke, e) })
+		p.broke = nil
+		t, ok = d.choose(j.targets(c), p, c)
+	}
+	if !ok {
+		return errNoMore
+	}
+	err = d.attempt(ctx, c, j, t, p, attempt)
+	d.learn(t, err)
+	p.leave(t, err)
+	return err
+}
+
+// leave notes where an attempt failed, for the choice of the next endpoint.
+func (p *progress) leave(t target, err error) {
+	if err == nil || fail.Is(err, fail.MustRunAlone) {
+		return
+	}
+	p.query.Tried = append(p.query.Tried, t.vm.Id)
+	p.query.FailedDomains = append(p.query.FailedDomains, t.vm.Domain)
+	if f := fail.From(err); f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
+		p.broke = append(p.broke, t.vm.Id)
+	}
+}
+
+// note takes the outcome of a failed attempt.
+func (p *progress) note(f *fail.Error) {
+	p.last = f
+	if f.Ran != fail.RanNo {
+		p.ran = f.Ran
+	}
+	switch f.Code {
+	case fail.EndpointCrashed:
+		p.crashes++
+	case fail.MustRunAlone:
+		p.alone = true
+	case fail.Overloaded:
+		p.refusals++
+	}
+}
+
+// finalCodes are failures that another attempt would give again.
+var finalCodes = map[fail.Code]bool{
+	fail.BadRequest: true, fail.Quarantined: true, fail.Canceled: true, fail.DeadlinePassed: true,
+	fail.NoLease: true, fail.BodyTooLarge: true,
+}
+
+// maxOverloadRetries bounds the attempts after refusals for overload, which
+// are many at once when they come.
+const maxOverloadRetries = 1
+
+// mayRetry reports whether another attempt may and should be made.
+func (d *dispatcher) mayRetry(ctx context.Context, j *job, p *progress) bool {
+	f := p.last
+	// An owner without a lease leaves other owners to try.
+	ownerLost := f.Code == fail.NoLease && len(p.query.Tried) > 0
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case finalCodes[f.Code] && !ownerLost:
+		return false
+	case f.Ran != fail.RanNo && !j.template.Idempotent:
+		return false
+	case !p.relay.repeatable(j.resume != nil):
+		return false
+	case p.refusals > maxOverloadRetries:
+		return false
+	}
+	cost := retry.CostRan
+	if f.Ran == fail.RanNo {
+		cost = retry.CostRefused
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Take(d.session.clock(), j.template.Team, cost)
+}
+
+// final returns the failure that the caller is told. A request that crashed
+// two endpoints is answered only once every entry knows of its conviction, so
+// that no entry runs it when it comes again.
+func (d *dispatcher) final(ctx context.Context, p *progress) error {
+	if p.crashes >= quarantine.MaxCrashes {
+		sleep(ctx, d.session.leaseTime())
+		return quarantined().WithRan(fail.RanUnknown)
+	}
+	f := p.last
+	if f.RetryAfter == 0 && !finalCodes[f.Code] {
+		f = f.WithRetryAfter(defaultRetryAfter)
+	}
+	return f.WithRan(worst(f.Ran, p.ran))
 }
 
 // worst returns the outcome that promises less.
@@ -98,44 +245,91 @@
 	return a
 }
 
-func (d *dispatcher) choose(targets []target, tried map[string]bool) (target, bool) {
+func (d *dispatcher) arrived(j *job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	candidates := make([]routing.Candidate, len(targets))
-	for i, t := range targets {
-		l := d.loads[t.vm.Id]
-		candidates[i] = routing.Candidate{
-			Endpoint: t.vm.Id, Owner: t.vm.Owner, Domain: t.vm.Domain, Tried: tried[t.vm.Id] || t.vm.Owner == "",
-			InFlight: max(int(l.GetInFlight()), d.sent[t.vm.Id]), Queued: int(l.GetQueued()), Slots: max(1, int(t.vm.Slots)),
-		}
+	d.budget.Request(d.session.clock(), j.template.Team)
+}
+
+// completed ends the suspicion of a request that got its whole answer.
+func (d *dispatcher) completed(j *job, p *progress) {
+	if !p.alone && p.crashes == 0 {
+		return
 	}
-	i := routing.Choose(candidates, d.rng)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
+		defer cancel()
+		_ = d.reporter.ClearSuspect(ctx, j.template.Fingerprint)
+	}()
+}
+
+func (d *dispatcher) choose(targets []target, p *progress, c *catalog) (target, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.seen != c.view.Revision {
+		d.seen = c.view.Revision
+		d.table.Forget(func(name string) bool { return c.endpoints[name] != nil || c.entries[name] != nil })
+	}
+	i := d.table.Choose(d.session.clock(), len(targets), func(i int) *routing.Replica { return &targets[i].replica }, p.query)
 	if i < 0 {
 		return target{}, false
 	}
+	d.table.Sent(targets[i].vm.Id, 1)
 	return targets[i], true
 }
 
+// learn ends an attempt and notes whether endpoint and owner can be reached.
+func (d *dispatcher) learn(t target, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Sent(t.vm.Id, -1)
+	now := d.session.clock()
+	switch {
+	case err == nil:
+		d.table.Worked(t.vm.Id)
+	case fail.Is(err, fail.EndpointFailed), fail.Is(err, fail.EndpointCrashed):
+		d.table.Failed(now, t.vm.Id)
+	case fail.Is(err, fail.Unavailable):
+		d.table.Failed(now, t.vm.Owner)
+	}
+}
+
+// request returns what the owner of the target is asked to do.
+func (d *dispatcher) request(ctx context.Context, j *job, t target, p *progress, n int) *wire.ForwardRequest {
+	m := j.template
+	r := &wire.ForwardRequest{
+		RequestId: fmt.Sprintf("%s-%d", j.id, n), AnswerId: j.id, Endpoint: t.vm.Id, OwnerEpoch: t.vm.OwnerEpoch,
+		Method: m.Method, Path: m.Path, ContentType: m.ContentType,
+		Model: m.Model, Version: t.version, Adapter: m.Adapter, Team: m.Team,
+		Priority: m.Priority, FirstTokenDeadlineMs: m.FirstTokenDeadlineMs, BetweenTokensMs: m.BetweenTokensMs,
+		Idempotent: m.Idempotent, Fingerprint: m.Fingerprint, Isolated: p.alone,
+	}
+	if p.relay.tokens > 0 {
+		r.Body = j.resume(t, p.relay.tokens)
+	} else {
+		r.Body = j.body(t)
+	}
+	if by, ok := ctx.Deadline(); ok {
+		r.DeadlineMs = max(1, (time.Until(by) - deadlineMargin).Milliseconds())
+	}
+	if !j.finishBy.IsZero() {
+		r.FinishInMs = max(1, time.Until(j.finishBy).Milliseconds())
+	}
+	return r
+}
+
 // attempt sends the job to the owner of the target, which may be this entry.
-func (d *dispatcher) attempt(ctx context.Context, c *catalog, j *job, t target, n int, out sink) error {
+func (d *dispatcher) attempt(ctx context.Context, c *catalog, j *job, t target, p *progress, n int) error {
 	ctx, span := telemetry.StartSpan(ctx, "attempt", attribute.String("endpoint", t.vm.Id), attribute.Int("attempt", n))
 	defer span.End()
-	r := &wire.ForwardRequest{
-		RequestId: fmt.Sprintf("%s-%d", j.id, n), Endpoint: t.vm.Id, OwnerEpoch: t.vm.OwnerEpoch,
-		Method: j.template.Method, Path: j.template.Path, ContentType: j.template.ContentType, Body: j.body(t),
-		Model: j.template.Model, Version: t.version, Adapter: j.template.Adapter, Team: j.template.Team,
-		Priority: j.template.Priority, FirstTokenDeadlineMs: j.template.FirstTokenDeadlineMs,
-		DeadlineMs: j.template.DeadlineMs, Idempotent: j.template.Idempotent, Fingerprint: j.template.Fingerprint,
-		BetweenTokensMs: j.template.BetweenTokensMs,
-	}
-	d.count(t.vm.Id, 1)
-	defer d.count(t.vm.Id, -1)
+	if err := p.relay.begin(t); err != nil {
+		return err
+	}
 	noted := func(e *wire.ForwardEvent) error {
-		if end := e.GetEnd(); end != nil {
-			d.note(t.vm.Id, end.Load)
-		}
-		return out(e)
+		d.note(t.vm.Id, eventLoad(e))
+		return p.relay.take(e)
 	}
+	r := d.request(ctx, j, t, p, n)
 	if t.vm.Owner == d.session.cfg.ID {
 		return d.owner.run(ctx, r, noted)
 	}
@@ -146,10 +340,14 @@
 	return d.peers.forward(ctx, peer.PeerAddress, r, noted)
 }
 
-func (d *dispatcher) count(endpointID string, n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.sent[endpointID] += n
+func eventLoad(e *wire.ForwardEvent) *wire.EndpointLoad {
+	switch b := e.Body.(type) {
+	case *wire.ForwardEvent_Head:
+		return b.Head.Load
+	case *wire.ForwardEvent_End:
+		return b.End.Load
+	}
+	return nil
 }
 
 func (d *dispatcher) note(endpointID string, l *wire.EndpointLoad) {
@@ -158,7 +356,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loads[endpointID] = l
+	d.table.Report(d.session.clock(), endpointID, routing.Load{InFlight: int(l.InFlight), Queued: int(l.Queued)})
 }
 
 // peers sends attempts to other entries.
@@ -216,6 +414,8 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return f.WithRan(fail.RanNo)
 	}
+	// Whatever a connect error says of the outcome, only a refusal event is an
+	// owner's word about it.
 	return f.WithRan(fail.RanUnknown)
 }
 
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -17,6 +17,8 @@
 type served struct {
 	catalog *catalog
 	until   time.Duration
+	// lease is how long it was granted for.
+	lease time.Duration
 }
 
 // session keeps the entry's lease with the control leader and its view.
@@ -44,6 +46,15 @@
 	return v.catalog, nil
 }
 
+// leaseTime returns how long leases are granted for. An entry that still
+// serves after that time has renewed its lease, and with it its view.
+func (s *session) leaseTime() time.Duration {
+	if v := s.served.Load(); v != nil {
+		return v.lease
+	}
+	return 0
+}
+
 // run sends heartbeats until ctx ends.
 func (s *session) run(ctx context.Context) {
 	tick := time.NewTicker(s.cfg.Heartbeat.D())
@@ -91,7 +102,7 @@
 func (s *session) accept(sent time.Duration, resp *wire.HeartbeatResponse) {
 	until := sent + time.Duration(resp.LeaseMs)*time.Millisecond
 	old := s.served.Load()
-	next := &served{until: until}
+	next := &served{until: until, lease: time.Duration(resp.LeaseMs) * time.Millisecond}
 	switch {
 	case resp.View != nil && (old == nil || resp.View.Revision >= old.catalog.view.Revision):
 		next.catalog = newCatalog(resp.View)
--- a/internal/entry/overnight.go
+++ b/internal/entry/overnight.go
@@ -81,6 +81,9 @@
 
 // takeDeferred starts overnight work that control has assigned to this entry.
 func (s *Server) takeDeferred(work []*wire.DeferredRequest) {
+	if s.draining.Load() {
+		return
+	}
 	for _, d := range work {
 		key := d.Key()
 		if _, known := s.deferred.LoadOrStore(key, true); !known {
@@ -102,7 +105,8 @@
 			finish.State, finish.Answer = wire.DeferredState_DEFERRED_STATE_DONE, answer
 			break
 		}
-		if s.background.Err() != nil {
+		if s.background.Err() != nil || s.draining.Load() {
+			// Another entry takes the work over once this one is gone.
 			return
 		}
 		if ctx.Err() != nil || fail.Is(err, fail.UnknownModel) {
@@ -135,5 +139,6 @@
 		return nil, err
 	}
 	j.template.Priority = overnightPriority
+	j.finishBy = time.UnixMilli(d.FinishByUnixMs)
 	return s.collect(ctx, j)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,8 @@
 	endpointConnections = 64
 	maxMessageBytes     = 64 << 20
 	drainPoll           = 20 * time.Millisecond
+	// handoverTimeout bounds the wait for new owners during a shutdown.
+	handoverTimeout = 10 * time.Second
 )
 
 // Server is one entry process.
@@ -62,9 +64,10 @@
 		cfg: cfg, control: s.control, log: log, clock: func() time.Duration { return time.Since(start) },
 		self: s.self, wake: make(chan struct{}, 1), onDeferred: s.takeDeferred,
 	}
-	s.owner = newOwner(s.session, endpoint.NewHTTP(transport.NewEndpointClient(endpointConnections)), cfg.ServiceSlots)
+	reporter := controlReporter{s.control}
+	s.owner = newOwner(s.session, endpoint.NewHTTP(transport.NewEndpointClient(endpointConnections)), reporter, cfg.ServiceSlots)
 	s.session.report = s.report
-	s.dispatcher = newDispatcher(s.session, s.owner, newPeers(transport.NewPeerClient()), seed)
+	s.dispatcher = newDispatcher(s.session, s.owner, newPeers(transport.NewPeerClient()), reporter, seed)
 	if err := s.listen(); err != nil {
 		stop()
 		return nil, err
@@ -115,7 +118,8 @@
 	s.session.poke()
 	s.log.Info("draining")
 	sleep(ctx, s.cfg.KeepAddresses.D())
-	for ctx.Err() == nil && (s.inProgress.Load() > 0 || s.owner.busy()) {
+	s.awaitHandover(ctx)
+	for ctx.Err() == nil && (s.inProgress.Load() > 0 || s.owner.busy() || s.runsDeferred()) {
 		sleep(ctx, drainPoll)
 	}
 	err := s.callers.Shutdown(ctx)
@@ -128,6 +132,31 @@
 	return err
 }
 
+// awaitHandover waits until other entries own this one's endpoints, so that no
+// entry has to find out by a refusal. Where there is no other entry, or no
+// control, it stops waiting after a while.
+func (s *Server) awaitHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		c, err := s.session.catalog()
+		if err != nil || !c.owns(s.cfg.ID) {
+			return
+		}
+		sleep(ctx, drainPoll)
+	}
+}
+
+// runsDeferred reports whether overnight work is in progress here.
+func (s *Server) runsDeferred() bool {
+	running := false
+	s.deferred.Range(func(any, any) bool {
+		running = true
+		return false
+	})
+	return running
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"parsleyramp/internal/routing"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
 )
@@ -29,6 +30,12 @@
 	MaxAnswerBytes int64 `json:"max_answer_bytes"`
 	// MaxAttempts bounds the attempts at one request.
 	MaxAttempts int `json:"max_attempts"`
+	// RoutingPolicy chooses replicas: owner, round_robin or least_in_flight.
+	RoutingPolicy string `json:"routing_policy"`
+	// WriteTimeout bounds the writing of one piece of an answer to a caller.
+	WriteTimeout settings.Duration `json:"write_timeout"`
+	// BodyTimeout bounds the reading of a caller's body.
+	BodyTimeout settings.Duration `json:"body_timeout"`
 	// RequestTimeout bounds one request as a whole.
 	RequestTimeout settings.Duration `json:"request_timeout"`
 	// ServiceSlots is how many calls run at once on one plain service endpoint.
@@ -46,6 +53,9 @@
 		MaxBodyBytes:   4 << 20,
 		MaxAnswerBytes: 4 << 20,
 		MaxAttempts:    3,
+		RoutingPolicy:  string(routing.Owner),
+		WriteTimeout:   settings.Duration(20 * time.Second),
+		BodyTimeout:    settings.Duration(20 * time.Second),
 		RequestTimeout: settings.Duration(2 * time.Minute),
 		ServiceSlots:   32,
 		ClaimRetention: settings.Duration(24 * time.Hour),
@@ -68,6 +78,9 @@
 	c.Require(s.MaxBodyBytes > 0, "max_body_bytes", "1 or more")
 	c.Require(s.MaxAnswerBytes > 0, "max_answer_bytes", "1 or more")
 	c.Require(s.MaxAttempts > 0, "max_attempts", "1 or more")
+	c.Require(routing.Policy(s.RoutingPolicy).Valid(), "routing_policy", "owner, round_robin or least_in_flight")
+	c.Positive("write_timeout", s.WriteTimeout)
+	c.Positive("body_timeout", s.BodyTimeout)
 	c.Positive("request_timeout", s.RequestTimeout)
 	c.Require(s.ServiceSlots > 0, "service_slots", "1 or more")
 	c.Positive("claim_retention", s.ClaimRetention)
--- a/internal/fail/fail.go
+++ b/internal/fail/fail.go
@@ -35,6 +35,8 @@
 	Draining         Code = "draining"
 	Quarantined      Code = "quarantined"
 	EndpointFailed   Code = "endpoint_failed"
+	EndpointCrashed  Code = "endpoint_crashed"
+	MustRunAlone     Code = "must_run_alone"
 	TruncatedAnswer  Code = "truncated_answer"
 	ForeignAnswer    Code = "foreign_answer"
 	Canceled         Code = "canceled"
@@ -138,6 +140,7 @@
 	Overloaded:      http.StatusTooManyRequests,
 	DeadlinePassed:  http.StatusGatewayTimeout,
 	EndpointFailed:  http.StatusBadGateway,
+	EndpointCrashed: http.StatusBadGateway,
 	TruncatedAnswer: http.StatusBadGateway,
 	ForeignAnswer:   http.StatusBadGateway,
 	Quarantined:     http.StatusUnprocessableEntity,
