Test traffic through random faults, takeovers, crashes and leaving endpoints

A fake fleet stands at the Runner interface behind real owners and dispatchers, in virtual time. It found one fault at once: an attempt whose endpoint left while it waited crashed the owner, because the release read the endpoint of the failed check; mended here.

--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,476 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/routing"
+	"parsleyramp/internal/settings"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	testModel     = "team/model"
+	testHeartbeat = 500 * time.Millisecond
+	testLease     = 2 * time.Second
+	testTokens    = 5
+	testInterval  = 20 * time.Millisecond
+	crashMark     = "crash-mark"
+	reloadTime    = time.Second
+)
+
+// fault is what an engine does with one attempt.
+type fault int
+
+const (
+	noFault fault = iota
+	dialFault
+	breakBeforeHead
+	breakInStream
+	peerBreaks
+	answerBusy
+	sendsLate
+	faults
+)
+
+// fleet is fake engines at the Runner interface, behind real owners and
+// dispatchers that see the view of a real state machine's suspects.
+type fleet struct {
+	mu      sync.Mutex
+	view    *wire.View
+	machine *state.Machine
+	index   uint64
+	engines map[string]*fakeEngine
+	entries []*fakeEntry
+	faults  []fault
+	// runs counts the attempts that reached an engine, by prompt.
+	runs map[string]int
+	// answered holds the prompts whose callers got an answer.
+	answered map[string]bool
+	// sentAt is when an attempt last reached each engine.
+	sentAt  map[string]time.Duration
+	crashes int
+	// sharedCrash counts crashes of a suspect that was not alone.
+	sharedCrash int
+	start       time.Time
+	lateBy      time.Duration
+}
+
+type fakeEngine struct {
+	id          string
+	incarnation int
+	broken      chan struct{}
+	inFlight    int
+	service     bool
+}
+
+type fakeEntry struct {
+	session    *session
+	owner      *owner
+	dispatcher *dispatcher
+	frozen     bool
+	answered   func(*job)
+}
+
+func newFleet(engines, entries int) *fleet {
+	f := &fleet{
+		machine: state.New(), engines: map[string]*fakeEngine{}, runs: map[string]int{}, answered: map[string]bool{},
+		sentAt: map[string]time.Duration{}, start: time.Now(), lateBy: 3 * testLease,
+	}
+	text := `{"team":"team","models":[{"name":"model","version":"v1","memory_mb":1,"headroom_mb":1,"replicas":1,"adapters":[]}],` +
+		`"services":[{"name":"ledger","path":"/ledger/","non_idempotent":[]}],"classes":[{"name":"desk","first_token_ms":60000,"between_tokens_ms":100,"priority":1}],"checks_fencing":[]}`
+	f.view = &wire.View{Revision: 1, Sections: []*wire.Section{{Team: "team", Text: []byte(text)}}}
+	for i := range entries {
+		id := fmt.Sprint("entry-", i)
+		f.view.Entries = append(f.view.Entries, &wire.EntryVM{Id: id, PeerAddress: id, Live: true})
+	}
+	for i := range engines {
+		id := fmt.Sprint("engine-", i)
+		f.engines[id] = &fakeEngine{id: id, broken: make(chan struct{})}
+		f.view.Endpoints = append(f.view.Endpoints, &wire.Endpoint{
+			Id: id, Address: id, Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Domain: fmt.Sprint("d", i%3), Slots: 4,
+			Owner: fmt.Sprint("entry-", i%entries), OwnerEpoch: 1, Incarnation: "0", Reachable: true,
+		})
+		f.view.Residents = append(f.view.Residents, &wire.Resident{Endpoint: id, Model: testModel, Version: "v1", State: wire.ResidentState_RESIDENT_STATE_READY})
+	}
+	f.engines["ledger-0"] = &fakeEngine{id: "ledger-0", broken: make(chan struct{}), service: true}
+	f.engines["ledger-1"] = &fakeEngine{id: "ledger-1", broken: make(chan struct{}), service: true}
+	for i, id := range []string{"ledger-0", "ledger-1"} {
+		f.view.Endpoints = append(f.view.Endpoints, &wire.Endpoint{
+			Id: id, Address: id, Kind: wire.EndpointKind_ENDPOINT_KIND_SERVICE, Service: "ledger", Domain: fmt.Sprint("d", i), Owner: fmt.Sprint("entry-", i%entries),
+		})
+	}
+	for i := range entries {
+		f.entries = append(f.entries, f.newEntry(fmt.Sprint("entry-", i), uint64(i)))
+	}
+	return f
+}
+
+func (f *fleet) newEntry(id string, seed uint64) *fakeEntry {
+	cfg := DefaultSettings()
+	cfg.ID, cfg.Heartbeat, cfg.RoutingPolicy = id, settings.Duration(testHeartbeat), string(routing.Owner)
+	s := &session{cfg: cfg, clock: func() time.Duration { return time.Since(f.start) }}
+	e := &fakeEntry{session: s}
+	e.answered = func(j *job) {
+		var body struct {
+			Prompt string `json:"prompt"`
+		}
+		_ = json.Unmarshal(j.body(target{}), &body)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.answered[body.Prompt] = true
+	}
+	e.owner = newOwner(s, f, f, 4)
+	e.dispatcher = newDispatcher(s, e.owner, f, f, seed)
+	f.heartbeat(e)
+	return e
+}
+
+// heartbeat hands an entry the newest view with a lease.
+func (f *fleet) heartbeat(e *fakeEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.frozen {
+		return
+	}
+	if v := e.session.served.Load(); v == nil || v.catalog.view.Revision != f.view.Revision {
+		e.session.served.Store(&served{catalog: newCatalog(f.view), until: e.session.clock() + testLease, lease: testLease})
+		return
+	}
+	e.session.served.Store(&served{catalog: e.session.served.Load().catalog, until: e.session.clock() + testLease, lease: testLease})
+}
+
+// run sends heartbeats, each entry's at its own phase, until stop is closed.
+func (f *fleet) run(stop chan struct{}) {
+	for i, e := range f.entries {
+		go func() {
+			time.Sleep(time.Duration(i) * testHeartbeat / time.Duration(len(f.entries)))
+			for {
+				f.heartbeat(e)
+				select {
+				case <-stop:
+					return
+				case <-time.After(testHeartbeat):
+				}
+			}
+		}()
+	}
+}
+
+// change replaces the view by a changed copy.
+func (f *fleet) change(edit func(*wire.View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changeLocked(edit)
+}
+
+func (f *fleet) changeLocked(edit func(*wire.View)) {
+	next := cloneView(f.view)
+	edit(next)
+	next.Revision++
+	next.Suspects = f.machine.View().Suspects
+	f.view = next
+}
+
+func cloneView(v *wire.View) *wire.View {
+	out := &wire.View{Revision: v.Revision, Sections: v.Sections, Entries: v.Entries, Suspects: v.Suspects}
+	for _, e := range v.Endpoints {
+		out.Endpoints = append(out.Endpoints, &wire.Endpoint{
+			Id: e.Id, Address: e.Address, Kind: e.Kind, Domain: e.Domain, Slots: e.Slots, Service: e.Service, Owner: e.Owner,
+			OwnerEpoch: e.OwnerEpoch, Incarnation: e.Incarnation, Reachable: e.Reachable, Leaving: e.Leaving,
+		})
+	}
+	for _, r := range v.Residents {
+		out.Residents = append(out.Residents, &wire.Resident{Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, State: r.State})
+	}
+	return out
+}
+
+func (f *fleet) apply(c *wire.Command) {
+	f.index++
+	f.machine.Apply(f.index, c)
+	f.changeLocked(func(*wire.View) {})
+}
+
+// ReportCrash records a crash in the shared state.
+func (f *fleet) ReportCrash(_ context.Context, r *wire.ReportCrash) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(&wire.Command{Body: &wire.Command_ReportCrash{ReportCrash: r}})
+	return nil
+}
+
+// ClearSuspect clears a suspicion in the shared state.
+func (f *fleet) ClearSuspect(_ context.Context, fingerprint uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(&wire.Command{Body: &wire.Command_ClearSuspect{ClearSuspect: &wire.ClearSuspect{Fingerprint: fingerprint}}})
+	return nil
+}
+
+// State answers with the engine's incarnation.
+func (f *fleet) State(_ context.Context, address string) (*endpoint.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &endpoint.EngineState{Incarnation: fmt.Sprint(f.engines[address].incarnation)}, nil
+}
+
+// Cancel does nothing: a fake answer ends when its context does.
+func (f *fleet) Cancel(context.Context, string, string) error { return nil }
+
+func (f *fleet) nextFault() fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) == 0 {
+		return noFault
+	}
+	x := f.faults[0]
+	f.faults = f.faults[1:]
+	return x
+}
+
+// crash restarts an engine and breaks what is in flight; its model is back
+// after a while.
+func (f *fleet) crash(e *fakeEngine) {
+	f.crashes++
+	if e.inFlight > 1 {
+		f.sharedCrash++
+	}
+	e.incarnation++
+	close(e.broken)
+	e.broken = make(chan struct{})
+	incarnation := fmt.Sprint(e.incarnation)
+	go func() {
+		time.Sleep(reloadTime)
+		f.change(func(v *wire.View) {
+			for _, vm := range v.Endpoints {
+				if vm.Id == e.id {
+					vm.Incarnation = incarnation
+				}
+			}
+		})
+	}()
+}
+
+var errBroken = fail.New(fail.EndpointFailed, "connection reset").WithRan(fail.RanUnknown)
+
+// Run answers one attempt as the endpoint's next fault says.
+func (f *fleet) Run(ctx context.Context, address string, r endpoint.Request) (*endpoint.Answer, error) {
+	x := f.nextFault()
+	if x == dialFault {
+		return nil, fail.New(fail.EndpointFailed, "connection refused")
+	}
+	if x == sendsLate {
+		time.Sleep(f.lateBy)
+	}
+	if err := r.BeforeSend(); err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, fail.Wrap(ctx.Err(), fail.Canceled, "canceled")
+	}
+	var body struct {
+		Prompt     string `json:"prompt"`
+		Stream     bool   `json:"stream"`
+		ResumeFrom int    `json:"resume_from"`
+	}
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	e := f.engines[address]
+	if !e.service && r.Incarnation != fmt.Sprint(e.incarnation) {
+		f.mu.Unlock()
+		return &endpoint.Answer{Status: http.StatusNotFound, Named: true, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	f.runs[body.Prompt]++
+	f.sentAt[address] = time.Since(f.start)
+	e.inFlight++
+	broken := e.broken
+	f.mu.Unlock()
+	a := &fakeAnswer{f: f, e: e, ctx: ctx, broken: broken, prompt: body.Prompt, from: body.ResumeFrom, stream: body.Stream}
+	if strings.Contains(body.Prompt, crashMark) {
+		time.Sleep(testInterval)
+		f.mu.Lock()
+		f.crash(e)
+		f.mu.Unlock()
+	}
+	switch x {
+	case breakBeforeHead:
+		a.Close()
+		return nil, errBroken
+	case answerBusy:
+		if e.service {
+			break
+		}
+		a.Close()
+		return &endpoint.Answer{Status: http.StatusServiceUnavailable, Body: io.NopCloser(strings.NewReader(""))}, nil
+	case breakInStream:
+		a.breakAt = (len(body.Prompt) % testTokens) + 1
+	}
+	kind := "application/json"
+	if body.Stream {
+		kind = "text/event-stream"
+	}
+	return &endpoint.Answer{Status: http.StatusOK, ContentType: kind, Named: true, Body: a}, nil
+}
+
+func token(prompt string, i int) string { return fmt.Sprintf("data: %s.%d\n\n", prompt, i) }
+
+func wholeText(prompt string, stream bool) string {
+	var b strings.Builder
+	for i := range testTokens {
+		b.WriteString(token(prompt, i))
+	}
+	if stream {
+		b.WriteString("data: [DONE]\n\n")
+	}
+	return b.String()
+}
+
+// fakeAnswer gives a token for each interval.
+type fakeAnswer struct {
+	f      *fleet
+	e      *fakeEngine
+	ctx    context.Context
+	broken chan struct{}
+	prompt string
+	from   int
+	stream bool
+	// breakAt is the token before which the answer breaks; zero for none.
+	breakAt int
+	ended   bool
+	closed  bool
+}
+
+func (a *fakeAnswer) Read(p []byte) (int, error) {
+	if a.ended {
+		return 0, io.EOF
+	}
+	select {
+	case <-a.broken:
+		return 0, errBroken
+	case <-a.ctx.Done():
+		return 0, a.ctx.Err()
+	case <-time.After(testInterval):
+	}
+	if a.breakAt > 0 && a.from >= a.breakAt {
+		return 0, errBroken
+	}
+	if a.from < testTokens {
+		a.from++
+		return copy(p, token(a.prompt, a.from-1)), nil
+	}
+	a.ended = true
+	if a.stream {
+		return copy(p, "data: [DONE]\n\n"), nil
+	}
+	return 0, io.EOF
+}
+
+// Close ends the attempt at the engine.
+func (a *fakeAnswer) Close() error {
+	a.f.mu.Lock()
+	defer a.f.mu.Unlock()
+	if !a.closed {
+		a.closed = true
+		a.e.inFlight--
+	}
+	return nil
+}
+
+// forward calls the owner as another entry would, and may break after half.
+func (f *fleet) forward(ctx context.Context, address string, r *wire.ForwardRequest, out sink) error {
+	breaks := f.nextFault() == peerBreaks
+	for _, e := range f.entries {
+		if e.session.cfg.ID != address {
+			continue
+		}
+		chunks := 0
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		err := e.owner.run(ctx, r, func(ev *wire.ForwardEvent) error {
+			if chunks++; breaks && chunks > 2 {
+				return errors.New("peer gone")
+			}
+			return out(ev)
+		})
+		if breaks {
+			return brokenStream(errors.New("peer gone"))
+		}
+		if err != nil {
+			return failureOf(refusalOf(err))
+		}
+		return nil
+	}
+	return fail.New(fail.Unavailable, "no such peer")
+}
+
+// newJob returns a completion or, for plain services, a call.
+func newTestJob(prompt string, stream, service, idempotent bool) *job {
+	body, _ := json.Marshal(map[string]any{"prompt": prompt, "stream": stream})
+	if service {
+		return &job{
+			id: prompt, template: &wire.ForwardRequest{Method: http.MethodPost, Path: "/ledger/x", Team: "team", Idempotent: idempotent, Fingerprint: xxhash.Sum64(body)},
+			targets: func(c *catalog) []target { return c.serviceFor("/ledger/x").targets },
+			body:    func(target) []byte { return body },
+		}
+	}
+	j, err := newCompletionJob("/v1/completions", testModel, &model{team: "team", name: testModel}, body)
+	if err != nil {
+		panic(err)
+	}
+	j.stream = stream
+	return j
+}
+
+// call runs a job and returns what reached the caller.
+func (e *fakeEntry) call(ctx context.Context, j *job) (string, error) {
+	var got strings.Builder
+	err := e.dispatcher.run(ctx, j, func(ev *wire.ForwardEvent) error {
+		if ev.GetHead() != nil && !j.stream {
+			got.Reset()
+		}
+		got.Write(ev.GetChunk())
+		return nil
+	})
+	if err == nil {
+		e.answered(j)
+	}
+	return got.String(), err
+}
+
+// drawFaults draws what becomes of the next attempts.
+func drawFaults(t *rapid.T, n int) []fault {
+	out := make([]fault, n)
+	for i := range out {
+		if rapid.IntRange(0, 2).Draw(t, "faulty") == 0 {
+			out[i] = fault(rapid.IntRange(0, int(faults)-1).Draw(t, "fault"))
+		}
+	}
+	return out
+}
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -112,9 +112,10 @@
 	}
 	defer o.release(a)
 	// The view may have changed while the attempt waited.
-	if a.vm, err = o.check(r); err != nil {
+	if vm, err = o.check(r); err != nil {
 		return err
 	}
+	a.vm = vm
 	err = o.attempt(ctx, a, r, out)
 	if err == nil || fail.From(err).Ran == fail.RanNo || ctx.Err() != nil {
 		return err
--- /dev/null
+++ b/internal/entry/traffic_test.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
+)
+
+// inBubble runs f in virtual time and hands its verdict to rapid outside.
+func inBubble(t *testing.T, rt *rapid.T, f func() string) {
+	verdict := ""
+	synctest.Test(t, func(*testing.T) { verdict = f() })
+	if verdict != "" {
+		rt.Fatal(verdict)
+	}
+}
+
+type plannedCall struct {
+	at, cancelAt                time.Duration
+	entry                       int
+	stream, service, idempotent bool
+}
+
+func drawCalls(t *rapid.T, entries int) []plannedCall {
+	calls := make([]plannedCall, rapid.IntRange(1, 12).Draw(t, "calls"))
+	for i := range calls {
+		c := &calls[i]
+		c.at = time.Duration(rapid.IntRange(0, 500).Draw(t, "at")) * time.Millisecond
+		c.entry = rapid.IntRange(0, entries-1).Draw(t, "entry")
+		c.service = rapid.IntRange(0, 3).Draw(t, "service") == 0
+		c.stream = !c.service && rapid.Bool().Draw(t, "stream")
+		c.idempotent = !c.service || rapid.Bool().Draw(t, "idempotent")
+		if rapid.IntRange(0, 4).Draw(t, "cancels") == 0 {
+			c.cancelAt = time.Duration(rapid.IntRange(1, 300).Draw(t, "cancel at")) * time.Millisecond
+		}
+	}
+	return calls
+}
+
+// TestOwnAnswerThroughFaults interleaves calls, faults of engines and peers,
+// cancels and changes of owner. An answer without a failure is the call's own
+// and whole; what a stream passed on before a failure is a beginning of it;
+// "not run" is said only of calls that reached no endpoint; and a call that
+// must not be repeated reaches one at most once.
+func TestOwnAnswerThroughFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
+		calls := drawCalls(rt, entries)
+		script := drawFaults(rt, 40)
+		moves := rapid.SliceOfN(rapid.IntRange(0, entries-1), 0, 4).Draw(rt, "moves")
+		inBubble(t, rt, func() string {
+			f := newFleet(4, entries)
+			f.faults = script
+			stop := make(chan struct{})
+			f.run(stop)
+			var wg sync.WaitGroup
+			verdicts := make([]string, len(calls))
+			for i, c := range calls {
+				wg.Go(func() { verdicts[i] = f.check(fmt.Sprint("call-", i), c) })
+			}
+			for i, to := range moves {
+				time.Sleep(100 * time.Millisecond)
+				f.change(func(v *wire.View) {
+					vm := v.Endpoints[i%len(v.Endpoints)]
+					vm.Owner, vm.OwnerEpoch = fmt.Sprint("entry-", to), vm.OwnerEpoch+1
+				})
+			}
+			wg.Wait()
+			close(stop)
+			time.Sleep(time.Minute)
+			return strings.Join(verdicts, "")
+		})
+	})
+}
+
+func (f *fleet) check(prompt string, c plannedCall) string {
+	time.Sleep(c.at)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if c.cancelAt > 0 {
+		time.AfterFunc(c.cancelAt, cancel)
+	}
+	got, err := f.entries[c.entry].call(ctx, newTestJob(prompt, c.stream, c.service, c.idempotent))
+	f.mu.Lock()
+	runs := f.runs[prompt]
+	f.mu.Unlock()
+	want := wholeText(prompt, c.stream)
+	switch {
+	case err == nil && got != want:
+		return fmt.Sprintf("%s: got %q\n", prompt, got)
+	case err != nil && c.stream && !strings.HasPrefix(want, got):
+		return fmt.Sprintf("%s: a stream passed on %q\n", prompt, got)
+	case err != nil && fail.From(err).Ran == fail.RanNo && runs > 0:
+		return fmt.Sprintf("%s: said not run, ran %d times: %v\n", prompt, runs, err)
+	case !c.idempotent && runs > 1:
+		return fmt.Sprintf("%s: not idempotent, ran %d times\n", prompt, runs)
+	}
+	return ""
+}
+
+// TestBrokenStreamResumes breaks a stream once: the caller gets the whole
+// answer, though an engine had sent a part of it.
+func TestBrokenStreamResumes(t *testing.T) {
+	for _, x := range []fault{breakBeforeHead, breakInStream, answerBusy, dialFault} {
+		for replicas := 1; replicas <= 2; replicas++ {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(replicas, 1)
+				f.faults = []fault{x}
+				got, err := f.entries[0].call(t.Context(), newTestJob("call-1", true, false, true))
+				lone := replicas == 1 && (x == dialFault)
+				if !lone && (err != nil || got != wholeText("call-1", true)) {
+					t.Errorf("fault %d with %d replicas: %q, %v", x, replicas, got, err)
+				}
+			})
+		}
+	}
+}
+
+// TestBadRequestCostsTwoEndpoints resends a request that crashes every engine,
+// through all entries, while others go on: two engines crash in all, every
+// other request is answered, and a break that is no crash makes no suspect.
+func TestBadRequestCostsTwoEndpoints(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
+		resends := rapid.SliceOfN(rapid.IntRange(0, entries-1), 1, 6).Draw(rt, "resends")
+		bad := rapid.IntRange(0, 3).Draw(rt, "bad") > 0
+		starts := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 15).Draw(rt, "innocent")
+		script := []fault{}
+		if !bad {
+			script = []fault{noFault, breakInStream, breakBeforeHead}
+		}
+		inBubble(t, rt, func() string {
+			f := newFleet(5, entries)
+			f.faults = script
+			stop := make(chan struct{})
+			f.run(stop)
+			var wg sync.WaitGroup
+			verdicts := make([]string, len(starts)+1)
+			for i, ms := range starts {
+				wg.Go(func() {
+					verdicts[i] = f.check(fmt.Sprint("good-", i), plannedCall{at: time.Duration(ms) * time.Millisecond, entry: i % entries, stream: i%2 == 0, idempotent: true})
+					if verdicts[i] == "" && f.refused(fmt.Sprint("good-", i)) {
+						verdicts[i] = fmt.Sprintf("good-%d was not answered\n", i)
+					}
+				})
+			}
+			if bad {
+				verdicts[len(starts)] = f.resendBad(resends)
+			}
+			wg.Wait()
+			close(stop)
+			time.Sleep(time.Minute)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.crashes > 2 {
+				verdicts = append(verdicts, fmt.Sprintf("%d engines crashed\n", f.crashes))
+			}
+			if n := len(f.machine.View().Suspects); !bad && n > 0 {
+				verdicts = append(verdicts, fmt.Sprintf("%d suspects without a crash\n", n))
+			}
+			return strings.Join(verdicts, "")
+		})
+	})
+}
+
+// resendBad sends the bad request again and again, and checks the last answer.
+func (f *fleet) resendBad(through []int) string {
+	var last error
+	for _, i := range through {
+		_, last = f.entries[i].call(context.Background(), newTestJob(crashMark, false, false, true))
+	}
+	if len(through) > 0 && !fail.Is(last, fail.Quarantined) {
+		return fmt.Sprintf("the bad request ended with %v\n", last)
+	}
+	return ""
+}
+
+// refused reports whether the call never got its answer: its check passed, but
+// with a failure.
+func (f *fleet) refused(prompt string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.answered[prompt]
+}
+
+// TestLeavingEndpoint lets an endpoint leave, an entry lose control or a
+// process freeze just before it sends, under load through every entry: after
+// the bound nothing new reaches the endpoint, and what runs there finishes.
+func TestLeavingEndpoint(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
+		frozen := rapid.IntRange(-1, entries-1).Draw(rt, "frozen")
+		late := time.Duration(rapid.IntRange(0, 9000).Draw(rt, "late")) * time.Millisecond
+		script := drawFaults(rt, 30)
+		for i := range script {
+			if script[i] != noFault {
+				script[i] = sendsLate
+			}
+		}
+		inBubble(t, rt, func() string {
+			f := newFleet(3, entries)
+			f.faults, f.lateBy = script, late
+			stop := make(chan struct{})
+			f.run(stop)
+			time.Sleep(300 * time.Millisecond)
+			left := time.Since(f.start)
+			f.mu.Lock()
+			if frozen >= 0 {
+				f.entries[frozen].frozen = true
+			}
+			f.mu.Unlock()
+			f.change(func(v *wire.View) { v.Endpoints[0].Leaving = true })
+			var wg sync.WaitGroup
+			for i := range 60 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+					_, _ = f.entries[i%entries].call(context.Background(), newTestJob(fmt.Sprint("call-", i), false, false, true))
+				})
+			}
+			wg.Wait()
+			close(stop)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if after := f.sentAt["engine-0"] - left; after > testLease {
+				return fmt.Sprintf("work was sent %v after the endpoint began to leave", after)
+			}
+			return ""
+		})
+	})
+}
+
+// TestHandoverKeepsWorkReported moves an endpoint while a request runs there:
+// the request finishes, and its old owner reports it until then, so that
+// control unloads nothing under it.
+func TestHandoverKeepsWorkReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 2)
+		done := make(chan string)
+		go func() {
+			got, err := f.entries[1].call(context.Background(), newTestJob("call-1", true, false, true))
+			done <- fmt.Sprint(got, err)
+		}()
+		time.Sleep(testInterval / 2)
+		f.change(func(v *wire.View) {
+			v.Endpoints[0].Owner, v.Endpoints[0].OwnerEpoch = "entry-1", 2
+			v.Residents[0].State = wire.ResidentState_RESIDENT_STATE_DRAINING
+		})
+		for _, e := range f.entries {
+			f.heartbeat(e)
+		}
+		var report wire.HeartbeatRequest
+		f.entries[0].owner.report(&report)
+		if len(report.Endpoints) != 1 || report.Endpoints[0].Residents[0].InFlight != 1 {
+			t.Errorf("the old owner reports %v", report.Endpoints)
+		}
+		if got := <-done; got != wholeText("call-1", true)+"<nil>" {
+			t.Errorf("got %q", got)
+		}
+		report.Reset()
+		f.entries[0].owner.report(&report)
+		if len(report.Endpoints) != 0 || f.entries[0].owner.busy() {
+			t.Errorf("after the end the old owner reports %v", report.Endpoints)
+		}
+	})
+}
