--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -51,6 +51,7 @@
 	dialFault
 	breakBeforeHead
 	breakInStream
+	breakInEvent
 	peerBreaks
 	answerBusy
 	sendsLate
@@ -67,6 +68,8 @@
 	engines map[string]*fakeEngine
 	entries []*fakeEntry
 	faults  []fault
+	// first is the fault of every call's first attempt.
+	first fault
 	// runs counts the attempts that reached an engine, by prompt.
 	runs map[string]int
 	// answered holds the prompts whose callers got an answer.
@@ -74,10 +77,8 @@
 	// sentAt is when an attempt last reached each engine.
 	sentAt  map[string]time.Duration
 	crashes int
-	// sharedCrash counts crashes of a suspect that was not alone.
-	sharedCrash int
-	start       time.Time
-	lateBy      time.Duration
+	start   time.Time
+	lateBy  time.Duration
 }
 
 type fakeEngine struct {
@@ -242,24 +243,23 @@
 // Cancel does nothing: a fake answer ends when its context does.
 func (f *fleet) Cancel(context.Context, string, string) error { return nil }
 
-func (f *fleet) nextFault() fault {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (f *fleet) faultFirst(x fault) { f.first = x }
+
+// faultOf returns what becomes of an attempt, whatever else happens before.
+func (f *fleet) faultOf(attempt string) fault {
+	if f.first != noFault && strings.HasSuffix(attempt, "-0") {
+		return f.first
+	}
 	if len(f.faults) == 0 {
 		return noFault
 	}
-	x := f.faults[0]
-	f.faults = f.faults[1:]
-	return x
+	return f.faults[xxhash.Sum64String(attempt)%uint64(len(f.faults))]
 }
 
 // crash restarts an engine and breaks what is in flight; its model is back
 // after a while.
 func (f *fleet) crash(e *fakeEngine) {
 	f.crashes++
-	if e.inFlight > 1 {
-		f.sharedCrash++
-	}
 	e.incarnation++
 	close(e.broken)
 	e.broken = make(chan struct{})
@@ -280,7 +280,7 @@
 
 // Run answers one attempt as the endpoint's next fault says.
 func (f *fleet) Run(ctx context.Context, address string, r endpoint.Request) (*endpoint.Answer, error) {
-	x := f.nextFault()
+	x := f.faultOf(r.ID)
 	if x == dialFault {
 		return nil, fail.New(fail.EndpointFailed, "connection refused")
 	}
@@ -329,8 +329,9 @@
 		}
 		a.Close()
 		return &endpoint.Answer{Status: http.StatusServiceUnavailable, Body: io.NopCloser(strings.NewReader(""))}, nil
-	case breakInStream:
-		a.breakAt = (len(body.Prompt) % testTokens) + 1
+	case breakInStream, breakInEvent:
+		a.breakAt = int(xxhash.Sum64String(r.ID)%testTokens) + 1
+		a.half = x == breakInEvent
 	}
 	kind := "application/json"
 	if body.Stream {
@@ -363,8 +364,10 @@
 	stream bool
 	// breakAt is the token before which the answer breaks; zero for none.
 	breakAt int
-	ended   bool
-	closed  bool
+	// half sends a part of that token first.
+	half   bool
+	ended  bool
+	closed bool
 }
 
 func (a *fakeAnswer) Read(p []byte) (int, error) {
@@ -379,6 +382,10 @@
 	case <-time.After(testInterval):
 	}
 	if a.breakAt > 0 && a.from >= a.breakAt {
+		if a.half && a.from < testTokens {
+			text := token(a.prompt, a.from)
+			return copy(p, text[:len(text)/2]), errBroken
+		}
 		return 0, errBroken
 	}
 	if a.from < testTokens {
@@ -405,7 +412,7 @@
 
 // forward calls the owner as another entry would, and may break after half.
 func (f *fleet) forward(ctx context.Context, address string, r *wire.ForwardRequest, out sink) error {
-	breaks := f.nextFault() == peerBreaks
+	breaks := f.faultOf(r.RequestId) == peerBreaks
 	for _, e := range f.entries {
 		if e.session.cfg.ID != address {
 			continue
@@ -444,7 +451,7 @@
 	if err != nil {
 		panic(err)
 	}
-	j.stream = stream
+	j.id, j.stream = prompt, stream
 	return j
 }
 
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -34,7 +34,8 @@
 	calls := make([]plannedCall, rapid.IntRange(1, 12).Draw(t, "calls"))
 	for i := range calls {
 		c := &calls[i]
-		c.at = time.Duration(rapid.IntRange(0, 500).Draw(t, "at")) * time.Millisecond
+		// No two calls begin at the same instant, so that their order is given.
+		c.at = time.Duration(rapid.IntRange(0, 500).Draw(t, "at"))*time.Millisecond + time.Duration(i)*time.Microsecond
 		c.entry = rapid.IntRange(0, entries-1).Draw(t, "entry")
 		c.service = rapid.IntRange(0, 3).Draw(t, "service") == 0
 		c.stream = !c.service && rapid.Bool().Draw(t, "stream")
@@ -114,7 +115,7 @@
 		for replicas := 1; replicas <= 2; replicas++ {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(replicas, 1)
-				f.faults = []fault{x}
+				f.faultFirst(x)
 				got, err := f.entries[0].call(t.Context(), newTestJob("call-1", true, false, true))
 				lone := replicas == 1 && (x == dialFault)
 				if !lone && (err != nil || got != wholeText("call-1", true)) {
@@ -134,20 +135,18 @@
 		resends := rapid.SliceOfN(rapid.IntRange(0, entries-1), 1, 6).Draw(rt, "resends")
 		bad := rapid.IntRange(0, 3).Draw(rt, "bad") > 0
 		starts := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 15).Draw(rt, "innocent")
-		script := []fault{}
-		if !bad {
-			script = []fault{noFault, breakInStream, breakBeforeHead}
-		}
 		inBubble(t, rt, func() string {
 			f := newFleet(5, entries)
-			f.faults = script
+			if !bad {
+				f.faultFirst(breakInStream)
+			}
 			stop := make(chan struct{})
 			f.run(stop)
 			var wg sync.WaitGroup
 			verdicts := make([]string, len(starts)+1)
 			for i, ms := range starts {
 				wg.Go(func() {
-					verdicts[i] = f.check(fmt.Sprint("good-", i), plannedCall{at: time.Duration(ms) * time.Millisecond, entry: i % entries, stream: i%2 == 0, idempotent: true})
+					verdicts[i] = f.check(fmt.Sprint("good-", i), plannedCall{at: time.Duration(ms)*time.Millisecond + time.Duration(i)*time.Microsecond, entry: i % entries, stream: i%2 == 0, idempotent: true})
 					if verdicts[i] == "" && f.refused(fmt.Sprint("good-", i)) {
 						verdicts[i] = fmt.Sprintf("good-%d was not answered\n", i)
 					}
@@ -164,8 +163,13 @@
 			if f.crashes > 2 {
 				verdicts = append(verdicts, fmt.Sprintf("%d engines crashed\n", f.crashes))
 			}
-			if n := len(f.machine.View().Suspects); !bad && n > 0 {
-				verdicts = append(verdicts, fmt.Sprintf("%d suspects without a crash\n", n))
+			for _, s := range f.machine.View().Suspects {
+				if !bad || s.State != wire.SuspectState_SUSPECT_STATE_CONVICTED {
+					verdicts = append(verdicts, fmt.Sprintf("left: %v\n", s))
+				}
+			}
+			if n := len(f.machine.View().Suspects); n > 1 {
+				verdicts = append(verdicts, fmt.Sprintf("%d convicted\n", n))
 			}
 			return strings.Join(verdicts, "")
 		})
