--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
@@ -14,42 +16,63 @@
 // entryService answers entries. Every method works on the leader alone.
 type entryService struct{ s *Server }
 
-// Heartbeat renews the entry's lease and hands it a newer view where there is
-// one. The lease is granted only while the leader lease holds.
+// maxRegistrations bounds how often one heartbeat registers its entry.
+const maxRegistrations = 3
+
+// Heartbeat renews the entry's lease and hands it what its view lacks. The
+// lease is granted only while the leader lease holds.
 func (e *entryService) Heartbeat(ctx context.Context, req *connect.Request[wire.HeartbeatRequest]) (*connect.Response[wire.HeartbeatResponse], error) {
-	s, m := e.s, req.Msg
-	if err := s.register(ctx, m.Entry); err != nil {
-		return nil, s.rpcError(ctx, err)
-	}
-	resp := &wire.HeartbeatResponse{LeaseMs: s.cfg.EntryLease.D().Milliseconds()}
-	err := s.node.Read(ctx, func(l replica.Leadership, machine *state.Machine) {
-		s.leases.enterTerm(l.Term, l.Now)
-		s.leases.heartbeat(m, l.Now)
-		resp.Term = l.Term
-		if m.ViewRevision != machine.ViewRevision() {
-			resp.View = machine.View()
-		}
-		resp.Deferred = deferredFor(machine, m)
-	})
+	resp, err := e.s.heartbeat(ctx, req.Msg)
 	if err != nil {
-		return nil, s.rpcError(ctx, err)
+		return nil, e.s.rpcError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
 
-// register records the entry where what it says of itself is new.
-func (s *Server) register(ctx context.Context, entry *wire.EntryVM) error {
-	entry = proto.Clone(entry).(*wire.EntryVM)
-	entry.Live = true
-	known := false
-	err := s.node.Read(ctx, func(_ replica.Leadership, machine *state.Machine) {
-		known = machine.HasEntry(entry)
-	})
-	if err != nil || known {
-		return err
+func (s *Server) heartbeat(ctx context.Context, r *wire.HeartbeatRequest) (*wire.HeartbeatResponse, error) {
+	if r.Entry.GetId() == "" || r.Entry.GetIncarnation() == "" {
+		return nil, fail.New(fail.BadRequest, "a heartbeat names its entry and incarnation")
+	}
+	if r.Released {
+		return s.release(ctx, r.Entry)
+	}
+	for range maxRegistrations {
+		var resp *wire.HeartbeatResponse
+		var register *wire.SetEntry
+		var term uint64
+		var refusal error
+		err := s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+			term = l.Term
+			s.leases.enterTerm(l.Term, l.Now)
+			if resp, register, refusal = s.leases.renew(m, r, s.cfg.EntryLease.D(), l.Now); resp != nil {
+				resp.Deferred = deferredFor(m, r)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if refusal != nil || resp != nil {
+			return resp, refusal
+		}
+		if _, err := s.node.ProposeInTerm(ctx, term, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: register}}); err != nil {
+			return nil, err
+		}
+	}
+	return nil, fail.New(fail.Unavailable, "the entry's registration changes too fast").WithRetryAfter(time.Second)
+}
+
+// release marks an entry as not live that has ended its lease by itself.
+func (s *Server) release(ctx context.Context, entry *wire.EntryVM) (*wire.HeartbeatResponse, error) {
+	var gone *wire.EntryVM
+	err := s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { gone = m.Entry(entry.Id) })
+	if err != nil || gone.GetIncarnation() != entry.Incarnation {
+		return &wire.HeartbeatResponse{}, err
 	}
-	_, err = s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: entry}}})
-	return err
+	gone.Live = false
+	_, err = s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{
+		Entry: gone, ExpectedRegistration: gone.Registration,
+	}}})
+	return &wire.HeartbeatResponse{}, err
 }
 
 // deferredFor returns the overnight work that the entry is to run and does
@@ -69,9 +92,23 @@
 	return out
 }
 
+// maxRecordedBytes bounds one body or answer in the replicated state.
+const maxRecordedBytes = 256 << 10
+
+// fullRetry is when to come back to a store that is full.
+const fullRetry = time.Minute
+
 // BeginClaim asks whether a non-idempotent request may run.
 func (e *entryService) BeginClaim(ctx context.Context, req *connect.Request[wire.BeginClaim]) (*connect.Response[wire.BeginClaimResponse], error) {
+	req.Msg.MaxClaims = e.s.cfg.MaxClaims
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_BeginClaim{BeginClaim: req.Msg}})
+	switch {
+	case err != nil:
+	case r.Full:
+		err = fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetry)
+	case r.HolderNotLive:
+		err = fail.New(fail.NoLease, "the entry is not registered as live").WithRetryAfter(time.Second)
+	}
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
 	}
@@ -80,6 +117,10 @@
 
 // FinishClaim records the outcome of a claimed request.
 func (e *entryService) FinishClaim(ctx context.Context, req *connect.Request[wire.FinishClaim]) (*connect.Response[wire.FinishClaimResponse], error) {
+	req.Msg.MaxAnswerBytes = e.s.cfg.ClaimAnswerBytes
+	if a := req.Msg.Answer; len(a.GetBody()) > maxRecordedBytes {
+		a.Body, a.Dropped = nil, true
+	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishClaim{FinishClaim: req.Msg}})
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
@@ -89,13 +130,35 @@
 
 // SubmitDeferred accepts overnight work durably.
 func (e *entryService) SubmitDeferred(ctx context.Context, req *connect.Request[wire.SubmitDeferred]) (*connect.Response[wire.SubmitDeferredResponse], error) {
-	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_SubmitDeferred{SubmitDeferred: req.Msg}})
+	s := e.s
+	if len(req.Msg.Request.GetBody()) > maxRecordedBytes {
+		return nil, s.rpcError(ctx, fail.New(fail.BodyTooLarge, fmt.Sprintf("overnight work may have %d bytes at most", maxRecordedBytes)))
+	}
+	req.Msg.LimitBytes, req.Msg.ReserveBytes = s.cfg.DeferredBytes, s.cfg.DeferredReserveBytes
+	r, err := s.propose(ctx, &wire.Command{Body: &wire.Command_SubmitDeferred{SubmitDeferred: req.Msg}})
+	switch {
+	case err != nil:
+	case r.Full:
+		err = fail.New(fail.Overloaded, r.Reason).WithRetryAfter(s.deferredRetry(ctx))
+	case !r.Applied:
+		err = fail.New(fail.KeyReused, r.Reason)
+	}
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, s.rpcError(ctx, err)
 	}
 	return connect.NewResponse(&wire.SubmitDeferredResponse{Request: r.Deferred}), nil
 }
 
+// deferredRetry returns when the oldest overnight request will be dropped.
+func (s *Server) deferredRetry(ctx context.Context) time.Duration {
+	var earliest int64
+	err := s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { earliest = m.EarliestFinishBy() })
+	if err != nil || earliest == 0 {
+		return fullRetry
+	}
+	return max(fullRetry, time.Until(time.UnixMilli(earliest).Add(s.cfg.DeferredRetention.D())))
+}
+
 // FetchDeferred returns an overnight request with its answer, where finished.
 func (e *entryService) FetchDeferred(ctx context.Context, req *connect.Request[wire.FetchDeferredRequest]) (*connect.Response[wire.FetchDeferredResponse], error) {
 	resp := &wire.FetchDeferredResponse{}
@@ -110,6 +173,11 @@
 
 // FinishDeferred records the answer of an overnight request.
 func (e *entryService) FinishDeferred(ctx context.Context, req *connect.Request[wire.FinishDeferred]) (*connect.Response[wire.FinishDeferredResponse], error) {
+	req.Msg.LimitBytes, req.Msg.ReserveBytes = e.s.cfg.DeferredBytes, e.s.cfg.DeferredReserveBytes
+	if len(req.Msg.Answer.GetBody()) > maxRecordedBytes {
+		req.Msg.State, req.Msg.Answer = wire.DeferredState_DEFERRED_STATE_FAILED, nil
+		req.Msg.Failure = fmt.Sprintf("the answer has more than %d bytes", maxRecordedBytes)
+	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishDeferred{FinishDeferred: req.Msg}})
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -38,13 +38,16 @@
 	if err != nil {
 		return nil, o.s.rpcError(ctx, err)
 	}
+	if r.Full {
+		return nil, o.s.rpcError(ctx, fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetry))
+	}
 	return connect.NewResponse(&wire.ApplyResponse{Record: r.Apply}), nil
 }
 
 // authorize lets a team change its own section alone.
 func (s *Server) authorize(team, token string) error {
 	want, ok := s.cfg.TeamTokens[team]
-	if !ok || subtle.ConstantTimeCompare([]byte(want), []byte(token)) != 1 {
+	if !ok || subtle.ConstantTimeCompare([]byte(want.Reveal()), []byte(token)) != 1 {
 		return fail.New(fail.Unauthorized, "the token does not let you change the section of team "+team)
 	}
 	return nil
@@ -133,6 +136,7 @@
 	err = o.s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) {
 		view := m.View()
 		resp.Entries, resp.Endpoints, resp.Residents = view.Entries, view.Endpoints, view.Residents
+		resp.Orders = m.Orders()
 	})
 	if err != nil {
 		return nil, o.s.rpcError(ctx, err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	node    *replica.Node
 	journal *journal.Journal
 	group   atomic.Pointer[string]
+	joining sync.Mutex
 	engines endpoint.Engine
 	list    platform.LiveList
 	leases  leaseTable
@@ -48,14 +50,11 @@
 
 // Start opens the data folder and serves until ctx ends.
 func Start(ctx context.Context, cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
-	identity, err := journal.LoadIdentity(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
-	if err != nil {
-		return nil, err
-	}
-	j, recovered, err := journal.Open(cfg.DataFolder)
+	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
 	if err != nil {
 		return nil, err
 	}
+	identity := recovered.Identity
 	start := time.Now()
 	s := &Server{
 		cfg:     cfg,
@@ -69,7 +68,7 @@
 	s.group.Store(&identity.Group)
 	sender := replica.NewNetworkSender(ctx, transport.NewPeerClient(), func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
-		Identity: identity, Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
 	})
 	if err != nil {
@@ -110,18 +109,20 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
 	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
 
 // propose commits a command with this process's wall clock.
 func (s *Server) propose(ctx context.Context, c *wire.Command) (*wire.CommandResult, error) {
+	ctx, span := telemetry.StartChild(ctx, "commit")
+	defer span.End()
 	c.ProposedUnixMs = time.Now().UnixMilli()
 	return s.node.Propose(ctx, c)
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -74,7 +74,7 @@
 	mux.HandleFunc("GET /v1/overnight/{id}", s.serveOvernight)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	mux.HandleFunc("/", s.serveService)
 	return s.counted(mux)
 }
@@ -92,7 +92,10 @@
 			w.Header().Set("Connection", "close")
 			w.Header().Set(HeaderUseEntries, strings.Join(s.otherEntries(), ","))
 		}
-		next.ServeHTTP(w, r)
+		o := newObserver(w)
+		defer o.finish()
+		next.ServeHTTP(o, r)
+		o.returned = true
 	})
 }
 
@@ -233,7 +236,7 @@
 		return
 	}
 	if deferred != nil {
-		s.acceptDeferred(ctx, w, deferred)
+		s.acceptDeferred(ctx, w, deferred, r.Header.Get(HeaderIdempotencyKey))
 		return
 	}
 	s.answer(ctx, w, j, fields.Stream)
@@ -270,6 +273,7 @@
 	if !ok {
 		return nil, nil, nil, fail.New(fail.BadRequest, "team "+m.team+" declares no class "+strconv.Quote(r.Header.Get(HeaderClass)))
 	}
+	noteClass(w, class.Name)
 	if by, overnight := class.FinishTime(time.Now()); overnight {
 		return nil, nil, &wire.DeferredRequest{Id: uuid.NewString(), Path: r.URL.Path, Model: fields.Model, Body: body, FinishByUnixMs: by.UnixMilli()}, nil
 	}
@@ -314,9 +318,11 @@
 	out := maps.Clone(object)
 	out["model"], _ = json.Marshal(endpoint.ServedName(j.template.Model, t.version, j.template.Adapter))
 	out["priority"], _ = json.Marshal(j.template.Priority)
-	delete(out, "resume_from")
 	if resumeFrom > 0 {
-		out["resume_from"], _ = json.Marshal(resumeFrom)
+		// The caller may itself have left out the first tokens.
+		var asked int
+		_ = json.Unmarshal(object["resume_from"], &asked)
+		out["resume_from"], _ = json.Marshal(max(0, asked) + resumeFrom)
 	}
 	data, _ := json.Marshal(out)
 	return data
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -25,12 +24,11 @@
 	"parsleyramp/internal/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+// fewerChecks lowers how many cases rapid draws in tests whose cases are large.
+func fewerChecks(t *testing.T, checks string) {
+	before := flag.Lookup("rapid.checks").Value.String()
+	_ = flag.Set("rapid.checks", checks)
+	t.Cleanup(func() { _ = flag.Set("rapid.checks", before) })
 }
 
 const (
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -78,7 +78,7 @@
 }
 
 func (s *Server) listen() error {
-	callers, err := transport.Listen(s.cfg.CallerAddress)
+	callers, err := transport.ListenCallers(s.cfg.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -128,6 +128,7 @@
 	}
 	s.stop()
 	s.done.Wait()
+	s.session.release(context.WithoutCancel(ctx))
 	s.log.Info("stopped")
 	return err
 }
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -53,6 +53,7 @@
 // "not run" is said only of calls that reached no endpoint; and a call that
 // must not be repeated reaches one at most once.
 func TestOwnAnswerThroughFaults(t *testing.T) {
+	fewerChecks(t, "300")
 	rapid.Check(t, func(rt *rapid.T) {
 		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
 		calls := drawCalls(rt, entries)
@@ -130,6 +131,7 @@
 // through all entries, while others go on: two engines crash in all, every
 // other request is answered, and a break that is no crash makes no suspect.
 func TestBadRequestCostsTwoEndpoints(t *testing.T) {
+	fewerChecks(t, "300")
 	rapid.Check(t, func(rt *rapid.T) {
 		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
 		resends := rapid.SliceOfN(rapid.IntRange(0, entries-1), 1, 6).Draw(rt, "resends")
@@ -200,6 +202,7 @@
 // process freeze just before it sends, under load through every entry: after
 // the bound nothing new reaches the endpoint, and what runs there finishes.
 func TestLeavingEndpoint(t *testing.T) {
+	fewerChecks(t, "300")
 	rapid.Check(t, func(rt *rapid.T) {
 		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
 		frozen := rapid.IntRange(-1, entries-1).Draw(rt, "frozen")
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,10 +43,15 @@
 	return c.writes
 }
 
-func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// watchedDial returns a dial function whose connections are Conns.
+func watchedDial(d dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c}, nil
 	}
-	return &Conn{Conn: c}, nil
 }
