--- a/internal/entry/overnight.go
+++ b/internal/entry/overnight.go
@@ -113,6 +113,9 @@
 
 // takeDeferred starts overnight work that control has assigned to this entry.
 func (s *Server) takeDeferred(work []*wire.DeferredRequest) {
+	if s.draining.Load() {
+		return
+	}
 	for _, d := range work {
 		key := d.Key()
 		if _, known := s.deferred.LoadOrStore(key, true); !known {
@@ -141,6 +144,10 @@
 		if ctx.Err() != nil || hopeless(err) {
 			break
 		}
+		if s.draining.Load() {
+			// Another entry takes the work over once this one is gone.
+			return
+		}
 		sleep(ctx, overnightRetryDelay)
 	}
 	err := s.control.Do(s.background, func(ctx context.Context, c controlclient.Conn) error {
@@ -183,5 +190,6 @@
 		return nil, err
 	}
 	j.template.Priority = overnightPriority
+	j.finishBy = time.UnixMilli(d.FinishByUnixMs)
 	return s.collect(ctx, j)
 }
