--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -44,7 +44,9 @@
 }
 
 func newOrderSender(s *Server) *orderSender {
-	return &orderSender{s: s, gate: orders.NewGate(), peers: transport.NewPeerClient(), answered: make(chan struct{}, 1), tracker: orders.NewTracker(orders.DefaultConfig())}
+	cfg := orders.DefaultConfig()
+	cfg.CopyLifetime = s.cfg.OrderCopyLifetime.D()
+	return &orderSender{s: s, gate: orders.NewGate(), peers: transport.NewPeerClient(), answered: make(chan struct{}, 1), tracker: orders.NewTracker(cfg)}
 }
 
 // enterTerm ends the sendings of every other term. A term of zero ends all.
--- a/internal/orders/sim_test.go
+++ b/internal/orders/sim_test.go
@@ -375,14 +375,15 @@
 func (s *sim) actions() map[string]func(*rapid.T) {
 	engine := func() *fakeEngine { return rapid.SampledFrom(s.engines).Draw(s.t, "engine") }
 	tickAction := func(*rapid.T) { s.tick() }
+	wait := func(*rapid.T) {
+		for range 8 {
+			s.tick()
+		}
+	}
 	deliver := func(*rapid.T) { s.deliver(false) }
 	return map[string]func(*rapid.T){
 		"tick": tickAction, "tick2": tickAction, "tick3": tickAction,
-		"wait": func(*rapid.T) {
-			for range 6 {
-				s.tick()
-			}
-		},
+		"wait": wait, "wait2": wait,
 		"deliver": deliver, "deliver2": deliver, "deliver3": deliver,
 		"repeat": func(*rapid.T) { s.deliver(true) },
 		"close": func(*rapid.T) {
