orders, state: prove each piece of evidence and each rule of admission

The random test does not reach a load out of sight of the read-back, nor two orders to one engine, since planner and tracker keep to one as well.

--- /dev/null
+++ b/internal/orders/tracker_test.go
@@ -0,0 +1,92 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	load   = wire.OrderKind_ORDER_KIND_LOAD
+	unload = wire.OrderKind_ORDER_KIND_UNLOAD
+	open   = wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED
+	done   = wire.OrderOutcome_ORDER_OUTCOME_DONE
+	given  = wire.OrderOutcome_ORDER_OUTCOME_UNKNOWN
+)
+
+// TestEvidence gives one order its evidence and looks at what it proves.
+func TestEvidence(t *testing.T) {
+	listed := []endpoint.ResidentState{{Model: "t/m", Version: "1", MemoryBytes: 10}}
+	refusal := &endpoint.OrderResult{Reason: "busy"}
+	tests := []struct {
+		name    string
+		kind    wire.OrderKind
+		checks  bool
+		state   *endpoint.EngineState
+		answers []*endpoint.OrderResult
+		// early reads began before the order was seen.
+		early   bool
+		after   time.Duration
+		outcome wire.OrderOutcome
+	}{
+		{name: "load listed", kind: load, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: done},
+		{name: "load listed by an early read", kind: load, early: true, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: open},
+		{name: "load answered and not listed", kind: load, answers: []*endpoint.OrderResult{{Done: true}}, state: &endpoint.EngineState{UsedBytes: 10}, outcome: open},
+		{name: "load refused once", kind: load, answers: []*endpoint.OrderResult{refusal}, state: &endpoint.EngineState{}, outcome: open},
+		{name: "load refused often", kind: load, answers: []*endpoint.OrderResult{refusal, refusal}, state: &endpoint.EngineState{}, outcome: given},
+		{name: "load never answered", kind: load, after: simConfig.GiveUp, outcome: given},
+		{name: "unload listed", kind: unload, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: open},
+		{name: "unload not listed", kind: unload, state: &endpoint.EngineState{}, outcome: done},
+		{name: "unload not listed, a load out of sight", kind: unload, state: &endpoint.EngineState{UsedBytes: 10}, outcome: open},
+		{name: "unload done", kind: unload, answers: []*endpoint.OrderResult{{Done: true}}, state: &endpoint.EngineState{UsedBytes: 10}, outcome: done},
+		{name: "unload not listed, number not seen", kind: unload, checks: true, state: &endpoint.EngineState{FenceTerm: 1, FenceSequence: 6}, outcome: open},
+		{name: "unload not listed, number seen", kind: unload, checks: true, state: &endpoint.EngineState{FenceTerm: 1, FenceSequence: 7}, outcome: done},
+		{name: "engine restarted", kind: unload, state: &endpoint.EngineState{Incarnation: "b"}, outcome: open},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := &wire.Order{Endpoint: "e", Kind: test.kind, Model: "t/m", Version: "1", FenceTerm: 1, FenceSequence: 7, Incarnation: "a"}
+			p := Picture{
+				Term: 1, Orders: []*wire.Order{o}, SendTerms: []*wire.SendTerm{{Term: 1, Replica: 1}}, Members: []uint64{1},
+				Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a", ChecksFencing: test.checks}},
+			}
+			tracker := NewTracker(simConfig)
+			if sent := tracker.Step(tick, p).Send; len(sent) != 1 {
+				t.Fatalf("%d orders sent", len(sent))
+			}
+			for _, a := range test.answers {
+				tracker.Answered(tick, 1, o, a)
+			}
+			if test.state != nil {
+				if test.state.Incarnation == "" {
+					test.state.Incarnation = "a"
+				}
+				began := 2 * tick
+				if test.early {
+					began = 0
+				}
+				tracker.StateRead(1, "e", began, test.state)
+			}
+			got := open
+			for _, r := range tracker.Step(3*tick+test.after, p).Resolve {
+				got = r.Command.Outcome
+			}
+			if got != test.outcome {
+				t.Errorf("got %v, want %v", got, test.outcome)
+			}
+		})
+	}
+}
+
+// TestGate lets no sending of an earlier term start once a later leader asked.
+func TestGate(t *testing.T) {
+	g := NewGate()
+	if !g.Begin(1) || g.Quiet(2) != 1 || g.Begin(1) || !g.Begin(2) {
+		t.Error("a term that has ended may send, or a sending is not counted")
+	}
+	if g.End(1); g.Quiet(2) != 0 {
+		t.Error("an ended sending counts")
+	}
+}
