control: propose what follows from a picture in its term alone

Cause: a leader that lost and regained the lead could still commit a drain or a proof from the picture of its earlier term. Orders were refused by the ledger's term check already; drains, resets and proofs now are as well.

--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -43,7 +43,7 @@
 	if reachable := st != nil; reachable != e.Reachable {
 		changed := proto.Clone(e).(*wire.Endpoint)
 		changed.Reachable = reachable
-		s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: changed}}}, "engine reachability")
+		s.tryInTerm(ctx, term, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: changed}}}, "engine reachability")
 	}
 	if st == nil || st.Incarnation == e.Incarnation {
 		return
@@ -54,7 +54,7 @@
 		return
 	}
 	s.log.WithFields(logrus.Fields{"engine": e.Id, "incarnation": st.Incarnation, "residents": len(reset.Residents)}).Info("engine met")
-	s.try(ctx, &wire.Command{Body: &wire.Command_ResetEngine{ResetEngine: reset}}, "engine restarted")
+	s.tryInTerm(ctx, term, &wire.Command{Body: &wire.Command_ResetEngine{ResetEngine: reset}}, "engine restarted")
 }
 
 // resetOf returns the command that records the engine's incarnation with what
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -125,6 +125,23 @@
 	return r.Applied
 }
 
+// tryInTerm is try for what follows from the picture of one term. It takes no
+// effect where this replica lost the lead meanwhile, also if it leads again.
+func (s *Server) tryInTerm(ctx context.Context, term uint64, c *wire.Command, duty string) bool {
+	c.ProposedUnixMs = time.Now().UnixMilli()
+	r, err := s.node.ProposeInTerm(ctx, term, c)
+	log := s.log.WithField("duty", duty)
+	switch {
+	case err != nil:
+		log.WithError(err).Warn("change not committed")
+	case !r.Applied:
+		log.WithField("reason", r.Reason).Debug("change refused")
+	default:
+		return true
+	}
+	return false
+}
+
 // markDead records entries as lost. The mark is valid only in the term that
 // condemned them.
 func (s *Server) markDead(ctx context.Context, p *picture) {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -86,7 +86,7 @@
 		go o.send(termCtx, p.term, addresses[order.Endpoint], order)
 	}
 	for _, r := range effects.Resolve {
-		if o.s.try(ctx, &wire.Command{Body: &wire.Command_ResolveOrder{ResolveOrder: r.Command}}, "resolve order") {
+		if o.s.tryInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_ResolveOrder{ResolveOrder: r.Command}}, "resolve order") {
 			logOrder(o.s.log, r.Order).WithFields(logrus.Fields{"outcome": r.Command.Outcome.String(), "evidence": r.Evidence}).Info("order resolved")
 			if r.Command.Outcome == wire.OrderOutcome_ORDER_OUTCOME_UNKNOWN {
 				o.s.health.Failed(r.Order.Endpoint, o.s.clock())
@@ -94,10 +94,10 @@
 		}
 	}
 	for _, c := range effects.Clear {
-		o.s.try(ctx, &wire.Command{Body: &wire.Command_ClearCopies{ClearCopies: c}}, "clear copies of orders")
+		o.s.tryInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_ClearCopies{ClearCopies: c}}, "clear copies of orders")
 	}
 	for _, l := range effects.Lose {
-		if o.s.try(ctx, &wire.Command{Body: &wire.Command_SetResident{SetResident: l}}, "resident lost") {
+		if o.s.tryInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_SetResident{SetResident: l}}, "resident lost") {
 			o.s.log.WithFields(logrus.Fields{"engine": l.Endpoint, "model": l.Model, "version": l.Version, "adapter": l.Adapter}).Warn("engine no longer holds a resident")
 		}
 	}
@@ -210,7 +210,7 @@
 	if n := len(p.sendTerms); n > 0 && p.sendTerms[n-1].Term == p.term {
 		return true
 	}
-	s.try(ctx, &wire.Command{Body: &wire.Command_StartTerm{StartTerm: &wire.StartTerm{
+	s.tryInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_StartTerm{StartTerm: &wire.StartTerm{
 		Term: &wire.SendTerm{Term: p.term, Replica: s.node.Identity().ID},
 	}}}, "start term")
 	return false
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -77,7 +77,7 @@
 	s.placing.unmet = result.Unmet
 	s.placing.mu.Unlock()
 	for _, step := range result.Steps {
-		if !s.try(ctx, step.Command(p.term, incarnations[step.Endpoint]), "placement") {
+		if !s.tryInTerm(ctx, p.term, step.Command(p.term, incarnations[step.Endpoint]), "placement") {
 			continue
 		}
 		if step.Action == placement.Load && step.Adapter == "" {
