orders: prove when copies are declared dead and when a resident is lost

TestCopiesAreDeclaredDead fails without the lifetime, the unbroken row of reads or the former leaders' word; TestLostResident fails without the notice or with early reads.

--- a/internal/orders/tracker_test.go
+++ b/internal/orders/tracker_test.go
@@ -90,3 +90,73 @@
 		t.Error("an ended sending counts")
 	}
 }
+
+// TestCopiesAreDeclaredDead needs former leaders to be quiet and a row of
+// answered reads, a copy's lifetime long, after that.
+func TestCopiesAreDeclaredDead(t *testing.T) {
+	tests := []struct {
+		name string
+		// quietAt is when the former leader answers; missed is a read that failed.
+		quietAt, missed int
+		member          bool
+		clearAt         int
+	}{
+		{name: "quiet at once", quietAt: 1, member: true, clearAt: 17},
+		{name: "quiet late", quietAt: 9, member: true, clearAt: 24},
+		{name: "never quiet", member: true, clearAt: 0},
+		{name: "removed", clearAt: 17},
+		{name: "a read fails", quietAt: 1, missed: 10, member: true, clearAt: 26},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := &wire.Order{Endpoint: "e", Kind: load, FenceTerm: 1, FenceSequence: 7, Incarnation: "a"}
+			p := Picture{
+				Term: 2, Copies: []*wire.Order{o}, SendTerms: []*wire.SendTerm{{Term: 1, Replica: 1}, {Term: 2, Replica: 2}}, Members: []uint64{2},
+				Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a"}},
+			}
+			if test.member {
+				p.Members = append(p.Members, 1)
+			}
+			tracker := NewTracker(simConfig)
+			clearAt := 0
+			for i := 1; i <= 40 && clearAt == 0; i++ {
+				now := time.Duration(i) * tick
+				s := &endpoint.EngineState{Incarnation: "a"}
+				if i == test.missed {
+					s = nil
+				}
+				tracker.StateRead(2, "e", now, s)
+				out := tracker.Step(now, p)
+				if len(out.Clear) > 0 {
+					clearAt = i
+				}
+				if i == test.quietAt {
+					tracker.Quiet(now, 2, 1)
+				}
+			}
+			if clearAt != test.clearAt {
+				t.Errorf("declared dead at tick %d, want %d", clearAt, test.clearAt)
+			}
+		})
+	}
+}
+
+// TestLostResident is taken out of service once a read that began after it
+// became ready does not list it.
+func TestLostResident(t *testing.T) {
+	p := Picture{
+		Term:      1,
+		Residents: []*wire.Resident{{Endpoint: "e", Model: "t/m", Version: "1", State: wire.ResidentState_RESIDENT_STATE_READY, StateRevision: 9}},
+		Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a"}},
+	}
+	tracker := NewTracker(simConfig)
+	tracker.Step(tick, p)
+	tracker.StateRead(1, "e", tick, &endpoint.EngineState{Incarnation: "a"})
+	if lost := tracker.Step(2*tick, p).Lose; len(lost) > 0 {
+		t.Error("an early read counts")
+	}
+	tracker.StateRead(1, "e", 2*tick, &endpoint.EngineState{Incarnation: "a"})
+	if lost := tracker.Step(3*tick, p).Lose; len(lost) != 1 || lost[0].ExpectedStateRevision != 9 {
+		t.Errorf("lost are %v", lost)
+	}
+}
