Send a leader's entries while its own disk writes them

Cause: a commit took two syncs in a row, the leader's and then a follower's. Appends of a leader whose term is stored leave before its own sync; its copy counts only once synced. The driver now crashes a leader between the two.

--- a/internal/consensus/effects.go
+++ b/internal/consensus/effects.go
@@ -5,6 +5,9 @@
 // Effects is what the caller has to do after events were passed in, in the
 // order of the fields.
 type Effects struct {
+	// Early messages may be sent before anything is synced: a leader's entries
+	// travel while its own disk writes them (Ongaro 2014, 10.2.1).
+	Early []*wire.RaftMessage
 	// HardState is to be synced; nil where it did not change.
 	HardState *wire.HardState
 	// Snapshot is to be synced and then restored into the state machine; it
@@ -21,7 +24,7 @@
 
 // Empty reports whether there is nothing to do.
 func (e *Effects) Empty() bool {
-	return e.HardState == nil && e.Snapshot == nil && len(e.Entries) == 0 && len(e.Messages) == 0 && len(e.Committed) == 0
+	return e.HardState == nil && e.Snapshot == nil && len(e.Entries) == 0 && len(e.Early) == 0 && len(e.Messages) == 0 && len(e.Committed) == 0
 }
 
 // Effects returns what is to be done now. The caller does it and then calls
@@ -38,11 +41,27 @@
 		e.Entries = tail[:len(tail):len(tail)]
 	}
 	e.Messages = c.messages
+	if c.role == Leader && e.HardState == nil && e.Snapshot == nil {
+		// The term is stored, and the own copy is counted only once synced.
+		e.Early, e.Messages = splitAppends(c.messages)
+	}
 	c.messages = nil
 	e.Committed = c.takeCommitted()
 	return e
 }
 
+func splitAppends(messages []*wire.RaftMessage) (appends, others []*wire.RaftMessage) {
+	for _, m := range messages {
+		switch m.Type {
+		case wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
+			appends = append(appends, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	return appends, others
+}
+
 // takeCommitted returns the entries between the applied and the commit index
 // that are synced here; later ones follow with the next effects.
 func (c *Core) takeCommitted() []*wire.LogEntry {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -124,6 +124,9 @@
 		if e.Empty() {
 			break
 		}
+		for _, m := range e.Early {
+			s.send(m)
+		}
 		if s.crashes(r) {
 			return
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -161,6 +161,7 @@
 		if e.Empty() {
 			return nil
 		}
+		n.opt.Sender.Send(e.Early, n.core.Membership())
 		if err := n.save(e); err != nil {
 			return err
 		}
