Let a blank replica answer its leader

Cause: with the real programs a replacement never ended: a blank replica knows no membership, so it had no address for its answers and dropped them. The in-memory network of the tests needs no addresses and hid it. Messages now carry the sender's address, which is used for replicas that the membership does not name.

Test: TestBlankReplicaReplacesALostOne joins a blank replica over real connections; without the address it did not end in 20 s, with it the package passes in 5 s. parsleyctl replace now prints what it waits for at its timeout in place of the last broken connection.

--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -35,6 +35,7 @@
 	if req.Msg.Group == "" || req.Msg.Group != *r.s.group.Load() {
 		return nil, rpcerror.ToConnect(errOtherGroup, "")
 	}
+	r.s.sender.Learn(req.Msg.Messages, req.Msg.Address)
 	r.s.node.Deliver(req.Msg.Messages)
 	return connect.NewResponse(&wire.DeliverResponse{}), nil
 }
--- a/internal/control/replicas_test.go
+++ b/internal/control/replicas_test.go
@@ -9,9 +9,11 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
+	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
 	"parsleyramp/internal/wire/wireconnect"
 )
@@ -19,14 +21,16 @@
 const blankSeed = 9
 
 // blankServer is a control process with an empty data folder.
-func blankServer(t *testing.T) *Server {
+func blankServer(t *testing.T) *Server { return startServer(t, "127.0.0.1:0", blankSeed) }
+
+func startServer(t *testing.T, address string, seed uint64) *Server {
 	t.Helper()
 	cfg := DefaultSettings()
-	cfg.Address, cfg.LiveList, cfg.DataFolder = "127.0.0.1:0", "127.0.0.1:1", t.TempDir()
+	cfg.Address, cfg.LiveList, cfg.DataFolder = address, "127.0.0.1:1", t.TempDir()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
-	s, err := Start(ctx, cfg, blankSeed, logrus.NewEntry(log))
+	s, err := Start(ctx, cfg, seed, logrus.NewEntry(log))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,3 +104,56 @@
 	other := &wire.Membership{Replicas: append(m.Replicas, &wire.Replica{Id: 4})}
 	refused(call(replica.GroupName(other), other))
 }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := transport.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A blank replica that knows no membership answers its leader, learns the log
+// and takes the place of a lost one, over real connections.
+func TestBlankReplicaReplacesALostOne(t *testing.T) {
+	m := &wire.Membership{}
+	var servers []*Server
+	var addresses []string
+	for i := range uint64(4) {
+		a := freeAddress(t)
+		s := startServer(t, a, i+1)
+		servers, addresses = append(servers, s), append(addresses, a)
+		if i < 2 {
+			m.Replicas = append(m.Replicas, &wire.Replica{Id: s.node.Identity().ID, Address: a})
+		}
+	}
+	// The third voter of the group is lost before it ever ran.
+	const lost = 77
+	m.Replicas = append(m.Replicas, &wire.Replica{Id: lost, Address: addresses[3]})
+	for _, s := range servers[:2] {
+		if err := s.bootstrap(t.Context(), &wire.BootstrapRequest{Group: replica.GroupName(m), Membership: m}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	added := &wire.Replica{Id: servers[3].node.Identity().ID, Address: addresses[3]}
+	c := controlclient.New(transport.NewPeerClient(), addresses[:2])
+	const attempts = 60
+	var got *wire.Membership
+	for i := 0; got == nil; i++ {
+		err := c.Do(t.Context(), func(ctx context.Context, conn controlclient.Conn) error {
+			r, err := conn.Operator.ReplaceReplica(ctx, connect.NewRequest(&wire.ReplaceReplicaRequest{RemoveId: lost, Add: added}))
+			if err == nil {
+				got = r.Msg.Membership
+			}
+			return err
+		})
+		if err != nil && (fail.From(err).RetryAfter == 0 || i == attempts) {
+			t.Fatal(err)
+		}
+	}
+	if find(got, lost) != nil || find(got, added.Id) == nil || find(got, added.Id).Learner {
+		t.Fatalf("replicas %v", got)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -36,6 +36,7 @@
 	cfg     Settings
 	log     *logrus.Entry
 	node    *replica.Node
+	sender  *replica.NetworkSender
 	journal *journal.Journal
 	group   atomic.Pointer[string]
 	joining sync.Mutex
@@ -66,9 +67,9 @@
 		stopped: make(chan error, 1),
 	}
 	s.group.Store(&identity.Group)
-	sender := replica.NewNetworkSender(ctx, transport.NewPeerClient(), func() string { return *s.group.Load() })
+	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
 	})
 	if err != nil {
--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -188,6 +188,7 @@
 		return err
 	}
 	var m *wire.Membership
+	var underWay error
 	for {
 		err = t.client().Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
 			r, err := c.Operator.ReplaceReplica(ctx, connect.NewRequest(req))
@@ -199,14 +200,19 @@
 		if err == nil {
 			break
 		}
-		wait := fail.From(err).RetryAfter
-		if wait == 0 || ctx.Err() != nil {
+		if wait := fail.From(err).RetryAfter; wait > 0 {
+			underWay = err
+		}
+		if underWay != nil && ctx.Err() != nil {
+			return underWay
+		}
+		if underWay != err {
 			return err
 		}
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(wait):
+		case <-time.After(fail.From(err).RetryAfter):
 		}
 	}
 	t.printReplaced(m)
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -101,7 +101,7 @@
 			b.Fatal(err)
 		}
 		g.journals = append(g.journals, j)
-		sender := NewNetworkSender(ctx, countingClient(&g.sent[r.Id]), func() string { return "bench" })
+		sender := NewNetworkSender(ctx, countingClient(&g.sent[r.Id]), r.Address, func() string { return "bench" })
 		if err := g.runWith(r.Id, recovered, j, sender, 4096).node.Bootstrap(ctx, m); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -28,6 +28,9 @@
 	group  func() string
 	mu     sync.Mutex
 	peers  map[string]*peerQueue
+	// address is the own one; learned holds those that other replicas told.
+	address string
+	learned map[uint64]string
 }
 
 // peerQueue holds the messages that wait for one peer.
@@ -51,15 +54,25 @@
 }
 
 // NewNetworkSender returns a sender that works until ctx ends. group names
-// the group that receivers are to check.
-func NewNetworkSender(ctx context.Context, client *http.Client, group func() string) *NetworkSender {
-	return &NetworkSender{ctx: ctx, client: client, group: group, peers: map[string]*peerQueue{}}
+// the group that receivers are to check, and address where they answer.
+func NewNetworkSender(ctx context.Context, client *http.Client, address string, group func() string) *NetworkSender {
+	return &NetworkSender{ctx: ctx, client: client, address: address, group: group, peers: map[string]*peerQueue{}, learned: map[uint64]string{}}
+}
+
+// Learn notes the address of replicas that sent messages. It is used for those
+// that the membership does not name.
+func (s *NetworkSender) Learn(messages []*wire.RaftMessage, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range messages {
+		s.learned[m.From] = address
+	}
 }
 
 // Send queues the messages. A full queue drops the message.
 func (s *NetworkSender) Send(messages []*wire.RaftMessage, membership *wire.Membership) {
 	for _, m := range messages {
-		address := addressOf(membership, m.To)
+		address := s.addressOf(membership, m.To)
 		if address == "" {
 			continue
 		}
@@ -67,13 +80,15 @@
 	}
 }
 
-func addressOf(m *wire.Membership, id uint64) string {
+func (s *NetworkSender) addressOf(m *wire.Membership, id uint64) string {
 	for _, r := range m.GetReplicas() {
 		if r.Id == id {
 			return r.Address
 		}
 	}
-	return ""
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learned[id]
 }
 
 func (s *NetworkSender) queue(address string) *peerQueue {
@@ -105,7 +120,7 @@
 		q.bytes.Add(-int64(messageBytes(batch...)))
 		ctx, cancel := context.WithTimeout(s.ctx, deliverTimeout)
 		// A lost batch is sent again by consensus.
-		_, _ = client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Group: s.group(), Messages: batch}))
+		_, _ = client.Deliver(ctx, connect.NewRequest(&wire.DeliverRequest{Group: s.group(), Messages: batch, Address: s.address}))
 		cancel()
 	}
 }
