--- a/scripts/slopes/measure.go
+++ b/scripts/slopes/measure.go
@@ -38,6 +38,8 @@
 	// cpuPercent is the share of one processor core.
 	cpuPercent float64
 	rssMB      float64
+	// anonymousMB is the part of the memory that is not the program's text.
+	anonymousMB float64
 	// sent and received are KB a second to and from the system's own
 	// processes; endpoints is both ways to endpoints and the platform.
 	sent, received, endpoints float64
@@ -239,7 +241,7 @@
 	}
 	const sent, received = "parsleyramp_sent_bytes_total", "parsleyramp_received_bytes_total"
 	return spent{
-		seconds: seconds, cpuPercent: 100 * (b.CPU - a.CPU).Seconds() / seconds, rssMB: b.RSSBytes / megabyte,
+		seconds: seconds, cpuPercent: 100 * (b.CPU - a.CPU).Seconds() / seconds, rssMB: b.RSSBytes / megabyte, anonymousMB: b.AnonymousBytes / megabyte,
 		sent: rate(sent, `"system"`), received: rate(received, `"system"`),
 		endpoints: rate(sent, `"endpoint"`) + rate(received, `"endpoint"`),
 	}
@@ -252,6 +254,7 @@
 		out.seconds += s.seconds / n
 		out.cpuPercent += s.cpuPercent / n
 		out.rssMB += s.rssMB / n
+		out.anonymousMB += s.anonymousMB / n
 		out.sent += s.sent / n
 		out.received += s.received / n
 		out.endpoints += s.endpoints / n
--- a/scripts/slopes/table.go
+++ b/scripts/slopes/table.go
@@ -17,6 +17,7 @@
 var columns = []column{
 	{"CPU % of a core", func(s spent) float64 { return s.cpuPercent }, "%.2f"},
 	{"RSS MB", func(s spent) float64 { return s.rssMB }, "%.1f"},
+	{"anonymous MB", func(s spent) float64 { return s.anonymousMB }, "%.1f"},
 	{"sent KB/s", func(s spent) float64 { return s.sent }, "%.2f"},
 	{"received KB/s", func(s spent) float64 { return s.received }, "%.2f"},
 	{"endpoints KB/s", func(s spent) float64 { return s.endpoints }, "%.2f"},
