--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -5,12 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
-	"parsleyramp/internal/closing"
-	"parsleyramp/internal/membership"
-	"parsleyramp/internal/placement"
-	"parsleyramp/internal/platform"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
@@ -19,12 +14,19 @@
 // stepTimeout bounds one duty of the leader.
 const stepTimeout = 2 * time.Second
 
+// answerDelay gathers answers of engines that come close together.
+const answerDelay = 10 * time.Millisecond
+
 // picture is a consistent copy of what the leader's duties depend on.
 type picture struct {
-	term     uint64
-	view     *wire.View
-	orders   []*wire.Order
-	deferred []*wire.DeferredRequest
+	term   uint64
+	view   *wire.View
+	orders []*wire.Order
+	// copies are resolved orders that may still arrive.
+	copies    []*wire.Order
+	sendTerms []*wire.SendTerm
+	members   []*wire.Replica
+	deferred  []*wire.DeferredRequest
 	// dead lists the entries whose lease is over for certain, as they are to
 	// be recorded.
 	dead []*wire.SetEntry
@@ -49,11 +51,16 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-s.orders.answered:
+			// One more look a little later sees what else was answered.
+			time.Sleep(answerDelay)
 		}
 		p, err := s.picture(ctx)
 		if err != nil {
+			s.orders.enterTerm(ctx, 0)
 			continue
 		}
+		s.orders.enterTerm(ctx, p.term)
 		s.step(ctx, p)
 		if time.Since(lastExpiry) > expiryInterval || p.overdue(time.Now()) {
 			lastExpiry = time.Now()
@@ -69,16 +76,24 @@
 	s.followLiveList(ctx, p)
 	s.meetEngines(ctx, p)
 	s.assignOwners(ctx, p)
-	s.orders.resume(p)
-	s.plan(ctx, p)
+	if s.startTerm(ctx, p) {
+		s.orders.follow(ctx, p)
+		s.plan(ctx, p)
+	}
 	s.assignDeferred(ctx, p)
 }
 
 func (s *Server) picture(ctx context.Context) (*picture, error) {
 	p := &picture{idle: map[string]bool{}}
-	err := s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+	status, err := s.node.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.members = status.Membership.GetReplicas()
+	err = s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
 		s.leases.enterTerm(l.Term, l.Now)
 		p.term, p.view, p.orders, p.deferred = l.Term, m.View(), m.Orders(), m.DeferredWork()
+		p.copies, p.sendTerms = m.Copies(), m.SendTerms()
 		lease := s.cfg.EntryLease.D()
 		p.dead = s.leases.condemn(p.view.Entries, lease, l.Now)
 		s.leases.prune(l.Now)
@@ -125,123 +140,6 @@
 	}
 }
 
-func endpointOf(vm platform.VM) *wire.Endpoint {
-	kind := wire.EndpointKind_ENDPOINT_KIND_ENGINE
-	if vm.Kind == platform.KindService {
-		kind = wire.EndpointKind_ENDPOINT_KIND_SERVICE
-	}
-	return &wire.Endpoint{
-		Id: vm.ID, Kind: kind, Address: vm.Address, Domain: vm.Domain, Service: vm.Service,
-		Accelerators: vm.Accelerators, Leaving: vm.State == platform.Leaving, Reachable: true,
-	}
-}
-
-// followLiveList records what the platform says. A VM that the list no longer
-// names is leaving; it is forgotten only once it holds nothing.
-func (s *Server) followLiveList(ctx context.Context, p *picture) {
-	vms, err := s.list.VMs(ctx)
-	if err != nil {
-		s.log.WithError(err).Warn("live list not read")
-		return
-	}
-	fencing := checksFencing(p.view.Sections)
-	listed := map[string]bool{}
-	for _, vm := range vms {
-		listed[vm.ID] = true
-		e := endpointOf(vm)
-		e.ChecksFencing = fencing[vm.ID]
-		if !s.knows(p, e) {
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: e}}}, "follow live list")
-		}
-	}
-	for _, e := range p.view.Endpoints {
-		if !listed[e.Id] && !e.Leaving {
-			gone := proto.Clone(e).(*wire.Endpoint)
-			gone.Leaving = true
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: gone}}}, "follow live list")
-		}
-	}
-}
-
-// knows reports whether the view holds what the platform says of an endpoint.
-func (s *Server) knows(p *picture, e *wire.Endpoint) bool {
-	for _, old := range p.view.Endpoints {
-		if old.Id != e.Id {
-			continue
-		}
-		e.Owner, e.OwnerEpoch = old.Owner, old.OwnerEpoch
-		e.Incarnation, e.MemoryBytes, e.Slots = old.Incarnation, old.MemoryBytes, old.Slots
-		e.Reachable = old.Reachable
-		return proto.Equal(old, e)
-	}
-	return false
-}
-
-// checksFencing returns the engines of which a section says that they refuse
-// older fencing numbers.
-func checksFencing(sections []*wire.Section) map[string]bool {
-	out := map[string]bool{}
-	for _, s := range sections {
-		parsed, err := closing.ParseError(s.Text)
-		if err != nil {
-			continue
-		}
-		for _, id := range parsed.ChecksFencing {
-			out[id] = true
-		}
-	}
-	return out
-}
-
-func (s *Server) assignOwners(ctx context.Context, p *picture) {
-	for _, a := range membership.Owners(p.view.Entries, p.view.Endpoints) {
-		s.try(ctx, &wire.Command{Body: &wire.Command_AssignOwner{AssignOwner: a}}, "assign owner")
-	}
-}
-
-// plan asks the planner for the next steps and carries them out.
-func (s *Server) plan(ctx context.Context, p *picture) {
-	in := placement.Input{
-		Endpoints: p.view.Endpoints, Residents: p.view.Residents, Orders: p.orders,
-		Idle:   func(r *wire.Resident) bool { return p.idle[residentName(r)] },
-		Budget: placement.Budget{ModelLoads: s.cfg.ModelLoads, AdapterLoads: s.cfg.AdapterLoads},
-	}
-	for _, section := range p.view.Sections {
-		if parsed, err := closing.ParseError(section.Text); err == nil {
-			in.Sections = append(in.Sections, parsed)
-		}
-	}
-	incarnations := map[string]string{}
-	for _, e := range p.view.Endpoints {
-		incarnations[e.Id] = e.Incarnation
-	}
-	for _, step := range placement.Plan(in) {
-		if s.try(ctx, commandOf(step, p.term, incarnations[step.Endpoint]), "placement") {
-			s.log.WithFields(logrus.Fields{
-				"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
-				"version": step.Version, "adapter": step.Adapter, "reason": step.Reason,
-			}).Info("move decided")
-		}
-	}
-}
-
-func commandOf(step placement.Step, term uint64, incarnation string) *wire.Command {
-	if step.Action == placement.Drain {
-		return &wire.Command{Body: &wire.Command_SetResident{SetResident: &wire.SetResident{
-			Endpoint: step.Endpoint, Model: step.Model, Version: step.Version, Adapter: step.Adapter,
-			State: wire.ResidentState_RESIDENT_STATE_DRAINING,
-		}}}
-	}
-	kind := wire.OrderKind_ORDER_KIND_LOAD
-	if step.Action == placement.Unload {
-		kind = wire.OrderKind_ORDER_KIND_UNLOAD
-	}
-	return &wire.Command{Body: &wire.Command_IssueOrder{IssueOrder: &wire.IssueOrder{Order: &wire.Order{
-		FenceTerm: term, Kind: kind, Endpoint: step.Endpoint, Model: step.Model, Version: step.Version,
-		Adapter: step.Adapter, MemoryBytes: step.Memory, Incarnation: incarnation, Reason: step.Reason,
-	}}}}
-}
-
 // maxDeferredPerEntry bounds the overnight work that one entry runs at once.
 const maxDeferredPerEntry = 16
 
