Keep a control process under 32 MB

Cause: an idle leader held 34.0 MB resident (18.6 MB of it the program's own memory) after 20 s, for the collector let the heap double. The control program now collects earlier and bounds what the runtime maps.

Also a test that a leader without answers sends no entries and steps down; both mechanisms could be removed unseen before.

--- a/cmd/parsleyramp-control/main.go
+++ b/cmd/parsleyramp-control/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,7 +15,16 @@
 	"parsleyramp/internal/telemetry"
 )
 
+// A control process shares a small VM with other programs. The collector runs
+// early and keeps what the runtime maps near this bound, in bytes.
+const (
+	gcPercent   = 50
+	memoryLimit = 16 << 20
+)
+
 func main() {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	cfg := control.DefaultSettings()
 	d := program.Daemon{
 		Name:     "parsleyramp-control",
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -291,6 +291,33 @@
 	}
 }
 
+// A leader that hears no quorum for an election timeout steps down, and sends
+// no entries to replicas that do not answer, only empty appends.
+func TestLeaderWithoutAnswers(t *testing.T) {
+	c := leaderOf(t)
+	ack(c, 3)
+	c.Propose([]byte("x"))
+	c.Flush()
+	c.Persisted(c.Effects())
+	c.Tick(c.now + c.cfg.Election)
+	c.Propose([]byte("y"))
+	c.Flush()
+	e := c.Effects()
+	if c.Role() != Leader || len(e.Early) == 0 {
+		t.Fatalf("role %v, messages %v", c.Role(), e.Early)
+	}
+	for _, m := range e.Early {
+		if len(m.Entries) > 0 {
+			t.Fatalf("entries for a silent replica: %v", m)
+		}
+	}
+	c.Persisted(e)
+	c.Tick(c.now + 1)
+	if c.Role() != Follower || c.LeaseUntil() != 0 {
+		t.Fatalf("role %v, lease until %v", c.Role(), c.LeaseUntil())
+	}
+}
+
 // One membership change at a time, of one voter, with an id for each replica.
 func TestMembershipChangesThatAreRefused(t *testing.T) {
 	four := &wire.Membership{Replicas: []*wire.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4}}}
