--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -25,11 +25,20 @@
 	view     *wire.View
 	orders   []*wire.Order
 	deferred []*wire.DeferredRequest
-	// dead lists live-marked entries whose lease is over for certain.
-	dead []*wire.EntryVM
+	// dead lists the entries whose lease is over for certain, as they are to
+	// be recorded.
+	dead []*wire.SetEntry
 	idle map[string]bool
 }
 
+// expiryInterval is the time between two clearings of old records.
+const expiryInterval = time.Minute
+
+// overdue reports whether an overnight request is past its time.
+func (p *picture) overdue(now time.Time) bool {
+	return len(p.deferred) > 0 && p.deferred[0].FinishByUnixMs < now.Add(-deferredGrace).UnixMilli()
+}
+
 // lead carries out the leader's duties as long as this replica leads.
 func (s *Server) lead(ctx context.Context) {
 	tick := time.NewTicker(s.cfg.PollInterval.D())
@@ -46,7 +55,7 @@
 			continue
 		}
 		s.step(ctx, p)
-		if time.Since(lastExpiry) > time.Minute {
+		if time.Since(lastExpiry) > expiryInterval || p.overdue(time.Now()) {
 			lastExpiry = time.Now()
 			s.expireRecords(ctx)
 		}
@@ -71,11 +80,8 @@
 		s.leases.enterTerm(l.Term, l.Now)
 		p.term, p.view, p.orders, p.deferred = l.Term, m.View(), m.Orders(), m.DeferredWork()
 		lease := s.cfg.EntryLease.D()
-		for _, e := range p.view.Entries {
-			if e.Live && s.leases.expired(e.Id, lease, l.Now) {
-				p.dead = append(p.dead, e)
-			}
-		}
+		p.dead = s.leases.condemn(p.view.Entries, lease, l.Now)
+		s.leases.prune(l.Now)
 		for _, r := range p.view.Residents {
 			if r.State != wire.ResidentState_RESIDENT_STATE_DRAINING {
 				continue
@@ -104,12 +110,17 @@
 	return r.Applied
 }
 
+// markDead records entries as lost. The mark is valid only in the term that
+// condemned them.
 func (s *Server) markDead(ctx context.Context, p *picture) {
-	for _, e := range p.dead {
-		gone := proto.Clone(e).(*wire.EntryVM)
-		gone.Live = false
-		if s.try(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: gone}}}, "mark entry dead") {
-			s.log.WithField("entry", e.Id).Warn("entry lost: its lease is over")
+	for _, gone := range p.dead {
+		log := s.log.WithField("entry", gone.Entry.Id)
+		r, err := s.node.ProposeInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: gone}})
+		switch {
+		case err != nil:
+			log.WithError(err).Warn("entry not marked as lost")
+		case r.Applied:
+			log.Warn("entry lost: its lease is over")
 		}
 	}
 }
@@ -231,33 +242,55 @@
 	}}}}
 }
 
-// assignDeferred gives queued overnight work to live entries in turn.
+// maxDeferredPerEntry bounds the overnight work that one entry runs at once.
+const maxDeferredPerEntry = 16
+
+// assignDeferred gives queued overnight work, earliest deadline first, to the
+// live entries that run least of it.
 func (s *Server) assignDeferred(ctx context.Context, p *picture) {
-	var live []*wire.EntryVM
-	for _, e := range p.view.Entries {
-		if e.Live && !e.Draining {
-			live = append(live, e)
-		}
+	for _, start := range deferredStarts(p.view.Entries, p.deferred) {
+		s.try(ctx, &wire.Command{Body: &wire.Command_StartDeferred{StartDeferred: start}}, "assign overnight work")
 	}
-	if len(live) == 0 {
-		return
+}
+
+func deferredStarts(entries []*wire.EntryVM, work []*wire.DeferredRequest) []*wire.StartDeferred {
+	running := map[string]int{}
+	for _, d := range work {
+		if d.State == wire.DeferredState_DEFERRED_STATE_RUNNING {
+			running[d.RunnerEntry]++
+		}
 	}
-	for i, d := range p.deferred {
+	var out []*wire.StartDeferred
+	for _, d := range work {
 		if d.State != wire.DeferredState_DEFERRED_STATE_QUEUED {
 			continue
 		}
-		to := live[i%len(live)]
-		s.try(ctx, &wire.Command{Body: &wire.Command_StartDeferred{StartDeferred: &wire.StartDeferred{
-			Id: d.Id, RunnerEntry: to.Id, RunnerIncarnation: to.Incarnation, ExpectedAttempt: d.Attempt,
-		}}}, "assign overnight work")
+		var to *wire.EntryVM
+		for _, e := range entries {
+			if e.Live && !e.Draining && running[e.Id] < maxDeferredPerEntry && (to == nil || running[e.Id] < running[to.Id]) {
+				to = e
+			}
+		}
+		if to == nil {
+			return out
+		}
+		running[to.Id]++
+		out = append(out, &wire.StartDeferred{Id: d.Id, RunnerEntry: to.Id, RunnerIncarnation: to.Incarnation, ExpectedAttempt: d.Attempt})
 	}
+	return out
 }
 
+// deferredGrace leaves the runner of an overnight request time to record its
+// own failure at the deadline.
+const deferredGrace = 10 * time.Second
+
 func (s *Server) expireRecords(ctx context.Context) {
 	now := time.Now()
 	s.try(ctx, &wire.Command{Body: &wire.Command_ExpireRecords{ExpireRecords: &wire.ExpireRecords{
 		ClaimsBeforeUnixMs:   now.Add(-s.cfg.ClaimRetention.D()).UnixMilli(),
 		DeferredBeforeUnixMs: now.Add(-s.cfg.DeferredRetention.D()).UnixMilli(),
 		SuspectsBeforeUnixMs: now.Add(-s.cfg.SuspectRetention.D()).UnixMilli(),
+		AppliesBeforeUnixMs:  now.Add(-s.cfg.ApplyRetention.D()).UnixMilli(),
+		NowUnixMs:            now.Add(-deferredGrace).UnixMilli(),
 	}}}, "expire records")
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -110,18 +110,20 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
 	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
 
 // propose commits a command with this process's wall clock.
 func (s *Server) propose(ctx context.Context, c *wire.Command) (*wire.CommandResult, error) {
+	ctx, span := telemetry.StartChild(ctx, "commit")
+	defer span.End()
 	c.ProposedUnixMs = time.Now().UnixMilli()
 	return s.node.Propose(ctx, c)
 }
