Drain an entry, JSON everywhere, overnight work through losses

Cause: members, bootstrap and replace printed no JSON, an entry could be drained only by a signal on its own VM, and nothing tested overnight work as a whole.

TestOperatorCommands covers drain and JSON.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -90,3 +91,25 @@
 	}
 	return connect.NewResponse(&wire.ReplaceReplicaResponse{Membership: m}), nil
 }
+
+// DrainEntry takes an entry out of what callers are handed, until its next
+// incarnation.
+func (o *operatorService) DrainEntry(ctx context.Context, req *connect.Request[wire.DrainEntryRequest]) (*connect.Response[wire.DrainEntryResponse], error) {
+	var e *wire.EntryVM
+	err := o.s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { e = m.Entry(req.Msg.Entry) })
+	if err == nil && !e.GetLive() {
+		err = fail.New(fail.UnknownRequest, "no live entry is named "+req.Msg.Entry)
+	}
+	if err != nil {
+		return nil, o.s.rpcError(ctx, err)
+	}
+	e.Draining = true
+	r, err := o.s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: e, ExpectedRegistration: e.Registration}}})
+	if err == nil && !r.Applied {
+		err = fail.New(fail.Unavailable, r.Reason).WithRetryAfter(time.Second)
+	}
+	if err != nil {
+		return nil, o.s.rpcError(ctx, err)
+	}
+	return connect.NewResponse(&wire.DrainEntryResponse{Entry: e}), nil
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -54,6 +54,7 @@
 	{"status", "[-watch] TEAM: tell how far the section has come into force", runStatus},
 	{"explain", "TEAM/MODEL: tell why a model is where it is", runExplain},
 	{"members", "list replicas, entries, endpoints and what is resident", runMembers},
+	{"drain", "ENTRY: hand an entry to no caller any more, until it starts again", runDrain},
 	{"replace", "replace a lost replica by a blank one", runReplace},
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/transport"
 )
 
 func writeFile(t testing.TB, path, text string) {
@@ -31,6 +34,11 @@
 func TestOperatorCommands(t *testing.T) {
 	f := newFleet(t)
 	f.startEntry("entry-1", f.controls)
+	f.startEntry("entry-2", f.controls)
+	f.until("both entries", func() bool {
+		_, out := f.run("members")
+		return strings.Contains(out, "entry-1") && strings.Contains(out, "entry-2")
+	})
 	one := f.sectionFile("one.jsonc", fmt.Sprintf(deskSection, "1"))
 	two := f.sectionFile("two.jsonc", fmt.Sprintf(deskSection, "2"))
 	expect := func(want int, contains string, args ...string) string {
@@ -60,12 +68,18 @@
 	if err := json.Unmarshal([]byte(expect(0, "", "-json", "status", "desk")), &status); err != nil || !status.InForce {
 		t.Fatalf("status %+v: %v", status, err)
 	}
-	for _, args := range [][]string{{"check", one}, {"diff", two}, {"get", "desk"}, {"explain", "desk/purity"}} {
+	for _, args := range [][]string{{"check", one}, {"diff", two}, {"get", "desk"}, {"explain", "desk/purity"}, {"members"}, {"drain", "entry-2"}} {
 		if out := expect(0, "", append([]string{"-json"}, args...)...); !json.Valid([]byte(out)) {
 			t.Fatalf("%v printed no JSON: %s", args, out)
 		}
 	}
 
+	f.until("the drained entry without endpoints", func() bool {
+		m, err := getMembers(t.Context(), controlclient.New(transport.NewPeerClient(), f.controls))
+		return err == nil && m.Entries[1].Draining && m.Endpoints[0].Owner == "entry-1"
+	})
+	expect(1, "no live entry", "drain", "entry-3")
+
 	// With one control VM down, whichever it is, every command still works.
 	f.stops[f.leader()]()
 	expect(0, "revision=2", "apply", "-base", "1", two)
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -26,6 +26,7 @@
 type fleet struct {
 	t        testing.TB
 	log      *logrus.Entry
+	engine   *standin.Engine
 	liveList string
 	controls []string
 	stops    map[string]func()
@@ -45,7 +46,8 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	f := &fleet{t: t, log: logrus.NewEntry(quiet), stops: map[string]func(){}}
-	engine := httptest.NewServer(standin.NewEngine(standin.EngineConfig{ID: "engine-1", MemoryBytes: 1 << 30, Slots: 4}))
+	f.engine = standin.NewEngine(standin.EngineConfig{ID: "engine-1", MemoryBytes: 1 << 30, Slots: 4})
+	engine := httptest.NewServer(f.engine)
 	t.Cleanup(engine.Close)
 	list := httptest.NewServer(standin.NewLiveList([]platform.VM{
 		{ID: "engine-1", Kind: platform.KindEngine, Address: engine.Listener.Addr().String(), Domain: "d1", State: platform.Live},
@@ -85,7 +87,8 @@
 	f.t.Cleanup(stop)
 }
 
-func (f *fleet) startEntry(id string, controls []string) {
+// startEntry starts an entry and returns its address for callers.
+func (f *fleet) startEntry(id string, controls []string) string {
 	cfg := entry.DefaultSettings()
 	cfg.ID, cfg.Domain, cfg.Control = id, "d1", controls
 	cfg.CallerAddress, cfg.PeerAddress = freeAddress(f.t), freeAddress(f.t)
@@ -94,11 +97,18 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() {
+	stop := func() {
+		if f.stops[id] == nil {
+			return
+		}
+		delete(f.stops, id)
 		ctx, done := context.WithTimeout(context.Background(), time.Second)
 		defer done()
 		_ = s.Shutdown(ctx)
-	})
+	}
+	f.stops[id] = stop
+	f.t.Cleanup(stop)
+	return cfg.CallerAddress
 }
 
 // run runs parsleyctl and returns its exit code and output.
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -21,14 +21,22 @@
 	return nil
 }
 
-// printMessage writes a message of the inner protocol as one line of JSON,
+// printMessage writes a message of the inner protocol as JSON,
 // with the field names of the .proto files.
 func (t *tool) printMessage(m proto.Message) error {
+	data, err := encodeMessage(m)
+	if err != nil {
+		return err
+	}
+	return t.printJSON(data)
+}
+
+func encodeMessage(m proto.Message) (json.RawMessage, error) {
 	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitDefaultValues: true}.Marshal(m)
 	if err != nil {
-		return fail.Wrap(err, fail.Internal, "encode JSON")
+		return nil, fail.Wrap(err, fail.Internal, "encode JSON")
 	}
-	return t.printJSON(json.RawMessage(data))
+	return data, nil
 }
 
 // nextSteps tells what an operator does about a failure.
--- /dev/null
+++ b/internal/ctl/overnight_test.go
@@ -0,0 +1,115 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/standin"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+)
+
+const overnightSection = `{
+  "team": "desk",
+  "models": [{"name": "summary", "version": "1", "memory_mb": 16}],
+  "classes": [{"name": "overnight", "finish_by": "%s"}]
+}`
+
+type overnightReply struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+func submitOvernight(t *testing.T, address, key, prompt string) (int, overnightReply) {
+	body := `{"model": "desk/summary", "messages": [{"role": "user", "content": "` + prompt + `"}], "max_tokens": 4}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", key)
+	return doOvernight(t, req)
+}
+
+func fetchOvernight(t *testing.T, address, id string) (int, overnightReply) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/v1/overnight/"+id, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doOvernight(t, req)
+}
+
+func doOvernight(t *testing.T, req *http.Request) (int, overnightReply) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reply overnightReply
+	_ = json.Unmarshal(data, &reply)
+	return resp.StatusCode, reply
+}
+
+// TestOvernightWorkSurvivesLosses accepts overnight work while the engine hangs,
+// loses the entry that runs it and the control leader, and fetches the answer
+// from the other entry.
+func TestOvernightWorkSurvivesLosses(t *testing.T) {
+	f := newFleet(t)
+	address := map[string]string{"entry-1": f.startEntry("entry-1", f.controls), "entry-2": f.startEntry("entry-2", f.controls)}
+	finishBy := time.Now().Add(-time.Hour).Format("15:04")
+	file := f.sectionFile("s.jsonc", strings.Replace(overnightSection, "%s", finishBy, 1))
+	if code, out := f.run("apply", file); code != 0 {
+		t.Fatalf("apply: %d %s", code, out)
+	}
+	if code, out := f.run("status", "-watch", "desk"); code != 0 {
+		t.Fatalf("status: %d %s", code, out)
+	}
+	f.engine.SetFaults(standin.Faults{Frozen: true})
+	status, first := submitOvernight(t, address["entry-1"], "key-1", "rehearsal")
+	if status != http.StatusAccepted {
+		t.Fatalf("submission got %d", status)
+	}
+	if status, again := submitOvernight(t, address["entry-2"], "key-1", "rehearsal"); status != http.StatusAccepted || again.ID != first.ID {
+		t.Fatalf("resent submission got %d %v, first %v", status, again, first)
+	}
+	if status, _ := submitOvernight(t, address["entry-2"], "key-1", "other"); status != http.StatusUnprocessableEntity {
+		t.Fatalf("reused key got %d", status)
+	}
+	f.until("the work running", func() bool { _, r := fetchOvernight(t, address["entry-2"], first.ID); return r.State == "running" })
+
+	runner, other := f.runnerOf(t, first.ID), "entry-1"
+	if runner == other {
+		other = "entry-2"
+	}
+	f.stops[runner]()
+	f.stops[f.leader()]()
+	f.engine.SetFaults(standin.Faults{})
+	f.until("the answer", func() bool { status, _ := fetchOvernight(t, address[other], first.ID); return status == http.StatusOK })
+}
+
+// runnerOf returns the entry that control has given an overnight request to.
+func (f *fleet) runnerOf(t *testing.T, id string) string {
+	var runner string
+	err := controlclient.New(transport.NewPeerClient(), f.controls).Do(t.Context(), func(ctx context.Context, c controlclient.Conn) error {
+		r, err := c.Control.FetchDeferred(ctx, connect.NewRequest(&wire.FetchDeferredRequest{Id: id}))
+		if err == nil {
+			runner = r.Msg.Request.GetRunnerEntry()
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runner
+}
--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -59,23 +59,22 @@
 			return fail.Wrap(f, f.Code, "control VM "+t.control[i]+" (run the same command again)")
 		}
 	}
+	if t.json {
+		return t.printJSON(formedGroup{group, len(clients)})
+	}
 	fmt.Fprintf(t.out, "group %s formed with %d replicas\n", group, len(clients))
 	return nil
 }
 
 func runMembers(ctx context.Context, t *tool, _ []string) error {
-	var m *wire.MembersResponse
-	err := t.client().Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
-		r, err := c.Operator.Members(ctx, connect.NewRequest(&wire.MembersRequest{}))
-		if err == nil {
-			m = r.Msg
-		}
-		return err
-	})
+	m, err := getMembers(ctx, t.client())
 	if err != nil {
 		return err
 	}
 	states := replicaStates(ctx, m.Membership)
+	if t.json {
+		return t.printMembers(m, states)
+	}
 	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "REPLICA\tADDRESS\tDOMAIN\tROLE\tSTATE")
 	for i, r := range m.Membership.Replicas {
@@ -209,6 +208,9 @@
 		case <-time.After(wait):
 		}
 	}
+	if t.json {
+		return t.printMessage(m)
+	}
 	t.printReplaced(m)
 	return nil
 }
--- a/internal/wire/wireconnect/control.connect.go
+++ b/internal/wire/wireconnect/control.connect.go
@@ -73,6 +73,9 @@
 	// OperatorServiceReplaceReplicaProcedure is the fully-qualified name of the OperatorService's
 	// ReplaceReplica RPC.
 	OperatorServiceReplaceReplicaProcedure = "/parsleyramp.wire.OperatorService/ReplaceReplica"
+	// OperatorServiceDrainEntryProcedure is the fully-qualified name of the OperatorService's
+	// DrainEntry RPC.
+	OperatorServiceDrainEntryProcedure = "/parsleyramp.wire.OperatorService/DrainEntry"
 	// EntryServiceForwardProcedure is the fully-qualified name of the EntryService's Forward RPC.
 	EntryServiceForwardProcedure = "/parsleyramp.wire.EntryService/Forward"
 )
@@ -336,6 +339,7 @@
 	Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error)
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
 	ReplaceReplica(context.Context, *connect.Request[wire.ReplaceReplicaRequest]) (*connect.Response[wire.ReplaceReplicaResponse], error)
+	DrainEntry(context.Context, *connect.Request[wire.DrainEntryRequest]) (*connect.Response[wire.DrainEntryResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the parsleyramp.wire.OperatorService service. By
@@ -379,6 +383,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ReplaceReplica")),
 			connect.WithClientOptions(opts...),
 		),
+		drainEntry: connect.NewClient[wire.DrainEntryRequest, wire.DrainEntryResponse](
+			httpClient,
+			baseURL+OperatorServiceDrainEntryProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("DrainEntry")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -389,6 +399,7 @@
 	status         *connect.Client[wire.StatusRequest, wire.StatusResponse]
 	members        *connect.Client[wire.MembersRequest, wire.MembersResponse]
 	replaceReplica *connect.Client[wire.ReplaceReplicaRequest, wire.ReplaceReplicaResponse]
+	drainEntry     *connect.Client[wire.DrainEntryRequest, wire.DrainEntryResponse]
 }
 
 // Apply calls parsleyramp.wire.OperatorService.Apply.
@@ -416,6 +427,11 @@
 	return c.replaceReplica.CallUnary(ctx, req)
 }
 
+// DrainEntry calls parsleyramp.wire.OperatorService.DrainEntry.
+func (c *operatorServiceClient) DrainEntry(ctx context.Context, req *connect.Request[wire.DrainEntryRequest]) (*connect.Response[wire.DrainEntryResponse], error) {
+	return c.drainEntry.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the parsleyramp.wire.OperatorService service.
 type OperatorServiceHandler interface {
 	Apply(context.Context, *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error)
@@ -423,6 +439,7 @@
 	Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error)
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
 	ReplaceReplica(context.Context, *connect.Request[wire.ReplaceReplicaRequest]) (*connect.Response[wire.ReplaceReplicaResponse], error)
+	DrainEntry(context.Context, *connect.Request[wire.DrainEntryRequest]) (*connect.Response[wire.DrainEntryResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -462,6 +479,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ReplaceReplica")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceDrainEntryHandler := connect.NewUnaryHandler(
+		OperatorServiceDrainEntryProcedure,
+		svc.DrainEntry,
+		connect.WithSchema(operatorServiceMethods.ByName("DrainEntry")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/parsleyramp.wire.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -474,6 +497,8 @@
 			operatorServiceMembersHandler.ServeHTTP(w, r)
 		case OperatorServiceReplaceReplicaProcedure:
 			operatorServiceReplaceReplicaHandler.ServeHTTP(w, r)
+		case OperatorServiceDrainEntryProcedure:
+			operatorServiceDrainEntryHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -503,6 +528,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.OperatorService.ReplaceReplica is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) DrainEntry(context.Context, *connect.Request[wire.DrainEntryRequest]) (*connect.Response[wire.DrainEntryResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.OperatorService.DrainEntry is not implemented"))
+}
+
 // EntryServiceClient is a client for the parsleyramp.wire.EntryService service.
 type EntryServiceClient interface {
 	Forward(context.Context, *connect.Request[wire.ForwardRequest]) (*connect.ServerStreamForClient[wire.ForwardEvent], error)
