orders: keep an unload open while copies of a load may return, whatever the document says of fencing

Cause: where a document stops calling an engine one that checks numbers while an unload is open, the unload was proved by a read alone, though no earlier copy had been waited for and the engine had not seen the number.

Also: a look at the live list and a read of the engines in the same look could write back an older record of an endpoint; the picture now follows the change. Found by reading, without a test.

--- a/internal/control/livelist.go
+++ b/internal/control/livelist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -37,18 +38,30 @@
 		e := endpointOf(vm)
 		e.ChecksFencing = fencing[vm.ID]
 		if !s.knows(p, e) {
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: e}}}, "follow live list")
+			s.setEndpoint(ctx, p, e)
 		}
 	}
 	for _, e := range p.view.Endpoints {
 		if !listed[e.Id] && !e.Leaving {
 			gone := proto.Clone(e).(*wire.Endpoint)
 			gone.Leaving = true
-			s.try(ctx, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: gone}}}, "follow live list")
+			s.setEndpoint(ctx, p, gone)
 		}
 	}
 }
 
+// setEndpoint records an endpoint, in the picture as well, so that a later
+// duty of the same look does not write back what it said before.
+func (s *Server) setEndpoint(ctx context.Context, p *picture, e *wire.Endpoint) {
+	if !s.tryInTerm(ctx, p.term, &wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: e}}}, "follow live list") {
+		return
+	}
+	at := slices.IndexFunc(p.view.Endpoints, func(old *wire.Endpoint) bool { return old.Id == e.Id })
+	if at >= 0 {
+		p.view.Endpoints[at] = proto.Clone(e).(*wire.Endpoint)
+	}
+}
+
 // knows reports whether the view holds what the platform says of an endpoint.
 func (s *Server) knows(p *picture, e *wire.Endpoint) bool {
 	for _, old := range p.view.Endpoints {
--- a/internal/orders/sim_test.go
+++ b/internal/orders/sim_test.go
@@ -435,6 +435,13 @@
 				s.changeDocument()
 			}
 		},
+		// The document may call an engine that checks numbers one that does not.
+		"fencing in the document": func(*rapid.T) {
+			vms := s.machine.Endpoints()
+			vm := rapid.SampledFrom(vms).Draw(s.t, "engine")
+			vm.ChecksFencing = s.engine(vm.Id).checks && rapid.Bool().Draw(s.t, "declared")
+			s.apply(&wire.Command{Body: &wire.Command_SetEndpoint{SetEndpoint: &wire.SetEndpoint{Endpoint: vm}}})
+		},
 		"delayed command": func(*rapid.T) {
 			if len(s.past) > 0 {
 				s.apply(rapid.SampledFrom(s.past).Draw(s.t, "past"))
--- a/internal/orders/tracker.go
+++ b/internal/orders/tracker.go
@@ -206,7 +206,7 @@
 			t.clear(e, vm, quietSince, p.Term, &out)
 		}
 		if orders := open[vm.Id]; len(orders) > 0 {
-			t.followOrder(now, e, vm, orders[0], &out)
+			t.followOrder(now, e, vm, orders[0], copies[vm.Id], &out)
 		} else {
 			e.order = openOrder{}
 		}
@@ -318,11 +318,11 @@
 	return e.last != nil && e.last.Incarnation == vm.Incarnation
 }
 
-func (t *Tracker) followOrder(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order, out *Effects) {
+func (t *Tracker) followOrder(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order, copies []*wire.Order, out *Effects) {
 	if e.order.number != numberOf(o) {
 		e.order = openOrder{number: numberOf(o), seen: now, nextSend: now, interval: t.cfg.RetryInterval}
 	}
-	if outcome, evidence := t.prove(now, e, vm, o); outcome != wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED {
+	if outcome, evidence := t.prove(now, e, vm, o, copies); outcome != wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED {
 		out.Resolve = append(out.Resolve, Resolution{Order: o, Evidence: evidence, Command: &wire.ResolveOrder{
 			Endpoint: o.Endpoint, FenceTerm: o.FenceTerm, FenceSequence: o.FenceSequence, Outcome: outcome,
 		}})
@@ -336,7 +336,7 @@
 }
 
 // prove returns the outcome that the evidence supports, if any.
-func (t *Tracker) prove(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order) (wire.OrderOutcome, string) {
+func (t *Tracker) prove(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order, copies []*wire.Order) (wire.OrderOutcome, string) {
 	const (
 		none    = wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED
 		done    = wire.OrderOutcome_ORDER_OUTCOME_DONE
@@ -347,7 +347,7 @@
 	switch {
 	case isLoad && fresh && lists(e.last, o):
 		return done, "the engine lists the resident"
-	case !isLoad && fresh && !lists(e.last, o) && e.accepted(vm, o) && (e.order.done || whole(e.last)):
+	case !isLoad && fresh && !lists(e.last, o) && e.accepted(vm, o, copies) && (e.order.done || whole(e.last)):
 		return done, "the engine does not hold the resident, and nothing can load it again"
 	case e.order.refusals >= t.cfg.MaxRefusals:
 		return unknown, "refused again and again"
@@ -359,10 +359,13 @@
 
 // accepted reports whether no earlier order can take effect on the engine any
 // more. One that checks numbers has seen this order's. For one that does not,
-// the ledger admitted the order only after all earlier copies were dead.
-func (e *engine) accepted(vm *wire.Endpoint, o *wire.Order) bool {
+// all earlier copies about the resident are dead: the ledger admits no order
+// before, but the document may have said otherwise of the engine then.
+func (e *engine) accepted(vm *wire.Endpoint, o *wire.Order, copies []*wire.Order) bool {
 	if !vm.ChecksFencing {
-		return true
+		return !slices.ContainsFunc(copies, func(c *wire.Order) bool {
+			return c.Model == o.Model && c.Version == o.Version && c.Adapter == o.Adapter
+		})
 	}
 	s := e.last
 	return s.FenceTerm > o.FenceTerm || (s.FenceTerm == o.FenceTerm && s.FenceSequence >= o.FenceSequence)
