control: call a section met only once every entry knows the residents; never change a shared view

Cause: two of four runs of make demo failed with status 503 for an adapter: status said met at the moment the load was proved, before the entries' next heartbeat. A resident now counts once every live entry serves by a view that has it. Without it TestStatusWaitsForEntries fails ('after 0 acknowledgements'). Also, the last change of the live list wrote into the view that entries' answers share; it now replaces it in its own picture (found by reading).

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -163,6 +164,22 @@
 	return out
 }
 
+// acknowledged returns the view revision that every live entry serves by.
+func (t *leaseTable) acknowledged(entries []*wire.EntryVM, lease, now time.Duration) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for _, e := range entries {
+		if !e.Live || t.expired(e.Id, lease, now) {
+			continue
+		}
+		known := uint64(0)
+		if l := t.entries[e.Id]; l != nil {
+			known = l.viewRevision
+		}
+		lowest = min(lowest, known)
+	}
+	return lowest
+}
+
 // prune forgets the reports of entries that have been silent for long.
 func (t *leaseTable) prune(now time.Duration) {
 	for id, l := range t.entries {
--- a/internal/control/livelist.go
+++ b/internal/control/livelist.go
@@ -57,9 +57,16 @@
 		return
 	}
 	at := slices.IndexFunc(p.view.Endpoints, func(old *wire.Endpoint) bool { return old.Id == e.Id })
-	if at >= 0 {
-		p.view.Endpoints[at] = proto.Clone(e).(*wire.Endpoint)
+	if at < 0 {
+		return
+	}
+	// Others read the same view: it is replaced, not changed.
+	old := p.view
+	p.view = &wire.View{
+		Revision: old.Revision, Sections: old.Sections, Entries: old.Entries, Endpoints: slices.Clone(old.Endpoints),
+		Residents: old.Residents, Suspects: old.Suspects,
 	}
+	p.view.Endpoints[at] = proto.Clone(e).(*wire.Endpoint)
 }
 
 // knows reports whether the view holds what the platform says of an endpoint.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	"connectrpc.com/connect"
 
@@ -18,10 +19,12 @@
 	resp := &wire.StatusResponse{}
 	var view *wire.View
 	var orders []*wire.Order
+	var acknowledged uint64
 	err := o.s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
 		resp.Section = m.Section(req.Msg.Team)
 		o.s.leases.enterTerm(l.Term, l.Now)
 		resp.LaggingEntries = o.s.leases.lagging(m.Entries(), resp.Section.GetLogIndex(), o.s.cfg.EntryLease.D(), l.Now)
+		acknowledged = o.s.leases.acknowledged(m.Entries(), o.s.cfg.EntryLease.D(), l.Now)
 		view, orders = o.s.leases.view(m), m.Orders()
 	})
 	if err != nil {
@@ -30,7 +33,7 @@
 	if resp.Section == nil {
 		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
 	}
-	resp.Unmet = unmetBecause(resp.Section, view, orders, o.s.placing.reason)
+	resp.Unmet = unmetBecause(resp.Section, view, orders, acknowledged, o.s.placing.reason)
 	resp.Status = changeStatus(resp)
 	return connect.NewResponse(resp), nil
 }
@@ -77,18 +80,19 @@
 
 // unmet lists what of the section callers cannot reach, and why.
 func unmet(section *wire.Section, view *wire.View, orders []*wire.Order) []string {
-	return unmetBecause(section, view, orders, func(string, string, string) string { return "" })
+	return unmetBecause(section, view, orders, math.MaxUint64, func(string, string, string) string { return "" })
 }
 
 // unmetBecause is unmet with the planner's reasons, where no order and no
-// endpoint explains more.
-func unmetBecause(section *wire.Section, view *wire.View, orders []*wire.Order, reason planReason) []string {
+// endpoint explains more. A resident that some entry does not know of yet is
+// not in service.
+func unmetBecause(section *wire.Section, view *wire.View, orders []*wire.Order, acknowledged uint64, reason planReason) []string {
 	s, err := closing.ParseError(section.Text)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	f := newFleetState(view, orders)
-	f.reason = reason
+	f.reason, f.acknowledged = reason, acknowledged
 	var out []string
 	for _, i := range itemsOf(s) {
 		if ready := f.ready(i); ready < i.replicas {
@@ -110,6 +114,8 @@
 	engines map[string]*wire.Endpoint
 	charged map[string]uint64
 	reason  planReason
+	// acknowledged is the view revision that every entry serves by.
+	acknowledged uint64
 }
 
 func newFleetState(view *wire.View, orders []*wire.Order) fleetState {
@@ -146,7 +152,8 @@
 func (f fleetState) ready(i item) int {
 	n := 0
 	for _, r := range f.view.Residents {
-		if i.is(r) && r.State == wire.ResidentState_RESIDENT_STATE_READY && endpointProblem(f.engines[r.Endpoint]) == "" {
+		known := r.StateRevision <= f.acknowledged
+		if i.is(r) && known && r.State == wire.ResidentState_RESIDENT_STATE_READY && endpointProblem(f.engines[r.Endpoint]) == "" {
 			n++
 		}
 	}
@@ -165,6 +172,11 @@
 			return fmt.Sprintf("%s holds it but %s", r.Endpoint, why)
 		}
 	}
+	for _, r := range f.view.Residents {
+		if i.is(r) && r.StateRevision > f.acknowledged {
+			return "not every entry knows yet that " + r.Endpoint + " holds it"
+		}
+	}
 	if why := f.reason(i.model, i.version, i.adapter); why != "" {
 		return why
 	}
