--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,9 +26,6 @@
 	"parsleyramp/internal/wire/wireconnect"
 )
 
-// maxMessageBytes bounds one message between the system's own processes.
-const maxMessageBytes = 64 << 20
-
 // engineConnections bounds the idle connections kept to one engine.
 const engineConnections = 4
 
@@ -114,7 +111,7 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
+	options := append(transport.PeerHandlerOptions(), connect.WithInterceptors(telemetry.Interceptor()))
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
 	mux.Handle(wireconnect.NewSenderServiceHandler(&senderService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
@@ -23,7 +22,6 @@
 const (
 	// endpointConnections bounds the idle connections kept to one endpoint.
 	endpointConnections = 64
-	maxMessageBytes     = 64 << 20
 	drainPoll           = 20 * time.Millisecond
 	// handoverTimeout bounds the wait for new owners during a shutdown.
 	handoverTimeout = 10 * time.Second
@@ -89,7 +87,7 @@
 	}
 	s.callers = transport.Serve(callers, s.callerMux())
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner}, connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner}, transport.PeerHandlerOptions()...))
 	s.peers = transport.Serve(peers, mux)
 	return nil
 }
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,17 @@
+package transport
+
+import "connectrpc.com/connect"
+
+const (
+	// maxPeerMessageBytes bounds one message between the system's own processes.
+	maxPeerMessageBytes = 64 << 20
+	// compressMinBytes is the size from which a message is worth compressing.
+	// A compressor takes more memory than most messages.
+	compressMinBytes = 16 << 10
+)
+
+// PeerHandlerOptions returns the limits of the services between the system's
+// own processes.
+func PeerHandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithReadMaxBytes(maxPeerMessageBytes), connect.WithCompressMinBytes(compressMinBytes)}
+}
