Wait for a new owner while an endpoint changes hands

Cause, found by TestShutdownUnderLoad: while views of two entries differ, the only owner of a model answered "not owner" and the caller got 503, though a heartbeat later the endpoint has an owner again.

Change: refusals that end with the next view do not count against the attempts; where no other endpoint is left the request waits up to its first-token target, at most 3 s. An entry whose own lease is over stops at once.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -85,10 +85,18 @@
 	relay   *relay
 	ran     fail.Ran
 	crashes int
+	// stop is set where this entry itself may make no further attempt.
+	stop bool
 	// alone is set once an owner said that the request is a suspect.
 	alone bool
 	// broke holds the endpoints whose answers broke while they went on running.
 	broke []string
+	// moving holds the endpoints that were about to get another owner.
+	moving []string
+	// patience is until when new owners are waited for.
+	patience time.Duration
+	// attempts counts all attempts, failures those that count against the limit.
+	attempts, failures int
 	// refusals counts attempts that an owner refused for overload.
 	refusals int
 	last     *fail.Error
@@ -104,15 +112,19 @@
 		ran:   fail.RanNo,
 		last:  fail.New(fail.NoReplica, "no endpoint serves the request now").WithRetryAfter(defaultRetryAfter),
 	}
+	p.patience = d.session.clock() + takeoverPatience(j)
 	d.arrived(j)
-	for attempt := range d.max {
-		err := d.once(ctx, j, p, attempt)
+	for p.failures < d.max {
+		err := d.once(ctx, j, p)
 		if err == nil {
 			d.completed(j, p)
 			return nil
 		}
 		if errors.Is(err, errNoMore) {
-			break
+			if !d.awaitOwner(ctx, p) {
+				break
+			}
+			continue
 		}
 		p.note(fail.From(err))
 		if p.relay.done {
@@ -129,14 +141,53 @@
 // errNoMore ends a job for which no endpoint is left.
 var errNoMore = fail.New(fail.NoReplica, "no endpoint is left")
 
+const (
+	// maxTakeoverWait is how long a request waits for endpoints to get a new
+	// owner, and takeoverPoll how often it looks.
+	maxTakeoverWait = 3 * time.Second
+	takeoverPoll    = 50 * time.Millisecond
+)
+
+// takeoverPatience is how long the job may wait for a new owner.
+func takeoverPatience(j *job) time.Duration {
+	target := time.Duration(j.template.FirstTokenDeadlineMs) * time.Millisecond
+	if target == 0 {
+		return maxTakeoverWait
+	}
+	return min(target, maxTakeoverWait)
+}
+
+// moving reports a refusal that ends once every entry has the same view again.
+func moving(f *fail.Error) bool {
+	switch f.Code {
+	case fail.NotOwner, fail.NoLease, fail.NoReplica, fail.Unavailable:
+		return f.Ran == fail.RanNo
+	}
+	return false
+}
+
+// awaitOwner waits a little where endpoints are changing hands, and lets the
+// job ask them again.
+func (d *dispatcher) awaitOwner(ctx context.Context, p *progress) bool {
+	if len(p.moving) == 0 || ctx.Err() != nil || d.session.clock() >= p.patience {
+		return false
+	}
+	sleep(ctx, takeoverPoll)
+	p.query.Tried = slices.DeleteFunc(p.query.Tried, func(e string) bool { return slices.Contains(p.moving, e) })
+	p.moving = nil
+	return true
+}
+
 // once makes one attempt.
-func (d *dispatcher) once(ctx context.Context, j *job, p *progress, attempt int) error {
+func (d *dispatcher) once(ctx context.Context, j *job, p *progress) error {
 	c, err := d.session.catalog()
 	if err != nil {
+		p.stop = true
 		return err
 	}
 	switch quarantine.Treat(c.suspects[j.template.Fingerprint], p.crashes) {
 	case quarantine.Refused:
+		p.stop = true
 		return quarantined()
 	case quarantine.Alone:
 		p.alone = true
@@ -152,7 +203,8 @@
 	if !ok {
 		return errNoMore
 	}
-	err = d.attempt(ctx, c, j, t, p, attempt)
+	err = d.attempt(ctx, c, j, t, p, p.attempts)
+	p.attempts++
 	d.learn(t, err)
 	p.leave(t, err)
 	return err
@@ -164,8 +216,14 @@
 		return
 	}
 	p.query.Tried = append(p.query.Tried, t.vm.Id)
+	f := fail.From(err)
+	if moving(f) {
+		p.moving = append(p.moving, t.vm.Id)
+		return
+	}
+	p.failures++
 	p.query.FailedDomains = append(p.query.FailedDomains, t.vm.Domain)
-	if f := fail.From(err); f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
+	if f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
 		p.broke = append(p.broke, t.vm.Id)
 	}
 }
@@ -189,7 +247,7 @@
 // finalCodes are failures that another attempt would give again.
 var finalCodes = map[fail.Code]bool{
 	fail.BadRequest: true, fail.Quarantined: true, fail.Canceled: true, fail.DeadlinePassed: true,
-	fail.NoLease: true, fail.BodyTooLarge: true,
+	fail.BodyTooLarge: true,
 }
 
 // maxOverloadRetries bounds the attempts after refusals for overload, which
@@ -199,12 +257,10 @@
 // mayRetry reports whether another attempt may and should be made.
 func (d *dispatcher) mayRetry(ctx context.Context, j *job, p *progress) bool {
 	f := p.last
-	// An owner without a lease leaves other owners to try.
-	ownerLost := f.Code == fail.NoLease && len(p.query.Tried) > 0
 	switch {
 	case ctx.Err() != nil:
 		return false
-	case finalCodes[f.Code] && !ownerLost:
+	case p.stop || finalCodes[f.Code]:
 		return false
 	case f.Ran != fail.RanNo && !j.template.Idempotent:
 		return false
@@ -212,6 +268,8 @@
 		return false
 	case p.refusals > maxOverloadRetries:
 		return false
+	case moving(f):
+		return d.session.clock() < p.patience
 	}
 	cost := retry.CostRan
 	if f.Ran == fail.RanNo {
