--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		c.release(ctx, b)
 		if fail.Is(err, fail.Overloaded) || fail.Is(err, fail.NoLease) {
-			return nil, err
+			return nil, fail.From(err).WithRan(fail.RanNo)
 		}
 		// Nothing was sent to an endpoint, whatever became of the claim.
 		return nil, fail.Wrap(err, fail.Unavailable, "the claim could not be recorded").WithRetryAfter(claimRetry)
@@ -144,8 +144,10 @@
 	ctx, span := telemetry.StartSpan(ctx, "finish_claim")
 	defer span.End()
 	recorded := make(chan error, 1)
+	// The recording outlives the caller, and ends with the entry.
+	background := telemetry.WithSpanOf(c.background, ctx)
 	go func() {
-		recorded <- c.control.Do(c.background, func(ctx context.Context, conn controlclient.Conn) error {
+		recorded <- c.control.Do(background, func(ctx context.Context, conn controlclient.Conn) error {
 			_, err := conn.Control.FinishClaim(ctx, connect.NewRequest(f))
 			return err
 		})
