Wait two heartbeats for a view that shows the first replica

Proof: TestLaggingViews passes; it fails without the wait and without telling endpoints that change hands from those that failed.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -95,6 +95,8 @@
 	moving []string
 	// patience is until when new owners are waited for.
 	patience time.Duration
+	// viewBy is until when a view with the first replica is waited for.
+	viewBy time.Duration
 	// attempts counts all attempts, failures those that count against the limit.
 	attempts, failures int
 	// refusals counts attempts that an owner refused for overload.
@@ -112,7 +114,9 @@
 		ran:   fail.RanNo,
 		last:  fail.New(fail.NoReplica, "no endpoint serves the request now").WithRetryAfter(defaultRetryAfter),
 	}
-	p.patience = d.session.clock() + takeoverPatience(j)
+	now := d.session.clock()
+	p.patience = now + takeoverPatience(j)
+	p.viewBy = min(p.patience, now+viewLag*d.session.cfg.Heartbeat.D())
 	d.arrived(j)
 	for p.failures < d.max {
 		err := d.once(ctx, j, p)
@@ -146,6 +150,9 @@
 	// owner, and takeoverPoll how often it looks.
 	maxTakeoverWait = 3 * time.Second
 	takeoverPoll    = 50 * time.Millisecond
+	// viewLag is how many heartbeats a view may lag behind control: one that
+	// has just passed and one that is on its way.
+	viewLag = 2
 )
 
 // takeoverPatience is how long the job may wait for a new owner.
@@ -166,10 +173,12 @@
 	return false
 }
 
-// awaitOwner waits a little where endpoints are changing hands, and lets the
-// job ask them again.
+// awaitOwner waits a little where endpoints are changing hands, or where this
+// entry's view may not show the first one yet, and lets the job ask them again.
 func (d *dispatcher) awaitOwner(ctx context.Context, p *progress) bool {
-	if len(p.moving) == 0 || ctx.Err() != nil || d.session.clock() >= p.patience {
+	now := d.session.clock()
+	unknown := p.attempts == 0 && now < p.viewBy
+	if ctx.Err() != nil || now >= p.patience || (len(p.moving) == 0 && !unknown) {
 		return false
 	}
 	sleep(ctx, takeoverPoll)
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -279,3 +279,46 @@
 		}
 	})
 }
+
+// TestLaggingViews begins a call where no view shows a replica yet, or where
+// two entries differ about the only one's owner: it is answered once they
+// agree, and refused as not run where that does not happen.
+func TestLaggingViews(t *testing.T) {
+	tests := []struct {
+		name     string
+		edit     func(*wire.View)
+		then     func(*wire.View)
+		answered bool
+	}{
+		{"replica appears", func(v *wire.View) { v.Residents = nil }, func(v *wire.View) {
+			v.Residents = []*wire.Resident{{Endpoint: "engine-0", Model: testModel, Version: "v1", State: wire.ResidentState_RESIDENT_STATE_READY}}
+		}, true},
+		{"no replica", func(v *wire.View) { v.Residents = nil }, func(*wire.View) {}, false},
+		{"owner unknown", func(v *wire.View) { v.Endpoints[0].Owner = "gone" }, func(v *wire.View) { v.Endpoints[0].Owner = "entry-0" }, true},
+		{"owner never comes", func(v *wire.View) { v.Endpoints[0].Owner = "gone" }, func(*wire.View) {}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(1, 2)
+				f.change(tt.edit)
+				stop := make(chan struct{})
+				f.run(stop)
+				time.Sleep(testHeartbeat)
+				time.AfterFunc(testHeartbeat/2, func() { f.change(tt.then) })
+				begun := time.Now()
+				got, err := f.entries[1].call(t.Context(), newTestJob("call-1", false, false, true))
+				close(stop)
+				switch waited := time.Since(begun); {
+				case tt.answered && (err != nil || got != wholeText("call-1", false)):
+					t.Errorf("got %q, %v", got, err)
+				case !tt.answered && (err == nil || fail.From(err).Ran != fail.RanNo || fail.From(err).RetryAfter == 0):
+					t.Errorf("got %v", err)
+				case waited > maxTakeoverWait+testHeartbeat:
+					t.Errorf("waited %v", waited)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
