Hand over the leadership at a planned stop

Cause: a leader stopped on purpose left the others to wait for their election timeout, a second or two in which no change was committed, and its proposals under way ended with an unknown outcome.

It now refuses new proposals, answers those under way, becomes a follower and asks a voter with the whole log to seek election at once. Requests for votes of that election are exempt from the refusal that protects the lease, which has been given up before. Only a replica that led waits for its successor.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -35,6 +35,7 @@
 	faultBounce
 	faultLoss
 	faultEmptyDisk
+	faultHandOver
 	faultKinds
 )
 
@@ -80,6 +81,11 @@
 		s.loss = 0.3
 	case faultEmptyDisk:
 		c.emptyDisk(a)
+	case faultHandOver:
+		if l := s.leader(); l != nil {
+			l.core.HandOver()
+			s.carryOut(l)
+		}
 	}
 }
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -90,6 +90,9 @@
 	rounds   rounds
 	// termStart is the index of the leader's first entry of its term.
 	termStart uint64
+	// handedOver is set while this replica seeks election at the request of
+	// the leader of the term before.
+	handedOver bool
 	// uncommitted counts the bytes of the leader's own entries of this term
 	// that are not committed.
 	uncommitted int
@@ -184,6 +187,7 @@
 		c.term, c.vote = term, 0
 	}
 	c.role, c.leader = Follower, leader
+	c.handedOver = false
 	c.votes = nil
 	c.progress = map[uint64]*progress{}
 	c.resetElection()
@@ -196,6 +200,7 @@
 		return
 	}
 	if role == PreCandidate {
+		c.handedOver = false
 		// A pre-vote disturbs nobody, so one refused because the others still
 		// wait for the old leader is repeated soon.
 		c.electionAt = c.now + c.cfg.Election/4 + time.Duration(c.rand.Int64N(int64(c.cfg.Election/4)))
@@ -219,7 +224,7 @@
 	}
 	for _, id := range voters(c.Membership()) {
 		if _, answered := c.votes[id]; !answered {
-			c.send(&wire.RaftMessage{Type: kind, To: id, Term: term, LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm()})
+			c.send(&wire.RaftMessage{Type: kind, To: id, Term: term, LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm(), HandOver: c.handedOver})
 		}
 	}
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// HandOver makes this leader a follower and asks a voter that stores the whole
+// log to lead (Ongaro 2014, 3.10). The lease ends before the request leaves, so
+// the others need not wait for it. It returns false where no voter is ready.
+func (c *Core) HandOver() bool {
+	if c.role != Leader || len(voters(c.Membership())) == 1 {
+		return true
+	}
+	for _, id := range voters(c.Membership()) {
+		if id != c.id && c.Reachable(id) && c.progressOf(id).match == c.log.lastIndex() {
+			c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER, To: id, Term: c.term})
+			c.becomeFollower(c.term, 0)
+			return true
+		}
+	}
+	return false
+}
+
 // CaughtUp reports whether the replica has stored all but the last few
 // committed entries, so that it can vote without a gap in availability.
 func (c *Core) CaughtUp(id uint64) bool {
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -39,6 +39,11 @@
 	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
 		c.hearLeader(m.From)
 		c.handleSnapshot(m)
+	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER:
+		if c.role == Follower && isVoter(c.Membership(), c.id) {
+			c.handedOver = true
+			c.campaign(Candidate)
+		}
 	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY:
 		if c.role == Leader {
 			c.handleAppendReply(m)
@@ -81,7 +86,7 @@
 	if pre {
 		reply.Type = wire.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY
 	}
-	if c.leaseHolds() {
+	if c.leaseHolds() && !m.HandOver {
 		c.send(reply)
 		return
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -96,6 +96,7 @@
 // stopNode, which ends the context given to Start, and closes the data folder.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.Info("draining")
+	s.handOver(ctx)
 	err := s.http.Shutdown(ctx)
 	stopNode()
 	if nodeErr := <-s.stopped; err == nil {
@@ -108,6 +109,16 @@
 	return err
 }
 
+// handOverTimeout bounds the search for the next leader at a planned stop.
+const handOverTimeout = 2 * time.Second
+
+// handOver passes on the leadership while this process still answers.
+func (s *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	s.node.HandOver(ctx)
+}
+
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -75,6 +75,8 @@
 	inboxBytes    atomic.Int64
 	lastRole      consensus.Role
 	lastTerm      uint64
+	// handingOver refuses proposals while the leadership is passed on.
+	handingOver bool
 	// failure is a failed write outside of carryOut.
 	failure error
 }
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -30,6 +30,7 @@
 		{"group commit", groupCommit},
 		{"slow disk", slowDisk},
 		{"failover", failover},
+		{"planned stop", plannedStop},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -296,6 +297,38 @@
 	t.Logf("longest failover %v", longest)
 }
 
+// A planned stop of the leader cuts off no proposal and leaves another leader
+// at once, not after an election timeout.
+func plannedStop(t *testing.T, g *group) {
+	const maxGap = 200 * time.Millisecond
+	g.bootstrap(1, 2, 3, 4, 5) // With three, the old leader's own vote would do.
+	for i := range 10 {
+		g.commit(fmt.Sprintf("a%d", i))
+		old := g.leader()
+		under := make(chan error, 1)
+		go func() {
+			_, err := old.Propose(context.Background(), entryCommand("under way"))
+			under <- err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		old.HandOver(context.Background())
+		if err := <-under; err != nil {
+			t.Fatal(err)
+		}
+		if _, err := old.Propose(context.Background(), entryCommand("late")); !fail.Is(err, fail.NotLeader) {
+			t.Fatalf("proposal after the hand-over: %v", err)
+		}
+		g.commit(fmt.Sprintf("b%d", i))
+		if gap := time.Since(start); gap > maxGap {
+			t.Fatalf("the hand-over took %v", gap)
+		}
+		id := old.Identity().ID
+		g.restart(id, g.kill(id))
+		time.Sleep(3 * time.Second)
+	}
+}
+
 // A caller's deadline holds while the journal does not answer.
 func slowDisk(t *testing.T, g *group) {
 	g.bootstrap(1, 2, 3)
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -124,6 +124,10 @@
 func (n *Node) propose(ctx context.Context, start func() (uint64, error)) (*wire.CommandResult, error) {
 	done := make(chan proposalResult, 1)
 	err := n.do(ctx, func() {
+		if n.handingOver {
+			done <- proposalResult{err: errHandingOver}
+			return
+		}
 		index, err := start()
 		if err != nil {
 			done <- proposalResult{err: err}
@@ -145,6 +149,37 @@
 	}
 }
 
+var errHandingOver = fail.New(fail.NotLeader, "this replica hands over its leadership")
+
+const handOverPoll = 10 * time.Millisecond
+
+// HandOver ends the replica's leadership before a planned stop: it refuses new
+// proposals, answers those under way, and returns once it has heard the next
+// leader, or when ctx ends.
+func (n *Node) HandOver(ctx context.Context) {
+	for led := false; ; {
+		done := false
+		err := n.do(ctx, func() {
+			n.handingOver = true
+			leading := n.core.Role() == consensus.Leader
+			if leading && len(n.pending) == 0 {
+				n.core.HandOver()
+			}
+			led = led || leading
+			alone := len(n.core.Membership().GetReplicas()) < 2
+			done = !led || alone || !leading && n.core.Leader() != 0
+		})
+		if err != nil || done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(handOverPoll):
+		}
+	}
+}
+
 // Leadership is what a read on the leader is told.
 type Leadership struct {
 	Term uint64
