Wake an idle replica only when something is due

Cause: an idle control process ticked 40 times a second. The core now tells by when its next tick is due.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// Deadline returns the time by which Tick is due next.
+func (c *Core) Deadline() time.Duration {
+	switch c.role {
+	case Leader:
+		return c.heartbeatAt
+	case Candidate:
+		return min(c.heartbeatAt, c.electionAt)
+	}
+	return c.electionAt
+}
+
 // tickLeader broadcasts when due and steps down where no quorum answered for
 // an election timeout.
 func (c *Core) tickLeader() {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	tickInterval = 25 * time.Millisecond
+	// minTick is the shortest time between two ticks of an idle node.
+	minTick = time.Millisecond
 	// inboxSize bounds the messages that wait for the control goroutine; the
 	// rest are dropped, and consensus sends them again.
 	inboxSize = 1024
@@ -118,7 +119,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.stopped)
 	defer n.failAll()
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTimer(minTick)
 	defer tick.Stop()
 	for {
 		select {
@@ -140,6 +141,7 @@
 			return err
 		}
 		n.noteRole()
+		tick.Reset(max(minTick, n.core.Deadline()-n.opt.Now()))
 	}
 }
 
