--- /dev/null
+++ b/internal/orders/tracker_test.go
@@ -0,0 +1,162 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	load   = wire.OrderKind_ORDER_KIND_LOAD
+	unload = wire.OrderKind_ORDER_KIND_UNLOAD
+	open   = wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED
+	done   = wire.OrderOutcome_ORDER_OUTCOME_DONE
+	given  = wire.OrderOutcome_ORDER_OUTCOME_UNKNOWN
+)
+
+// TestEvidence gives one order its evidence and looks at what it proves.
+func TestEvidence(t *testing.T) {
+	listed := []endpoint.ResidentState{{Model: "t/m", Version: "1", MemoryBytes: 10}}
+	refusal := &endpoint.OrderResult{Reason: "busy"}
+	tests := []struct {
+		name    string
+		kind    wire.OrderKind
+		checks  bool
+		state   *endpoint.EngineState
+		answers []*endpoint.OrderResult
+		// early reads began before the order was seen.
+		early   bool
+		after   time.Duration
+		outcome wire.OrderOutcome
+	}{
+		{name: "load listed", kind: load, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: done},
+		{name: "load listed by an early read", kind: load, early: true, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: open},
+		{name: "load answered and not listed", kind: load, answers: []*endpoint.OrderResult{{Done: true}}, state: &endpoint.EngineState{UsedBytes: 10}, outcome: open},
+		{name: "load refused once", kind: load, answers: []*endpoint.OrderResult{refusal}, state: &endpoint.EngineState{}, outcome: open},
+		{name: "load refused often", kind: load, answers: []*endpoint.OrderResult{refusal, refusal}, state: &endpoint.EngineState{}, outcome: given},
+		{name: "load never answered", kind: load, after: simConfig.GiveUp, outcome: given},
+		{name: "unload listed", kind: unload, state: &endpoint.EngineState{Residents: listed, UsedBytes: 10}, outcome: open},
+		{name: "unload not listed", kind: unload, state: &endpoint.EngineState{}, outcome: done},
+		{name: "unload not listed, a load out of sight", kind: unload, state: &endpoint.EngineState{UsedBytes: 10}, outcome: open},
+		{name: "unload done", kind: unload, answers: []*endpoint.OrderResult{{Done: true}}, state: &endpoint.EngineState{UsedBytes: 10}, outcome: done},
+		{name: "unload not listed, number not seen", kind: unload, checks: true, state: &endpoint.EngineState{FenceTerm: 1, FenceSequence: 6}, outcome: open},
+		{name: "unload not listed, number seen", kind: unload, checks: true, state: &endpoint.EngineState{FenceTerm: 1, FenceSequence: 7}, outcome: done},
+		{name: "engine restarted", kind: unload, state: &endpoint.EngineState{Incarnation: "b"}, outcome: open},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := &wire.Order{Endpoint: "e", Kind: test.kind, Model: "t/m", Version: "1", FenceTerm: 1, FenceSequence: 7, Incarnation: "a"}
+			p := Picture{
+				Term: 1, Orders: []*wire.Order{o}, SendTerms: []*wire.SendTerm{{Term: 1, Replica: 1}}, Members: []uint64{1},
+				Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a", ChecksFencing: test.checks}},
+			}
+			tracker := NewTracker(simConfig)
+			if sent := tracker.Step(tick, p).Send; len(sent) != 1 {
+				t.Fatalf("%d orders sent", len(sent))
+			}
+			for _, a := range test.answers {
+				tracker.Answered(tick, 1, o, a)
+			}
+			if test.state != nil {
+				if test.state.Incarnation == "" {
+					test.state.Incarnation = "a"
+				}
+				began := 2 * tick
+				if test.early {
+					began = 0
+				}
+				tracker.StateRead(1, "e", began, test.state)
+			}
+			got := open
+			for _, r := range tracker.Step(3*tick+test.after, p).Resolve {
+				got = r.Command.Outcome
+			}
+			if got != test.outcome {
+				t.Errorf("got %v, want %v", got, test.outcome)
+			}
+		})
+	}
+}
+
+// TestGate lets no sending of an earlier term start once a later leader asked.
+func TestGate(t *testing.T) {
+	g := NewGate()
+	if !g.Begin(1) || g.Quiet(2) != 1 || g.Begin(1) || !g.Begin(2) {
+		t.Error("a term that has ended may send, or a sending is not counted")
+	}
+	if g.End(1); g.Quiet(2) != 0 {
+		t.Error("an ended sending counts")
+	}
+}
+
+// TestCopiesAreDeclaredDead needs former leaders to be quiet and a row of
+// answered reads, a copy's lifetime long, after that.
+func TestCopiesAreDeclaredDead(t *testing.T) {
+	tests := []struct {
+		name string
+		// quietAt is when the former leader answers; missed is a read that failed.
+		quietAt, missed int
+		member          bool
+		clearAt         int
+	}{
+		{name: "quiet at once", quietAt: 1, member: true, clearAt: 17},
+		{name: "quiet late", quietAt: 9, member: true, clearAt: 24},
+		{name: "never quiet", member: true, clearAt: 0},
+		{name: "removed", clearAt: 17},
+		{name: "a read fails", quietAt: 1, missed: 10, member: true, clearAt: 26},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := &wire.Order{Endpoint: "e", Kind: load, FenceTerm: 1, FenceSequence: 7, Incarnation: "a"}
+			p := Picture{
+				Term: 2, Copies: []*wire.Order{o}, SendTerms: []*wire.SendTerm{{Term: 1, Replica: 1}, {Term: 2, Replica: 2}}, Members: []uint64{2},
+				Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a"}},
+			}
+			if test.member {
+				p.Members = append(p.Members, 1)
+			}
+			tracker := NewTracker(simConfig)
+			clearAt := 0
+			for i := 1; i <= 40 && clearAt == 0; i++ {
+				now := time.Duration(i) * tick
+				s := &endpoint.EngineState{Incarnation: "a"}
+				if i == test.missed {
+					s = nil
+				}
+				tracker.StateRead(2, "e", now, s)
+				out := tracker.Step(now, p)
+				if len(out.Clear) > 0 {
+					clearAt = i
+				}
+				if i == test.quietAt {
+					tracker.Quiet(now, 2, 1)
+				}
+			}
+			if clearAt != test.clearAt {
+				t.Errorf("declared dead at tick %d, want %d", clearAt, test.clearAt)
+			}
+		})
+	}
+}
+
+// TestLostResident is taken out of service once a read that began after it
+// became ready does not list it.
+func TestLostResident(t *testing.T) {
+	p := Picture{
+		Term:      1,
+		Residents: []*wire.Resident{{Endpoint: "e", Model: "t/m", Version: "1", State: wire.ResidentState_RESIDENT_STATE_READY, StateRevision: 9}},
+		Endpoints: []*wire.Endpoint{{Id: "e", Kind: wire.EndpointKind_ENDPOINT_KIND_ENGINE, Incarnation: "a"}},
+	}
+	tracker := NewTracker(simConfig)
+	tracker.Step(tick, p)
+	tracker.StateRead(1, "e", tick, &endpoint.EngineState{Incarnation: "a"})
+	if lost := tracker.Step(2*tick, p).Lose; len(lost) > 0 {
+		t.Error("an early read counts")
+	}
+	tracker.StateRead(1, "e", 2*tick, &endpoint.EngineState{Incarnation: "a"})
+	if lost := tracker.Step(3*tick, p).Lose; len(lost) != 1 || lost[0].ExpectedStateRevision != 9 {
+		t.Errorf("lost are %v", lost)
+	}
+}
