--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -22,6 +22,7 @@
 // Heartbeat renews the entry's lease and hands it what its view lacks. The
 // lease is granted only while the leader lease holds.
 func (e *entryService) Heartbeat(ctx context.Context, req *connect.Request[wire.HeartbeatRequest]) (*connect.Response[wire.HeartbeatResponse], error) {
+	e.s.placing.addDemand(req.Msg.Demand)
 	resp, err := e.s.heartbeat(ctx, req.Msg)
 	if err != nil {
 		return nil, e.s.rpcError(ctx, err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -16,6 +16,7 @@
 	"parsleyramp/internal/consensus"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/journal"
+	"parsleyramp/internal/placement"
 	"parsleyramp/internal/platform"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
@@ -36,6 +37,7 @@
 	cfg     Settings
 	log     *logrus.Entry
 	node    *replica.Node
+	sender  *replica.NetworkSender
 	journal *journal.Journal
 	group   atomic.Pointer[string]
 	joining sync.Mutex
@@ -43,6 +45,8 @@
 	list    platform.LiveList
 	leases  leaseTable
 	orders  *orderSender
+	health  *placement.HealthTable
+	placing placing
 	clock   func() time.Duration
 	http    *transport.Server
 	stopped chan error
@@ -66,9 +70,9 @@
 		stopped: make(chan error, 1),
 	}
 	s.group.Store(&identity.Group)
-	sender := replica.NewNetworkSender(ctx, transport.NewPeerClient(), func() string { return *s.group.Load() })
+	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
 	})
 	if err != nil {
@@ -76,6 +80,7 @@
 		return nil, err
 	}
 	s.orders = newOrderSender(s)
+	s.health = placement.NewHealthTable()
 	listener, err := transport.Listen(cfg.Address)
 	if err != nil {
 		j.Close()
@@ -111,6 +116,7 @@
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(telemetry.Interceptor())}
 	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewSenderServiceHandler(&senderService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
 	mux.Handle(wireconnect.NewOperatorServiceHandler(&operatorService{s}, options...))
