--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -63,10 +63,14 @@
 	if !open(c) {
 		return &wire.CommandResult{Applied: c.State == f.State, Claim: clone(c)}
 	}
-	c.State, c.Answer = f.State, f.Answer
-	if f.MaxAnswerBytes > 0 && m.claimAnswerBytes() > f.MaxAnswerBytes {
+	c.State = f.State
+	if f.State == wire.ClaimState_CLAIM_STATE_DONE {
+		c.Answer = f.Answer
+	}
+	if bytes := uint64(len(f.Answer.GetBody())); c.Answer != nil && f.MaxAnswerBytes > 0 && m.claimBytes+bytes > f.MaxAnswerBytes {
 		c.Answer = &wire.RecordedAnswer{Status: f.Answer.GetStatus(), ContentType: f.Answer.GetContentType(), Dropped: true}
 	}
+	m.claimBytes += answerBytes(c)
 	if c.State == wire.ClaimState_CLAIM_STATE_NOT_RUN {
 		spend(c, c.Token)
 	}
@@ -107,13 +111,7 @@
 	}
 }
 
-func (m *Machine) claimAnswerBytes() uint64 {
-	var sum uint64
-	for _, c := range m.claims {
-		sum += uint64(len(c.Answer.GetBody()))
-	}
-	return sum
-}
+func answerBytes(c *wire.Claim) uint64 { return uint64(len(c.Answer.GetBody())) }
 
 // abandonWork ends what a dead incarnation of an entry held.
 func (m *Machine) abandonWork(entry, incarnation string) {
@@ -135,6 +133,7 @@
 	m.claimsExpiredBefore = max(m.claimsExpiredBefore, x.ClaimsBeforeUnixMs)
 	for k, c := range m.claims {
 		if c.KeyUnixMs < m.claimsExpiredBefore {
+			m.claimBytes -= answerBytes(c)
 			delete(m.claims, k)
 		}
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -42,6 +42,8 @@
 
 	// claimsExpiredBefore refuses keys whose records may have been dropped.
 	claimsExpiredBefore int64
+	// claimBytes is the size of the answers of all claims.
+	claimBytes uint64
 }
 
 // New returns an empty state.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -66,6 +66,7 @@
 	}
 	for _, v := range s.Claims {
 		m.claims[v.Key] = v
+		m.claimBytes += answerBytes(v)
 	}
 	for _, v := range s.Deferred {
 		m.deferred[v.Id] = v
