--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -72,7 +72,7 @@
 		ClaimRetention:       settings.Duration(24 * time.Hour),
 		DeferredRetention:    settings.Duration(24 * time.Hour),
 		ApplyRetention:       settings.Duration(24 * time.Hour),
-		MaxClaims:            20000,
+		MaxClaims:            10000,
 		ClaimAnswerBytes:     2 << 20,
 		DeferredBytes:        4 << 20,
 		DeferredReserveBytes: 8 << 10,
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -53,6 +53,8 @@
 	expect(ExitInvalid, "line 4: /models/0/version", "check", f.sectionFile("bad.jsonc", fmt.Sprintf(deskSection, "")))
 	expect(2, "one FILE", "check")
 	expect(ExitUnauthorized, "PARSLEYRAMP_TOKEN", "-token", "wrong", "apply", one)
+	expect(ExitUnauthorized, "section of team desk", "-token", "other", "apply", one)
+	expect(ExitInvalid, "more than 1048576", "apply", f.sectionFile("large.jsonc", fmt.Sprintf(deskSection, "1")+strings.Repeat(" ", 1<<20)))
 	expect(1, "no section", "get", "desk")
 
 	first := expect(0, "accepted: team=desk revision=1", "apply", "-base", "0", one)
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -65,7 +65,8 @@
 	}
 	c.State = f.State
 	if f.State == wire.ClaimState_CLAIM_STATE_DONE {
-		c.Answer = f.Answer
+		// Only a claim whose outcome is open needs its holder.
+		c.Answer, c.HolderEntry, c.HolderIncarnation, c.Token, c.SpentTokens = f.Answer, "", "", "", nil
 	}
 	if bytes := uint64(len(f.Answer.GetBody())); c.Answer != nil && f.MaxAnswerBytes > 0 && m.claimBytes+bytes > f.MaxAnswerBytes {
 		c.Answer = &wire.RecordedAnswer{Status: f.Answer.GetStatus(), ContentType: f.Answer.GetContentType(), Dropped: true}
