Parse a section once for each text instead of at every look

Cause: the leader parsed every section twice at each look at the plan, four times a second, and an entry at each change of the view; with 390 models one parse takes 11.0 ms (BenchmarkParse/anew). Change: closing.Cache keeps the parsed form by text; control and entries use it.

--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"parsleyramp/internal/closing"
 	"parsleyramp/internal/membership"
 	"parsleyramp/internal/placement"
 	"parsleyramp/internal/platform"
@@ -182,7 +181,7 @@
 func checksFencing(sections []*wire.Section) map[string]bool {
 	out := map[string]bool{}
 	for _, s := range sections {
-		parsed, err := closing.ParseError(s.Text)
+		parsed, err := parsedSections.ParseError(s.Team, s.Text)
 		if err != nil {
 			continue
 		}
@@ -207,7 +206,7 @@
 		Budget: placement.Budget{ModelLoads: s.cfg.ModelLoads, AdapterLoads: s.cfg.AdapterLoads},
 	}
 	for _, section := range p.view.Sections {
-		if parsed, err := closing.ParseError(section.Text); err == nil {
+		if parsed, err := parsedSections.ParseError(section.Team, section.Text); err == nil {
 			in.Sections = append(in.Sections, parsed)
 		}
 	}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -92,7 +92,7 @@
 
 // unmet lists what of the section no endpoint serves.
 func unmet(section *wire.Section, view *wire.View) []string {
-	s, err := closing.ParseError(section.Text)
+	s, err := parsedSections.ParseError(section.Team, section.Text)
 	if err != nil {
 		return []string{err.Error()}
 	}
--- /dev/null
+++ b/internal/control/sections.go
@@ -0,0 +1,7 @@
+package control
+
+import "parsleyramp/internal/closing"
+
+// parsedSections spares the leader from parsing every section at every look
+// at the plan.
+var parsedSections closing.Cache
