--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -22,7 +22,7 @@
 		resp.Section = m.Section(req.Msg.Team)
 		o.s.leases.enterTerm(l.Term, l.Now)
 		resp.LaggingEntries = o.s.leases.lagging(m.Entries(), resp.Section.GetLogIndex(), o.s.cfg.EntryLease.D(), l.Now)
-		view, orders = m.View(), m.Orders()
+		view, orders = o.s.leases.view(m), m.Orders()
 	})
 	if err != nil {
 		return nil, o.s.rpcError(ctx, err)
@@ -30,7 +30,7 @@
 	if resp.Section == nil {
 		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
 	}
-	resp.Unmet = unmet(resp.Section, view, orders)
+	resp.Unmet = unmetBecause(resp.Section, view, orders, o.s.placing.reason)
 	resp.Status = changeStatus(resp)
 	return connect.NewResponse(resp), nil
 }
@@ -71,13 +71,24 @@
 	return out
 }
 
+// planReason returns why the planner has not brought an item into service,
+// or "" where it has nothing to say.
+type planReason func(model, version, adapter string) string
+
 // unmet lists what of the section callers cannot reach, and why.
 func unmet(section *wire.Section, view *wire.View, orders []*wire.Order) []string {
+	return unmetBecause(section, view, orders, func(string, string, string) string { return "" })
+}
+
+// unmetBecause is unmet with the planner's reasons, where no order and no
+// endpoint explains more.
+func unmetBecause(section *wire.Section, view *wire.View, orders []*wire.Order, reason planReason) []string {
 	s, err := parsedSections.ParseError(section.Team, section.Text)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	f := newFleetState(view, orders)
+	f.reason = reason
 	var out []string
 	for _, i := range itemsOf(s) {
 		if ready := f.ready(i); ready < i.replicas {
@@ -98,6 +109,7 @@
 	orders  []*wire.Order
 	engines map[string]*wire.Endpoint
 	charged map[string]uint64
+	reason  planReason
 }
 
 func newFleetState(view *wire.View, orders []*wire.Order) fleetState {
@@ -153,6 +165,9 @@
 			return fmt.Sprintf("%s holds it but %s", r.Endpoint, why)
 		}
 	}
+	if why := f.reason(i.model, i.version, i.adapter); why != "" {
+		return why
+	}
 	return f.noRoom(i)
 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -50,6 +50,8 @@
 	mu     sync.Mutex
 	lastID uint64
 	gates  map[string]*ownedEndpoint
+	// arrived counts the attempts since the last report, for placement.
+	arrived map[residentName]uint32
 	// flights knows what was sent and is not answered yet.
 	flights *quarantine.Tracker
 }
@@ -74,7 +76,7 @@
 }
 
 func newOwner(s *session, e engineClient, r crashReporter, serviceSlots int) *owner {
-	o := &owner{session: s, engines: e, slots: serviceSlots, clock: s.clock, gates: map[string]*ownedEndpoint{}, flights: quarantine.NewTracker()}
+	o := &owner{session: s, engines: e, slots: serviceSlots, clock: s.clock, gates: map[string]*ownedEndpoint{}, flights: quarantine.NewTracker(), arrived: map[residentName]uint32{}}
 	o.crashes = newCrashDetector(e, r, o.inFlight)
 	return o
 }
@@ -198,6 +200,10 @@
 func (o *owner) admit(ctx context.Context, vm *wire.Endpoint, r *wire.ForwardRequest) (*admitted, error) {
 	o.mu.Lock()
 	o.lastID++
+	if r.Model != "" {
+		// Demand is of the model, whichever version answers it.
+		o.arrived[residentName{model: r.Model, adapter: adapterOnly(r.Adapter)}]++
+	}
 	a := &admitted{id: o.lastID, vm: vm, name: residentName{r.Model, r.Version, r.Adapter}}
 	e := o.endpoint(vm)
 	now := o.clock()
@@ -225,6 +231,12 @@
 	return a, nil
 }
 
+// adapterOnly returns an adapter's name without its version.
+func adapterOnly(adapter string) string {
+	name, _, _ := strings.Cut(adapter, "@")
+	return name
+}
+
 func overloaded(retryAfter time.Duration) *fail.Error {
 	return fail.New(fail.Overloaded, "the request cannot meet its target now").WithRetryAfter(max(retryAfter, time.Millisecond))
 }
@@ -389,6 +401,10 @@
 func (o *owner) report(req *wire.HeartbeatRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for name, n := range o.arrived {
+		req.Demand = append(req.Demand, &wire.DemandReport{Model: name.model, Adapter: name.adapter, Requests: n})
+	}
+	clear(o.arrived)
 	for id, e := range o.gates {
 		if len(e.running) == 0 {
 			continue
