Count moves, and let a run start only once nothing moves any more

Change: control counts loads, drains and unloads; the load script waits until no order is open and the engines have held the same for 3 s, and has a column for the moves of a run.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"parsleyramp/internal/placement"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 )
@@ -46,3 +47,12 @@
 		gauge("parsleyramp_entry_leases", float64(live))
 	})
 }
+
+// countMove counts a decided load, drain or unload of a model or an adapter.
+func countMove(step placement.Step) {
+	kind := "model"
+	if step.Adapter != "" {
+		kind = "adapter"
+	}
+	metrics.GetOrCreateCounter(`parsleyramp_moves_total{action="` + step.Action.String() + `",kind="` + kind + `"}`).Inc()
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -86,6 +86,7 @@
 			"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
 			"version": step.Version, "adapter": step.Adapter, "reason": step.Reason,
 		}).Info("move decided")
+		countMove(step)
 	}
 }
 
--- a/scripts/bench/run.go
+++ b/scripts/bench/run.go
@@ -21,6 +21,8 @@
 	scenario, policy string
 	round            int
 	report           *load.Report
+	// moves are the loads, drains and unloads that were decided during the run.
+	moves int
 }
 
 type bench struct {
@@ -71,7 +73,15 @@
 	if err := b.bed.Apply(ctx, b.o.shape); err != nil {
 		return err
 	}
-	return b.bed.WaitMet(ctx, b.o.shape)
+	return b.settle(ctx)
+}
+
+// settle waits until the last run has left no traces in what is resident.
+func (b *bench) settle(ctx context.Context) error {
+	if err := b.bed.WaitMet(ctx, b.o.shape); err != nil {
+		return err
+	}
+	return b.bed.WaitSettled(ctx)
 }
 
 // runAll runs the policies of a scenario alternately, so that what else the
@@ -109,23 +119,30 @@
 	if scenario == "engine-crash" || scenario == "domain-loss" {
 		args = append(args, "-mark", (b.o.duration/faultAt).String()+"="+scenario)
 	}
+	movesBefore, err := b.bed.Moves()
+	if err != nil {
+		return nil, err
+	}
 	recovered := make(chan error, 1)
 	go func() { recovered <- b.fault(ctx, scenario) }()
-	_, err := b.bed.Run(ctx, "parsleyload", args...)
+	if _, err := b.bed.Run(ctx, "parsleyload", args...); err != nil {
+		return nil, err
+	}
+	movesAfter, err := b.bed.Moves()
 	if err != nil {
 		return nil, err
 	}
 	if err := <-recovered; err != nil {
 		return nil, err
 	}
-	if err := b.bed.WaitMet(ctx, b.o.shape); err != nil {
+	if err := b.settle(ctx); err != nil {
 		return nil, err
 	}
 	report, err := load.ReadReport(b.bed.Path(name + ".json"))
 	if err != nil {
 		return nil, err
 	}
-	return &result{scenario: scenario, policy: policy, round: round, report: report}, b.keepReport(name)
+	return &result{scenario: scenario, policy: policy, round: round, report: report, moves: movesAfter - movesBefore}, b.keepReport(name)
 }
 
 // fault brings about what the scenario is named for and mends it after the run.
--- a/scripts/bench/table.go
+++ b/scripts/bench/table.go
@@ -28,8 +28,8 @@
 	if b.o.note != "" {
 		fmt.Fprintf(&t, "%s\n", b.o.note)
 	}
-	t.WriteString("\n| scenario | routing | within targets | per accelerator and second | first token ms p50 | p95 | p99 | between tokens ms p50 | p95 | p99 | refused, not run | broken or unknown | retries | not own or whole |\n")
-	t.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	t.WriteString("\n| scenario | routing | within targets | per accelerator and second | first token ms p50 | p95 | p99 | between tokens ms p50 | p95 | p99 | refused, not run | broken or unknown | retries | not own or whole | moves |\n")
+	t.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, scenario := range b.o.scenarios {
 		for _, policy := range b.o.policies {
 			fmt.Fprintln(&t, b.row(scenario, policy))
@@ -38,8 +38,11 @@
 	return t.String()
 }
 
+// formats are those of the figures of a row.
+var formats = []string{"%.4f", "%.3f", "%.1f", "%.1f", "%.1f", "%.1f", "%.1f", "%.1f", "%.0f", "%.0f", "%.0f", "%.0f", "%.0f"}
+
 func (b *bench) row(scenario, policy string) string {
-	columns := make([][]float64, 12)
+	columns := make([][]float64, len(formats))
 	for _, r := range b.results {
 		if r.scenario != scenario || r.policy != policy {
 			continue
@@ -55,7 +58,7 @@
 		}
 		for i, v := range []float64{
 			p.AttainedShare, p.AttainedPerAcceleratorSecond, p.FirstTokenMS.P50, p.FirstTokenMS.P95, p.FirstTokenMS.P99,
-			p.BetweenTokensMS.P50, p.BetweenTokensMS.P95, p.BetweenTokensMS.P99, refused, broken, float64(p.Retries), float64(p.Foreign),
+			p.BetweenTokensMS.P50, p.BetweenTokensMS.P95, p.BetweenTokensMS.P99, refused, broken, float64(p.Retries), float64(p.Foreign), float64(r.moves),
 		} {
 			columns[i] = append(columns[i], v)
 		}
@@ -64,7 +67,7 @@
 		policy = "default"
 	}
 	cells := []string{scenario, policy}
-	for i, format := range []string{"%.4f", "%.3f", "%.1f", "%.1f", "%.1f", "%.1f", "%.1f", "%.1f", "%.0f", "%.0f", "%.0f", "%.0f"} {
+	for i, format := range formats {
 		cells = append(cells, spread(columns[i], format))
 	}
 	return "| " + strings.Join(cells, " | ") + " |"
--- a/scripts/internal/testbed/shape.go
+++ b/scripts/internal/testbed/shape.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
+	"time"
 
+	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/load"
 )
 
@@ -48,6 +51,76 @@
 	return nil
 }
 
+const (
+	settledPoll = 250 * time.Millisecond
+	// settledFor is how long nothing may have moved.
+	settledFor     = 3 * time.Second
+	settledTimeout = 90 * time.Second
+)
+
+// WaitSettled waits until no order is open and the engines have held the same
+// for a while: a section is met before its last replica is there.
+func (b *Bed) WaitSettled(ctx context.Context) error {
+	last, since := -1, time.Now()
+	for deadline := time.Now().Add(settledTimeout); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(settledPoll) {
+		held, err := b.held(ctx)
+		if err != nil {
+			return err
+		}
+		if held != last {
+			last, since = held, time.Now()
+		}
+		if held >= 0 && time.Since(since) > settledFor {
+			return nil
+		}
+	}
+	return fmt.Errorf("the engines do not settle; they hold %d models and adapters", last)
+}
+
+// held returns how many models and adapters the engines hold, or -1 while one
+// is loading or an order is open.
+func (b *Bed) held(ctx context.Context) (int, error) {
+	for _, n := range b.Controls {
+		u, err := Measure(n)
+		if err != nil {
+			return 0, err
+		}
+		if u.Metrics["parsleyramp_open_orders"] > 0 {
+			return -1, nil
+		}
+	}
+	client, held := endpoint.NewHTTP(http.DefaultClient), 0
+	for _, n := range b.Engines {
+		s, err := client.State(ctx, n.Address)
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range s.Residents {
+			if r.Loading {
+				return -1, nil
+			}
+			held++
+		}
+	}
+	return held, nil
+}
+
+// Moves returns how many moves the control replicas have decided so far.
+func (b *Bed) Moves() (int, error) {
+	var sum float64
+	for _, n := range b.Controls {
+		if !n.Process.running() {
+			continue
+		}
+		u, err := Measure(n)
+		if err != nil {
+			return 0, err
+		}
+		sum += u.Sum("parsleyramp_moves_total")
+	}
+	return int(sum), nil
+}
+
 // WaitMet waits until the sections of all teams of the shape are met.
 func (b *Bed) WaitMet(ctx context.Context, s load.Shape) error {
 	for _, t := range s.Teams {
--- a/scripts/latency/main.go
+++ b/scripts/latency/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -15,7 +14,6 @@
 	"strings"
 	"time"
 
-	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/load"
 	"parsleyramp/scripts/internal/testbed"
 )
@@ -26,7 +24,6 @@
 	numEngines = 3
 	// answerTokens keeps the engines far from full.
 	answerTokens = 4
-	residentPoll = 50 * time.Millisecond
 )
 
 type options struct {
@@ -124,26 +121,7 @@
 	if err := bed.WaitMet(ctx, s); err != nil {
 		return err
 	}
-	return waitResident(ctx, bed)
-}
-
-// waitResident waits until every engine holds the model: a section is met
-// before its last replica is there.
-func waitResident(ctx context.Context, bed *testbed.Bed) error {
-	client := endpoint.NewHTTP(http.DefaultClient)
-	for _, n := range bed.Engines {
-		for {
-			state, err := client.State(ctx, n.Address)
-			if err != nil {
-				return err
-			}
-			if len(state.Residents) == 1 && !state.Residents[0].Loading {
-				break
-			}
-			time.Sleep(residentPoll)
-		}
-	}
-	return nil
+	return bed.WaitSettled(ctx)
 }
 
 func measure(ctx context.Context, o options, s load.Shape, nodes []*testbed.Node, direct bool, round int) (load.Quantiles, error) {
--- a/scripts/slopes/measure.go
+++ b/scripts/slopes/measure.go
@@ -125,6 +125,10 @@
 		}
 	}
 	converged := time.Since(begin)
+	if err := bed.WaitSettled(ctx); err != nil {
+		bed.KillAll()
+		return nil, 0, err
+	}
 	time.Sleep(settle)
 	return bed, converged, nil
 }
