Let stand-in engines publish cache events late

Cause: engines publish cache events late and with gaps; the stand-ins had gaps alone. Change: an event is published once the lag of reports has passed. Seen to fail: with events published at once, TestCacheEventsAreLateAndHaveGaps fails.

--- a/cmd/parsleyramp-standin/main.go
+++ b/cmd/parsleyramp-standin/main.go
@@ -48,7 +48,7 @@
 	fencingIDs := flags.String("fencing-ids", "", "ids of the engines that do so, where not all do")
 	load := flags.Duration("load", 200*time.Millisecond, "time of one model load at full speed")
 	adapterLoad := flags.Duration("adapter-load", 5*time.Millisecond, "time of one adapter load")
-	lag := flags.Duration("lag", 500*time.Millisecond, "lag of load reports and of the live list")
+	lag := flags.Duration("lag", 500*time.Millisecond, "lag of load reports, cache events and the live list")
 	store := flags.String("store", "", "ip:port of the weight store")
 	rate := flags.Float64("rate", 3, "model loads that the store starts in a second")
 	fullSpeed := flags.Int("full-speed", 3, "model loads that the store serves at full speed at once")
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,7 +20,13 @@
 	tokens   map[uint64]int
 	models   map[uint64]string
 	sequence uint64
-	events   []endpoint.CacheEvent
+	events   []timedEvent
+}
+
+// timedEvent is an event with the time at which it happened.
+type timedEvent struct {
+	at    time.Time
+	event endpoint.CacheEvent
 }
 
 func newPrefixCache(capacity int) *prefixCache {
@@ -64,17 +71,18 @@
 		return
 	}
 	e.Sequence = c.sequence
-	c.events = append(c.events, e)
+	c.events = append(c.events, timedEvent{at: time.Now(), event: e})
 	if len(c.events) > maxEvents {
 		c.events = c.events[1:]
 	}
 }
 
-func (c *prefixCache) after(sequence uint64) []endpoint.CacheEvent {
+// after returns the events above the sequence number that happened by then.
+func (c *prefixCache) after(sequence uint64, then time.Time) []endpoint.CacheEvent {
 	out := []endpoint.CacheEvent{}
 	for _, e := range c.events {
-		if e.Sequence > sequence {
-			out = append(out, e)
+		if e.event.Sequence > sequence && !e.at.After(then) {
+			out = append(out, e.event)
 		}
 	}
 	return out
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,7 +31,7 @@
 	// LoadTime and AdapterLoadTime are how long loads take besides the store.
 	LoadTime        time.Duration
 	AdapterLoadTime time.Duration
-	// ReportLag is how old the load report is.
+	// ReportLag is how old the load report is, and how late cache events are.
 	ReportLag time.Duration
 	// Store is the weight store's ip:port; empty for loads without one.
 	Store string
@@ -157,7 +157,7 @@
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
-	events := e.life.cache.after(after)
+	events := e.life.cache.after(after, time.Now().Add(-e.cfg.ReportLag))
 	e.mu.Unlock()
 	writeJSON(w, events)
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -243,7 +243,7 @@
 	})
 }
 
-func TestCacheEventsHaveGaps(t *testing.T) {
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEngine(nil)
 		order(t, e, endpoint.OrderLoad, 1, 100)
@@ -252,10 +252,17 @@
 		complete(e, "second prompt", 1)
 		complete(e, "third prompt", 1)
 		var events []endpoint.CacheEvent
-		w, _ := call(e, http.MethodGet, endpoint.PathEvents+"?after=0", nil)
-		if err := json.Unmarshal(w.Body.Bytes(), &events); err != nil {
-			t.Fatal(err)
+		read := func() {
+			w, _ := call(e, http.MethodGet, endpoint.PathEvents+"?after=0", nil)
+			if err := json.Unmarshal(w.Body.Bytes(), &events); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if read(); len(events) != 0 {
+			t.Fatalf("the events are not late: %+v", events)
 		}
+		time.Sleep(2 * reportLag)
+		read()
 		if len(events) != 2 || events[0].Sequence != 1 || events[1].Sequence != 3 {
 			t.Fatalf("events: %+v", events)
 		}
