--- a/cmd/parsleyload/main.go
+++ b/cmd/parsleyload/main.go
@@ -124,6 +124,10 @@
 	flags.Var(&marks, "mark", "event to be noted in the report, such as 5s=crash; may be repeated")
 	flags.StringVar(&f.json, "json", "", "file for the report as JSON")
 	flags.StringVar(&f.html, "html", "", "file for the report as one HTML page")
+	flags.Usage = func() {
+		fmt.Fprintln(flags.Output(), "usage: parsleyload [flags]\n       parsleyload compare A.json B.json")
+		flags.PrintDefaults()
+	}
 	if err := flags.Parse(args); err != nil {
 		return nil, f, err
 	}
