--- a/internal/load/results.go
+++ b/internal/load/results.go
@@ -63,7 +63,7 @@
 
 func newResults(o Options, start time.Time) *results {
 	r := &results{options: o, start: start, classes: map[string]*classResults{}, refusals: map[refusalKey]int{}}
-	for range int(o.Demand.Duration/time.Second) + 1 {
+	for range int((o.Demand.Duration + time.Second - 1) / time.Second) {
 		r.seconds = append(r.seconds, &second{first: newHistogram()})
 	}
 	for _, c := range o.Demand.Shape.Classes {
