--- /dev/null
+++ b/internal/entry/metrics_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyramp/internal/fail"
+)
+
+func TestOutcomesAreCountedByDeclaredClass(t *testing.T) {
+	refuse := func(ran fail.Ran) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			writeError(w, fail.New(fail.Overloaded, "full").WithRan(ran))
+		}
+	}
+	for _, c := range []struct {
+		class, outcome string
+		answer         http.HandlerFunc
+	}{
+		{"test-whole", outcomeWhole, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "answer") }},
+		{"test-refused", outcomeRefused, refuse(fail.RanNo)},
+		{"test-failed", outcomeFailed, refuse(fail.RanUnknown)},
+		{"test-broken", outcomeBroken, func(w http.ResponseWriter, _ *http.Request) {
+			writeJSON(w, http.StatusOK, "a part")
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		t.Run(c.outcome, func(t *testing.T) {
+			s := &Server{}
+			h := s.counted(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				noteClass(w, c.class)
+				c.answer(w, r)
+			}))
+			func() {
+				defer func() { _ = recover() }()
+				h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
+			}()
+			name := `parsleyramp_requests_total{class="` + c.class + `",outcome="` + c.outcome + `"}`
+			if got := metrics.GetOrCreateCounter(name).Get(); got != 1 {
+				t.Errorf("%s is %d", name, got)
+			}
+			if s.inProgress.Load() != 0 {
+				t.Error("the request counts as in progress for ever")
+			}
+		})
+	}
+}
