--- a/internal/control/livelist.go
+++ b/internal/control/livelist.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"parsleyramp/internal/closing"
 	"parsleyramp/internal/membership"
 	"parsleyramp/internal/platform"
 	"parsleyramp/internal/wire"
@@ -81,7 +80,7 @@
 func checksFencing(sections []*wire.Section) map[string]bool {
 	out := map[string]bool{}
 	for _, s := range sections {
-		parsed, err := closing.ParseError(s.Text)
+		parsed, err := parsedSections.ParseError(s.Team, s.Text)
 		if err != nil {
 			continue
 		}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"parsleyramp/internal/closing"
 	"parsleyramp/internal/placement"
 	"parsleyramp/internal/wire"
 )
@@ -87,6 +86,7 @@
 			"action": step.Action.String(), "endpoint": step.Endpoint, "model": step.Model,
 			"version": step.Version, "adapter": step.Adapter, "reason": step.Reason,
 		}).Info("move decided")
+		countMove(step)
 	}
 }
 
@@ -109,7 +109,7 @@
 		Health: s.health.Read(now),
 	}
 	for _, section := range p.view.Sections {
-		if parsed, err := closing.ParseError(section.Text); err == nil {
+		if parsed, err := parsedSections.ParseError(section.Team, section.Text); err == nil {
 			in.Sections = append(in.Sections, parsed)
 		}
 	}
