--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -83,7 +83,7 @@
 // unmetBecause is unmet with the planner's reasons, where no order and no
 // endpoint explains more.
 func unmetBecause(section *wire.Section, view *wire.View, orders []*wire.Order, reason planReason) []string {
-	s, err := closing.ParseError(section.Text)
+	s, err := parsedSections.ParseError(section.Team, section.Text)
 	if err != nil {
 		return []string{err.Error()}
 	}
