Count the wait of a refused attempt against the target

Cause: a request that waited its whole target at one owner and was given up was tried again elsewhere with the whole target.

Proof: TestRefusedInTime: 400 ms of a 200 ms target without the change, within it with the change.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -95,6 +95,8 @@
 	moving []string
 	// patience is until when new owners are waited for.
 	patience time.Duration
+	// arrived is when the request came.
+	arrived time.Duration
 	// viewBy is until when a view with the first replica is waited for.
 	viewBy time.Duration
 	// attempts counts all attempts, failures those that count against the limit.
@@ -115,6 +117,7 @@
 		last:  fail.New(fail.NoReplica, "no endpoint serves the request now").WithRetryAfter(defaultRetryAfter),
 	}
 	now := d.session.clock()
+	p.arrived = now
 	p.patience = now + takeoverPatience(j)
 	p.viewBy = min(p.patience, now+viewLag*d.session.cfg.Heartbeat.D())
 	d.arrived(j)
@@ -263,6 +266,15 @@
 // are many at once when they come.
 const maxOverloadRetries = 1
 
+// targetLeft returns what is left of the time to the first token; work without
+// a target has always some.
+func (d *dispatcher) targetLeft(j *job, p *progress) time.Duration {
+	if j.template.FirstTokenDeadlineMs == 0 {
+		return time.Second
+	}
+	return p.arrived + time.Duration(j.template.FirstTokenDeadlineMs)*time.Millisecond - d.session.clock()
+}
+
 // mayRetry reports whether another attempt may and should be made.
 func (d *dispatcher) mayRetry(ctx context.Context, j *job, p *progress) bool {
 	f := p.last
@@ -275,7 +287,7 @@
 		return false
 	case !p.relay.repeatable(j.resume != nil):
 		return false
-	case p.refusals > maxOverloadRetries:
+	case p.refusals > maxOverloadRetries, p.refusals > 0 && d.targetLeft(j, p) <= 0:
 		return false
 	case moving(f):
 		return d.session.clock() < p.patience
@@ -379,6 +391,12 @@
 	if by, ok := ctx.Deadline(); ok {
 		r.DeadlineMs = max(1, (time.Until(by) - deadlineMargin).Milliseconds())
 	}
+	if p.refusals > 0 && r.FirstTokenDeadlineMs > 0 {
+		// What a refusing owner let it wait is gone from the target. After a
+		// crash or a break the whole target counts anew: a late answer is
+		// better than none.
+		r.FirstTokenDeadlineMs = max(1, d.targetLeft(j, p).Milliseconds())
+	}
 	if !j.finishBy.IsZero() {
 		r.FinishInMs = max(1, time.Until(j.finishBy).Milliseconds())
 	}
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -322,3 +322,30 @@
 		})
 	}
 }
+
+// TestRefusedInTime fills every slot for long: a call that no endpoint can
+// start in time is refused as not run before its target has passed twice.
+func TestRefusedInTime(t *testing.T) {
+	const target = 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1)
+		f.faults, f.lateBy = []fault{sendsLate}, testLease/2
+		for i := range 20 {
+			go func() {
+				_, _ = f.entries[0].call(context.Background(), newTestJob(fmt.Sprint("long-", i), false, false, true))
+			}()
+		}
+		time.Sleep(time.Millisecond)
+		j := newTestJob("call-1", false, false, true)
+		j.template.FirstTokenDeadlineMs = target.Milliseconds()
+		begun := time.Now()
+		_, err := f.entries[0].call(t.Context(), j)
+		if f := fail.From(err); err == nil || f.Code != fail.Overloaded || f.Ran != fail.RanNo || f.RetryAfter == 0 {
+			t.Errorf("got %v", err)
+		}
+		if waited := time.Since(begun); waited > target {
+			t.Errorf("the answer took %v of a target of %v", waited, target)
+		}
+		time.Sleep(time.Minute)
+	})
+}
