Let the slopes reach large sizes soon

Cause: the planner now keeps to the weight store's rate, by default 3 loads a second, so that 390 models in two replicas took longer than the 120 s that the script waits; the failure then repeated 18 MB of output. Change: the script sets model_load_rate with the store's rate, and an error repeats the last 2,000 bytes of a program's output.

--- a/scripts/internal/testbed/process.go
+++ b/scripts/internal/testbed/process.go
@@ -17,6 +17,8 @@
 	startTimeout = 20 * time.Second
 	stopTimeout  = 60 * time.Second
 	listenPoll   = 20 * time.Millisecond
+	// maxErrorBytes bounds what an error repeats of a program's output.
+	maxErrorBytes = 2000
 )
 
 // Process is a program that the test bed started.
@@ -94,7 +96,7 @@
 func (b *Bed) Run(ctx context.Context, program string, args ...string) (string, error) {
 	out, err := exec.CommandContext(ctx, filepath.Join(b.bin, program), args...).CombinedOutput()
 	if err != nil {
-		return string(out), fmt.Errorf("%s: %w: %s", program, err, out)
+		return string(out), fmt.Errorf("%s: %w: %s", program, err, out[max(0, len(out)-maxErrorBytes):])
 	}
 	return string(out), nil
 }
--- a/scripts/slopes/measure.go
+++ b/scripts/slopes/measure.go
@@ -65,6 +65,8 @@
 	// loadTokens is the mean length of an answer under load.
 	loadTokens = 16
 	teamName   = "team"
+	// storeRate is the loads a second of the weight store, so that a size is reached soon.
+	storeRate = 1000
 )
 
 // shapeOf returns one team with the models; the engines have room for all.
@@ -108,7 +110,8 @@
 	shape := shapeOf(s)
 	bo := testbed.ShapeOptions(shape)
 	bo.Engine = []string{"-memory-mb", "400000", "-slots", "64", "-token", "5ms"}
-	bo.Store = []string{"-rate", "1000", "-full-speed", "64", "-load", "10ms", "-adapters", "64"}
+	bo.Control["model_load_rate"] = storeRate
+	bo.Store = []string{"-rate", fmt.Sprint(storeRate), "-full-speed", "64", "-load", "10ms", "-adapters", "64"}
 	bed, err := testbed.New(dir, o.bin, bo)
 	if err != nil {
 		return nil, 0, err
