Tell the caller of a convicted request at once; ask control before a suspect runs again

Cause: the final answer to a request that crashed two endpoints was held back for one lease, so that it could not come again before every entry knew. What is given up on is to be answered at once. Now the second run of a suspect waits, not the answer: it begins only once every entry knows the suspicion or has no lease, and each entry asks the control leader first, so that the conviction counts everywhere from its commit.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -196,6 +196,26 @@
 	return connect.NewResponse(&wire.ReportCrashResponse{}), nil
 }
 
+// CheckSuspect tells whether a suspect may run again and whether every entry
+// treats it as one by now.
+func (e *entryService) CheckSuspect(ctx context.Context, req *connect.Request[wire.CheckSuspectRequest]) (*connect.Response[wire.CheckSuspectResponse], error) {
+	s := e.s
+	resp := &wire.CheckSuspectResponse{KnownEverywhere: true}
+	err := s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
+		suspect := m.Suspect(req.Msg.Fingerprint)
+		if suspect == nil {
+			return
+		}
+		s.leases.enterTerm(l.Term, l.Now)
+		resp.State = suspect.State
+		resp.KnownEverywhere = len(s.leases.lagging(m.Entries(), suspect.LogIndex, s.cfg.EntryLease.D(), l.Now)) == 0
+	})
+	if err != nil {
+		return nil, s.rpcError(ctx, err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
 // ClearSuspect ends the suspicion of a request that completed.
 func (e *entryService) ClearSuspect(ctx context.Context, req *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error) {
 	_, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_ClearSuspect{ClearSuspect: req.Msg}})
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -27,6 +27,9 @@
 type crashReporter interface {
 	ReportCrash(ctx context.Context, r *wire.ReportCrash) error
 	ClearSuspect(ctx context.Context, fingerprint uint64) error
+	// CheckSuspect returns what all entries are to know of a request, and
+	// whether they know by now that it is a suspect.
+	CheckSuspect(ctx context.Context, fingerprint uint64) (*wire.CheckSuspectResponse, error)
 }
 
 // stateReader reads an engine's exact state.
@@ -136,6 +139,21 @@
 	})
 }
 
+// CheckSuspect asks what all entries are to know of a request.
+func (c controlReporter) CheckSuspect(ctx context.Context, fingerprint uint64) (*wire.CheckSuspectResponse, error) {
+	var out *wire.CheckSuspectResponse
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := c.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
+		r, err := conn.Control.CheckSuspect(ctx, connect.NewRequest(&wire.CheckSuspectRequest{Fingerprint: fingerprint}))
+		if err == nil {
+			out = r.Msg
+		}
+		return err
+	})
+	return out, err
+}
+
 // quarantined is the final answer to a request that crashes endpoints.
 func quarantined() *fail.Error {
 	return fail.New(fail.Quarantined, "this request crashed two endpoints and is not run again")
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -142,7 +142,7 @@
 			break
 		}
 	}
-	return d.final(ctx, p)
+	return d.final(p)
 }
 
 // errNoMore ends a job for which no endpoint is left.
@@ -204,6 +204,11 @@
 	case quarantine.Alone:
 		p.alone = true
 	}
+	if p.alone {
+		if err := d.mayRunAlone(ctx, j.template.Fingerprint); err != nil {
+			return err
+		}
+	}
 	p.query.Alone = p.alone
 	t, ok := d.choose(j.targets(c), p, c)
 	if !ok && len(p.broke) > 0 {
@@ -301,12 +306,32 @@
 	return d.budget.Take(d.session.clock(), j.template.Team, cost)
 }
 
-// final returns the failure that the caller is told. A request that crashed
-// two endpoints is answered only once every entry knows of its conviction, so
-// that no entry runs it when it comes again.
-func (d *dispatcher) final(ctx context.Context, p *progress) error {
+// suspectPoll is the time between two questions whether a suspect may run.
+const suspectPoll = 50 * time.Millisecond
+
+// mayRunAlone waits until every entry treats the request as a suspect. From
+// then on each of them asks here first, so that a request that is convicted by
+// its second crash is refused wherever it comes again at once.
+func (d *dispatcher) mayRunAlone(ctx context.Context, fingerprint uint64) error {
+	for {
+		r, err := d.reporter.CheckSuspect(ctx, fingerprint)
+		switch {
+		case err != nil:
+			return fail.Wrap(err, fail.Unavailable, "control cannot say whether the request may run again").WithRetryAfter(defaultRetryAfter)
+		case r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED:
+			return quarantined()
+		case r.KnownEverywhere:
+			return nil
+		case ctx.Err() != nil:
+			return fail.Wrap(ctx.Err(), fail.DeadlinePassed, "the request waited too long")
+		}
+		sleep(ctx, suspectPoll)
+	}
+}
+
+// final returns the failure that the caller is told.
+func (d *dispatcher) final(p *progress) error {
 	if p.crashes >= quarantine.MaxCrashes {
-		sleep(ctx, d.session.leaseTime())
 		return quarantined().WithRan(fail.RanUnknown)
 	}
 	f := p.last
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -75,8 +75,10 @@
 	// sentAt is when an attempt last reached each engine.
 	sentAt  map[string]time.Duration
 	crashes int
-	start   time.Time
-	lateBy  time.Duration
+	// crashedAt is when the last crash was recorded.
+	crashedAt time.Duration
+	start     time.Time
+	lateBy    time.Duration
 }
 
 type fakeEngine struct {
@@ -157,10 +159,10 @@
 		return
 	}
 	if v := e.session.served.Load(); v == nil || v.catalog.view.Revision != f.view.Revision {
-		e.session.served.Store(&served{catalog: newCatalog(f.view), until: e.session.clock() + testLease, lease: testLease})
+		e.session.served.Store(&served{catalog: newCatalog(f.view), until: e.session.clock() + testLease})
 		return
 	}
-	e.session.served.Store(&served{catalog: e.session.served.Load().catalog, until: e.session.clock() + testLease, lease: testLease})
+	e.session.served.Store(&served{catalog: e.session.served.Load().catalog, until: e.session.clock() + testLease})
 }
 
 // run sends heartbeats, each entry's at its own phase, until stop is closed.
@@ -220,9 +222,30 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(&wire.Command{Body: &wire.Command_ReportCrash{ReportCrash: r}})
+	f.crashedAt = time.Since(f.start)
 	return nil
 }
 
+// CheckSuspect answers from the shared state and from what each entry that
+// holds a lease serves by.
+func (f *fleet) CheckSuspect(_ context.Context, fingerprint uint64) (*wire.CheckSuspectResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &wire.CheckSuspectResponse{KnownEverywhere: true}
+	suspect := f.machine.Suspect(fingerprint)
+	if suspect == nil {
+		return r, nil
+	}
+	r.State = suspect.State
+	for _, e := range f.entries {
+		v := e.session.served.Load()
+		if e.session.clock() < v.until && v.catalog.suspects[fingerprint] == wire.SuspectState_SUSPECT_STATE_UNSPECIFIED {
+			r.KnownEverywhere = false
+		}
+	}
+	return r, nil
+}
+
 // ClearSuspect clears a suspicion in the shared state.
 func (f *fleet) ClearSuspect(_ context.Context, fingerprint uint64) error {
 	f.mu.Lock()
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -21,8 +21,6 @@
 type served struct {
 	catalog *catalog
 	until   time.Duration
-	// lease is how long it was granted for.
-	lease time.Duration
 }
 
 // session keeps the entry's lease with the control leader and its view.
@@ -52,15 +50,6 @@
 	return v.catalog, nil
 }
 
-// leaseTime returns how long leases are granted for. An entry that still
-// serves after that time has renewed its lease, and with it its view.
-func (s *session) leaseTime() time.Duration {
-	if v := s.served.Load(); v != nil {
-		return v.lease
-	}
-	return 0
-}
-
 // run sends heartbeats until ctx ends.
 func (s *session) run(ctx context.Context) {
 	tick := time.NewTicker(s.cfg.Heartbeat.D())
@@ -116,7 +105,7 @@
 		s.log.WithField("revision", resp.View.GetRevision()).Warn("older configuration refused")
 		return
 	}
-	next := &served{until: s.holder.Until(), lease: time.Duration(resp.LeaseMs) * time.Millisecond}
+	next := &served{until: s.holder.Until()}
 	if outcome == lease.Changed {
 		next.catalog = newCatalog(s.holder.View())
 	} else {
--- a/internal/entry/traffic_test.go
+++ b/internal/entry/traffic_test.go
@@ -129,7 +129,8 @@
 
 // TestBadRequestCostsTwoEndpoints resends a request that crashes every engine,
 // through all entries, while others go on: two engines crash in all, every
-// other request is answered, and a break that is no crash makes no suspect.
+// other request is answered, a break that is no crash makes no suspect, and
+// the verdict is told as soon as it is known.
 func TestBadRequestCostsTwoEndpoints(t *testing.T) {
 	fewerChecks(t, "300")
 	rapid.Check(t, func(rt *rapid.T) {
@@ -182,7 +183,15 @@
 func (f *fleet) resendBad(through []int) string {
 	var last error
 	for _, i := range through {
+		began := time.Since(f.start)
 		_, last = f.entries[i].call(context.Background(), newTestJob(crashMark, false, false, true))
+		f.mu.Lock()
+		decided := max(began, f.crashedAt)
+		f.mu.Unlock()
+		// What is given up on is answered at once, not held back.
+		if held := time.Since(f.start) - decided; fail.Is(last, fail.Quarantined) && held >= suspectPoll {
+			return fmt.Sprintf("the final answer was held back for %s\n", held)
+		}
 	}
 	if len(through) > 0 && !fail.Is(last, fail.Quarantined) {
 		return fmt.Sprintf("the bad request ended with %v\n", last)
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -12,7 +12,7 @@
 	for _, f := range r.Fingerprints {
 		s := m.suspects[f]
 		if s == nil {
-			s = &wire.Suspect{Fingerprint: f, State: wire.SuspectState_SUSPECT_STATE_SUSPECT}
+			s = &wire.Suspect{Fingerprint: f, State: wire.SuspectState_SUSPECT_STATE_SUSPECT, LogIndex: m.applied}
 			m.suspects[f] = s
 		}
 		if s.LastCrash == crash {
@@ -28,6 +28,15 @@
 	return applied()
 }
 
+// Suspect returns the record of a suspect, or nil.
+func (m *Machine) Suspect(fingerprint uint64) *wire.Suspect {
+	s, ok := m.suspects[fingerprint]
+	if !ok {
+		return nil
+	}
+	return clone(s)
+}
+
 // clearSuspect drops the suspicion of a request that has completed.
 func (m *Machine) clearSuspect(fingerprint uint64) *wire.CommandResult {
 	s := m.suspects[fingerprint]
--- a/internal/wire/wireconnect/control.connect.go
+++ b/internal/wire/wireconnect/control.connect.go
@@ -60,6 +60,9 @@
 	// ControlServiceReportCrashProcedure is the fully-qualified name of the ControlService's
 	// ReportCrash RPC.
 	ControlServiceReportCrashProcedure = "/parsleyramp.wire.ControlService/ReportCrash"
+	// ControlServiceCheckSuspectProcedure is the fully-qualified name of the ControlService's
+	// CheckSuspect RPC.
+	ControlServiceCheckSuspectProcedure = "/parsleyramp.wire.ControlService/CheckSuspect"
 	// ControlServiceClearSuspectProcedure is the fully-qualified name of the ControlService's
 	// ClearSuspect RPC.
 	ControlServiceClearSuspectProcedure = "/parsleyramp.wire.ControlService/ClearSuspect"
@@ -93,6 +96,8 @@
 	FetchDeferred(context.Context, *connect.Request[wire.FetchDeferredRequest]) (*connect.Response[wire.FetchDeferredResponse], error)
 	FinishDeferred(context.Context, *connect.Request[wire.FinishDeferred]) (*connect.Response[wire.FinishDeferredResponse], error)
 	ReportCrash(context.Context, *connect.Request[wire.ReportCrash]) (*connect.Response[wire.ReportCrashResponse], error)
+	// CheckSuspect is asked before a suspect runs again.
+	CheckSuspect(context.Context, *connect.Request[wire.CheckSuspectRequest]) (*connect.Response[wire.CheckSuspectResponse], error)
 	ClearSuspect(context.Context, *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error)
 }
 
@@ -149,6 +154,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("ReportCrash")),
 			connect.WithClientOptions(opts...),
 		),
+		checkSuspect: connect.NewClient[wire.CheckSuspectRequest, wire.CheckSuspectResponse](
+			httpClient,
+			baseURL+ControlServiceCheckSuspectProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("CheckSuspect")),
+			connect.WithClientOptions(opts...),
+		),
 		clearSuspect: connect.NewClient[wire.ClearSuspect, wire.ClearSuspectResponse](
 			httpClient,
 			baseURL+ControlServiceClearSuspectProcedure,
@@ -167,6 +178,7 @@
 	fetchDeferred  *connect.Client[wire.FetchDeferredRequest, wire.FetchDeferredResponse]
 	finishDeferred *connect.Client[wire.FinishDeferred, wire.FinishDeferredResponse]
 	reportCrash    *connect.Client[wire.ReportCrash, wire.ReportCrashResponse]
+	checkSuspect   *connect.Client[wire.CheckSuspectRequest, wire.CheckSuspectResponse]
 	clearSuspect   *connect.Client[wire.ClearSuspect, wire.ClearSuspectResponse]
 }
 
@@ -205,6 +217,11 @@
 	return c.reportCrash.CallUnary(ctx, req)
 }
 
+// CheckSuspect calls parsleyramp.wire.ControlService.CheckSuspect.
+func (c *controlServiceClient) CheckSuspect(ctx context.Context, req *connect.Request[wire.CheckSuspectRequest]) (*connect.Response[wire.CheckSuspectResponse], error) {
+	return c.checkSuspect.CallUnary(ctx, req)
+}
+
 // ClearSuspect calls parsleyramp.wire.ControlService.ClearSuspect.
 func (c *controlServiceClient) ClearSuspect(ctx context.Context, req *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error) {
 	return c.clearSuspect.CallUnary(ctx, req)
@@ -219,6 +236,8 @@
 	FetchDeferred(context.Context, *connect.Request[wire.FetchDeferredRequest]) (*connect.Response[wire.FetchDeferredResponse], error)
 	FinishDeferred(context.Context, *connect.Request[wire.FinishDeferred]) (*connect.Response[wire.FinishDeferredResponse], error)
 	ReportCrash(context.Context, *connect.Request[wire.ReportCrash]) (*connect.Response[wire.ReportCrashResponse], error)
+	// CheckSuspect is asked before a suspect runs again.
+	CheckSuspect(context.Context, *connect.Request[wire.CheckSuspectRequest]) (*connect.Response[wire.CheckSuspectResponse], error)
 	ClearSuspect(context.Context, *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error)
 }
 
@@ -271,6 +290,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("ReportCrash")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceCheckSuspectHandler := connect.NewUnaryHandler(
+		ControlServiceCheckSuspectProcedure,
+		svc.CheckSuspect,
+		connect.WithSchema(controlServiceMethods.ByName("CheckSuspect")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceClearSuspectHandler := connect.NewUnaryHandler(
 		ControlServiceClearSuspectProcedure,
 		svc.ClearSuspect,
@@ -293,6 +318,8 @@
 			controlServiceFinishDeferredHandler.ServeHTTP(w, r)
 		case ControlServiceReportCrashProcedure:
 			controlServiceReportCrashHandler.ServeHTTP(w, r)
+		case ControlServiceCheckSuspectProcedure:
+			controlServiceCheckSuspectHandler.ServeHTTP(w, r)
 		case ControlServiceClearSuspectProcedure:
 			controlServiceClearSuspectHandler.ServeHTTP(w, r)
 		default:
@@ -332,6 +359,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.ControlService.ReportCrash is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) CheckSuspect(context.Context, *connect.Request[wire.CheckSuspectRequest]) (*connect.Response[wire.CheckSuspectResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.ControlService.CheckSuspect is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) ClearSuspect(context.Context, *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.ControlService.ClearSuspect is not implemented"))
 }
