--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -4,22 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.opentelemetry.io/otel/attribute"
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/retry"
 	"parsleyramp/internal/routing"
-	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/wire"
-	"parsleyramp/internal/wire/wireconnect"
 )
 
 // job is one caller's request on its way to an endpoint.
@@ -79,33 +75,6 @@
 	clearTimeout = 5 * time.Second
 )
 
-// progress is what became of one job so far.
-type progress struct {
-	query   routing.Query
-	relay   *relay
-	ran     fail.Ran
-	crashes int
-	// stop is set where this entry itself may make no further attempt.
-	stop bool
-	// alone is set once an owner said that the request is a suspect.
-	alone bool
-	// broke holds the endpoints whose answers broke while they went on running.
-	broke []string
-	// moving holds the endpoints that were about to get another owner.
-	moving []string
-	// patience is until when new owners are waited for.
-	patience time.Duration
-	// arrived is when the request came.
-	arrived time.Duration
-	// viewBy is until when a view with the first replica is waited for.
-	viewBy time.Duration
-	// attempts counts all attempts, failures those that count against the limit.
-	attempts, failures int
-	// refusals counts attempts that an owner refused for overload.
-	refusals int
-	last     *fail.Error
-}
-
 // run sends the job to one endpoint after another until one answers. There is
 // no other attempt once it could repeat what reached the caller, or where the
 // request may have run and must not run twice.
@@ -227,40 +196,6 @@
 	return err
 }
 
-// leave notes where an attempt failed, for the choice of the next endpoint.
-func (p *progress) leave(t target, err error) {
-	if err == nil || fail.Is(err, fail.MustRunAlone) {
-		return
-	}
-	p.query.Tried = append(p.query.Tried, t.vm.Id)
-	f := fail.From(err)
-	if moving(f) {
-		p.moving = append(p.moving, t.vm.Id)
-		return
-	}
-	p.failures++
-	p.query.FailedDomains = append(p.query.FailedDomains, t.vm.Domain)
-	if f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
-		p.broke = append(p.broke, t.vm.Id)
-	}
-}
-
-// note takes the outcome of a failed attempt.
-func (p *progress) note(f *fail.Error) {
-	p.last = f
-	if f.Ran != fail.RanNo {
-		p.ran = f.Ran
-	}
-	switch f.Code {
-	case fail.EndpointCrashed:
-		p.crashes++
-	case fail.MustRunAlone:
-		p.alone = true
-	case fail.Overloaded:
-		p.refusals++
-	}
-}
-
 // finalCodes are failures that another attempt would give again.
 var finalCodes = map[fail.Code]bool{
 	fail.BadRequest: true, fail.Quarantined: true, fail.Canceled: true, fail.DeadlinePassed: true,
@@ -468,93 +403,3 @@
 	defer d.mu.Unlock()
 	d.table.Report(d.session.clock(), endpointID, routing.Load{InFlight: int(l.InFlight), Queued: int(l.Queued)})
 }
-
-// peers sends attempts to other entries.
-type peers struct {
-	client connect.HTTPClient
-	mu     sync.Mutex
-	conns  map[string]wireconnect.EntryServiceClient
-}
-
-func newPeers(client connect.HTTPClient) *peers {
-	return &peers{client: client, conns: map[string]wireconnect.EntryServiceClient{}}
-}
-
-func (p *peers) conn(address string) wireconnect.EntryServiceClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.conns[address]
-	if !ok {
-		c = wireconnect.NewEntryServiceClient(p.client, "http://"+address)
-		p.conns[address] = c
-	}
-	return c
-}
-
-// forward runs an attempt at its owner. Where the owner cannot be asked at
-// all the attempt did not run; after that a break leaves the outcome unknown.
-func (p *peers) forward(ctx context.Context, address string, r *wire.ForwardRequest, out sink) error {
-	req := connect.NewRequest(r)
-	telemetry.Inject(ctx, req.Header())
-	stream, err := p.conn(address).Forward(ctx, req)
-	if err != nil {
-		return brokenStream(err)
-	}
-	defer stream.Close()
-	for stream.Receive() {
-		e := stream.Msg()
-		if refusal := e.GetRefusal(); refusal != nil {
-			return failureOf(refusal)
-		}
-		if err := out(e); err != nil {
-			return err
-		}
-		if e.GetEnd() != nil {
-			return nil
-		}
-	}
-	return brokenStream(stream.Err())
-}
-
-// brokenStream returns the failure of a stream that ended without an end
-// event. Only a failed dial proves that the owner never saw the attempt.
-func brokenStream(err error) error {
-	f, _ := rpcerror.FromConnect(err)
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return f.WithRan(fail.RanNo)
-	}
-	// Whatever a connect error says of the outcome, only a refusal event is an
-	// owner's word about it.
-	return f.WithRan(fail.RanUnknown)
-}
-
-var ranToWire = map[fail.Ran]wire.Ran{fail.RanNo: wire.Ran_RAN_NO, fail.RanYes: wire.Ran_RAN_YES, fail.RanUnknown: wire.Ran_RAN_UNKNOWN}
-
-func refusalOf(err error) *wire.ForwardRefusal {
-	f := fail.From(err)
-	return &wire.ForwardRefusal{Code: string(f.Code), Message: f.Error(), Ran: ranToWire[f.Ran], RetryAfterMs: f.RetryAfter.Milliseconds()}
-}
-
-func failureOf(r *wire.ForwardRefusal) *fail.Error {
-	ran := fail.RanUnknown
-	for k, v := range ranToWire {
-		if v == r.Ran {
-			ran = k
-		}
-	}
-	return fail.New(fail.Code(r.Code), r.Message).WithRan(ran).WithRetryAfter(time.Duration(r.RetryAfterMs) * time.Millisecond)
-}
-
-// peerService runs attempts that other entries send to this owner.
-type peerService struct{ owner *owner }
-
-// Forward runs one attempt on an endpoint that this entry owns.
-func (p *peerService) Forward(ctx context.Context, req *connect.Request[wire.ForwardRequest], stream *connect.ServerStream[wire.ForwardEvent]) error {
-	ctx = telemetry.Extract(ctx, req.Header())
-	err := p.owner.run(ctx, req.Msg, stream.Send)
-	if err != nil {
-		return stream.Send(&wire.ForwardEvent{Body: &wire.ForwardEvent_Refusal{Refusal: refusalOf(err)}})
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// peers sends attempts to other entries.
+type peers struct {
+	client connect.HTTPClient
+	mu     sync.Mutex
+	conns  map[string]wireconnect.EntryServiceClient
+}
+
+func newPeers(client connect.HTTPClient) *peers {
+	return &peers{client: client, conns: map[string]wireconnect.EntryServiceClient{}}
+}
+
+func (p *peers) conn(address string) wireconnect.EntryServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[address]
+	if !ok {
+		c = wireconnect.NewEntryServiceClient(p.client, "http://"+address)
+		p.conns[address] = c
+	}
+	return c
+}
+
+// forward runs an attempt at its owner. Where the owner cannot be asked at
+// all the attempt did not run; after that a break leaves the outcome unknown.
+func (p *peers) forward(ctx context.Context, address string, r *wire.ForwardRequest, out sink) error {
+	req := connect.NewRequest(r)
+	telemetry.Inject(ctx, req.Header())
+	stream, err := p.conn(address).Forward(ctx, req)
+	if err != nil {
+		return brokenStream(err)
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		e := stream.Msg()
+		if refusal := e.GetRefusal(); refusal != nil {
+			return failureOf(refusal)
+		}
+		if err := out(e); err != nil {
+			return err
+		}
+		if e.GetEnd() != nil {
+			return nil
+		}
+	}
+	return brokenStream(stream.Err())
+}
+
+// brokenStream returns the failure of a stream that ended without an end
+// event. Only a failed dial proves that the owner never saw the attempt.
+func brokenStream(err error) error {
+	f, _ := rpcerror.FromConnect(err)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return f.WithRan(fail.RanNo)
+	}
+	// Whatever a connect error says of the outcome, only a refusal event is an
+	// owner's word about it.
+	return f.WithRan(fail.RanUnknown)
+}
+
+var ranToWire = map[fail.Ran]wire.Ran{fail.RanNo: wire.Ran_RAN_NO, fail.RanYes: wire.Ran_RAN_YES, fail.RanUnknown: wire.Ran_RAN_UNKNOWN}
+
+func refusalOf(err error) *wire.ForwardRefusal {
+	f := fail.From(err)
+	return &wire.ForwardRefusal{Code: string(f.Code), Message: f.Error(), Ran: ranToWire[f.Ran], RetryAfterMs: f.RetryAfter.Milliseconds()}
+}
+
+func failureOf(r *wire.ForwardRefusal) *fail.Error {
+	ran := fail.RanUnknown
+	for k, v := range ranToWire {
+		if v == r.Ran {
+			ran = k
+		}
+	}
+	return fail.New(fail.Code(r.Code), r.Message).WithRan(ran).WithRetryAfter(time.Duration(r.RetryAfterMs) * time.Millisecond)
+}
+
+// peerService runs attempts that other entries send to this owner.
+type peerService struct{ owner *owner }
+
+// Forward runs one attempt on an endpoint that this entry owns.
+func (p *peerService) Forward(ctx context.Context, req *connect.Request[wire.ForwardRequest], stream *connect.ServerStream[wire.ForwardEvent]) error {
+	ctx = telemetry.Extract(ctx, req.Header())
+	err := p.owner.run(ctx, req.Msg, stream.Send)
+	if err != nil {
+		return stream.Send(&wire.ForwardEvent{Body: &wire.ForwardEvent_Refusal{Refusal: refusalOf(err)}})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/progress.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/routing"
+)
+
+// progress is what became of one job so far.
+type progress struct {
+	query   routing.Query
+	relay   *relay
+	ran     fail.Ran
+	crashes int
+	// stop is set where this entry itself may make no further attempt.
+	stop bool
+	// alone is set once an owner said that the request is a suspect.
+	alone bool
+	// broke holds the endpoints whose answers broke while they went on running.
+	broke []string
+	// moving holds the endpoints that were about to get another owner.
+	moving []string
+	// patience is until when new owners are waited for.
+	patience time.Duration
+	// arrived is when the request came.
+	arrived time.Duration
+	// viewBy is until when a view with the first replica is waited for.
+	viewBy time.Duration
+	// attempts counts all attempts, failures those that count against the limit.
+	attempts, failures int
+	// refusals counts attempts that an owner refused for overload.
+	refusals int
+	last     *fail.Error
+}
+
+// leave notes where an attempt failed, for the choice of the next endpoint.
+func (p *progress) leave(t target, err error) {
+	if err == nil || fail.Is(err, fail.MustRunAlone) {
+		return
+	}
+	p.query.Tried = append(p.query.Tried, t.vm.Id)
+	f := fail.From(err)
+	if moving(f) {
+		p.moving = append(p.moving, t.vm.Id)
+		return
+	}
+	p.failures++
+	p.query.FailedDomains = append(p.query.FailedDomains, t.vm.Domain)
+	if f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
+		p.broke = append(p.broke, t.vm.Id)
+	}
+}
+
+// note takes the outcome of a failed attempt.
+func (p *progress) note(f *fail.Error) {
+	p.last = f
+	if f.Ran != fail.RanNo {
+		p.ran = f.Ran
+	}
+	switch f.Code {
+	case fail.EndpointCrashed:
+		p.crashes++
+	case fail.MustRunAlone:
+		p.alone = true
+	case fail.Overloaded:
+		p.refusals++
+	}
+}
