--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -71,7 +71,7 @@
 			var t leaseTable
 			t.enterTerm(1, 0)
 			for b.Loop() {
-				t.condemn(t.view(m).Entries, time.Second, 0)
+				t.revokeExpired(t.view(m).Entries, time.Second, 0)
 			}
 		})
 	}
--- a/internal/control/lead.go
+++ b/internal/control/lead.go
@@ -96,7 +96,7 @@
 		p.term, p.view, p.orders, p.deferred = l.Term, s.leases.view(m), m.Orders(), m.DeferredWork()
 		p.copies, p.sendTerms = m.Copies(), m.SendTerms()
 		lease := s.cfg.EntryLease.D()
-		p.dead = s.leases.condemn(p.view.Entries, lease, l.Now)
+		p.dead = s.leases.revokeExpired(p.view.Entries, lease, l.Now)
 		s.leases.prune(l.Now)
 		for _, r := range p.view.Residents {
 			if r.State != wire.ResidentState_RESIDENT_STATE_DRAINING {
@@ -144,7 +144,7 @@
 }
 
 // markDead records entries as lost. The mark is valid only in the term that
-// condemned them.
+// revoked their leases.
 func (s *Server) markDead(ctx context.Context, p *picture) {
 	for _, gone := range p.dead {
 		log := s.log.WithField("entry", gone.Entry.Id)
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -31,16 +31,16 @@
 // Two invariants make its answers true. At most one incarnation of an entry
 // holds a lease: another one is registered only once the lease of the first
 // is over. An entry that the state marks as not live holds no lease: it is
-// condemned before the mark is proposed, and a condemned incarnation is
+// revoked before the mark is proposed, and a revoked incarnation is
 // granted nothing until the mark is committed.
 type leaseTable struct {
 	term    uint64
 	since   time.Duration
 	entries map[string]*entryLease
-	// condemned gives the incarnation of an entry that is being marked dead or
+	// revoked gives the incarnation of an entry that is being marked dead or
 	// replaced.
-	condemned map[string]string
-	views     viewHistory
+	revoked map[string]string
+	views   viewHistory
 }
 
 // enterTerm empties the table where the term is a new one.
@@ -48,11 +48,11 @@
 	if t.term == term && t.entries != nil {
 		return
 	}
-	*t = leaseTable{term: term, since: now, entries: map[string]*entryLease{}, condemned: map[string]string{}}
+	*t = leaseTable{term: term, since: now, entries: map[string]*entryLease{}, revoked: map[string]string{}}
 }
 
 var (
-	errCondemned   = fail.New(fail.Unavailable, "the entry is being marked dead; send the heartbeat again").WithRetryAfter(time.Second)
+	errRevoked     = fail.New(fail.Unavailable, "the entry is being marked dead; send the heartbeat again").WithRetryAfter(time.Second)
 	errIncarnation = fail.New(fail.Unavailable, "an earlier incarnation of the entry may still hold its lease").WithRetryAfter(time.Second)
 )
 
@@ -61,17 +61,17 @@
 func (t *leaseTable) renew(m *state.Machine, r *wire.HeartbeatRequest, lease, now time.Duration) (*wire.HeartbeatResponse, *wire.SetEntry, error) {
 	id := r.Entry.GetId()
 	current := m.Entry(id)
-	t.acquit(id, current)
-	_, condemned := t.condemned[id]
+	t.clearRevocation(id, current)
+	_, revoked := t.revoked[id]
 	same := current.GetIncarnation() == r.Entry.GetIncarnation()
 	switch {
-	case same && condemned:
-		return nil, nil, errCondemned
+	case same && revoked:
+		return nil, nil, errRevoked
 	case current.GetLive() && !same && !t.expired(id, lease, now):
 		return nil, nil, errIncarnation
 	case !m.Registered(r.Entry):
 		if current.GetLive() && !same {
-			t.condemned[id] = current.Incarnation
+			t.revoked[id] = current.Incarnation
 		}
 		return nil, registration(r.Entry, current), nil
 	}
@@ -95,11 +95,11 @@
 	return &wire.SetEntry{Entry: next, ExpectedRegistration: current.GetRegistration()}
 }
 
-// acquit ends the condemnation of an entry once the state says that its
+// clearRevocation ends the revocation of an entry once the state says that its
 // incarnation is dead or replaced.
-func (t *leaseTable) acquit(id string, current *wire.EntryVM) {
-	if incarnation, ok := t.condemned[id]; ok && (!current.GetLive() || current.GetIncarnation() != incarnation) {
-		delete(t.condemned, id)
+func (t *leaseTable) clearRevocation(id string, current *wire.EntryVM) {
+	if incarnation, ok := t.revoked[id]; ok && (!current.GetLive() || current.GetIncarnation() != incarnation) {
+		delete(t.revoked, id)
 	}
 }
 
@@ -131,17 +131,17 @@
 	return now-last > overAfter(lease)
 }
 
-// condemn returns the entries that are marked as live though their lease is
+// revokeExpired returns the entries that are marked as live though their lease is
 // over, as they are to be recorded. None of them is granted a lease until that
 // is committed.
-func (t *leaseTable) condemn(entries []*wire.EntryVM, lease, now time.Duration) []*wire.SetEntry {
+func (t *leaseTable) revokeExpired(entries []*wire.EntryVM, lease, now time.Duration) []*wire.SetEntry {
 	var out []*wire.SetEntry
 	for _, e := range entries {
-		t.acquit(e.Id, e)
+		t.clearRevocation(e.Id, e)
 		if !e.Live || !t.expired(e.Id, lease, now) {
 			continue
 		}
-		t.condemned[e.Id] = e.Incarnation
+		t.revoked[e.Id] = e.Incarnation
 		gone := proto.Clone(e).(*wire.EntryVM)
 		gone.Live = false
 		out = append(out, &wire.SetEntry{Entry: gone, ExpectedRegistration: e.Registration})
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -187,7 +187,7 @@
 	}
 	now := l.clock.at(w.now)
 	l.table.enterTerm(l.term, now)
-	l.dead = l.table.condemn(l.machine.Entries(), testLease, now)
+	l.dead = l.table.revokeExpired(l.machine.Entries(), testLease, now)
 }
 
 func (w *world) markDead(l *fakeLeader) {
