Let an owner pass a request on where it would wait

The owner knows exactly: it refuses at once where the request would wait while another replica is left, at most twice; the last one queues it.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -346,10 +346,15 @@
 	delete(g.waiting, e.req.ID)
 }
 
+// Busy reports whether a request that arrives now would wait.
+func (g *Gate) Busy() bool {
+	return len(g.running) >= g.slots || g.queue.len() > 0 || g.isolated
+}
+
 // Load returns the gate's exact load.
 func (g *Gate) Load() Load {
 	l := Load{InFlight: len(g.running), Queued: g.queue.len(), Slots: g.slots, FirstToken: g.estimates.all.prefill}
-	if len(g.running) >= g.slots || l.Queued > 0 || g.isolated {
+	if g.Busy() {
 		l.FirstToken += g.wait(key{level: spareLevel, tag: math.Inf(-1)})
 	}
 	return l
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +49,9 @@
 	peers    forwarder
 	reporter crashReporter
 	max      int
+	// redirects is true where owners may pass requests on, which the
+	// baselines of routing do not know.
+	redirects bool
 
 	mu     sync.Mutex
 	table  *routing.Table
@@ -61,7 +63,8 @@
 func newDispatcher(s *session, o *owner, p forwarder, r crashReporter, seed uint64) *dispatcher {
 	return &dispatcher{
 		session: s, owner: o, peers: p, reporter: r, max: s.cfg.MaxAttempts,
-		table: routing.NewTable(routing.Policy(s.cfg.RoutingPolicy), seed), budget: retry.NewBudget(),
+		redirects: routing.Policy(s.cfg.RoutingPolicy) == routing.Owner,
+		table:     routing.NewTable(routing.Policy(s.cfg.RoutingPolicy), seed), budget: retry.NewBudget(),
 	}
 }
 
@@ -154,8 +157,7 @@
 		return false
 	}
 	sleep(ctx, takeoverPoll)
-	p.query.Tried = slices.DeleteFunc(p.query.Tried, func(e string) bool { return slices.Contains(p.moving, e) })
-	p.moving = nil
+	p.reopen(&p.moving)
 	return true
 }
 
@@ -182,13 +184,17 @@
 	t, ok := d.choose(j.targets(c), p, c)
 	if !ok && len(p.broke) > 0 {
 		// An endpoint whose answer broke may still give the rest.
-		p.query.Tried = slices.DeleteFunc(p.query.Tried, func(e string) bool { return slices.Contains(p.broke, e) })
-		p.broke = nil
+		p.reopen(&p.broke)
+		t, ok = d.choose(j.targets(c), p, c)
+	}
+	if !ok && len(p.redirected) > 0 {
+		p.reopen(&p.redirected)
 		t, ok = d.choose(j.targets(c), p, c)
 	}
 	if !ok {
 		return errNoMore
 	}
+	p.redirect = d.redirects && p.mayRedirect(j.targets(c))
 	err = d.attempt(ctx, c, j, t, p, p.attempts)
 	p.attempts++
 	d.learn(t, err)
@@ -231,6 +237,8 @@
 		return false
 	case moving(f):
 		return d.session.clock() < p.patience
+	case f.Code == fail.Redirected:
+		return true
 	}
 	cost := retry.CostRan
 	if f.Ran == fail.RanNo {
@@ -342,6 +350,7 @@
 		Model: m.Model, Version: t.version, Adapter: m.Adapter, Team: m.Team,
 		Priority: m.Priority, FirstTokenDeadlineMs: m.FirstTokenDeadlineMs, BetweenTokensMs: m.BetweenTokensMs,
 		Idempotent: m.Idempotent, Fingerprint: m.Fingerprint, Isolated: p.alone,
+		RedirectIfQueued: p.redirect,
 	}
 	if p.relay.tokens > 0 {
 		r.Body = j.resume(t, p.relay.tokens)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -199,13 +199,17 @@
 // on its resident from before it waits, so that nothing is unloaded under it.
 func (o *owner) admit(ctx context.Context, vm *wire.Endpoint, r *wire.ForwardRequest) (*admitted, error) {
 	o.mu.Lock()
+	e := o.endpoint(vm)
+	if r.RedirectIfQueued && e.gate.Busy() {
+		o.mu.Unlock()
+		return nil, fail.New(fail.Redirected, "the request would wait at this endpoint")
+	}
 	o.lastID++
 	if r.Model != "" {
 		// Demand is of the model, whichever version answers it.
 		o.arrived[residentName{model: r.Model, adapter: adapterOnly(r.Adapter)}]++
 	}
 	a := &admitted{id: o.lastID, vm: vm, name: residentName{r.Model, r.Version, r.Adapter}}
-	e := o.endpoint(vm)
 	now := o.clock()
 	verdict := e.gate.Offer(now, o.admissionRequest(a.id, now, r))
 	if verdict.Refuse {
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"parsleyramp/internal/fail"
@@ -19,6 +20,12 @@
 	alone bool
 	// broke holds the endpoints whose answers broke while they went on running.
 	broke []string
+	// redirect lets the owner of the current attempt pass the request on.
+	redirect bool
+	// redirected holds the endpoints where the request would have waited, and
+	// redirects counts them over the whole job.
+	redirected []string
+	redirects  int
 	// moving holds the endpoints that were about to get another owner.
 	moving []string
 	// patience is until when new owners are waited for.
@@ -41,6 +48,11 @@
 	}
 	p.query.Tried = append(p.query.Tried, t.vm.Id)
 	f := fail.From(err)
+	if f.Code == fail.Redirected {
+		p.redirected = append(p.redirected, t.vm.Id)
+		p.redirects++
+		return
+	}
 	if moving(f) {
 		p.moving = append(p.moving, t.vm.Id)
 		return
@@ -52,6 +64,28 @@
 	}
 }
 
+// reopen lets the job ask endpoints again that it has passed over.
+func (p *progress) reopen(endpoints *[]string) {
+	p.query.Tried = slices.DeleteFunc(p.query.Tried, func(e string) bool { return slices.Contains(*endpoints, e) })
+	*endpoints = nil
+}
+
+// maxRedirects bounds the endpoints that a request passes over because it
+// would wait there.
+const maxRedirects = 2
+
+// mayRedirect reports whether an owner may pass the request on: another
+// replica is left, and the request needs no endpoint for itself.
+func (p *progress) mayRedirect(targets []target) bool {
+	open := 0
+	for _, t := range targets {
+		if !slices.Contains(p.query.Tried, t.vm.Id) {
+			open++
+		}
+	}
+	return open > 1 && p.redirects < maxRedirects && !p.alone
+}
+
 // note takes the outcome of a failed attempt.
 func (p *progress) note(f *fail.Error) {
 	p.last = f
--- /dev/null
+++ b/internal/entry/redirect_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestNoRequestWaitsBesideAFreeReplica sends requests one after another, each
+// far longer than the time between two, through entries that hear of each
+// other's work only late: while a replica has a free slot none of them waits.
+// Beyond that all are answered all the same.
+func TestNoRequestWaitsBesideAFreeReplica(t *testing.T) {
+	fewerChecks(t, "100")
+	rapid.Check(t, func(rt *rapid.T) {
+		entries := rapid.IntRange(1, 3).Draw(rt, "entries")
+		calls := rapid.IntRange(1, 16).Draw(rt, "calls")
+		inBubble(t, rt, func() string {
+			// Three engines of four slots each hold twelve requests.
+			f := newFleet(3, entries)
+			stop := make(chan struct{})
+			f.run(stop)
+			verdicts := make([]string, calls)
+			var wg sync.WaitGroup
+			for i := range calls {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * time.Microsecond)
+					began := time.Since(f.start)
+					_, err := f.entries[i%entries].call(context.Background(), newTestJob(fmt.Sprint("call-", i), true, false, true))
+					took := time.Since(f.start) - began
+					if whole := (testTokens + 1) * testInterval; err != nil || (i < 12 && took > whole) {
+						verdicts[i] = fmt.Sprintf("call %d took %s of %s, failed: %v\n", i, took, whole, err)
+					}
+				})
+			}
+			wg.Wait()
+			close(stop)
+			time.Sleep(time.Minute)
+			for _, v := range verdicts {
+				if v != "" {
+					return v
+				}
+			}
+			return ""
+		})
+	})
+}
--- a/internal/fail/fail.go
+++ b/internal/fail/fail.go
@@ -26,6 +26,7 @@
 	InProgress       Code = "in_progress"
 	OutcomeUnknown   Code = "outcome_unknown"
 	Overloaded       Code = "overloaded"
+	Redirected       Code = "redirected"
 	DeadlinePassed   Code = "deadline_passed"
 	NoReplica        Code = "no_replica"
 	NoLease          Code = "no_lease"
