--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := parsleyramp-control parsleyramp-entry parsleyctl parsleyramp-standin parsleyload
+PROGRAMS := parsleyramp-control parsleyramp-entry parsleyramp-gateway parsleyramp-fleet parsleyctl parsleyramp-standin parsleyload
 export CGO_ENABLED := 1
 
 .PHONY: faults demo test build generate lint clean
@@ -27,7 +27,7 @@
 	PATH=$(CURDIR)/bin/tools:$$PATH buf generate
 
 lint:
-	@test -z "$$(gofmt -l cmd docs internal scripts)" || { gofmt -l cmd docs internal scripts; exit 1; }
+	@test -z "$$(gofmt -l cmd docs internal platform scripts)" || { gofmt -l cmd docs internal platform scripts; exit 1; }
 	go vet ./...
 	go tool -modfile=tools/go.mod staticcheck ./...
 
--- /dev/null
+++ b/cmd/parsleyramp-fleet/main.go
@@ -0,0 +1,57 @@
+// Command parsleyramp-fleet is one control replica of a fleet that is declared
+// by whole documents: it keeps the document, and its leader follows the live
+// list and gives orders to engines.
+package main
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/fleetcontrol"
+	"parsleyramp/internal/program"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/platform"
+)
+
+// gcPercent lets the collector run early: control shares a small VM.
+const gcPercent = 50
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	cfg := fleetcontrol.DefaultSettings()
+	d := program.Daemon{
+		Name:     "parsleyramp-fleet",
+		Settings: &cfg,
+		Identify: func() (string, telemetry.Settings) { return cfg.ID, cfg.Telemetry },
+		Run: func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
+			return run(ctx, stop, cfg, log)
+		},
+	}
+	os.Exit(d.Main(os.Args[1:]))
+}
+
+func run(ctx context.Context, stop func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, log *logrus.Entry) error {
+	node, cancelNode := context.WithCancel(context.Background())
+	defer cancelNode()
+	s, err := fleetcontrol.Start(node, cfg, adapter(cfg, log), log)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-s.Stopped():
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := stop()
+	defer cancel()
+	return s.Shutdown(shutdown, cancelNode)
+}
+
+func adapter(cfg fleetcontrol.Settings, log *logrus.Entry) fleetcontrol.Adapter {
+	return fleetcontrol.Adapter{
+		Platform: platform.NewClient(cfg.LiveList, log), Decode: platform.DecodeDocument, Operators: platform.Operators(log),
+	}
+}
--- a/cmd/parsleyramp-standin/main.go
+++ b/cmd/parsleyramp-standin/main.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"parsleyramp/internal/fail"
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/program"
 	"parsleyramp/internal/standin"
 	"parsleyramp/internal/telemetry"
@@ -106,12 +106,12 @@
 	return errors.Join(err, flush(context.Background()))
 }
 
-func readVMs(path string) ([]platform.VM, error) {
+func readVMs(path string) ([]livelist.VM, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fail.Wrap(err, fail.BadSettings, "read -vms")
 	}
-	var vms []platform.VM
+	var vms []livelist.VM
 	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, fail.Wrap(err, fail.BadSettings, path)
 	}
--- a/internal/control/livelist.go
+++ b/internal/control/livelist.go
@@ -6,19 +6,19 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/membership"
-	"parsleyramp/internal/platform"
 	"parsleyramp/internal/wire"
 )
 
-func endpointOf(vm platform.VM) *wire.Endpoint {
+func endpointOf(vm livelist.VM) *wire.Endpoint {
 	kind := wire.EndpointKind_ENDPOINT_KIND_ENGINE
-	if vm.Kind == platform.KindService {
+	if vm.Kind == livelist.KindService {
 		kind = wire.EndpointKind_ENDPOINT_KIND_SERVICE
 	}
 	return &wire.Endpoint{
 		Id: vm.ID, Kind: kind, Address: vm.Address, Domain: vm.Domain, Service: vm.Service,
-		Accelerators: vm.Accelerators, Leaving: vm.State == platform.Leaving, Reachable: true,
+		Accelerators: vm.Accelerators, Leaving: vm.State == livelist.Leaving, Reachable: true,
 	}
 }
 
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -27,7 +27,7 @@
 
 // Deliver passes messages to the replica, and drops those of another group.
 func (r *replicaService) Deliver(_ context.Context, req *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
-	if *r.s.group.Load() == "" && r.s.invited(req.Msg) {
+	if *r.s.group.Load() == "" && r.s.node.Invited(req.Msg.Messages) {
 		if err := r.s.joinGroup(req.Msg.Group); err != nil {
 			return nil, rpcerror.ToConnect(err, "")
 		}
@@ -42,19 +42,6 @@
 
 var errOtherGroup = fail.New(fail.MembershipChange, "the replica belongs to another group or to none")
 
-// invited reports whether a leader sends this blank replica its log, which
-// shows that the group has added it. Messages to a replica that had the same
-// address before, and requests for votes, are no invitation.
-func (s *Server) invited(r *wire.DeliverRequest) bool {
-	for _, m := range r.Messages {
-		fromLeader := m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND || m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT
-		if fromLeader && m.To == s.node.Identity().ID {
-			return true
-		}
-	}
-	return false
-}
-
 // joinGroup stores the group in the replica's identity. The first of two that
 // race wins. The identity is written before anything of the group's log.
 func (s *Server) joinGroup(group string) error {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -16,8 +16,8 @@
 	"parsleyramp/internal/consensus"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/journal"
+	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/placement"
-	"parsleyramp/internal/platform"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/telemetry"
@@ -39,7 +39,7 @@
 	group   atomic.Pointer[string]
 	joining sync.Mutex
 	engines endpoint.Engine
-	list    platform.LiveList
+	list    livelist.LiveList
 	leases  leaseTable
 	orders  *orderSender
 	reads   readSchedule
@@ -63,7 +63,7 @@
 		log:     log,
 		journal: j,
 		engines: endpoint.NewHTTP(transport.NewEndpointClient(engineConnections)),
-		list:    &platform.HTTPLiveList{Client: transport.NewEndpointClient(1), Address: cfg.LiveList},
+		list:    &livelist.HTTPLiveList{Client: transport.NewEndpointClient(1), Address: cfg.LiveList},
 		clock:   func() time.Duration { return time.Since(start) },
 		stopped: make(chan error, 1),
 	}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -28,6 +28,7 @@
 	Address  string
 	Control  wireconnect.ControlServiceClient
 	Operator wireconnect.OperatorServiceClient
+	Fleet    wireconnect.FleetServiceClient
 }
 
 // Client finds the leader among the control VMs.
@@ -55,6 +56,7 @@
 		Address:  address,
 		Control:  wireconnect.NewControlServiceClient(c.http, url, traced),
 		Operator: wireconnect.NewOperatorServiceClient(c.http, url, traced),
+		Fleet:    wireconnect.NewFleetServiceClient(c.http, url, traced),
 	}
 }
 
@@ -123,3 +125,14 @@
 	}
 	return out
 }
+
+// Learn adds control VMs that were not known yet.
+func (c *Client) Learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range addresses {
+		if !slices.ContainsFunc(c.conns, func(x Conn) bool { return x.Address == a }) {
+			c.conns = append(c.conns, c.connTo(a))
+		}
+	}
+}
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -17,7 +17,7 @@
 
 	"parsleyramp/internal/control"
 	"parsleyramp/internal/entry"
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/standin"
 )
@@ -49,8 +49,8 @@
 	f.engine = standin.NewEngine(standin.EngineConfig{ID: "engine-1", MemoryBytes: 1 << 30, Slots: 4})
 	engine := httptest.NewServer(f.engine)
 	t.Cleanup(engine.Close)
-	list := httptest.NewServer(standin.NewLiveList([]platform.VM{
-		{ID: "engine-1", Kind: platform.KindEngine, Address: engine.Listener.Addr().String(), Domain: "d1", State: platform.Live},
+	list := httptest.NewServer(standin.NewLiveList([]livelist.VM{
+		{ID: "engine-1", Kind: livelist.KindEngine, Address: engine.Listener.Addr().String(), Domain: "d1", State: livelist.Live},
 	}, 0))
 	t.Cleanup(list.Close)
 	f.liveList = list.Listener.Addr().String()
--- /dev/null
+++ b/internal/document/check.go
@@ -0,0 +1,67 @@
+package document
+
+import (
+	"fmt"
+
+	"parsleyramp/internal/fail"
+)
+
+// Check refuses a document that cannot be put in force. The failure names the
+// route and the field.
+func (d *Document) Check() error {
+	if d.Version == 0 {
+		return invalid("version: must be above zero")
+	}
+	services := map[string]bool{}
+	for _, s := range d.Services {
+		if s.Name == "" {
+			return invalid("services: a service needs a name")
+		}
+		if services[s.Name] {
+			return invalid(fmt.Sprintf("services: %s stands twice", s.Name))
+		}
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.check(services); err != nil {
+			return err
+		}
+		place := r.Host + " " + r.Prefix
+		if other, ok := places[place]; ok {
+			return invalid(fmt.Sprintf("route %s: host and path prefix are those of route %s", r.Name, other))
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return invalid(fmt.Sprintf("route %s: host is missing", r.Name))
+	case len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/':
+		return invalid(fmt.Sprintf("route %s: path prefix must begin and end with a slash", r.Name))
+	case r.Timeout <= 0:
+		return invalid(fmt.Sprintf("route %s: timeout must be above zero", r.Name))
+	case len(r.Split) == 0:
+		return invalid(fmt.Sprintf("route %s: no service", r.Name))
+	}
+	total := 0.0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return invalid(fmt.Sprintf("route %s: service %q is not declared", r.Name, s.Service))
+		}
+		if s.Weight < 0 {
+			return invalid(fmt.Sprintf("route %s: weight of service %s is below zero", r.Name, s.Service))
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return invalid(fmt.Sprintf("route %s: the weights add up to zero", r.Name))
+	}
+	return nil
+}
+
+func invalid(message string) error { return fail.New(fail.BadDocument, message) }
--- /dev/null
+++ b/internal/document/table.go
@@ -0,0 +1,56 @@
+package document
+
+import (
+	"slices"
+	"strings"
+)
+
+// Table finds the route of a request. It is immutable.
+type Table struct {
+	Document *Document
+	byHost   map[string][]*Route
+}
+
+// NewTable returns the table of a checked document.
+func NewTable(d *Document) *Table {
+	t := &Table{Document: d, byHost: map[string][]*Route{}}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix that begins the
+// path, or nil. A port after the host is ignored.
+func (t *Table) Find(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick returns the service of the route for a number drawn evenly from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	draw *= total
+	for _, s := range r.Split {
+		if draw < s.Weight {
+			return s.Service
+		}
+		draw -= s.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"parsleyramp/internal/wire"
+)
+
+// Load is what is in progress at one endpoint.
+type Load struct {
+	Running int
+	Tokens  int
+}
+
+// Loads counts what this gateway has in progress and adds what the others
+// said last. It is safe for concurrent use.
+type Loads struct {
+	mu     sync.Mutex
+	own    map[string]Load
+	others map[string]Load
+	health map[string]*health
+}
+
+// NewLoads returns empty counts.
+func NewLoads() *Loads {
+	return &Loads{own: map[string]Load{}, others: map[string]Load{}, health: map[string]*health{}}
+}
+
+// Begin counts a request that is sent to the endpoint.
+func (l *Loads) Begin(endpoint string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.own[endpoint]
+	o.Running++
+	o.Tokens += tokens
+	l.own[endpoint] = o
+}
+
+// End takes back what Begin counted.
+func (l *Loads) End(endpoint string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.own[endpoint]
+	o.Running--
+	o.Tokens -= tokens
+	if o.Running <= 0 {
+		delete(l.own, endpoint)
+		return
+	}
+	l.own[endpoint] = o
+}
+
+// Own returns what this gateway has in progress.
+func (l *Loads) Own() []*wire.InProgress {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*wire.InProgress
+	for id, o := range l.own {
+		out = append(out, &wire.InProgress{Endpoint: id, Running: uint32(o.Running), Tokens: uint64(max(o.Tokens, 0))})
+	}
+	return out
+}
+
+// SetOthers replaces what the other gateways have in progress.
+func (l *Loads) SetOthers(loads []*wire.InProgress) {
+	others := map[string]Load{}
+	for _, w := range loads {
+		others[w.Endpoint] = Load{Running: int(w.Running), Tokens: int(w.Tokens)}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others = others
+}
+
+// of returns the sum. The caller holds the lock.
+func (l *Loads) of(endpoint string) Load {
+	a, b := l.own[endpoint], l.others[endpoint]
+	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens}
+}
+
+const (
+	// failureWeight is the share of the newest result in the failure rate.
+	failureWeight = 0.15
+	// suspectRate is the failure rate from which an endpoint is used only
+	// where no better one is left.
+	suspectRate = 0.3
+	// rateHalfLife is the time in which a failure rate halves without results,
+	// so that an endpoint that recovered is tried again.
+	rateHalfLife = 2 * time.Second
+	// unreachablePause is how long an endpoint that refused a connection or
+	// said that it is another one is left alone.
+	unreachablePause = time.Second
+)
+
+// health is what results say of an endpoint.
+type health struct {
+	rate    float64
+	at      time.Duration
+	blocked time.Duration
+}
+
+// Result is what became of one request at an endpoint.
+type Result int
+
+// Results of requests at an endpoint.
+const (
+	// Served requests got a whole answer of the endpoint.
+	Served Result = iota
+	// Faulty requests got an answer of the endpoint's own failure, or a broken one.
+	Faulty
+	// Unreachable endpoints took no connection or are not what the view says.
+	Unreachable
+)
+
+// Note records a result at a time.
+func (l *Loads) Note(endpoint string, r Result, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.health[endpoint]
+	if h == nil {
+		h = &health{}
+		l.health[endpoint] = h
+	}
+	h.decay(now)
+	failed := 0.0
+	if r != Served {
+		failed = 1
+	}
+	h.rate += failureWeight * (failed - h.rate)
+	if r == Unreachable {
+		h.blocked = now + unreachablePause
+	}
+}
+
+func (h *health) decay(now time.Duration) {
+	for now-h.at > rateHalfLife && h.rate > 0.01 {
+		h.rate /= 2
+		h.at += rateHalfLife
+	}
+	h.at = max(h.at, now-rateHalfLife)
+}
+
+// suspect reports whether the endpoint is to be avoided. The caller holds the
+// lock.
+func (l *Loads) suspect(endpoint string, now time.Duration) bool {
+	h := l.health[endpoint]
+	if h == nil {
+		return false
+	}
+	h.decay(now)
+	return now < h.blocked || h.rate > suspectRate
+}
--- /dev/null
+++ b/internal/fleetcontrol/engine.go
@@ -0,0 +1,218 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/document"
+)
+
+const (
+	// listTrust is how long after the last order the list's word on what an
+	// engine holds is not taken, for the list lags.
+	listTrust = 2500 * time.Millisecond
+	// leaveTime is how long gateways are given to stop sending requests for a
+	// model before it is unloaded.
+	leaveTime = 350 * time.Millisecond
+	// pollInterval is the time between two looks at an engine that carries out
+	// an order.
+	pollInterval = 150 * time.Millisecond
+	// orderTimeout bounds the wait for an order to take effect.
+	orderTimeout = 20 * time.Second
+	// unknownWait is how long the outcome of an unanswered order is waited for
+	// before the engine gets another one.
+	unknownWait = 600 * time.Millisecond
+)
+
+// engineState is what the leader knows of one endpoint. The lead's lock guards it.
+type engineState struct {
+	l      *leadState
+	listed Listed
+	// held is what the engine holds, by model; nil until it is known.
+	held map[string]map[string]bool
+	// sequence of accepted orders, where known.
+	sequence      uint64
+	sequenceKnown bool
+	orderedAt     time.Duration
+	// ordering is set while an order is carried out.
+	ordering bool
+	// loading is the model that is on its way, and leaving those about to go.
+	loading string
+	leaving map[string]bool
+	nearBy  map[string]bool
+	// adapterOrders serializes the adapter orders.
+	adapterOrders chan struct{}
+}
+
+// take notes what the list says of the endpoint. The list's word on what it
+// holds counts only while no order is recent.
+func (e *engineState) take(x Listed, now time.Duration) {
+	e.listed = x
+	if e.held == nil || !e.ordering && now-e.orderedAt > listTrust {
+		e.held = holdings(x.Models)
+	}
+}
+
+func holdings(models []HeldModel) map[string]map[string]bool {
+	out := map[string]map[string]bool{}
+	for _, m := range models {
+		adapters := map[string]bool{}
+		for _, a := range m.Adapters {
+			adapters[a] = true
+		}
+		out[m.Name] = adapters
+	}
+	return out
+}
+
+// usedMB returns what the engine's models and adapters take, with what is on
+// its way.
+func (e *engineState) usedMB(d *document.Engine) float64 {
+	used := 0.0
+	for name, adapters := range e.held {
+		if m := d.Model(name); m != nil {
+			used += m.WeightsMB + float64(len(adapters))*m.AdapterMB
+		}
+	}
+	if _, ok := e.held[e.loading]; e.loading != "" && !ok {
+		if m := d.Model(e.loading); m != nil {
+			used += m.WeightsMB
+		}
+	}
+	return used
+}
+
+func (e *engineState) adapterCount() int {
+	n := 0
+	for _, adapters := range e.held {
+		n += len(adapters)
+	}
+	return n
+}
+
+// refresh reads the engine's own report and takes its word on what it holds.
+func (e *engineState) refresh(ctx context.Context) (*Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := e.l.s.adapter.Platform.Report(ctx, e.listed.Address, e.listed.ID)
+	if err != nil {
+		return nil, err
+	}
+	e.l.mu.Lock()
+	defer e.l.mu.Unlock()
+	if e.sequenceKnown && r.Sequence < e.sequence {
+		// The report is older than the last order that was accepted.
+		return r, nil
+	}
+	e.sequence, e.sequenceKnown = r.Sequence, true
+	e.held = holdings(r.Models)
+	for model, adapters := range holdings(r.Arriving) {
+		for a := range adapters {
+			if e.held[model] != nil {
+				e.held[model][a] = true
+			}
+		}
+	}
+	e.nearBy = map[string]bool{}
+	for _, m := range r.NearBy {
+		e.nearBy[m] = true
+	}
+	return r, nil
+}
+
+// carryOut gives an order for a whole model and waits for its effect. The
+// caller has marked the engine as ordering.
+func (e *engineState) carryOut(ctx context.Context, load bool, model string) {
+	log := e.l.s.log.WithFields(logrus.Fields{"endpoint": e.listed.ID, "model": model, "load": load, "term": e.l.term})
+	defer e.finish(model)
+	if !load && !pause(ctx, leaveTime) {
+		return
+	}
+	if !e.sequenceKnown {
+		if _, err := e.refresh(ctx); err != nil {
+			log.WithError(err).Warn("engine not read before an order")
+			pause(ctx, unknownWait)
+			return
+		}
+	}
+	answer := e.order(ctx, Order{Load: load, Model: model})
+	log.WithFields(logrus.Fields{"answer": answer.String(), "sequence": e.sequence}).Info("order given")
+	switch answer {
+	case OrderAccepted, OrderHolds:
+		e.await(ctx, load, model)
+	default:
+		pause(ctx, unknownWait)
+		if _, err := e.refresh(ctx); err != nil {
+			log.WithError(err).Warn("engine not read after an order")
+		}
+	}
+}
+
+// order sends one order, with the sequence at which the engine may accept it.
+func (e *engineState) order(ctx context.Context, o Order) OrderAnswer {
+	if !e.l.mayOrder(ctx) {
+		return OrderRefused
+	}
+	e.l.mu.Lock()
+	o.Expected, o.Holder, o.Fence = e.sequence, e.l.s.cfg.ID, e.l.term
+	e.orderedAt = e.l.s.clock()
+	e.l.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := e.l.s.adapter.Platform.Order(call, e.listed.Address, e.listed.ID, o)
+	if err != nil {
+		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("order without a clear answer")
+	}
+	e.l.mu.Lock()
+	defer e.l.mu.Unlock()
+	switch answer {
+	case OrderAccepted:
+		e.sequence++
+	case OrderHolds:
+	default:
+		e.sequenceKnown = false
+	}
+	return answer
+}
+
+// await polls the engine until the order has taken effect.
+func (e *engineState) await(ctx context.Context, load bool, model string) {
+	deadline := e.l.s.clock() + orderTimeout
+	for e.l.s.clock() < deadline && pause(ctx, pollInterval) {
+		r, err := e.refresh(ctx)
+		if err != nil || r.Busy {
+			continue
+		}
+		e.l.mu.Lock()
+		_, holds := e.held[model]
+		current := r.Sequence >= e.sequence
+		e.l.mu.Unlock()
+		if current && holds == load {
+			return
+		}
+	}
+}
+
+// finish marks the engine as free and asks for a new plan.
+func (e *engineState) finish(model string) {
+	e.l.mu.Lock()
+	e.ordering, e.loading = false, ""
+	delete(e.leaving, model)
+	e.orderedAt = e.l.s.clock()
+	e.l.mu.Unlock()
+	e.l.wake()
+}
+
+// pause waits and returns false where ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleetcontrol/lead.go
@@ -0,0 +1,220 @@
+package fleetcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/residency"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	// settleTime is how long a new leader collects gateways and endpoints
+	// before it publishes a view.
+	settleTime = 600 * time.Millisecond
+	// gatewayLost is how long a gateway must be silent before it is left out.
+	gatewayLost = 2500 * time.Millisecond
+	// callTimeout bounds one call to the platform or an engine.
+	callTimeout = time.Second
+)
+
+// leadState is what a replica knows while it leads in one term. Everything in
+// it is learned again by the next leader.
+type leadState struct {
+	s     *Server
+	term  uint64
+	since time.Duration
+	ctx   context.Context
+	hurry chan struct{}
+
+	mu       sync.Mutex
+	doc      *document.Document
+	gateways map[string]*gatewayState
+	engines  map[string]*engineState
+	loads    map[string]*wire.InProgress
+	listed   bool
+	demand   *residency.Demand
+	budgets  map[string]*residency.StoreBudget
+	wanted   map[string]time.Duration
+	jobs     map[string]*adapterJob
+	view     *wire.FleetView
+	// control are the addresses of the replicas.
+	control []string
+}
+
+type gatewayState struct {
+	gateway *wire.Gateway
+	seen    time.Duration
+	loads   []*wire.InProgress
+}
+
+// leadLoop carries out the leader's duties whenever this replica leads.
+func (s *Server) leadLoop(ctx context.Context) {
+	tick := time.NewTicker(s.cfg.PlanInterval.D())
+	defer tick.Stop()
+	var stop context.CancelFunc
+	for {
+		var hurry <-chan struct{}
+		if l := s.lead.Load(); l != nil {
+			hurry = l.hurry
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-hurry:
+		}
+		term, ok := s.leadingTerm(ctx)
+		l := s.lead.Load()
+		if l != nil && (!ok || l.term != term) {
+			s.log.WithField("term", l.term).Info("lead ended")
+			s.lead.Store(nil)
+			stop()
+			l = nil
+		}
+		if !ok {
+			continue
+		}
+		if l == nil {
+			l, stop = s.startLead(ctx, term)
+		}
+		l.step(ctx)
+	}
+}
+
+// leadingTerm returns the term in which this replica holds the leader lease.
+func (s *Server) leadingTerm(ctx context.Context) (uint64, bool) {
+	var term uint64
+	err := s.node.Read(ctx, func(l replica.Leadership, _ *state.Machine) { term = l.Term })
+	return term, err == nil
+}
+
+func (s *Server) startLead(ctx context.Context, term uint64) (*leadState, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &leadState{
+		s: s, term: term, since: s.clock(), ctx: ctx, hurry: make(chan struct{}, 1),
+		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
+		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
+		wanted: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
+	}
+	s.lead.Store(l)
+	go l.followList(ctx)
+	s.log.WithField("term", term).Info("lead started")
+	return l, cancel
+}
+
+// step looks at the document, plans and publishes the view.
+func (l *leadState) step(ctx context.Context) {
+	l.takeDocument(ctx)
+	control := l.s.controlAddresses(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.s.clock()
+	l.control = control
+	l.dropLost(now)
+	if l.doc != nil && l.listed {
+		l.plan(now)
+	}
+	l.publish(now)
+}
+
+// wake asks for a step soon.
+func (l *leadState) wake() {
+	select {
+	case l.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// takeDocument decodes the document in force where it has changed.
+func (l *leadState) takeDocument(ctx context.Context) {
+	var stored *wire.Document
+	err := l.s.node.Peek(ctx, func(m *state.Machine) { stored = m.Document() })
+	if err != nil || stored == nil {
+		return
+	}
+	l.mu.Lock()
+	old := l.doc
+	l.mu.Unlock()
+	if old != nil && old.Version == stored.Version {
+		return
+	}
+	d, err := l.s.adapter.Decode(stored.Text)
+	if err != nil {
+		l.s.log.WithError(err).WithField("version", stored.Version).Error("committed document not understood")
+		return
+	}
+	l.mu.Lock()
+	l.doc = d
+	l.mu.Unlock()
+}
+
+// followList reads the live list until ctx ends.
+func (l *leadState) followList(ctx context.Context) {
+	var lostAt time.Time
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		endpoints, err := l.s.adapter.Platform.Endpoints(call)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil && lostAt.IsZero():
+			lostAt = time.Now()
+			l.s.log.WithError(err).Warn("live list lost")
+		case err == nil && !lostAt.IsZero():
+			l.s.log.WithField("lost_for", time.Since(lostAt)).Info("live list regained")
+			lostAt = time.Time{}
+		}
+		if err == nil {
+			l.takeList(endpoints)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(l.s.cfg.ListInterval.D()):
+		}
+	}
+}
+
+// takeList takes over what the platform says of the endpoints.
+func (l *leadState) takeList(endpoints []Listed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.s.clock()
+	named := map[string]bool{}
+	for _, x := range endpoints {
+		named[x.ID] = true
+		e := l.engines[x.ID]
+		if e == nil {
+			e = &engineState{l: l, leaving: map[string]bool{}}
+			l.engines[x.ID] = e
+			l.s.log.WithFields(logrus.Fields{"endpoint": x.ID, "service": x.Service, "address": x.Address, "leaving": x.Leaving}).Info("endpoint listed")
+		}
+		e.take(x, now)
+	}
+	for id := range l.engines {
+		if !named[id] {
+			delete(l.engines, id)
+			l.s.log.WithField("endpoint", id).Info("endpoint no longer listed")
+		}
+	}
+	l.listed = true
+	l.publish(now)
+}
+
+// mayOrder reports whether this replica may give orders now: it holds the
+// leader lease in its term, and earlier leaders have been quiet long enough.
+func (l *leadState) mayOrder(ctx context.Context) bool {
+	if l.s.clock()-l.since < l.s.cfg.orderQuiet() {
+		return false
+	}
+	term, ok := l.s.leadingTerm(ctx)
+	return ok && term == l.term
+}
--- /dev/null
+++ b/internal/fleetcontrol/server.go
@@ -0,0 +1,144 @@
+package fleetcontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/boottime"
+	"parsleyramp/internal/consensus"
+	"parsleyramp/internal/journal"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// memoryShare of the process's memory is what the collector aims at.
+const memoryShare = 0.5
+
+// Server is one control process.
+type Server struct {
+	cfg     Settings
+	adapter Adapter
+	log     *logrus.Entry
+	clock   func() time.Duration
+	node    *replica.Node
+	sender  *replica.NetworkSender
+	journal *journal.Journal
+	peers   *http.Client
+	group   atomic.Pointer[string]
+	joining sync.Mutex
+
+	// lead is what this replica knows while it leads; nil otherwise.
+	lead     atomic.Pointer[leadState]
+	inner    *transport.Server
+	operator *transport.Server
+	stopped  chan error
+}
+
+// Start opens the data folder and serves until ctx ends.
+func Start(ctx context.Context, cfg Settings, adapter Adapter, log *logrus.Entry) (*Server, error) {
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(cfg) })
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg: cfg, adapter: adapter, log: log, clock: boottime.Since(), journal: j,
+		peers: transport.NewPeerClient(), stopped: make(chan error, 1),
+	}
+	s.group.Store(&recovered.Identity.Group)
+	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, func() string { return *s.group.Load() })
+	s.node, err = replica.NewNode(replica.Options{
+		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
+		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log,
+	})
+	if err != nil {
+		j.Close()
+		return nil, err
+	}
+	if err := s.listen(); err != nil {
+		j.Close()
+		return nil, err
+	}
+	go func() { s.stopped <- s.node.Run(ctx) }()
+	go s.form(ctx)
+	go s.repair(ctx)
+	go s.leadLoop(ctx)
+	log.WithFields(logrus.Fields{
+		"address": cfg.Address, "replica": recovered.Identity.ID, "group": recovered.Identity.Group,
+		"cut_bytes": recovered.CutBytes, "entries": len(recovered.Entries),
+	}).Info("control started")
+	return s, nil
+}
+
+// newReplicaID returns an id that no other replica has. At the first start a
+// seed's id follows from its address, so that the seeds form the same group
+// without talking to each other; a folder that was emptied later gets one that
+// was never used.
+func newReplicaID(cfg Settings) uint64 {
+	if cfg.FirstStart && cfg.seed() {
+		return seedID(cfg.Address)
+	}
+	return rand.Uint64() | 1
+}
+
+func seedID(address string) uint64 { return xxhash.Sum64String("seed "+address) | 1 }
+
+func (s *Server) listen() error {
+	mux := http.NewServeMux()
+	options := append(transport.PeerHandlerOptions(), connect.WithInterceptors(telemetry.Interceptor()))
+	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, options...))
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
+	inner, err := transport.Listen(s.cfg.Address)
+	if err != nil {
+		return err
+	}
+	operator, err := transport.Listen(s.cfg.OperatorAddress)
+	if err != nil {
+		inner.Close()
+		return err
+	}
+	s.inner = transport.Serve(inner, mux)
+	s.operator = transport.Serve(operator, s.adapter.Operators(s))
+	return nil
+}
+
+// Stopped yields the node's result once it has ended.
+func (s *Server) Stopped() <-chan error { return s.stopped }
+
+// handOverTimeout bounds the search for the next leader at a planned stop.
+const handOverTimeout = 2 * time.Second
+
+// Shutdown passes on the leadership, finishes the requests in progress, ends
+// the node by calling stopNode and closes the data folder.
+func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
+	s.log.Info("draining")
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	s.node.HandOver(ctx)
+	err := s.operator.Shutdown(ctx)
+	stopNode()
+	if nodeErr := <-s.stopped; nodeErr != nil {
+		err = nodeErr
+	}
+	// Gateways keep their connections open; they turn to another replica.
+	_ = s.inner.Close()
+	if closeErr := s.journal.Close(); err == nil {
+		err = closeErr
+	}
+	s.log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/fleetcontrol/service.go
@@ -0,0 +1,188 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+// replicaService takes messages from other replicas.
+type replicaService struct{ s *Server }
+
+// Deliver passes messages to the replica, and drops those of another group.
+func (r *replicaService) Deliver(_ context.Context, req *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
+	if *r.s.group.Load() == "" && r.s.node.Invited(req.Msg.Messages) {
+		if err := r.s.joinGroup(req.Msg.Group); err != nil {
+			return nil, rpcerror.ToConnect(err, "")
+		}
+	}
+	if req.Msg.Group == "" || req.Msg.Group != *r.s.group.Load() {
+		return nil, rpcerror.ToConnect(errOtherGroup, "")
+	}
+	r.s.sender.Learn(req.Msg.Messages, req.Msg.Address)
+	r.s.node.Deliver(req.Msg.Messages)
+	return connect.NewResponse(&wire.DeliverResponse{}), nil
+}
+
+// fleetService answers gateways and blank replicas.
+type fleetService struct{ s *Server }
+
+var errNotLeading = fail.New(fail.NotLeader, "this replica does not lead")
+
+// rpcError returns the failure with the leader's address, where known.
+func (s *Server) rpcError(ctx context.Context, err error) error {
+	leader := ""
+	if status, statusErr := s.node.Status(ctx); statusErr == nil && !status.Leading {
+		leader = status.LeaderAddress()
+	}
+	return rpcerror.ToConnect(err, leader)
+}
+
+// Sync takes a gateway's report and returns what has changed.
+func (f *fleetService) Sync(ctx context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
+	if _, ok := f.s.leadingTerm(ctx); !ok {
+		return nil, f.s.rpcError(ctx, errNotLeading)
+	}
+	l := f.s.lead.Load()
+	if l == nil {
+		return nil, f.s.rpcError(ctx, errNotLeading)
+	}
+	resp := l.sync(req.Msg)
+	err := f.s.node.Peek(ctx, func(m *state.Machine) {
+		if d := m.Document(); d.GetVersion() > req.Msg.DocumentVersion {
+			resp.Document = d
+		}
+	})
+	if err != nil {
+		return nil, f.s.rpcError(ctx, err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// sync records a gateway's report.
+func (l *leadState) sync(r *wire.SyncRequest) *wire.SyncResponse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.s.clock()
+	g := l.gateways[r.Gateway.GetId()]
+	fresh := !proto.Equal(g.described(), r.Gateway)
+	if g == nil {
+		g = &gatewayState{}
+		l.gateways[r.Gateway.GetId()] = g
+		l.s.log.WithFields(logrus.Fields{"gateway": r.Gateway.GetId(), "address": r.Gateway.GetCallerAddress(), "incarnation": r.Gateway.GetIncarnation()}).Info("gateway met")
+	}
+	l.addLoads(g.loads, -1)
+	g.gateway, g.seen, g.loads = r.Gateway, now, r.Loads
+	l.addLoads(g.loads, 1)
+	for _, d := range r.Demand {
+		l.demand.Add(d.Model, d.Adapter, time.Duration(d.PlaceMs)*time.Millisecond, now)
+	}
+	if fresh {
+		l.publish(now)
+	}
+	resp := &wire.SyncResponse{Term: l.term, OtherLoads: l.others(g)}
+	if v := l.view; v != nil && (v.Term != r.ViewTerm || v.Revision != r.ViewRevision) {
+		resp.View = v
+	}
+	return resp
+}
+
+// described returns what the gateway said of itself last; nil where it is new.
+func (g *gatewayState) described() *wire.Gateway {
+	if g == nil {
+		return nil
+	}
+	return g.gateway
+}
+
+// dropLost takes the loads of gateways that have fallen silent back.
+func (l *leadState) dropLost(now time.Duration) {
+	for id, g := range l.gateways {
+		if now-g.seen > gatewayLost {
+			l.addLoads(g.loads, -1)
+			delete(l.gateways, id)
+			l.s.log.WithField("gateway", id).Warn("gateway lost")
+		}
+	}
+}
+
+func (l *leadState) addLoads(loads []*wire.InProgress, sign int) {
+	for _, x := range loads {
+		total := l.loads[x.Endpoint]
+		if total == nil {
+			total = &wire.InProgress{Endpoint: x.Endpoint}
+			l.loads[x.Endpoint] = total
+		}
+		total.Running += uint32(sign) * x.Running
+		total.Tokens += uint64(sign) * x.Tokens
+		if total.Running == 0 {
+			delete(l.loads, x.Endpoint)
+		}
+	}
+}
+
+// others returns the sums over all gateways but one.
+func (l *leadState) others(g *gatewayState) []*wire.InProgress {
+	own := map[string]*wire.InProgress{}
+	for _, x := range g.loads {
+		own[x.Endpoint] = x
+	}
+	var out []*wire.InProgress
+	for id, total := range l.loads {
+		o := own[id]
+		if total.Running > o.GetRunning() {
+			out = append(out, &wire.InProgress{Endpoint: id, Running: total.Running - o.GetRunning(), Tokens: total.Tokens - o.GetTokens()})
+		}
+	}
+	return out
+}
+
+// Want asks for a model or adapter that a gateway found nowhere.
+func (f *fleetService) Want(ctx context.Context, req *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error) {
+	l := f.s.lead.Load()
+	if l == nil {
+		return nil, f.s.rpcError(ctx, errNotLeading)
+	}
+	m := req.Msg
+	resp := &wire.WantResponse{}
+	if m.Adapter != "" {
+		resp.Endpoint = l.ensureAdapter(ctx, m.Service, m.Model, m.Adapter)
+	}
+	if resp.Endpoint == "" {
+		l.mu.Lock()
+		l.wanted[m.Model] = l.s.clock() + wantedTime
+		l.mu.Unlock()
+		l.wake()
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Join lets a replica into the group as a learner.
+func (f *fleetService) Join(ctx context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	if _, ok := f.s.leadingTerm(ctx); !ok {
+		return nil, f.s.rpcError(ctx, errNotLeading)
+	}
+	if err := f.s.admit(ctx, req.Msg); err != nil {
+		return nil, f.s.rpcError(ctx, err)
+	}
+	return connect.NewResponse(&wire.JoinResponse{}), nil
+}
+
+// measure adds what is read at the moment of the request.
+func (s *Server) measure(_ context.Context, set *metrics.Set) {
+	set.NewGauge("parsleyramp_fleet_leading", func() float64 {
+		if s.lead.Load() != nil {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/attempt"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/upstream"
+)
+
+const (
+	// minSendTime is the least time left that makes another send worthwhile.
+	minSendTime = 50 * time.Millisecond
+	// failedRetry is when a caller may come back after a request that did not
+	// run for a reason that passes quickly.
+	failedRetry = 250 * time.Millisecond
+)
+
+// sent is what became of one send.
+type sent struct {
+	outcome attempt.Outcome
+	// done is set where the caller has its whole answer.
+	done bool
+	// held is the endpoint's own failure, to be passed on where nothing better
+	// follows.
+	held *heldAnswer
+	err  error
+}
+
+// heldAnswer is a whole answer that was read before any of it was passed on.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run carries out the steps that the attempt package decides, until the caller
+// has an answer.
+func (q *request) run() {
+	h := attempt.History{Rules: rulesOf(q.route)}
+	tried := map[string]bool{}
+	out := &relay{q: q}
+	for {
+		e, err := q.place(tried)
+		if err != nil {
+			q.endWithout(&h, out, err)
+			return
+		}
+		tried[e.ID] = true
+		s := q.send(e, out, &h)
+		if s.done {
+			q.note("served", e, &h, nil)
+			return
+		}
+		step := h.Next(s.outcome, q.timeLeft() > minSendTime && q.ctx.Err() == nil, q.takeRepeat)
+		q.noteStep(e, s, step, &h)
+		switch step {
+		case attempt.Send, attempt.Resume:
+			continue
+		case attempt.PassOn:
+			out.pass(s.held)
+			q.note("endpoint_failed", e, &h, s.err)
+			return
+		case attempt.Abort:
+			q.note("aborted", e, &h, s.err)
+			panic(http.ErrAbortHandler)
+		}
+		q.endWithout(&h, out, s.err)
+		return
+	}
+}
+
+func rulesOf(r *document.Route) attempt.Rules {
+	return attempt.Rules{Repeatable: r.Repeatable(), Resumable: r.Kind == document.Stream && r.Resumable, MaxSends: max(r.MaxAttempts, 1)}
+}
+
+func (q *request) timeLeft() time.Duration { return q.end - q.g.clock() }
+
+// takeRepeat takes one repeated send from the shared budget.
+func (q *request) takeRepeat() bool {
+	ok := q.g.retries.Repeat(q.need.Service, len(q.g.knownGateways()), q.g.clock())
+	if !ok {
+		repeatsDenied.Inc()
+	}
+	return ok
+}
+
+// endWithout ends a request for which no endpoint's answer can be passed on.
+func (q *request) endWithout(h *attempt.History, out *relay, err error) {
+	switch {
+	case out.begun:
+		q.note("aborted", nil, h, err)
+		panic(http.ErrAbortHandler)
+	case h.MayHaveRun:
+		q.fail(h, err)
+	case errors.Is(q.ctx.Err(), context.DeadlineExceeded):
+		q.fail(h, fail.New(fail.DeadlinePassed, "the time for the request is over"))
+	default:
+		f := fail.From(err)
+		if f.Code == fail.EndpointFailed {
+			f = fail.Wrap(err, fail.Unavailable, "no endpoint took the request")
+		}
+		if f.RetryAfter == 0 {
+			f = f.WithRetryAfter(failedRetry)
+		}
+		q.g.refuse(q.w, q.in, q.facts, f)
+	}
+}
+
+// fail answers a request that may have run, without promising anything.
+func (q *request) fail(h *attempt.History, err error) {
+	status := http.StatusBadGateway
+	if errors.Is(q.ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	q.note("failed", nil, h, err)
+	http.Error(q.w, "the request may have run and has no answer", status)
+}
+
+// send sends the request to the endpoint and passes its answer on.
+func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sent {
+	g := q.g
+	g.loads.Begin(e.ID, q.need.Tokens)
+	defer g.loads.End(e.ID, q.need.Tokens)
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	resp, err := g.pool.Do(ctx, e.Address, q.upstreamRequest(e, out), func(head http.Header) bool {
+		return g.adapter.Protocol.Recognize(head, q.facts.ID)
+	})
+	if err != nil {
+		s := sent{outcome: attempt.Lost, err: err}
+		if fail.From(err).Ran == fail.RanNo {
+			s.outcome = attempt.Unsent
+		}
+		if out.begun && s.outcome == attempt.Lost {
+			s.outcome = attempt.Cut
+		}
+		q.noteHealth(e, s.outcome)
+		return s
+	}
+	defer resp.Close()
+	s := out.take(resp)
+	if !s.done {
+		q.noteHealth(e, s.outcome)
+	} else {
+		g.loads.Note(e.ID, fleet.Served, g.clock())
+	}
+	return s
+}
+
+func (q *request) noteHealth(e *fleet.Endpoint, o attempt.Outcome) {
+	if q.ctx.Err() != nil {
+		// The caller left or the time ended: it says nothing of the endpoint.
+		return
+	}
+	switch o {
+	case attempt.Unsent:
+		q.g.loads.Note(e.ID, fleet.Unreachable, q.g.clock())
+	case attempt.Failed, attempt.Lost, attempt.Cut:
+		q.g.loads.Note(e.ID, fleet.Faulty, q.g.clock())
+	}
+}
+
+func (q *request) upstreamRequest(e *fleet.Endpoint, out *relay) *upstream.Request {
+	header := q.in.Header.Clone()
+	upstream.StripHop(header)
+	header.Del("Content-Length")
+	header.Del("Expect")
+	q.g.adapter.Protocol.Prepare(header, Send{
+		Endpoint: e.ID, TimeLeft: max(q.timeLeft(), time.Millisecond), Rank: q.route.Priority, AfterEvent: out.lastEvent,
+	})
+	return &upstream.Request{Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: header, Body: q.body}
+}
+
+// note writes the line that ends a request's way.
+func (q *request) note(outcome string, e *fleet.Endpoint, h *attempt.History, err error) {
+	took := q.g.clock() - q.arrived
+	requestsDone.count(q.route.Kind.String(), outcome)
+	requestSeconds.Update(took.Seconds())
+	fields := logrus.Fields{
+		"request": q.facts.ID, "route": q.route.Name, "service": q.need.Service, "model": q.need.Model, "adapter": q.need.Adapter,
+		"outcome": outcome, "sends": h.Sends, "may_have_run": h.MayHaveRun, "took_ms": took.Milliseconds(),
+	}
+	if e != nil {
+		fields["endpoint"] = e.ID
+	}
+	line := q.g.log.WithFields(fields)
+	if err != nil {
+		line = line.WithField("error", err.Error())
+	}
+	if outcome == "served" {
+		line.Debug("request ended")
+		return
+	}
+	line.Info("request ended")
+}
+
+func (q *request) noteStep(e *fleet.Endpoint, s sent, step attempt.Step, h *attempt.History) {
+	v := q.g.view.Load()
+	line := q.g.log.WithFields(logrus.Fields{
+		"request": q.facts.ID, "endpoint": e.ID, "outcome": s.outcome.String(), "step": step.String(), "sends": h.Sends,
+		"time_left_ms": q.timeLeft().Milliseconds(), "view_term": v.Term, "view_revision": v.Revision,
+	})
+	if s.err != nil {
+		line = line.WithField("error", s.err.Error())
+	}
+	line.Info("send did not succeed")
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/wire"
+)
+
+type listenFunc func(address string) (net.Listener, error)
+
+// syncTimeout bounds one exchange with control.
+const syncTimeout = 2 * time.Second
+
+// follow exchanges state with the control leader until ctx ends.
+func (g *Gateway) follow(ctx context.Context) {
+	var lostAt time.Time
+	for {
+		err := g.sync(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil && lostAt.IsZero():
+			lostAt = time.Now()
+			g.log.WithError(err).Warn("control lost")
+		case err == nil && !lostAt.IsZero():
+			g.log.WithField("lost_for", time.Since(lostAt)).Info("control regained")
+			lostAt = time.Time{}
+		}
+		if !sleep(ctx, g.cfg.SyncInterval.D()) {
+			return
+		}
+	}
+}
+
+// sync tells the leader what this gateway does and takes over what is newer.
+func (g *Gateway) sync(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Own(), Demand: g.demand.take()}
+	if t := g.table.Load(); t != nil {
+		req.DocumentVersion = t.Document.Version
+	}
+	if v := g.view.Load(); v != nil {
+		req.ViewTerm, req.ViewRevision = v.Term, v.Revision
+	}
+	var resp *wire.SyncResponse
+	err := g.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+		r, err := c.Fleet.Sync(ctx, connect.NewRequest(req))
+		if err == nil {
+			resp = r.Msg
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	g.loads.SetOthers(resp.OtherLoads)
+	g.takeDocument(resp.Document)
+	g.takeView(resp.View)
+	return nil
+}
+
+// takeDocument puts a newer document in force. It never goes back.
+func (g *Gateway) takeDocument(d *wire.Document) {
+	if d == nil {
+		return
+	}
+	old := g.table.Load()
+	if old != nil && d.Version <= old.Document.Version {
+		return
+	}
+	decoded, err := g.adapter.Decode(d.Text)
+	if err != nil {
+		g.log.WithError(err).WithField("version", d.Version).Error("document not understood; the old one stays in force")
+		return
+	}
+	g.table.Store(document.NewTable(decoded))
+	g.log.WithFields(logrus.Fields{"version": decoded.Version, "routes": len(decoded.Routes), "services": len(decoded.Services)}).Info("document in force")
+	g.changed.wake()
+}
+
+func (g *Gateway) takeView(w *wire.FleetView) {
+	if w == nil {
+		return
+	}
+	v := fleet.NewView(w)
+	if !v.Newer(g.view.Load()) {
+		return
+	}
+	g.view.Store(v)
+	g.control.Learn(v.Control)
+	g.log.WithFields(logrus.Fields{"term": v.Term, "revision": v.Revision, "endpoints": len(v.Endpoints), "gateways": len(v.Gateways)}).Debug("view changed")
+	g.changed.wake()
+}
+
+// demandKey names a model and an adapter of it.
+type demandKey struct{ model, adapter string }
+
+// demand counts what callers ask for between two exchanges.
+type demand struct {
+	mu   sync.Mutex
+	sums map[demandKey]*wire.ModelDemand
+}
+
+// add counts one request that is expected to occupy a place for the time.
+func (d *demand) add(model, adapter string, place time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sums == nil {
+		d.sums = map[demandKey]*wire.ModelDemand{}
+	}
+	k := demandKey{model, adapter}
+	s := d.sums[k]
+	if s == nil {
+		s = &wire.ModelDemand{Model: model, Adapter: adapter}
+		d.sums[k] = s
+	}
+	s.Arrivals++
+	s.PlaceMs += uint64(place.Milliseconds())
+}
+
+func (d *demand) take() []*wire.ModelDemand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*wire.ModelDemand
+	for _, s := range d.sums {
+		out = append(out, s)
+	}
+	d.sums = nil
+	return out
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/retry"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/upstream"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	// memoryShare of the process's memory is what the collector aims at.
+	memoryShare = 0.6
+	// lameDuck is how long a stopping gateway still takes requests, for callers
+	// keep its address a while.
+	lameDuck = 1500 * time.Millisecond
+	// stopReserve of the grace time is kept for the exit itself.
+	stopReserve = 600 * time.Millisecond
+	// sweepInterval is the time between two looks at idle connections.
+	sweepInterval = time.Second
+)
+
+// Adapter is what a gateway needs of the outside world's formats.
+type Adapter struct {
+	Protocol Protocol
+	// Decode reads a whole document.
+	Decode func(text []byte) (*document.Document, error)
+	// Directory answers callers that ask which gateways to use, and Ready the
+	// platform that asks whether this one takes callers.
+	Directory func(g *Gateway) http.Handler
+	Ready     func(g *Gateway) http.Handler
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	cfg         Settings
+	adapter     Adapter
+	log         *logrus.Entry
+	clock       func() time.Duration
+	incarnation string
+
+	table    atomic.Pointer[document.Table]
+	view     atomic.Pointer[fleet.View]
+	changed  broadcast
+	draining atomic.Bool
+
+	loads   *fleet.Loads
+	retries *retry.Share
+	demand  demand
+	wants   wants
+	pool    *upstream.Pool
+	control *controlclient.Client
+	servers []*transport.Server
+	callers *transport.Server
+	cancel  context.CancelFunc
+	// draw returns a number evenly from [0, 1).
+	draw func() float64
+}
+
+// Start serves until Shutdown.
+func Start(cfg Settings, adapter Adapter, log *logrus.Entry) (*Gateway, error) {
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	g := &Gateway{
+		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
+		loads: fleet.NewLoads(), pool: upstream.NewPool(), draw: rand.Float64,
+		retries: retry.NewShare(retry.ShareConfig{Ratio: cfg.RetryRatio, Slack: cfg.RetrySlack, Window: cfg.RetryWindow.D()}, 0),
+		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
+	}
+	g.changed.init()
+	if err := g.listen(); err != nil {
+		g.closeAll()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go g.follow(ctx)
+	go g.sweep(ctx)
+	log.WithFields(logrus.Fields{"address": cfg.CallerAddress, "incarnation": g.incarnation}).Info("gateway started")
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", telemetry.MetricsHandler(g.measure))
+	if err := g.serve(g.cfg.MetricsAddress, metrics, transport.Listen); err != nil {
+		return err
+	}
+	if err := g.serve(g.cfg.ReadyAddress, g.adapter.Ready(g), transport.Listen); err != nil {
+		return err
+	}
+	if g.cfg.DirectoryAddress != "" {
+		if err := g.serve(g.cfg.DirectoryAddress, g.adapter.Directory(g), transport.Listen); err != nil {
+			return err
+		}
+	}
+	if err := g.serve(g.cfg.CallerAddress, g, transport.ListenCallers); err != nil {
+		return err
+	}
+	g.callers = g.servers[len(g.servers)-1]
+	return nil
+}
+
+// Accepting reports whether callers may use this gateway.
+func (g *Gateway) Accepting() bool {
+	return g.table.Load() != nil && g.view.Load() != nil && !g.draining.Load()
+}
+
+// Addresses returns the gateways that a caller in the domain may use, those of
+// its own domain first, and how long it may keep them.
+func (g *Gateway) Addresses(domain string) ([]string, time.Duration) {
+	return pickAddresses(g.knownGateways(), domain), g.cfg.KeepAddresses.D()
+}
+
+// self is what the gateway says of itself.
+func (g *Gateway) self() *wire.Gateway {
+	return &wire.Gateway{
+		Id: g.cfg.ID, Domain: g.cfg.Domain, Region: g.cfg.Region, CallerAddress: g.cfg.CallerAddress,
+		Accepting: g.Accepting(), Incarnation: g.incarnation,
+	}
+}
+
+// knownGateways returns what control said last of the others, and what this
+// gateway knows of itself.
+func (g *Gateway) knownGateways() []*wire.Gateway {
+	self := g.self()
+	out := []*wire.Gateway{self}
+	if v := g.view.Load(); v != nil {
+		for _, other := range v.Gateways {
+			if other.Id != self.Id {
+				out = append(out, other)
+			}
+		}
+	}
+	return out
+}
+
+// minAddresses is how many gateways a caller is told at least, where there are
+// as many, so that it can turn to another one.
+const minAddresses = 2
+
+// pickAddresses returns the accepting gateways of the domain, and others where
+// those are few.
+func pickAddresses(gateways []*wire.Gateway, domain string) []string {
+	var own, others []string
+	for _, gw := range gateways {
+		switch {
+		case !gw.Accepting:
+		case gw.Domain == domain:
+			own = append(own, gw.CallerAddress)
+		default:
+			others = append(others, gw.CallerAddress)
+		}
+	}
+	if len(own) >= minAddresses {
+		return own
+	}
+	return append(own, others...)
+}
+
+// serve starts one server of the gateway.
+func (g *Gateway) serve(address string, h http.Handler, listen listenFunc) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
+	}
+	g.servers = append(g.servers, transport.Serve(l, h))
+	return nil
+}
+
+// Shutdown takes the gateway out of use, finishes the requests in progress and
+// stops. It cuts off what lasts beyond the grace time.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	started := time.Now()
+	g.draining.Store(true)
+	g.log.Info("draining")
+	g.callers.StopKeepAlive()
+	sleep(ctx, lameDuck)
+	left := g.cfg.Grace.D() - stopReserve - time.Since(started)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	err := g.callers.Shutdown(ctx)
+	if err != nil {
+		g.log.WithError(err).Warn("requests cut off at the end of the grace time")
+	}
+	g.cancel()
+	g.closeAll()
+	g.log.Info("stopped")
+	return nil
+}
+
+func (g *Gateway) closeAll() {
+	for _, s := range g.servers {
+		// What is still open at this point is cut off on purpose.
+		_ = s.Close()
+	}
+}
+
+// sweep closes idle connections to endpoints that are gone.
+func (g *Gateway) sweep(ctx context.Context) {
+	for sleep(ctx, sweepInterval) {
+		v := g.view.Load()
+		if v == nil {
+			continue
+		}
+		addresses := map[string]bool{}
+		for _, e := range v.Endpoints {
+			addresses[e.Address] = true
+		}
+		g.pool.Keep(addresses)
+	}
+}
+
+// sleep waits and returns false where ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// broadcast wakes all that wait for a change.
+type broadcast struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func (b *broadcast) init() { b.ch = make(chan struct{}) }
+
+// wait returns a channel that is closed at the next change.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ch
+}
+
+func (b *broadcast) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.ch)
+	b.ch = make(chan struct{})
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyramp/internal/fail"
+)
+
+// requestCounter counts the ends of requests by route kind and outcome.
+type requestCounter struct{}
+
+var (
+	requestsDone   requestCounter
+	requestSeconds = metrics.GetOrCreateHistogram("parsleyramp_gateway_request_seconds")
+	repeatsDenied  = metrics.GetOrCreateCounter("parsleyramp_gateway_repeats_denied_total")
+	refusals       refusalCounter
+)
+
+func (requestCounter) count(kind, outcome string) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_requests_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
+}
+
+// refusalCounter counts requests that did not run, by the failure's code.
+type refusalCounter struct{}
+
+func (refusalCounter) count(code fail.Code) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_refusals_total{code="` + string(code) + `"}`).Inc()
+}
+
+// measure adds what is read at the moment of the request.
+func (g *Gateway) measure(_ context.Context, set *metrics.Set) {
+	set.NewGauge("parsleyramp_gateway_connections_opened", func() float64 { return float64(g.pool.Opened()) })
+	set.NewGauge("parsleyramp_gateway_document_version", func() float64 {
+		if t := g.table.Load(); t != nil {
+			return float64(t.Document.Version)
+		}
+		return 0
+	})
+	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
+		if v := g.view.Load(); v != nil {
+			return float64(v.Revision)
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	// maxUse is the use of the emptiest endpoint, 1 where it is full, beyond
+	// which a request is refused rather than queued at it.
+	maxUse = 1.4
+	// fullRetry and its spread say when to come back to a full service.
+	fullRetry       = 400 * time.Millisecond
+	fullRetrySpread = 600 * time.Millisecond
+	// modelWait bounds the wait for a model that no engine holds yet.
+	modelWait = 2500 * time.Millisecond
+	// modelRetry is when to come back for a model that was not loaded in time.
+	modelRetry = 1500 * time.Millisecond
+	// absentRetry is when to come back to a service without endpoints.
+	absentRetry = 400 * time.Millisecond
+	// wantTimeout bounds one question to control for a model or adapter.
+	wantTimeout = 800 * time.Millisecond
+)
+
+// place returns the endpoint that the request goes to. It waits for a model
+// that is being loaded, and refuses at once what cannot be served.
+func (q *request) place(tried map[string]bool) (*fleet.Endpoint, error) {
+	g := q.g
+	giveUp := min(g.clock()+modelWait, q.end)
+	asked := false
+	for {
+		changed := g.changed.wait()
+		v := g.view.Load()
+		c := g.loads.Choose(v, q.need, tried, g.clock())
+		if !asked {
+			q.countDemand()
+		}
+		if c.Endpoint != nil {
+			if c.Use > maxUse {
+				return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(fullRetry + time.Duration(g.draw()*float64(fullRetrySpread)))
+			}
+			return c.Endpoint, nil
+		}
+		if q.need.Model == "" {
+			return nil, fail.New(fail.Unavailable, "the service has no endpoint").WithRetryAfter(absentRetry)
+		}
+		if !asked {
+			asked = true
+			if e := q.want(v, tried); e != nil {
+				return e, nil
+			}
+		}
+		if !waitFor(q.ctx, changed, giveUp-g.clock()) {
+			return nil, fail.New(fail.NoReplica, "no engine holds the model yet").WithRetryAfter(modelRetry)
+		}
+	}
+}
+
+// countDemand tells control, with the next exchange, how long the request is
+// expected to occupy a place.
+func (q *request) countDemand() {
+	if q.need.Model != "" {
+		q.g.demand.add(q.need.Model, q.need.Adapter, time.Duration(q.facts.expectedAnswer())*tokenTime)
+	}
+}
+
+// tokenTime is what one generated token takes at an engine, for estimates.
+const tokenTime = 6 * time.Millisecond
+
+// waitFor waits for a change and returns false where the time or ctx ended first.
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	if d <= 0 {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// want asks control for the model and adapter, and returns the engine that
+// holds them now, or nil.
+func (q *request) want(v *fleet.View, tried map[string]bool) *fleet.Endpoint {
+	id := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, q.need.Adapter}, q.need.Service)
+	if id == "" || tried[id] {
+		return nil
+	}
+	for _, e := range q.g.view.Load().Service(q.need.Service) {
+		if e.ID == id && !e.Leaving {
+			return e
+		}
+	}
+	return nil
+}
+
+// wants joins equal questions to control that are under way.
+type wants struct {
+	mu    sync.Mutex
+	calls map[demandKey]*wantCall
+}
+
+type wantCall struct {
+	done     chan struct{}
+	endpoint string
+}
+
+func (w *wants) ask(ctx context.Context, g *Gateway, k demandKey, service string) string {
+	w.mu.Lock()
+	c := w.calls[k]
+	if c == nil {
+		c = &wantCall{done: make(chan struct{})}
+		if w.calls == nil {
+			w.calls = map[demandKey]*wantCall{}
+		}
+		w.calls[k] = c
+		go w.carryOut(g, k, service, c)
+	}
+	w.mu.Unlock()
+	select {
+	case <-c.done:
+		return c.endpoint
+	case <-ctx.Done():
+		return ""
+	}
+}
+
+func (w *wants) carryOut(g *Gateway, k demandKey, service string, c *wantCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
+	defer cancel()
+	err := g.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
+		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter}))
+		if err == nil {
+			c.endpoint = r.Msg.Endpoint
+		}
+		return err
+	})
+	if err != nil {
+		g.log.WithError(err).WithField("model", k.model).WithField("adapter", k.adapter).Warn("control did not answer a request for a model")
+	}
+	w.mu.Lock()
+	delete(w.calls, k)
+	w.mu.Unlock()
+	close(c.done)
+}
--- /dev/null
+++ b/internal/gateway/protocol.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Facts are what a caller says of a request.
+type Facts struct {
+	// ID names the caller's attempt; it is unique.
+	ID string
+	// Model and Adapter are empty for plain services.
+	Model   string
+	Adapter string
+	// PromptTokens and AnswerTokens are the sizes that the caller states; the
+	// answer's is a bound.
+	PromptTokens int
+	AnswerTokens int
+	// AnswerGuess is the caller's estimate of the answer's tokens; zero for none.
+	AnswerGuess int
+	// Session is the prompt part that only requests of one session share.
+	Session string
+	// Deadline is how long the caller will wait; zero where it does not say.
+	Deadline time.Duration
+	// Resumed requests go on after an event that the caller has.
+	Resumed bool
+}
+
+// Send is what the system says to an endpoint beside the caller's request.
+type Send struct {
+	// Endpoint is the id of the one that the request is meant for.
+	Endpoint string
+	// TimeLeft is how long the endpoint may work.
+	TimeLeft time.Duration
+	// Rank is the urgency of the route, 0 first.
+	Rank int
+	// AfterEvent is the last whole event that the caller has; empty for none.
+	AfterEvent string
+}
+
+// Answer is what an endpoint's head says.
+type Answer struct {
+	// NotRun is set where the endpoint states that it did not run the request.
+	NotRun bool
+	// OtherEndpoint is set where another endpoint has the address.
+	OtherEndpoint bool
+	// Signed is set where the answer bears the endpoint's signature.
+	Signed bool
+}
+
+// Protocol translates between HTTP and the product's types, for callers and
+// endpoints of one kind.
+type Protocol interface {
+	// Describe reads a caller's request. A failure means that the request is
+	// not proper.
+	Describe(r *http.Request) (Facts, error)
+	// Prepare sets the headers that are the system's to set, in a copy of the
+	// caller's, and removes those that a caller must not set.
+	Prepare(h http.Header, s Send)
+	// Recognize reports whether the head answers the attempt.
+	Recognize(h http.Header, id string) bool
+	// Read tells what the head of an answer says.
+	Read(status int, h http.Header) Answer
+	// Refuse adds when to come back to a refusal.
+	Refuse(h http.Header, after time.Duration)
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"parsleyramp/internal/attempt"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/upstream"
+)
+
+const (
+	relayBufferBytes = 8 << 10
+	// maxHeldBytes bounds an answer that is read whole before it is passed on.
+	maxHeldBytes = 8 << 20
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+)
+
+// relay passes the answers of endpoints on to one caller.
+type relay struct {
+	q *request
+	// begun is set once the head was passed on.
+	begun bool
+	// lastEvent is the id of the last whole event that was passed on.
+	lastEvent string
+}
+
+// take reads an endpoint's answer and passes it on, or says why not.
+func (r *relay) take(resp *upstream.Response) sent {
+	a := r.q.g.adapter.Protocol.Read(resp.Status, resp.Header)
+	ok := resp.Status >= 200 && resp.Status < 300
+	switch {
+	case a.NotRun || a.OtherEndpoint:
+		return r.rejected(resp)
+	case ok && !a.Signed:
+		return r.broken(fail.New(fail.ForeignAnswer, "the answer bears no signature").WithRan(fail.RanUnknown))
+	case !ok:
+		return r.failure(resp, a)
+	case r.q.route.Kind == document.Stream && r.q.route.Resumable:
+		return r.events(resp)
+	case r.q.route.Kind == document.Stream:
+		return r.stream(resp)
+	}
+	return r.whole(resp)
+}
+
+// rejected reads the rest of a statement that the request did not run, so that
+// the connection can be kept.
+func (r *relay) rejected(resp *upstream.Response) sent {
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHeldBytes))
+	message := "the endpoint did not run the request: status " + strconv.Itoa(resp.Status)
+	if err != nil {
+		return sent{outcome: attempt.Rejected, err: fail.Wrap(err, fail.EndpointFailed, message)}
+	}
+	return sent{outcome: attempt.Rejected, err: fail.New(fail.EndpointFailed, message)}
+}
+
+// broken is an answer that cannot be used, and whose request may have run.
+func (r *relay) broken(err error) sent {
+	if r.begun {
+		return sent{outcome: attempt.Cut, err: err}
+	}
+	return sent{outcome: attempt.Lost, err: err}
+}
+
+// promises are the statuses by which this system states that a request has not
+// run. An endpoint's own, without that statement, must not be passed on.
+var promises = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
+// failure reads an endpoint's own failure whole.
+func (r *relay) failure(resp *upstream.Response, a Answer) sent {
+	body, err := readWhole(resp)
+	if err != nil {
+		return r.broken(err)
+	}
+	if r.begun || !a.Signed || promises[resp.Status] {
+		return r.broken(fail.New(fail.EndpointFailed, "status "+strconv.Itoa(resp.Status)).WithRan(fail.RanUnknown))
+	}
+	held := &heldAnswer{status: resp.Status, header: resp.Header, body: body}
+	failed := fail.New(fail.EndpointFailed, "status "+strconv.Itoa(resp.Status)).WithRan(fail.RanYes)
+	if resp.Status < http.StatusInternalServerError {
+		r.pass(held)
+		return sent{done: true, err: failed}
+	}
+	return sent{outcome: attempt.Failed, held: held, err: failed}
+}
+
+// whole reads the answer to its end before any of it is passed on.
+func (r *relay) whole(resp *upstream.Response) sent {
+	body, err := readWhole(resp)
+	if err != nil {
+		return r.broken(err)
+	}
+	r.pass(&heldAnswer{status: resp.Status, header: resp.Header, body: body})
+	return sent{done: true}
+}
+
+func readWhole(resp *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	switch {
+	case err != nil:
+		return nil, fail.Wrap(err, fail.TruncatedAnswer, "the answer ended early").WithRan(fail.RanUnknown)
+	case len(body) > maxHeldBytes:
+		return nil, fail.New(fail.TruncatedAnswer, "the answer is too long to be held").WithRan(fail.RanUnknown)
+	}
+	return body, nil
+}
+
+// pass passes a whole answer on.
+func (r *relay) pass(held *heldAnswer) {
+	r.head(held.header)
+	r.q.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	r.q.w.WriteHeader(held.status)
+	r.begun = true
+	// A caller that has left is noticed by its context.
+	_, _ = r.q.w.Write(held.body)
+}
+
+// head copies an endpoint's headers to the answer.
+func (r *relay) head(h http.Header) {
+	out := r.q.w.Header()
+	for name, values := range h {
+		out[name] = values
+	}
+	upstream.StripHop(out)
+}
+
+// begin passes the head of a stream on, once.
+func (r *relay) begin(resp *upstream.Response) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	r.head(resp.Header)
+	if resp.Length >= 0 && !r.q.route.Resumable {
+		r.q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	} else {
+		r.q.w.Header().Del("Content-Length")
+	}
+	r.q.w.WriteHeader(resp.Status)
+}
+
+// write passes bytes of a stream on at once.
+func (r *relay) write(p []byte) error {
+	if _, err := r.q.w.Write(p); err != nil {
+		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
+	}
+	if err := http.NewResponseController(r.q.w).Flush(); err != nil {
+		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
+	}
+	return nil
+}
+
+// stream passes bytes on as they arrive.
+func (r *relay) stream(resp *upstream.Response) sent {
+	buf := make([]byte, relayBufferBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			r.begin(resp)
+			if writeErr := r.write(buf[:n]); writeErr != nil {
+				return sent{outcome: attempt.Cut, err: writeErr}
+			}
+		}
+		if err == io.EOF {
+			r.begin(resp)
+			return sent{done: true}
+		}
+		if err != nil {
+			return r.broken(fail.Wrap(err, fail.TruncatedAnswer, "the stream broke").WithRan(fail.RanUnknown))
+		}
+	}
+}
+
+// events passes whole events on, so that a broken stream can go on elsewhere.
+func (r *relay) events(resp *upstream.Response) sent {
+	buf := make([]byte, relayBufferBytes)
+	var pending []byte
+	for {
+		n, err := resp.Body.Read(buf)
+		pending = append(pending, buf[:n]...)
+		if whole := wholeEvents(pending); whole > 0 {
+			r.begin(resp)
+			if id := lastEventID(pending[:whole]); id != "" {
+				r.lastEvent = id
+			}
+			if writeErr := r.write(pending[:whole]); writeErr != nil {
+				return sent{outcome: attempt.Cut, err: writeErr}
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		switch {
+		case err == io.EOF && len(pending) == 0:
+			r.begin(resp)
+			return sent{done: true}
+		case err == io.EOF:
+			return r.broken(fail.New(fail.TruncatedAnswer, "the stream ended within an event").WithRan(fail.RanUnknown))
+		case err != nil:
+			return r.broken(fail.Wrap(err, fail.TruncatedAnswer, "the stream broke").WithRan(fail.RanUnknown))
+		case len(pending) > maxEventBytes:
+			return r.broken(fail.New(fail.TruncatedAnswer, "an event is too long").WithRan(fail.RanUnknown))
+		}
+	}
+}
+
+var eventEnd = []byte("\n\n")
+
+// wholeEvents returns the length of the whole events at the start.
+func wholeEvents(p []byte) int {
+	i := bytes.LastIndex(p, eventEnd)
+	if i < 0 {
+		return 0
+	}
+	return i + len(eventEnd)
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(p []byte) string {
+	last := ""
+	for line := range bytes.Lines(p) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			last = string(bytes.TrimSpace(value))
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
+)
+
+const (
+	// defaultBodyBytes bounds a body where the document sets no bound.
+	defaultBodyBytes = 4 << 20
+	// startingRetry is when callers may come back to a gateway that holds no
+	// document yet.
+	startingRetry = 300 * time.Millisecond
+)
+
+// request is one caller's request on its way.
+type request struct {
+	g     *Gateway
+	w     http.ResponseWriter
+	in    *http.Request
+	body  []byte
+	facts Facts
+	route *document.Route
+	need  fleet.Need
+	// arrived is when the request was read, and end when its time is over.
+	arrived time.Duration
+	end     time.Duration
+	ctx     context.Context
+}
+
+// ServeHTTP takes one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.clock()
+	table, view := g.table.Load(), g.view.Load()
+	if table == nil || view == nil {
+		g.refuse(w, r, Facts{}, fail.New(fail.Unavailable, "no document is in force yet").WithRetryAfter(startingRetry))
+		return
+	}
+	facts, err := g.adapter.Protocol.Describe(r)
+	if err != nil {
+		g.refuse(w, r, facts, err)
+		return
+	}
+	route := table.Find(r.Host, r.URL.Path)
+	if route == nil {
+		g.refuse(w, r, facts, fail.New(fail.UnknownPath, "no route leads there"))
+		return
+	}
+	body, err := readBody(w, r, table.Document.Limits.BodyBytes)
+	if err != nil {
+		g.refuse(w, r, facts, err)
+		return
+	}
+	q := &request{g: g, w: w, in: r, body: body, facts: facts, route: route, arrived: arrived}
+	q.end = arrived + route.Timeout
+	if facts.Deadline > 0 {
+		q.end = min(q.end, arrived+facts.Deadline)
+	}
+	q.need = g.needOf(table.Document, route, facts)
+	g.retries.Request(q.need.Service, arrived)
+	ctx, cancel := context.WithTimeout(r.Context(), q.end-g.clock())
+	defer cancel()
+	q.ctx = ctx
+	q.run()
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fail.Wrap(err, fail.BodyTooLarge, "the body is larger than allowed")
+	case err != nil:
+		return nil, fail.Wrap(err, fail.BadRequest, "the body cannot be read")
+	}
+	return body, nil
+}
+
+// needOf returns what the request asks of an endpoint.
+func (g *Gateway) needOf(d *document.Document, route *document.Route, f Facts) fleet.Need {
+	n := fleet.Need{
+		Service: route.Pick(g.draw()), Model: f.Model, Adapter: f.Adapter,
+		Tokens: f.PromptTokens + f.expectedAnswer(), Domain: g.cfg.Domain,
+	}
+	if route.Sticky && f.Session != "" {
+		n.Session = f.Model + "/" + f.Adapter + "/" + f.Session
+	}
+	s := d.Service(n.Service)
+	if s == nil || s.Engine == nil {
+		n.Model, n.Adapter, n.Session = "", "", ""
+		return n
+	}
+	n.CacheTokens = s.Engine.CacheTokens
+	return n
+}
+
+// expectedAnswer returns the tokens that the answer is expected to have.
+func (f Facts) expectedAnswer() int {
+	if f.AnswerGuess > 0 {
+		return min(f.AnswerGuess, max(f.AnswerTokens, f.AnswerGuess))
+	}
+	return f.AnswerTokens
+}
+
+// refuse answers a request that has not run with the failure's status.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, facts Facts, err error) {
+	f := fail.From(err)
+	if r.Context().Err() != nil {
+		f = fail.New(fail.Canceled, "the caller has left")
+	}
+	status := f.Code.HTTPStatus()
+	refusals.count(f.Code)
+	g.log.WithFields(logrus.Fields{
+		"request": facts.ID, "host": r.Host, "path": r.URL.Path, "outcome": "refused", "code": f.Code, "reason": f.Message,
+		"status": status, "retry_after": f.RetryAfter,
+	}).Info("request refused")
+	if f.RetryAfter > 0 {
+		g.adapter.Protocol.Refuse(w.Header(), f.RetryAfter)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = io.WriteString(w, f.Message+"\n")
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"parsleyramp/internal/settings"
+	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
+)
+
+// Settings of parsleyramp-gateway.
+type Settings struct {
+	// ID names this VM.
+	ID string `json:"id"`
+	// CallerAddress, ReadyAddress and DirectoryAddress are where callers send
+	// requests, where the platform asks whether this VM takes callers, and
+	// where callers ask which gateways to use, as ip:port. The last may be empty.
+	CallerAddress    string `json:"caller_address"`
+	ReadyAddress     string `json:"ready_address"`
+	DirectoryAddress string `json:"directory_address"`
+	// MetricsAddress serves the metrics.
+	MetricsAddress string `json:"metrics_address"`
+	Domain         string `json:"domain"`
+	Region         string `json:"region"`
+	// ControlSeeds are where operators reach up to three control replicas, and
+	// ControlPort is the port on which these answer gateways. Others are learned.
+	ControlSeeds []string `json:"control_seeds"`
+	ControlPort  int      `json:"control_port"`
+	// SyncInterval is the time between two exchanges with the control leader.
+	SyncInterval settings.Duration `json:"sync_interval"`
+	// KeepAddresses is how long callers may keep the addresses of gateways.
+	KeepAddresses settings.Duration `json:"keep_addresses"`
+	// Grace bounds a graceful stop.
+	Grace settings.Duration `json:"grace"`
+	// RetryRatio, RetrySlack and RetryWindow bound the repeated sends of all
+	// gateways to one service.
+	RetryRatio  float64           `json:"retry_ratio"`
+	RetrySlack  float64           `json:"retry_slack"`
+	RetryWindow settings.Duration `json:"retry_window"`
+	// MemoryMB is the memory that the process may use; zero for no bound.
+	MemoryMB int `json:"memory_mb"`
+	// LogBytesPerSecond bounds the log.
+	LogBytesPerSecond int                `json:"log_bytes_per_second"`
+	Telemetry         telemetry.Settings `json:"telemetry"`
+}
+
+// DefaultSettings returns the values of fields that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		SyncInterval:      settings.Duration(100 * time.Millisecond),
+		KeepAddresses:     settings.Duration(2 * time.Second),
+		Grace:             settings.Duration(8 * time.Second),
+		RetryRatio:        0.2,
+		RetrySlack:        20,
+		RetryWindow:       settings.Duration(10 * time.Second),
+		LogBytesPerSecond: 64 << 10,
+		Telemetry:         telemetry.Defaults(),
+	}
+}
+
+// Check reports fields that cannot be used.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Require(s.ID != "", "id", "the name of this VM")
+	c.Address("caller_address", s.CallerAddress)
+	c.Address("ready_address", s.ReadyAddress)
+	if s.DirectoryAddress != "" {
+		c.Address("directory_address", s.DirectoryAddress)
+	}
+	c.Address("metrics_address", s.MetricsAddress)
+	c.Require(s.Domain != "", "domain", "the name of a failure domain")
+	c.Require(len(s.ControlSeeds) > 0, "control_seeds", "the address of one control replica or more")
+	for _, a := range s.ControlSeeds {
+		c.Address("control_seeds", a)
+	}
+	c.Require(s.ControlPort > 0 && s.ControlPort < 1<<16, "control_port", "a port number")
+	c.Positive("sync_interval", s.SyncInterval)
+	c.Positive("keep_addresses", s.KeepAddresses)
+	c.Positive("grace", s.Grace)
+	c.Require(s.RetryRatio >= 0, "retry_ratio", "0 or more")
+	c.Require(s.RetrySlack >= 0, "retry_slack", "0 or more")
+	c.Positive("retry_window", s.RetryWindow)
+	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
+	c.Require(s.LogBytesPerSecond > 0, "log_bytes_per_second", "above 0")
+	s.Telemetry.Check(c)
+}
+
+// control returns where the seeds answer gateways.
+func (s *Settings) control() []string {
+	var out []string
+	for _, a := range s.ControlSeeds {
+		out = append(out, transport.SamePort(a, "0.0.0.0:"+strconv.Itoa(s.ControlPort)))
+	}
+	return out
+}
--- a/internal/platform/platform.go
+++ b/internal/livelist/livelist.go
@@ -1,6 +1,6 @@
-// Package platform is the client of what the platform gives: the lagging list
+// Package livelist is the client of what the platform gives: the lagging list
 // of live and leaving VMs.
-package platform
+package livelist
 
 import (
 	"context"
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -206,6 +206,12 @@
 	return failure
 }
 
+// Peek runs f on the control goroutine of any replica. What f sees may be older
+// than what others have acknowledged. f must not block or keep the machine.
+func (n *Node) Peek(ctx context.Context, f func(*state.Machine)) error {
+	return n.do(ctx, func() { f(n.machine) })
+}
+
 // Status returns what the replica knows of its group, leader or not.
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	var s Status
@@ -264,3 +270,16 @@
 
 // Identity returns the replica's identity as it was at start.
 func (n *Node) Identity() journal.Identity { return n.opt.Recovered.Identity }
+
+// Invited reports whether a leader sends this replica its log, which shows
+// that the group has added it. Messages to a replica that had the same address
+// before, and requests for votes, are no invitation.
+func (n *Node) Invited(messages []*wire.RaftMessage) bool {
+	for _, m := range messages {
+		fromLeader := m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND || m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT
+		if fromLeader && m.To == n.Identity().ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/residency/demand.go
@@ -0,0 +1,111 @@
+package residency
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// fastTime and slowTime smooth the demand. The larger of the two counts, so
+	// that replicas come quickly with a burst and stay a while after it.
+	fastTime = 1500 * time.Millisecond
+	slowTime = 8 * time.Second
+	// forgottenDemand, in places, counts as none.
+	forgottenDemand = 0.01
+)
+
+// Demand measures how many places of engines each model's requests occupy.
+type Demand struct {
+	models map[string]*average
+	// Adapters holds when each adapter, as model/adapter, was last asked for.
+	adapters map[string]time.Duration
+}
+
+type average struct {
+	fast, slow float64
+	at         time.Duration
+	last       time.Duration
+}
+
+// NewDemand returns a measure without any demand.
+func NewDemand() *Demand {
+	return &Demand{models: map[string]*average{}, adapters: map[string]time.Duration{}}
+}
+
+// Add records requests that together occupy a place for the time.
+func (d *Demand) Add(model, adapter string, place time.Duration, now time.Duration) {
+	a := d.models[model]
+	if a == nil {
+		a = &average{at: now}
+		d.models[model] = a
+	}
+	a.decay(now)
+	a.fast += place.Seconds() / fastTime.Seconds()
+	a.slow += place.Seconds() / slowTime.Seconds()
+	a.last = now
+	if adapter != "" {
+		d.adapters[model+"/"+adapter] = now
+	}
+}
+
+// Places returns the demand for the model, in places.
+func (d *Demand) Places(model string, now time.Duration) float64 {
+	a := d.models[model]
+	if a == nil {
+		return 0
+	}
+	a.decay(now)
+	v := max(a.fast, a.slow)
+	if v < forgottenDemand {
+		return 0
+	}
+	return v
+}
+
+// AdapterAsked returns when the adapter was last asked for; false where never.
+func (d *Demand) AdapterAsked(model, adapter string) (time.Duration, bool) {
+	at, ok := d.adapters[model+"/"+adapter]
+	return at, ok
+}
+
+func (a *average) decay(now time.Duration) {
+	dt := (now - a.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	a.fast *= math.Exp(-dt / fastTime.Seconds())
+	a.slow *= math.Exp(-dt / slowTime.Seconds())
+	a.at = now
+}
+
+// StoreBudget bounds the loads from the weight store in any window.
+type StoreBudget struct {
+	rate   float64
+	window time.Duration
+	starts []time.Duration
+}
+
+// storeMargin of the store's rate is used, for the store counts starts a little
+// later than they are ordered.
+const storeMargin = 0.9
+
+// NewStoreBudget returns a budget of loads a second over a window.
+func NewStoreBudget(perSecond float64, window time.Duration) *StoreBudget {
+	return &StoreBudget{rate: perSecond, window: window}
+}
+
+// SetRate changes the store's rate.
+func (b *StoreBudget) SetRate(perSecond float64) { b.rate = perSecond }
+
+// Left returns how many loads may start now.
+func (b *StoreBudget) Left(now time.Duration) int {
+	i := 0
+	for i < len(b.starts) && b.starts[i] <= now-b.window {
+		i++
+	}
+	b.starts = b.starts[i:]
+	return max(int(b.rate*b.window.Seconds()*storeMargin)-len(b.starts), 0)
+}
+
+// Start counts one load that starts now.
+func (b *StoreBudget) Start(now time.Duration) { b.starts = append(b.starts, now) }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"parsleyramp/internal/endpoint"
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 )
 
 const (
@@ -311,10 +311,10 @@
 
 func TestLiveListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := NewLiveList([]platform.VM{{ID: "engine-1", State: platform.Live}}, time.Second)
-		call(l, http.MethodPost, platform.PathVMs+"?leaving=engine-1", nil)
+		l := NewLiveList([]livelist.VM{{ID: "engine-1", State: livelist.Live}}, time.Second)
+		call(l, http.MethodPost, livelist.PathVMs+"?leaving=engine-1", nil)
 		read := func() string {
-			w, _ := call(l, http.MethodGet, platform.PathVMs, nil)
+			w, _ := call(l, http.MethodGet, livelist.PathVMs, nil)
 			return w.Body.String()
 		}
 		if !strings.Contains(read(), `"live"`) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 )
 
 // LiveList is a stand-in list of live and leaving VMs. It lags.
@@ -14,17 +14,17 @@
 	mu  sync.Mutex
 	lag time.Duration
 	// current is what is true; published is what readers see.
-	current   []platform.VM
-	published []platform.VM
+	current   []livelist.VM
+	published []livelist.VM
 }
 
 // NewLiveList returns a list that shows changes after the lag.
-func NewLiveList(vms []platform.VM, lag time.Duration) *LiveList {
+func NewLiveList(vms []livelist.VM, lag time.Duration) *LiveList {
 	return &LiveList{lag: lag, current: vms, published: vms}
 }
 
 // Set replaces the list; readers see it after the lag.
-func (l *LiveList) Set(vms []platform.VM) {
+func (l *LiveList) Set(vms []livelist.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.current = vms
@@ -40,7 +40,7 @@
 func (l *LiveList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodPut:
-		var vms []platform.VM
+		var vms []livelist.VM
 		if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -55,16 +55,16 @@
 	writeJSON(w, vms)
 }
 
-func (l *LiveList) edited(leaving, gone string) []platform.VM {
+func (l *LiveList) edited(leaving, gone string) []livelist.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []platform.VM
+	var out []livelist.VM
 	for _, vm := range l.current {
 		if vm.ID == gone {
 			continue
 		}
 		if vm.ID == leaving {
-			vm.State = platform.Leaving
+			vm.State = livelist.Leaving
 		}
 		out = append(out, vm)
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -39,6 +39,8 @@
 	copies []*wire.Order
 	// sendTerms grow in term.
 	sendTerms []*wire.SendTerm
+	// document is the whole declaration with the highest version, or nil.
+	document *wire.Document
 
 	// claimsExpiredBefore refuses keys whose records may have been dropped.
 	claimsExpiredBefore int64
@@ -110,6 +112,10 @@
 		return m.clearSuspect(b.ClearSuspect.Fingerprint)
 	case *wire.Command_ExpireRecords:
 		return m.expireRecords(b.ExpireRecords)
+	case *wire.Command_PutDocument:
+		return m.putDocument(b.PutDocument.GetDocument())
+	case *wire.Command_ConfirmLead:
+		return applied()
 	}
 	return refused("unknown command")
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -28,6 +28,7 @@
 		ClaimsExpiredBeforeUnixMs: m.claimsExpiredBefore,
 		Copies:                    m.copies,
 		SendTerms:                 m.sendTerms,
+		Document:                  m.document,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -46,6 +47,7 @@
 	m.applied, m.viewRevision = s.AppliedIndex, s.ViewRevision
 	m.claimsExpiredBefore = s.ClaimsExpiredBeforeUnixMs
 	m.copies, m.sendTerms = s.Copies, s.SendTerms
+	m.document = s.Document
 	for _, v := range s.Sections {
 		m.sections[v.Team] = v
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,8 +20,8 @@
 	maxHeaderBytes    = 64 << 10
 	// peerPingInterval and peerPingTimeout notice a silent connection between
 	// the system's own processes.
-	peerPingInterval = 15 * time.Second
-	peerPingTimeout  = 5 * time.Second
+	peerPingInterval = time.Second
+	peerPingTimeout  = time.Second
 )
 
 // Listen opens a TCP socket on an IPv4 address by number for the system's own
@@ -108,5 +108,18 @@
 	return nil
 }
 
+// StopKeepAlive closes idle connections, and the others after their next answer.
+func (s *Server) StopKeepAlive() { s.http.SetKeepAlivesEnabled(false) }
+
 // Close cuts off every connection.
 func (s *Server) Close() error { return s.http.Close() }
+
+// SamePort returns the address with the port of another one.
+func SamePort(address, other string) string {
+	host, _, err := net.SplitHostPort(address)
+	_, port, otherErr := net.SplitHostPort(other)
+	if err != nil || otherErr != nil {
+		return address
+	}
+	return net.JoinHostPort(host, port)
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the wait for a new connection.
+	dialTimeout = 800 * time.Millisecond
+	// userTimeout ends a connection whose sent bytes are not acknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// probeIdle, probeInterval and probeCount notice a silent peer.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+	// defaultIdle is how long a connection is kept where the endpoint names no
+	// timeout of its own.
+	defaultIdle = 8 * time.Second
+	// idleShare of the endpoint's own idle timeout is used, so that a request
+	// does not cross the endpoint's close.
+	idleShare = 0.7
+	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT.
+	tcpUserTimeout = 18
+
+	readBufferBytes = 8 << 10
+)
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// keep is how long the connection may stay idle, and idleSince when it was
+	// last used.
+	keep      time.Duration
+	idleSince time.Time
+	used      bool
+}
+
+func dialConn(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		Control:         setUserTimeout,
+	}
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), keep: defaultIdle}, nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout/time.Millisecond))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// clean reports whether nothing has arrived on an idle connection. Bytes there
+// belong to no request, and an end means that the endpoint closed it.
+func (c *conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// noteKeepAlive takes the endpoint's own idle timeout from an answer.
+func (c *conn) noteKeepAlive(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+			c.keep = time.Duration(seconds * idleShare * float64(time.Second))
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,294 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyramp/internal/fail"
+)
+
+const (
+	// maxIdlePerEndpoint bounds the idle connections kept to one endpoint.
+	maxIdlePerEndpoint = 32
+	// maxSkipped bounds the answers to earlier requests that are skipped.
+	maxSkipped = 2
+	// concurrentBodyBytes is the size from which a body is written beside the
+	// reading of the answer, for an endpoint may answer before it has read it.
+	concurrentBodyBytes = 4 << 10
+)
+
+// Request is one request to be sent to an endpoint.
+type Request struct {
+	Method string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	Host   string
+	// Header is sent as it is; Host and the framing are added.
+	Header http.Header
+	Body   []byte
+}
+
+// Response is the head of an answer. Body ends with io.EOF only where the
+// answer is whole. Close must be called once.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length of the body in bytes, or -1 where it is not announced.
+	Length int64
+	Body   io.Reader
+
+	pool    *Pool
+	conn    *conn
+	resp    *http.Response
+	stop    func() bool
+	ended   bool
+	written <-chan error
+}
+
+// Pool keeps connections to endpoints.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	opened atomic.Uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+
+// Opened returns how many connections were opened so far.
+func (p *Pool) Opened() uint64 { return p.opened.Load() }
+
+// Do sends the request and returns the head of the first answer that accept
+// recognizes as its own. The failure says whether the request can have run.
+// The connection is closed when ctx ends.
+func (p *Pool) Do(ctx context.Context, address string, r *Request, accept func(http.Header) bool) (*Response, error) {
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.EndpointFailed, "connect to "+address)
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	discard := func() {
+		stop()
+		c.Close()
+	}
+	if ctx.Err() != nil {
+		discard()
+		return nil, fail.Wrap(ctx.Err(), fail.EndpointFailed, "connect to "+address)
+	}
+	written, err := c.send(r)
+	if err != nil {
+		discard()
+		return nil, err
+	}
+	head, err := c.readHead(r.Method, accept)
+	if err != nil {
+		discard()
+		return nil, fail.Wrap(err, fail.EndpointFailed, "answer of "+address).WithRan(fail.RanUnknown)
+	}
+	c.noteKeepAlive(head.Header)
+	out := &Response{
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
+		pool: p, conn: c, resp: head, stop: stop, written: written,
+	}
+	out.Body = &bodyReader{out}
+	return out, nil
+}
+
+// send writes the request. A long body is written by another goroutine, whose
+// result the returned channel yields.
+func (c *conn) send(r *Request) (<-chan error, error) {
+	c.used = true
+	payload := encode(r)
+	if len(payload) <= concurrentBodyBytes {
+		n, err := c.Write(payload)
+		if err == nil {
+			return nil, nil
+		}
+		ran := fail.RanUnknown
+		if n == 0 {
+			ran = fail.RanNo
+		}
+		return nil, fail.Wrap(err, fail.EndpointFailed, "send to "+c.address).WithRan(ran)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(payload)
+		done <- err
+	}()
+	return done, nil
+}
+
+// readHead reads the head of the answer, passing over interim answers and
+// whole answers that accept does not recognize.
+func (c *conn) readHead(method string, accept func(http.Header) bool) (*http.Response, error) {
+	skipped := 0
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		if accept == nil || accept(resp.Header) {
+			return resp, nil
+		}
+		if skipped++; skipped > maxSkipped {
+			return nil, errForeign
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+var errForeign = errors.New("the answers belong to other requests")
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHop removes the headers that concern one connection only, also those
+// that the Connection header names.
+func StripHop(h http.Header) {
+	for _, name := range connectionOptions(h) {
+		h.Del(name)
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+func connectionOptions(h http.Header) []string {
+	var out []string
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out = append(out, strings.TrimSpace(name))
+		}
+	}
+	return out
+}
+
+func encode(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// The header was parsed by net/http, which refuses line breaks in it.
+	if err := r.Header.Write(&b); err != nil {
+		return nil
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// bodyReader marks the answer as ended at its clean end.
+type bodyReader struct{ r *Response }
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.r.resp.Body.Read(p)
+	if err == io.EOF {
+		b.r.ended = true
+	}
+	return n, err
+}
+
+// Close keeps the connection where the answer has ended cleanly and nothing
+// else is on the way, and closes it otherwise.
+func (r *Response) Close() {
+	intact := r.stop()
+	if !intact || !r.reusable() {
+		r.conn.Close()
+		return
+	}
+	r.pool.put(r.conn)
+}
+
+func (r *Response) reusable() bool {
+	if !r.ended || r.resp.Close || r.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if r.written == nil {
+		return true
+	}
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// get returns a clean idle connection, newest first, or a new one.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleSince) < c.keep && c.clean() {
+			return c, nil
+		}
+		c.Close()
+	}
+	p.opened.Add(1)
+	return dialConn(ctx, address)
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdlePerEndpoint {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Keep closes the idle connections to all addresses but those given, and the
+// ones that have been idle for too long.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			if addresses[address] && time.Since(c.idleSince) < c.keep {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+}
--- a/scripts/faults/scenarios.go
+++ b/scripts/faults/scenarios.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/standin"
 	"parsleyramp/scripts/internal/testbed"
 )
@@ -142,12 +142,12 @@
 
 func (b *bench) waitListed(ctx context.Context, id string) error {
 	for {
-		var vms []platform.VM
-		if err := fetch(ctx, "http://"+b.bed.List+platform.PathVMs, &vms); err != nil {
+		var vms []livelist.VM
+		if err := fetch(ctx, "http://"+b.bed.List+livelist.PathVMs, &vms); err != nil {
 			return err
 		}
 		for _, vm := range vms {
-			if vm.ID == id && vm.State == platform.Leaving {
+			if vm.ID == id && vm.State == livelist.Leaving {
 				return nil
 			}
 		}
--- a/scripts/internal/testbed/bed.go
+++ b/scripts/internal/testbed/bed.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"parsleyramp/internal/platform"
+	"parsleyramp/internal/livelist"
 )
 
 const (
@@ -162,13 +162,13 @@
 	return args
 }
 
-func (b *Bed) vms() []platform.VM {
-	var vms []platform.VM
+func (b *Bed) vms() []livelist.VM {
+	var vms []livelist.VM
 	for _, n := range b.Services {
-		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindService, Address: n.Address, Domain: n.Domain, State: platform.Live, Service: "ledger"})
+		vms = append(vms, livelist.VM{ID: n.ID, Kind: livelist.KindService, Address: n.Address, Domain: n.Domain, State: livelist.Live, Service: "ledger"})
 	}
 	for _, n := range b.Engines {
-		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindEngine, Address: n.Address, Domain: n.Domain, State: platform.Live, Accelerators: 2})
+		vms = append(vms, livelist.VM{ID: n.ID, Kind: livelist.KindEngine, Address: n.Address, Domain: n.Domain, State: livelist.Live, Accelerators: 2})
 	}
 	return vms
 }
