Reload the settings at SIGHUP and whenever the file changes

Now the file is read again at the signal and every 2 s; one that cannot be used leaves the old settings in force and says so.

--- a/cmd/parsleyramp-fleet/main.go
+++ b/cmd/parsleyramp-fleet/main.go
@@ -7,11 +7,13 @@
 	"context"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/fleetcontrol"
 	"parsleyramp/internal/program"
+	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/platform"
 )
@@ -22,24 +24,37 @@
 func main() {
 	debug.SetGCPercent(gcPercent)
 	cfg := fleetcontrol.DefaultSettings()
+	var running atomic.Pointer[fleetcontrol.Server]
 	d := program.Daemon{
 		Name:     "parsleyramp-fleet",
 		Settings: &cfg,
 		Identify: func() (string, telemetry.Settings) { return cfg.ID, cfg.Telemetry },
+		Reload: program.Reloader{
+			Fresh: func() settings.Checked {
+				fresh := fleetcontrol.DefaultSettings()
+				return &fresh
+			},
+			Apply: func(c settings.Checked) {
+				if s := running.Load(); s != nil {
+					s.Reload(*c.(*fleetcontrol.Settings))
+				}
+			},
+		},
 		Run: func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
-			return run(ctx, stop, cfg, log)
+			return run(ctx, stop, cfg, &running, log)
 		},
 	}
 	os.Exit(d.Main(os.Args[1:]))
 }
 
-func run(ctx context.Context, stop func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, log *logrus.Entry) error {
+func run(ctx context.Context, stop func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, running *atomic.Pointer[fleetcontrol.Server], log *logrus.Entry) error {
 	node, cancelNode := context.WithCancel(context.Background())
 	defer cancelNode()
 	s, err := fleetcontrol.Start(node, cfg, adapter(cfg, log), log)
 	if err != nil {
 		return err
 	}
+	running.Store(s)
 	select {
 	case err := <-s.Stopped():
 		return err
--- a/cmd/parsleyramp-gateway/main.go
+++ b/cmd/parsleyramp-gateway/main.go
@@ -6,26 +6,41 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/gateway"
 	"parsleyramp/internal/program"
+	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/platform"
 )
 
 func main() {
 	cfg := gateway.DefaultSettings()
+	var running atomic.Pointer[gateway.Gateway]
 	d := program.Daemon{
 		Name:     "parsleyramp-gateway",
 		Settings: &cfg,
 		Identify: func() (string, telemetry.Settings) { return cfg.ID, cfg.Telemetry },
+		Reload: program.Reloader{
+			Fresh: func() settings.Checked {
+				fresh := gateway.DefaultSettings()
+				return &fresh
+			},
+			Apply: func(c settings.Checked) {
+				if g := running.Load(); g != nil {
+					g.Reload(*c.(*gateway.Settings))
+				}
+			},
+		},
 		Run: func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
 			g, err := gateway.Start(cfg, adapter(), log)
 			if err != nil {
 				return err
 			}
+			running.Store(g)
 			<-ctx.Done()
 			shutdown, cancel := stop()
 			defer cancel()
--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -127,7 +127,7 @@
 
 // knownReplicas returns the seeds and the members that this replica knows.
 func (s *Server) knownReplicas(ctx context.Context) []string {
-	out := s.cfg.peers()
+	out := slices.Clone(*s.seeds.Load())
 	status, err := s.node.Status(ctx)
 	if err != nil {
 		return out
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -37,6 +37,8 @@
 	peers   *http.Client
 	group   atomic.Pointer[string]
 	joining sync.Mutex
+	// seeds are the inner addresses of the seeds that the settings name now.
+	seeds atomic.Pointer[[]string]
 
 	// lead is what this replica knows while it leads; nil otherwise.
 	lead     atomic.Pointer[leadState]
@@ -59,6 +61,7 @@
 		peers: transport.NewPeerClient(), stopped: make(chan error, 1),
 	}
 	s.group.Store(&recovered.Identity.Group)
+	s.Reload(cfg)
 	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
 		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
@@ -83,6 +86,13 @@
 	return s, nil
 }
 
+// Reload takes over settings that may change while control runs: the seeds, at
+// which a replica outside the group asks to be let in.
+func (s *Server) Reload(cfg Settings) {
+	peers := cfg.peers()
+	s.seeds.Store(&peers)
+}
+
 // newReplicaID returns an id that no other replica has. At the first start a
 // seed's id follows from its address, so that the seeds form the same group
 // without talking to each other; a folder that was emptied later gets one that
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,7 @@
 	g := &Gateway{
 		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
 		loads: fleet.NewLoads(), pool: upstream.NewPool(), draw: rand.Float64,
-		retries: retry.NewShare(retry.ShareConfig{Ratio: cfg.RetryRatio, Slack: cfg.RetrySlack, Window: cfg.RetryWindow.D()}, 0),
+		retries: retry.NewShare(cfg.retryTerms(), 0),
 		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
 	}
 	g.changed.init()
@@ -118,6 +118,13 @@
 	return nil
 }
 
+// Reload takes over settings that may change while the gateway runs: where
+// control is and the terms of the retry budget.
+func (g *Gateway) Reload(cfg Settings) {
+	g.control.Learn(cfg.control())
+	g.retries.SetTerms(cfg.retryTerms())
+}
+
 // Accepting reports whether callers may use this gateway.
 func (g *Gateway) Accepting() bool {
 	return g.table.Load() != nil && g.view.Load() != nil && !g.draining.Load()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"parsleyramp/internal/retry"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
@@ -93,3 +94,8 @@
 	}
 	return out
 }
+
+// retryTerms returns the terms of the shared budget of repeated sends.
+func (s *Settings) retryTerms() retry.ShareConfig {
+	return retry.ShareConfig{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.D()}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -39,6 +39,9 @@
 	// Identify returns, once the settings are read, the id for logs and the
 	// telemetry settings.
 	Identify func() (string, telemetry.Settings)
+	// Reload takes over settings that change while the program runs; its zero
+	// value takes over none.
+	Reload Reloader
 	// Run serves until ctx ends and then shuts down gracefully within stop.
 	Run func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error
 }
@@ -68,16 +71,17 @@
 	}
 	id, t := d.Identify()
 	log := telemetry.NewLogger(t, os.Stderr, d.Name, id)
-	if err := d.serve(id, t, log); err != nil {
+	if err := d.serve(id, *path, t, log); err != nil {
 		log.WithField("code", fail.From(err).Code).WithError(err).Error("stopped by a failure")
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func (d Daemon) serve(id string, t telemetry.Settings, log *logrus.Entry) error {
+func (d Daemon) serve(id, path string, t telemetry.Settings, log *logrus.Entry) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	go d.Reload.watch(ctx, path, log)
 	flush, err := telemetry.StartTracing(ctx, t, d.Name, id)
 	if err != nil {
 		return err
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -27,6 +27,13 @@
 	Window time.Duration
 }
 
+// SetTerms changes the terms of the budget.
+func (s *Share) SetTerms(cfg ShareConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg = cfg
+}
+
 // shareMargin leaves room for what is counted differently elsewhere.
 const shareMargin = 0.8
 
