Recover quickly after a restart of everything, and give an engine one order at a time

Cause: after a loss of power callers were refused for 3.7 s: elections took 1.3 s after the start, a new leader published nothing for 0.6 s, and gateways refused at once for want of a document. Now: election after 0.5 s, a view after 0.15 s, callers wait up to a quarter of their time at a gateway that has just started, orders to one engine follow each other, an adapter takes its place before its order, idle connections are closed only where no request has begun. Waits for a model are bounded by 0.4 of the time left.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -20,6 +20,9 @@
 	own    map[string]Load
 	others map[string]Load
 	health map[string]*health
+	// scale replaces the others' counts, where these are stale, by a multiple of
+	// the own ones; zero while they are fresh.
+	scale int
 }
 
 // NewLoads returns empty counts.
@@ -73,9 +76,23 @@
 	l.others = others
 }
 
+// SetStale says whether the counts of the others are old. Then each of the
+// other gateways is taken to have as much in progress as this one.
+func (l *Loads) SetStale(stale bool, gateways int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scale = 0
+	if stale {
+		l.scale = max(gateways, 1)
+	}
+}
+
 // of returns the sum. The caller holds the lock.
 func (l *Loads) of(endpoint string) Load {
 	a, b := l.own[endpoint], l.others[endpoint]
+	if l.scale > 0 {
+		return Load{Running: a.Running * l.scale, Tokens: a.Tokens * l.scale}
+	}
 	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens}
 }
 
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -17,6 +17,8 @@
 	// adapterIdle is how long nobody must have asked for an adapter before it
 	// may make room for another one.
 	adapterIdle = 1200 * time.Millisecond
+	// conflictWait is how long a report may lag behind the orders.
+	conflictWait = 250 * time.Millisecond
 	// adapterTries bounds the orders given for one adapter.
 	adapterTries = 3
 )
@@ -85,7 +87,7 @@
 func (l *leadState) chooseForAdapter(service, model, adapter string) (*engineState, *document.Engine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.doc == nil {
+	if l.doc == nil || l.s.clock()-l.since < l.s.cfg.orderQuiet() {
 		return nil, nil
 	}
 	s := l.doc.Service(service)
@@ -95,7 +97,7 @@
 	var best *engineState
 	var highest uint64
 	for _, e := range l.enginesOf(service) {
-		if e.listed.Leaving || e.leaving[model] || e.held[model] == nil || e.loading == model {
+		if e.listed.Leaving || e.ordering || e.held[model] == nil {
 			continue
 		}
 		full := e.adapterCount() >= s.Engine.AdapterPlaces
@@ -134,50 +136,49 @@
 	return model, adapter, found
 }
 
-// loadAdapter makes room where needed and loads the adapter. Adapter orders to
-// one engine follow each other.
+// loadAdapter makes room where needed, loads the adapter and waits until it is
+// ready.
 func (e *engineState) loadAdapter(ctx context.Context, d *document.Engine, model, adapter string) bool {
-	e.l.mu.Lock()
-	if e.adapterOrders == nil {
-		e.adapterOrders = make(chan struct{}, 1)
-	}
-	turn := e.adapterOrders
-	e.l.mu.Unlock()
-	select {
-	case turn <- struct{}{}:
-	case <-ctx.Done():
-		return false
-	}
-	defer func() { <-turn }()
-	if !e.sequenceKnown {
-		if _, err := e.refresh(ctx); err != nil {
-			e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("engine not read before an order")
-			return false
-		}
-	}
-	if !e.makePlace(ctx, d) {
-		return false
-	}
-	answer := e.order(ctx, Order{Load: true, Model: model, Adapter: adapter})
-	ok := answer == OrderAccepted || answer == OrderHolds
+	name := adapterName{model, adapter}
+	answer := e.orderAdapter(ctx, d, name)
 	e.l.s.log.WithFields(logrus.Fields{
 		"endpoint": e.listed.ID, "model": model, "adapter": adapter, "answer": answer.String(), "term": e.l.term,
 	}).Info("adapter order given")
-	if !ok {
-		return false
-	}
-	if m := d.Model(model); m != nil {
-		pause(ctx, adapterBase+time.Duration(m.AdapterMB)*adapterPerMB)
+	switch answer {
+	case OrderAccepted, OrderHolds:
+		if m := d.Model(model); m != nil {
+			pause(ctx, adapterBase+time.Duration(m.AdapterMB)*adapterPerMB)
+		}
+	case OrderConflict:
+		// The report that tells the new sequence lags.
+		pause(ctx, conflictWait)
 	}
 	e.l.mu.Lock()
 	defer e.l.mu.Unlock()
-	if e.held[model] == nil {
+	delete(e.arriving, name)
+	if answer != OrderAccepted && answer != OrderHolds || e.held[model] == nil {
 		return false
 	}
 	e.held[model][adapter] = true
 	return true
 }
 
+// orderAdapter takes a place for the adapter and gives the order.
+func (e *engineState) orderAdapter(ctx context.Context, d *document.Engine, name adapterName) OrderAnswer {
+	e.adapterTurn.Lock()
+	defer e.adapterTurn.Unlock()
+	if !e.knowSequence(ctx) || !e.makePlace(ctx, d) {
+		return OrderRefused
+	}
+	e.l.mu.Lock()
+	if e.arriving == nil {
+		e.arriving = map[adapterName]bool{}
+	}
+	e.arriving[name] = true
+	e.l.mu.Unlock()
+	return e.order(ctx, Order{Load: true, Model: name.model, Adapter: name.adapter})
+}
+
 // makePlace unloads the least recently used adapter of a full engine.
 func (e *engineState) makePlace(ctx context.Context, d *document.Engine) bool {
 	e.l.mu.Lock()
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,10 +43,18 @@
 	loading string
 	leaving map[string]bool
 	nearBy  map[string]bool
-	// adapterOrders serializes the adapter orders.
-	adapterOrders chan struct{}
+	// arriving are adapters that were ordered and are not ready yet.
+	arriving map[adapterName]bool
+	// turn lets one order be sent at a time, for each names the sequence that
+	// the one before it leaves. adapterTurn lets one adapter be brought at a
+	// time, for each takes a place that must still be free.
+	turn        sync.Mutex
+	adapterTurn sync.Mutex
 }
 
+// adapterName names an adapter of a model.
+type adapterName struct{ model, adapter string }
+
 // take notes what the list says of the endpoint. The list's word on what it
 // holds counts only while no order is recent.
 func (e *engineState) take(x Listed, now time.Duration) {
@@ -89,6 +98,11 @@
 	for _, adapters := range e.held {
 		n += len(adapters)
 	}
+	for a := range e.arriving {
+		if !e.held[a.model][a.adapter] {
+			n++
+		}
+	}
 	return n
 }
 
@@ -130,28 +144,38 @@
 	if !load && !pause(ctx, leaveTime) {
 		return
 	}
-	if !e.sequenceKnown {
-		if _, err := e.refresh(ctx); err != nil {
-			log.WithError(err).Warn("engine not read before an order")
-			pause(ctx, unknownWait)
-			return
-		}
+	if !e.knowSequence(ctx) {
+		pause(ctx, unknownWait)
+		return
 	}
 	answer := e.order(ctx, Order{Load: load, Model: model})
-	log.WithFields(logrus.Fields{"answer": answer.String(), "sequence": e.sequence}).Info("order given")
-	switch answer {
-	case OrderAccepted, OrderHolds:
+	log.WithField("answer", answer.String()).Info("order given")
+	if answer == OrderAccepted || answer == OrderHolds {
 		e.await(ctx, load, model)
-	default:
-		pause(ctx, unknownWait)
-		if _, err := e.refresh(ctx); err != nil {
-			log.WithError(err).Warn("engine not read after an order")
-		}
+		return
+	}
+	pause(ctx, unknownWait)
+}
+
+// knowSequence reads the engine's report where its sequence is not known.
+func (e *engineState) knowSequence(ctx context.Context) bool {
+	e.l.mu.Lock()
+	known := e.sequenceKnown
+	e.l.mu.Unlock()
+	if known {
+		return true
+	}
+	if _, err := e.refresh(ctx); err != nil {
+		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("engine not read before an order")
+		return false
 	}
+	return true
 }
 
 // order sends one order, with the sequence at which the engine may accept it.
 func (e *engineState) order(ctx context.Context, o Order) OrderAnswer {
+	e.turn.Lock()
+	defer e.turn.Unlock()
 	if !e.l.mayOrder(ctx) {
 		return OrderRefused
 	}
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -17,7 +17,7 @@
 const (
 	// settleTime is how long a new leader collects gateways and endpoints
 	// before it publishes a view.
-	settleTime = 600 * time.Millisecond
+	settleTime = 150 * time.Millisecond
 	// gatewayLost is how long a gateway must be silent before it is left out.
 	gatewayLost = 2500 * time.Millisecond
 	// callTimeout bounds one call to the platform or an engine.
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/boottime"
-	"parsleyramp/internal/consensus"
 	"parsleyramp/internal/journal"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/telemetry"
@@ -64,7 +63,7 @@
 	s.Reload(cfg)
 	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, func() string { return *s.group.Load() })
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: cfg.consensus(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log,
 	})
 	if err != nil {
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"parsleyramp/internal/consensus"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
@@ -37,6 +38,10 @@
 	OrderLease settings.Duration `json:"order_lease"`
 	// StoreWindow is the span over which loads from the weight store are counted.
 	StoreWindow settings.Duration `json:"store_window"`
+	// Heartbeat is the time between two messages of an idle leader to the other
+	// replicas, and Election the shortest silence after which they elect another.
+	Heartbeat settings.Duration `json:"heartbeat"`
+	Election  settings.Duration `json:"election"`
 	// CommitTimeout bounds the commit of a document.
 	CommitTimeout settings.Duration `json:"commit_timeout"`
 	// SnapshotEntries is how many log entries lead to a new snapshot.
@@ -55,6 +60,8 @@
 		PlanInterval:      settings.Duration(150 * time.Millisecond),
 		OrderLease:        settings.Duration(3 * time.Second),
 		StoreWindow:       settings.Duration(5 * time.Second),
+		Heartbeat:         settings.Duration(100 * time.Millisecond),
+		Election:          settings.Duration(500 * time.Millisecond),
 		CommitTimeout:     settings.Duration(900 * time.Millisecond),
 		SnapshotEntries:   512,
 		LogBytesPerSecond: 64 << 10,
@@ -78,6 +85,8 @@
 	c.Positive("plan_interval", s.PlanInterval)
 	c.Positive("order_lease", s.OrderLease)
 	c.Positive("store_window", s.StoreWindow)
+	c.Positive("heartbeat", s.Heartbeat)
+	c.Require(s.Election >= 3*s.Heartbeat, "election", "three heartbeats or more")
 	c.Positive("commit_timeout", s.CommitTimeout)
 	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
@@ -102,3 +111,10 @@
 
 // seed reports whether this replica is one of the seeds.
 func (s *Settings) seed() bool { return slices.Contains(s.peers(), s.Address) }
+
+// consensus returns the timing of the replicated log.
+func (s *Settings) consensus() consensus.Config {
+	c := consensus.DefaultConfig()
+	c.Heartbeat, c.Election = s.Heartbeat.D(), s.Election.D()
+	return c
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -15,16 +14,15 @@
 	"parsleyramp/internal/wire"
 )
 
-type listenFunc func(address string) (net.Listener, error)
-
 // syncTimeout bounds one exchange with control.
-const syncTimeout = 2 * time.Second
+const syncTimeout = 1200 * time.Millisecond
 
 // follow exchanges state with the control leader until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	var lostAt time.Time
 	for {
 		err := g.sync(ctx)
+		g.loads.SetStale(err != nil, len(g.knownGateways()))
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,7 @@
 	pool    *upstream.Pool
 	control *controlclient.Client
 	servers []*transport.Server
-	callers *transport.Server
+	callers *transport.CallerServer
 	cancel  context.CancelFunc
 	// draw returns a number evenly from [0, 1).
 	draw func() float64
@@ -100,21 +100,23 @@
 func (g *Gateway) listen() error {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", telemetry.MetricsHandler(g.measure))
-	if err := g.serve(g.cfg.MetricsAddress, metrics, transport.Listen); err != nil {
+	if err := g.serve(g.cfg.MetricsAddress, metrics); err != nil {
 		return err
 	}
-	if err := g.serve(g.cfg.ReadyAddress, g.adapter.Ready(g), transport.Listen); err != nil {
+	if err := g.serve(g.cfg.ReadyAddress, g.adapter.Ready(g)); err != nil {
 		return err
 	}
 	if g.cfg.DirectoryAddress != "" {
-		if err := g.serve(g.cfg.DirectoryAddress, g.adapter.Directory(g), transport.Listen); err != nil {
+		if err := g.serve(g.cfg.DirectoryAddress, g.adapter.Directory(g)); err != nil {
 			return err
 		}
 	}
-	if err := g.serve(g.cfg.CallerAddress, g, transport.ListenCallers); err != nil {
+	l, err := transport.ListenCallers(g.cfg.CallerAddress)
+	if err != nil {
 		return err
 	}
-	g.callers = g.servers[len(g.servers)-1]
+	g.callers = transport.ServeCallers(l, g)
+	g.servers = append(g.servers, g.callers.Server)
 	return nil
 }
 
@@ -183,8 +185,8 @@
 }
 
 // serve starts one server of the gateway.
-func (g *Gateway) serve(address string, h http.Handler, listen listenFunc) error {
-	l, err := listen(address)
+func (g *Gateway) serve(address string, h http.Handler) error {
+	l, err := transport.Listen(address)
 	if err != nil {
 		return err
 	}
@@ -198,8 +200,9 @@
 	started := time.Now()
 	g.draining.Store(true)
 	g.log.Info("draining")
-	g.callers.StopKeepAlive()
+	g.callers.Drain()
 	sleep(ctx, lameDuck)
+	g.callers.CloseIdle()
 	left := g.cfg.Grace.D() - stopReserve - time.Since(started)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,8 +20,12 @@
 	// fullRetry and its spread say when to come back to a full service.
 	fullRetry       = 400 * time.Millisecond
 	fullRetrySpread = 600 * time.Millisecond
-	// modelWait bounds the wait for a model that no engine holds yet.
-	modelWait = 2500 * time.Millisecond
+	// modelWait bounds the wait for a model that no engine holds yet; it is at
+	// most modelShare of the time left.
+	modelWait  = 1700 * time.Millisecond
+	modelShare = 0.4
+	// askInterval is the time between two questions to control for one request.
+	askInterval = 400 * time.Millisecond
 	// modelRetry is when to come back for a model that was not loaded in time.
 	modelRetry = 1500 * time.Millisecond
 	// absentRetry is when to come back to a service without endpoints.
@@ -34,15 +38,13 @@
 // that is being loaded, and refuses at once what cannot be served.
 func (q *request) place(tried map[string]bool) (*fleet.Endpoint, error) {
 	g := q.g
-	giveUp := min(g.clock()+modelWait, q.end)
-	asked := false
+	giveUp := g.clock() + min(modelWait, time.Duration(float64(q.timeLeft())*modelShare))
+	q.countDemand(len(tried))
+	askAt := g.clock()
 	for {
 		changed := g.changed.wait()
 		v := g.view.Load()
 		c := g.loads.Choose(v, q.need, tried, g.clock())
-		if !asked {
-			q.countDemand()
-		}
 		if c.Endpoint != nil {
 			if c.Use > maxUse {
 				return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(fullRetry + time.Duration(g.draw()*float64(fullRetrySpread)))
@@ -52,13 +54,15 @@
 		if q.need.Model == "" {
 			return nil, fail.New(fail.Unavailable, "the service has no endpoint").WithRetryAfter(absentRetry)
 		}
-		if !asked {
-			asked = true
-			if e := q.want(v, tried); e != nil {
+		if g.clock() >= askAt {
+			askAt = g.clock() + askInterval
+			if e := q.want(tried); e != nil {
 				return e, nil
 			}
+			continue
 		}
-		if !waitFor(q.ctx, changed, giveUp-g.clock()) {
+		waitFor(q.ctx, changed, min(giveUp, askAt)-g.clock())
+		if q.ctx.Err() != nil || g.clock() >= giveUp {
 			return nil, fail.New(fail.NoReplica, "no engine holds the model yet").WithRetryAfter(modelRetry)
 		}
 	}
@@ -66,8 +70,8 @@
 
 // countDemand tells control, with the next exchange, how long the request is
 // expected to occupy a place.
-func (q *request) countDemand() {
-	if q.need.Model != "" {
+func (q *request) countDemand(sends int) {
+	if q.need.Model != "" && sends == 0 {
 		q.g.demand.add(q.need.Model, q.need.Adapter, time.Duration(q.facts.expectedAnswer())*tokenTime)
 	}
 }
@@ -94,7 +98,7 @@
 
 // want asks control for the model and adapter, and returns the engine that
 // holds them now, or nil.
-func (q *request) want(v *fleet.View, tried map[string]bool) *fleet.Endpoint {
+func (q *request) want(tried map[string]bool) *fleet.Endpoint {
 	id := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, q.need.Adapter}, q.need.Service)
 	if id == "" || tried[id] {
 		return nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,9 +17,14 @@
 const (
 	// defaultBodyBytes bounds a body where the document sets no bound.
 	defaultBodyBytes = 4 << 20
-	// startingRetry is when callers may come back to a gateway that holds no
-	// document yet.
-	startingRetry = 300 * time.Millisecond
+	// startingWait is how long a request waits at a gateway that has just
+	// started and holds no document yet; it is at most startingShare of the time
+	// that the caller has.
+	startingWait  = 1200 * time.Millisecond
+	startingShare = 0.25
+	// startingRetry and its spread say when to come back after that.
+	startingRetry       = 500 * time.Millisecond
+	startingRetrySpread = 500 * time.Millisecond
 )
 
 // request is one caller's request on its way.
@@ -40,16 +45,17 @@
 // ServeHTTP takes one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
-	table, view := g.table.Load(), g.view.Load()
-	if table == nil || view == nil {
-		g.refuse(w, r, Facts{}, fail.New(fail.Unavailable, "no document is in force yet").WithRetryAfter(startingRetry))
-		return
-	}
 	facts, err := g.adapter.Protocol.Describe(r)
 	if err != nil {
 		g.refuse(w, r, facts, err)
 		return
 	}
+	table, ok := g.awaitDocument(r.Context(), facts.Deadline)
+	if !ok {
+		after := startingRetry + time.Duration(g.draw()*float64(startingRetrySpread))
+		g.refuse(w, r, facts, fail.New(fail.Unavailable, "no document is in force yet").WithRetryAfter(after))
+		return
+	}
 	route := table.Find(r.Host, r.URL.Path)
 	if route == nil {
 		g.refuse(w, r, facts, fail.New(fail.UnknownPath, "no route leads there"))
@@ -73,6 +79,25 @@
 	q.run()
 }
 
+// awaitDocument returns the routes in force. After a start of the whole system
+// callers arrive before control has a leader, so it waits a little.
+func (g *Gateway) awaitDocument(ctx context.Context, deadline time.Duration) (*document.Table, bool) {
+	limit := startingWait
+	if deadline > 0 {
+		limit = min(limit, time.Duration(float64(deadline)*startingShare))
+	}
+	giveUp := g.clock() + limit
+	for {
+		changed := g.changed.wait()
+		if table := g.table.Load(); table != nil && g.view.Load() != nil {
+			return table, true
+		}
+		if !waitFor(ctx, changed, giveUp-g.clock()) {
+			return nil, false
+		}
+	}
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -79,10 +79,16 @@
 // Serve starts to serve the handler on the listener, by HTTP/1.1 and by
 // unencrypted HTTP/2.
 func Serve(l net.Listener, h http.Handler) *Server {
+	s := newServer(l, h)
+	s.start()
+	return s
+}
+
+func newServer(l net.Listener, h http.Handler) *Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	s := &Server{
+	return &Server{
 		http: &http.Server{
 			Handler: h, Protocols: &p, ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -90,10 +96,10 @@
 		listener: l,
 		done:     make(chan error, 1),
 	}
-	go func() { s.done <- s.http.Serve(l) }()
-	return s
 }
 
+func (s *Server) start() { go func() { s.done <- s.http.Serve(s.listener) }() }
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -108,9 +114,6 @@
 	return nil
 }
 
-// StopKeepAlive closes idle connections, and the others after their next answer.
-func (s *Server) StopKeepAlive() { s.http.SetKeepAlivesEnabled(false) }
-
 // Close cuts off every connection.
 func (s *Server) Close() error { return s.http.Close() }
 
