Plan residency in steps, by the measured pace of each model

The planner held replicas for demand that had gone (smoothed over 8 s), took a model nine times as fast as another for as heavy, spent the store's loads on second replicas of cold models, and forgot for which model it had made room. Now: demand over 2 s and by measured pace, a step unloads and loads as one, loads from an engine's own copies are not charged to the store, an order is given only where the holdings at its sequence leave room.

--- /dev/null
+++ b/internal/fleet/pace.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// defaultPace is the time for one token of an answer before any was seen.
+	defaultPace = 6 * time.Millisecond
+	// paceWeight is the share of the newest answer in the averages.
+	paceWeight = 0.05
+	// paceSamples is how many answers are needed to rely on the averages.
+	paceSamples = 6
+)
+
+// Paces measures how long each model's answers occupy a place of an engine,
+// against the tokens that callers announced. Models differ tenfold. It is safe
+// for concurrent use.
+type Paces struct {
+	mu     sync.Mutex
+	models map[string]*pace
+}
+
+type pace struct {
+	samples int
+	took    float64
+	tokens  float64
+}
+
+// NewPaces returns a measure without any answer.
+func NewPaces() *Paces { return &Paces{models: map[string]*pace{}} }
+
+// Note records an answer that occupied a place for the time.
+func (p *Paces) Note(model string, tokens int, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[model]
+	if m == nil {
+		m = &pace{took: took.Seconds(), tokens: float64(tokens)}
+		p.models[model] = m
+	}
+	m.samples++
+	// The averages of both keep single estimates that are far off from counting
+	// as much as their ratio would.
+	m.took += paceWeight * (took.Seconds() - m.took)
+	m.tokens += paceWeight * (float64(tokens) - m.tokens)
+}
+
+// Expect returns how long an answer of the announced tokens occupies a place.
+func (p *Paces) Expect(model string, tokens int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[model]
+	if m == nil || m.samples < paceSamples || m.tokens <= 0 {
+		return time.Duration(tokens) * defaultPace
+	}
+	return time.Duration(float64(tokens) * m.took / m.tokens * float64(time.Second))
+}
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -17,8 +17,6 @@
 	// adapterIdle is how long nobody must have asked for an adapter before it
 	// may make room for another one.
 	adapterIdle = 1200 * time.Millisecond
-	// conflictWait is how long a report may lag behind the orders.
-	conflictWait = 250 * time.Millisecond
 	// adapterTries bounds the orders given for one adapter.
 	adapterTries = 3
 )
@@ -54,11 +52,13 @@
 }
 
 func (l *leadState) runAdapterJob(key string, job *adapterJob, service, model, adapter string) {
+	tried := map[string]bool{}
 	for range adapterTries {
-		e, d := l.chooseForAdapter(service, model, adapter)
+		e, d := l.chooseForAdapter(service, model, adapter, tried)
 		if e == nil {
 			break
 		}
+		tried[e.listed.ID] = true
 		if e.loadAdapter(l.ctx, d, model, adapter) {
 			job.endpoint = e.listed.ID
 			break
@@ -84,7 +84,7 @@
 // chooseForAdapter returns the engine that is to hold the adapter: the highest
 // rendezvous hash among those that hold the model and have a place or an
 // adapter that nobody asked for lately.
-func (l *leadState) chooseForAdapter(service, model, adapter string) (*engineState, *document.Engine) {
+func (l *leadState) chooseForAdapter(service, model, adapter string, tried map[string]bool) (*engineState, *document.Engine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.doc == nil || l.s.clock()-l.since < l.s.cfg.orderQuiet() {
@@ -97,7 +97,7 @@
 	var best *engineState
 	var highest uint64
 	for _, e := range l.enginesOf(service) {
-		if e.listed.Leaving || e.ordering || e.held[model] == nil {
+		if tried[e.listed.ID] || e.listed.Leaving || e.ordering || e.held[model] == nil {
 			continue
 		}
 		full := e.adapterCount() >= s.Engine.AdapterPlaces
@@ -149,9 +149,6 @@
 		if m := d.Model(model); m != nil {
 			pause(ctx, adapterBase+time.Duration(m.AdapterMB)*adapterPerMB)
 		}
-	case OrderConflict:
-		// The report that tells the new sequence lags.
-		pause(ctx, conflictWait)
 	}
 	e.l.mu.Lock()
 	defer e.l.mu.Unlock()
@@ -168,7 +165,7 @@
 	e.adapterTurn.Lock()
 	defer e.adapterTurn.Unlock()
 	if !e.knowSequence(ctx) || !e.makePlace(ctx, d) {
-		return OrderRefused
+		return OrderNotSent
 	}
 	e.l.mu.Lock()
 	if e.arriving == nil {
@@ -184,9 +181,6 @@
 	e.l.mu.Lock()
 	full := e.adapterCount() >= d.AdapterPlaces
 	model, adapter, found := e.idleAdapter()
-	if full && found {
-		delete(e.held[model], adapter)
-	}
 	e.l.mu.Unlock()
 	if !full {
 		return true
@@ -194,6 +188,28 @@
 	if !found {
 		return false
 	}
+	// Gateways stop sending requests for it before it goes.
+	e.setAdapter(model, adapter, false)
 	answer := e.order(ctx, Order{Model: model, Adapter: adapter})
-	return answer == OrderAccepted || answer == OrderHolds
+	if answer == OrderHolds || answer == OrderAccepted {
+		return true
+	}
+	e.setAdapter(model, adapter, true)
+	e.l.s.log.WithFields(logrus.Fields{
+		"endpoint": e.listed.ID, "model": model, "adapter": adapter, "answer": answer.String(),
+	}).Info("adapter not unloaded")
+	return false
+}
+
+// setAdapter notes whether the engine holds the adapter.
+func (e *engineState) setAdapter(model, adapter string, holds bool) {
+	e.l.mu.Lock()
+	defer e.l.mu.Unlock()
+	switch {
+	case e.held[model] == nil:
+	case holds:
+		e.held[model][adapter] = true
+	default:
+		delete(e.held[model], adapter)
+	}
 }
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/residency"
 )
 
 const (
@@ -22,6 +24,8 @@
 	pollInterval = 150 * time.Millisecond
 	// orderTimeout bounds the wait for an order to take effect.
 	orderTimeout = 20 * time.Second
+	// reportLag is how long a report may lag behind the orders.
+	reportLag = 300 * time.Millisecond
 	// unknownWait is how long the outcome of an unanswered order is waited for
 	// before the engine gets another one.
 	unknownWait = 600 * time.Millisecond
@@ -36,13 +40,17 @@
 	// sequence of accepted orders, where known.
 	sequence      uint64
 	sequenceKnown bool
-	orderedAt     time.Duration
+	// staleUntil is until when a report may be older than the last order.
+	staleUntil time.Duration
+	orderedAt  time.Duration
 	// ordering is set while an order is carried out.
 	ordering bool
 	// loading is the model that is on its way, and leaving those about to go.
 	loading string
 	leaving map[string]bool
-	nearBy  map[string]bool
+	// fromStore is set where what is loading comes from the weight store.
+	fromStore bool
+	nearBy    map[string]bool
 	// arriving are adapters that were ordered and are not ready yet.
 	arriving map[adapterName]bool
 	// turn lets one order be sent at a time, for each names the sequence that
@@ -59,8 +67,13 @@
 // holds counts only while no order is recent.
 func (e *engineState) take(x Listed, now time.Duration) {
 	e.listed = x
-	if e.held == nil || !e.ordering && now-e.orderedAt > listTrust {
-		e.held = holdings(x.Models)
+	if e.held != nil && (e.ordering || now-e.orderedAt <= listTrust) {
+		return
+	}
+	held := holdings(x.Models)
+	if !maps.EqualFunc(held, e.held, maps.Equal) {
+		// The sequence that goes with it is not in the list.
+		e.held, e.sequenceKnown = held, false
 	}
 }
 
@@ -93,6 +106,52 @@
 	return used
 }
 
+// fits reports whether the engine has room for what the order loads, by what it
+// held at the sequence that the order names. The lead's lock is held.
+func (e *engineState) fits(o Order) bool {
+	if e.l.doc == nil {
+		return false
+	}
+	s := e.l.doc.Service(e.listed.Service)
+	if s == nil || s.Engine == nil {
+		return false
+	}
+	return roomFor(s.Engine, e.held, e.arriving, o)
+}
+
+// roomFor reports whether an engine that holds models with their adapters, and
+// has further adapters on their way, stays within its limits with the order.
+func roomFor(d *document.Engine, held map[string]map[string]bool, arriving map[adapterName]bool, o Order) bool {
+	all := map[adapterName]bool{}
+	models := map[string]bool{o.Model: true}
+	for model, adapters := range held {
+		models[model] = true
+		for a := range adapters {
+			all[adapterName{model, a}] = true
+		}
+	}
+	for a := range arriving {
+		all[a] = true
+	}
+	if o.Adapter != "" {
+		all[adapterName{o.Model, o.Adapter}] = true
+	}
+	used := 0.0
+	for name := range models {
+		m := d.Model(name)
+		if m == nil {
+			return false
+		}
+		used += m.WeightsMB
+	}
+	for a := range all {
+		if m := d.Model(a.model); m != nil {
+			used += m.AdapterMB
+		}
+	}
+	return used <= d.WeightsMB && len(all) <= d.AdapterPlaces
+}
+
 func (e *engineState) adapterCount() int {
 	n := 0
 	for _, adapters := range e.held {
@@ -136,34 +195,52 @@
 	return r, nil
 }
 
-// carryOut gives an order for a whole model and waits for its effect. The
-// caller has marked the engine as ordering.
-func (e *engineState) carryOut(ctx context.Context, load bool, model string) {
-	log := e.l.s.log.WithFields(logrus.Fields{"endpoint": e.listed.ID, "model": model, "load": load, "term": e.l.term})
-	defer e.finish(model)
-	if !load && !pause(ctx, leaveTime) {
+// meet reads an engine for the first time.
+func (e *engineState) meet(ctx context.Context) {
+	if _, err := e.refresh(ctx); err != nil {
+		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("engine not read")
+	}
+}
+
+// carryOut unloads and loads what a step names. The caller has marked the
+// engine as ordering. A step that fails is given up; the next plan looks again.
+func (e *engineState) carryOut(ctx context.Context, step residency.Step) {
+	defer e.finish()
+	if len(step.Unload) > 0 && !pause(ctx, leaveTime) {
 		return
 	}
+	for _, m := range step.Unload {
+		if !e.change(ctx, false, m) {
+			return
+		}
+	}
+	e.change(ctx, true, step.Load)
+}
+
+// change gives an order for a whole model and waits for its effect.
+func (e *engineState) change(ctx context.Context, load bool, model string) bool {
 	if !e.knowSequence(ctx) {
 		pause(ctx, unknownWait)
-		return
+		return false
 	}
 	answer := e.order(ctx, Order{Load: load, Model: model})
-	log.WithField("answer", answer.String()).Info("order given")
+	e.l.s.log.WithFields(logrus.Fields{
+		"endpoint": e.listed.ID, "model": model, "load": load, "term": e.l.term, "answer": answer.String(),
+	}).Info("order given")
 	if answer == OrderAccepted || answer == OrderHolds {
-		e.await(ctx, load, model)
-		return
+		return e.await(ctx, load, model)
 	}
 	pause(ctx, unknownWait)
+	return false
 }
 
 // knowSequence reads the engine's report where its sequence is not known.
 func (e *engineState) knowSequence(ctx context.Context) bool {
 	e.l.mu.Lock()
-	known := e.sequenceKnown
+	known, stale := e.sequenceKnown, e.l.s.clock() < e.staleUntil
 	e.l.mu.Unlock()
-	if known {
-		return true
+	if known || stale {
+		return known
 	}
 	if _, err := e.refresh(ctx); err != nil {
 		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("engine not read before an order")
@@ -177,12 +254,16 @@
 	e.turn.Lock()
 	defer e.turn.Unlock()
 	if !e.l.mayOrder(ctx) {
-		return OrderRefused
+		return OrderNotSent
 	}
 	e.l.mu.Lock()
+	ready := e.sequenceKnown && (!o.Load || e.fits(o))
 	o.Expected, o.Holder, o.Fence = e.sequence, e.l.s.cfg.ID, e.l.term
 	e.orderedAt = e.l.s.clock()
 	e.l.mu.Unlock()
+	if !ready {
+		return OrderNotSent
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := e.l.s.adapter.Platform.Order(call, e.listed.Address, e.listed.ID, o)
@@ -195,14 +276,25 @@
 	case OrderAccepted:
 		e.sequence++
 	case OrderHolds:
+		if o.Adapter != "" && !o.Load {
+			// An idle adapter goes at once, which counts as an accepted order.
+			e.sequence++
+		}
+	case OrderConflict:
+		if o.Adapter != "" && !o.Load {
+			// The adapter is most likely in use; a wrong sequence shows with the
+			// next order.
+			break
+		}
+		e.sequenceKnown, e.staleUntil = false, e.l.s.clock()+reportLag
 	default:
-		e.sequenceKnown = false
+		e.sequenceKnown, e.staleUntil = false, e.l.s.clock()+reportLag
 	}
 	return answer
 }
 
 // await polls the engine until the order has taken effect.
-func (e *engineState) await(ctx context.Context, load bool, model string) {
+func (e *engineState) await(ctx context.Context, load bool, model string) bool {
 	deadline := e.l.s.clock() + orderTimeout
 	for e.l.s.clock() < deadline && pause(ctx, pollInterval) {
 		r, err := e.refresh(ctx)
@@ -214,16 +306,17 @@
 		current := r.Sequence >= e.sequence
 		e.l.mu.Unlock()
 		if current && holds == load {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // finish marks the engine as free and asks for a new plan.
-func (e *engineState) finish(model string) {
+func (e *engineState) finish() {
 	e.l.mu.Lock()
 	e.ordering, e.loading = false, ""
-	delete(e.leaving, model)
+	clear(e.leaving)
 	e.orderedAt = e.l.s.clock()
 	e.l.mu.Unlock()
 	e.l.wake()
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -42,6 +42,7 @@
 	demand   *residency.Demand
 	budgets  map[string]*residency.StoreBudget
 	wanted   map[string]time.Duration
+	notedAt  map[string]time.Duration
 	jobs     map[string]*adapterJob
 	view     *wire.FleetView
 	// control are the addresses of the replicas.
@@ -101,7 +102,7 @@
 		s: s, term: term, since: s.clock(), ctx: ctx, hurry: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
-		wanted: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
+		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
 	}
 	s.lead.Store(l)
 	go l.followList(ctx)
@@ -196,6 +197,9 @@
 			e = &engineState{l: l, leaving: map[string]bool{}}
 			l.engines[x.ID] = e
 			l.s.log.WithFields(logrus.Fields{"endpoint": x.ID, "service": x.Service, "address": x.Address, "leaving": x.Leaving}).Info("endpoint listed")
+			if len(x.Models) > 0 {
+				go e.meet(l.ctx)
+			}
 		}
 		e.take(x, now)
 	}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,20 +36,69 @@
 		l.budgets[s.Name] = budget
 	}
 	budget.SetRate(s.Engine.LoadsPerSecond)
-	in := residency.Input{Slots: s.Engine.Slots, MaxLoads: budget.Left(now)}
+	in := residency.Input{Slots: s.Engine.Slots, AdapterPlaces: s.Engine.AdapterPlaces, MaxStoreLoads: min(budget.Left(now), l.storePlaces(s))}
+	recent := l.demand.RecentAdapters(now)
 	for _, e := range l.enginesOf(s.Name) {
 		in.Engines = append(in.Engines, e.planned(s.Engine))
 	}
 	for _, m := range s.Engine.Models {
 		in.Models = append(in.Models, residency.Model{
-			Name: m.Name, MB: m.WeightsMB + adapterReserve(s.Engine, m), Demand: l.demand.Places(m.Name, now), Wanted: l.wanted[m.Name] > now,
+			Name: m.Name, MB: m.WeightsMB + adapterReserve(s.Engine, m), Demand: l.demand.Places(m.Name, now),
+			Adapters: recent[m.Name], Wanted: l.wanted[m.Name] > now,
 		})
 	}
-	for _, a := range residency.Plan(in) {
-		l.start(a, budget, now)
+	l.notePlan(s.Name, in, now)
+	for _, step := range residency.Plan(in) {
+		l.start(step, budget, now)
 	}
 }
 
+// storePlaces returns how many more loads from the weight store may run at the
+// same time: as many as keep it busy at its rate. More would slow each other.
+func (l *leadState) storePlaces(s *document.Service) int {
+	longest := time.Duration(0)
+	for _, m := range s.Engine.Models {
+		longest = max(longest, m.Load)
+	}
+	places := int(math.Ceil(s.Engine.LoadsPerSecond * longest.Seconds()))
+	for _, e := range l.engines {
+		if e.listed.Service == s.Name && e.loading != "" && e.fromStore {
+			places--
+		}
+	}
+	return max(places, 0)
+}
+
+// noteInterval is the time between two lines on what a service's engines hold.
+const noteInterval = time.Second
+
+// notePlan logs the demand and the replicas of the models in use, and what the
+// gateways have in progress.
+func (l *leadState) notePlan(service string, in residency.Input, now time.Duration) {
+	if now-l.notedAt[service] < noteInterval {
+		return
+	}
+	l.notedAt[service] = now
+	replicas := map[string]int{}
+	running := uint32(0)
+	for _, e := range in.Engines {
+		running += l.loads[e.ID].GetRunning()
+		for m := range e.Models {
+			replicas[m]++
+		}
+	}
+	var parts []string
+	for _, m := range in.Models {
+		if m.Demand > 0 || replicas[m.Name] == 0 {
+			parts = append(parts, fmt.Sprintf("%s:%.1f/%d/%d", m.Name, m.Demand, replicas[m.Name], m.Adapters))
+		}
+	}
+	l.s.log.WithFields(logrus.Fields{
+		"service": service, "engines": len(in.Engines), "running": running, "loads_left": in.MaxStoreLoads,
+		"model_demand_replicas_adapters": strings.Join(parts, " "),
+	}).Info("placement state")
+}
+
 // adapterReserve is the room kept for a model's adapters beside its weights.
 func adapterReserve(e *document.Engine, m document.Model) float64 {
 	return float64(min(m.Adapters, e.AdapterPlaces)) * m.AdapterMB
@@ -81,18 +133,19 @@
 	return out
 }
 
-// start begins one order.
-func (l *leadState) start(a residency.Action, budget *residency.StoreBudget, now time.Duration) {
-	e := l.engines[a.Engine]
-	e.ordering = true
-	if a.Load {
-		e.loading = a.Model
+// start begins one step.
+func (l *leadState) start(step residency.Step, budget *residency.StoreBudget, now time.Duration) {
+	e := l.engines[step.Engine]
+	e.ordering, e.loading, e.fromStore = true, step.Load, step.FromStore
+	for _, m := range step.Unload {
+		e.leaving[m] = true
+	}
+	if step.FromStore {
 		budget.Start(now)
-	} else {
-		e.leaving[a.Model] = true
 	}
 	l.s.log.WithFields(logrus.Fields{
-		"endpoint": a.Engine, "model": a.Model, "load": a.Load, "demand": l.demand.Places(a.Model, now), "term": l.term,
+		"endpoint": step.Engine, "load": step.Load, "unload": strings.Join(step.Unload, " "), "from_store": step.FromStore,
+		"demand": l.demand.Places(step.Load, now), "term": l.term,
 	}).Info("placement step")
-	go e.carryOut(l.ctx, a.Load, a.Model)
+	go e.carryOut(l.ctx, step)
 }
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -62,17 +62,20 @@
 	OrderUnknown OrderAnswer = iota
 	// OrderAccepted: the engine carries it out.
 	OrderAccepted
-	// OrderHolds: there was nothing to do.
+	// OrderHolds: there was nothing to do, or it was done at once.
 	OrderHolds
 	// OrderConflict: another order is in progress, or the sequence differs.
 	OrderConflict
 	// OrderRefused: the engine will not carry it out.
 	OrderRefused
+	// OrderNotSent: the order was not given, for this replica may not give
+	// orders now or the engine has no room.
+	OrderNotSent
 )
 
 // String returns the answer's name, for logs.
 func (a OrderAnswer) String() string {
-	return [...]string{"unknown", "accepted", "holds", "conflict", "refused"}[a]
+	return [...]string{"unknown", "accepted", "holds", "conflict", "refused", "not_sent"}[a]
 }
 
 // Platform is what control needs of the outside world.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -127,6 +127,7 @@
 // send sends the request to the endpoint and passes its answer on.
 func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sent {
 	g := q.g
+	started := g.clock()
 	g.loads.Begin(e.ID, q.need.Tokens)
 	defer g.loads.End(e.ID, q.need.Tokens)
 	ctx, cancel := context.WithCancel(q.ctx)
@@ -151,6 +152,9 @@
 		q.noteHealth(e, s.outcome)
 	} else {
 		g.loads.Note(e.ID, fleet.Served, g.clock())
+		if q.need.Model != "" && out.lastEvent == "" {
+			g.paces.Note(q.need.Model, q.facts.expectedAnswer(), g.clock()-started)
+		}
 	}
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	draining atomic.Bool
 
 	loads   *fleet.Loads
+	paces   *fleet.Paces
 	retries *retry.Share
 	demand  demand
 	wants   wants
@@ -80,7 +81,7 @@
 	clock := func() time.Duration { return time.Since(start) }
 	g := &Gateway{
 		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
-		loads: fleet.NewLoads(), pool: upstream.NewPool(), draw: rand.Float64,
+		loads: fleet.NewLoads(), paces: fleet.NewPaces(), pool: upstream.NewPool(), draw: rand.Float64,
 		retries: retry.NewShare(cfg.retryTerms(), 0),
 		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -72,13 +72,10 @@
 // expected to occupy a place.
 func (q *request) countDemand(sends int) {
 	if q.need.Model != "" && sends == 0 {
-		q.g.demand.add(q.need.Model, q.need.Adapter, time.Duration(q.facts.expectedAnswer())*tokenTime)
+		q.g.demand.add(q.need.Model, q.need.Adapter, q.g.paces.Expect(q.need.Model, q.facts.expectedAnswer()))
 	}
 }
 
-// tokenTime is what one generated token takes at an engine, for estimates.
-const tokenTime = 6 * time.Millisecond
-
 // waitFor waits for a change and returns false where the time or ctx ended first.
 func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -2,14 +2,14 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
 const (
-	// fastTime and slowTime smooth the demand. The larger of the two counts, so
-	// that replicas come quickly with a burst and stay a while after it.
-	fastTime = 1500 * time.Millisecond
-	slowTime = 8 * time.Second
+	// smoothTime smooths the demand. Demand that moves on within seconds must
+	// not hold replicas back from where it went.
+	smoothTime = 2 * time.Second
 	// forgottenDemand, in places, counts as none.
 	forgottenDemand = 0.01
 )
@@ -22,9 +22,8 @@
 }
 
 type average struct {
-	fast, slow float64
-	at         time.Duration
-	last       time.Duration
+	places float64
+	at     time.Duration
 }
 
 // NewDemand returns a measure without any demand.
@@ -40,9 +39,7 @@
 		d.models[model] = a
 	}
 	a.decay(now)
-	a.fast += place.Seconds() / fastTime.Seconds()
-	a.slow += place.Seconds() / slowTime.Seconds()
-	a.last = now
+	a.places += place.Seconds() / smoothTime.Seconds()
 	if adapter != "" {
 		d.adapters[model+"/"+adapter] = now
 	}
@@ -55,11 +52,26 @@
 		return 0
 	}
 	a.decay(now)
-	v := max(a.fast, a.slow)
-	if v < forgottenDemand {
+	if a.places < forgottenDemand {
 		return 0
 	}
-	return v
+	return a.places
+}
+
+// recentAdapter is how long an adapter counts as in use after a request for it.
+const recentAdapter = 6 * time.Second
+
+// RecentAdapters returns how many adapters of each model were asked for lately.
+func (d *Demand) RecentAdapters(now time.Duration) map[string]int {
+	out := map[string]int{}
+	for name, at := range d.adapters {
+		if now-at > recentAdapter {
+			continue
+		}
+		model, _, _ := strings.Cut(name, "/")
+		out[model]++
+	}
+	return out
 }
 
 // AdapterAsked returns when the adapter was last asked for; false where never.
@@ -73,8 +85,7 @@
 	if dt <= 0 {
 		return
 	}
-	a.fast *= math.Exp(-dt / fastTime.Seconds())
-	a.slow *= math.Exp(-dt / slowTime.Seconds())
+	a.places *= math.Exp(-dt / smoothTime.Seconds())
 	a.at = now
 }
 
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -13,10 +13,10 @@
 	// with everything that may still arrive.
 	CapacityMB float64
 	UsedMB     float64
-	// Models that it holds or is loading.
+	// Models that it holds or is loading, without those that are leaving.
 	Models map[string]bool
-	// Busy engines carry out an order or have one with an unknown outcome;
-	// closed ones are leaving or do not answer. Neither gets an order.
+	// Busy engines carry out a step or have an order with an unknown outcome;
+	// closed ones are leaving or do not answer. Neither gets another step.
 	Busy   bool
 	Closed bool
 	// NearBy are models whose weights the engine has in its own memory or disk.
@@ -29,6 +29,8 @@
 	MB   float64
 	// Demand is how many places of engines its requests occupy on average.
 	Demand float64
+	// Adapters is how many of its adapters are in use.
+	Adapters int
 	// Wanted is set while callers wait for a model that no engine holds.
 	Wanted bool
 }
@@ -39,16 +41,20 @@
 	Models  []Model
 	// Slots is how many requests one engine works on at once.
 	Slots int
-	// MaxLoads bounds the loads that the plan starts.
-	MaxLoads int
+	// AdapterPlaces is how many adapters one engine holds.
+	AdapterPlaces int
+	// MaxStoreLoads bounds the loads from the weight store that the plan starts.
+	MaxStoreLoads int
 }
 
-// Action is one order to an engine.
-type Action struct {
+// Step changes what one engine holds: it unloads some models, which makes the
+// room, and then loads another one.
+type Step struct {
 	Engine string
-	Model  string
-	// Load is false for an unload.
-	Load bool
+	Unload []string
+	Load   string
+	// FromStore is set where the weights come from the weight store.
+	FromStore bool
 }
 
 const (
@@ -57,39 +63,38 @@
 	fill = 0.45
 	// spareDemand is the demand, in places, from which a model gets a second
 	// replica, so that the loss of one engine does not stop it.
-	spareDemand = 0.4
-	// nearByGain and evictCost weigh, in places, weights that need not come from
-	// the store and a model that has to make room first.
+	spareDemand = 4.0
+	// nearByGain is what weights that need not come from the store are worth, in
+	// places.
 	nearByGain = 1.0
-	evictCost  = 2.0
+	// adapterWeight is what an adapter in use weighs, in places, so that models
+	// with many adapters do not share an engine.
+	adapterWeight = 0.5
+	// unloadCost is what each unload before a load costs, in places.
+	unloadCost = 1.5
+	// easing is how much emptier the remaining replicas of a model must be than
+	// those of the one that takes a replica's place, so that replicas do not go
+	// back and forth.
+	easing = 0.6
 )
 
-// Plan returns the orders to give now, the most urgent first. At most one
-// order goes to each engine.
-func Plan(in Input) []Action {
+// Plan returns the steps to start now, the most urgent first. Each engine gets
+// one at most.
+func Plan(in Input) []Step {
 	p := newPlanner(in)
-	var out []Action
-	loads := 0
 	for _, m := range p.byUrgency() {
-		if loads >= in.MaxLoads {
-			break
-		}
-		for p.deficit(m) > 0 && loads < in.MaxLoads {
-			a, ok := p.place(m)
+		for p.deficit(m) > 0 {
+			s, ok := p.place(m)
 			if !ok {
-				break
+				s, ok = p.relocate(m)
 			}
-			out = append(out, a)
-			p.commit(a)
-			if a.Load {
-				loads++
-			} else {
-				// The load follows once the room is free.
+			if !ok {
 				break
 			}
+			p.commit(s)
 		}
 	}
-	return out
+	return p.out
 }
 
 type planner struct {
@@ -98,6 +103,9 @@
 	replicas map[string]int
 	engines  []*Engine
 	used     map[string]bool
+	out      []Step
+	// storeLoads counts the loads from the store in the plan.
+	storeLoads int
 }
 
 func newPlanner(in Input) *planner {
@@ -107,10 +115,10 @@
 	}
 	for i := range in.Engines {
 		e := in.Engines[i]
-		p.engines = append(p.engines, &e)
 		if e.Closed {
 			continue
 		}
+		p.engines = append(p.engines, &e)
 		for m := range e.Models {
 			p.replicas[m]++
 		}
@@ -120,22 +128,14 @@
 
 // desired returns how many replicas the model's demand asks for.
 func (p *planner) desired(m *Model) int {
-	n := int(math.Ceil(m.Demand / (fill * float64(max(p.in.Slots, 1)))))
-	n = max(n, 1)
+	n := max(int(math.Ceil(m.Demand/(fill*float64(max(p.in.Slots, 1))))), 1)
+	if m.Adapters > 0 && p.in.AdapterPlaces > 0 {
+		n = max(n, int(math.Ceil(float64(m.Adapters)/float64(p.in.AdapterPlaces))))
+	}
 	if m.Demand >= spareDemand {
 		n = max(n, 2)
 	}
-	return min(n, p.open())
-}
-
-func (p *planner) open() int {
-	n := 0
-	for _, e := range p.engines {
-		if !e.Closed {
-			n++
-		}
-	}
-	return n
+	return min(n, len(p.engines))
 }
 
 func (p *planner) deficit(m *Model) int { return p.desired(m) - p.replicas[m.Name] }
@@ -167,81 +167,157 @@
 	return u
 }
 
-// place returns the next order that brings the model to the best engine.
-func (p *planner) place(m *Model) (Action, bool) {
-	var best Action
+// place returns the step that brings the model to the best engine.
+func (p *planner) place(m *Model) (Step, bool) {
+	var best Step
 	bestCost := math.Inf(1)
 	for _, e := range p.engines {
-		if e.Busy || e.Closed || p.used[e.ID] || e.Models[m.Name] || e.CapacityMB < m.MB {
+		if !p.free(e) || e.Models[m.Name] {
 			continue
 		}
-		cost := p.load(e)
-		if e.NearBy[m.Name] {
-			cost -= nearByGain
-		}
-		a := Action{Engine: e.ID, Model: m.Name, Load: true}
-		if e.CapacityMB-e.UsedMB < m.MB {
-			victim, victimCost := p.victim(e, m)
-			if victim == "" {
-				continue
-			}
-			a = Action{Engine: e.ID, Model: victim}
-			cost += evictCost + victimCost
-		}
-		if cost < bestCost {
-			best, bestCost = a, cost
+		if s, cost, ok := p.option(e, m); ok && cost < bestCost {
+			best, bestCost = s, cost
 		}
 	}
 	return best, !math.IsInf(bestCost, 1)
 }
 
+func (p *planner) free(e *Engine) bool { return !e.Busy && !p.used[e.ID] }
+
+// option returns the step that brings the model to the engine, and its cost in
+// places.
+func (p *planner) option(e *Engine, m *Model) (Step, float64, bool) {
+	near := e.NearBy[m.Name]
+	if e.CapacityMB < m.MB || !near && p.storeLoads >= p.in.MaxStoreLoads {
+		return Step{}, 0, false
+	}
+	s := Step{Engine: e.ID, Load: m.Name, FromStore: !near}
+	cost := p.load(e)
+	if near {
+		cost -= nearByGain
+	}
+	used := e.UsedMB
+	for e.CapacityMB-used < m.MB {
+		victim, victimCost := p.victim(e, m, s.Unload)
+		if victim == "" {
+			return Step{}, 0, false
+		}
+		s.Unload = append(s.Unload, victim)
+		used -= p.size(victim)
+		cost += unloadCost + victimCost
+	}
+	return s, cost, true
+}
+
+// size returns what the model takes; one that is no longer declared counts
+// nothing, so that no room is expected from it.
+func (p *planner) size(name string) float64 {
+	if m := p.models[name]; m != nil {
+		return m.MB
+	}
+	return 0
+}
+
 // load returns the demand, in places, that the engine is expected to carry.
 func (p *planner) load(e *Engine) float64 {
 	sum := 0.0
 	for name := range e.Models {
 		if m := p.models[name]; m != nil {
-			sum += m.Demand / float64(max(p.replicas[name], 1))
+			replicas := float64(max(p.replicas[name], 1))
+			sum += m.Demand/replicas + adapterWeight*float64(m.Adapters)/replicas
 		}
 	}
 	return sum
 }
 
-// victim returns the model on the engine that is missed least, and what it is
-// worth there in places. Only surplus replicas go, or, for a model that callers
-// wait for, the only replica of one that nobody asks for.
-func (p *planner) victim(e *Engine, m *Model) (string, float64) {
+// victim returns the model on the engine, besides those that go already, that
+// is missed least, and what it is worth there in places. Only replicas that the
+// others can do without go, or, for a model that no engine holds, the only
+// replica of one that nobody asks for.
+func (p *planner) victim(e *Engine, m *Model, gone []string) (string, float64) {
 	best, bestCost := "", math.Inf(1)
 	for name := range e.Models {
-		cost := 0.0
-		if v := p.models[name]; v != nil {
-			surplus := p.replicas[name] - p.desired(v)
-			switch {
-			case surplus > 0:
-				cost = v.Demand / float64(p.replicas[name])
-			case p.replicas[m.Name] == 0 && m.Demand > v.Demand && (p.replicas[name] > 1 || v.Demand == 0):
-				cost = v.Demand + evictCost
-			default:
-				continue
-			}
+		if slices.Contains(gone, name) {
+			continue
 		}
-		if cost < bestCost || cost == bestCost && name < best {
+		cost, ok := p.missed(m, name)
+		if ok && (cost < bestCost || cost == bestCost && name < best) {
 			best, bestCost = name, cost
 		}
 	}
 	return best, bestCost
 }
 
-// commit takes an action into account for the rest of the plan.
-func (p *planner) commit(a Action) {
-	p.used[a.Engine] = true
+// missed returns what a replica of the named model is worth, in places, and
+// whether it may go for the model m.
+func (p *planner) missed(m *Model, name string) (float64, bool) {
+	v := p.models[name]
+	if v == nil {
+		return 0, true
+	}
+	remaining := p.replicas[name] - 1
+	switch {
+	case remaining >= p.desired(v):
+		return v.Demand / float64(remaining+1), true
+	case remaining >= 1 && m.Demand >= spareDemand && v.Demand/float64(remaining) < easing*m.Demand/float64(max(p.replicas[m.Name], 1)):
+		return v.Demand / float64(remaining), true
+	case remaining == 0 && p.replicas[m.Name] == 0 && v.Demand == 0 && m.Demand > 0:
+		return unloadCost, true
+	}
+	return 0, false
+}
+
+// relocate returns a step that copies the only replica of a little-used model
+// to an engine with room, so that the engine where it is can take a replica of
+// m afterwards.
+func (p *planner) relocate(m *Model) (Step, bool) {
+	var best Step
+	bestDemand := math.Inf(1)
+	for _, from := range p.engines {
+		if from.Models[m.Name] || from.Busy {
+			continue
+		}
+		for name := range from.Models {
+			v := p.models[name]
+			if v == nil || p.replicas[name] != 1 || v.Demand >= spareDemand || from.CapacityMB-from.UsedMB+v.MB < m.MB {
+				continue
+			}
+			to, near := p.roomFor(v, from)
+			if to == "" || v.Demand > bestDemand || v.Demand == bestDemand && name > best.Load {
+				continue
+			}
+			best, bestDemand = Step{Engine: to, Load: name, FromStore: !near}, v.Demand
+		}
+	}
+	return best, !math.IsInf(bestDemand, 1)
+}
+
+// roomFor returns the engine, other than the one it is on, that has room for
+// the model and too little for the larger ones, or "".
+func (p *planner) roomFor(v *Model, from *Engine) (engine string, near bool) {
+	least := math.Inf(1)
 	for _, e := range p.engines {
-		if e.ID != a.Engine {
+		room := e.CapacityMB - e.UsedMB - v.MB
+		if e == from || !p.free(e) || e.Models[v.Name] || room < 0 || room >= least {
 			continue
 		}
-		if a.Load {
-			p.replicas[a.Model]++
-		} else {
-			p.replicas[a.Model]--
+		if !e.NearBy[v.Name] && p.storeLoads >= p.in.MaxStoreLoads {
+			continue
 		}
+		engine, near, least = e.ID, e.NearBy[v.Name], room
+	}
+	return engine, near
+}
+
+// commit adds a step and takes it into account for the rest of the plan.
+func (p *planner) commit(s Step) {
+	p.out = append(p.out, s)
+	p.used[s.Engine] = true
+	for _, name := range s.Unload {
+		p.replicas[name]--
+	}
+	p.replicas[s.Load]++
+	if s.FromStore {
+		p.storeLoads++
 	}
 }
