Let a new leader order engines that no other replica ordered lately

Cause: after each change of the leader no order was given for 3.5 s, in which demand moved on. Now each order is preceded by a committed note, every replica remembers by its own clock when it saw it, and only the engines of recent notes are left alone. Requests are refused once every place is in use instead of at 1.4 times.

--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -87,7 +87,7 @@
 func (l *leadState) chooseForAdapter(service, model, adapter string, tried map[string]bool) (*engineState, *document.Engine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.doc == nil || l.s.clock()-l.since < l.s.cfg.orderQuiet() {
+	if l.doc == nil {
 		return nil, nil
 	}
 	s := l.doc.Service(service)
@@ -97,7 +97,7 @@
 	var best *engineState
 	var highest uint64
 	for _, e := range l.enginesOf(service) {
-		if tried[e.listed.ID] || e.listed.Leaving || e.ordering || e.held[model] == nil {
+		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.ordering || e.held[model] == nil {
 			continue
 		}
 		full := e.adapterCount() >= s.Engine.AdapterPlaces
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -253,7 +253,7 @@
 func (e *engineState) order(ctx context.Context, o Order) OrderAnswer {
 	e.turn.Lock()
 	defer e.turn.Unlock()
-	if !e.l.mayOrder(ctx) {
+	if !e.l.mayOrder(ctx, e.listed.ID) {
 		return OrderNotSent
 	}
 	e.l.mu.Lock()
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -96,7 +96,10 @@
 	return term, err == nil
 }
 
+// startLead begins a term. The leader lease holds only after a commit of the
+// term, so the notes of every earlier leader are seen here.
 func (s *Server) startLead(ctx context.Context, term uint64) (*leadState, context.CancelFunc) {
+	s.lookAtNotes(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leadState{
 		s: s, term: term, since: s.clock(), ctx: ctx, hurry: make(chan struct{}, 1),
@@ -212,13 +215,3 @@
 	l.listed = true
 	l.publish(now)
 }
-
-// mayOrder reports whether this replica may give orders now: it holds the
-// leader lease in its term, and earlier leaders have been quiet long enough.
-func (l *leadState) mayOrder(ctx context.Context) bool {
-	if l.s.clock()-l.since < l.s.cfg.orderQuiet() {
-		return false
-	}
-	term, ok := l.s.leadingTerm(ctx)
-	return ok && term == l.term
-}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -19,9 +19,6 @@
 
 // plan gives the orders that the demand asks for. The caller holds the lock.
 func (l *leadState) plan(now time.Duration) {
-	if now-l.since < l.s.cfg.orderQuiet() {
-		return
-	}
 	for i := range l.doc.Services {
 		if s := &l.doc.Services[i]; s.Engine != nil {
 			l.planService(s, now)
@@ -39,7 +36,7 @@
 	in := residency.Input{Slots: s.Engine.Slots, AdapterPlaces: s.Engine.AdapterPlaces, MaxStoreLoads: min(budget.Left(now), l.storePlaces(s))}
 	recent := l.demand.RecentAdapters(now)
 	for _, e := range l.enginesOf(s.Name) {
-		in.Engines = append(in.Engines, e.planned(s.Engine))
+		in.Engines = append(in.Engines, e.planned(s.Engine, now))
 	}
 	for _, m := range s.Engine.Models {
 		in.Models = append(in.Models, residency.Model{
@@ -117,10 +114,10 @@
 }
 
 // planned returns the engine as the planner sees it.
-func (e *engineState) planned(d *document.Engine) residency.Engine {
+func (e *engineState) planned(d *document.Engine, now time.Duration) residency.Engine {
 	out := residency.Engine{
 		ID: e.listed.ID, CapacityMB: d.WeightsMB, UsedMB: e.usedMB(d), Models: map[string]bool{},
-		Busy: e.ordering, Closed: e.listed.Leaving || e.held == nil, NearBy: e.nearBy,
+		Busy: e.ordering || e.l.blocked(e.listed.ID, now), Closed: e.listed.Leaving || e.held == nil, NearBy: e.nearBy,
 	}
 	for name := range e.held {
 		if !e.leaving[name] {
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -39,6 +39,7 @@
 	// seeds are the inner addresses of the seeds that the settings name now.
 	seeds atomic.Pointer[[]string]
 
+	turns *turns
 	// lead is what this replica knows while it leads; nil otherwise.
 	lead     atomic.Pointer[leadState]
 	inner    *transport.Server
@@ -57,7 +58,7 @@
 	}
 	s := &Server{
 		cfg: cfg, adapter: adapter, log: log, clock: boottime.Since(), journal: j,
-		peers: transport.NewPeerClient(), stopped: make(chan error, 1),
+		peers: transport.NewPeerClient(), turns: newTurns(), stopped: make(chan error, 1),
 	}
 	s.group.Store(&recovered.Identity.Group)
 	s.Reload(cfg)
@@ -77,6 +78,7 @@
 	go func() { s.stopped <- s.node.Run(ctx) }()
 	go s.form(ctx)
 	go s.repair(ctx)
+	go s.watchNotes(ctx)
 	go s.leadLoop(ctx)
 	log.WithFields(logrus.Fields{
 		"address": cfg.Address, "replica": recovered.Identity.ID, "group": recovered.Identity.Group,
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -94,12 +94,6 @@
 	s.Telemetry.Check(c)
 }
 
-// orderMargin is added to the lease of orders, for a call on its way.
-const orderMargin = 500 * time.Millisecond
-
-// orderQuiet returns how long a new leader gives no order.
-func (s *Settings) orderQuiet() time.Duration { return s.OrderLease.D() + orderMargin }
-
 // peers returns the inner addresses of the seeds.
 func (s *Settings) peers() []string {
 	var out []string
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -16,7 +16,7 @@
 const (
 	// maxUse is the use of the emptiest endpoint, 1 where it is full, beyond
 	// which a request is refused rather than queued at it.
-	maxUse = 1.4
+	maxUse = 1.0
 	// fullRetry and its spread say when to come back to a full service.
 	fullRetry       = 400 * time.Millisecond
 	fullRetrySpread = 600 * time.Millisecond
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -41,6 +41,8 @@
 	sendTerms []*wire.SendTerm
 	// document is the whole declaration with the highest version, or nil.
 	document *wire.Document
+	// orderNotes are by endpoint.
+	orderNotes map[string]*wire.OrderNote
 
 	// claimsExpiredBefore refuses keys whose records may have been dropped.
 	claimsExpiredBefore int64
@@ -60,6 +62,8 @@
 		claims:    map[string]*wire.Claim{},
 		deferred:  map[string]*wire.DeferredRequest{},
 		suspects:  map[uint64]*wire.Suspect{},
+
+		orderNotes: map[string]*wire.OrderNote{},
 	}
 }
 
@@ -114,6 +118,8 @@
 		return m.expireRecords(b.ExpireRecords)
 	case *wire.Command_PutDocument:
 		return m.putDocument(b.PutDocument.GetDocument())
+	case *wire.Command_NoteOrders:
+		return m.noteOrders(b.NoteOrders)
 	case *wire.Command_ConfirmLead:
 		return applied()
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -29,6 +29,7 @@
 		Copies:                    m.copies,
 		SendTerms:                 m.sendTerms,
 		Document:                  m.document,
+		OrderNotes:                m.OrderNotes(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -48,6 +49,9 @@
 	m.claimsExpiredBefore = s.ClaimsExpiredBeforeUnixMs
 	m.copies, m.sendTerms = s.Copies, s.SendTerms
 	m.document = s.Document
+	for _, v := range s.OrderNotes {
+		m.orderNotes[v.Endpoint] = v
+	}
 	for _, v := range s.Sections {
 		m.sections[v.Team] = v
 	}
