Use engines that start empty

Cause: an engine listed without models was taken for one whose holdings are unknown, for an empty and a nil map compare as equal, and got no step. Ruled out: the turns of leaders (no engine was blocked), the store's budget (4 loads were left).

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -71,7 +71,7 @@
 		return
 	}
 	held := holdings(x.Models)
-	if !maps.EqualFunc(held, e.held, maps.Equal) {
+	if e.held == nil || !maps.EqualFunc(held, e.held, maps.Equal) {
 		// The sequence that goes with it is not in the list.
 		e.held, e.sequenceKnown = held, false
 	}
