Write bounded logs to standard output, and list metrics and settings of the new programs

Measured: the writer's tests (a reader that never reads, a budget of 100 bytes a second) and the pages' tests pass.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -267,6 +267,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := e.l.s.adapter.Platform.Order(call, e.listed.Address, e.listed.ID, o)
+	ordersGiven.count(o, answer)
 	if err != nil {
 		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("order without a clear answer")
 	}
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -163,6 +163,7 @@
 func (l *leadState) followList(ctx context.Context) {
 	var lostAt time.Time
 	for {
+		listReads.Inc()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		endpoints, err := l.s.adapter.Platform.Endpoints(call)
 		cancel()
--- /dev/null
+++ b/internal/fleetcontrol/metrics.go
@@ -0,0 +1,46 @@
+package fleetcontrol
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"parsleyramp/internal/state"
+)
+
+// orderCounter counts orders to engines by kind and answer.
+type orderCounter struct{}
+
+var ordersGiven orderCounter
+
+func (orderCounter) count(o Order, a OrderAnswer) {
+	kind := "model"
+	if o.Adapter != "" {
+		kind = "adapter"
+	}
+	metrics.GetOrCreateCounter(`parsleyramp_fleet_orders_total{kind="` + kind + `",answer="` + a.String() + `"}`).Inc()
+}
+
+var (
+	storeLoads = metrics.GetOrCreateCounter("parsleyramp_fleet_store_loads_total")
+	listReads  = metrics.GetOrCreateCounter("parsleyramp_fleet_list_reads_total")
+)
+
+// measure adds what is read at the moment of the request.
+func (s *Server) measure(ctx context.Context, set *metrics.Set) {
+	leading, gateways, engines := 0.0, 0.0, 0.0
+	if l := s.lead.Load(); l != nil {
+		l.mu.Lock()
+		leading, gateways, engines = 1, float64(len(l.gateways)), float64(len(l.engines))
+		l.mu.Unlock()
+	}
+	set.NewGauge("parsleyramp_fleet_leading", func() float64 { return leading })
+	set.NewGauge("parsleyramp_fleet_gateways", func() float64 { return gateways })
+	set.NewGauge("parsleyramp_fleet_endpoints", func() float64 { return engines })
+	version := 0.0
+	if err := s.node.Peek(ctx, func(m *state.Machine) { version = float64(m.Document().GetVersion()) }); err != nil {
+		s.log.WithError(err).Debug("document version not measured")
+		return
+	}
+	set.NewGauge("parsleyramp_fleet_document_version", func() float64 { return version })
+}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -139,6 +139,7 @@
 	}
 	if step.FromStore {
 		budget.Start(now)
+		storeLoads.Inc()
 	}
 	l.s.log.WithFields(logrus.Fields{
 		"endpoint": step.Engine, "load": step.Load, "unload": strings.Join(step.Unload, " "), "from_store": step.FromStore,
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -176,13 +175,3 @@
 	}
 	return connect.NewResponse(&wire.JoinResponse{}), nil
 }
-
-// measure adds what is read at the moment of the request.
-func (s *Server) measure(_ context.Context, set *metrics.Set) {
-	set.NewGauge("parsleyramp_fleet_leading", func() float64 {
-		if s.lead.Load() != nil {
-			return 1
-		}
-		return 0
-	})
-}
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -47,25 +47,22 @@
 	// SnapshotEntries is how many log entries lead to a new snapshot.
 	SnapshotEntries uint64 `json:"snapshot_entries"`
 	// MemoryMB is the memory that the process may use; zero for no bound.
-	MemoryMB int `json:"memory_mb"`
-	// LogBytesPerSecond bounds the log.
-	LogBytesPerSecond int                `json:"log_bytes_per_second"`
-	Telemetry         telemetry.Settings `json:"telemetry"`
+	MemoryMB  int                `json:"memory_mb"`
+	Telemetry telemetry.Settings `json:"telemetry"`
 }
 
 // DefaultSettings returns the values of fields that a file leaves out.
 func DefaultSettings() Settings {
 	return Settings{
-		ListInterval:      settings.Duration(500 * time.Millisecond),
-		PlanInterval:      settings.Duration(150 * time.Millisecond),
-		OrderLease:        settings.Duration(3 * time.Second),
-		StoreWindow:       settings.Duration(5 * time.Second),
-		Heartbeat:         settings.Duration(100 * time.Millisecond),
-		Election:          settings.Duration(500 * time.Millisecond),
-		CommitTimeout:     settings.Duration(900 * time.Millisecond),
-		SnapshotEntries:   512,
-		LogBytesPerSecond: 64 << 10,
-		Telemetry:         telemetry.Defaults(),
+		ListInterval:    settings.Duration(500 * time.Millisecond),
+		PlanInterval:    settings.Duration(150 * time.Millisecond),
+		OrderLease:      settings.Duration(3 * time.Second),
+		StoreWindow:     settings.Duration(5 * time.Second),
+		Heartbeat:       settings.Duration(100 * time.Millisecond),
+		Election:        settings.Duration(500 * time.Millisecond),
+		CommitTimeout:   settings.Duration(900 * time.Millisecond),
+		SnapshotEntries: 512,
+		Telemetry:       telemetry.Defaults(),
 	}
 }
 
@@ -90,7 +87,6 @@
 	c.Positive("commit_timeout", s.CommitTimeout)
 	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
-	c.Require(s.LogBytesPerSecond > 0, "log_bytes_per_second", "above 0")
 	s.Telemetry.Check(c)
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -23,6 +23,9 @@
 	failedRetry = 250 * time.Millisecond
 )
 
+// servedShare of the requests that were served have a line in the log.
+const servedShare = 0.02
+
 // sent is what became of one send.
 type sent struct {
 	outcome attempt.Outcome
@@ -48,7 +51,9 @@
 	tried := map[string]bool{}
 	out := &relay{q: q}
 	for {
+		asked := q.g.clock()
 		e, err := q.place(tried)
+		placeSeconds.Update((q.g.clock() - asked).Seconds())
 		if err != nil {
 			q.endWithout(&h, out, err)
 			return
@@ -56,9 +61,14 @@
 		tried[e.ID] = true
 		s := q.send(e, out, &h)
 		if s.done {
-			q.note("served", e, &h, nil)
+			sendsDone.count("done")
+			if out.wroteAt > 0 {
+				pauseSeconds.Update(out.pause.Seconds())
+			}
+			q.note("served", e, &h, s.err)
 			return
 		}
+		sendsDone.count(s.outcome.String())
 		step := h.Next(s.outcome, q.timeLeft() > minSendTime && q.ctx.Err() == nil, q.takeRepeat)
 		q.noteStep(e, s, step, &h)
 		switch step {
@@ -199,7 +209,7 @@
 	if err != nil {
 		line = line.WithField("error", err.Error())
 	}
-	if outcome == "served" {
+	if outcome == "served" && q.g.draw() >= servedShare {
 		line.Debug("request ended")
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,8 +16,23 @@
 	requestSeconds = metrics.GetOrCreateHistogram("parsleyramp_gateway_request_seconds")
 	repeatsDenied  = metrics.GetOrCreateCounter("parsleyramp_gateway_repeats_denied_total")
 	refusals       refusalCounter
+
+	// firstByteSeconds is the time from a request to the first byte of a stream,
+	// pauseSeconds the longest pause within one, and placeSeconds the wait for
+	// an endpoint that can serve a request.
+	firstByteSeconds = metrics.GetOrCreateHistogram("parsleyramp_gateway_first_byte_seconds")
+	pauseSeconds     = metrics.GetOrCreateHistogram("parsleyramp_gateway_longest_pause_seconds")
+	placeSeconds     = metrics.GetOrCreateHistogram("parsleyramp_gateway_place_seconds")
+	sendsDone        sendCounter
 )
 
+// sendCounter counts sends to endpoints by outcome.
+type sendCounter struct{}
+
+func (sendCounter) count(outcome string) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_sends_total{outcome="` + outcome + `"}`).Inc()
+}
+
 func (requestCounter) count(kind, outcome string) {
 	metrics.GetOrCreateCounter(`parsleyramp_gateway_requests_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
 }
@@ -31,7 +46,7 @@
 
 // measure adds what is read at the moment of the request.
 func (g *Gateway) measure(_ context.Context, set *metrics.Set) {
-	set.NewGauge("parsleyramp_gateway_connections_opened", func() float64 { return float64(g.pool.Opened()) })
+	set.GetOrCreateCounter("parsleyramp_gateway_connections_opened_total").Set(g.pool.Opened())
 	set.NewGauge("parsleyramp_gateway_document_version", func() float64 {
 		if t := g.table.Load(); t != nil {
 			return float64(t.Document.Version)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/document"
@@ -25,6 +26,10 @@
 	q *request
 	// begun is set once the head was passed on.
 	begun bool
+	// wroteAt is when bytes were passed on last, and pause the longest time
+	// between two times.
+	wroteAt time.Duration
+	pause   time.Duration
 	// lastEvent is the id of the last whole event that was passed on.
 	lastEvent string
 }
@@ -149,6 +154,7 @@
 
 // write passes bytes of a stream on at once.
 func (r *relay) write(p []byte) error {
+	r.noteTime()
 	if _, err := r.q.w.Write(p); err != nil {
 		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
 	}
@@ -158,6 +164,17 @@
 	return nil
 }
 
+// noteTime measures the time to the first byte and the pauses.
+func (r *relay) noteTime() {
+	now := r.q.g.clock()
+	if r.wroteAt == 0 {
+		firstByteSeconds.Update((now - r.q.arrived).Seconds())
+	} else {
+		r.pause = max(r.pause, now-r.wroteAt)
+	}
+	r.wroteAt = now
+}
+
 // stream passes bytes on as they arrive.
 func (r *relay) stream(resp *upstream.Response) sent {
 	buf := make([]byte, relayBufferBytes)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,23 +40,20 @@
 	RetrySlack  float64           `json:"retry_slack"`
 	RetryWindow settings.Duration `json:"retry_window"`
 	// MemoryMB is the memory that the process may use; zero for no bound.
-	MemoryMB int `json:"memory_mb"`
-	// LogBytesPerSecond bounds the log.
-	LogBytesPerSecond int                `json:"log_bytes_per_second"`
-	Telemetry         telemetry.Settings `json:"telemetry"`
+	MemoryMB  int                `json:"memory_mb"`
+	Telemetry telemetry.Settings `json:"telemetry"`
 }
 
 // DefaultSettings returns the values of fields that a file leaves out.
 func DefaultSettings() Settings {
 	return Settings{
-		SyncInterval:      settings.Duration(100 * time.Millisecond),
-		KeepAddresses:     settings.Duration(2 * time.Second),
-		Grace:             settings.Duration(8 * time.Second),
-		RetryRatio:        0.2,
-		RetrySlack:        20,
-		RetryWindow:       settings.Duration(10 * time.Second),
-		LogBytesPerSecond: 64 << 10,
-		Telemetry:         telemetry.Defaults(),
+		SyncInterval:  settings.Duration(100 * time.Millisecond),
+		KeepAddresses: settings.Duration(2 * time.Second),
+		Grace:         settings.Duration(8 * time.Second),
+		RetryRatio:    0.2,
+		RetrySlack:    20,
+		RetryWindow:   settings.Duration(10 * time.Second),
+		Telemetry:     telemetry.Defaults(),
 	}
 }
 
@@ -82,7 +79,6 @@
 	c.Require(s.RetrySlack >= 0, "retry_slack", "0 or more")
 	c.Positive("retry_window", s.RetryWindow)
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
-	c.Require(s.LogBytesPerSecond > 0, "log_bytes_per_second", "above 0")
 	s.Telemetry.Check(c)
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -30,6 +30,9 @@
 // shutdownTimeout bounds a graceful shutdown.
 const shutdownTimeout = 5 * time.Minute
 
+// logFlushTimeout bounds the wait for the last log lines to be written.
+const logFlushTimeout = 500 * time.Millisecond
+
 // Daemon is a program that runs until SIGTERM.
 type Daemon struct {
 	// Name of the program.
@@ -70,7 +73,10 @@
 		return ExitOK
 	}
 	id, t := d.Identify()
-	log := telemetry.NewLogger(t, os.Stderr, d.Name, id)
+	out := telemetry.NewBoundedWriter(os.Stdout, t.LogBytesPerSecond)
+	defer out.Close(logFlushTimeout)
+	log := telemetry.NewLogger(t, out, d.Name, id)
+	log.WithField("settings", *path).Info("starting")
 	if err := d.serve(id, *path, t, log); err != nil {
 		log.WithField("code", fail.From(err).Code).WithError(err).Error("stopped by a failure")
 		return ExitFailed
--- a/internal/settings/examples_test.go
+++ b/internal/settings/examples_test.go
@@ -14,6 +14,8 @@
 
 	"parsleyramp/internal/control"
 	"parsleyramp/internal/entry"
+	"parsleyramp/internal/fleetcontrol"
+	"parsleyramp/internal/gateway"
 	"parsleyramp/internal/settings"
 )
 
@@ -27,6 +29,8 @@
 var programs = []programSettings{
 	{"control", func() settings.Checked { s := control.DefaultSettings(); return &s }},
 	{"entry", func() settings.Checked { s := entry.DefaultSettings(); return &s }},
+	{"gateway", func() settings.Checked { s := gateway.DefaultSettings(); return &s }},
+	{"fleet", func() settings.Checked { s := fleetcontrol.DefaultSettings(); return &s }},
 }
 
 // defaultsOf returns every field of the type by its path, with its default as
--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// blockedWriter never returns from Write until it is released.
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestBoundedWriterNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		w := NewBoundedWriter(blockedWriter{release}, 1<<30)
+		start := time.Now()
+		for range 10 * boundedLines {
+			if _, err := io.WriteString(w, "a line\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if waited := time.Since(start); waited != 0 {
+			t.Errorf("writers waited %v for a reader that does not read", waited)
+		}
+		if w.takeLeftOut() == 0 {
+			t.Error("lines that found no room were not counted")
+		}
+		close(release)
+		w.Close(time.Second)
+	})
+}
+
+// lockedBuffer is a buffer that two goroutines use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func TestBoundedWriterKeepsItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out lockedBuffer
+		w := NewBoundedWriter(&out, 100)
+		line := strings.Repeat("x", 49) + "\n"
+		const seconds = 20
+		for range seconds * 50 {
+			if _, err := io.WriteString(w, line); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		w.Close(time.Second)
+		got := strings.Count(out.String(), line)
+		most := int((seconds + boundedBurst.Seconds()) * 100 / 50)
+		if got > most || got < most-2 {
+			t.Errorf("%d lines passed, the budget allows %d", got, most)
+		}
+		if !strings.Contains(out.String(), `msg="log lines left out"`) {
+			t.Error("the log does not say that lines are missing")
+		}
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,6 +27,8 @@
 type Settings struct {
 	// LogLevel is debug, info, warning or error.
 	LogLevel string `json:"log_level"`
+	// LogBytesPerSecond bounds the log; lines beyond it are counted and left out.
+	LogBytesPerSecond int `json:"log_bytes_per_second"`
 	// TraceFile receives spans as JSON, one after another; empty for none.
 	TraceFile string `json:"trace_file"`
 	// TraceOTLP is the ip:port of an OTLP/HTTP collector; empty for none.
@@ -34,12 +36,13 @@
 }
 
 // Defaults returns the settings of a program that traces nothing.
-func Defaults() Settings { return Settings{LogLevel: "info"} }
+func Defaults() Settings { return Settings{LogLevel: "info", LogBytesPerSecond: 64 << 10} }
 
 // Check reports fields that cannot be used.
 func (s Settings) Check(c *settings.Checker) {
 	_, err := logrus.ParseLevel(s.LogLevel)
 	c.Require(err == nil, "telemetry.log_level", "debug, info, warning or error")
+	c.Require(s.LogBytesPerSecond > 0, "telemetry.log_bytes_per_second", "above 0")
 	c.Require(s.TraceFile == "" || s.TraceOTLP == "", "telemetry.trace_otlp", "empty while trace_file is set")
 	if s.TraceOTLP != "" {
 		c.Address("telemetry.trace_otlp", s.TraceOTLP)
