Take settled notes of orders back, and give cold models no second replica

Cause: after a restart of everything each engine that had ever been ordered was left alone for 4 s, for its note was seen anew; cold models of about 4 places took and lost a second replica every few seconds. The holder now takes notes back once its orders no longer hold; a second replica comes from 7 places.

--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -268,3 +268,28 @@
 		t.Error("a note covers orders for another time than its own")
 	}
 }
+
+func TestSettledNotesAreTakenBack(t *testing.T) {
+	const lease = 3 * time.Second
+	own := newTurns()
+	own.noted("old", time.Second)
+	own.noted("new", 4*time.Second)
+	// An order that the old note covers may have left noteValid after it.
+	if got := own.settled(lease, time.Second+lease+noteValid); len(got) != 0 {
+		t.Errorf("%v are settled while their orders may hold", got)
+	}
+	got := own.settled(lease, time.Second+lease+noteValid+turnMargin+1)
+	if len(got) != 1 || got[0] != "old" {
+		t.Fatalf("settled: %v", got)
+	}
+	own.forget(got)
+	if again := own.settled(lease, time.Second+lease+noteValid+turnMargin+1); len(again) != 0 {
+		t.Errorf("%v are taken back twice", again)
+	}
+	other := newTurns()
+	other.observe([]*wire.OrderNote{{Endpoint: "old", Holder: "a", Index: 1}}, 5*time.Second)
+	other.observe(nil, 6*time.Second)
+	if at := other.freeAt("old", "b", lease); at != 0 {
+		t.Errorf("an engine whose note was taken back is free at %v, want at once", at)
+	}
+}
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -38,6 +38,9 @@
 	// outside of tests.
 	allowed func(ctx context.Context, endpoint string) bool
 
+	// noting lets one note be committed at a time.
+	noting sync.Mutex
+
 	mu       sync.Mutex
 	doc      *document.Document
 	gateways map[string]*gatewayState
--- a/internal/fleetcontrol/turns.go
+++ b/internal/fleetcontrol/turns.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,10 +42,15 @@
 	return &turns{seen: map[string]seenNote{}, own: map[string]time.Duration{}}
 }
 
-// observe takes the notes over.
+// observe takes the notes over, and forgets those that were taken back.
 func (t *turns) observe(notes []*wire.OrderNote, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	kept := map[string]bool{}
+	for _, n := range notes {
+		kept[n.Endpoint] = true
+	}
+	maps.DeleteFunc(t.seen, func(id string, _ seenNote) bool { return !kept[id] })
 	for _, n := range notes {
 		if t.seen[n.Endpoint].index != n.Index {
 			t.seen[n.Endpoint] = seenNote{holder: n.Holder, index: n.Index, at: now}
@@ -71,6 +78,30 @@
 	return ok && now-at < noteValid
 }
 
+// settled returns the engines whose last note of this replica is so old that
+// its orders no longer hold.
+func (t *turns) settled(lease, now time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, at := range t.own {
+		if now-at > noteValid+lease+turnMargin {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// forget drops what settled returned.
+func (t *turns) forget(endpoints []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range endpoints {
+		delete(t.own, id)
+	}
+}
+
 func (t *turns) noted(endpoint string, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,16 +142,25 @@
 	return now < l.s.turns.freeAt(endpoint, l.s.cfg.ID, l.s.cfg.OrderLease.D())
 }
 
-// note commits a note for the engine.
+// note commits a note for the engine, and takes back those that are settled.
+// One note is committed at a time, so that none of them takes back a newer one.
 func (l *leadState) note(ctx context.Context, endpoint string) bool {
+	l.noting.Lock()
+	defer l.noting.Unlock()
 	at := l.s.clock()
+	if l.s.turns.covered(endpoint, at) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, noteValid)
 	defer cancel()
-	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: []string{endpoint}}}}
+	settled := l.s.turns.settled(l.s.cfg.OrderLease.D(), at)
+	settled = slices.DeleteFunc(settled, func(id string) bool { return id == endpoint })
+	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: []string{endpoint}, Settled: settled}}}
 	if _, err := l.s.node.ProposeInTerm(ctx, l.term, c); err != nil {
 		l.s.log.WithError(err).WithField("endpoint", endpoint).Warn("order not noted, so not given")
 		return false
 	}
+	l.s.turns.forget(settled)
 	l.s.turns.noted(endpoint, at)
 	return true
 }
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -63,7 +63,7 @@
 	fill = 0.45
 	// spareDemand is the demand, in places, from which a model gets a second
 	// replica, so that the loss of one engine does not stop it.
-	spareDemand = 4.0
+	spareDemand = 7.0
 	// nearByGain is what weights that need not come from the store are worth, in
 	// places.
 	nearByGain = 1.0
--- a/internal/state/document_test.go
+++ b/internal/state/document_test.go
@@ -80,6 +80,23 @@
 	}
 }
 
+func TestOnlyTheHolderTakesANoteBack(t *testing.T) {
+	m := New()
+	apply := func(i uint64, n *wire.NoteOrders) {
+		m.Apply(i, &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: n}})
+	}
+	apply(1, &wire.NoteOrders{Holder: "a", Endpoints: []string{"e1", "e2"}})
+	apply(2, &wire.NoteOrders{Holder: "b", Endpoints: []string{"e2"}})
+	apply(3, &wire.NoteOrders{Holder: "a", Endpoints: []string{"e3"}, Settled: []string{"e1", "e2"}})
+	var left []string
+	for _, n := range m.OrderNotes() {
+		left = append(left, n.Endpoint+n.Holder)
+	}
+	if len(left) != 2 || left[0] != "e2b" || left[1] != "e3a" {
+		t.Errorf("notes left: %v", left)
+	}
+}
+
 func TestOrderNotesAreBounded(t *testing.T) {
 	m := New()
 	for i := range maxOrderNotes + 10 {
--- a/internal/state/order_notes.go
+++ b/internal/state/order_notes.go
@@ -10,8 +10,14 @@
 // a note matters only for seconds.
 const maxOrderNotes = 4096
 
-// noteOrders records who gives orders to which engines from here on.
+// noteOrders records who gives orders to which engines from here on, and drops
+// the notes of the same holder that it takes back.
 func (m *Machine) noteOrders(n *wire.NoteOrders) *wire.CommandResult {
+	for _, id := range n.Settled {
+		if m.orderNotes[id].GetHolder() == n.Holder {
+			delete(m.orderNotes, id)
+		}
+	}
 	for _, id := range n.Endpoints {
 		m.orderNotes[id] = &wire.OrderNote{Endpoint: id, Holder: n.Holder, Index: m.applied}
 	}
