Extend rising demand by the time that a replica takes

Cause: when demand moves to another model within 6 s, replicas came about 4 s late (smoothing, then the load).

--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -7,9 +7,15 @@
 )
 
 const (
-	// smoothTime smooths the demand. Demand that moves on within seconds must
-	// not hold replicas back from where it went.
-	smoothTime = 2 * time.Second
+	// fastTime and slowTime smooth the demand. Demand that moves on within
+	// seconds must not hold replicas back from where it went.
+	fastTime = 1200 * time.Millisecond
+	slowTime = 3500 * time.Millisecond
+	// aheadTime is how far ahead a rising demand is extended, for a replica
+	// takes about as long to come.
+	aheadTime = 2500 * time.Millisecond
+	// maxRise bounds the extension, as a multiple of the demand.
+	maxRise = 2.0
 	// forgottenDemand, in places, counts as none.
 	forgottenDemand = 0.01
 )
@@ -22,8 +28,8 @@
 }
 
 type average struct {
-	places float64
-	at     time.Duration
+	fast, slow float64
+	at         time.Duration
 }
 
 // NewDemand returns a measure without any demand.
@@ -39,7 +45,8 @@
 		d.models[model] = a
 	}
 	a.decay(now)
-	a.places += place.Seconds() / smoothTime.Seconds()
+	a.fast += place.Seconds() / fastTime.Seconds()
+	a.slow += place.Seconds() / slowTime.Seconds()
 	if adapter != "" {
 		d.adapters[model+"/"+adapter] = now
 	}
@@ -52,10 +59,22 @@
 		return 0
 	}
 	a.decay(now)
-	if a.places < forgottenDemand {
+	if a.fast < forgottenDemand {
 		return 0
 	}
-	return a.places
+	return a.fast
+}
+
+// Ahead returns the demand for the model, in places, that its rise leads to by
+// the time at which a replica that is ordered now is ready.
+func (d *Demand) Ahead(model string, now time.Duration) float64 {
+	places := d.Places(model, now)
+	if places == 0 {
+		return 0
+	}
+	a := d.models[model]
+	rise := (a.fast - a.slow) / (slowTime - fastTime).Seconds()
+	return min(max(places, places+rise*aheadTime.Seconds()), maxRise*places)
 }
 
 // recentAdapter is how long an adapter counts as in use after a request for it.
@@ -85,7 +104,8 @@
 	if dt <= 0 {
 		return
 	}
-	a.places *= math.Exp(-dt / smoothTime.Seconds())
+	a.fast *= math.Exp(-dt / fastTime.Seconds())
+	a.slow *= math.Exp(-dt / slowTime.Seconds())
 	a.at = now
 }
 
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -27,8 +27,10 @@
 type Model struct {
 	Name string
 	MB   float64
-	// Demand is how many places of engines its requests occupy on average.
+	// Demand is how many places of engines its requests occupy on average, and
+	// Ahead what that is expected to rise to; it is not below the demand.
 	Demand float64
+	Ahead  float64
 	// Adapters is how many of its adapters are in use.
 	Adapters int
 	// Wanted is set while callers wait for a model that no engine holds.
@@ -126,19 +128,25 @@
 	return p
 }
 
-// desired returns how many replicas the model's demand asks for.
-func (p *planner) desired(m *Model) int {
-	n := max(int(math.Ceil(m.Demand/(fill*float64(max(p.in.Slots, 1))))), 1)
+// wanted returns how many replicas the model's expected demand asks for.
+func (p *planner) wanted(m *Model) int { return p.replicasFor(m, max(m.Ahead, m.Demand)) }
+
+// desired returns how many replicas the model's demand asks for. Those beyond
+// them may go.
+func (p *planner) desired(m *Model) int { return p.replicasFor(m, m.Demand) }
+
+func (p *planner) replicasFor(m *Model, demand float64) int {
+	n := max(int(math.Ceil(demand/(fill*float64(max(p.in.Slots, 1))))), 1)
 	if m.Adapters > 0 && p.in.AdapterPlaces > 0 {
 		n = max(n, int(math.Ceil(float64(m.Adapters)/float64(p.in.AdapterPlaces))))
 	}
-	if m.Demand >= spareDemand {
+	if demand >= spareDemand {
 		n = max(n, 2)
 	}
 	return min(n, len(p.engines))
 }
 
-func (p *planner) deficit(m *Model) int { return p.desired(m) - p.replicas[m.Name] }
+func (p *planner) deficit(m *Model) int { return p.wanted(m) - p.replicas[m.Name] }
 
 // byUrgency returns the models that lack replicas: those that callers wait for
 // first, then those without any, then the fullest.
@@ -157,7 +165,7 @@
 
 func (p *planner) urgency(m *Model) float64 {
 	const absent, wanted = 1e6, 1e9
-	u := m.Demand / float64(p.replicas[m.Name]+1)
+	u := max(m.Ahead, m.Demand) / float64(p.replicas[m.Name]+1)
 	if p.replicas[m.Name] == 0 {
 		u += absent
 		if m.Wanted {
@@ -259,7 +267,7 @@
 	switch {
 	case remaining >= p.desired(v):
 		return v.Demand / float64(remaining+1), true
-	case remaining >= 1 && m.Demand >= spareDemand && v.Demand/float64(remaining) < easing*m.Demand/float64(max(p.replicas[m.Name], 1)):
+	case remaining >= 1 && m.Demand >= spareDemand && v.Demand/float64(remaining) < easing*max(m.Ahead, m.Demand)/float64(max(p.replicas[m.Name], 1)):
 		return v.Demand / float64(remaining), true
 	case remaining == 0 && p.replicas[m.Name] == 0 && v.Demand == 0 && m.Demand > 0:
 		return unloadCost, true
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -232,8 +232,30 @@
 	if got := d.Places("m", now); got < 36 || got > 44 {
 		t.Errorf("%.1f places, want about 40", got)
 	}
-	if got := d.Places("m", now+3*smoothTime); got > 3 {
-		t.Errorf("%.1f places three smoothing times after the last request", got)
+	if got := d.Places("m", now+4*time.Second); got > 3 {
+		t.Errorf("%.1f places 4 s after the last request", got)
+	}
+}
+
+func TestRisingDemandIsSeenAhead(t *testing.T) {
+	d := NewDemand()
+	now := time.Duration(0)
+	// The demand rises from 0 to 100 places within 5 s.
+	const step = 50 * time.Millisecond
+	for now < 5*time.Second {
+		now += step
+		places := 100 * now.Seconds() / 5
+		d.Add("m", "", time.Duration(places*float64(step)), now)
+	}
+	if got := d.Ahead("m", now); got < 95 {
+		t.Errorf("%.0f places ahead while the demand is 100 and rising", got)
+	}
+	for range 400 {
+		now += step
+		d.Add("m", "", 100*step, now)
+	}
+	if got := d.Ahead("m", now); got > 110 {
+		t.Errorf("%.0f places ahead of a steady demand of 100", got)
 	}
 }
 
