Spread prompts over engines, and draw a few engines instead of the emptiest

All gateways took the emptiest engine by counts that are 0.1 s old, and an engine that reads many prompts at once lets all its answers pause for 280 to 370 ms. Now the cheapest of three engines drawn at random and the session's own one is taken, and prompts that wait to be read count, those of other gateways as many as the own ones.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -23,14 +23,20 @@
 }
 
 const (
-	// domainCost, sessionGain and tokenWeight are in shares of a full endpoint:
-	// leaving the domain costs bytes between domains, and an engine that served
-	// the session before holds its prompt.
-	domainCost  = 0.06
-	sessionGain = 0.12
-	tokenWeight = 1.0
+	// domainCost, sessionGain and unreadCost are in shares of a full endpoint:
+	// leaving the domain costs bytes between domains, an engine that served the
+	// session before holds its prompt, and every unreadTokens of prompts that
+	// wait to be read delay the first token and let other answers pause.
+	domainCost   = 0.06
+	sessionGain  = 0.12
+	unreadCost   = 0.25
+	unreadTokens = 4096
 	// suspectCost puts an endpoint behind all that are sound and not full.
 	suspectCost = 4.0
+	// sampled is how many endpoints are compared, besides the one that the
+	// session prefers. Gateways that all took the emptiest one by counts that
+	// are 0.1 s old would fill it together.
+	sampled = 3
 )
 
 // Choice is where a request goes.
@@ -40,20 +46,49 @@
 	Use float64
 }
 
-// Choose returns the endpoint with the most room that serves the need, or a
-// choice without an endpoint. Endpoints in tried are left out.
+// Choose returns a good endpoint that serves the need, or a choice without an
+// endpoint. It takes the cheapest of a few drawn at random, and of all where
+// those have no room. Endpoints in tried are left out.
 func (l *Loads) Choose(v *View, n Need, tried map[string]bool, now time.Duration) Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var best Choice
-	bestCost := 0.0
-	home := homeOf(v, n)
+	var all []*Endpoint
 	for _, e := range v.Service(n.Service) {
-		if e.Leaving || tried[e.ID] || !e.Serves(n.Model, n.Adapter) {
-			continue
+		if !e.Leaving && !tried[e.ID] && e.Serves(n.Model, n.Adapter) {
+			all = append(all, e)
+		}
+	}
+	home := homeOf(all, n)
+	if len(all) > sampled {
+		if c, cost := l.cheapest(l.sample(all, home), n, home, now); c.Use < 1 && cost < suspectCost {
+			return c
+		}
+	}
+	c, _ := l.cheapest(all, n, home, now)
+	return c
+}
+
+// sample draws endpoints at random and adds the one that the session prefers.
+func (l *Loads) sample(all []*Endpoint, home string) []*Endpoint {
+	var out []*Endpoint
+	for _, e := range all {
+		if e.ID == home {
+			out = append(out, e)
 		}
+	}
+	for range sampled {
+		out = append(out, all[l.draw(len(all))])
+	}
+	return out
+}
+
+// cheapest returns the endpoint with the lowest cost. The caller holds the lock.
+func (l *Loads) cheapest(endpoints []*Endpoint, n Need, home string, now time.Duration) (Choice, float64) {
+	var best Choice
+	bestCost := 0.0
+	for _, e := range endpoints {
 		use := l.use(e, n)
-		cost := use
+		cost := use + unreadCost*float64(l.of(e.ID).Unread)/unreadTokens
 		if e.Domain != n.Domain {
 			cost += domainCost
 		}
@@ -67,7 +102,7 @@
 			best, bestCost = Choice{Endpoint: e, Use: use}, cost
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // use returns the larger of the shares of places and of memory in use.
@@ -75,7 +110,7 @@
 	load := l.of(e.ID)
 	use := float64(load.Running) / float64(max(e.Slots, 1))
 	if n.CacheTokens > 0 {
-		use = max(use, tokenWeight*float64(load.Tokens)/float64(n.CacheTokens))
+		use = max(use, float64(load.Tokens)/float64(n.CacheTokens))
 	}
 	return use
 }
@@ -83,33 +118,15 @@
 // homeOf returns the engine that a session prefers: the highest rendezvous
 // hash among those that serve it, so that few sessions move when engines come
 // or go.
-func homeOf(v *View, n Need) string {
+func homeOf(serving []*Endpoint, n Need) string {
 	if n.Session == "" {
 		return ""
 	}
 	home, highest := "", uint64(0)
-	for _, e := range v.Service(n.Service) {
-		if e.Leaving || !e.Serves(n.Model, n.Adapter) {
-			continue
-		}
+	for _, e := range serving {
 		if h := xxhash.Sum64String(n.Session + "|" + e.ID); home == "" || h > highest {
 			home, highest = e.ID, h
 		}
 	}
 	return home
 }
-
-// Capacity returns the places of the endpoints that serve the need and how
-// many are in use.
-func (l *Loads) Capacity(v *View, n Need) (places, running int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, e := range v.Service(n.Service) {
-		if e.Leaving || !e.Serves(n.Model, n.Adapter) {
-			continue
-		}
-		places += e.Slots
-		running += l.of(e.ID).Running
-	}
-	return places, running
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,6 +13,15 @@
 	return &wire.FleetEndpoint{Id: id, Service: "s", Address: id, Domain: domain, Slots: 10, Models: models}
 }
 
+// firstOnes draws 0, 1, 2 and so on.
+func firstOnes() func(int) int {
+	next := -1
+	return func(n int) int {
+		next++
+		return next % n
+	}
+}
+
 func held(name string, adapters ...string) *wire.HeldModel {
 	return &wire.HeldModel{Name: name, Adapters: adapters}
 }
@@ -44,7 +54,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{c.endpoint}})
-			if got := NewLoads().Choose(v, c.need, nil, 0); (got.Endpoint != nil) != c.ok {
+			if got := NewLoads(firstOnes()).Choose(v, c.need, nil, 0); (got.Endpoint != nil) != c.ok {
 				t.Errorf("chosen %q", chosen(got))
 			}
 		})
@@ -53,17 +63,17 @@
 
 func TestChooseSpreadsByAllGatewaysCounts(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
-	l := NewLoads()
+	l := NewLoads(firstOnes())
 	l.SetOthers([]*wire.InProgress{{Endpoint: "a", Running: 8}})
 	for range 7 {
 		c := l.Choose(v, need, nil, 0)
 		if chosen(c) != "b" {
 			t.Fatalf("chosen %q while a has more in progress", chosen(c))
 		}
-		l.Begin("b", 0)
+		l.Begin("b", 0, 0)
 	}
-	l.Begin("b", 0)
-	l.Begin("b", 0)
+	l.Begin("b", 0, 0)
+	l.Begin("b", 0, 0)
 	if c := l.Choose(v, need, nil, 0); chosen(c) != "a" {
 		t.Errorf("chosen %q with 9 in progress against 8", chosen(c))
 	}
@@ -74,10 +84,10 @@
 
 func TestChooseCountsMemory(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
-	l := NewLoads()
-	l.Begin("a", 900)
+	l := NewLoads(firstOnes())
+	l.Begin("a", 900, 0)
 	for range 5 {
-		l.Begin("b", 10)
+		l.Begin("b", 10, 0)
 	}
 	n := need
 	n.CacheTokens = 1000
@@ -86,12 +96,59 @@
 	}
 }
 
+func TestChooseSparesEnginesThatReadPrompts(t *testing.T) {
+	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
+	l := NewLoads(firstOnes())
+	l.SetStale(false, 7)
+	l.Begin("a", 0, 1000)
+	l.Begin("b", 0, 0)
+	l.Begin("b", 0, 0)
+	if c := l.Choose(v, need, nil, 0); chosen(c) != "b" {
+		t.Errorf("chosen %q, which has a prompt to read", chosen(c))
+	}
+	l.Read("a", 1000)
+	if c := l.Choose(v, need, nil, 0); chosen(c) != "a" {
+		t.Errorf("chosen %q though a has read its prompt", chosen(c))
+	}
+}
+
+// TestGatewaysDoNotFillTheEmptiestTogether plays a burst that seven gateways
+// take within the time in which their counts go round.
+func TestGatewaysDoNotFillTheEmptiestTogether(t *testing.T) {
+	var all []*wire.FleetEndpoint
+	var busy []*wire.InProgress
+	for i := range 10 {
+		id := fmt.Sprintf("e%d", i)
+		all = append(all, engine(id, "d1", held("m")))
+		if i > 0 {
+			busy = append(busy, &wire.InProgress{Endpoint: id, Running: 4})
+		}
+	}
+	v := NewView(&wire.FleetView{Endpoints: all})
+	r := rand.New(rand.NewPCG(1, 1))
+	got := map[string]int{}
+	const gateways, requests = 7, 4
+	for range gateways {
+		l := NewLoads(r.IntN)
+		l.SetStale(false, gateways)
+		l.SetOthers(busy)
+		for range requests {
+			c := l.Choose(v, need, nil, 0)
+			l.Begin(c.Endpoint.ID, 0, 800)
+			got[c.Endpoint.ID]++
+		}
+	}
+	if got["e0"] > gateways*requests/3 {
+		t.Errorf("%d of %d requests at the engine that was empty", got["e0"], gateways*requests)
+	}
+}
+
 func TestStaleCountsAreReplacedByAnEstimate(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m"))}})
-	l := NewLoads()
+	l := NewLoads(firstOnes())
 	l.SetOthers([]*wire.InProgress{{Endpoint: "a", Running: 3}})
-	l.Begin("a", 0)
-	l.Begin("a", 0)
+	l.Begin("a", 0, 0)
+	l.Begin("a", 0, 0)
 	l.SetStale(true, 4)
 	if c := l.Choose(v, need, nil, 0); c.Use != 0.8 {
 		t.Errorf("use %v, want 0.8: 2 at each of 4 gateways", c.Use)
@@ -104,7 +161,7 @@
 
 func TestFaultyEndpointsAreAvoidedForAWhile(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d2", held("m"))}})
-	l := NewLoads()
+	l := NewLoads(firstOnes())
 	for range 6 {
 		l.Note("a", Faulty, time.Second)
 	}
@@ -127,7 +184,7 @@
 	}
 	before := NewView(&wire.FleetView{Endpoints: all})
 	after := NewView(&wire.FleetView{Endpoints: all[1:]})
-	l := NewLoads()
+	l := NewLoads(firstOnes())
 	moved := 0
 	const sessions = 200
 	for i := range sessions {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -11,6 +11,9 @@
 type Load struct {
 	Running int
 	Tokens  int
+	// Unread counts the prompt tokens of requests that have no answer yet. An
+	// engine that reads prompts lets its other answers pause.
+	Unread int
 }
 
 // Loads counts what this gateway has in progress and adds what the others
@@ -23,23 +26,37 @@
 	// scale replaces the others' counts, where these are stale, by a multiple of
 	// the own ones; zero while they are fresh.
 	scale int
+	// gateways is how many gateways share the endpoints, this one included.
+	gateways int
+	draw     func(n int) int
 }
 
-// NewLoads returns empty counts.
-func NewLoads() *Loads {
-	return &Loads{own: map[string]Load{}, others: map[string]Load{}, health: map[string]*health{}}
+// NewLoads returns empty counts. draw returns a random number below n.
+func NewLoads(draw func(n int) int) *Loads {
+	return &Loads{own: map[string]Load{}, others: map[string]Load{}, health: map[string]*health{}, gateways: 1, draw: draw}
 }
 
-// Begin counts a request that is sent to the endpoint.
-func (l *Loads) Begin(endpoint string, tokens int) {
+// Begin counts a request with a prompt that is sent to the endpoint.
+func (l *Loads) Begin(endpoint string, tokens, prompt int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.own[endpoint]
 	o.Running++
 	o.Tokens += tokens
+	o.Unread += prompt
 	l.own[endpoint] = o
 }
 
+// Read takes back the prompt of a request whose answer has begun or ended.
+func (l *Loads) Read(endpoint string, prompt int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o, ok := l.own[endpoint]; ok {
+		o.Unread -= prompt
+		l.own[endpoint] = o
+	}
+}
+
 // End takes back what Begin counted.
 func (l *Loads) End(endpoint string, tokens int) {
 	l.mu.Lock()
@@ -81,19 +98,22 @@
 func (l *Loads) SetStale(stale bool, gateways int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.scale = 0
+	l.scale, l.gateways = 0, max(gateways, 1)
 	if stale {
-		l.scale = max(gateways, 1)
+		l.scale = l.gateways
 	}
 }
 
 // of returns the sum. The caller holds the lock.
 func (l *Loads) of(endpoint string) Load {
 	a, b := l.own[endpoint], l.others[endpoint]
+	// Prompts are read within less time than counts take to go round, so those
+	// of the others are estimated.
+	unread := a.Unread * l.gateways
 	if l.scale > 0 {
-		return Load{Running: a.Running * l.scale, Tokens: a.Tokens * l.scale}
+		return Load{Running: a.Running * l.scale, Tokens: a.Tokens * l.scale, Unread: unread}
 	}
-	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens}
+	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens, Unread: unread}
 }
 
 const (
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -139,8 +139,10 @@
 func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sent {
 	g := q.g
 	started := g.clock()
-	g.loads.Begin(e.ID, q.need.Tokens)
+	g.loads.Begin(e.ID, q.need.Tokens, q.facts.PromptTokens)
 	defer g.loads.End(e.ID, q.need.Tokens)
+	out.unread = func() { g.loads.Read(e.ID, q.facts.PromptTokens) }
+	defer out.read()
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	resp, err := g.pool.Do(ctx, e.Address, q.upstreamRequest(e, out), func(head http.Header) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	clock := func() time.Duration { return time.Since(start) }
 	g := &Gateway{
 		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
-		loads: fleet.NewLoads(), paces: fleet.NewPaces(), pool: upstream.NewPool(), draw: rand.Float64,
+		loads: fleet.NewLoads(rand.IntN), paces: fleet.NewPaces(), pool: upstream.NewPool(), draw: rand.Float64,
 		retries: retry.NewShare(cfg.retryTerms(), 0),
 		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,6 +28,9 @@
 	begun bool
 	// wroteAt is when bytes were passed on last.
 	wroteAt time.Duration
+	// unread takes the prompt back from what waits to be read at the endpoint;
+	// nil once that was done.
+	unread func()
 	// lastEvent is the id of the last whole event that was passed on.
 	lastEvent string
 }
@@ -152,6 +155,7 @@
 
 // write passes bytes of a stream on at once.
 func (r *relay) write(p []byte) error {
+	r.read()
 	r.noteTime()
 	if _, err := r.q.w.Write(p); err != nil {
 		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
@@ -162,6 +166,14 @@
 	return nil
 }
 
+// read notes, once for each send, that the endpoint has read the prompt.
+func (r *relay) read() {
+	if r.unread != nil {
+		r.unread()
+		r.unread = nil
+	}
+}
+
 // noteTime measures the time to the first byte and the pauses.
 func (r *relay) noteTime() {
 	now := r.q.g.clock()
