--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -67,17 +68,23 @@
 	if *s.group.Load() != "" || s.node.Identity().ID != seedID(s.cfg.Address) {
 		return nil
 	}
-	m := &wire.Membership{}
-	for _, a := range s.cfg.peers() {
-		m.Replicas = append(m.Replicas, &wire.Replica{Id: seedID(a), Address: a})
-	}
-	slices.SortFunc(m.Replicas, func(a, b *wire.Replica) int { return int(int64(a.Id>>1) - int64(b.Id>>1)) })
+	m := firstMembership(s.cfg.peers())
 	if err := s.joinGroup(replica.GroupName(m)); err != nil {
 		return err
 	}
 	return s.node.Bootstrap(ctx, m)
 }
 
+// firstMembership returns the group of the seeds, whatever their order.
+func firstMembership(peers []string) *wire.Membership {
+	m := &wire.Membership{}
+	for _, a := range peers {
+		m.Replicas = append(m.Replicas, &wire.Replica{Id: seedID(a), Address: a})
+	}
+	slices.SortFunc(m.Replicas, func(a, b *wire.Replica) int { return cmp.Compare(a.Id, b.Id) })
+	return m
+}
+
 // joinGroup stores the group in the replica's identity. The first of two that
 // race wins. The identity is written before anything of the group's log.
 func (s *Server) joinGroup(group string) error {
--- /dev/null
+++ b/internal/fleetcontrol/group_test.go
@@ -0,0 +1,340 @@
+package fleetcontrol
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/consensus"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/wire"
+)
+
+func TestSeedsFormTheSameGroupByThemselves(t *testing.T) {
+	seeds := []string{"10.0.0.1:8144", "10.0.0.2:8144", "10.0.0.3:8144"}
+	var first *wire.Membership
+	for i, address := range []string{"10.0.0.1:7380", "10.0.0.2:7380", "10.0.0.3:7380"} {
+		cfg := Settings{Address: address, FirstStart: true, Seeds: slices.Clone(seeds)}
+		// Every seed may be told the seeds in an order of its own.
+		slices.Reverse(cfg.Seeds[:i+1])
+		m := firstMembership(cfg.peers())
+		if first == nil {
+			first = m
+		}
+		if !proto.Equal(m, first) || replica.GroupName(m) != replica.GroupName(first) {
+			t.Errorf("%s forms another group: %v", address, m)
+		}
+		if id := newReplicaID(cfg); !slices.ContainsFunc(m.Replicas, func(r *wire.Replica) bool { return r.Id == id && r.Address == address }) {
+			t.Errorf("%s is not part of the group that it forms", address)
+		}
+		emptied := cfg
+		emptied.FirstStart = false
+		if id := newReplicaID(emptied); id == seedID(address) {
+			t.Errorf("%s takes its old id after its folder was emptied", address)
+		}
+	}
+	other := Settings{Address: "10.0.0.9:7380", FirstStart: true, Seeds: seeds}
+	if id := newReplicaID(other); id == seedID(other.Address) {
+		t.Error("a replica that is no seed takes a seed's id")
+	}
+}
+
+func TestNextMembership(t *testing.T) {
+	r := func(id uint64, learner bool) *wire.Replica {
+		return &wire.Replica{Id: id, Address: fmt.Sprint("a", id), Learner: learner}
+	}
+	for _, c := range []struct {
+		name     string
+		replicas []*wire.Replica
+		reached  []uint64
+		behind   []uint64
+		silent   map[uint64]time.Duration
+		want     string
+	}{
+		{"all well", []*wire.Replica{r(1, false), r(2, false), r(3, false)}, []uint64{1, 2, 3}, nil, nil, "none"},
+		{"one silent of three", []*wire.Replica{r(1, false), r(2, false), r(3, false)}, []uint64{1, 2}, nil, map[uint64]time.Duration{3: time.Minute}, "none"},
+		{"learner behind", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 4}, []uint64{4}, map[uint64]time.Duration{3: time.Minute}, "none"},
+		{"silent voter makes way", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 4}, nil, map[uint64]time.Duration{3: time.Minute}, "without 3"},
+		{"briefly silent voter stays, learner votes", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 4}, nil, map[uint64]time.Duration{3: time.Second}, "4 votes"},
+		{"emptied disk at the same address", []*wire.Replica{r(1, false), r(2, false), r(3, false), {Id: 9, Address: "a3", Learner: true}}, []uint64{1, 2, 9}, nil, nil, "without 3"},
+		{"four voters, one silent", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false)}, []uint64{1, 2, 4}, nil, map[uint64]time.Duration{3: time.Minute}, "without 3"},
+		{"nobody goes where those that remain could not decide", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 4}, nil, map[uint64]time.Duration{2: time.Minute, 3: time.Minute}, "4 votes"},
+		{"silent learner", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 3}, nil, map[uint64]time.Duration{4: time.Minute}, "without 4"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := replica.Status{Membership: &wire.Membership{Replicas: c.replicas}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
+			for _, id := range c.reached {
+				s.Reachable[id], s.CaughtUp[id] = true, !slices.Contains(c.behind, id)
+			}
+			next, _ := nextMembership(s, c.silent)
+			if got := describe(s.Membership, next); got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// describe tells what differs between two memberships.
+func describe(from, to *wire.Membership) string {
+	if to == nil {
+		return "none"
+	}
+	out := ""
+	for _, old := range from.Replicas {
+		i := slices.IndexFunc(to.Replicas, func(r *wire.Replica) bool { return r.Id == old.Id })
+		switch {
+		case i < 0:
+			out += fmt.Sprint("without ", old.Id)
+		case old.Learner && !to.Replicas[i].Learner:
+			out += fmt.Sprint(old.Id, " votes")
+		}
+	}
+	return out
+}
+
+// simGroup drives real consensus cores through losses of messages and disks.
+// Its disks are perfect but for being emptied.
+type simGroup struct {
+	t        *rapid.T
+	now      time.Duration
+	nodes    []*simReplica
+	queue    []*wire.RaftMessage
+	nextID   uint64
+	proposed int
+	// acknowledged are the commands whose commit a leader saw.
+	acknowledged []string
+}
+
+type simReplica struct {
+	core    *consensus.Core
+	address string
+	// up is false while the machine is down; gone ones never come back.
+	up      bool
+	group   string
+	applied []string
+	initial consensus.Initial
+	entries []*wire.LogEntry
+	hard    *wire.HardState
+	reach   reachability
+}
+
+func newSimGroup(t *rapid.T) *simGroup {
+	g := &simGroup{t: t, nextID: 1000}
+	peers := []string{"a0", "a1", "a2"}
+	m := firstMembership(peers)
+	for _, a := range peers {
+		g.nodes = append(g.nodes, g.start(a, consensus.Initial{
+			ID: seedID(a), HardState: &wire.HardState{Term: 1}, Snapshot: &wire.Snapshot{Index: 1, Term: 1, Membership: m},
+		}, replica.GroupName(m)))
+	}
+	return g
+}
+
+func (g *simGroup) start(address string, initial consensus.Initial, group string) *simReplica {
+	cfg := DefaultSettings()
+	return &simReplica{
+		core: consensus.New(cfg.consensus(), initial, g.now, 1), address: address, up: true, group: group,
+		initial: initial, entries: initial.Entries, hard: initial.HardState,
+	}
+}
+
+// blank starts a replica with an empty disk at the address.
+func (g *simGroup) blank(address string) *simReplica {
+	g.nextID++
+	return g.start(address, consensus.Initial{ID: g.nextID, HardState: &wire.HardState{}}, "")
+}
+
+// step lets everything happen that is due, and drops a share of the messages.
+func (g *simGroup) step(lossPercent int) {
+	g.now += 10 * time.Millisecond
+	for _, n := range g.nodes {
+		if !n.up {
+			continue
+		}
+		n.core.Tick(g.now)
+		n.core.Flush()
+		g.carryOut(n)
+	}
+	queue := g.queue
+	g.queue = nil
+	for _, m := range queue {
+		if lossPercent > 0 && rapid.IntRange(1, 100).Draw(g.t, "loss") <= lossPercent {
+			continue
+		}
+		g.deliver(m)
+	}
+}
+
+func (g *simGroup) carryOut(n *simReplica) {
+	for {
+		e := n.core.Effects()
+		if e.Empty() {
+			return
+		}
+		if e.HardState != nil {
+			n.hard = e.HardState
+		}
+		if e.Snapshot != nil {
+			n.initial.Snapshot, n.entries = e.Snapshot, nil
+		}
+		for _, entry := range e.Entries {
+			first := n.initial.Snapshot.GetIndex() + 1
+			n.entries = append(n.entries[:entry.Index-first], entry)
+		}
+		n.core.Persisted(e)
+		g.queue = append(g.queue, e.Early...)
+		g.queue = append(g.queue, e.Messages...)
+		for _, entry := range e.Committed {
+			if entry.Kind == wire.LogEntryKind_LOG_ENTRY_KIND_COMMAND {
+				n.applied = append(n.applied, string(entry.Data))
+			}
+		}
+	}
+}
+
+// deliver passes a message to the replica that is meant, wherever it is.
+func (g *simGroup) deliver(m *wire.RaftMessage) {
+	for _, n := range g.nodes {
+		if !n.up || n.core.ID() != m.To {
+			continue
+		}
+		fromLeader := m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND || m.Type == wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT
+		if n.group == "" && fromLeader {
+			n.group = "joined"
+		}
+		if n.group != "" {
+			n.core.Step(g.now, m)
+			g.carryOut(n)
+		}
+	}
+}
+
+func (g *simGroup) leaders() []*simReplica {
+	var out []*simReplica
+	for _, n := range g.nodes {
+		if n.up && n.core.Role() == consensus.Leader && n.core.LeaseUntil() > g.now {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// repair does what the leader's loops do: it lets replicas in and changes the
+// membership step by step.
+func (g *simGroup) repair() {
+	for _, l := range g.leaders() {
+		s := replica.Status{ID: l.core.ID(), Leading: true, Membership: l.core.Membership(), Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
+		for _, r := range s.Membership.Replicas {
+			s.Reachable[r.Id], s.CaughtUp[r.Id] = l.core.Reachable(r.Id), l.core.CaughtUp(r.Id)
+		}
+		l.reach.note(s, g.now)
+		next, _ := nextMembership(s, l.reach.silentFor(s, g.now))
+		for _, n := range g.nodes {
+			if n.up && next == nil {
+				next = withLearner(s.Membership, n.core.ID(), n.address)
+			}
+		}
+		if next != nil {
+			// An earlier change may not be committed yet; the next look repeats it.
+			_, _ = l.core.ProposeMembership(next)
+		}
+	}
+}
+
+// propose commits a command through the leader, if there is one, and keeps it
+// as acknowledged once the leader has applied it.
+func (g *simGroup) propose() {
+	for _, l := range g.leaders() {
+		g.proposed++
+		text := fmt.Sprint("c", g.proposed)
+		if _, err := l.core.Propose([]byte(text)); err != nil {
+			return
+		}
+		for range 10 {
+			g.step(0)
+			if slices.Contains(l.applied, text) {
+				g.acknowledged = append(g.acknowledged, text)
+				return
+			}
+		}
+	}
+}
+
+func (g *simGroup) run(d time.Duration, lossPercent int) {
+	for end := g.now + d; g.now < end; {
+		g.step(lossPercent)
+		if g.now%(250*time.Millisecond) == 0 {
+			g.repair()
+		}
+	}
+}
+
+// check compares what the replicas have applied, which must be one history,
+// and finds every acknowledged command in the longest.
+func (g *simGroup) check() {
+	var longest []string
+	for _, n := range g.nodes {
+		if len(n.applied) > len(longest) {
+			longest = n.applied
+		}
+	}
+	for _, n := range g.nodes {
+		if !slices.Equal(n.applied, longest[:len(n.applied)]) {
+			g.t.Fatalf("two histories: %v and %v", n.applied, longest)
+		}
+	}
+	for _, text := range g.acknowledged {
+		if !slices.Contains(longest, text) {
+			g.t.Fatalf("%s was acknowledged and is gone from %v", text, longest)
+		}
+	}
+	if len(g.leaders()) > 1 {
+		g.t.Fatal("two leaders hold a lease")
+	}
+}
+
+// TestGroupRepairsItself empties disks and replaces machines one after the
+// other, with time to catch up between, and restarts all at once. What was
+// acknowledged stays, there is one history, and the group goes on.
+func TestGroupRepairsItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newSimGroup(t)
+		g.run(3*time.Second, 0)
+		for range rapid.IntRange(1, 5).Draw(t, "losses") {
+			g.propose()
+			i := rapid.IntRange(0, len(g.nodes)-1).Draw(t, "lost")
+			lost := g.nodes[i]
+			switch rapid.SampledFrom([]string{"emptied", "replaced", "all restarted", "down for a while"}).Draw(t, "how") {
+			case "emptied":
+				g.nodes[i] = g.blank(lost.address)
+			case "replaced":
+				g.nextID++
+				g.nodes[i] = g.blank(fmt.Sprint("b", g.nextID))
+			case "all restarted":
+				for j, n := range g.nodes {
+					n.initial.HardState, n.initial.Entries = n.hard, n.entries
+					g.nodes[j] = g.start(n.address, n.initial, n.group)
+				}
+				g.queue = nil
+			default:
+				lost.up = false
+				g.run(2500*time.Millisecond, 2)
+				lost.up = true
+			}
+			g.run(time.Duration(rapid.IntRange(6, 9).Draw(t, "seconds"))*time.Second, rapid.IntRange(0, 3).Draw(t, "loss percent"))
+			g.check()
+		}
+		g.run(6*time.Second, 0)
+		before := len(g.acknowledged)
+		g.propose()
+		g.run(time.Second, 0)
+		g.check()
+		if len(g.acknowledged) == before {
+			t.Fatalf("the group no longer commits: %v", g.nodes[0].core.Membership())
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,388 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/retry"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/upstream"
+	"parsleyramp/internal/wire"
+)
+
+// testProtocol is a plain protocol of the tests' own.
+type testProtocol struct{}
+
+func (testProtocol) Describe(r *http.Request) (Facts, error) {
+	f := Facts{ID: r.Header.Get("Id"), Model: r.Header.Get("Model")}
+	f.Deadline, _ = time.ParseDuration(r.Header.Get("Deadline"))
+	return f, nil
+}
+
+func (testProtocol) Prepare(h http.Header, s Send) {
+	h.Set("For", s.Endpoint)
+	h.Set("Left", s.TimeLeft.String())
+	h.Del("After")
+	if s.AfterEvent != "" {
+		h.Set("After", s.AfterEvent)
+	}
+}
+
+func (testProtocol) Recognize(h http.Header, id string) bool {
+	return h.Get("Id") == "" || h.Get("Id") == id
+}
+
+func (testProtocol) Read(_ int, h http.Header) Answer {
+	return Answer{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
+}
+
+func (testProtocol) Refuse(h http.Header, after time.Duration) { h.Set("Come-Back", after.String()) }
+
+// scriptedEngine answers the requests that reach it with raw texts in turn and
+// keeps what it was sent. A text that ends in "..." keeps the connection open.
+type scriptedEngine struct {
+	mu      sync.Mutex
+	answers []string
+	got     []*http.Request
+	gone    chan struct{}
+	address string
+}
+
+func startEngine(t *testing.T, answers ...string) *scriptedEngine {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &scriptedEngine{answers: answers, gone: make(chan struct{}, 16), address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *scriptedEngine) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		text := s.next(req)
+		if text == "" {
+			return
+		}
+		open := strings.HasSuffix(text, "...")
+		io.WriteString(c, strings.TrimSuffix(text, "..."))
+		if open {
+			_, _ = r.ReadByte()
+			s.gone <- struct{}{}
+			return
+		}
+		if strings.HasSuffix(text, "CUT") || strings.Contains(text, "chunked") && !strings.HasSuffix(text, "0\r\n\r\n") {
+			return
+		}
+	}
+}
+
+func (s *scriptedEngine) next(r *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, r)
+	if len(s.answers) == 0 {
+		return ""
+	}
+	text := s.answers[0]
+	s.answers = s.answers[1:]
+	return text
+}
+
+func (s *scriptedEngine) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.got...)
+}
+
+func answer(status int, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+// chunks returns a streamed answer, with its end or without.
+func chunks(end bool, events ...string) string {
+	out := "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, e := range events {
+		out += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+	}
+	if end {
+		out += "0\r\n\r\n"
+	}
+	return out
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// testGateway serves one route of the kind to the engines.
+func testGateway(t *testing.T, route document.Route, engines ...*scriptedEngine) string {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	start := time.Now()
+	terms := retry.ShareConfig{Ratio: 100, Window: 10 * time.Second}
+	g := &Gateway{
+		cfg: DefaultSettings(), adapter: Adapter{Protocol: testProtocol{}}, log: logrus.NewEntry(log),
+		clock: func() time.Duration { return time.Since(start) }, loads: fleet.NewLoads(func(int) int { return 0 }),
+		paces: fleet.NewPaces(), pool: upstream.NewPool(), retries: retry.NewShare(terms, 0), draw: func() float64 { return 0 },
+		control: controlclient.New(transport.NewPeerClient(), []string{"127.0.0.1:1"}),
+	}
+	g.cfg.ID = "g"
+	g.changed.init()
+	route.Name, route.Host, route.Prefix, route.Split = "r", "h", "/a/", []document.Share{{Service: "s", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 20 * time.Second
+	}
+	d := &document.Document{Version: 1, Routes: []document.Route{route}, Services: []document.Service{{Name: "s"}}}
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	g.table.Store(document.NewTable(d))
+	view := &wire.FleetView{}
+	for i, e := range engines {
+		view.Endpoints = append(view.Endpoints, &wire.FleetEndpoint{Id: fmt.Sprintf("e%d", i), Service: "s", Address: e.address, Slots: 10})
+	}
+	g.view.Store(fleet.NewView(view))
+	l, err := transport.ListenCallers("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := transport.ServeCallers(l, g)
+	t.Cleanup(func() { s.Close() })
+	return s.Address()
+}
+
+// call sends one request and returns the answer, whose body may be broken off.
+func call(t *testing.T, ctx context.Context, address string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/a/x?q=1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "attempt")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+var (
+	once      = document.Route{Kind: document.Once, MaxAttempts: 1}
+	safe      = document.Route{Kind: document.Idempotent, MaxAttempts: 2}
+	stream    = document.Route{Kind: document.Stream, MaxAttempts: 1}
+	resumable = document.Route{Kind: document.Stream, MaxAttempts: 2, Resumable: true}
+)
+
+func TestAnswersOfOneEndpoint(t *testing.T) {
+	signed := "Signed: 1\r\n"
+	for _, c := range []struct {
+		name    string
+		route   document.Route
+		answers []string
+		status  int
+		body    string
+		sends   int
+	}{
+		{"whole answer", once, []string{answer(200, signed, "fine")}, 200, "fine", 1},
+		{"own failure is passed on", once, []string{answer(500, signed, "broken")}, 500, "broken", 1},
+		{"4xx is passed on", safe, []string{answer(404, signed, "none")}, 404, "none", 1},
+		{"success without a signature", once, []string{answer(200, "", "fine")}, 502, "", 1},
+		{"not run is a refusal", once, []string{answer(503, "Not-Run: 1\r\n", "")}, 503, "", 1},
+		{"unavailable without a statement is no refusal", once, []string{answer(503, signed, "")}, 502, "", 1},
+		{"too many without a statement is no refusal", once, []string{answer(429, signed, "")}, 502, "", 1},
+		{"cut answer", once, []string{"HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 9\r\n\r\npartCUT"}, 502, "", 1},
+		{"no answer", once, []string{""}, 502, "", 1},
+		{"answer to another request", once, []string{answer(200, signed+"Id: other\r\n", "theirs") + answer(200, signed, "mine")}, 200, "mine", 1},
+		{"stream", stream, []string{chunks(true, event(1), event(2))}, 200, event(1) + event(2), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEngine(t, c.answers...)
+			resp, body, err := call(t, t.Context(), testGateway(t, c.route, e))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != c.status || c.body != "" && body != c.body {
+				t.Errorf("%d %q, want %d %q", resp.StatusCode, body, c.status, c.body)
+			}
+			if got := e.requests(); len(got) != c.sends || got[0].RequestURI != "/a/x?q=1" || got[0].Host != "h" || got[0].Header.Get("For") != "e0" {
+				t.Errorf("the endpoint got %d requests, %+v", len(got), got)
+			}
+			if refused := resp.StatusCode == 503; refused != (resp.Header.Get("Come-Back") != "") {
+				t.Errorf("%d with a time to come back %q", resp.StatusCode, resp.Header.Get("Come-Back"))
+			}
+		})
+	}
+}
+
+func TestRepeatableRequestsGoToAnotherEndpoint(t *testing.T) {
+	good := answer(200, "Signed: 1\r\n", "fine")
+	for name, first := range map[string]string{
+		"failed": answer(500, "Signed: 1\r\n", "broken"), "not run": answer(503, "Not-Run: 1\r\n", ""), "lost": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := startEngine(t, first), startEngine(t, good)
+			resp, body, err := call(t, t.Context(), testGateway(t, safe, a, b))
+			if err != nil || resp.StatusCode != 200 || body != "fine" {
+				t.Fatalf("%v %q %v", resp, body, err)
+			}
+			if len(a.requests()) != 1 || len(b.requests()) != 1 {
+				t.Errorf("%d and %d requests", len(a.requests()), len(b.requests()))
+			}
+		})
+	}
+}
+
+func TestRequestThatMayRunOnceIsNotRepeated(t *testing.T) {
+	for name, first := range map[string]string{"failed": answer(500, "Signed: 1\r\n", "broken"), "lost": ""} {
+		a, b := startEngine(t, first), startEngine(t, answer(200, "Signed: 1\r\n", "fine"))
+		route := once
+		route.MaxAttempts = 3
+		if _, _, err := call(t, t.Context(), testGateway(t, route, a, b)); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(a.requests()) + len(b.requests()); n != 1 {
+			t.Errorf("%s: ran %d times", name, n)
+		}
+	}
+}
+
+func TestCutStreamDoesNotLookWhole(t *testing.T) {
+	e := startEngine(t, chunks(false, event(1)))
+	_, body, err := call(t, t.Context(), testGateway(t, stream, e))
+	if err == nil {
+		t.Errorf("%q passed for a whole answer", body)
+	}
+}
+
+func TestCutStreamGoesOnElsewhere(t *testing.T) {
+	half := event(3)[:7]
+	a, b := startEngine(t, chunks(false, event(1), event(2), half)), startEngine(t, chunks(true, event(3), event(4)))
+	resp, body, err := call(t, t.Context(), testGateway(t, resumable, a, b))
+	if err != nil || resp.StatusCode != 200 || body != event(1)+event(2)+event(3)+event(4) {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if after := b.requests()[0].Header.Get("After"); after != "2" {
+		t.Errorf("went on after %q, want 2", after)
+	}
+}
+
+func TestStreamThatEndsWithinAnEventGoesOnElsewhere(t *testing.T) {
+	a, b := startEngine(t, chunks(true, event(1), event(2)[:9])), startEngine(t, chunks(true, event(2)))
+	_, body, err := call(t, t.Context(), testGateway(t, resumable, a, b))
+	if err != nil || body != event(1)+event(2) {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+func TestNoEndpointIsARefusal(t *testing.T) {
+	resp, _, err := call(t, t.Context(), testGateway(t, once))
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Come-Back") == "" {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+func TestEndOfTheTimeIsAnsweredAtOnce(t *testing.T) {
+	route := once
+	route.Timeout = 200 * time.Millisecond
+	e := startEngine(t, "...")
+	started := time.Now()
+	resp, _, err := call(t, t.Context(), testGateway(t, route, e))
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if took := time.Since(started); took > 5*time.Second {
+		t.Errorf("answered after %v", took)
+	}
+	left, err := time.ParseDuration(e.requests()[0].Header.Get("Left"))
+	if err != nil || left > route.Timeout {
+		t.Errorf("the endpoint was given %v of %v", left, route.Timeout)
+	}
+	<-e.gone
+}
+
+func TestEndpointIsLeftWhenTheCallerLeaves(t *testing.T) {
+	e := startEngine(t, "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n...")
+	address := testGateway(t, stream, e)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = call(t, ctx, address)
+	}()
+	for len(e.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-e.gone
+	<-done
+}
+
+func TestUnknownPathAndMissingDocument(t *testing.T) {
+	address := testGateway(t, once, startEngine(t))
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/elsewhere/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	resp.Body.Close()
+}
+
+func TestPickAddresses(t *testing.T) {
+	gateways := []*wire.Gateway{
+		{CallerAddress: "a1", Domain: "a", Accepting: true}, {CallerAddress: "a2", Domain: "a", Accepting: true},
+		{CallerAddress: "b1", Domain: "b", Accepting: true}, {CallerAddress: "b2", Domain: "b"},
+	}
+	for domain, want := range map[string]string{"a": "a1 a2", "b": "b1 a1 a2", "c": "a1 a2 b1"} {
+		if got := strings.Join(pickAddresses(gateways, domain), " "); got != want {
+			t.Errorf("%s: %s, want %s", domain, got, want)
+		}
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	text := []byte("id: 1\ndata: x\n\nid: 22\ndata: y\n\nid: 3\nda")
+	n := wholeEvents(text)
+	if string(text[n:]) != "id: 3\nda" || lastEventID(text[:n]) != "22" {
+		t.Errorf("%q, last id %q", text[:n], lastEventID(text[:n]))
+	}
+}
