--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -180,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(ctx, quietTimeout)
 	defer cancel()
 	client := wireconnect.NewSenderServiceClient(o.peers, "http://"+r.Address)
-	resp, err := client.Quiet(ctx, connect.NewRequest(&wire.QuietRequest{Group: *o.s.group.Load(), Term: term}))
+	resp, err := client.Quiet(ctx, connect.NewRequest(&wire.QuietRequest{Group: o.s.group.Name(), Term: term}))
 	if err == nil && resp.Msg.Replica == r.Id && resp.Msg.Sending == 0 {
 		o.noteQuiet(term, r.Id)
 	}
@@ -197,7 +197,7 @@
 
 // Quiet keeps earlier terms from sending and counts what they still send.
 func (q *senderService) Quiet(_ context.Context, req *connect.Request[wire.QuietRequest]) (*connect.Response[wire.QuietResponse], error) {
-	if group := *q.s.group.Load(); group == "" || req.Msg.Group != group {
+	if group := q.s.group.Name(); group == "" || req.Msg.Group != group {
 		return nil, rpcerror.ToConnect(fail.New(fail.ForeignFolder, "the replica belongs to another group"), "")
 	}
 	return connect.NewResponse(&wire.QuietResponse{
--- a/internal/control/replicas_test.go
+++ b/internal/control/replicas_test.go
@@ -68,7 +68,7 @@
 	if (first == nil) == (second == nil) {
 		t.Fatalf("two groups raced: %v and %v", first, second)
 	}
-	joined := *s.group.Load()
+	joined := s.group.Name()
 	if joined != "a" && joined != "b" {
 		t.Fatalf("joined %q", joined)
 	}
@@ -93,7 +93,7 @@
 	refused(call("g", m))
 	foreign := &wire.Membership{Replicas: []*wire.Replica{{Id: 1}}}
 	refused(call(replica.GroupName(foreign), foreign))
-	if err := s.joinGroup(replica.GroupName(m)); err != nil { // The crash came after the first write.
+	if err := s.group.Join(replica.GroupName(m)); err != nil { // The crash came after the first write.
 		t.Fatal(err)
 	}
 	for range 2 {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,8 +34,7 @@
 	node    *replica.Node
 	sender  *replica.NetworkSender
 	journal *journal.Journal
-	group   atomic.Pointer[string]
-	joining sync.Mutex
+	group   *replica.Group
 	engines endpoint.Engine
 	list    livelist.LiveList
 	leases  leaseTable
@@ -67,8 +64,8 @@
 		clock:   func() time.Duration { return time.Since(start) },
 		stopped: make(chan error, 1),
 	}
-	s.group.Store(&identity.Group)
-	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, func() string { return *s.group.Load() })
+	s.group = replica.NewGroup(identity.Group, j.SetGroup)
+	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
 		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
@@ -124,7 +121,7 @@
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	options := append(transport.PeerHandlerOptions(), connect.WithInterceptors(telemetry.Interceptor()))
-	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewReplicaServiceHandler(replica.NewService(s.node, s.group, s.sender), options...))
 	mux.Handle(wireconnect.NewSenderServiceHandler(&senderService{s}, options...))
 	mux.Handle(wireconnect.NewBootstrapServiceHandler(&bootstrapService{s}, options...))
 	mux.Handle(wireconnect.NewControlServiceHandler(&entryService{s}, options...))
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -10,6 +10,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -108,7 +109,7 @@
 func (d *crashDetector) gone(ctx context.Context, vm *wire.Endpoint) bool {
 	for i := range probes {
 		if i > 0 {
-			sleep(ctx, probePause)
+			wait.For(ctx, probePause)
 		}
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
 		s, err := d.engines.State(probe, vm.Address)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -14,6 +14,7 @@
 	"parsleyramp/internal/retry"
 	"parsleyramp/internal/routing"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -156,7 +157,7 @@
 	if ctx.Err() != nil || now >= p.patience || (len(p.moving) == 0 && !unknown) {
 		return false
 	}
-	sleep(ctx, takeoverPoll)
+	wait.For(ctx, takeoverPoll)
 	p.reopen(&p.moving)
 	return true
 }
@@ -268,7 +269,7 @@
 		case ctx.Err() != nil:
 			return fail.Wrap(ctx.Err(), fail.DeadlinePassed, "the request waited too long")
 		}
-		sleep(ctx, suspectPoll)
+		wait.For(ctx, suspectPoll)
 	}
 }
 
--- a/internal/entry/overnight.go
+++ b/internal/entry/overnight.go
@@ -11,6 +11,7 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -148,7 +149,7 @@
 			// Another entry takes the work over once this one is gone.
 			return
 		}
-		sleep(ctx, overnightRetryDelay)
+		wait.For(ctx, overnightRetryDelay)
 	}
 	err := s.control.Do(s.background, func(ctx context.Context, c controlclient.Conn) error {
 		_, err := c.Control.FinishDeferred(ctx, connect.NewRequest(finish))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 	"parsleyramp/internal/wire/wireconnect"
 )
@@ -115,10 +116,10 @@
 	s.draining.Store(true)
 	s.session.poke()
 	s.log.Info("draining")
-	sleep(ctx, s.cfg.KeepAddresses.D())
+	wait.For(ctx, s.cfg.KeepAddresses.D())
 	s.awaitHandover(ctx)
 	for ctx.Err() == nil && (s.inProgress.Load() > 0 || s.owner.busy() || s.runsDeferred()) {
-		sleep(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	err := s.callers.Shutdown(ctx)
 	if peerErr := s.peers.Shutdown(ctx); err == nil {
@@ -142,7 +143,7 @@
 		if err != nil || !c.owns(s.cfg.ID) {
 			return
 		}
-		sleep(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 }
 
@@ -155,12 +156,3 @@
 	})
 	return running
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"parsleyramp/internal/wire"
 )
@@ -90,8 +89,3 @@
 func (v *View) Newer(old *View) bool {
 	return old == nil || cmp.Or(cmp.Compare(v.Term, old.Term), cmp.Compare(v.Revision, old.Revision)) > 0
 }
-
-// Loading reports whether some engine of the service is loading the model.
-func (v *View) Loading(service, model string) bool {
-	return slices.ContainsFunc(v.byService[service], func(e *Endpoint) bool { return !e.Leaving && e.Models[model].Loading })
-}
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/wait"
 )
 
 const (
@@ -147,7 +148,7 @@
 	switch answer {
 	case OrderAccepted, OrderHolds:
 		if m := d.Model(model); m != nil {
-			pause(ctx, adapterBase+time.Duration(m.AdapterMB)*adapterPerMB)
+			wait.For(ctx, adapterBase+time.Duration(m.AdapterMB)*adapterPerMB)
 		}
 	}
 	e.l.mu.Lock()
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -10,6 +10,7 @@
 
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/residency"
+	"parsleyramp/internal/wait"
 )
 
 const (
@@ -206,7 +207,7 @@
 // engine as ordering. A step that fails is given up; the next plan looks again.
 func (e *engineState) carryOut(ctx context.Context, step residency.Step) {
 	defer e.finish()
-	if len(step.Unload) > 0 && !pause(ctx, leaveTime) {
+	if len(step.Unload) > 0 && !wait.For(ctx, leaveTime) {
 		return
 	}
 	for _, m := range step.Unload {
@@ -220,7 +221,7 @@
 // change gives an order for a whole model and waits for its effect.
 func (e *engineState) change(ctx context.Context, load bool, model string) bool {
 	if !e.knowSequence(ctx) {
-		pause(ctx, unknownWait)
+		wait.For(ctx, unknownWait)
 		return false
 	}
 	answer := e.order(ctx, Order{Load: load, Model: model})
@@ -230,7 +231,7 @@
 	if answer == OrderAccepted || answer == OrderHolds {
 		return e.await(ctx, load, model)
 	}
-	pause(ctx, unknownWait)
+	wait.For(ctx, unknownWait)
 	return false
 }
 
@@ -298,7 +299,7 @@
 // await polls the engine until the order has taken effect.
 func (e *engineState) await(ctx context.Context, load bool, model string) bool {
 	deadline := e.l.s.clock() + orderTimeout
-	for e.l.s.clock() < deadline && pause(ctx, pollInterval) {
+	for e.l.s.clock() < deadline && wait.For(ctx, pollInterval) {
 		r, err := e.refresh(ctx)
 		if err != nil || r.Busy {
 			continue
@@ -323,15 +324,3 @@
 	e.l.mu.Unlock()
 	e.l.wake()
 }
-
-// pause waits and returns false where ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"parsleyramp/internal/fail"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/wire"
@@ -65,11 +64,11 @@
 // their ids follow from their addresses. A replica that has a group, or an id
 // of its own, changes nothing.
 func (s *Server) bootstrap(ctx context.Context) error {
-	if *s.group.Load() != "" || s.node.Identity().ID != seedID(s.cfg.Address) {
+	if s.group.Name() != "" || s.node.Identity().ID != seedID(s.cfg.Address) {
 		return nil
 	}
 	m := firstMembership(s.cfg.peers())
-	if err := s.joinGroup(replica.GroupName(m)); err != nil {
+	if err := s.group.Join(replica.GroupName(m)); err != nil {
 		return err
 	}
 	return s.node.Bootstrap(ctx, m)
@@ -85,28 +84,6 @@
 	return m
 }
 
-// joinGroup stores the group in the replica's identity. The first of two that
-// race wins. The identity is written before anything of the group's log.
-func (s *Server) joinGroup(group string) error {
-	s.joining.Lock()
-	defer s.joining.Unlock()
-	switch *s.group.Load() {
-	case group:
-		return nil
-	case "":
-	default:
-		return errOtherGroup
-	}
-	if err := s.journal.SetGroup(group); err != nil {
-		return err
-	}
-	s.group.Store(&group)
-	s.log.WithField("group", group).Info("joined a group")
-	return nil
-}
-
-var errOtherGroup = fail.New(fail.MembershipChange, "the replica belongs to another group or to none")
-
 // askToJoin asks one control replica after the other to let this one in.
 func (s *Server) askToJoin(ctx context.Context, turn int) {
 	addresses := slices.DeleteFunc(s.knownReplicas(ctx), func(a string) bool { return a == s.cfg.Address })
@@ -115,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	req := &wire.JoinRequest{Id: s.node.Identity().ID, Address: s.cfg.Address, Group: *s.group.Load()}
+	req := &wire.JoinRequest{Id: s.node.Identity().ID, Address: s.cfg.Address, Group: s.group.Name()}
 	address := addresses[turn%len(addresses)]
 	for range 2 {
 		client := wireconnect.NewFleetServiceClient(s.peers, "http://"+address)
@@ -149,8 +126,8 @@
 
 // admit adds a replica to the membership as a learner.
 func (s *Server) admit(ctx context.Context, r *wire.JoinRequest) error {
-	if group := *s.group.Load(); r.Group != "" && r.Group != group {
-		return errOtherGroup
+	if group := s.group.Name(); r.Group != "" && r.Group != group {
+		return replica.ErrOtherGroup
 	}
 	status, err := s.node.Status(ctx)
 	if err != nil {
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +33,7 @@
 	sender  *replica.NetworkSender
 	journal *journal.Journal
 	peers   *http.Client
-	group   atomic.Pointer[string]
-	joining sync.Mutex
+	group   *replica.Group
 	// seeds are the inner addresses of the seeds that the settings name now.
 	seeds atomic.Pointer[[]string]
 
@@ -60,9 +58,9 @@
 		cfg: cfg, adapter: adapter, log: log, clock: boottime.Since(), journal: j,
 		peers: transport.NewPeerClient(), turns: newTurns(), stopped: make(chan error, 1),
 	}
-	s.group.Store(&recovered.Identity.Group)
+	s.group = replica.NewGroup(recovered.Identity.Group, j.SetGroup)
 	s.Reload(cfg)
-	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, func() string { return *s.group.Load() })
+	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
 		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: cfg.consensus(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log,
@@ -110,7 +108,7 @@
 func (s *Server) listen() error {
 	mux := http.NewServeMux()
 	options := append(transport.PeerHandlerOptions(), connect.WithInterceptors(telemetry.Interceptor()))
-	mux.Handle(wireconnect.NewReplicaServiceHandler(&replicaService{s}, options...))
+	mux.Handle(wireconnect.NewReplicaServiceHandler(replica.NewService(s.node, s.group, s.sender), options...))
 	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, options...))
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
 	inner, err := transport.Listen(s.cfg.Address)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -14,24 +14,6 @@
 	"parsleyramp/internal/wire"
 )
 
-// replicaService takes messages from other replicas.
-type replicaService struct{ s *Server }
-
-// Deliver passes messages to the replica, and drops those of another group.
-func (r *replicaService) Deliver(_ context.Context, req *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
-	if *r.s.group.Load() == "" && r.s.node.Invited(req.Msg.Messages) {
-		if err := r.s.joinGroup(req.Msg.Group); err != nil {
-			return nil, rpcerror.ToConnect(err, "")
-		}
-	}
-	if req.Msg.Group == "" || req.Msg.Group != *r.s.group.Load() {
-		return nil, rpcerror.ToConnect(errOtherGroup, "")
-	}
-	r.s.sender.Learn(req.Msg.Messages, req.Msg.Address)
-	r.s.node.Deliver(req.Msg.Messages)
-	return connect.NewResponse(&wire.DeliverResponse{}), nil
-}
-
 // fleetService answers gateways and blank replicas.
 type fleetService struct{ s *Server }
 
--- a/internal/fleetcontrol/turns.go
+++ b/internal/fleetcontrol/turns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleyramp/internal/state"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -110,7 +111,7 @@
 
 // watchNotes observes the notes until ctx ends, whether this replica leads or not.
 func (s *Server) watchNotes(ctx context.Context) {
-	for pause(ctx, watchInterval) {
+	for wait.For(ctx, watchInterval) {
 		s.lookAtNotes(ctx)
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,6 +11,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 			g.log.WithField("lost_for", time.Since(lostAt)).Info("control regained")
 			lostAt = time.Time{}
 		}
-		if !sleep(ctx, g.cfg.SyncInterval.D()) {
+		if !wait.For(ctx, g.cfg.SyncInterval.D()) {
 			return
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/upstream"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
@@ -207,7 +208,7 @@
 	g.draining.Store(true)
 	g.log.Info("draining")
 	g.callers.Drain()
-	sleep(ctx, lameDuck)
+	wait.For(ctx, lameDuck)
 	g.callers.CloseIdle()
 	left := g.cfg.Grace.D() - stopReserve - time.Since(started)
 	ctx, cancel := context.WithTimeout(ctx, left)
@@ -231,7 +232,7 @@
 
 // sweep closes idle connections to endpoints that are gone.
 func (g *Gateway) sweep(ctx context.Context) {
-	for sleep(ctx, sweepInterval) {
+	for wait.For(ctx, sweepInterval) {
 		v := g.view.Load()
 		if v == nil {
 			continue
@@ -244,18 +245,6 @@
 	}
 }
 
-// sleep waits and returns false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // broadcast wakes all that wait for a change.
 type broadcast struct {
 	mu sync.Mutex
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,7 @@
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/standin"
+	"parsleyramp/internal/wait"
 )
 
 // Options of a run.
@@ -83,7 +84,7 @@
 	stopProgress := r.progress(len(plan))
 	var requests sync.WaitGroup
 	for _, a := range plan {
-		if !sleepUntil(ctx, r.start.Add(a.At)) {
+		if !wait.Until(ctx, r.start.Add(a.At)) {
 			break
 		}
 		requests.Go(func() { r.results.add(r.request(ctx, a)) })
@@ -94,21 +95,6 @@
 	return r.results.report(), ctx.Err()
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // request asks as a caller does: again after the time that a refusal names,
 // at another entry after a broken connection.
 func (r *runner) request(ctx context.Context, a Arrival) outcome {
@@ -137,7 +123,7 @@
 			return out
 		}
 		out.retries++
-		if !sleepUntil(ctx, time.Now().Add(max(out.answer.retryAfter, minRetryDelay))) {
+		if !wait.Until(ctx, time.Now().Add(max(out.answer.retryAfter, minRetryDelay))) {
 			return out
 		}
 	}
@@ -189,7 +175,7 @@
 			return ctx.Err() == nil
 		})
 		if left {
-			sleepUntil(ctx, time.Now().Add(overnightPoll))
+			wait.Until(ctx, time.Now().Add(overnightPoll))
 		}
 	}
 }
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// Group is the name of the group that a replica belongs to. It is safe for
+// concurrent use.
+type Group struct {
+	joining sync.Mutex
+	name    atomic.Pointer[string]
+	store   func(name string) error
+}
+
+// NewGroup returns the group that a replica's identity names, empty for none.
+// store writes another name to the identity.
+func NewGroup(name string, store func(name string) error) *Group {
+	g := &Group{store: store}
+	g.name.Store(&name)
+	return g
+}
+
+// Name returns the group's name; empty where the replica belongs to none.
+func (g *Group) Name() string { return *g.name.Load() }
+
+// ErrOtherGroup is the failure of what concerns another group.
+var ErrOtherGroup = fail.New(fail.MembershipChange, "the replica belongs to another group or to none")
+
+// Join stores the group in the replica's identity. The first of two that race
+// wins. The identity is written before anything of the group's log.
+func (g *Group) Join(name string) error {
+	g.joining.Lock()
+	defer g.joining.Unlock()
+	switch g.Name() {
+	case name:
+		return nil
+	case "":
+	default:
+		return ErrOtherGroup
+	}
+	if err := g.store(name); err != nil {
+		return err
+	}
+	g.name.Store(&name)
+	return nil
+}
+
+// Service takes messages from other replicas.
+type Service struct {
+	node   *Node
+	group  *Group
+	sender *NetworkSender
+}
+
+var _ wireconnect.ReplicaServiceHandler = (*Service)(nil)
+
+// NewService returns a service that passes messages of the group to the node.
+func NewService(node *Node, group *Group, sender *NetworkSender) *Service {
+	return &Service{node: node, group: group, sender: sender}
+}
+
+// Deliver passes messages to the replica, and drops those of another group. A
+// blank replica joins the group whose leader sends it the log.
+func (s *Service) Deliver(_ context.Context, req *connect.Request[wire.DeliverRequest]) (*connect.Response[wire.DeliverResponse], error) {
+	if s.group.Name() == "" && s.node.Invited(req.Msg.Messages) {
+		if err := s.group.Join(req.Msg.Group); err != nil {
+			return nil, rpcerror.ToConnect(err, "")
+		}
+	}
+	if req.Msg.Group == "" || req.Msg.Group != s.group.Name() {
+		return nil, rpcerror.ToConnect(ErrOtherGroup, "")
+	}
+	s.sender.Learn(req.Msg.Messages, req.Msg.Address)
+	s.node.Deliver(req.Msg.Messages)
+	return connect.NewResponse(&wire.DeliverResponse{}), nil
+}
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/wait"
 )
 
 const defaultMaxTokens = 16
@@ -116,7 +117,7 @@
 	e.mu.Lock()
 	fresh := run.life.cache.use(c.Model, prompt, e.faults.take(func(f *Faults) *int { return &f.DropEvents }))
 	e.mu.Unlock()
-	if !sleep(ctx, time.Duration(fresh)*e.cfg.PrefillPerToken) {
+	if !wait.For(ctx, time.Duration(fresh)*e.cfg.PrefillPerToken) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(endpoint.HeaderRequestID, run.id)
@@ -124,7 +125,7 @@
 		e.stream(ctx, w, run.id, c, prompt)
 		return
 	}
-	if !sleep(ctx, time.Duration(c.MaxTokens)*e.cfg.TokenInterval) {
+	if !wait.For(ctx, time.Duration(c.MaxTokens)*e.cfg.TokenInterval) {
 		panic(http.ErrAbortHandler)
 	}
 	var text strings.Builder
@@ -152,7 +153,7 @@
 		data, _ := json.Marshal(completion(id, c.Model, AnswerToken(prompt, i), finish))
 		fmt.Fprintf(w, "data: %s\n\n", data)
 		_ = out.Flush()
-		if !sleep(ctx, e.cfg.TokenInterval) {
+		if !wait.For(ctx, e.cfg.TokenInterval) {
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -183,18 +184,3 @@
 func completion(id, model, text, finish string) Completion {
 	return Completion{ID: id, Model: model, Choices: []Choice{{Text: text, Delta: Message{Role: "assistant", Content: text}, FinishReason: finish}}}
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"parsleyramp/internal/livelist"
+	"parsleyramp/internal/wait"
 )
 
 // LiveList is a stand-in list of live and leaving VMs. It lags.
@@ -122,7 +123,7 @@
 	}
 	s.next = start.Add(time.Duration(float64(time.Second) / s.cfg.LoadsPerSecond))
 	s.mu.Unlock()
-	sleep(r.Context(), time.Until(start))
+	wait.For(r.Context(), time.Until(start))
 }
 
 func (s *Store) transfer(r *http.Request, running *int, fullSpeed int, t time.Duration) {
@@ -132,7 +133,7 @@
 		t = t * time.Duration(*running) / time.Duration(fullSpeed)
 	}
 	s.mu.Unlock()
-	sleep(r.Context(), t)
+	wait.For(r.Context(), t)
 	s.mu.Lock()
 	*running--
 	s.mu.Unlock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -150,7 +149,7 @@
 	}
 }
 
-var errForeign = errors.New("the answers belong to other requests")
+var errForeign = fail.New(fail.ForeignAnswer, "the answers belong to other requests").WithRan(fail.RanUnknown)
 
 // hopHeaders concern one connection only and are not passed on.
 var hopHeaders = []string{
