--- /dev/null
+++ b/internal/fleetcontrol/server_test.go
@@ -0,0 +1,136 @@
+package fleetcontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// decodeVersion takes a document that is its version alone.
+func decodeVersion(text []byte) (*document.Document, error) {
+	v, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.BadDocument, "not a number")
+	}
+	return &document.Document{Version: v}, nil
+}
+
+// startOne starts a group of one replica in the folder.
+func startOne(t *testing.T, cfg Settings) (s *Server, stop func()) {
+	t.Helper()
+	adapter := Adapter{
+		Platform: &fakeEngine{}, Decode: decodeVersion,
+		Operators: func(Documents) http.Handler { return http.NewServeMux() },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := Start(ctx, cfg, adapter, testLog())
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	return s, func() {
+		if err := s.Shutdown(context.Background(), cancel); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// eventually repeats f until it succeeds.
+func eventually(t *testing.T, f func(context.Context) error) {
+	t.Helper()
+	var err error
+	for range 200 {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		err = f(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal(err)
+}
+
+func TestDocumentsAreKeptAndTold(t *testing.T) {
+	cfg := DefaultSettings()
+	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
+	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
+	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	s, stop := startOne(t, cfg)
+	if _, err := s.Newest(t.Context()); err == nil {
+		t.Error("a replica that does not lead yet answered a read")
+	}
+	eventually(t, func(ctx context.Context) error { return s.Put(ctx, []byte("7")) })
+	if err := s.Put(t.Context(), []byte("5")); err != nil {
+		t.Errorf("an older version is accepted and changes nothing, got %v", err)
+	}
+	if err := s.Put(t.Context(), []byte("no number")); !fail.Is(err, fail.BadDocument) {
+		t.Errorf("%v", err)
+	}
+	stop()
+
+	cfg.FirstStart = false
+	s, stop = startOne(t, cfg)
+	defer stop()
+	eventually(t, func(ctx context.Context) error {
+		text, err := s.Newest(ctx)
+		if err == nil && string(text) != "7" {
+			t.Fatalf("read back %q", text)
+		}
+		return err
+	})
+	client := wireconnect.NewFleetServiceClient(transport.NewPeerClient(), "http://"+cfg.Address)
+	eventually(t, func(ctx context.Context) error {
+		resp, err := client.Sync(ctx, connect.NewRequest(&wire.SyncRequest{Gateway: &wire.Gateway{Id: "g"}}))
+		if err == nil && resp.Msg.Document.GetVersion() != 7 {
+			t.Fatalf("a gateway is told version %d", resp.Msg.Document.GetVersion())
+		}
+		return err
+	})
+}
+
+func TestLoadsOfOthersLeaveOutTheOwn(t *testing.T) {
+	l, _ := testLead(&fakeEngine{held: map[string]map[string]bool{}})
+	l.gateways, l.loads = map[string]*gatewayState{}, map[string]*wire.InProgress{}
+	report := func(id string, running uint32) *wire.SyncResponse {
+		return l.sync(&wire.SyncRequest{
+			Gateway: &wire.Gateway{Id: id}, Loads: []*wire.InProgress{{Endpoint: "e", Running: running, Tokens: 10 * uint64(running)}},
+		})
+	}
+	report("a", 3)
+	if got := report("b", 4).OtherLoads; len(got) != 1 || got[0].Running != 3 || got[0].Tokens != 30 {
+		t.Errorf("b is told %v", got)
+	}
+	if got := report("a", 1).OtherLoads; len(got) != 1 || got[0].Running != 4 {
+		t.Errorf("a is told %v", got)
+	}
+	if got := report("b", 4).OtherLoads; len(got) != 1 || got[0].Running != 1 {
+		t.Errorf("b is told %v after a has finished two", got)
+	}
+	l.dropLost(l.s.clock() + 2*gatewayLost)
+	if len(l.loads) != 0 || len(l.gateways) != 0 {
+		t.Errorf("gateways that are lost still count: %v", l.loads)
+	}
+}
