Commit once before a lead begins, and pass an endpoint's failure on where no other is left

Found by reading: a new leader could look at the notes of orders before the last of them was applied; it now commits an empty command first. A repeatable request whose first endpoint failed and that found no second one got a failure of the gateway's own in place of the endpoint's; the test was seen to fail without the change.

--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -92,7 +92,9 @@
 		if l == nil {
 			l, stop = s.startLead(ctx, term)
 		}
-		l.step(ctx)
+		if l != nil {
+			l.step(ctx)
+		}
 	}
 }
 
@@ -103,9 +105,17 @@
 	return term, err == nil
 }
 
-// startLead begins a term. The leader lease holds only after a commit of the
-// term, so the notes of every earlier leader are seen here.
+// startLead begins a term, or returns nil where that is not possible now. The
+// commit makes sure that everything that earlier leaders have committed is
+// applied here, their notes above all.
 func (s *Server) startLead(ctx context.Context, term uint64) (*leadState, context.CancelFunc) {
+	confirm := &wire.Command{Body: &wire.Command_ConfirmLead{ConfirmLead: &wire.ConfirmLead{}}}
+	call, done := context.WithTimeout(ctx, callTimeout)
+	defer done()
+	if _, err := s.node.ProposeInTerm(call, term, confirm); err != nil {
+		s.log.WithError(err).WithField("term", term).Warn("lead not started")
+		return nil, nil
+	}
 	s.lookAtNotes(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leadState{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -31,9 +31,6 @@
 	outcome attempt.Outcome
 	// done is set where the caller has its whole answer.
 	done bool
-	// held is the endpoint's own failure, to be passed on where nothing better
-	// follows.
-	held *heldAnswer
 	err  error
 }
 
@@ -76,7 +73,7 @@
 		case attempt.Send, attempt.Resume:
 			continue
 		case attempt.PassOn:
-			out.pass(s.held)
+			out.pass(out.failed)
 			q.note("endpoint_failed", e, &h, s.err)
 			return
 		case attempt.Abort:
@@ -109,6 +106,9 @@
 	case out.begun:
 		q.note("aborted", nil, h, err)
 		panic(http.ErrAbortHandler)
+	case out.failed != nil && q.ctx.Err() == nil:
+		out.pass(out.failed)
+		q.note("endpoint_failed", nil, h, err)
 	case h.MayHaveRun:
 		q.fail(h, err)
 	case errors.Is(q.ctx.Err(), context.DeadlineExceeded):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,9 +26,9 @@
 const (
 	// memoryShare of the process's memory is what the collector aims at.
 	memoryShare = 0.6
-	// lameDuck is how long a stopping gateway still takes requests, for callers
+	// drainDelay is how long a stopping gateway still takes requests, for callers
 	// keep its address a while.
-	lameDuck = 1500 * time.Millisecond
+	drainDelay = 1500 * time.Millisecond
 	// stopReserve of the grace time is kept for the exit itself.
 	stopReserve = 600 * time.Millisecond
 	// controlTimeout bounds one call to a control replica, and controlRetry is
@@ -208,7 +208,7 @@
 	g.draining.Store(true)
 	g.log.Info("draining")
 	g.callers.Drain()
-	wait.For(ctx, lameDuck)
+	wait.For(ctx, drainDelay)
 	g.callers.CloseIdle()
 	left := g.cfg.Grace.D() - stopReserve - time.Since(started)
 	ctx, cancel := context.WithTimeout(ctx, left)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -268,6 +268,14 @@
 	}
 }
 
+func TestOwnFailureIsPassedOnWhereNoOtherEndpointIsLeft(t *testing.T) {
+	e := startEngine(t, answer(500, "Signed: 1\r\n", "broken"))
+	resp, body, err := call(t, t.Context(), testGateway(t, safe, e))
+	if err != nil || resp.StatusCode != 500 || body != "broken" {
+		t.Errorf("%v %q %v", resp, body, err)
+	}
+}
+
 func TestRequestThatMayRunOnceIsNotRepeated(t *testing.T) {
 	for name, first := range map[string]string{"failed": answer(500, "Signed: 1\r\n", "broken"), "lost": ""} {
 		a, b := startEngine(t, first), startEngine(t, answer(200, "Signed: 1\r\n", "fine"))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,6 +26,8 @@
 	q *request
 	// begun is set once the head was passed on.
 	begun bool
+	// failed is the newest failure of an endpoint's own; nil for none.
+	failed *heldAnswer
 	// wroteAt is when bytes were passed on last.
 	wroteAt time.Duration
 	// unread takes the prompt back from what waits to be read at the endpoint;
@@ -95,7 +97,8 @@
 		r.pass(held)
 		return sent{done: true, err: failed}
 	}
-	return sent{outcome: attempt.Failed, held: held, err: failed}
+	r.failed = held
+	return sent{outcome: attempt.Failed, err: failed}
 }
 
 // whole reads the answer to its end before any of it is passed on.
