Keep views growing over a lapse of the leader's lease

A replica whose lease lapses and that leads again in the same term began its views at revision 1, and gateways, which take only newer ones, kept theirs until the numbers caught up. The same happened to what it knew of demand and engines. Ruled out: locks (none nests), the list's calls (each bounded by 1 s), the plan (it ends). Now the revision belongs to the process, and a lapse of up to 1 s drops nothing; the lease is still checked for each answer and each order. The test failed before: revision 1 after 5.

--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/residency"
 	"parsleyramp/internal/wire"
 )
@@ -293,3 +294,23 @@
 		t.Errorf("an engine whose note was taken back is free at %v, want at once", at)
 	}
 }
+
+// TestViewsGrowOverALapseOfTheLease lets a replica lose its lease and lead again
+// in the same term. Gateways take only views that are newer than theirs.
+func TestViewsGrowOverALapseOfTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := testLead(&fakeEngine{held: map[string]map[string]bool{}})
+		time.Sleep(time.Second)
+		for i := range 5 {
+			l.takeList([]Listed{{ID: "e", Service: "s", Address: "e", Slots: i + 1}})
+		}
+		before := l.view
+		again := &leadState{
+			s: l.s, term: l.term, since: l.since, ctx: l.ctx, hurry: make(chan struct{}, 1), engines: map[string]*engineState{},
+		}
+		again.takeList([]Listed{{ID: "e", Service: "s", Address: "e", Slots: 9, Leaving: true}})
+		if !fleet.NewView(again.view).Newer(fleet.NewView(before)) {
+			t.Errorf("revision %d after %d in the same term: no gateway takes the view", again.view.Revision, before.Revision)
+		}
+	})
+}
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -18,6 +18,10 @@
 	// settleTime is how long a new leader lets gateways report before it
 	// publishes a view that names them.
 	settleTime = 60 * time.Millisecond
+	// lapseLimit is how long the leader lease may lapse before what this replica
+	// knows as a leader is dropped. Meanwhile it answers no gateway and gives no
+	// order, for both check the lease.
+	lapseLimit = time.Second
 	// leadCheck is the time between two looks at whether this replica leads now.
 	leadCheck = 25 * time.Millisecond
 	// gatewayLost is how long a gateway must be silent before it is left out.
@@ -66,6 +70,7 @@
 // leadLoop carries out the leader's duties whenever this replica leads.
 func (s *Server) leadLoop(ctx context.Context) {
 	var stop context.CancelFunc
+	var heldAt time.Duration
 	for {
 		var hurry <-chan struct{}
 		wait := leadCheck
@@ -80,7 +85,11 @@
 		}
 		term, ok := s.leadingTerm(ctx)
 		l := s.lead.Load()
-		if l != nil && (!ok || l.term != term) {
+		now := s.clock()
+		if ok {
+			heldAt = now
+		}
+		if l != nil && (ok && l.term != term || now-heldAt > lapseLimit) {
 			s.log.WithField("term", l.term).Info("lead ended")
 			s.lead.Store(nil)
 			stop()
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -39,10 +39,14 @@
 
 	turns *turns
 	// lead is what this replica knows while it leads; nil otherwise.
-	lead     atomic.Pointer[leadState]
-	inner    *transport.Server
-	operator *transport.Server
-	stopped  chan error
+	lead atomic.Pointer[leadState]
+	// viewRevision is the revision of the newest view that this process has
+	// published. It outlives a lead, for the process may lead again in the same
+	// term, and gateways take only views that are newer than theirs.
+	viewRevision atomic.Uint64
+	inner        *transport.Server
+	operator     *transport.Server
+	stopped      chan error
 }
 
 // Start opens the data folder and serves until ctx ends.
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -32,7 +32,7 @@
 			return
 		}
 	}
-	v.Revision++
+	v.Revision = l.s.viewRevision.Add(1)
 	l.view = v
 }
 
