Count a model that is loading when an adapter is ordered

An adapter whose engine was chosen just before a step began was checked against what the engine held, without the model that was loading.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -117,14 +117,18 @@
 	if s == nil || s.Engine == nil {
 		return false
 	}
-	return roomFor(s.Engine, e.held, e.arriving, o)
+	return roomFor(s.Engine, e.held, e.arriving, e.loading, o)
 }
 
 // roomFor reports whether an engine that holds models with their adapters, and
-// has further adapters on their way, stays within its limits with the order.
-func roomFor(d *document.Engine, held map[string]map[string]bool, arriving map[adapterName]bool, o Order) bool {
+// has further adapters and a model on their way, stays within its limits with
+// the order. An empty loading stands for no model.
+func roomFor(d *document.Engine, held map[string]map[string]bool, arriving map[adapterName]bool, loading string, o Order) bool {
 	all := map[adapterName]bool{}
 	models := map[string]bool{o.Model: true}
+	if loading != "" {
+		models[loading] = true
+	}
 	for model, adapters := range held {
 		models[model] = true
 		for a := range adapters {
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -50,7 +50,7 @@
 		return OrderConflict
 	}
 	d := testDocument().Services[0].Engine
-	if o.Load && !roomFor(d, f.held, nil, o) && f.overcommitted == "" {
+	if o.Load && !roomFor(d, f.held, nil, "", o) && f.overcommitted == "" {
 		f.overcommitted = fmt.Sprintf("%+v onto %v", o, f.held)
 	}
 	f.sequence++
@@ -314,3 +314,17 @@
 		}
 	})
 }
+
+// TestAdapterLeavesRoomForAModelThatIsLoading orders an adapter while a step
+// loads a model that a report does not list yet.
+func TestAdapterLeavesRoomForAModelThatIsLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}, "m1": {}}}
+		l, e := testLead(f, HeldModel{Name: "m0"}, HeldModel{Name: "m1"})
+		l.doc.Services[0].Engine.WeightsMB = 3*65e3 + 50
+		e.ordering, e.loading = true, "m2"
+		if answer := e.orderAdapter(t.Context(), l.doc.Services[0].Engine, adapterName{"m0", "a1"}); answer != OrderNotSent {
+			t.Errorf("%v: the adapter takes the room of the model", answer)
+		}
+	})
+}
