Tell gateways what has changed of the fleet, and the counts by position

Ruled out: relays by domain, which add a hop and are not needed at this size; a slower exchange for all, which makes counts old on small fleets. Now tables with revisions (internal/revision) tell what changed since the reader's revision, counts go by the position of the endpoint, the leader bounds the exchanges to 400 a second over all gateways, and a gateway finds the endpoints of a model by an index.

--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"parsleyramp/internal/wire"
+)
+
+// BenchmarkChoose measures one choice among endpoints that hold three models
+// each, out of as many models as there are engines to eight replicas each.
+func BenchmarkChoose(b *testing.B) {
+	for _, endpoints := range []int{22, 220, 2200} {
+		w := &wire.FleetView{}
+		models := max(endpoints*3/8, 3)
+		for i := range endpoints {
+			e := engine(fmt.Sprintf("e%d", i), "d1")
+			for j := range 3 {
+				e.Models = append(e.Models, held(fmt.Sprintf("m%d", (3*i+j)%models)))
+			}
+			w.Endpoints = append(w.Endpoints, e)
+		}
+		v := NewView(w)
+		l := NewLoads(rand.IntN)
+		n := need
+		n.Model, n.Session = "m1", "session"
+		b.Run(fmt.Sprintf("%dendpoints", endpoints), func(b *testing.B) {
+			for b.Loop() {
+				l.Choose(v, n, nil, 0)
+			}
+		})
+	}
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -53,7 +53,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []*Endpoint
-	for _, e := range v.Service(n.Service) {
+	for _, e := range v.candidates(n.Service, n.Model) {
 		if !e.Leaving && !tried[e.ID] && e.Serves(n.Model, n.Adapter) {
 			all = append(all, e)
 		}
@@ -112,6 +112,11 @@
 	if n.CacheTokens > 0 {
 		use = max(use, float64(load.Tokens)/float64(n.CacheTokens))
 	}
+	if l.stale {
+		// An estimate may put an endpoint behind others, but whether it is full
+		// only the endpoint itself can say.
+		use = min(use, 1)
+	}
 	return use
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,18 @@
 	return &wire.HeldModel{Name: name, Adapters: adapters}
 }
 
+// setOthers tells what the other gateways have running, by endpoint.
+func setOthers(t *testing.T, l *Loads, v *View, busy map[string]uint32) {
+	t.Helper()
+	running := make([]uint32, len(v.Endpoints))
+	for i, e := range v.Endpoints {
+		running[i] = busy[e.ID]
+	}
+	if !l.SetOthers(v.Endpoints, running, make([]uint32, len(running))) {
+		t.Fatal("the counts were not taken")
+	}
+}
+
 var need = Need{Service: "s", Model: "m", Domain: "d1"}
 
 func chosen(c Choice) string {
@@ -64,7 +77,7 @@
 func TestChooseSpreadsByAllGatewaysCounts(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
 	l := NewLoads(firstOnes())
-	l.SetOthers([]*wire.InProgress{{Endpoint: "a", Running: 8}})
+	setOthers(t, l, v, map[string]uint32{"a": 8})
 	for range 7 {
 		c := l.Choose(v, need, nil, 0)
 		if chosen(c) != "b" {
@@ -116,12 +129,12 @@
 // take within the time in which their counts go round.
 func TestGatewaysDoNotFillTheEmptiestTogether(t *testing.T) {
 	var all []*wire.FleetEndpoint
-	var busy []*wire.InProgress
+	busy := map[string]uint32{}
 	for i := range 10 {
 		id := fmt.Sprintf("e%d", i)
 		all = append(all, engine(id, "d1", held("m")))
 		if i > 0 {
-			busy = append(busy, &wire.InProgress{Endpoint: id, Running: 4})
+			busy[id] = 4
 		}
 	}
 	v := NewView(&wire.FleetView{Endpoints: all})
@@ -131,7 +144,7 @@
 	for range gateways {
 		l := NewLoads(r.IntN)
 		l.SetStale(false, gateways)
-		l.SetOthers(busy)
+		setOthers(t, l, v, busy)
 		for range requests {
 			c := l.Choose(v, need, nil, 0)
 			l.Begin(c.Endpoint.ID, 0, 800)
@@ -146,13 +159,17 @@
 func TestStaleCountsAreReplacedByAnEstimate(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m"))}})
 	l := NewLoads(firstOnes())
-	l.SetOthers([]*wire.InProgress{{Endpoint: "a", Running: 3}})
+	setOthers(t, l, v, map[string]uint32{"a": 3})
 	l.Begin("a", 0, 0)
 	l.Begin("a", 0, 0)
 	l.SetStale(true, 4)
 	if c := l.Choose(v, need, nil, 0); c.Use != 0.8 {
 		t.Errorf("use %v, want 0.8: 2 at each of 4 gateways", c.Use)
 	}
+	l.SetStale(true, 80)
+	if c := l.Choose(v, need, nil, 0); c.Use != 1 {
+		t.Errorf("use %v, want 1: an estimate never says that there is no place", c.Use)
+	}
 	l.SetStale(false, 4)
 	if c := l.Choose(v, need, nil, 0); c.Use != 0.5 {
 		t.Errorf("use %v, want 0.5: 2 and the 3 of the others", c.Use)
@@ -221,21 +238,70 @@
 }
 
 func TestViewsOfALaterTermWin(t *testing.T) {
-	view := func(term, revision uint64) *View {
-		return NewView(&wire.FleetView{Term: term, Revision: revision})
+	type view struct{ term, revision, since uint64 }
+	encode := func(v view) *wire.FleetView {
+		return &wire.FleetView{Term: v.term, Revision: v.revision, Since: v.since}
 	}
 	for _, c := range []struct {
-		next, old *View
+		next, old view
 		want      bool
 	}{
-		{view(1, 1), nil, true},
-		{view(1, 2), view(1, 1), true},
-		{view(1, 1), view(1, 1), false},
-		{view(2, 1), view(1, 9), true},
-		{view(1, 9), view(2, 1), false},
+		{view{1, 1, 0}, view{}, true},
+		{view{1, 2, 0}, view{1, 1, 0}, true},
+		{view{1, 1, 0}, view{1, 1, 0}, false},
+		{view{2, 1, 0}, view{1, 9, 0}, true},
+		{view{1, 9, 0}, view{2, 1, 0}, false},
+		{view{1, 5, 3}, view{1, 3, 0}, true},
+		{view{1, 5, 3}, view{1, 2, 0}, false},
+		{view{2, 5, 3}, view{1, 3, 0}, false},
+		{view{1, 5, 3}, view{}, false},
 	} {
-		if got := c.next.Newer(c.old); got != c.want {
+		var old *View
+		if c.old.term > 0 {
+			old = NewView(encode(c.old))
+		}
+		if _, got := old.Update(encode(c.next)); got != c.want {
 			t.Errorf("%+v after %+v: %v", c.next, c.old, got)
 		}
 	}
 }
+
+// TestChangesKeepTheRestOfAView lets an engine load a model, one come and one go.
+func TestChangesKeepTheRestOfAView(t *testing.T) {
+	v := NewView(&wire.FleetView{
+		Term: 1, Revision: 4, Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("x")), engine("b", "d1", held("m")), engine("c", "d1")},
+		Gateways: []*wire.Gateway{{Id: "g"}, {Id: "h"}},
+	})
+	next, ok := v.Update(&wire.FleetView{
+		Term: 1, Revision: 6, Since: 4, Endpoints: []*wire.FleetEndpoint{engine("d", "d1", held("m")), engine("a", "d1", held("m"))},
+		RemovedEndpoints: []string{"c"}, Gateways: []*wire.Gateway{{Id: "i"}}, RemovedGateways: []string{"g"},
+	})
+	if !ok {
+		t.Fatal("the changes were not taken")
+	}
+	var ids, gateways []string
+	for _, e := range next.Service("s") {
+		ids = append(ids, e.ID)
+	}
+	for _, g := range next.Gateways {
+		gateways = append(gateways, g.Id)
+	}
+	if want := []string{"a", "b", "d"}; !slices.Equal(ids, want) || len(next.candidates("s", "m")) != 3 || len(next.candidates("s", "x")) != 0 {
+		t.Errorf("endpoints %v, want %v, all with m", ids, want)
+	}
+	if want := []string{"h", "i"}; !slices.Equal(gateways, want) {
+		t.Errorf("gateways %v, want %v", gateways, want)
+	}
+	if len(v.Service("s")) != 3 || len(v.candidates("s", "m")) != 1 {
+		t.Error("the old view has changed")
+	}
+}
+
+// TestCountsOfAnotherViewAreNotTaken counts by position, so the endpoints must
+// be those that the leader counted.
+func TestCountsOfAnotherViewAreNotTaken(t *testing.T) {
+	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1"), engine("b", "d1")}})
+	if NewLoads(firstOnes()).SetOthers(v.Endpoints, []uint32{1}, []uint32{1}) {
+		t.Error("one count was taken for two endpoints")
+	}
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -23,9 +23,9 @@
 	own    map[string]Load
 	others map[string]Load
 	health map[string]*health
-	// scale replaces the others' counts, where these are stale, by a multiple of
-	// the own ones; zero while they are fresh.
-	scale int
+	// stale is set while the others' counts are old. Then each of the others is
+	// taken to have as much in progress as this one.
+	stale bool
 	// gateways is how many gateways share the endpoints, this one included.
 	gateways int
 	draw     func(n int) int
@@ -82,15 +82,26 @@
 	return out
 }
 
-// SetOthers replaces what the other gateways have in progress.
-func (l *Loads) SetOthers(loads []*wire.InProgress) {
-	others := map[string]Load{}
-	for _, w := range loads {
-		others[w.Endpoint] = Load{Running: int(w.Running), Tokens: int(w.Tokens)}
+// TokenUnit is the unit in which gateways are told the tokens in progress.
+const TokenUnit = 256
+
+// SetOthers replaces what the other gateways have in progress: requests and
+// units of tokens at each of the endpoints. It returns false, and changes
+// nothing, where the numbers are not those of the endpoints.
+func (l *Loads) SetOthers(endpoints []*Endpoint, running, tokenUnits []uint32) bool {
+	if len(running) != len(endpoints) || len(tokenUnits) != len(endpoints) {
+		return false
+	}
+	others := make(map[string]Load, len(endpoints))
+	for i, e := range endpoints {
+		if running[i] > 0 {
+			others[e.ID] = Load{Running: int(running[i]), Tokens: int(tokenUnits[i]) * TokenUnit}
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = others
+	return true
 }
 
 // SetStale says whether the counts of the others are old. Then each of the
@@ -98,20 +109,21 @@
 func (l *Loads) SetStale(stale bool, gateways int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.scale, l.gateways = 0, max(gateways, 1)
-	if stale {
-		l.scale = l.gateways
-	}
+	l.stale, l.gateways = stale, max(gateways, 1)
 }
 
+// maxUnreadScale bounds the estimate of the prompts that others have sent to an
+// endpoint. Among many gateways the prompt of one says little of the others'.
+const maxUnreadScale = 8
+
 // of returns the sum. The caller holds the lock.
 func (l *Loads) of(endpoint string) Load {
 	a, b := l.own[endpoint], l.others[endpoint]
 	// Prompts are read within less time than counts take to go round, so those
 	// of the others are estimated.
-	unread := a.Unread * l.gateways
-	if l.scale > 0 {
-		return Load{Running: a.Running * l.scale, Tokens: a.Tokens * l.scale, Unread: unread}
+	unread := a.Unread * min(l.gateways, maxUnreadScale)
+	if l.stale {
+		return Load{Running: a.Running * l.gateways, Tokens: a.Tokens * l.gateways, Unread: unread}
 	}
 	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens, Unread: unread}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"parsleyramp/internal/wire"
 )
@@ -40,28 +42,93 @@
 }
 
 // View is an immutable picture of the fleet, made by the control leader of a
-// term or, while none answers, by the gateway itself.
+// term.
 type View struct {
 	Term     uint64
 	Revision uint64
 	// Gateways are all gateways known, Control the control replicas' addresses.
-	Gateways  []*wire.Gateway
-	Control   []string
+	Gateways []*wire.Gateway
+	Control  []string
+	// Endpoints in the order of their ids.
 	Endpoints []*Endpoint
 
 	byService map[string][]*Endpoint
+	byModel   map[serviceModel][]*Endpoint
 }
 
-// NewView decodes a view.
+// serviceModel names a model of a service.
+type serviceModel struct{ service, model string }
+
+// NewView decodes a whole view.
 func NewView(w *wire.FleetView) *View {
-	v := &View{Term: w.Term, Revision: w.Revision, Gateways: w.Gateways, Control: w.Control, byService: map[string][]*Endpoint{}}
+	return (&View{Term: w.Term}).with(w)
+}
+
+// Update returns the view that follows from what the leader sent, or false
+// where that is not newer or changes another view than this one. A nil view
+// stands for none.
+func (v *View) Update(w *wire.FleetView) (*View, bool) {
+	if v != nil && !newer(w, v) {
+		return nil, false
+	}
+	if w.Since == 0 {
+		return NewView(w), true
+	}
+	if v == nil || v.Term != w.Term || v.Revision != w.Since {
+		return nil, false
+	}
+	return v.with(w), true
+}
+
+// newer reports whether w replaces the view. A later term wins; views of one
+// term grow in revision.
+func newer(w *wire.FleetView, v *View) bool {
+	return cmp.Or(cmp.Compare(w.Term, v.Term), cmp.Compare(w.Revision, v.Revision)) > 0
+}
+
+// with returns the view with the changes. What stays is shared with the old one.
+func (v *View) with(w *wire.FleetView) *View {
+	endpoints := make(map[string]*Endpoint, len(v.Endpoints)+len(w.Endpoints))
+	for _, e := range v.Endpoints {
+		endpoints[e.ID] = e
+	}
 	for _, e := range w.Endpoints {
-		v.add(&Endpoint{
-			ID: e.Id, Service: e.Service, Address: e.Address, Domain: e.Domain,
-			Leaving: e.Leaving, Slots: int(e.Slots), Models: heldModels(e.Models),
-		})
+		endpoints[e.Id] = newEndpoint(e)
+	}
+	for _, id := range w.RemovedEndpoints {
+		delete(endpoints, id)
+	}
+	gateways := make(map[string]*wire.Gateway, len(v.Gateways)+len(w.Gateways))
+	for _, g := range v.Gateways {
+		gateways[g.Id] = g
+	}
+	for _, g := range w.Gateways {
+		gateways[g.Id] = g
+	}
+	for _, id := range w.RemovedGateways {
+		delete(gateways, id)
+	}
+	out := &View{Term: w.Term, Revision: w.Revision, Control: w.Control}
+	out.Endpoints = inOrder(endpoints)
+	out.Gateways = inOrder(gateways)
+	out.index()
+	return out
+}
+
+// inOrder returns the values in the order of their keys.
+func inOrder[V any](m map[string]V) []V {
+	out := make([]V, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[key])
+	}
+	return out
+}
+
+func newEndpoint(w *wire.FleetEndpoint) *Endpoint {
+	return &Endpoint{
+		ID: w.Id, Service: w.Service, Address: w.Address, Domain: w.Domain,
+		Leaving: w.Leaving, Slots: int(w.Slots), Models: heldModels(w.Models),
 	}
-	return v
 }
 
 func heldModels(models []*wire.HeldModel) map[string]Held {
@@ -76,16 +143,26 @@
 	return out
 }
 
-func (v *View) add(e *Endpoint) {
-	v.Endpoints = append(v.Endpoints, e)
-	v.byService[e.Service] = append(v.byService[e.Service], e)
+// index lets the endpoints that hold a model be found without a look at all.
+func (v *View) index() {
+	v.byService, v.byModel = map[string][]*Endpoint{}, map[serviceModel][]*Endpoint{}
+	for _, e := range v.Endpoints {
+		v.byService[e.Service] = append(v.byService[e.Service], e)
+		for model := range e.Models {
+			k := serviceModel{e.Service, model}
+			v.byModel[k] = append(v.byModel[k], e)
+		}
+	}
 }
 
-// Service returns the endpoints of a service.
+// Service returns the endpoints of a service, in the order of their ids.
 func (v *View) Service(name string) []*Endpoint { return v.byService[name] }
 
-// Newer reports whether the view replaces the other one. A later term wins;
-// views of one term grow in revision.
-func (v *View) Newer(old *View) bool {
-	return old == nil || cmp.Or(cmp.Compare(v.Term, old.Term), cmp.Compare(v.Revision, old.Revision)) > 0
+// candidates returns the endpoints of the service that hold the model in any
+// state; all of the service where the model is empty.
+func (v *View) candidates(service, model string) []*Endpoint {
+	if model == "" {
+		return v.byService[service]
+	}
+	return v.byModel[serviceModel{service, model}]
 }
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -67,7 +67,9 @@
 	}
 	l.mu.Lock()
 	delete(l.jobs, key)
-	l.publish(l.s.clock())
+	if e := l.engines[job.endpoint]; e != nil {
+		l.publishEngine(e)
+	}
 	l.mu.Unlock()
 	close(job.done)
 }
@@ -213,4 +215,5 @@
 	default:
 		delete(e.held[model], adapter)
 	}
+	e.l.publishEngine(e)
 }
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -114,11 +114,9 @@
 		cfg: DefaultSettings(), log: testLog(), turns: newTurns(), adapter: Adapter{Platform: f},
 		clock: func() time.Duration { return time.Since(start) },
 	}
-	l := &leadState{
-		s: s, term: 1, ctx: context.Background(), doc: testDocument(), hurry: make(chan struct{}, 1), engines: map[string]*engineState{},
-		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{}, jobs: map[string]*adapterJob{},
-		allowed: func(context.Context, string) bool { return true },
-	}
+	l := newLeadState(context.Background(), s, 1)
+	l.doc = testDocument()
+	l.allowed = func(context.Context, string) bool { return true }
 	l.takeList([]Listed{{ID: "e", Service: "s", Address: "e", Slots: 24, Models: models}})
 	return l, l.engines["e"]
 }
@@ -304,13 +302,13 @@
 		for i := range 5 {
 			l.takeList([]Listed{{ID: "e", Service: "s", Address: "e", Slots: i + 1}})
 		}
-		before := l.view
-		again := &leadState{
-			s: l.s, term: l.term, since: l.since, ctx: l.ctx, hurry: make(chan struct{}, 1), engines: map[string]*engineState{},
-		}
+		before := fleet.NewView(l.published.since(l.term, 0))
+		again := newLeadState(l.ctx, l.s, l.term)
+		time.Sleep(time.Second)
 		again.takeList([]Listed{{ID: "e", Service: "s", Address: "e", Slots: 9, Leaving: true}})
-		if !fleet.NewView(again.view).Newer(fleet.NewView(before)) {
-			t.Errorf("revision %d after %d in the same term: no gateway takes the view", again.view.Revision, before.Revision)
+		after, ok := before.Update(again.published.since(l.term, before.Revision))
+		if !ok || !after.Endpoints[0].Leaving {
+			t.Errorf("revision %d after %d in the same term: no gateway takes the view", again.published.newest, before.Revision)
 		}
 	})
 }
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -56,7 +56,8 @@
 	wanted   map[string]time.Duration
 	notedAt  map[string]time.Duration
 	jobs     map[string]*adapterJob
-	view     *wire.FleetView
+	// published is what gateways are told.
+	published *publication
 	// control are the addresses of the replicas.
 	control []string
 }
@@ -127,17 +128,24 @@
 	}
 	s.lookAtNotes(ctx)
 	ctx, cancel := context.WithCancel(ctx)
+	l := newLeadState(ctx, s, term)
+	s.lead.Store(l)
+	go l.followList(ctx)
+	s.log.WithField("term", term).Info("lead started")
+	return l, cancel
+}
+
+// newLeadState returns the state of a lead that begins now.
+func newLeadState(ctx context.Context, s *Server, term uint64) *leadState {
 	l := &leadState{
 		s: s, term: term, since: s.clock(), ctx: ctx, hurry: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
+		published: newPublication(s.viewRevision.Load()),
 	}
 	l.allowed = l.mayOrder
-	s.lead.Store(l)
-	go l.followList(ctx)
-	s.log.WithField("term", term).Info("lead started")
-	return l, cancel
+	return l
 }
 
 // step looks at the document, plans and publishes the view.
--- a/internal/fleetcontrol/server_test.go
+++ b/internal/fleetcontrol/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
 	"parsleyramp/internal/wire/wireconnect"
@@ -113,24 +115,65 @@
 
 func TestLoadsOfOthersLeaveOutTheOwn(t *testing.T) {
 	l, _ := testLead(&fakeEngine{held: map[string]map[string]bool{}})
-	l.gateways, l.loads = map[string]*gatewayState{}, map[string]*wire.InProgress{}
+	l.since = -settleTime
+	l.takeList([]Listed{{ID: "d"}, {ID: "e"}, {ID: "f"}})
 	report := func(id string, running uint32) *wire.SyncResponse {
 		return l.sync(&wire.SyncRequest{
 			Gateway: &wire.Gateway{Id: id}, Loads: []*wire.InProgress{{Endpoint: "e", Running: running, Tokens: 10 * uint64(running)}},
 		})
 	}
 	report("a", 3)
-	if got := report("b", 4).OtherLoads; len(got) != 1 || got[0].Running != 3 || got[0].Tokens != 30 {
-		t.Errorf("b is told %v", got)
+	if got := report("b", 4); !slices.Equal(got.OthersRunning, []uint32{0, 3, 0}) || !slices.Equal(got.OthersTokenUnits, []uint32{0, 1, 0}) {
+		t.Errorf("b is told %v and %v", got.OthersRunning, got.OthersTokenUnits)
 	}
-	if got := report("a", 1).OtherLoads; len(got) != 1 || got[0].Running != 4 {
-		t.Errorf("a is told %v", got)
+	if got := report("a", 1); !slices.Equal(got.OthersRunning, []uint32{0, 4, 0}) {
+		t.Errorf("a is told %v", got.OthersRunning)
 	}
-	if got := report("b", 4).OtherLoads; len(got) != 1 || got[0].Running != 1 {
-		t.Errorf("b is told %v after a has finished two", got)
+	if got := report("b", 4); !slices.Equal(got.OthersRunning, []uint32{0, 1, 0}) {
+		t.Errorf("b is told %v after a has finished two", got.OthersRunning)
 	}
 	l.dropLost(l.s.clock() + 2*gatewayLost)
 	if len(l.loads) != 0 || len(l.gateways) != 0 {
 		t.Errorf("gateways that are lost still count: %v", l.loads)
 	}
 }
+
+// TestGatewaysAreToldOnlyWhatChanged exchanges with a leader while an engine
+// changes, another one leaves the list and a second gateway comes.
+func TestGatewaysAreToldOnlyWhatChanged(t *testing.T) {
+	l, _ := testLead(&fakeEngine{held: map[string]map[string]bool{}})
+	l.since = -settleTime
+	exchange := func(id string, v *fleet.View) *wire.FleetView {
+		r := &wire.SyncRequest{Gateway: &wire.Gateway{Id: id}}
+		if v != nil {
+			r.ViewTerm, r.ViewRevision = v.Term, v.Revision
+		}
+		return l.sync(r).View
+	}
+	l.takeList([]Listed{{ID: "d"}, {ID: "e"}, {ID: "f"}})
+	v, ok := (*fleet.View)(nil).Update(exchange("a", nil))
+	if !ok || len(v.Endpoints) != 3 || len(v.Gateways) != 1 {
+		t.Fatalf("the first view is %+v", v)
+	}
+	if again := exchange("a", v); again != nil {
+		t.Errorf("told %v though nothing has changed", again)
+	}
+	l.takeList([]Listed{{ID: "e"}, {ID: "f", Leaving: true}})
+	exchange("b", nil)
+	changes := exchange("a", v)
+	if len(changes.Endpoints) != 1 || len(changes.RemovedEndpoints) != 1 || len(changes.Gateways) != 1 || changes.Since != v.Revision {
+		t.Errorf("told %v", changes)
+	}
+	next, ok := v.Update(changes)
+	if !ok || len(next.Endpoints) != 2 || !next.Endpoints[1].Leaving || len(next.Gateways) != 2 {
+		t.Errorf("the view after the changes is %+v", next)
+	}
+}
+
+func TestLeaderIsAskedAtABoundedRate(t *testing.T) {
+	for gateways, want := range map[int]uint32{1: 2, 7: 17, 86: 215, 340: 850} {
+		if got := syncPauseMS(gateways); got != want {
+			t.Errorf("%d gateways pause %d ms, want %d", gateways, got, want)
+		}
+	}
+}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -70,13 +70,22 @@
 	if fresh {
 		l.publish(now)
 	}
-	resp := &wire.SyncResponse{Term: l.term, OtherLoads: l.others(g)}
-	if v := l.view; v != nil && (v.Term != r.ViewTerm || v.Revision != r.ViewRevision) {
-		resp.View = v
+	known := uint64(0)
+	if r.ViewTerm == l.term {
+		known = r.ViewRevision
 	}
+	resp := &wire.SyncResponse{Term: l.term, View: l.published.since(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
+	resp.OthersRunning, resp.OthersTokenUnits = l.others(g)
 	return resp
 }
 
+// syncsPerSecond bounds the exchanges with all gateways together, and so the
+// leader's work and links, at any number of gateways.
+const syncsPerSecond = 400
+
+// syncPauseMS returns how long a gateway is to leave the leader alone.
+func syncPauseMS(gateways int) uint32 { return uint32(1000 * gateways / syncsPerSecond) }
+
 // described returns what the gateway said of itself last; nil where it is new.
 func (g *gatewayState) described() *wire.Gateway {
 	if g == nil {
@@ -111,22 +120,6 @@
 	}
 }
 
-// others returns the sums over all gateways but one.
-func (l *leadState) others(g *gatewayState) []*wire.InProgress {
-	own := map[string]*wire.InProgress{}
-	for _, x := range g.loads {
-		own[x.Endpoint] = x
-	}
-	var out []*wire.InProgress
-	for id, total := range l.loads {
-		o := own[id]
-		if total.Running > o.GetRunning() {
-			out = append(out, &wire.InProgress{Endpoint: id, Running: total.Running - o.GetRunning(), Tokens: total.Tokens - o.GetTokens()})
-		}
-	}
-	return out
-}
-
 // Want asks for a model or adapter that a gateway found nowhere.
 func (f *fleetService) Want(ctx context.Context, req *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error) {
 	l := f.s.lead.Load()
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -9,31 +9,94 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/revision"
 	"parsleyramp/internal/wire"
 )
 
-// publish makes a new view where something has changed. The caller holds the lock.
+// publication is what the leader tells gateways of the fleet. Gateways that
+// hold an earlier revision of the same term are told only what has changed.
+type publication struct {
+	endpoints *revision.Table[*wire.FleetEndpoint]
+	gateways  *revision.Table[*wire.Gateway]
+	control   []string
+	// order holds the endpoints' ids in order.
+	order []string
+	// newest is the newest revision; zero until something is published.
+	newest uint64
+}
+
+// newPublication returns an empty one whose revisions follow floor.
+func newPublication(floor uint64) *publication {
+	return &publication{
+		endpoints: revision.NewTable(floor, func(a, b *wire.FleetEndpoint) bool { return proto.Equal(a, b) }),
+		gateways:  revision.NewTable(floor, func(a, b *wire.Gateway) bool { return proto.Equal(a, b) }),
+	}
+}
+
+// since returns what a gateway that holds the revision must be told, or nil.
+func (p *publication) since(term, known uint64) *wire.FleetView {
+	if p.newest == 0 || known == p.newest {
+		return nil
+	}
+	endpoints, gateways := p.endpoints.Since(known), p.gateways.Since(known)
+	if endpoints.Whole != gateways.Whole {
+		known = 0
+		endpoints, gateways = p.endpoints.Since(0), p.gateways.Since(0)
+	}
+	if endpoints.Whole {
+		known = 0
+	}
+	return &wire.FleetView{
+		Term: term, Revision: p.newest, Since: known, Control: p.control,
+		Endpoints: endpoints.Set, RemovedEndpoints: endpoints.Removed,
+		Gateways: gateways.Set, RemovedGateways: gateways.Removed,
+	}
+}
+
+// publish makes a new revision where something has changed. The caller holds
+// the lock.
 func (l *leadState) publish(now time.Duration) {
 	if !l.listed || now-l.since < settleTime {
 		return
 	}
-	v := &wire.FleetView{Term: l.term, Control: l.control}
-	for _, id := range slices.Sorted(maps.Keys(l.engines)) {
-		v.Endpoints = append(v.Endpoints, l.engines[id].shown())
+	endpoints := make(map[string]*wire.FleetEndpoint, len(l.engines))
+	for id, e := range l.engines {
+		endpoints[id] = e.shown()
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.gateways)) {
-		if g := l.gateways[id]; now-g.seen < gatewayLost {
-			v.Gateways = append(v.Gateways, g.gateway)
+	gateways := make(map[string]*wire.Gateway, len(l.gateways))
+	for id, g := range l.gateways {
+		if now-g.seen < gatewayLost {
+			gateways[id] = g.gateway
 		}
 	}
-	if l.view != nil {
-		v.Revision = l.view.Revision
-		if proto.Equal(v, l.view) {
-			return
-		}
+	p, next := l.published, l.s.viewRevision.Load()+1
+	changed := p.endpoints.Replace(endpoints, next)
+	changed = p.gateways.Replace(gateways, next) || changed
+	if changed || p.newest == 0 || !slices.Equal(p.control, l.control) {
+		p.control, p.order = l.control, p.endpoints.Keys()
+		l.commitRevision(next)
 	}
-	v.Revision = l.s.viewRevision.Add(1)
-	l.view = v
+}
+
+// publishEngine makes a new revision where what is shown of the engine has
+// changed. The caller holds the lock.
+func (l *leadState) publishEngine(e *engineState) {
+	p, next := l.published, l.s.viewRevision.Load()+1
+	if p.newest == 0 || l.engines[e.listed.ID] != e {
+		return
+	}
+	if _, shown := slices.BinarySearch(p.order, e.listed.ID); !shown {
+		return
+	}
+	if p.endpoints.Put(e.listed.ID, e.shown(), next) {
+		l.commitRevision(next)
+	}
+}
+
+func (l *leadState) commitRevision(next uint64) {
+	l.published.newest = next
+	l.s.viewRevision.Store(next)
 }
 
 // shown returns the endpoint as gateways are told.
@@ -54,6 +117,21 @@
 	return out
 }
 
+// others returns what all gateways but one have in progress, in the order in
+// which the endpoints are published.
+func (l *leadState) others(g *gatewayState) (running, tokenUnits []uint32) {
+	own := make(map[string]*wire.InProgress, len(g.loads))
+	for _, x := range g.loads {
+		own[x.Endpoint] = x
+	}
+	for _, id := range l.published.order {
+		total, o := l.loads[id], own[id]
+		running = append(running, total.GetRunning()-o.GetRunning())
+		tokenUnits = append(tokenUnits, uint32((total.GetTokens()-o.GetTokens()+fleet.TokenUnit-1)/fleet.TokenUnit))
+	}
+	return running, tokenUnits
+}
+
 // controlAddresses returns the addresses of the replicas in the membership.
 func (s *Server) controlAddresses(ctx context.Context) []string {
 	status, err := s.node.Status(ctx)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -10,7 +10,6 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
-	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -22,7 +21,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	var lostAt time.Time
 	for {
-		err := g.sync(ctx)
+		pause, err := g.sync(ctx)
 		g.loads.SetStale(err != nil, len(g.knownGateways()))
 		switch {
 		case ctx.Err() != nil:
@@ -34,14 +33,15 @@
 			g.log.WithField("lost_for", time.Since(lostAt)).Info("control regained")
 			lostAt = time.Time{}
 		}
-		if !wait.For(ctx, g.cfg.SyncInterval.D()) {
+		if !wait.For(ctx, max(pause, g.cfg.SyncInterval.D())) {
 			return
 		}
 	}
 }
 
-// sync tells the leader what this gateway does and takes over what is newer.
-func (g *Gateway) sync(ctx context.Context) error {
+// sync tells the leader what this gateway does and takes over what is newer. It
+// returns how long the leader wants to be left alone.
+func (g *Gateway) sync(ctx context.Context) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Own(), Demand: g.demand.take()}
@@ -60,12 +60,26 @@
 		return err
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
-	g.loads.SetOthers(resp.OtherLoads)
 	g.takeDocument(resp.Document)
 	g.takeView(resp.View)
-	return nil
+	g.takeLoads(resp)
+	return time.Duration(resp.PauseMs) * time.Millisecond, nil
+}
+
+// takeLoads takes over what the others have in progress. The numbers go with
+// the endpoints of the view that this gateway holds now.
+func (g *Gateway) takeLoads(resp *wire.SyncResponse) {
+	v := g.view.Load()
+	if v == nil || len(resp.OthersRunning) == 0 {
+		return
+	}
+	if !g.loads.SetOthers(v.Endpoints, resp.OthersRunning, resp.OthersTokenUnits) {
+		g.log.WithFields(logrus.Fields{
+			"term": v.Term, "revision": v.Revision, "endpoints": len(v.Endpoints), "numbers": len(resp.OthersRunning),
+		}).Warn("counts of other gateways do not go with the view; the old ones stay")
+	}
 }
 
 // takeDocument puts a newer document in force. It never goes back.
@@ -91,8 +105,8 @@
 	if w == nil {
 		return
 	}
-	v := fleet.NewView(w)
-	if !v.Newer(g.view.Load()) {
+	v, ok := g.view.Load().Update(w)
+	if !ok {
 		return
 	}
 	g.view.Store(v)
--- /dev/null
+++ b/internal/revision/table_test.go
@@ -0,0 +1,88 @@
+package revision
+
+import (
+	"maps"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func newTable(floor uint64) *Table[string] {
+	return NewTable(floor, func(a, b string) bool { return a == b })
+}
+
+// apply brings a reader's copy up to date. Values are KEY=NUMBER.
+func apply(known map[string]string, c Changes[string]) map[string]string {
+	out := map[string]string{}
+	if !c.Whole {
+		maps.Copy(out, known)
+	}
+	for _, v := range c.Set {
+		out[v[:1]] = v
+	}
+	for _, key := range c.Removed {
+		delete(out, key)
+	}
+	return out
+}
+
+// TestChangesLeadToTheTable plays random changes and lets a reader that knows
+// any earlier revision take what it is told.
+func TestChangesLeadToTheTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const floor = 7
+		table := newTable(floor)
+		history := map[uint64]map[string]string{}
+		current := map[string]string{}
+		revision := uint64(floor)
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			next := maps.Clone(current)
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+			if rapid.Bool().Draw(t, "remove") {
+				delete(next, key)
+			} else {
+				next[key] = key + "=" + strconv.Itoa(rapid.IntRange(0, 2).Draw(t, "value"))
+			}
+			if changed := table.Replace(next, revision+1); changed != !maps.Equal(next, current) {
+				t.Fatalf("a change from %v to %v is reported as %v", current, next, changed)
+			}
+			if !maps.Equal(next, current) {
+				revision++
+			}
+			current = next
+			history[revision] = maps.Clone(current)
+		}
+		for known, copyThen := range history {
+			if got := apply(copyThen, table.Since(known)); !maps.Equal(got, current) {
+				t.Fatalf("a reader of revision %d comes to %v, want %v", known, got, current)
+			}
+		}
+		for _, known := range []uint64{0, floor} {
+			if got := apply(map[string]string{"z": "z=1"}, table.Since(known)); !maps.Equal(got, current) {
+				t.Fatalf("a reader that knows nothing comes to %v, want %v", got, current)
+			}
+		}
+	})
+}
+
+// TestOldReadersAreToldEverything removes more entries than are remembered.
+func TestOldReadersAreToldEverything(t *testing.T) {
+	table := newTable(0)
+	table.Replace(map[string]string{"a": "a=1", "b": "b=1"}, 1)
+	copyThen := map[string]string{"a": "a=1", "b": "b=1"}
+	table.Replace(map[string]string{"a": "a=1"}, 2)
+	revision := uint64(2)
+	for range maxRemoved + 1 {
+		table.Replace(map[string]string{"a": "a=1", "c": "c=1"}, revision+1)
+		table.Replace(map[string]string{"a": "a=1"}, revision+2)
+		revision += 2
+	}
+	changes := table.Since(1)
+	if got := apply(copyThen, changes); len(got) != 1 || !changes.Whole {
+		t.Errorf("an old reader comes to %v by %+v", got, changes)
+	}
+	if table.Since(revision - 2).Whole {
+		t.Error("a reader of the newest revision but one is told everything")
+	}
+}
