--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -11,12 +11,11 @@
 	// seconds must not hold replicas back from where it went.
 	fastTime = 1200 * time.Millisecond
 	slowTime = 3500 * time.Millisecond
-	// reactionTime is how much later than its load time a replica is of use: the
-	// demand is noticed late, and the plan and the unloads before it take time.
-	reactionTime = 1300 * time.Millisecond
-	// maxRisePerSecond bounds how far a rising demand is extended, as a multiple
-	// of the demand for each second.
-	maxRisePerSecond = 0.4
+	// aheadTime is how far ahead a rising demand is extended, for a replica
+	// takes about as long to come.
+	aheadTime = 2500 * time.Millisecond
+	// maxRise bounds the extension, as a multiple of the demand.
+	maxRise = 2.0
 	// forgottenDemand, in places, counts as none.
 	forgottenDemand = 0.01
 )
@@ -67,17 +66,15 @@
 }
 
 // Ahead returns the demand for the model, in places, that its rise leads to by
-// the time at which a replica that is ordered now and takes the load time is of
-// use.
-func (d *Demand) Ahead(model string, load, now time.Duration) float64 {
+// the time at which a replica that is ordered now is ready.
+func (d *Demand) Ahead(model string, now time.Duration) float64 {
 	places := d.Places(model, now)
 	if places == 0 {
 		return 0
 	}
 	a := d.models[model]
 	rise := (a.fast - a.slow) / (slowTime - fastTime).Seconds()
-	lead := (reactionTime + load).Seconds()
-	return min(max(places, places+rise*lead), (1+maxRisePerSecond*lead)*places)
+	return min(max(places, places+rise*aheadTime.Seconds()), maxRise*places)
 }
 
 // recentAdapter is how long an adapter counts as in use after a request for it.
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -247,35 +247,18 @@
 		places := 100 * now.Seconds() / 5
 		d.Add("m", "", time.Duration(places*float64(step)), now)
 	}
-	if got := d.Ahead("m", 1200*time.Millisecond, now); got < 95 {
+	if got := d.Ahead("m", now); got < 95 {
 		t.Errorf("%.0f places ahead while the demand is 100 and rising", got)
 	}
 	for range 400 {
 		now += step
 		d.Add("m", "", 100*step, now)
 	}
-	if got := d.Ahead("m", 1200*time.Millisecond, now); got > 110 {
+	if got := d.Ahead("m", now); got > 110 {
 		t.Errorf("%.0f places ahead of a steady demand of 100", got)
 	}
 }
 
-// TestSlowLoadsAreOrderedEarlier plays the same rise for models of which one
-// takes five times as long to load.
-func TestSlowLoadsAreOrderedEarlier(t *testing.T) {
-	d := NewDemand()
-	now := time.Duration(0)
-	const step = 50 * time.Millisecond
-	for now < 2*time.Second {
-		now += step
-		places := 100 * now.Seconds() / 8
-		d.Add("m", "", time.Duration(places*float64(step)), now)
-	}
-	quick, slow := d.Ahead("m", 1200*time.Millisecond, now), d.Ahead("m", 6200*time.Millisecond, now)
-	if slow < 1.5*quick {
-		t.Errorf("%.0f places when a quick load is done and %.0f when a slow one is, of a rise that leads to 56 and 119", quick, slow)
-	}
-}
-
 func TestStoreBudgetHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.5, 10).Draw(t, "rate")
