--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -83,10 +83,10 @@
 		if chosen(c) != "b" {
 			t.Fatalf("chosen %q while a has more in progress", chosen(c))
 		}
-		l.Begin("b", 0, 0)
+		l.Begin("b", 0, 0, 0)
 	}
-	l.Begin("b", 0, 0)
-	l.Begin("b", 0, 0)
+	l.Begin("b", 0, 0, 0)
+	l.Begin("b", 0, 0, 0)
 	if c := l.Choose(v, need, nil, 0); chosen(c) != "a" {
 		t.Errorf("chosen %q with 9 in progress against 8", chosen(c))
 	}
@@ -98,9 +98,9 @@
 func TestChooseCountsMemory(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
 	l := NewLoads(firstOnes())
-	l.Begin("a", 900, 0)
+	l.Begin("a", 900, 0, 0)
 	for range 5 {
-		l.Begin("b", 10, 0)
+		l.Begin("b", 10, 0, 0)
 	}
 	n := need
 	n.CacheTokens = 1000
@@ -113,9 +113,9 @@
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d1", held("m"))}})
 	l := NewLoads(firstOnes())
 	l.SetStale(false, 7)
-	l.Begin("a", 0, 1000)
-	l.Begin("b", 0, 0)
-	l.Begin("b", 0, 0)
+	l.Begin("a", 0, 1000, 0)
+	l.Begin("b", 0, 0, 0)
+	l.Begin("b", 0, 0, 0)
 	if c := l.Choose(v, need, nil, 0); chosen(c) != "b" {
 		t.Errorf("chosen %q, which has a prompt to read", chosen(c))
 	}
@@ -147,7 +147,7 @@
 		setOthers(t, l, v, busy)
 		for range requests {
 			c := l.Choose(v, need, nil, 0)
-			l.Begin(c.Endpoint.ID, 0, 800)
+			l.Begin(c.Endpoint.ID, 0, 800, 0)
 			got[c.Endpoint.ID]++
 		}
 	}
@@ -160,8 +160,8 @@
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m"))}})
 	l := NewLoads(firstOnes())
 	setOthers(t, l, v, map[string]uint32{"a": 3})
-	l.Begin("a", 0, 0)
-	l.Begin("a", 0, 0)
+	l.Begin("a", 0, 0, 0)
+	l.Begin("a", 0, 0, 0)
 	l.SetStale(true, 4)
 	if c := l.Choose(v, need, nil, 0); c.Use != 0.8 {
 		t.Errorf("use %v, want 0.8: 2 at each of 4 gateways", c.Use)
@@ -305,3 +305,62 @@
 		t.Error("one count was taken for two endpoints")
 	}
 }
+
+// TestSilentEndpointsGetNoFurtherRequests lets an endpoint owe an answer and
+// send nothing, while another one that is just as slow to begin sends events.
+func TestSilentEndpointsGetNoFurtherRequests(t *testing.T) {
+	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d2", held("m"))}})
+	l := NewLoads(firstOnes())
+	l.Begin("a", 0, 0, time.Second)
+	l.Begin("a", 0, 0, time.Second+silentLimit/2)
+	now := time.Second + silentLimit + 1
+	if c := l.Choose(v, need, nil, now); chosen(c) != "b" {
+		t.Errorf("chosen %q, which has sent nothing for %v", chosen(c), silentLimit)
+	}
+	l.Heard("a", now)
+	l.End("a", 0)
+	for range 3 {
+		l.Begin("b", 0, 0, now)
+	}
+	if c := l.Choose(v, need, nil, now+silentLimit); chosen(c) != "a" {
+		t.Errorf("chosen %q though a has sent something", chosen(c))
+	}
+	l.End("a", 0)
+	if c := l.Choose(v, need, nil, now+time.Hour); chosen(c) != "a" {
+		t.Errorf("chosen %q though a owes nothing", chosen(c))
+	}
+}
+
+func TestEndpointsThatOthersSuspectAreAvoided(t *testing.T) {
+	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1", held("m")), engine("b", "d2", held("m"))}})
+	l := NewLoads(firstOnes())
+	l.SetAvoided(map[string]bool{"a": true})
+	if c := l.Choose(v, need, nil, 0); chosen(c) != "b" {
+		t.Errorf("chosen %q, which others suspect", chosen(c))
+	}
+	l.SetAvoided(nil)
+	if c := l.Choose(v, need, nil, 0); chosen(c) != "a" {
+		t.Errorf("chosen %q though nobody suspects a any more", chosen(c))
+	}
+}
+
+func TestReportTellsWhatBecameOfRequestsOnce(t *testing.T) {
+	l := NewLoads(firstOnes())
+	l.Begin("a", 30, 0, 0)
+	l.Note("a", Served, 0)
+	l.Note("a", Faulty, 0)
+	l.Note("b", Unreachable, 0)
+	got := map[string]*wire.InProgress{}
+	for _, w := range l.Report(silentLimit + 1) {
+		got[w.Endpoint] = w
+	}
+	if a := got["a"]; a.Running != 1 || a.Tokens != 30 || a.Served != 1 || a.Failed != 1 || !a.Silent {
+		t.Errorf("a: %v", a)
+	}
+	if b := got["b"]; b.Running != 0 || b.Failed != 1 || b.Silent {
+		t.Errorf("b: %v", b)
+	}
+	if again := l.Report(silentLimit + 1); len(again) != 1 || again[0].Served+again[0].Failed != 0 {
+		t.Errorf("told again: %v", again)
+	}
+}
--- /dev/null
+++ b/internal/fleet/health.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureWeight is the share of the newest result in the failure rate that a
+	// gateway keeps for itself.
+	failureWeight = 0.15
+	// suspectRate is the failure rate from which an endpoint is used only
+	// where no better one is left.
+	suspectRate = 0.3
+	// rateHalfLife is the time in which a failure rate halves without results,
+	// so that an endpoint that recovered is tried again.
+	rateHalfLife = 2 * time.Second
+	// unreachablePause is how long an endpoint that refused a connection or
+	// said that it is another one is left alone.
+	unreachablePause = time.Second
+)
+
+// Result is what became of one request at an endpoint.
+type Result int
+
+// Results of requests at an endpoint.
+const (
+	// Served requests got a whole answer of the endpoint.
+	Served Result = iota
+	// Faulty requests got an answer of the endpoint's own failure, or a broken one.
+	Faulty
+	// Unreachable endpoints took no connection or are not what the view says.
+	Unreachable
+)
+
+// Results counts what became of requests at an endpoint.
+type Results struct{ Served, Failed int }
+
+// Health judges endpoints by the results of requests. It is not safe for
+// concurrent use.
+type Health struct {
+	endpoints map[string]*health
+	// weight is the share of the newest result in a failure rate.
+	weight float64
+}
+
+// NewHealth returns one without any result, in which the newest result has the
+// weight.
+func NewHealth(weight float64) *Health {
+	return &Health{endpoints: map[string]*health{}, weight: weight}
+}
+
+type health struct {
+	// rate is the share of failures, newer ones weighing more.
+	rate    float64
+	at      time.Duration
+	blocked time.Duration
+}
+
+// Note records results at a time.
+func (h *Health) Note(endpoint string, r Results, now time.Duration) {
+	n := r.Served + r.Failed
+	if n == 0 {
+		return
+	}
+	e := h.of(endpoint)
+	e.decay(now)
+	weight := 1 - math.Pow(1-h.weight, float64(n))
+	e.rate += weight * (float64(r.Failed)/float64(n) - e.rate)
+}
+
+// Block leaves the endpoint alone for a while.
+func (h *Health) Block(endpoint string, now time.Duration) {
+	h.of(endpoint).blocked = now + unreachablePause
+}
+
+// Suspect reports whether the endpoint is to be avoided.
+func (h *Health) Suspect(endpoint string, now time.Duration) bool {
+	e := h.endpoints[endpoint]
+	if e == nil {
+		return false
+	}
+	e.decay(now)
+	return now < e.blocked || e.rate > suspectRate
+}
+
+// Keep forgets all endpoints but those named.
+func (h *Health) Keep(named func(endpoint string) bool) {
+	for id := range h.endpoints {
+		if !named(id) {
+			delete(h.endpoints, id)
+		}
+	}
+}
+
+func (h *Health) of(endpoint string) *health {
+	e := h.endpoints[endpoint]
+	if e == nil {
+		e = &health{}
+		h.endpoints[endpoint] = e
+	}
+	return e
+}
+
+func (e *health) decay(now time.Duration) {
+	for now-e.at > rateHalfLife && e.rate > 0.01 {
+		e.rate /= 2
+		e.at += rateHalfLife
+	}
+	e.at = max(e.at, now-rateHalfLife)
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -22,7 +22,12 @@
 	mu     sync.Mutex
 	own    map[string]Load
 	others map[string]Load
-	health map[string]*health
+	health *Health
+	// results are those since the last report.
+	results map[string]Results
+	heard   map[string]hearing
+	// avoided are endpoints that several gateways together suspect.
+	avoided map[string]bool
 	// stale is set while the others' counts are old. Then each of the others is
 	// taken to have as much in progress as this one.
 	stale bool
@@ -33,13 +38,51 @@
 
 // NewLoads returns empty counts. draw returns a random number below n.
 func NewLoads(draw func(n int) int) *Loads {
-	return &Loads{own: map[string]Load{}, others: map[string]Load{}, health: map[string]*health{}, gateways: 1, draw: draw}
+	return &Loads{
+		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, heard: map[string]hearing{},
+		gateways: 1, draw: draw,
+	}
+}
+
+// silentLimit is how long an endpoint that owes answers may send no byte before
+// no further requests are sent to it. Between the events of a stream it takes a
+// tenth of that.
+const silentLimit = 600 * time.Millisecond
+
+// hearing is when an endpoint that owes answers was heard of last, or when it
+// began to owe them.
+type hearing struct {
+	owed int
+	last time.Duration
+}
+
+// Heard notes that the endpoint has sent something.
+func (l *Loads) Heard(endpoint string, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h, ok := l.heard[endpoint]; ok {
+		h.last = now
+		l.heard[endpoint] = h
+	}
+}
+
+// silent reports whether the endpoint owes answers and sends nothing. The
+// caller holds the lock.
+func (l *Loads) silent(endpoint string, now time.Duration) bool {
+	h, ok := l.heard[endpoint]
+	return ok && now-h.last > silentLimit
 }
 
 // Begin counts a request with a prompt that is sent to the endpoint.
-func (l *Loads) Begin(endpoint string, tokens, prompt int) {
+func (l *Loads) Begin(endpoint string, tokens, prompt int, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	h, ok := l.heard[endpoint]
+	if !ok {
+		h.last = now
+	}
+	h.owed++
+	l.heard[endpoint] = h
 	o := l.own[endpoint]
 	o.Running++
 	o.Tokens += tokens
@@ -61,6 +104,12 @@
 func (l *Loads) End(endpoint string, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if h := l.heard[endpoint]; h.owed > 1 {
+		h.owed--
+		l.heard[endpoint] = h
+	} else {
+		delete(l.heard, endpoint)
+	}
 	o := l.own[endpoint]
 	o.Running--
 	o.Tokens -= tokens
@@ -71,17 +120,65 @@
 	l.own[endpoint] = o
 }
 
-// Own returns what this gateway has in progress.
-func (l *Loads) Own() []*wire.InProgress {
+// Report returns what this gateway has in progress, and what has become of its
+// requests since the last report.
+func (l *Loads) Report(now time.Duration) []*wire.InProgress {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []*wire.InProgress
+	all := map[string]*wire.InProgress{}
+	of := func(id string) *wire.InProgress {
+		if all[id] == nil {
+			all[id] = &wire.InProgress{Endpoint: id}
+		}
+		return all[id]
+	}
 	for id, o := range l.own {
-		out = append(out, &wire.InProgress{Endpoint: id, Running: uint32(o.Running), Tokens: uint64(max(o.Tokens, 0))})
+		w := of(id)
+		w.Running, w.Tokens, w.Silent = uint32(o.Running), uint64(max(o.Tokens, 0)), l.silent(id, now)
+	}
+	for id, r := range l.results {
+		w := of(id)
+		w.Served, w.Failed = uint32(r.Served), uint32(r.Failed)
+	}
+	clear(l.results)
+	out := make([]*wire.InProgress, 0, len(all))
+	for _, w := range all {
+		out = append(out, w)
 	}
 	return out
 }
 
+// SetAvoided replaces the endpoints that several gateways together suspect.
+func (l *Loads) SetAvoided(endpoints map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.avoided = endpoints
+}
+
+// Note records a result at a time.
+func (l *Loads) Note(endpoint string, r Result, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	one := Results{Served: 1}
+	if r != Served {
+		one = Results{Failed: 1}
+	}
+	l.health.Note(endpoint, one, now)
+	if r == Unreachable {
+		l.health.Block(endpoint, now)
+	}
+	sum := l.results[endpoint]
+	sum.Served += one.Served
+	sum.Failed += one.Failed
+	l.results[endpoint] = sum
+}
+
+// suspect reports whether the endpoint is to be avoided. The caller holds the
+// lock.
+func (l *Loads) suspect(endpoint string, now time.Duration) bool {
+	return l.avoided[endpoint] || l.silent(endpoint, now) || l.health.Suspect(endpoint, now)
+}
+
 // TokenUnit is the unit in which gateways are told the tokens in progress.
 const TokenUnit = 256
 
@@ -127,76 +224,3 @@
 	}
 	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens, Unread: unread}
 }
-
-const (
-	// failureWeight is the share of the newest result in the failure rate.
-	failureWeight = 0.15
-	// suspectRate is the failure rate from which an endpoint is used only
-	// where no better one is left.
-	suspectRate = 0.3
-	// rateHalfLife is the time in which a failure rate halves without results,
-	// so that an endpoint that recovered is tried again.
-	rateHalfLife = 2 * time.Second
-	// unreachablePause is how long an endpoint that refused a connection or
-	// said that it is another one is left alone.
-	unreachablePause = time.Second
-)
-
-// health is what results say of an endpoint.
-type health struct {
-	rate    float64
-	at      time.Duration
-	blocked time.Duration
-}
-
-// Result is what became of one request at an endpoint.
-type Result int
-
-// Results of requests at an endpoint.
-const (
-	// Served requests got a whole answer of the endpoint.
-	Served Result = iota
-	// Faulty requests got an answer of the endpoint's own failure, or a broken one.
-	Faulty
-	// Unreachable endpoints took no connection or are not what the view says.
-	Unreachable
-)
-
-// Note records a result at a time.
-func (l *Loads) Note(endpoint string, r Result, now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	h := l.health[endpoint]
-	if h == nil {
-		h = &health{}
-		l.health[endpoint] = h
-	}
-	h.decay(now)
-	failed := 0.0
-	if r != Served {
-		failed = 1
-	}
-	h.rate += failureWeight * (failed - h.rate)
-	if r == Unreachable {
-		h.blocked = now + unreachablePause
-	}
-}
-
-func (h *health) decay(now time.Duration) {
-	for now-h.at > rateHalfLife && h.rate > 0.01 {
-		h.rate /= 2
-		h.at += rateHalfLife
-	}
-	h.at = max(h.at, now-rateHalfLife)
-}
-
-// suspect reports whether the endpoint is to be avoided. The caller holds the
-// lock.
-func (l *Loads) suspect(endpoint string, now time.Duration) bool {
-	h := l.health[endpoint]
-	if h == nil {
-		return false
-	}
-	h.decay(now)
-	return now < h.blocked || h.rate > suspectRate
-}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -64,6 +64,7 @@
 	l.addLoads(g.loads, -1)
 	g.gateway, g.seen, g.loads = r.Gateway, now, r.Loads
 	l.addLoads(g.loads, 1)
+	l.verdicts.take(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, time.Duration(d.PlaceMs)*time.Millisecond, now)
 	}
@@ -76,6 +77,7 @@
 	}
 	resp := &wire.SyncResponse{Term: l.term, View: l.published.since(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
 	resp.OthersRunning, resp.OthersTokenUnits = l.others(g)
+	resp.Avoided = l.avoided(r.Gateway.GetDomain(), now)
 	return resp
 }
 
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -132,6 +132,18 @@
 	return running, tokenUnits
 }
 
+// avoided returns the positions of the endpoints that gateways of the domain
+// are to avoid.
+func (l *leadState) avoided(domain string, now time.Duration) []uint32 {
+	var out []uint32
+	for i, id := range l.published.order {
+		if l.verdicts.avoid(id, domain, now) {
+			out = append(out, uint32(i))
+		}
+	}
+	return out
+}
+
 // controlAddresses returns the addresses of the replicas in the membership.
 func (s *Server) controlAddresses(ctx context.Context) []string {
 	status, err := s.node.Status(ctx)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -139,8 +139,9 @@
 func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sent {
 	g := q.g
 	started := g.clock()
-	g.loads.Begin(e.ID, q.need.Tokens, q.facts.PromptTokens)
+	g.loads.Begin(e.ID, q.need.Tokens, q.facts.PromptTokens, started)
 	defer g.loads.End(e.ID, q.need.Tokens)
+	out.heard = func() { g.loads.Heard(e.ID, g.clock()) }
 	out.unread = func() { g.loads.Read(e.ID, q.facts.PromptTokens) }
 	defer out.read()
 	ctx, cancel := context.WithCancel(q.ctx)
@@ -160,6 +161,7 @@
 		return s
 	}
 	defer resp.Close()
+	out.heard()
 	s := out.take(resp)
 	if !s.done {
 		q.noteHealth(e, s.outcome)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,9 @@
 	var lostAt time.Time
 	for {
 		pause, err := g.sync(ctx)
+		if err != nil {
+			g.loads.SetAvoided(nil)
+		}
 		g.loads.SetStale(err != nil, len(g.knownGateways()))
 		switch {
 		case ctx.Err() != nil:
@@ -44,7 +47,7 @@
 func (g *Gateway) sync(ctx context.Context) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Own(), Demand: g.demand.take()}
+	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Report(g.clock()), Demand: g.demand.take()}
 	if t := g.table.Load(); t != nil {
 		req.DocumentVersion = t.Document.Version
 	}
@@ -79,7 +82,15 @@
 		g.log.WithFields(logrus.Fields{
 			"term": v.Term, "revision": v.Revision, "endpoints": len(v.Endpoints), "numbers": len(resp.OthersRunning),
 		}).Warn("counts of other gateways do not go with the view; the old ones stay")
+		return
+	}
+	avoided := map[string]bool{}
+	for _, i := range resp.Avoided {
+		if int(i) < len(v.Endpoints) {
+			avoided[v.Endpoints[i].ID] = true
+		}
 	}
+	g.loads.SetAvoided(avoided)
 }
 
 // takeDocument puts a newer document in force. It never goes back.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,8 @@
 	failed *heldAnswer
 	// wroteAt is when bytes were passed on last.
 	wroteAt time.Duration
+	// heard notes that the endpoint has sent something.
+	heard func()
 	// unread takes the prompt back from what waits to be read at the endpoint;
 	// nil once that was done.
 	unread func()
@@ -158,6 +160,7 @@
 
 // write passes bytes of a stream on at once.
 func (r *relay) write(p []byte) error {
+	r.heard()
 	r.read()
 	r.noteTime()
 	if _, err := r.q.w.Write(p); err != nil {
