Extend only a rise that chance does not explain, by the load time

The rise now counts beyond one standard deviation of a steady demand, and replicas that others need are not taken for a demand that is only expected.

--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -243,7 +243,7 @@
 		time.Sleep(time.Minute)
 		for i := range 10 {
 			name := fmt.Sprintf("a%d", i)
-			l.demand.Add("m0", name, time.Second, l.s.clock())
+			l.demand.Add("m0", name, 1, time.Second, l.s.clock())
 			if got := l.ensureAdapter(t.Context(), "s", "m0", name); got != "e" {
 				t.Fatalf("%s is at %q", name, got)
 			}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -66,7 +66,7 @@
 	l.addLoads(g.loads, 1)
 	l.verdicts.take(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
-		l.demand.Add(d.Model, d.Adapter, time.Duration(d.PlaceMs)*time.Millisecond, now)
+		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
 	}
 	if fresh {
 		l.publish(now)
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -11,11 +11,15 @@
 	// seconds must not hold replicas back from where it went.
 	fastTime = 1200 * time.Millisecond
 	slowTime = 3500 * time.Millisecond
-	// aheadTime is how far ahead a rising demand is extended, for a replica
-	// takes about as long to come.
-	aheadTime = 2500 * time.Millisecond
-	// maxRise bounds the extension, as a multiple of the demand.
-	maxRise = 2.0
+	// reactionTime is how much later than its load time a replica is of use: the
+	// demand is noticed late, and the plan and the unloads before it take time.
+	reactionTime = 1300 * time.Millisecond
+	// maxRisePerSecond bounds how far a rising demand is extended, as a multiple
+	// of the demand for each second.
+	maxRisePerSecond = 0.4
+	// chanceRise is how many standard deviations of a steady demand's own
+	// fluctuation do not count as a rise.
+	chanceRise = 1.0
 	// forgottenDemand, in places, counts as none.
 	forgottenDemand = 0.01
 )
@@ -30,21 +34,29 @@
 type average struct {
 	fast, slow float64
 	at         time.Duration
+	// place is the average time, in seconds, for which one request occupies a
+	// place.
+	place float64
 }
 
+// placeWeight is the share of the newest requests in the average place time.
+const placeWeight = 0.1
+
 // NewDemand returns a measure without any demand.
 func NewDemand() *Demand {
 	return &Demand{models: map[string]*average{}, adapters: map[string]time.Duration{}}
 }
 
 // Add records requests that together occupy a place for the time.
-func (d *Demand) Add(model, adapter string, place time.Duration, now time.Duration) {
+func (d *Demand) Add(model, adapter string, requests int, place, now time.Duration) {
+	each := place.Seconds() / float64(max(requests, 1))
 	a := d.models[model]
 	if a == nil {
-		a = &average{at: now}
+		a = &average{at: now, place: each}
 		d.models[model] = a
 	}
 	a.decay(now)
+	a.place += placeWeight * (each - a.place)
 	a.fast += place.Seconds() / fastTime.Seconds()
 	a.slow += place.Seconds() / slowTime.Seconds()
 	if adapter != "" {
@@ -66,15 +78,24 @@
 }
 
 // Ahead returns the demand for the model, in places, that its rise leads to by
-// the time at which a replica that is ordered now is ready.
-func (d *Demand) Ahead(model string, now time.Duration) float64 {
+// the time at which a replica that is ordered now and takes the load time is of
+// use. A rise that chance explains does not count.
+func (d *Demand) Ahead(model string, load, now time.Duration) float64 {
 	places := d.Places(model, now)
 	if places == 0 {
 		return 0
 	}
 	a := d.models[model]
-	rise := (a.fast - a.slow) / (slowTime - fastTime).Seconds()
-	return min(max(places, places+rise*aheadTime.Seconds()), maxRise*places)
+	rise := (a.fast - a.slow - chanceRise*a.deviation()) / (slowTime - fastTime).Seconds()
+	lead := (reactionTime + load).Seconds()
+	return min(max(places, places+rise*lead), (1+maxRisePerSecond*lead)*places)
+}
+
+// deviation returns the standard deviation of the fast average around the slow
+// one while requests arrive evenly at random.
+func (a *average) deviation() float64 {
+	apart := 1/fastTime.Seconds() + 1/slowTime.Seconds() - 4/(fastTime+slowTime).Seconds()
+	return math.Sqrt(a.slow * a.place * apart / 2)
 }
 
 // recentAdapter is how long an adapter counts as in use after a request for it.
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -267,7 +267,7 @@
 	switch {
 	case remaining >= p.desired(v):
 		return v.Demand / float64(remaining+1), true
-	case remaining >= 1 && m.Demand >= spareDemand && v.Demand/float64(remaining) < easing*max(m.Ahead, m.Demand)/float64(max(p.replicas[m.Name], 1)):
+	case remaining >= 1 && m.Demand >= spareDemand && v.Demand/float64(remaining) < easing*m.Demand/float64(max(p.replicas[m.Name], 1)):
 		return v.Demand / float64(remaining), true
 	case remaining == 0 && p.replicas[m.Name] == 0 && v.Demand == 0 && m.Demand > 0:
 		return unloadCost, true
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -227,7 +228,7 @@
 	// 20 requests a second that take a place for 2 s each occupy 40 places.
 	for range 200 {
 		now += 50 * time.Millisecond
-		d.Add("m", "", 2*time.Second, now)
+		d.Add("m", "", 1, 2*time.Second, now)
 	}
 	if got := d.Places("m", now); got < 36 || got > 44 {
 		t.Errorf("%.1f places, want about 40", got)
@@ -242,23 +243,63 @@
 	now := time.Duration(0)
 	// The demand rises from 0 to 100 places within 5 s.
 	const step = 50 * time.Millisecond
+	const placeTime = 500 * time.Millisecond
 	for now < 5*time.Second {
 		now += step
 		places := 100 * now.Seconds() / 5
-		d.Add("m", "", time.Duration(places*float64(step)), now)
+		place := time.Duration(places * float64(step))
+		d.Add("m", "", int(place/placeTime), place, now)
 	}
-	if got := d.Ahead("m", now); got < 95 {
+	if got := d.Ahead("m", 1200*time.Millisecond, now); got < 95 {
 		t.Errorf("%.0f places ahead while the demand is 100 and rising", got)
 	}
 	for range 400 {
 		now += step
-		d.Add("m", "", 100*step, now)
+		d.Add("m", "", int(100*step/placeTime), 100*step, now)
 	}
-	if got := d.Ahead("m", now); got > 110 {
+	if got := d.Ahead("m", 1200*time.Millisecond, now); got > 110 {
 		t.Errorf("%.0f places ahead of a steady demand of 100", got)
 	}
 }
 
+// TestSlowLoadsAreOrderedEarlier plays the same rise for models of which one
+// takes five times as long to load.
+func TestSlowLoadsAreOrderedEarlier(t *testing.T) {
+	d := NewDemand()
+	now := time.Duration(0)
+	const step = 50 * time.Millisecond
+	for now < 2*time.Second {
+		now += step
+		place := time.Duration(100 * now.Seconds() / 8 * float64(step))
+		d.Add("m", "", 1, place, now)
+	}
+	quick, slow := d.Ahead("m", 1200*time.Millisecond, now), d.Ahead("m", 6200*time.Millisecond, now)
+	if slow < 1.5*quick {
+		t.Errorf("%.0f places when a quick load is done and %.0f when a slow one is, of a rise that leads to 56 and 119", quick, slow)
+	}
+}
+
+// TestChanceIsNoRise lets requests come evenly at random. Loads that chance asks
+// for would take the store from models that need it.
+func TestChanceIsNoRise(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	const places, placeTime = 20.0, 1500 * time.Millisecond
+	d := NewDemand()
+	ahead, demand, looks := 0.0, 0.0, 0
+	for now := time.Duration(0); now < time.Minute; {
+		now += time.Duration(r.ExpFloat64() / places * float64(placeTime))
+		d.Add("m", "", 1, placeTime, now)
+		if now > 10*time.Second {
+			ahead += d.Ahead("m", 6200*time.Millisecond, now)
+			demand += d.Places("m", now)
+			looks++
+		}
+	}
+	if ahead > 1.1*demand {
+		t.Errorf("%.1f places ahead of a steady demand of %.1f", ahead/float64(looks), demand/float64(looks))
+	}
+}
+
 func TestStoreBudgetHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.5, 10).Draw(t, "rate")
