Scale averages that have just begun, and send an unanswered order again at once

Causes: an average that has run for less than its time is too low, so that a demand that a new leader meets looks like one that rises; and an order without an answer blocked its engine for 1.6 s. Both orders name the same sequence, so that one of them at most is accepted.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -26,6 +26,10 @@
 	// elsewherePoll is the time between two looks at an engine that carries out
 	// an order that is not known here.
 	elsewherePoll = 300 * time.Millisecond
+	// orderAnswerTimeout bounds the wait for the answer to an order, and orderTries
+	// is how often one is sent that gets none. Other orders to the engine wait.
+	orderAnswerTimeout = 300 * time.Millisecond
+	orderTries         = 3
 	// orderTimeout bounds the wait for an order to take effect.
 	orderTimeout = 20 * time.Second
 	// reportLag is how long a report may lag behind the orders.
@@ -298,9 +302,51 @@
 }
 
 // order sends one order, with the sequence at which the engine may accept it.
+// One without a clear answer is sent again at once: as both name the same
+// sequence, the engine accepts one of them at most.
 func (e *engineState) order(ctx context.Context, o Order) OrderAnswer {
 	e.turn.Lock()
 	defer e.turn.Unlock()
+	answer := e.sendOrder(ctx, o)
+	for try := 1; try < orderTries && answer == OrderUnknown; try++ {
+		e.l.mu.Lock()
+		e.sequenceKnown = true
+		e.l.mu.Unlock()
+		answer = e.sendOrder(ctx, o)
+		if answer == OrderConflict && e.tookEffect(ctx, o) {
+			answer = OrderAccepted
+		}
+	}
+	return answer
+}
+
+// tookEffect reports whether an order was accepted whose answer was lost, by
+// the engine's report once that is no longer older than the order.
+func (e *engineState) tookEffect(ctx context.Context, o Order) bool {
+	if !wait.For(ctx, reportLag) {
+		return false
+	}
+	e.l.mu.Lock()
+	e.awaiting = e.awaiting || o.Adapter == ""
+	e.l.mu.Unlock()
+	r, err := e.refresh(ctx)
+	if err != nil {
+		e.l.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("engine not read after an order without a clear answer")
+		e.endAwait()
+		return false
+	}
+	e.l.mu.Lock()
+	defer e.l.mu.Unlock()
+	adapters, holds := e.held[o.Model]
+	if o.Adapter != "" {
+		return adapters[o.Adapter] == o.Load
+	}
+	e.awaiting = r.Busy || holds == o.Load
+	return e.awaiting
+}
+
+// sendOrder sends one order once.
+func (e *engineState) sendOrder(ctx context.Context, o Order) OrderAnswer {
 	if !e.l.allowed(ctx, e.listed.ID) {
 		return OrderNotSent
 	}
@@ -312,7 +358,7 @@
 	if !ready {
 		return OrderNotSent
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, orderAnswerTimeout)
 	defer cancel()
 	answer, err := e.l.s.adapter.Platform.Order(call, e.listed.Address, e.listed.ID, o)
 	ordersGiven.count(o, answer)
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -27,6 +27,11 @@
 // Demand measures how many places of engines each model's requests occupy.
 type Demand struct {
 	models map[string]*average
+	// began is when the first request was added; started is set then. Averages
+	// that have run for less than their times are scaled up, so that a demand
+	// that a new leader meets does not look like one that rises.
+	began   time.Duration
+	started bool
 	// Adapters holds when each adapter, as model/adapter, was last asked for.
 	adapters map[string]time.Duration
 }
@@ -49,6 +54,9 @@
 
 // Add records requests that together occupy a place for the time.
 func (d *Demand) Add(model, adapter string, requests int, place, now time.Duration) {
+	if !d.started {
+		d.began, d.started = now, true
+	}
 	each := place.Seconds() / float64(max(requests, 1))
 	a := d.models[model]
 	if a == nil {
@@ -74,7 +82,17 @@
 	if a.fast < forgottenDemand {
 		return 0
 	}
-	return a.fast
+	return a.fast * d.scale(fastTime, now)
+}
+
+// minObserved is the least time that averages count as having run; in less, a
+// few requests would look like a high demand.
+const minObserved = 400 * time.Millisecond
+
+// scale returns what makes up for the time that an average has not run yet.
+func (d *Demand) scale(smoothing, now time.Duration) float64 {
+	observed := max(now-d.began, minObserved)
+	return 1 / (1 - math.Exp(-observed.Seconds()/smoothing.Seconds()))
 }
 
 // Ahead returns the demand for the model, in places, that its rise leads to by
@@ -86,16 +104,18 @@
 		return 0
 	}
 	a := d.models[model]
-	rise := (a.fast - a.slow - chanceRise*a.deviation()) / (slowTime - fastTime).Seconds()
+	slow := a.slow * d.scale(slowTime, now)
+	chance := chanceRise * a.deviation(slow) * d.scale(fastTime, now)
+	rise := (places - slow - chance) / (slowTime - fastTime).Seconds()
 	lead := (reactionTime + load).Seconds()
 	return min(max(places, places+rise*lead), (1+maxRisePerSecond*lead)*places)
 }
 
 // deviation returns the standard deviation of the fast average around the slow
-// one while requests arrive evenly at random.
-func (a *average) deviation() float64 {
+// one while requests that occupy so many places arrive evenly at random.
+func (a *average) deviation(places float64) float64 {
 	apart := 1/fastTime.Seconds() + 1/slowTime.Seconds() - 4/(fastTime+slowTime).Seconds()
-	return math.Sqrt(a.slow * a.place * apart / 2)
+	return math.Sqrt(places * a.place * apart / 2)
 }
 
 // recentAdapter is how long an adapter counts as in use after a request for it.
