Let requests wait for a place or a model that comes in time

Cause: 429 at once where every endpoint is full for a second; clients come back once. The decision is its own (fleet.Place, fleet.Model) with a test that plays the burst.

--- /dev/null
+++ b/internal/fleet/admit.go
@@ -0,0 +1,65 @@
+package fleet
+
+import "time"
+
+// Turn is what a request without a free endpoint does next.
+type Turn int
+
+// Turns of a request.
+const (
+	// Go to the endpoint.
+	Go Turn = iota
+	// Wait for a place or a model, and look again.
+	Wait
+	// Refuse it: what it needs will not come in time.
+	Refuse
+)
+
+const (
+	// maxUse is the use of the emptiest endpoint, 1 where it is full, beyond
+	// which a request does not go to it.
+	maxUse = 1.0
+	// lateUse is the same for a request that has waited for a place: it leaves
+	// the last places to those that can still be answered on time.
+	lateUse = 0.92
+	// placeWait bounds the wait for a place, as does placeShare of the time that
+	// the request has. Bursts pass within seconds, and a place is free earlier
+	// than a caller that is refused comes back.
+	placeWait  = 1500 * time.Millisecond
+	placeShare = 0.12
+	// modelWait and modelShare bound the wait for a model of which it is not
+	// known when it will be ready.
+	modelWait  = 1700 * time.Millisecond
+	modelShare = 0.4
+	// loadingShare of the time that the request has is waited for a model that
+	// is known to be ready by then.
+	loadingShare = 0.6
+)
+
+// Place decides for a request that finds every endpoint of its model in use. It
+// answers the load of a burst that fills them for a second or two. use is that
+// of the emptiest endpoint, waited the time since it asked first, and limit the
+// time that it had then.
+func Place(use float64, waited, limit time.Duration) Turn {
+	switch {
+	case use <= lateUse, waited == 0 && use <= maxUse:
+		return Go
+	case waited < min(placeWait, time.Duration(float64(limit)*placeShare)):
+		return Wait
+	}
+	return Refuse
+}
+
+// Model decides for a request whose model no endpoint holds yet. It answers the
+// load of demand that moves to models that are not resident. readyIn is the time
+// until the model is expected to be ready; zero where nobody knows.
+func Model(readyIn, waited, limit time.Duration) Turn {
+	allowed := min(modelWait, time.Duration(float64(limit)*modelShare))
+	if readyIn > 0 {
+		allowed = time.Duration(float64(limit) * loadingShare)
+	}
+	if waited+readyIn < allowed {
+		return Wait
+	}
+	return Refuse
+}
--- /dev/null
+++ b/internal/fleet/admit_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPlace(t *testing.T) {
+	const limit = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		use    float64
+		waited time.Duration
+		limit  time.Duration
+		want   Turn
+	}{
+		{"free", 0.5, 0, limit, Go},
+		{"the last place of a new request", 1, 0, limit, Go},
+		{"beyond the last place", 1.1, 0, limit, Wait},
+		{"a late request leaves the last place", 0.97, 500 * time.Millisecond, limit, Wait},
+		{"a late request takes another place", 0.9, 500 * time.Millisecond, limit, Go},
+		{"no place in time", 1.1, 1200 * time.Millisecond, limit, Refuse},
+		{"short of time", 1.1, 150 * time.Millisecond, time.Second, Refuse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Place(c.use, c.waited, c.limit); got != c.want {
+				t.Errorf("turn %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func TestModel(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		readyIn, waited, limit time.Duration
+		want                   Turn
+	}{
+		{"nobody knows", 0, 0, 10 * time.Second, Wait},
+		{"nobody knows for too long", 0, 1700 * time.Millisecond, 10 * time.Second, Refuse},
+		{"ready in time", 5 * time.Second, 0, 12 * time.Second, Wait},
+		{"ready too late for this caller", 5 * time.Second, 0, 3 * time.Second, Refuse},
+		{"nearly ready", 300 * time.Millisecond, 4700 * time.Millisecond, 12 * time.Second, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Model(c.readyIn, c.waited, c.limit); got != c.want {
+				t.Errorf("turn %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestBurstIsServedByWaiting plays a burst of twice the places of an endpoint,
+// whose requests take half a second each, with and without the wait.
+func TestBurstIsServedByWaiting(t *testing.T) {
+	const slots, takes, limit = 10, 500 * time.Millisecond, 12 * time.Second
+	const step = 50 * time.Millisecond
+	play := func(decide func(use float64, waited time.Duration) Turn) (served int) {
+		var ends, asked []time.Duration
+		for now := time.Duration(0); now < 5*time.Second; now += step {
+			if now < time.Second {
+				asked = append(asked, now, now)
+			}
+			for len(ends) > 0 && ends[0] <= now {
+				ends = ends[1:]
+			}
+			var left []time.Duration
+			for _, at := range asked {
+				switch decide(float64(len(ends))/slots, now-at) {
+				case Go:
+					ends = append(ends, now+takes)
+					served++
+				case Wait:
+					left = append(left, at)
+				}
+			}
+			asked = left
+		}
+		return served
+	}
+	waiting := play(func(use float64, waited time.Duration) Turn { return Place(use, waited, limit) })
+	refusing := play(func(use float64, _ time.Duration) Turn {
+		if use > maxUse {
+			return Refuse
+		}
+		return Go
+	})
+	const all = 40
+	if waiting < all || refusing >= waiting {
+		t.Errorf("%d of %d served by waiting, %d by refusing at once", waiting, all, refusing)
+	}
+}
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -63,6 +63,8 @@
 	// here: an earlier leader's, or one whose answer was lost. What it loads is
 	// in no report until it is done, so the engine gets no order meanwhile.
 	elsewhere bool
+	// readyAt is when what is loading is expected to be ready.
+	readyAt time.Duration
 	// fromStore is set where what is loading comes from the weight store.
 	fromStore bool
 	nearBy    map[string]bool
@@ -274,16 +276,54 @@
 		return false
 	}
 	answer := e.order(ctx, Order{Load: load, Model: model})
+	expected := e.expect(load, model)
 	e.l.s.log.WithFields(logrus.Fields{
 		"endpoint": e.listed.ID, "model": model, "load": load, "term": e.l.term, "answer": answer.String(),
 	}).Info("order given")
 	if answer == OrderAccepted || answer == OrderHolds {
-		return e.await(ctx, load, model)
+		return e.await(ctx, load, model, expected)
 	}
 	wait.For(ctx, unknownWait)
 	return false
 }
 
+// awaitShare of the expected time of a load passes before the engine is asked
+// whether it is done.
+const awaitShare = 0.9
+
+// expect notes when a load that has just been ordered will be ready, and
+// returns how long it takes.
+func (e *engineState) expect(load bool, model string) time.Duration {
+	if !load {
+		return 0
+	}
+	e.l.mu.Lock()
+	defer e.l.mu.Unlock()
+	takes := e.loadTime(model)
+	e.readyAt = e.l.s.clock() + takes
+	return takes
+}
+
+// loadTime returns how long the engine takes to load the model. The lead's lock
+// is held.
+func (e *engineState) loadTime(model string) time.Duration {
+	if e.l.doc == nil {
+		return 0
+	}
+	s := e.l.doc.Service(e.listed.Service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	m := s.Engine.Model(model)
+	switch {
+	case m == nil:
+		return 0
+	case e.nearBy[model]:
+		return m.LoadFromMemory
+	}
+	return m.Load
+}
+
 // knowSequence reads the engine's report where its sequence is not known.
 func (e *engineState) knowSequence(ctx context.Context) bool {
 	e.l.mu.Lock()
@@ -391,8 +431,9 @@
 }
 
 // await polls the engine until the order has taken effect.
-func (e *engineState) await(ctx context.Context, load bool, model string) bool {
+func (e *engineState) await(ctx context.Context, load bool, model string, expected time.Duration) bool {
 	defer e.endAwait()
+	wait.For(ctx, time.Duration(float64(expected)*awaitShare))
 	deadline := e.l.s.clock() + orderTimeout
 	for e.l.s.clock() < deadline && wait.For(ctx, pollInterval) {
 		r, err := e.refresh(ctx)
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -130,12 +130,30 @@
 	return out
 }
 
+// readyIn returns the time until the model is expected to be ready on an engine
+// of the service that loads it; zero where none does.
+func (l *leadState) readyIn(service, model string) time.Duration {
+	soonest := time.Duration(0)
+	for _, e := range l.engines {
+		if e.listed.Service != service || e.loading != model || model == "" {
+			continue
+		}
+		left := max(e.readyAt-l.s.clock(), pollInterval)
+		if soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
 // start begins one step.
 func (l *leadState) start(step residency.Step, budget *residency.StoreBudget, now time.Duration) {
 	e := l.engines[step.Engine]
 	e.ordering, e.loading, e.fromStore = true, step.Load, step.FromStore
+	e.readyAt = now + e.loadTime(step.Load)
 	for _, m := range step.Unload {
 		e.leaving[m] = true
+		e.readyAt += leaveTime
 	}
 	if step.FromStore {
 		budget.Start(now)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -136,6 +136,7 @@
 	if resp.Endpoint == "" {
 		l.mu.Lock()
 		l.wanted[m.Model] = l.s.clock() + wantedTime
+		resp.ReadyInMs = uint32(l.readyIn(m.Service, m.Model).Milliseconds())
 		l.mu.Unlock()
 		l.wake()
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -10,23 +10,20 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
 
 const (
-	// maxUse is the use of the emptiest endpoint, 1 where it is full, beyond
-	// which a request is refused rather than queued at it.
-	maxUse = 1.0
+	// placePoll is the time between two looks for a free place.
+	placePoll = 50 * time.Millisecond
 	// fullRetry and its spread say when to come back to a full service.
 	fullRetry       = 400 * time.Millisecond
 	fullRetrySpread = 600 * time.Millisecond
-	// modelWait bounds the wait for a model that no engine holds yet; it is at
-	// most modelShare of the time left.
-	modelWait  = 1700 * time.Millisecond
-	modelShare = 0.4
 	// askInterval is the time between two questions to control for one request.
 	askInterval = 400 * time.Millisecond
-	// modelRetry is when to come back for a model that was not loaded in time.
+	// modelRetry is when to come back for a model of which it is not known when
+	// it will be ready.
 	modelRetry = 1500 * time.Millisecond
 	// absentRetry is when to come back to a service without endpoints.
 	absentRetry = 400 * time.Millisecond
@@ -34,38 +31,96 @@
 	wantTimeout = 800 * time.Millisecond
 )
 
-// place returns the endpoint that the request goes to. It waits for a model
-// that is being loaded, and refuses at once what cannot be served.
+// search is the way of one request to an endpoint.
+type search struct {
+	tried map[string]bool
+	began time.Duration
+	// limit is the time that the request had at its beginning.
+	limit time.Duration
+	// askAt is when control may be asked for the model again, and readyAt when
+	// the model is expected to be ready; zero where that is not known.
+	askAt   time.Duration
+	readyAt time.Duration
+}
+
+// place returns the endpoint that the request goes to. It waits for a place, or
+// for a model that is being loaded, where that comes in time, and refuses at
+// once what cannot be served.
 func (q *request) place(tried map[string]bool) (*fleet.Endpoint, error) {
 	g := q.g
-	giveUp := g.clock() + min(modelWait, time.Duration(float64(q.timeLeft())*modelShare))
+	now := g.clock()
+	s := search{tried: tried, began: now, limit: q.timeLeft(), askAt: now}
 	q.countDemand(len(tried))
-	askAt := g.clock()
-	for {
+	for first := true; ; first = false {
 		changed := g.changed.wait()
-		v := g.view.Load()
-		c := g.loads.Choose(v, q.need, tried, g.clock())
-		if c.Endpoint != nil {
-			if c.Use > maxUse {
-				return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(fullRetry + time.Duration(g.draw()*float64(fullRetrySpread)))
-			}
-			return c.Endpoint, nil
+		now = g.clock()
+		waited := now - s.began
+		if first {
+			waited = 0
+		}
+		c := g.loads.Choose(g.view.Load(), q.need, tried, now)
+		var e *fleet.Endpoint
+		var err error
+		switch {
+		case c.Endpoint != nil:
+			e, err = q.placeAt(c, waited, &s)
+		case q.need.Model == "":
+			err = fail.New(fail.Unavailable, "the service has no endpoint").WithRetryAfter(absentRetry)
+		default:
+			e, err = q.placeAbsent(changed, &s)
+		}
+		if e != nil || err != nil {
+			return e, err
 		}
-		if q.need.Model == "" {
-			return nil, fail.New(fail.Unavailable, "the service has no endpoint").WithRetryAfter(absentRetry)
+		if q.ctx.Err() != nil {
+			return nil, fail.New(fail.Canceled, "the caller has left or its time is over")
 		}
-		if g.clock() >= askAt {
-			askAt = g.clock() + askInterval
-			if e := q.want(tried); e != nil {
-				return e, nil
-			}
-			continue
+	}
+}
+
+// placeAt takes the place, or waits a little for one; it returns neither
+// endpoint nor failure where it is to look again.
+func (q *request) placeAt(c fleet.Choice, waited time.Duration, s *search) (*fleet.Endpoint, error) {
+	switch fleet.Place(c.Use, waited, s.limit) {
+	case fleet.Go:
+		return c.Endpoint, nil
+	case fleet.Wait:
+		wait.For(q.ctx, placePoll)
+		return nil, nil
+	}
+	after := fullRetry + time.Duration(q.g.draw()*float64(fullRetrySpread))
+	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(after)
+}
+
+// placeAbsent asks control for the model or adapter, which no endpoint holds,
+// and waits for it where it comes in time.
+func (q *request) placeAbsent(changed <-chan struct{}, s *search) (*fleet.Endpoint, error) {
+	g := q.g
+	if g.clock() >= s.askAt {
+		s.askAt = g.clock() + askInterval
+		e, readyIn := q.want(s.tried)
+		if e != nil {
+			return e, nil
 		}
-		waitFor(q.ctx, changed, min(giveUp, askAt)-g.clock())
-		if q.ctx.Err() != nil || g.clock() >= giveUp {
-			return nil, fail.New(fail.NoReplica, "no engine holds the model yet").WithRetryAfter(modelRetry)
+		s.readyAt = 0
+		if readyIn > 0 {
+			s.readyAt = g.clock() + readyIn
 		}
+		return nil, nil
+	}
+	readyIn := time.Duration(0)
+	if s.readyAt > 0 {
+		readyIn = max(s.readyAt-g.clock(), askInterval/2)
 	}
+	if fleet.Model(readyIn, g.clock()-s.began, s.limit) == fleet.Wait {
+		waitFor(q.ctx, changed, max(s.askAt-g.clock(), 0))
+		return nil, nil
+	}
+	after := modelRetry
+	if readyIn > 0 {
+		after = readyIn + time.Duration(g.draw()*float64(fullRetrySpread))
+	}
+	return nil, fail.New(fail.NoReplica, "no engine holds the model yet").WithRetryAfter(after)
 }
 
 // countDemand tells control, with the next exchange, how long the request is
@@ -93,19 +148,19 @@
 	}
 }
 
-// want asks control for the model and adapter, and returns the engine that
-// holds them now, or nil.
-func (q *request) want(tried map[string]bool) *fleet.Endpoint {
-	id := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, q.need.Adapter}, q.need.Service)
-	if id == "" || tried[id] {
-		return nil
+// want asks control for the model and adapter. It returns the engine that holds
+// them now, or nil and when one is expected to, zero where that is not known.
+func (q *request) want(tried map[string]bool) (*fleet.Endpoint, time.Duration) {
+	a := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, q.need.Adapter}, q.need.Service)
+	if a.endpoint == "" || tried[a.endpoint] {
+		return nil, a.readyIn
 	}
 	for _, e := range q.g.view.Load().Service(q.need.Service) {
-		if e.ID == id && !e.Leaving {
-			return e
+		if e.ID == a.endpoint && !e.Leaving {
+			return e, 0
 		}
 	}
-	return nil
+	return nil, a.readyIn
 }
 
 // wants joins equal questions to control that are under way.
@@ -115,11 +170,18 @@
 }
 
 type wantCall struct {
-	done     chan struct{}
+	done   chan struct{}
+	answer wantAnswer
+}
+
+// wantAnswer is what control says: the engine that holds what was asked for, or
+// when one is expected to.
+type wantAnswer struct {
 	endpoint string
+	readyIn  time.Duration
 }
 
-func (w *wants) ask(ctx context.Context, g *Gateway, k demandKey, service string) string {
+func (w *wants) ask(ctx context.Context, g *Gateway, k demandKey, service string) wantAnswer {
 	w.mu.Lock()
 	c := w.calls[k]
 	if c == nil {
@@ -133,9 +195,9 @@
 	w.mu.Unlock()
 	select {
 	case <-c.done:
-		return c.endpoint
+		return c.answer
 	case <-ctx.Done():
-		return ""
+		return wantAnswer{}
 	}
 }
 
@@ -145,7 +207,7 @@
 	err := g.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
 		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter}))
 		if err == nil {
-			c.endpoint = r.Msg.Endpoint
+			c.answer = wantAnswer{endpoint: r.Msg.Endpoint, readyIn: time.Duration(r.Msg.ReadyInMs) * time.Millisecond}
 		}
 		return err
 	})
