Judge an endpoint silent only where nobody hears it

Cause: a request that waits within a busy endpoint hears nothing for 0.6 s either, and an avoided endpoint pushed load onto full ones. Doubts now have an order: sound, failing, full, dead. Each change of a verdict has its line in the log.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -31,8 +31,12 @@
 	sessionGain  = 0.12
 	unreadCost   = 0.25
 	unreadTokens = 4096
-	// suspectCost puts an endpoint behind all that are sound and not full.
+	// suspectCost puts an endpoint that fails often behind all that are sound and
+	// not full, and fullCost those that are full behind it. deadCost puts one that
+	// does not answer behind all others.
 	suspectCost = 4.0
+	fullCost    = 8.0
+	deadCost    = 16.0
 	// sampled is how many endpoints are compared, besides the one that the
 	// session prefers. Gateways that all took the emptiest one by counts that
 	// are 0.1 s old would fill it together.
@@ -95,9 +99,10 @@
 		if e.ID == home {
 			cost -= sessionGain
 		}
-		if l.suspect(e.ID, now) {
-			cost += suspectCost
+		if use >= maxUse {
+			cost += fullCost
 		}
+		cost += l.doubt(e.ID, now)
 		if best.Endpoint == nil || cost < bestCost {
 			best, bestCost = Choice{Endpoint: e, Use: use}, cost
 		}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -74,14 +74,20 @@
 	h.of(endpoint).blocked = now + unreachablePause
 }
 
-// Suspect reports whether the endpoint is to be avoided.
+// Blocked reports whether the endpoint is to be left alone.
+func (h *Health) Blocked(endpoint string, now time.Duration) bool {
+	e := h.endpoints[endpoint]
+	return e != nil && now < e.blocked
+}
+
+// Suspect reports whether the endpoint fails so often that it is to be avoided.
 func (h *Health) Suspect(endpoint string, now time.Duration) bool {
 	e := h.endpoints[endpoint]
 	if e == nil {
 		return false
 	}
 	e.decay(now)
-	return now < e.blocked || e.rate > suspectRate
+	return e.rate > suspectRate
 }
 
 // Keep forgets all endpoints but those named.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -26,8 +26,8 @@
 	// results are those since the last report.
 	results map[string]Results
 	heard   map[string]hearing
-	// avoided are endpoints that several gateways together suspect.
-	avoided map[string]bool
+	// failing and dead are what several gateways together take endpoints for.
+	failing, dead map[string]bool
 	// stale is set while the others' counts are old. Then each of the others is
 	// taken to have as much in progress as this one.
 	stale bool
@@ -45,8 +45,9 @@
 }
 
 // silentLimit is how long an endpoint that owes answers may send no byte before
-// no further requests are sent to it. Between the events of a stream it takes a
-// tenth of that.
+// this gateway calls it silent. Between the events of a stream it takes a tenth
+// of that. A request that waits within the endpoint hears nothing either, so one
+// gateway's word is not enough.
 const silentLimit = 600 * time.Millisecond
 
 // hearing is when an endpoint that owes answers was heard of last, or when it
@@ -54,6 +55,8 @@
 type hearing struct {
 	owed int
 	last time.Duration
+	// fresh is set once something was heard since the last report.
+	fresh bool
 }
 
 // Heard notes that the endpoint has sent something.
@@ -61,7 +64,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h, ok := l.heard[endpoint]; ok {
-		h.last = now
+		h.last, h.fresh = now, true
 		l.heard[endpoint] = h
 	}
 }
@@ -135,6 +138,9 @@
 	for id, o := range l.own {
 		w := of(id)
 		w.Running, w.Tokens, w.Silent = uint32(o.Running), uint64(max(o.Tokens, 0)), l.silent(id, now)
+		h := l.heard[id]
+		w.Heard, h.fresh = h.fresh, false
+		l.heard[id] = h
 	}
 	for id, r := range l.results {
 		w := of(id)
@@ -148,11 +154,12 @@
 	return out
 }
 
-// SetAvoided replaces the endpoints that several gateways together suspect.
-func (l *Loads) SetAvoided(endpoints map[string]bool) {
+// SetVerdicts replaces the endpoints that several gateways together take to fail
+// often, and to be dead.
+func (l *Loads) SetVerdicts(failing, dead map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.avoided = endpoints
+	l.failing, l.dead = failing, dead
 }
 
 // Note records a result at a time.
@@ -173,10 +180,16 @@
 	l.results[endpoint] = sum
 }
 
-// suspect reports whether the endpoint is to be avoided. The caller holds the
-// lock.
-func (l *Loads) suspect(endpoint string, now time.Duration) bool {
-	return l.avoided[endpoint] || l.silent(endpoint, now) || l.health.Suspect(endpoint, now)
+// doubt returns what the doubts about an endpoint cost, in shares of a full
+// one. The caller holds the lock.
+func (l *Loads) doubt(endpoint string, now time.Duration) float64 {
+	switch {
+	case l.dead[endpoint] || l.health.Blocked(endpoint, now):
+		return deadCost
+	case l.failing[endpoint] || l.health.Suspect(endpoint, now):
+		return suspectCost
+	}
+	return 0
 }
 
 // TokenUnit is the unit in which gateways are told the tokens in progress.
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -143,7 +143,7 @@
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
-		verdicts: newVerdicts(), published: newPublication(s.viewRevision.Load()),
+		verdicts: newVerdicts(s.log), published: newPublication(s.viewRevision.Load()),
 	}
 	l.allowed = l.mayOrder
 	return l
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -77,7 +77,7 @@
 	}
 	resp := &wire.SyncResponse{Term: l.term, View: l.published.since(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
 	resp.OthersRunning, resp.OthersTokenUnits = l.others(g)
-	resp.Avoided = l.avoided(r.Gateway.GetDomain(), now)
+	resp.Failing, resp.Dead = l.judged(r.Gateway.GetDomain(), now)
 	return resp
 }
 
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -132,16 +132,18 @@
 	return running, tokenUnits
 }
 
-// avoided returns the positions of the endpoints that gateways of the domain
-// are to avoid.
-func (l *leadState) avoided(domain string, now time.Duration) []uint32 {
-	var out []uint32
+// judged returns the positions of the endpoints that gateways of the domain are
+// to take for failing and for dead.
+func (l *leadState) judged(domain string, now time.Duration) (failing, dead []uint32) {
 	for i, id := range l.published.order {
-		if l.verdicts.avoid(id, domain, now) {
-			out = append(out, uint32(i))
+		switch {
+		case l.verdicts.dead(id, now):
+			dead = append(dead, uint32(i))
+		case l.verdicts.failing(id, domain, now):
+			failing = append(failing, uint32(i))
 		}
 	}
-	return out
+	return failing, dead
 }
 
 // controlAddresses returns the addresses of the replicas in the membership.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -10,6 +10,7 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -23,7 +24,7 @@
 	for {
 		pause, err := g.sync(ctx)
 		if err != nil {
-			g.loads.SetAvoided(nil)
+			g.loads.SetVerdicts(nil, nil)
 		}
 		g.loads.SetStale(err != nil, len(g.knownGateways()))
 		switch {
@@ -84,13 +85,18 @@
 		}).Warn("counts of other gateways do not go with the view; the old ones stay")
 		return
 	}
-	avoided := map[string]bool{}
-	for _, i := range resp.Avoided {
+	g.loads.SetVerdicts(endpointsAt(v, resp.Failing), endpointsAt(v, resp.Dead))
+}
+
+// endpointsAt returns the ids of the endpoints at the positions.
+func endpointsAt(v *fleet.View, positions []uint32) map[string]bool {
+	out := map[string]bool{}
+	for _, i := range positions {
 		if int(i) < len(v.Endpoints) {
-			avoided[v.Endpoints[i].ID] = true
+			out[v.Endpoints[i].ID] = true
 		}
 	}
-	g.loads.SetAvoided(avoided)
+	return out
 }
 
 // takeDocument puts a newer document in force. It never goes back.
