--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -115,7 +116,7 @@
 	mux.Handle(wireconnect.NewReplicaServiceHandler(replica.NewService(s.node, s.group, s.sender), options...))
 	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, options...))
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.measure))
-	inner, err := transport.Listen(s.cfg.Address)
+	inner, err := transport.Listen(cmp.Or(s.cfg.ListenAddress, s.cfg.Address))
 	if err != nil {
 		return err
 	}
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -18,7 +18,10 @@
 	// OperatorAddress where operators do, as ip:port.
 	Address         string `json:"address"`
 	OperatorAddress string `json:"operator_address"`
-	Domain          string `json:"domain"`
+	// ListenAddress is where the process listens for other processes, where that
+	// is not Address itself, for instance behind an address translation.
+	ListenAddress string `json:"listen_address"`
+	Domain        string `json:"domain"`
 	// DataFolder holds identity, log and snapshot.
 	DataFolder string `json:"data_folder"`
 	// LiveList is the ip:port of the platform's list of endpoints.
@@ -71,6 +74,9 @@
 	c.Require(s.ID != "", "id", "the name of this VM")
 	c.Address("address", s.Address)
 	c.Address("operator_address", s.OperatorAddress)
+	if s.ListenAddress != "" {
+		c.Address("listen_address", s.ListenAddress)
+	}
 	c.Require(s.Domain != "", "domain", "the name of a failure domain")
 	c.Require(s.DataFolder != "", "data_folder", "a folder path")
 	c.Address("live_list", s.LiveList)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,7 +35,7 @@
 type search struct {
 	tried map[string]bool
 	began time.Duration
-	// limit is the time that the request had at its beginning.
+	// limit is how long the caller would have waited at its beginning.
 	limit time.Duration
 	// askAt is when control may be asked for the model again, and readyAt when
 	// the model is expected to be ready; zero where that is not known.
@@ -49,7 +49,7 @@
 func (q *request) place(tried map[string]bool) (*fleet.Endpoint, error) {
 	g := q.g
 	now := g.clock()
-	s := search{tried: tried, began: now, limit: q.timeLeft(), askAt: now}
+	s := search{tried: tried, began: now, limit: q.patience(), askAt: now}
 	q.countDemand(len(tried))
 	for first := true; ; first = false {
 		changed := g.changed.wait()
@@ -78,6 +78,14 @@
 	}
 }
 
+// patience returns how long the caller will wait for something to come.
+func (q *request) patience() time.Duration {
+	if q.route.Patience == 0 {
+		return q.timeLeft()
+	}
+	return min(q.timeLeft(), q.route.Patience)
+}
+
 // placeAt takes the place, or waits a little for one; it returns neither
 // endpoint nor failure where it is to look again.
 func (q *request) placeAt(c fleet.Choice, waited time.Duration, s *search) (*fleet.Endpoint, error) {
--- a/scripts/internal/testbed/bed.go
+++ b/scripts/internal/testbed/bed.go
@@ -271,7 +271,7 @@
 func (b *Bed) LoseDomain(domain string) {
 	for _, nodes := range [][]*Node{b.Engines, b.Entries, b.Controls, b.Services} {
 		for _, n := range nodes {
-			if n.Domain == domain && n.Process.running() {
+			if n.Domain == domain && n.Process.Running() {
 				n.Process.Kill()
 			}
 		}
--- a/scripts/internal/testbed/process.go
+++ b/scripts/internal/testbed/process.go
@@ -61,8 +61,8 @@
 	<-p.done
 }
 
-// running reports whether the process has not ended yet.
-func (p *Process) running() bool {
+// Running reports whether the process has not ended yet.
+func (p *Process) Running() bool {
 	select {
 	case <-p.done:
 		return false
@@ -73,18 +73,27 @@
 
 // Launch starts a program with its output in a log file.
 func (b *Bed) Launch(name, program string, args ...string) (*Process, error) {
-	out, err := os.Create(b.Path(name + ".log"))
+	p, err := Start(b.Path(name+".log"), name, filepath.Join(b.bin, program), args...)
+	if err != nil {
+		return nil, err
+	}
+	b.processes = append(b.processes, p)
+	return p, nil
+}
+
+// Start starts a program and appends its output to the log file.
+func Start(log, name, program string, args ...string) (*Process, error) {
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
 	defer out.Close()
-	cmd := exec.Command(filepath.Join(b.bin, program), args...)
+	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
 	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	b.processes = append(b.processes, p)
 	go func() {
 		p.err = cmd.Wait()
 		close(p.done)
@@ -108,7 +117,7 @@
 	for len(b.processes) > 0 {
 		p := b.processes[len(b.processes)-1]
 		b.processes = b.processes[:len(b.processes)-1]
-		if !p.running() {
+		if !p.Running() {
 			continue
 		}
 		if err := p.Stop(); err != nil {
@@ -122,7 +131,7 @@
 // KillAll ends everything that still runs.
 func (b *Bed) KillAll() {
 	for _, p := range b.processes {
-		if p.running() {
+		if p.Running() {
 			p.Kill()
 		}
 	}
--- a/scripts/internal/testbed/shape.go
+++ b/scripts/internal/testbed/shape.go
@@ -109,7 +109,7 @@
 func (b *Bed) Moves() (int, error) {
 	var sum float64
 	for _, n := range b.Controls {
-		if !n.Process.running() {
+		if !n.Process.Running() {
 			continue
 		}
 		u, err := Measure(n)
--- /dev/null
+++ b/scripts/soak/main.go
@@ -0,0 +1,86 @@
+// Command soak runs the programs of a fleet as processes of their own, brings
+// about random faults from outside them, and checks what callers, operators and
+// endpoints were promised. It exits non-zero where a promise was broken, and
+// keeps the logs of such a run.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyramp/platform/standin"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	seeds := flag.Int("seeds", 1, "how many seeds are played")
+	first := flag.Uint64("first", uint64(time.Now().UnixNano())%1e9, "the first seed")
+	length := flag.Duration("for", 15*time.Second, "how long faults come in a run")
+	jobs := flag.Int("jobs", 2, "how many runs go on at the same time")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	fmt.Println("| seed | faults | served | refused | failed | broken off | not reached | newest version | promises broken |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	var next atomic.Uint64
+	var failed atomic.Bool
+	var all sync.WaitGroup
+	for run := range *jobs {
+		all.Go(func() {
+			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
+				if !one(ctx, *bin, run, *first+i, *length) {
+					failed.Store(true)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if failed.Load() {
+		os.Exit(1)
+	}
+}
+
+// one plays one seed and prints its row.
+func one(ctx context.Context, bin string, run int, seed uint64, length time.Duration) bool {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	log, err := os.Create(filepath.Join(dir, "faults.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer log.Close()
+	var mu sync.Mutex
+	note := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintln(log, time.Now().Format("15:04:05.000"), line)
+	}
+	r, err := soak(ctx, dir, bin, run, seed, length, note)
+	if err != nil {
+		fmt.Printf("| %d | | | | | | | | could not run: %v; logs in %s |\n", seed, err, dir)
+		return false
+	}
+	o := r.outcomes
+	fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d | %d |\n", seed, r.steps,
+		o[standin.Served], o[standin.Refused], o[standin.Failed], o[standin.Broken], o[standin.Unreached], r.changes, len(r.broken))
+	if len(r.broken) == 0 {
+		_ = os.RemoveAll(dir)
+		return true
+	}
+	for _, b := range r.broken {
+		fmt.Println("  ", b)
+	}
+	fmt.Println("   logs in", dir)
+	return false
+}
--- /dev/null
+++ b/scripts/soak/proxy.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// linkState is what a proxy does to the bytes that pass it.
+type linkState struct {
+	// delay holds every piece back in both directions.
+	delay time.Duration
+	// dropIn and dropOut swallow what is sent to the target and what it sends.
+	// The connections stay open.
+	dropIn, dropOut bool
+}
+
+// proxy stands between one process and those that connect to it.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	state linkState
+	conns map[net.Conn]bool
+}
+
+// startProxy listens on the address and passes connections on to the target.
+func startProxy(address, target string) (*proxy, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes what the proxy does from now on, to open connections too.
+func (p *proxy) set(s linkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+func (p *proxy) get() linkState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+// reset closes every open connection with a reset.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	target, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		// The target's refusal is passed on as a reset.
+		_ = client.(*net.TCPConn).SetLinger(0)
+		client.Close()
+		return
+	}
+	p.track(client, target, true)
+	defer p.track(client, target, false)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(target, client, func(s linkState) bool { return s.dropIn }) })
+	both.Go(func() { p.copy(client, target, func(s linkState) bool { return s.dropOut }) })
+	both.Wait()
+}
+
+func (p *proxy) track(a, b net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range []net.Conn{a, b} {
+		if open {
+			p.conns[c] = true
+			continue
+		}
+		delete(p.conns, c)
+		c.Close()
+	}
+}
+
+const copyBufferBytes = 16 << 10
+
+// copy passes bytes on until one side ends. A connection that has lost bytes is
+// never used again, as on a real link.
+func (p *proxy) copy(to, from net.Conn, dropped func(linkState) bool) {
+	defer to.Close()
+	buf := make([]byte, copyBufferBytes)
+	lost := false
+	for {
+		n, err := from.Read(buf)
+		s := p.get()
+		time.Sleep(s.delay)
+		lost = lost || n > 0 && dropped(s)
+		if n > 0 && !lost {
+			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/scripts/soak/system.go
@@ -0,0 +1,305 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"parsleyramp/platform/standin"
+	"parsleyramp/scripts/internal/testbed"
+)
+
+// size is that of every run: seven processes of the system.
+var size = sizes{controls: 3, gateways: 4, endpoints: 8}
+
+// ledgerEndpoints of the endpoints belong to the plain service.
+const ledgerEndpoints = 2
+
+// fleetLimits are those of the model engines.
+var fleetLimits = &standin.Limits{
+	Slots: 12, WeightsMB: 200e3, AdapterPlaces: 4, Lease: 3 * time.Second, Models: []standin.Model{
+		{Name: "m0", WeightsMB: 65e3, AdapterMB: 60, Adapters: 6, LoadTime: 700 * time.Millisecond},
+		{Name: "m1", WeightsMB: 65e3, AdapterMB: 60, LoadTime: 700 * time.Millisecond},
+		{Name: "m2", WeightsMB: 70e3, AdapterMB: 60, Adapters: 3, LoadTime: 2 * time.Second},
+		{Name: "m3", WeightsMB: 70e3, AdapterMB: 60, LoadTime: 700 * time.Millisecond},
+		{Name: "m4", WeightsMB: 65e3, AdapterMB: 60, LoadTime: 700 * time.Millisecond},
+		{Name: "m5", WeightsMB: 60e3, AdapterMB: 60, LoadTime: 700 * time.Millisecond},
+	},
+}
+
+// node is one process of the system, through its restarts.
+type node struct {
+	name     string
+	program  string
+	settings string
+	folder   string
+	callers  string
+	operator string
+
+	mu      sync.Mutex
+	process *testbed.Process
+	starts  int
+	// holds counts the faults that keep the process from being started.
+	holds int
+}
+
+// system is one running system with its surroundings.
+type system struct {
+	dir, bin string
+	ledger   *standin.Ledger
+	list     *standin.List
+	controls []*node
+	gateways []*node
+	// endpoints with the proxies before them, engines first.
+	endpoints []*standin.Endpoint
+	// links are the proxies before control replicas, then before endpoints.
+	links   []*proxy
+	stopped chan struct{}
+}
+
+// Ports of the processes; each run has addresses of its own.
+const (
+	innerPort    = 7000
+	operatorPort = 7001
+	callerPort   = 7002
+	readyPort    = 7003
+	metricsPort  = 7004
+)
+
+// address returns a loopback address of the run. kind tells the addresses of
+// one VM apart.
+func address(run, kind, i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+run, kind, i+1, port)
+}
+
+const (
+	shownControl = iota
+	realControl
+	gatewayVM
+)
+
+// startSystem starts everything. run tells runs at the same time apart.
+func startSystem(dir, bin string, run int) (*system, error) {
+	s := &system{dir: dir, bin: bin, ledger: standin.NewLedger(), stopped: make(chan struct{})}
+	var err error
+	if s.list, err = standin.NewList(); err != nil {
+		return nil, err
+	}
+	for i := range size.controls {
+		p, err := startProxy(address(run, shownControl, i, innerPort), address(run, realControl, i, innerPort))
+		if err != nil {
+			return s, err
+		}
+		s.links = append(s.links, p)
+	}
+	if err := s.startEndpoints(); err != nil {
+		return s, err
+	}
+	go s.list.Follow(s.stopped)
+	for i := range size.controls {
+		if err := s.addControl(run, i); err != nil {
+			return s, err
+		}
+	}
+	for i := range size.gateways {
+		if err := s.addGateway(run, i); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *system) startEndpoints() error {
+	for i := range size.endpoints {
+		service, limits := standin.EngineService, fleetLimits
+		if i >= size.endpoints-ledgerEndpoints {
+			service, limits = standin.LedgerService, nil
+		}
+		e, err := standin.NewEndpoint(service, domain(i), limits, s.ledger)
+		if err != nil {
+			return err
+		}
+		p, err := startProxy("127.0.0.1:0", e.Address())
+		if err != nil {
+			return err
+		}
+		s.endpoints, s.links = append(s.endpoints, e), append(s.links, p)
+		s.list.Add(e, p.address())
+	}
+	return nil
+}
+
+func domain(i int) string { return fmt.Sprintf("d%d", i%3) }
+
+func (s *system) seeds(run int) []string {
+	var out []string
+	for i := range size.controls {
+		out = append(out, address(run, shownControl, i, operatorPort))
+	}
+	return out
+}
+
+func (s *system) addControl(run, i int) error {
+	n := &node{name: fmt.Sprintf("control-%d", i), program: "parsleyramp-fleet", operator: address(run, shownControl, i, operatorPort)}
+	n.folder = filepath.Join(s.dir, n.name)
+	s.controls = append(s.controls, n)
+	return s.launch(n, map[string]any{
+		"id": n.name, "address": address(run, shownControl, i, innerPort), "listen_address": address(run, realControl, i, innerPort),
+		"operator_address": n.operator, "domain": domain(i), "data_folder": n.folder, "live_list": s.list.Address(),
+		"seeds": s.seeds(run), "first_start": true, "order_lease": fleetLimits.Lease.String(),
+	})
+}
+
+func (s *system) addGateway(run, i int) error {
+	n := &node{name: fmt.Sprintf("gateway-%d", i), program: "parsleyramp-gateway", callers: address(run, gatewayVM, i, callerPort)}
+	s.gateways = append(s.gateways, n)
+	return s.launch(n, map[string]any{
+		"id": n.name, "caller_address": n.callers, "ready_address": address(run, gatewayVM, i, readyPort),
+		"metrics_address": address(run, gatewayVM, i, metricsPort), "domain": domain(i), "region": "r",
+		"control_seeds": s.seeds(run), "control_port": innerPort, "grace": "4s", "retry_slack": 50,
+	})
+}
+
+// launch writes the settings of a node and starts it for the first time.
+func (s *system) launch(n *node, settings map[string]any) error {
+	n.settings = filepath.Join(s.dir, n.name+".json")
+	if err := writeSettings(n.settings, settings); err != nil {
+		return err
+	}
+	if err := n.start(s); err != nil {
+		return err
+	}
+	if n.folder == "" {
+		return nil
+	}
+	// Only the very first start may form a group.
+	settings["first_start"] = false
+	time.Sleep(firstRead)
+	return writeSettings(n.settings, settings)
+}
+
+// firstRead is how long a process is given to read its settings.
+const firstRead = 150 * time.Millisecond
+
+func writeSettings(path string, settings map[string]any) error {
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	// A process may read the file at any time, so it is replaced as a whole.
+	if err := os.WriteFile(path+".new", data, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// start starts the process where no fault keeps it down.
+func (n *node) start(s *system) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.holds > 0 || n.process != nil && n.process.Running() {
+		return nil
+	}
+	p, err := testbed.Start(filepath.Join(s.dir, n.name+".log"), n.name, filepath.Join(s.bin, n.program), "-settings", n.settings)
+	if err != nil {
+		return err
+	}
+	n.process = p
+	n.starts++
+	return nil
+}
+
+// hold ends the process by a signal and keeps it down until release.
+func (n *node) hold(sig syscall.Signal) {
+	n.mu.Lock()
+	n.holds++
+	p := n.process
+	n.mu.Unlock()
+	if p == nil || !p.Running() {
+		return
+	}
+	if sig == syscall.SIGKILL {
+		p.Kill()
+		return
+	}
+	if err := p.Stop(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n", err)
+	}
+}
+
+func (n *node) release(s *system) error {
+	n.mu.Lock()
+	n.holds--
+	n.mu.Unlock()
+	return n.start(s)
+}
+
+// signal sends a signal to the process where it runs.
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil && n.process.Running() {
+		// It may end meanwhile, which is what the signal is for.
+		_ = n.process.Signal(sig)
+	}
+}
+
+// incarnation returns how often the process was started.
+func (n *node) incarnation() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts
+}
+
+// revive starts what has ended by itself, as a VM's init would, until ended.
+func (s *system) revive() {
+	for {
+		select {
+		case <-s.stopped:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		for _, n := range append(append([]*node(nil), s.controls...), s.gateways...) {
+			if err := n.start(s); err != nil {
+				fmt.Fprintf(os.Stderr, "%s: %v\n", n.name, err)
+			}
+		}
+	}
+}
+
+// tear appends bytes to a replica's log, as a write that power cut off leaves.
+func (n *node) tear() error {
+	path := filepath.Join(n.folder, "replica.log")
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write([]byte{0, 0, 0, 80, 1, 2, 3, 4, 5, 6, 7})
+	return err
+}
+
+// stop ends everything that the run has started.
+func (s *system) stop() {
+	close(s.stopped)
+	for _, n := range append(append([]*node(nil), s.gateways...), s.controls...) {
+		n.signal(syscall.SIGCONT)
+		n.hold(syscall.SIGKILL)
+	}
+	for _, e := range s.endpoints {
+		e.Crash()
+	}
+	for _, p := range s.links {
+		p.close()
+	}
+	s.list.Close()
+}
