Come back when a replica is ready, and survive SIGHUP at the start

Causes: callers that were refused came back before the next replica was ready; a SIGHUP before the reloader listens ended the program (found by the soak), and a change of the settings during the start was missed (test failed first).

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -96,8 +96,18 @@
 		wait.For(q.ctx, placePoll)
 		return nil, nil
 	}
-	after := fullRetry + time.Duration(q.g.draw()*float64(fullRetrySpread))
-	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(after)
+	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(q.fullRetry())
+}
+
+// fullRetry returns when to come back to a service whose endpoints are full:
+// once another replica of the model is ready, where one is being loaded.
+func (q *request) fullRetry() time.Duration {
+	spread := time.Duration(q.g.draw() * float64(fullRetrySpread))
+	if q.need.Model == "" {
+		return fullRetry + spread
+	}
+	a := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, ""}, q.need.Service)
+	return max(fullRetry, a.readyIn) + spread
 }
 
 // placeAbsent asks control for the model or adapter, which no endpoint holds,
@@ -175,8 +185,17 @@
 type wants struct {
 	mu    sync.Mutex
 	calls map[demandKey]*wantCall
+	// answered are the last answers; they hold for answerKeeps.
+	answered map[demandKey]wantAnswer
 }
 
+// answerKeeps is how long the answer to a question is given again without asking
+// control: as long as a request waits before it asks again.
+const answerKeeps = askInterval / 2
+
+// maxAnswers bounds the answers kept; callers choose the names.
+const maxAnswers = 4096
+
 type wantCall struct {
 	done   chan struct{}
 	answer wantAnswer
@@ -187,10 +206,16 @@
 type wantAnswer struct {
 	endpoint string
 	readyIn  time.Duration
+	// at is when it was given.
+	at time.Duration
 }
 
 func (w *wants) ask(ctx context.Context, g *Gateway, k demandKey, service string) wantAnswer {
 	w.mu.Lock()
+	if a, ok := w.answered[k]; ok && g.clock()-a.at < answerKeeps {
+		w.mu.Unlock()
+		return a
+	}
 	c := w.calls[k]
 	if c == nil {
 		c = &wantCall{done: make(chan struct{})}
@@ -222,7 +247,12 @@
 	if err != nil {
 		g.log.WithError(err).WithField("model", k.model).WithField("adapter", k.adapter).Warn("control did not answer a request for a model")
 	}
+	c.answer.at = g.clock()
 	w.mu.Lock()
+	if w.answered == nil || len(w.answered) >= maxAnswers {
+		w.answered = map[demandKey]wantAnswer{}
+	}
+	w.answered[k] = c.answer
 	delete(w.calls, k)
 	w.mu.Unlock()
 	close(c.done)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -64,6 +64,10 @@
 		fmt.Fprintf(os.Stderr, "%s: -settings is required\n", d.Name)
 		return ExitUsage
 	}
+	// Until the reloader listens, a SIGHUP must not end the program.
+	signal.Ignore(syscall.SIGHUP)
+	// A file that cannot be read fails to load.
+	text, _ := os.ReadFile(*path)
 	if err := settings.Load(*path, d.Settings); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
 		return ExitSettings
@@ -77,17 +81,17 @@
 	defer out.Close(logFlushTimeout)
 	log := telemetry.NewLogger(t, out, d.Name, id)
 	log.WithField("settings", *path).Info("starting")
-	if err := d.serve(id, *path, t, log); err != nil {
+	if err := d.serve(id, *path, text, t, log); err != nil {
 		log.WithField("code", fail.From(err).Code).WithError(err).Error("stopped by a failure")
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func (d Daemon) serve(id, path string, t telemetry.Settings, log *logrus.Entry) error {
+func (d Daemon) serve(id, path string, text []byte, t telemetry.Settings, log *logrus.Entry) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	go d.Reload.watch(ctx, path, log)
+	go d.Reload.watch(ctx, path, text, log)
 	flush, err := telemetry.StartTracing(ctx, t, d.Name, id)
 	if err != nil {
 		return err
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -29,13 +29,11 @@
 
 // watch reads the settings file again at SIGHUP and whenever its content has
 // changed, until ctx ends. A file that cannot be used leaves the old settings
-// in force.
-func (r Reloader) watch(ctx context.Context, path string, log *logrus.Entry) {
+// in force. text is the content that the program started with.
+func (r Reloader) watch(ctx context.Context, path string, text []byte, log *logrus.Entry) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	// An unreadable file shows at the next look.
-	text, _ := os.ReadFile(path)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	if r.watching != nil {
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -20,8 +20,9 @@
 
 func (s *testSettings) Check(c *settings.Checker) { c.Require(s.Name != "", "name", "a name") }
 
-// watched runs a reloader on a file and returns what it takes over.
-func watched(t *testing.T, text string) (path string, applied chan string) {
+// watched runs a reloader on a file, for a program that has started with other
+// settings or the same, and returns what it takes over.
+func watched(t *testing.T, started, text string) (path string, applied chan string) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), "settings.jsonc")
 	write(t, path, text)
@@ -36,7 +37,7 @@
 	t.Cleanup(cancel)
 	ready := make(chan struct{})
 	r.watching = func() { close(ready) }
-	go r.watch(ctx, path, logrus.NewEntry(log))
+	go r.watch(ctx, path, []byte(started), logrus.NewEntry(log))
 	<-ready
 	return path, applied
 }
@@ -68,7 +69,7 @@
 }
 
 func TestHangUpReloadsTheSettings(t *testing.T) {
-	path, applied := watched(t, `{"name": "a"}`)
+	path, applied := watched(t, `{"name": "a"}`, `{"name": "a"}`)
 	hangUp(t)
 	expect(t, applied, "a")
 	write(t, path, `{"name": ""}`)
@@ -79,7 +80,12 @@
 }
 
 func TestChangedFileIsReadWithoutASignal(t *testing.T) {
-	path, applied := watched(t, `{"name": "a"}`)
+	path, applied := watched(t, `{"name": "a"}`, `{"name": "a"}`)
 	write(t, path, `{"name": "b"}`)
 	expect(t, applied, "b")
 }
+
+func TestChangeDuringTheStartIsNotMissed(t *testing.T) {
+	_, applied := watched(t, `{"name": "a"}`, `{"name": "b"}`)
+	expect(t, applied, "b")
+}
