--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -21,8 +21,9 @@
 	// model before it is unloaded.
 	leaveTime = 350 * time.Millisecond
 	// pollInterval is the time between two looks at an engine that carries out
-	// an order.
-	pollInterval = 150 * time.Millisecond
+	// an order and is about to be done, and maxPollInterval while it is not.
+	pollInterval    = 150 * time.Millisecond
+	maxPollInterval = time.Second
 	// elsewherePoll is the time between two looks at an engine that carries out
 	// an order that is not known here.
 	elsewherePoll = 300 * time.Millisecond
@@ -287,10 +288,6 @@
 	return false
 }
 
-// awaitShare of the expected time of a load passes before the engine is asked
-// whether it is done.
-const awaitShare = 0.9
-
 // expect notes when a load that has just been ordered will be ready, and
 // returns how long it takes.
 func (e *engineState) expect(load bool, model string) time.Duration {
@@ -433,9 +430,8 @@
 // await polls the engine until the order has taken effect.
 func (e *engineState) await(ctx context.Context, load bool, model string, expected time.Duration) bool {
 	defer e.endAwait()
-	wait.For(ctx, time.Duration(float64(expected)*awaitShare))
-	deadline := e.l.s.clock() + orderTimeout
-	for e.l.s.clock() < deadline && wait.For(ctx, pollInterval) {
+	began := e.l.s.clock()
+	for e.l.s.clock()-began < orderTimeout && wait.For(ctx, nextPoll(expected-(e.l.s.clock()-began))) {
 		r, err := e.refresh(ctx)
 		if err != nil || r.Busy {
 			continue
@@ -451,6 +447,12 @@
 	return false
 }
 
+// nextPoll returns the time until the next look at an engine that is expected to
+// need so much longer. A load may take less, so it is looked at before that too.
+func nextPoll(left time.Duration) time.Duration {
+	return min(max(left/4, pollInterval), maxPollInterval)
+}
+
 func (e *engineState) endAwait() {
 	e.l.mu.Lock()
 	defer e.l.mu.Unlock()
