--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,20 +29,28 @@
 	endpoint string
 }
 
+// wantedAdapter names an adapter of a service's model that gateways ask for.
+type wantedAdapter struct {
+	service string
+	adapterName
+	// more is set where the engines that hold it are nearly full.
+	more bool
+}
+
 // ensureAdapter returns the engine that holds the adapter, loading it where no
-// engine does, or "" where that is not possible now.
-func (l *leadState) ensureAdapter(ctx context.Context, service, model, adapter string) string {
+// engine does or one more is wanted, or "" where that is not possible now.
+func (l *leadState) ensureAdapter(ctx context.Context, w wantedAdapter) string {
 	l.mu.Lock()
-	key := service + "/" + model + "/" + adapter
-	job := l.jobs[key]
+	job := l.jobs[w]
 	if job == nil {
-		if e := l.holderOf(service, model, adapter); e != nil {
+		holders := l.holdersOf(w)
+		if len(holders) > 0 && !w.more {
 			l.mu.Unlock()
-			return e.listed.ID
+			return holders[0].listed.ID
 		}
 		job = &adapterJob{done: make(chan struct{})}
-		l.jobs[key] = job
-		go l.runAdapterJob(key, job, service, model, adapter)
+		l.jobs[w] = job
+		go l.runAdapterJob(w, job, holders)
 	}
 	l.mu.Unlock()
 	select {
@@ -52,21 +61,25 @@
 	}
 }
 
-func (l *leadState) runAdapterJob(key string, job *adapterJob, service, model, adapter string) {
+// runAdapterJob loads the adapter on an engine other than those that hold it.
+func (l *leadState) runAdapterJob(w wantedAdapter, job *adapterJob, holders []*engineState) {
 	tried := map[string]bool{}
+	for _, e := range holders {
+		tried[e.listed.ID] = true
+	}
 	for range adapterTries {
-		e, d := l.chooseForAdapter(service, model, adapter, tried)
+		e, d := l.chooseForAdapter(w, tried)
 		if e == nil {
 			break
 		}
 		tried[e.listed.ID] = true
-		if e.loadAdapter(l.ctx, d, model, adapter) {
+		if e.loadAdapter(l.ctx, d, w.model, w.adapter) {
 			job.endpoint = e.listed.ID
 			break
 		}
 	}
 	l.mu.Lock()
-	delete(l.jobs, key)
+	delete(l.jobs, w)
 	if e := l.engines[job.endpoint]; e != nil {
 		l.publishEngine(e)
 	}
@@ -74,48 +87,61 @@
 	close(job.done)
 }
 
-// holderOf returns an engine that holds the adapter. The caller holds the lock.
-func (l *leadState) holderOf(service, model, adapter string) *engineState {
-	for _, e := range l.enginesOf(service) {
-		if !e.listed.Leaving && !e.leaving[model] && e.held[model][adapter] {
-			return e
+// holdersOf returns the engines that hold the adapter. The caller holds the lock.
+func (l *leadState) holdersOf(w wantedAdapter) []*engineState {
+	var out []*engineState
+	for _, e := range l.enginesOf(w.service) {
+		if !e.listed.Leaving && !e.leaving[w.model] && e.held[w.model][w.adapter] {
+			out = append(out, e)
 		}
 	}
-	return nil
+	return out
 }
 
-// chooseForAdapter returns the engine that is to hold the adapter: the highest
-// rendezvous hash among those that hold the model and have a place or an
-// adapter that nobody asked for lately.
-func (l *leadState) chooseForAdapter(service, model, adapter string, tried map[string]bool) (*engineState, *document.Engine) {
+// fullPlacesCost is what it costs, in shares of an engine's places for requests,
+// that another adapter must go first, and hashSpread how far a hash tells apart
+// engines that are in use alike, so that an adapter comes back to where it was.
+const (
+	fullPlacesCost = 0.5
+	hashSpread     = 0.2
+	// moreUse is the use up to which an engine takes over part of the requests
+	// for an adapter.
+	moreUse = 0.8
+)
+
+// chooseForAdapter returns the engine that is to hold the adapter: the one least
+// in use among those that hold the model and have a place for it, or an adapter
+// that nobody asked for lately.
+func (l *leadState) chooseForAdapter(w wantedAdapter, tried map[string]bool) (*engineState, *document.Engine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.doc == nil {
 		return nil, nil
 	}
-	s := l.doc.Service(service)
+	s := l.doc.Service(w.service)
 	if s == nil || s.Engine == nil {
 		return nil, nil
 	}
 	var best *engineState
-	var highest uint64
-	for _, e := range l.enginesOf(service) {
-		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.ordering || e.elsewhere || e.held[model] == nil {
+	least := 0.0
+	for _, e := range l.enginesOf(w.service) {
+		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.ordering || e.elsewhere || e.held[w.model] == nil {
 			continue
 		}
-		full := e.adapterCount() >= s.Engine.AdapterPlaces
-		if _, _, found := e.idleAdapter(); full && !found {
+		cost := float64(l.loads[e.listed.ID].GetRunning()) / float64(max(s.Engine.Slots, 1))
+		if w.more && cost > moreUse {
 			continue
 		}
-		h := xxhash.Sum64String(e.listed.ID + "|" + model + "|" + adapter)
-		if full {
-			// An engine with a free place is preferred.
-			h >>= 1
-		} else {
-			h |= 1 << 63
+		if e.adapterCount() >= s.Engine.AdapterPlaces {
+			if _, _, found := e.idleAdapter(); !found {
+				continue
+			}
+			cost += fullPlacesCost
 		}
-		if best == nil || h > highest {
-			best, highest = e, h
+		h := xxhash.Sum64String(e.listed.ID + "|" + w.model + "|" + w.adapter)
+		cost += hashSpread * float64(h) / math.MaxUint64
+		if best == nil || cost < least {
+			best, least = e, cost
 		}
 	}
 	return best, s.Engine
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -155,6 +155,11 @@
 	return f.accept(o), nil
 }
 
+// wanted names an adapter of the test's service.
+func wanted(model, adapter string) wantedAdapter {
+	return wantedAdapter{service: "s", adapterName: adapterName{model, adapter}}
+}
+
 // testLead returns a lead that may give orders to one engine that holds models.
 func testLead(t *testing.T, f *fakeEngine, models ...HeldModel) (*leadState, *engineState) {
 	start := time.Now()
@@ -224,7 +229,7 @@
 		l, _ := testLead(t, f, HeldModel{Name: "m0"})
 		var all sync.WaitGroup
 		for i := range 12 {
-			all.Go(func() { l.ensureAdapter(t.Context(), "s", "m0", fmt.Sprintf("a%d", i)) })
+			all.Go(func() { l.ensureAdapter(t.Context(), wanted("m0", fmt.Sprintf("a%d", i))) })
 		}
 		all.Wait()
 		if f.overcommitted != "" {
@@ -236,6 +241,36 @@
 	})
 }
 
+// TestNearlyFullEnginesShareAnAdapter asks for an adapter again while the engine
+// that holds it has no place left.
+func TestNearlyFullEnginesShareAnAdapter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {"a1": true}}}
+		l, _ := testLead(t, f, HeldModel{Name: "m0", Adapters: []string{"a1"}})
+		var listed []Listed
+		for _, id := range []string{"e", "busy", "idle"} {
+			x := Listed{ID: id, Service: "s", Address: id, Slots: 24, Models: []HeldModel{{Name: "m0"}}}
+			if id == "e" {
+				x.Models[0].Adapters = []string{"a1"}
+			}
+			listed = append(listed, x)
+		}
+		l.takeList(listed)
+		l.loads["e"], l.loads["busy"] = &wire.InProgress{Running: 24}, &wire.InProgress{Running: 22}
+		w := wanted("m0", "a1")
+		if got := l.ensureAdapter(t.Context(), w); got != "e" {
+			t.Errorf("the adapter is at %q, want e", got)
+		}
+		w.more = true
+		if got := l.ensureAdapter(t.Context(), w); got != "idle" {
+			t.Errorf("one more engine with the adapter is %q, want the one least in use", got)
+		}
+		if got := l.ensureAdapter(t.Context(), w); got != "" {
+			t.Errorf("one more engine with the adapter is %q, which is nearly full itself", got)
+		}
+	})
+}
+
 func TestIdleAdapterMakesPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
@@ -244,7 +279,7 @@
 		for i := range 10 {
 			name := fmt.Sprintf("a%d", i)
 			l.demand.Add("m0", name, 1, time.Second, l.s.clock())
-			if got := l.ensureAdapter(t.Context(), "s", "m0", name); got != "e" {
+			if got := l.ensureAdapter(t.Context(), wanted("m0", name)); got != "e" {
 				t.Fatalf("%s is at %q", name, got)
 			}
 			time.Sleep(2 * adapterIdle)
@@ -270,7 +305,7 @@
 			t.Error("a step is planned for an engine that carries out another leader's order")
 		}
 		for i := range 8 {
-			l.ensureAdapter(ctx, "s", "m0", fmt.Sprintf("a%d", i))
+			l.ensureAdapter(ctx, wanted("m0", fmt.Sprintf("a%d", i)))
 		}
 		e.ordering, e.loading = true, "m3"
 		e.carryOut(ctx, residency.Step{Engine: "e", Load: "m3"})
@@ -357,7 +392,7 @@
 		e.ordering, e.loading = true, a.model
 		e.carryOut(ctx, step)
 	case actAdapter:
-		l.ensureAdapter(ctx, "s", a.model, a.adapter)
+		l.ensureAdapter(ctx, wanted(a.model, a.adapter))
 	case actLateOrders:
 		f.carryOutLate()
 	case actWait:
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -55,7 +55,7 @@
 	budgets  map[string]*residency.StoreBudget
 	wanted   map[string]time.Duration
 	notedAt  map[string]time.Duration
-	jobs     map[string]*adapterJob
+	jobs     map[wantedAdapter]*adapterJob
 	verdicts *verdicts
 	// published is what gateways are told.
 	published *publication
@@ -142,7 +142,7 @@
 		s: s, term: term, since: s.clock(), ctx: ctx, hurry: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
-		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[string]*adapterJob{},
+		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[wantedAdapter]*adapterJob{},
 		verdicts: newVerdicts(s.log), published: newPublication(s.viewRevision.Load()),
 	}
 	l.allowed = l.mayOrder
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -131,7 +131,7 @@
 	m := req.Msg
 	resp := &wire.WantResponse{}
 	if m.Adapter != "" {
-		resp.Endpoint = l.ensureAdapter(ctx, m.Service, m.Model, m.Adapter)
+		resp.Endpoint = l.ensureAdapter(ctx, wantedAdapter{service: m.Service, adapterName: adapterName{m.Model, m.Adapter}, more: m.More})
 	}
 	if resp.Endpoint == "" {
 		l.mu.Lock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -135,6 +135,13 @@
 // demandKey names a model and an adapter of it.
 type demandKey struct{ model, adapter string }
 
+// wantKey names what control is asked for.
+type wantKey struct {
+	demandKey
+	// more asks for one more engine with the adapter.
+	more bool
+}
+
 // demand counts what callers ask for between two exchanges.
 type demand struct {
 	mu   sync.Mutex
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// spreadUse is the use of the emptiest endpoint that holds an adapter from
+	// which one more is asked to hold it.
+	spreadUse = 0.6
 	// placePoll is the time between two looks for a free place.
 	placePoll = 50 * time.Millisecond
 	// fullRetry and its spread say when to come back to a full service.
@@ -89,6 +92,11 @@
 // placeAt takes the place, or waits a little for one; it returns neither
 // endpoint nor failure where it is to look again.
 func (q *request) placeAt(c fleet.Choice, waited time.Duration, s *search) (*fleet.Endpoint, error) {
+	if q.need.Adapter != "" && c.Use > spreadUse {
+		if e := q.spread(c, s); e != nil {
+			return e, nil
+		}
+	}
 	switch fleet.Place(c.Use, waited, s.limit) {
 	case fleet.Go:
 		return c.Endpoint, nil
@@ -99,6 +107,24 @@
 	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(q.fullRetry())
 }
 
+// spread asks control to load the adapter on one more engine, for those that
+// hold it are nearly full. It waits for that only where they are full, and
+// returns the engine or nil.
+func (q *request) spread(c fleet.Choice, s *search) *fleet.Endpoint {
+	k := wantKey{demandKey{q.need.Model, q.need.Adapter}, true}
+	if c.Use <= 1 {
+		go q.g.wants.ask(context.Background(), q.g, k, q.need.Service)
+		return nil
+	}
+	a := q.g.wants.ask(q.ctx, q.g, k, q.need.Service)
+	e := q.endpoint(a.endpoint, s.tried)
+	if e != nil && e.Serves(q.need.Model, q.need.Adapter) {
+		// It was among those that are full.
+		return nil
+	}
+	return e
+}
+
 // fullRetry returns when to come back to a service whose endpoints are full:
 // once another replica of the model is ready, where one is being loaded.
 func (q *request) fullRetry() time.Duration {
@@ -106,7 +132,7 @@
 	if q.need.Model == "" {
 		return fullRetry + spread
 	}
-	a := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, ""}, q.need.Service)
+	a := q.g.wants.ask(q.ctx, q.g, wantKey{demandKey: demandKey{q.need.Model, ""}}, q.need.Service)
 	return max(fullRetry, a.readyIn) + spread
 }
 
@@ -169,24 +195,30 @@
 // want asks control for the model and adapter. It returns the engine that holds
 // them now, or nil and when one is expected to, zero where that is not known.
 func (q *request) want(tried map[string]bool) (*fleet.Endpoint, time.Duration) {
-	a := q.g.wants.ask(q.ctx, q.g, demandKey{q.need.Model, q.need.Adapter}, q.need.Service)
-	if a.endpoint == "" || tried[a.endpoint] {
-		return nil, a.readyIn
+	k := wantKey{demandKey: demandKey{q.need.Model, q.need.Adapter}}
+	a := q.g.wants.ask(q.ctx, q.g, k, q.need.Service)
+	return q.endpoint(a.endpoint, tried), a.readyIn
+}
+
+// endpoint returns the endpoint of the id where a request may go there, or nil.
+func (q *request) endpoint(id string, tried map[string]bool) *fleet.Endpoint {
+	if id == "" || tried[id] {
+		return nil
 	}
 	for _, e := range q.g.view.Load().Service(q.need.Service) {
-		if e.ID == a.endpoint && !e.Leaving {
-			return e, 0
+		if e.ID == id && !e.Leaving {
+			return e
 		}
 	}
-	return nil, a.readyIn
+	return nil
 }
 
 // wants joins equal questions to control that are under way.
 type wants struct {
 	mu    sync.Mutex
-	calls map[demandKey]*wantCall
+	calls map[wantKey]*wantCall
 	// answered are the last answers; they hold for answerKeeps.
-	answered map[demandKey]wantAnswer
+	answered map[wantKey]wantAnswer
 }
 
 // answerKeeps is how long the answer to a question is given again without asking
@@ -210,7 +242,7 @@
 	at time.Duration
 }
 
-func (w *wants) ask(ctx context.Context, g *Gateway, k demandKey, service string) wantAnswer {
+func (w *wants) ask(ctx context.Context, g *Gateway, k wantKey, service string) wantAnswer {
 	w.mu.Lock()
 	if a, ok := w.answered[k]; ok && g.clock()-a.at < answerKeeps {
 		w.mu.Unlock()
@@ -220,7 +252,7 @@
 	if c == nil {
 		c = &wantCall{done: make(chan struct{})}
 		if w.calls == nil {
-			w.calls = map[demandKey]*wantCall{}
+			w.calls = map[wantKey]*wantCall{}
 		}
 		w.calls[k] = c
 		go w.carryOut(g, k, service, c)
@@ -234,11 +266,11 @@
 	}
 }
 
-func (w *wants) carryOut(g *Gateway, k demandKey, service string, c *wantCall) {
+func (w *wants) carryOut(g *Gateway, k wantKey, service string, c *wantCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
 	defer cancel()
 	err := g.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
-		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter}))
+		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter, More: k.more}))
 		if err == nil {
 			c.answer = wantAnswer{endpoint: r.Msg.Endpoint, readyIn: time.Duration(r.Msg.ReadyInMs) * time.Millisecond}
 		}
@@ -250,7 +282,7 @@
 	c.answer.at = g.clock()
 	w.mu.Lock()
 	if w.answered == nil || len(w.answered) >= maxAnswers {
-		w.answered = map[demandKey]wantAnswer{}
+		w.answered = map[wantKey]wantAnswer{}
 	}
 	w.answered[k] = c.answer
 	delete(w.calls, k)
