--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -50,10 +50,6 @@
 	Use float64
 }
 
-// noTurnUse is the use of endpoints to which this gateway may send nothing more
-// until it is told again what the others have in progress.
-const noTurnUse = 2.0
-
 // Choose returns a good endpoint that serves the need, or a choice without an
 // endpoint. It takes the cheapest of a few drawn at random, and of all where
 // those have no room. Endpoints in tried are left out.
@@ -66,11 +62,6 @@
 			all = append(all, e)
 		}
 	}
-	inTurn := l.inTurn(all)
-	if len(inTurn) == 0 && len(all) > 0 {
-		return Choice{Endpoint: all[0], Use: noTurnUse}
-	}
-	all = inTurn
 	home := homeOf(all, n)
 	if len(all) > sampled {
 		if c, cost := l.cheapest(l.sample(all, home), n, home, now); c.Use < 1 && cost < suspectCost {
@@ -81,26 +72,6 @@
 	return c
 }
 
-// inTurn returns the endpoints to which this gateway may send now: all of them
-// unless they are contended. The caller holds the lock.
-func (l *Loads) inTurn(all []*Endpoint) []*Endpoint {
-	slots, running := 0, 0
-	for _, e := range all {
-		slots += e.Slots
-		running += min(l.of(e.ID).Running, e.Slots)
-	}
-	if l.stale || l.gateways <= 1 || float64(running) < contendedUse*float64(slots) {
-		return all
-	}
-	var out []*Endpoint
-	for _, e := range all {
-		if l.quota.left(e.ID, e.Slots, l.of(e.ID).Running, l.gateways, l.draw) {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 // sample draws endpoints at random and adds the one that the session prefers.
 func (l *Loads) sample(all []*Endpoint, home string) []*Endpoint {
 	var out []*Endpoint
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -33,7 +33,6 @@
 	stale bool
 	// gateways is how many gateways share the endpoints, this one included.
 	gateways int
-	quota    quota
 	draw     func(n int) int
 }
 
@@ -41,7 +40,7 @@
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, heard: map[string]hearing{},
-		gateways: 1, quota: newQuota(), draw: draw,
+		gateways: 1, draw: draw,
 	}
 }
 
@@ -87,7 +86,6 @@
 	}
 	h.owed++
 	l.heard[endpoint] = h
-	l.quota.sent[endpoint]++
 	o := l.own[endpoint]
 	o.Running++
 	o.Tokens += tokens
@@ -213,7 +211,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = others
-	l.quota.next()
 	return true
 }
 
