--- /dev/null
+++ b/scripts/soak/soak_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os/exec"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestScheduleFollowsFromTheSeed(t *testing.T) {
+	a, b := schedule(7, 20*time.Second, size), schedule(7, 20*time.Second, size)
+	if !slices.Equal(a, b) || len(a) < 10 {
+		t.Errorf("%d and %d steps of one seed", len(a), len(b))
+	}
+	if slices.Equal(a, schedule(8, 20*time.Second, size)) {
+		t.Error("two seeds give the same steps")
+	}
+}
+
+// TestScheduleLosesOneDiskAtATime checks that no control replica goes down while
+// another one that has lost its disk learns from the rest.
+func TestScheduleLosesOneDiskAtATime(t *testing.T) {
+	down := []kind{killControl, pauseControl, stopControl, tearLog, killControls, killAll, wipeControl}
+	rapid.Check(t, func(t *rapid.T) {
+		steps := schedule(rapid.Uint64().Draw(t, "seed"), time.Minute, size)
+		for i, wipe := range steps {
+			if wipe.kind != wipeControl {
+				continue
+			}
+			for j, s := range steps {
+				if i == j || !slices.Contains(down, s.kind) {
+					continue
+				}
+				apart := s.at >= wipe.at+wipe.lasts+wipeSettle || wipe.at >= s.at+s.lasts+wipeSettle
+				if !apart {
+					t.Fatalf("%s beside %s", s, wipe)
+				}
+			}
+		}
+	})
+}
+
+// echo serves what it is sent.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestProxyDisturbsOpenConnections(t *testing.T) {
+	p, err := startProxy("127.0.0.1:0", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", p.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	ask := func(c net.Conn, wait time.Duration) error {
+		_ = c.SetDeadline(time.Now().Add(wait))
+		if _, err := c.Write([]byte("ping")); err != nil {
+			return err
+		}
+		got := make([]byte, 4)
+		if _, err := io.ReadFull(c, got); err != nil {
+			return err
+		}
+		if !bytes.Equal(got, []byte("ping")) {
+			t.Fatalf("got %q", got)
+		}
+		return nil
+	}
+	c := dial()
+	if err := ask(c, 5*time.Second); err != nil {
+		t.Fatalf("undisturbed: %v", err)
+	}
+	p.set(linkState{delay: 50 * time.Millisecond})
+	began := time.Now()
+	if err := ask(c, 5*time.Second); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("delayed both ways: %v after %v", err, time.Since(began))
+	}
+	for _, s := range []linkState{{dropIn: true}, {dropOut: true}} {
+		p.set(s)
+		if err := ask(dial(), 200*time.Millisecond); err == nil {
+			t.Errorf("an answer came through %+v", s)
+		}
+		p.set(linkState{})
+	}
+	p.reset()
+	if err := ask(c, 5*time.Second); err == nil {
+		t.Error("a connection goes on after a reset")
+	}
+	if err := ask(dial(), 5*time.Second); err != nil {
+		t.Errorf("a new connection after it: %v", err)
+	}
+}
+
+// shortSeeds are played in every run of the tests; seeds that ever failed are
+// added here, with the cause.
+var shortSeeds = []uint64{1}
+
+// TestShortSoak plays a few seconds of faults against the real programs.
+func TestShortSoak(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+"/", "parsleyramp/cmd/parsleyramp-gateway", "parsleyramp/cmd/parsleyramp-fleet")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, seed := range shortSeeds {
+		r, err := soak(t.Context(), t.TempDir(), bin, testRun, seed, 5*time.Second, func(line string) { t.Log(line) })
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for _, b := range r.broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if r.outcomes[0] == 0 || r.changes == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+	}
+}
+
+// testRun tells the tests' addresses from those of runs by hand.
+const testRun = 100
