Reserve a place where others may take the last ones

In high use a gateway asks the endpoint for a place before it sends, and another one where there is none.

--- a/cmd/parsleyramp-fleet/main.go
+++ b/cmd/parsleyramp-fleet/main.go
@@ -15,6 +15,7 @@
 	"parsleyramp/internal/program"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/upstream"
 	"parsleyramp/platform"
 )
 
@@ -67,6 +68,6 @@
 
 func adapter(cfg fleetcontrol.Settings, log *logrus.Entry) fleetcontrol.Adapter {
 	return fleetcontrol.Adapter{
-		Platform: platform.NewClient(cfg.LiveList, log), Decode: platform.DecodeDocument, Operators: platform.Operators(log),
+		Platform: platform.NewClient(upstream.NewPool(), cfg.LiveList, log), Decode: platform.DecodeDocument, Operators: platform.Operators(log),
 	}
 }
--- a/cmd/parsleyramp-gateway/main.go
+++ b/cmd/parsleyramp-gateway/main.go
@@ -14,6 +14,7 @@
 	"parsleyramp/internal/program"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/upstream"
 	"parsleyramp/platform"
 )
 
@@ -36,7 +37,7 @@
 			},
 		},
 		Run: func(ctx context.Context, stop func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
-			g, err := gateway.Start(cfg, adapter(), log)
+			g, err := gateway.Start(cfg, adapter(log), log)
 			if err != nil {
 				return err
 			}
@@ -50,8 +51,10 @@
 	os.Exit(d.Main(os.Args[1:]))
 }
 
-func adapter() gateway.Adapter {
+func adapter(log *logrus.Entry) gateway.Adapter {
+	pool := upstream.NewPool()
 	return gateway.Adapter{
+		Pool: pool, Reserver: platform.NewClient(pool, "", log),
 		Protocol: platform.Ingress{}, Decode: platform.DecodeDocument,
 		Directory: platform.Directory, Ready: platform.Ready,
 	}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -94,6 +94,9 @@
 	WeightsMB float64
 	// AdapterPlaces bounds the adapters that an engine holds.
 	AdapterPlaces int
+	// MaxReservation is how long an engine reserves a place at most; zero where it
+	// reserves none.
+	MaxReservation time.Duration
 	// LoadsPerSecond bounds the loads from the weight store over all engines.
 	LoadsPerSecond float64
 	Models         []Model
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -48,8 +48,17 @@
 	Endpoint *Endpoint
 	// Use is the share of the endpoint that was in use, 1 where it is full.
 	Use float64
+	// Contended is set where the endpoints of the model are used so much, in all
+	// or the one chosen, that others may take the last places meanwhile.
+	Contended bool
 }
 
+// contendedUse is the use of an endpoint, or of all endpoints of a model
+// together, from which places are reserved. When one more becomes ready for a
+// model whose requests wait at every gateway, all of them go there at once by
+// counts that still say empty.
+const contendedUse = 0.6
+
 // Choose returns a good endpoint that serves the need, or a choice without an
 // endpoint. It takes the cheapest of a few drawn at random, and of all where
 // those have no room. Endpoints in tried are left out.
@@ -63,15 +72,29 @@
 		}
 	}
 	home := homeOf(all, n)
+	contended := l.totalUse(all) >= contendedUse
 	if len(all) > sampled {
 		if c, cost := l.cheapest(l.sample(all, home), n, home, now); c.Use < 1 && cost < suspectCost {
+			c.Contended = contended || c.Use >= contendedUse
 			return c
 		}
 	}
 	c, _ := l.cheapest(all, n, home, now)
+	c.Contended = contended || c.Use >= contendedUse
 	return c
 }
 
+// totalUse returns the share of all places of the endpoints that is in use. The
+// caller holds the lock.
+func (l *Loads) totalUse(all []*Endpoint) float64 {
+	slots, running := 0, 0
+	for _, e := range all {
+		slots += e.Slots
+		running += min(l.of(e.ID).Running, e.Slots)
+	}
+	return float64(running) / float64(max(slots, 1))
+}
+
 // sample draws endpoints at random and adds the one that the session prefers.
 func (l *Loads) sample(all []*Endpoint, home string) []*Endpoint {
 	var out []*Endpoint
@@ -110,10 +133,16 @@
 	return best, bestCost
 }
 
+// refusedUse is the use of an endpoint that said that it has no room.
+const refusedUse = 1.25
+
 // use returns the larger of the shares of places and of memory in use.
 func (l *Loads) use(e *Endpoint, n Need) float64 {
 	load := l.of(e.ID)
 	use := float64(load.Running) / float64(max(e.Slots, 1))
+	if l.refused[e.ID] {
+		use = max(use, refusedUse)
+	}
 	if n.CacheTokens > 0 {
 		use = max(use, float64(load.Tokens)/float64(n.CacheTokens))
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -33,14 +33,16 @@
 	stale bool
 	// gateways is how many gateways share the endpoints, this one included.
 	gateways int
-	draw     func(n int) int
+	// refused are endpoints that had no room since the last counts.
+	refused map[string]bool
+	draw    func(n int) int
 }
 
 // NewLoads returns empty counts. draw returns a random number below n.
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, heard: map[string]hearing{},
-		gateways: 1, draw: draw,
+		gateways: 1, refused: map[string]bool{}, draw: draw,
 	}
 }
 
@@ -211,15 +213,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = others
+	clear(l.refused)
 	return true
 }
 
+// Refused notes that the endpoint itself said that it has no room. That holds
+// until the next counts.
+func (l *Loads) Refused(endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused[endpoint] = true
+}
+
 // SetStale says whether the counts of the others are old. Then each of the
 // other gateways is taken to have as much in progress as this one.
 func (l *Loads) SetStale(stale bool, gateways int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stale, l.gateways = stale, max(gateways, 1)
+	if stale {
+		clear(l.refused)
+	}
 }
 
 // maxUnreadScale bounds the estimate of the prompts that others have sent to an
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 // Adapter is what a gateway needs of the outside world's formats.
 type Adapter struct {
 	Protocol Protocol
+	// Pool holds the connections to endpoints, and Reserver takes places there.
+	Pool     *upstream.Pool
+	Reserver Reserver
 	// Decode reads a whole document.
 	Decode func(text []byte) (*document.Document, error)
 	// Directory answers callers that ask which gateways to use, and Ready the
@@ -86,7 +89,7 @@
 	clock := func() time.Duration { return time.Since(start) }
 	g := &Gateway{
 		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
-		loads: fleet.NewLoads(rand.IntN), paces: fleet.NewPaces(), pool: upstream.NewPool(), draw: rand.Float64,
+		loads: fleet.NewLoads(rand.IntN), paces: fleet.NewPaces(), pool: adapter.Pool, draw: rand.Float64,
 		retries: retry.NewShare(cfg.retryTerms(), 0),
 		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,8 +24,16 @@
 	pauseSeconds     = metrics.GetOrCreateHistogram("parsleyramp_gateway_longest_pause_seconds")
 	placeSeconds     = metrics.GetOrCreateHistogram("parsleyramp_gateway_place_seconds")
 	sendsDone        sendCounter
+	reservations     reservationCounter
 )
 
+// reservationCounter counts places asked for ahead of a request, by result.
+type reservationCounter struct{}
+
+func (reservationCounter) count(result string) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_reservations_total{result="` + result + `"}`).Inc()
+}
+
 // sendCounter counts sends to endpoints by outcome.
 type sendCounter struct{}
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
@@ -18,6 +19,10 @@
 	// spreadUse is the use of the emptiest endpoint that holds an adapter from
 	// which one more is asked to hold it.
 	spreadUse = 0.6
+	// reserveTimeout bounds the wait for a reservation, and reserveKeep is how
+	// long the place is kept for the request, which follows at once.
+	reserveTimeout = 300 * time.Millisecond
+	reserveKeep    = 500 * time.Millisecond
 	// placePoll is the time between two looks for a free place.
 	placePoll = 50 * time.Millisecond
 	// fullRetry and its spread say when to come back to a full service.
@@ -44,8 +49,13 @@
 	// the model is expected to be ready; zero where that is not known.
 	askAt   time.Duration
 	readyAt time.Duration
+	// silent counts the endpoints that did not answer when asked for a place.
+	silent int
 }
 
+// maxSilent bounds the endpoints that are asked for a place in vain.
+const maxSilent = 3
+
 // place returns the endpoint that the request goes to. It waits for a place, or
 // for a model that is being loaded, where that comes in time, and refuses at
 // once what cannot be served.
@@ -54,6 +64,7 @@
 	now := g.clock()
 	s := search{tried: tried, began: now, limit: q.patience(), askAt: now}
 	q.countDemand(len(tried))
+	q.reservation = ""
 	for first := true; ; first = false {
 		changed := g.changed.wait()
 		now = g.clock()
@@ -99,7 +110,7 @@
 	}
 	switch fleet.Place(c.Use, waited, s.limit) {
 	case fleet.Go:
-		return c.Endpoint, nil
+		return q.reserve(c, s)
 	case fleet.Wait:
 		wait.For(q.ctx, placePoll)
 		return nil, nil
@@ -107,6 +118,40 @@
 	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(q.fullRetry())
 }
 
+// reserve takes a place at the endpoint where others may take the last ones
+// meanwhile. It returns neither endpoint nor failure where there is none, or where
+// the endpoint does not answer: then another look is due, for neither has run the
+// request.
+func (q *request) reserve(c fleet.Choice, s *search) (*fleet.Endpoint, error) {
+	g := q.g
+	q.reservation = ""
+	if !c.Contended || q.keepPlace == 0 || g.adapter.Reserver == nil {
+		return c.Endpoint, nil
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, reserveTimeout)
+	defer cancel()
+	id, err := g.adapter.Reserver.Reserve(ctx, c.Endpoint.Address, c.Endpoint.ID, q.need.Tokens, min(reserveKeep, q.keepPlace))
+	fields := logrus.Fields{"request": q.facts.ID, "endpoint": c.Endpoint.ID, "use": c.Use}
+	switch {
+	case err != nil:
+		reservations.count("failed")
+		g.loads.Note(c.Endpoint.ID, fleet.Unreachable, g.clock())
+		g.log.WithError(err).WithFields(fields).Info("place not reserved")
+		if s.silent++; s.silent >= maxSilent {
+			return nil, fail.Wrap(err, fail.Unavailable, "no endpoint answers").WithRetryAfter(absentRetry)
+		}
+		return nil, nil
+	case id == "":
+		reservations.count("full")
+		g.loads.Refused(c.Endpoint.ID)
+		g.log.WithFields(fields).Debug("endpoint has no place")
+		return nil, nil
+	}
+	reservations.count("taken")
+	q.reservation = id
+	return c.Endpoint, nil
+}
+
 // spread asks control to load the adapter on one more engine, for those that
 // hold it are nearly full. It waits for that only where they are full, and
 // returns the engine or nil.
--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
@@ -58,3 +62,86 @@
 		})
 	}
 }
+
+// fakeReserver gives out the places of endpoints.
+type fakeReserver struct {
+	places map[string]int
+	asked  []string
+}
+
+func (f *fakeReserver) Reserve(_ context.Context, _, endpoint string, _ int, _ time.Duration) (string, error) {
+	f.asked = append(f.asked, endpoint)
+	left, known := f.places[endpoint]
+	switch {
+	case !known:
+		return "", fail.New(fail.EndpointFailed, "no answer")
+	case left == 0:
+		return "", nil
+	}
+	f.places[endpoint]--
+	return "place at " + endpoint, nil
+}
+
+// contended returns a request for a model whose endpoints are in high use.
+func contended(t *testing.T, r *fakeReserver, endpoints ...string) *request {
+	g, q := fullEndpoint(t, 12*time.Second)
+	g.adapter.Reserver = r
+	g.log = testLog()
+	// Control has said that no further replica is on its way.
+	g.wants.answered = map[wantKey]wantAnswer{{demandKey: demandKey{model: "m"}}: {at: time.Hour}}
+	w := &wire.FleetView{}
+	for _, id := range endpoints {
+		w.Endpoints = append(w.Endpoints, &wire.FleetEndpoint{Id: id, Service: "s", Slots: 10, Models: []*wire.HeldModel{{Name: "m"}}})
+		for range 8 {
+			g.loads.Begin(id, 0, 0, 0)
+		}
+	}
+	g.view.Store(fleet.NewView(w))
+	q.need, q.keepPlace = fleet.Need{Service: "s", Model: "m"}, time.Second
+	return q
+}
+
+func TestPlaceIsReservedWhereOthersMayTakeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeReserver{places: map[string]int{"a": 0, "b": 1}}
+		q := contended(t, r, "a", "b")
+		e, err := q.place(map[string]bool{})
+		if err != nil || e.ID != "b" || q.reservation != "place at b" {
+			t.Errorf("%v, %v with %q", e, err, q.reservation)
+		}
+		e, err = q.place(map[string]bool{})
+		if e != nil || !fail.Is(err, fail.Overloaded) || q.reservation != "" {
+			t.Errorf("%v, %v with %q and no place left", e, err, q.reservation)
+		}
+	})
+}
+
+func TestEndpointsThatDoNotAnswerAreNotAskedForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeReserver{places: map[string]int{}}
+		q := contended(t, r, "a")
+		e, err := q.place(map[string]bool{})
+		if e != nil || !fail.Is(err, fail.Unavailable) || len(r.asked) != maxSilent {
+			t.Errorf("%v, %v after %v", e, err, r.asked)
+		}
+	})
+}
+
+func TestNoPlaceIsReservedAtEndpointsInLowUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeReserver{}
+		q := contended(t, r, "a")
+		for range 6 {
+			q.g.loads.End("a", 0)
+		}
+		if e, err := q.place(map[string]bool{}); err != nil || e.ID != "a" || len(r.asked) > 0 {
+			t.Errorf("%v, %v after %v", e, err, r.asked)
+		}
+	})
+}
+
+func testLog() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -34,10 +35,20 @@
 	TimeLeft time.Duration
 	// Rank is the urgency of the route, 0 first.
 	Rank int
+	// Reservation is the place that was taken for it; empty for none.
+	Reservation string
 	// AfterEvent is the last whole event that the caller has; empty for none.
 	AfterEvent string
 }
 
+// Reserver takes places at endpoints ahead of requests.
+type Reserver interface {
+	// Reserve takes a place and memory for the tokens at an endpoint for a while.
+	// It returns an empty id where there is no room, and a failure where the
+	// endpoint does not answer. A place that no request uses in time is free again.
+	Reserve(ctx context.Context, address, endpoint string, tokens int, keep time.Duration) (id string, err error)
+}
+
 // Answer is what an endpoint's head says.
 type Answer struct {
 	// NotRun is set where the endpoint states that it did not run the request.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,10 @@
 	facts Facts
 	route *document.Route
 	need  fleet.Need
+	// keepPlace is how long the service's engines keep a place at most; zero where
+	// they keep none. reservation is the place taken for the next send.
+	keepPlace   time.Duration
+	reservation string
 	// arrived is when the request was read, and end when its time is over.
 	arrived time.Duration
 	end     time.Duration
@@ -77,6 +81,9 @@
 		q.end = min(q.end, arrived+facts.Deadline)
 	}
 	q.need = g.needOf(table.Document, route, facts)
+	if s := table.Document.Service(q.need.Service); s != nil && s.Engine != nil {
+		q.keepPlace = s.Engine.MaxReservation
+	}
 	g.retries.Request(q.need.Service, arrived)
 	ctx, cancel := context.WithTimeout(r.Context(), q.end-g.clock())
 	defer cancel()
