--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -25,8 +25,8 @@
 	// placeWait bounds the wait for a place, as does placeShare of the time that
 	// the request has. Bursts pass within seconds, and a place is free earlier
 	// than a caller that is refused comes back.
-	placeWait  = 1500 * time.Millisecond
-	placeShare = 0.12
+	placeWait  = 2500 * time.Millisecond
+	placeShare = 0.4
 	// modelWait and modelShare bound the wait for a model of which it is not
 	// known when it will be ready.
 	modelWait  = 1700 * time.Millisecond
