--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -101,7 +101,7 @@
 		at := d.s.controls[r.IntN(len(d.s.controls))].operator
 		switch r.IntN(8) {
 		case 0:
-			if status := o.Put(d.ctx, at, []byte(`{"version":999999,"routes":[{"name":"x","host":"h","pathPrefix":"/a/","routeKind":"safe","service":"none"}]}`)); status == 200 {
+			if status := o.Put(d.ctx, at, standin.InvalidDocument); status == 200 {
 				d.s.ledger.Break("a configuration that names an unknown service was acknowledged")
 			}
 		case 1, 2, 3:
