--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -25,6 +25,7 @@
 	health *Health
 	// results are those since the last report.
 	results map[string]Results
+	speeds  map[string]Speed
 	heard   map[string]hearing
 	// failing and dead are what several gateways together take endpoints for.
 	failing, dead map[string]bool
@@ -41,7 +42,7 @@
 // NewLoads returns empty counts. draw returns a random number below n.
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
-		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, heard: map[string]hearing{},
+		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, speeds: map[string]Speed{}, heard: map[string]hearing{},
 		gateways: 1, refused: map[string]bool{}, draw: draw,
 	}
 }
@@ -149,6 +150,11 @@
 		w.Served, w.Failed = uint32(r.Served), uint32(r.Failed)
 	}
 	clear(l.results)
+	for id, x := range l.speeds {
+		w := of(id)
+		w.TookMs, w.ExpectedMs = uint32(x.Took.Milliseconds()), uint32(x.Expected.Milliseconds())
+	}
+	clear(l.speeds)
 	out := make([]*wire.InProgress, 0, len(all))
 	for _, w := range all {
 		out = append(out, w)
@@ -182,6 +188,20 @@
 	l.results[endpoint] = sum
 }
 
+// NoteSpeed records how long a request took, ended or broken off, and how long it
+// would have taken at usual speed for what has come of its answer.
+func (l *Loads) NoteSpeed(endpoint string, x Speed) {
+	if x.Expected <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.speeds[endpoint]
+	sum.Took += x.Took
+	sum.Expected += x.Expected
+	l.speeds[endpoint] = sum
+}
+
 // doubt returns what the doubts about an endpoint cost, in shares of a full
 // one. The caller holds the lock.
 func (l *Loads) doubt(endpoint string, now time.Duration) float64 {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -26,6 +26,44 @@
 	samples int
 	took    float64
 	tokens  float64
+	// pieceTook and pieces are the averages of the time from the first piece of
+	// an answer to its last, and of how many pieces there were.
+	pieceTook float64
+	pieces    float64
+}
+
+// firstPieceTime is a typical time to the first piece of an answer.
+const firstPieceTime = 100 * time.Millisecond
+
+// NotePieces records a whole answer that came in pieces, the last of which came
+// the time after the first.
+func (p *Paces) NotePieces(model string, pieces int, took time.Duration) {
+	if pieces < 2 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[model]
+	if m == nil {
+		return
+	}
+	if m.pieces == 0 {
+		m.pieceTook, m.pieces = took.Seconds(), float64(pieces)
+	}
+	m.pieceTook += paceWeight * (took.Seconds() - m.pieceTook)
+	m.pieces += paceWeight * (float64(pieces) - m.pieces)
+}
+
+// ExpectPieces returns how long an endpoint of usual speed needs for so many
+// pieces of an answer; zero where that is not known yet.
+func (p *Paces) ExpectPieces(model string, pieces int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.models[model]
+	if m == nil || m.samples < paceSamples || m.pieces == 0 {
+		return 0
+	}
+	return firstPieceTime + time.Duration(float64(pieces)*m.pieceTook/m.pieces*float64(time.Second))
 }
 
 // NewPaces returns a measure without any answer.
--- a/internal/fleetcontrol/verdicts.go
+++ b/internal/fleetcontrol/verdicts.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,13 @@
 	// silenceTrust is how long a gateway's word that an endpoint is silent
 	// counts, and how long nobody must have heard of it.
 	silenceTrust = 600 * time.Millisecond
+	// slowRatio is how much longer than at all endpoints together requests take at
+	// one that is slow, and slowKnown the least work, at usual speed, that tells.
+	slowRatio = 2.2
+	slowKnown = time.Second
+	// speedTime smooths speeds. An endpoint that gets no requests is tried again
+	// once the work that told has faded.
+	speedTime = 2500 * time.Millisecond
 	// agreeing is how many gateways, or domains, must say the same of an endpoint
 	// before all act on it. One alone may have lost its own links.
 	agreeing = 2
@@ -32,6 +40,10 @@
 	// heard when any gateway has heard of the endpoint last.
 	silent map[string]map[string]time.Duration
 	heard  map[string]time.Duration
+	// speeds are those of endpoints, and all their sum.
+	speeds map[string]*speed
+	all    speed
+	slow   map[string]bool
 	// believed are the endpoints that were taken for dead when last looked at.
 	believed map[string]bool
 }
@@ -39,7 +51,7 @@
 func newVerdicts(log *logrus.Entry) *verdicts {
 	return &verdicts{
 		log: log, domains: map[string]*fleet.Health{}, silent: map[string]map[string]time.Duration{},
-		heard: map[string]time.Duration{}, believed: map[string]bool{},
+		heard: map[string]time.Duration{}, believed: map[string]bool{}, speeds: map[string]*speed{}, slow: map[string]bool{},
 	}
 }
 
@@ -57,9 +69,53 @@
 			v.log.WithFields(logrus.Fields{"endpoint": x.Endpoint, "domain": domain, "failing": after, "failed": x.Failed}).Info("endpoint judged by results")
 		}
 		v.takeSilence(gateway, x, now)
+		v.takeSpeed(x, now)
 	}
 }
 
+// speed sums how long requests took and would have taken, newer ones weighing
+// more.
+type speed struct {
+	took, expected float64
+	at             time.Duration
+}
+
+func (s *speed) add(took, expected float64, now time.Duration) {
+	keep := math.Exp(-(now - s.at).Seconds() / speedTime.Seconds())
+	s.took, s.expected, s.at = s.took*keep+took, s.expected*keep+expected, now
+}
+
+func (v *verdicts) takeSpeed(x *wire.InProgress, now time.Duration) {
+	if x.ExpectedMs == 0 {
+		return
+	}
+	s := v.speeds[x.Endpoint]
+	if s == nil {
+		s = &speed{at: now}
+		v.speeds[x.Endpoint] = s
+	}
+	took, expected := float64(x.TookMs)/1000, float64(x.ExpectedMs)/1000
+	s.add(took, expected, now)
+	v.all.add(took, expected, now)
+}
+
+// isSlow reports whether requests take much longer at the endpoint than at all
+// together.
+func (v *verdicts) isSlow(endpoint string, now time.Duration) bool {
+	s := v.speeds[endpoint]
+	slow := false
+	if s != nil {
+		s.add(0, 0, now)
+		v.all.add(0, 0, now)
+		slow = s.expected > slowKnown.Seconds() && s.took*v.all.expected > slowRatio*v.all.took*s.expected
+	}
+	if slow != v.slow[endpoint] {
+		v.slow[endpoint] = slow
+		v.log.WithFields(logrus.Fields{"endpoint": endpoint, "slow": slow, "took_s": s.took, "expected_s": s.expected, "all_took_s": v.all.took, "all_expected_s": v.all.expected}).Info("endpoint judged by its speed")
+	}
+	return slow
+}
+
 func (v *verdicts) takeSilence(gateway string, x *wire.InProgress, now time.Duration) {
 	if x.Heard || x.Served > 0 {
 		v.heard[x.Endpoint] = now
@@ -93,8 +149,11 @@
 }
 
 // failing reports whether gateways of the domain are to avoid the endpoint for
-// its results.
+// its results or its speed.
 func (v *verdicts) failing(endpoint, domain string, now time.Duration) bool {
+	if v.isSlow(endpoint, now) {
+		return true
+	}
 	if h := v.domains[domain]; h != nil && h.Suspect(endpoint, now) {
 		return true
 	}
@@ -115,6 +174,8 @@
 	forget(v.silent, named)
 	forget(v.heard, named)
 	forget(v.believed, named)
+	forget(v.speeds, named)
+	forget(v.slow, named)
 }
 
 func forget[V any](m map[string]V, named func(endpoint string) bool) {
--- a/internal/fleetcontrol/verdicts_test.go
+++ b/internal/fleetcontrol/verdicts_test.go
@@ -61,3 +61,35 @@
 		t.Error("an endpoint that is gone is remembered")
 	}
 }
+
+// TestSlowEndpointIsAvoided lets three endpoints work at usual speed and one take
+// eight times as long, and then all of them take three times as long.
+func TestSlowEndpointIsAvoided(t *testing.T) {
+	v := newVerdicts(testLog())
+	now := time.Second
+	report := func(slow, others uint32) {
+		for _, x := range []struct {
+			id    string
+			times uint32
+		}{{"slow", slow}, {"a", others}, {"b", others}, {"c", others}} {
+			v.take("g", "d1", []*wire.InProgress{{Endpoint: x.id, TookMs: 400 * x.times, ExpectedMs: 400}}, now)
+		}
+		now += 100 * time.Millisecond
+	}
+	for range 10 {
+		report(8, 1)
+	}
+	if !v.failing("slow", "d1", now) || v.failing("a", "d1", now) {
+		t.Error("the slow endpoint is used, or one of usual speed avoided")
+	}
+	now += 10 * time.Second
+	if v.failing("slow", "d1", now) {
+		t.Error("the endpoint is not tried again")
+	}
+	for range 30 {
+		report(3, 3)
+	}
+	if v.failing("slow", "d1", now) || v.failing("a", "d1", now) {
+		t.Error("endpoints are avoided though all are slow alike")
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,8 @@
 	failed *heldAnswer
 	// wroteAt is when bytes were passed on last.
 	wroteAt time.Duration
+	// pieces counts the pieces of the answer that this send has brought.
+	pieces int
 	// heard notes that the endpoint has sent something.
 	heard func()
 	// unread takes the prompt back from what waits to be read at the endpoint;
@@ -162,6 +164,7 @@
 func (r *relay) write(p []byte) error {
 	r.heard()
 	r.read()
+	r.pieces++
 	r.noteTime()
 	if _, err := r.q.w.Write(p); err != nil {
 		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
