--- /dev/null
+++ b/internal/fleet/waits.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// waitWeight is the share of the newest wait in the share of waits that end
+	// with a place, and worthWaiting the least share for which others wait.
+	waitWeight   = 0.3
+	worthWaiting = 0.35
+	// waitHalfLife is the time in which the memory of failed waits halves, so that
+	// waiting is tried again.
+	waitHalfLife = time.Second
+)
+
+// Waits remembers, by model, whether waits for a place have lately been of use.
+// Under a load that lasts, most of them end in a refusal that could have come at
+// once. It is safe for concurrent use.
+type Waits struct {
+	mu     sync.Mutex
+	models map[string]*waitRecord
+}
+
+type waitRecord struct {
+	// lost is the share of waits that ended without a place.
+	lost float64
+	at   time.Duration
+}
+
+// NewWaits returns one that remembers none.
+func NewWaits() *Waits { return &Waits{models: map[string]*waitRecord{}} }
+
+// Note records a wait that has ended, with a place or without.
+func (w *Waits) Note(model string, place bool, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.models[model]
+	if r == nil {
+		if place {
+			return
+		}
+		r = &waitRecord{at: now}
+		w.models[model] = r
+	}
+	r.decay(now)
+	lost := 1.0
+	if place {
+		lost = 0
+	}
+	r.lost += waitWeight * (lost - r.lost)
+}
+
+// Worth reports whether a wait for a place is likely to be of use.
+func (w *Waits) Worth(model string, now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.models[model]
+	if r == nil {
+		return true
+	}
+	if r.decay(now); r.lost < waitWeight/4 {
+		// Callers choose the names; what is as good as forgotten goes.
+		delete(w.models, model)
+		return true
+	}
+	return 1-r.lost >= worthWaiting
+}
+
+func (r *waitRecord) decay(now time.Duration) {
+	for now-r.at >= waitHalfLife && r.lost > 0.01 {
+		r.lost /= 2
+		r.at += waitHalfLife
+	}
+	r.at = max(r.at, now-waitHalfLife)
+}
--- /dev/null
+++ b/internal/fleet/waits_test.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWaitsThatDoNotHelpAreNotBegun(t *testing.T) {
+	w := NewWaits()
+	now := time.Second
+	if !w.Worth("m", now) {
+		t.Error("nothing is known yet, so waiting is worth a try")
+	}
+	for range 4 {
+		w.Note("m", false, now)
+	}
+	if w.Worth("m", now) {
+		t.Error("four waits in a row came to nothing")
+	}
+	if !w.Worth("other", now) {
+		t.Error("waits for another model say nothing of this one")
+	}
+	if !w.Worth("m", now+3*waitHalfLife) {
+		t.Error("waiting is not tried again")
+	}
+	for range 3 {
+		w.Note("m", true, now)
+	}
+	if !w.Worth("m", now) {
+		t.Error("three waits in a row ended with a place")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 
 	loads   *fleet.Loads
 	paces   *fleet.Paces
+	waits   *fleet.Waits
 	retries *retry.Share
 	demand  demand
 	wants   wants
@@ -89,7 +90,7 @@
 	clock := func() time.Duration { return time.Since(start) }
 	g := &Gateway{
 		cfg: cfg, adapter: adapter, log: log, clock: clock, incarnation: uuid.NewString(),
-		loads: fleet.NewLoads(rand.IntN), paces: fleet.NewPaces(), pool: adapter.Pool, draw: rand.Float64,
+		loads: fleet.NewLoads(rand.IntN), paces: fleet.NewPaces(), waits: fleet.NewWaits(), pool: adapter.Pool, draw: rand.Float64,
 		retries: retry.NewShare(cfg.retryTerms(), 0),
 		control: controlclient.New(transport.NewPeerClient(), cfg.control()),
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -108,7 +108,14 @@
 			return e, nil
 		}
 	}
-	switch fleet.Place(c.Use, waited, s.limit) {
+	turn := fleet.Place(c.Use, waited, s.limit)
+	if turn != fleet.Wait && waited > 0 {
+		q.g.waits.Note(q.need.Model, turn == fleet.Go, q.g.clock())
+	}
+	if turn == fleet.Wait && waited == 0 && !q.g.waits.Worth(q.need.Model, q.g.clock()) {
+		turn = fleet.Refuse
+	}
+	switch turn {
 	case fleet.Go:
 		return q.reserve(c, s)
 	case fleet.Wait:
--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -21,7 +21,7 @@
 	start := time.Now()
 	g := &Gateway{
 		clock: func() time.Duration { return time.Since(start) }, loads: fleet.NewLoads(func(int) int { return 0 }),
-		draw: func() float64 { return 0 }, paces: fleet.NewPaces(),
+		draw: func() float64 { return 0 }, paces: fleet.NewPaces(), waits: fleet.NewWaits(),
 	}
 	g.changed.init()
 	g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e", Service: "s", Slots: 1}}}))
