--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -109,19 +109,23 @@
 		}
 	}
 	turn := fleet.Place(c.Use, waited, s.limit)
-	if turn != fleet.Wait && waited > 0 {
-		q.g.waits.Note(q.need.Model, turn == fleet.Go, q.g.clock())
-	}
 	if turn == fleet.Wait && waited == 0 && !q.g.waits.Worth(q.need.Model, q.g.clock()) {
 		turn = fleet.Refuse
 	}
 	switch turn {
 	case fleet.Go:
-		return q.reserve(c, s)
+		e, err := q.reserve(c, s)
+		if e != nil && waited > 0 {
+			q.g.waits.Note(q.need.Model, true, q.g.clock())
+		}
+		return e, err
 	case fleet.Wait:
 		wait.For(q.ctx, placePoll)
 		return nil, nil
 	}
+	if waited > 0 {
+		q.g.waits.Note(q.need.Model, false, q.g.clock())
+	}
 	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(q.fullRetry())
 }
 
