--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,27 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/sirupsen/logrus"
-
-	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/wait"
-	"parsleyramp/internal/wire"
 )
 
 const (
 	// spreadUse is the use of the emptiest endpoint that holds an adapter from
 	// which one more is asked to hold it.
 	spreadUse = 0.6
-	// reserveTimeout bounds the wait for a reservation, and reserveKeep is how
-	// long the place is kept for the request, which follows at once.
-	reserveTimeout = 300 * time.Millisecond
-	reserveKeep    = 500 * time.Millisecond
 	// placePoll is the time between two looks for a free place.
 	placePoll = 50 * time.Millisecond
 	// fullRetry and its spread say when to come back to a full service.
@@ -35,8 +25,6 @@
 	modelRetry = 1500 * time.Millisecond
 	// absentRetry is when to come back to a service without endpoints.
 	absentRetry = 400 * time.Millisecond
-	// wantTimeout bounds one question to control for a model or adapter.
-	wantTimeout = 800 * time.Millisecond
 )
 
 // search is the way of one request to an endpoint.
@@ -129,40 +117,6 @@
 	return nil, fail.New(fail.Overloaded, "every endpoint is full").WithRetryAfter(q.fullRetry())
 }
 
-// reserve takes a place at the endpoint where others may take the last ones
-// meanwhile. It returns neither endpoint nor failure where there is none, or where
-// the endpoint does not answer: then another look is due, for neither has run the
-// request.
-func (q *request) reserve(c fleet.Choice, s *search) (*fleet.Endpoint, error) {
-	g := q.g
-	q.reservation = ""
-	if !c.Contended || q.keepPlace == 0 || g.adapter.Reserver == nil {
-		return c.Endpoint, nil
-	}
-	ctx, cancel := context.WithTimeout(q.ctx, reserveTimeout)
-	defer cancel()
-	id, err := g.adapter.Reserver.Reserve(ctx, c.Endpoint.Address, c.Endpoint.ID, q.need.Tokens, min(reserveKeep, q.keepPlace))
-	fields := logrus.Fields{"request": q.facts.ID, "endpoint": c.Endpoint.ID, "use": c.Use}
-	switch {
-	case err != nil:
-		reservations.count("failed")
-		g.loads.Note(c.Endpoint.ID, fleet.Unreachable, g.clock())
-		g.log.WithError(err).WithFields(fields).Info("place not reserved")
-		if s.silent++; s.silent >= maxSilent {
-			return nil, fail.Wrap(err, fail.Unavailable, "no endpoint answers").WithRetryAfter(absentRetry)
-		}
-		return nil, nil
-	case id == "":
-		reservations.count("full")
-		g.loads.Refused(c.Endpoint.ID)
-		g.log.WithFields(fields).Debug("endpoint has no place")
-		return nil, nil
-	}
-	reservations.count("taken")
-	q.reservation = id
-	return c.Endpoint, nil
-}
-
 // spread asks control to load the adapter on one more engine, for those that
 // hold it are nearly full. It waits for that only where they are full, and
 // returns the engine or nil.
@@ -268,80 +222,3 @@
 	}
 	return nil
 }
-
-// wants joins equal questions to control that are under way.
-type wants struct {
-	mu    sync.Mutex
-	calls map[wantKey]*wantCall
-	// answered are the last answers; they hold for answerKeeps.
-	answered map[wantKey]wantAnswer
-}
-
-// answerKeeps is how long the answer to a question is given again without asking
-// control: as long as a request waits before it asks again.
-const answerKeeps = askInterval / 2
-
-// maxAnswers bounds the answers kept; callers choose the names.
-const maxAnswers = 4096
-
-type wantCall struct {
-	done   chan struct{}
-	answer wantAnswer
-}
-
-// wantAnswer is what control says: the engine that holds what was asked for, or
-// when one is expected to.
-type wantAnswer struct {
-	endpoint string
-	readyIn  time.Duration
-	// at is when it was given.
-	at time.Duration
-}
-
-func (w *wants) ask(ctx context.Context, g *Gateway, k wantKey, service string) wantAnswer {
-	w.mu.Lock()
-	if a, ok := w.answered[k]; ok && g.clock()-a.at < answerKeeps {
-		w.mu.Unlock()
-		return a
-	}
-	c := w.calls[k]
-	if c == nil {
-		c = &wantCall{done: make(chan struct{})}
-		if w.calls == nil {
-			w.calls = map[wantKey]*wantCall{}
-		}
-		w.calls[k] = c
-		go w.carryOut(g, k, service, c)
-	}
-	w.mu.Unlock()
-	select {
-	case <-c.done:
-		return c.answer
-	case <-ctx.Done():
-		return wantAnswer{}
-	}
-}
-
-func (w *wants) carryOut(g *Gateway, k wantKey, service string, c *wantCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
-	defer cancel()
-	err := g.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
-		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter, More: k.more}))
-		if err == nil {
-			c.answer = wantAnswer{endpoint: r.Msg.Endpoint, readyIn: time.Duration(r.Msg.ReadyInMs) * time.Millisecond}
-		}
-		return err
-	})
-	if err != nil {
-		g.log.WithError(err).WithField("model", k.model).WithField("adapter", k.adapter).Warn("control did not answer a request for a model")
-	}
-	c.answer.at = g.clock()
-	w.mu.Lock()
-	if w.answered == nil || len(w.answered) >= maxAnswers {
-		w.answered = map[wantKey]wantAnswer{}
-	}
-	w.answered[k] = c.answer
-	delete(w.calls, k)
-	w.mu.Unlock()
-	close(c.done)
-}
