--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -32,8 +32,8 @@
 	pieces    float64
 }
 
-// firstPieceTime is a typical time to the first piece of an answer.
-const firstPieceTime = 100 * time.Millisecond
+// FirstPieceTime is a typical time to the first piece of an answer.
+const FirstPieceTime = 100 * time.Millisecond
 
 // NotePieces records a whole answer that came in pieces, the last of which came
 // the time after the first.
@@ -54,16 +54,16 @@
 	m.pieces += paceWeight * (float64(pieces) - m.pieces)
 }
 
-// ExpectPieces returns how long an endpoint of usual speed needs for so many
-// pieces of an answer; zero where that is not known yet.
-func (p *Paces) ExpectPieces(model string, pieces int) time.Duration {
+// PieceTime returns the time from one piece of an answer to the next at an endpoint
+// of usual speed; zero where that is not known yet.
+func (p *Paces) PieceTime(model string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.models[model]
 	if m == nil || m.samples < paceSamples || m.pieces == 0 {
 		return 0
 	}
-	return firstPieceTime + time.Duration(float64(pieces)*m.pieceTook/m.pieces*float64(time.Second))
+	return time.Duration(m.pieceTook / m.pieces * float64(time.Second))
 }
 
 // NewPaces returns a measure without any answer.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -141,10 +141,8 @@
 	started := g.clock()
 	g.loads.Begin(e.ID, q.need.Tokens, q.facts.PromptTokens, started)
 	defer g.loads.End(e.ID, q.need.Tokens)
-	out.pieces = 0
-	defer func() {
-		g.loads.NoteSpeed(e.ID, fleet.Speed{Took: g.clock() - started, Expected: g.paces.ExpectPieces(q.need.Model, out.pieces)})
-	}()
+	out.start(e.ID, started)
+	defer out.noteNothing()
 	out.heard = func() { g.loads.Heard(e.ID, g.clock()) }
 	out.unread = func() { g.loads.Read(e.ID, q.facts.PromptTokens) }
 	defer out.read()
@@ -173,7 +171,7 @@
 		g.loads.Note(e.ID, fleet.Served, g.clock())
 		if q.need.Model != "" && out.lastEvent == "" {
 			g.paces.Note(q.need.Model, q.facts.expectedAnswer(), g.clock()-started)
-			g.paces.NotePieces(q.need.Model, out.pieces, g.clock()-q.arrived-q.firstByte)
+			g.paces.NotePieces(q.need.Model, out.pieces, out.lastPiece-out.firstPiece)
 		}
 	}
 	return s
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/upstream"
 )
 
@@ -30,8 +31,14 @@
 	failed *heldAnswer
 	// wroteAt is when bytes were passed on last.
 	wroteAt time.Duration
-	// pieces counts the pieces of the answer that this send has brought.
-	pieces int
+	// endpoint is where this send went, pieces counts the pieces of the answer that
+	// it has brought, and pieceTime is the usual time between two.
+	endpoint  string
+	pieces    int
+	pieceTime time.Duration
+	// sentAt, firstPiece and lastPiece are when the request was sent and when the
+	// pieces came.
+	sentAt, firstPiece, lastPiece time.Duration
 	// heard notes that the endpoint has sent something.
 	heard func()
 	// unread takes the prompt back from what waits to be read at the endpoint;
@@ -164,7 +171,7 @@
 func (r *relay) write(p []byte) error {
 	r.heard()
 	r.read()
-	r.pieces++
+	r.notePiece()
 	r.noteTime()
 	if _, err := r.q.w.Write(p); err != nil {
 		return fail.Wrap(err, fail.Canceled, "the caller does not read").WithRan(fail.RanYes)
@@ -183,6 +190,35 @@
 	}
 }
 
+// start begins the notes on one send.
+func (r *relay) start(endpoint string, at time.Duration) {
+	r.endpoint, r.sentAt, r.pieces = endpoint, at, 0
+	r.pieceTime = r.q.g.paces.PieceTime(r.q.need.Model)
+}
+
+// notePiece notes how long the endpoint took for one more piece.
+func (r *relay) notePiece() {
+	now := r.q.g.clock()
+	speed := fleet.Speed{Took: now - r.lastPiece, Expected: r.pieceTime}
+	if r.pieces == 0 {
+		r.firstPiece = now
+		speed = fleet.Speed{Took: now - r.sentAt, Expected: fleet.FirstPieceTime}
+	}
+	r.pieces++
+	r.lastPiece = now
+	if r.pieceTime > 0 {
+		r.q.g.loads.NoteSpeed(r.endpoint, speed)
+	}
+}
+
+// noteNothing notes, at the end of a send that brought no piece, how long the
+// endpoint was waited for.
+func (r *relay) noteNothing() {
+	if r.pieces == 0 && r.pieceTime > 0 {
+		r.q.g.loads.NoteSpeed(r.endpoint, fleet.Speed{Took: r.q.g.clock() - r.sentAt, Expected: fleet.FirstPieceTime})
+	}
+}
+
 // noteTime measures the time to the first byte and the pauses.
 func (r *relay) noteTime() {
 	now := r.q.g.clock()
