--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -371,3 +371,28 @@
 		t.Errorf("told again: %v", again)
 	}
 }
+
+func TestSpeedIsReportedAgainstTheUsualOne(t *testing.T) {
+	p := NewPaces()
+	if got := p.PieceTime("m"); got != 0 {
+		t.Errorf("%v before any answer", got)
+	}
+	for range paceSamples {
+		p.Note("m", 100, 2*time.Second)
+		p.NotePieces("m", 41, 2*time.Second)
+	}
+	if got := p.PieceTime("m"); got < 45*time.Millisecond || got > 55*time.Millisecond {
+		t.Errorf("%v from piece to piece, want about 50ms", got)
+	}
+	l := NewLoads(firstOnes())
+	l.NoteSpeed("a", Speed{Took: 300 * time.Millisecond, Expected: 50 * time.Millisecond})
+	l.NoteSpeed("a", Speed{Took: 100 * time.Millisecond, Expected: 50 * time.Millisecond})
+	l.NoteSpeed("b", Speed{Took: time.Second})
+	got := l.Report(0)
+	if len(got) != 1 || got[0].Endpoint != "a" || got[0].TookMs != 400 || got[0].ExpectedMs != 100 {
+		t.Errorf("reported %v; what is not known to be slow is not reported", got)
+	}
+	if again := l.Report(0); len(again) != 0 {
+		t.Errorf("reported again: %v", again)
+	}
+}
