Excuse a stop of a process that had not begun, in the soak

Traced by its log and the list of faults. Nothing is cut off by that, so the check of graceful stops leaves out the first 0.3 s.

--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -45,6 +45,8 @@
 
 	mu      sync.Mutex
 	process *testbed.Process
+	// started is when the process was started last, and starts how often.
+	started time.Time
 	starts  int
 	// holds counts the faults that keep the process from being started.
 	holds int
@@ -211,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	n.process = p
+	n.process, n.started = p, time.Now()
 	n.starts++
 	return nil
 }
@@ -220,7 +222,7 @@
 func (n *node) hold(s *system, sig syscall.Signal) {
 	n.mu.Lock()
 	n.holds++
-	p := n.process
+	p, started := n.process, n.started
 	n.mu.Unlock()
 	if p == nil || !p.Running() {
 		return
@@ -229,12 +231,24 @@
 		p.Kill()
 		return
 	}
-	// Another fault may kill it while it stops.
-	if err := p.Stop(); err != nil && !strings.Contains(err.Error(), "signal: killed") {
+	up := time.Since(started)
+	if err := p.Stop(); err != nil && !excused(err, up) {
 		s.ledger.Break("%s did not stop gracefully: %v", n.name, err)
 	}
 }
 
+// startTime is how long a process may take until it handles signals. It has
+// begun nothing that a stop could cut off by then.
+const startTime = 300 * time.Millisecond
+
+// excused reports whether a stop that ended a process so long after its start
+// need not be graceful: another fault killed it meanwhile, or it had not begun.
+func excused(err error, up time.Duration) bool {
+	killed := strings.Contains(err.Error(), "signal: killed")
+	early := up < startTime && strings.Contains(err.Error(), "signal: terminated")
+	return killed || early
+}
+
 func (n *node) release(s *system) error {
 	n.mu.Lock()
 	n.holds--
