--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -131,19 +131,33 @@
 }
 
 // readyIn returns the time until the model is expected to be ready on an engine
-// of the service that loads it; zero where none does.
+// of the service: on one that loads it, or, for a model that no engine holds, on
+// one that is ordered to by the next plan. It is zero where neither is due.
 func (l *leadState) readyIn(service, model string) time.Duration {
-	soonest := time.Duration(0)
+	soonest, planned, held := time.Duration(0), time.Duration(0), false
 	for _, e := range l.engines {
-		if e.listed.Service != service || e.loading != model || model == "" {
-			continue
-		}
-		left := max(e.readyAt-l.s.clock(), pollInterval)
-		if soonest == 0 || left < soonest {
-			soonest = left
+		switch {
+		case e.listed.Service != service || e.listed.Leaving || e.held == nil:
+		case e.held[model] != nil:
+			held = true
+		case e.loading == model:
+			soonest = shorter(soonest, max(e.readyAt-l.s.clock(), pollInterval))
+		case !e.ordering && !e.elsewhere:
+			planned = shorter(planned, l.s.cfg.PlanInterval.D()+leaveTime+e.loadTime(model))
 		}
 	}
-	return soonest
+	if soonest > 0 || held {
+		return soonest
+	}
+	return planned
+}
+
+// shorter returns the shorter of two times, of which zero stands for none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
 }
 
 // start begins one step.
