--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -33,7 +33,7 @@
 	modelShare = 0.4
 	// loadingShare of the time that the request has is waited for a model that
 	// is known to be ready by then.
-	loadingShare = 0.8
+	loadingShare = 0.6
 )
 
 // Place decides for a request that finds every endpoint of its model in use. It
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -9,7 +9,7 @@
 	// waitWeight is the share of the newest wait in the share of waits that end
 	// with a place, and worthWaiting the least share for which others wait.
 	waitWeight   = 0.3
-	worthWaiting = 0.65
+	worthWaiting = 0.35
 	// waitHalfLife is the time in which the memory of failed waits halves, so that
 	// waiting is tried again.
 	waitHalfLife = time.Second
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -485,24 +485,3 @@
 		}
 	})
 }
-
-func TestReadyInTellsWhatIsLoadingOrDue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
-		l, e := testLead(t, f, HeldModel{Name: "m0"})
-		due := l.s.cfg.PlanInterval.D() + leaveTime + time.Second
-		if got := l.readyIn("s", "m1"); got != due {
-			t.Errorf("a model that no engine holds is ready in %v, want %v", got, due)
-		}
-		if got := l.readyIn("s", "m0"); got != 0 {
-			t.Errorf("a model that is held, and not loaded once more, is ready in %v", got)
-		}
-		e.ordering, e.loading, e.readyAt = true, "m1", l.s.clock()+700*time.Millisecond
-		if got := l.readyIn("s", "m1"); got != 700*time.Millisecond {
-			t.Errorf("a model that is loading is ready in %v", got)
-		}
-		if got := l.readyIn("other", "m1"); got != 0 {
-			t.Errorf("another service's model is ready in %v", got)
-		}
-	})
-}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -131,33 +131,19 @@
 }
 
 // readyIn returns the time until the model is expected to be ready on an engine
-// of the service: on one that loads it, or, for a model that no engine holds, on
-// one that is ordered to by the next plan. It is zero where neither is due.
+// of the service that loads it; zero where none does.
 func (l *leadState) readyIn(service, model string) time.Duration {
-	soonest, planned, held := time.Duration(0), time.Duration(0), false
+	soonest := time.Duration(0)
 	for _, e := range l.engines {
-		switch {
-		case e.listed.Service != service || e.listed.Leaving || e.held == nil:
-		case e.held[model] != nil:
-			held = true
-		case e.loading == model:
-			soonest = shorter(soonest, max(e.readyAt-l.s.clock(), pollInterval))
-		case !e.ordering && !e.elsewhere:
-			planned = shorter(planned, l.s.cfg.PlanInterval.D()+leaveTime+e.loadTime(model))
+		if e.listed.Service != service || e.loading != model || model == "" {
+			continue
+		}
+		left := max(e.readyAt-l.s.clock(), pollInterval)
+		if soonest == 0 || left < soonest {
+			soonest = left
 		}
 	}
-	if soonest > 0 || held {
-		return soonest
-	}
-	return planned
-}
-
-// shorter returns the shorter of two times, of which zero stands for none.
-func shorter(a, b time.Duration) time.Duration {
-	if a == 0 || b != 0 && b < a {
-		return b
-	}
-	return a
+	return soonest
 }
 
 // start begins one step.
