--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -125,7 +125,7 @@
 		if use >= maxUse {
 			cost += fullCost
 		}
-		cost += l.doubt(e.ID, now)
+		cost += l.suspicionCost(e.ID, now)
 		if best.Endpoint == nil || cost < bestCost {
 			best, bestCost = Choice{Endpoint: e, Use: use}, cost
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -306,9 +306,9 @@
 	}
 }
 
-// TestDoubtsOrderEndpoints gives a full endpoint, one that fails often, one that
+// TestSuspicionsOrderEndpoints gives a full endpoint, one that fails often, one that
 // is dead and a sound one, each of which is left out in turn.
-func TestDoubtsOrderEndpoints(t *testing.T) {
+func TestSuspicionsOrderEndpoints(t *testing.T) {
 	var all []*wire.FleetEndpoint
 	for _, id := range []string{"dead", "failing", "full", "sound"} {
 		all = append(all, engine(id, "d1", held("m")))
@@ -316,7 +316,7 @@
 	v := NewView(&wire.FleetView{Endpoints: all})
 	l := NewLoads(rand.New(rand.NewPCG(1, 1)).IntN)
 	setOthers(t, l, v, map[string]uint32{"full": 12, "sound": 8})
-	l.SetVerdicts(map[string]bool{"failing": true}, map[string]bool{"dead": true})
+	l.SetSuspects(map[string]bool{"failing": true}, map[string]bool{"dead": true})
 	tried := map[string]bool{}
 	for _, want := range []string{"sound", "failing", "full", "dead"} {
 		if got := chosen(l.Choose(v, need, tried, 0)); got != want {
@@ -324,7 +324,7 @@
 		}
 		tried[want] = true
 	}
-	l.SetVerdicts(nil, nil)
+	l.SetSuspects(nil, nil)
 	if got := chosen(l.Choose(v, need, map[string]bool{"sound": true, "failing": true}, 0)); got != "dead" {
 		t.Errorf("chosen %q though nobody takes the other one for dead any more", got)
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -26,7 +26,8 @@
 	// results are those since the last report.
 	results map[string]Results
 	speeds  map[string]Speed
-	heard   map[string]hearing
+	// contacts are those of endpoints that owe this gateway answers.
+	contacts map[string]contact
 	// failing and dead are what several gateways together take endpoints for.
 	failing, dead map[string]bool
 	// stale is set while the others' counts are old. Then each of the others is
@@ -42,7 +43,8 @@
 // NewLoads returns empty counts. draw returns a random number below n.
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
-		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight), results: map[string]Results{}, speeds: map[string]Speed{}, heard: map[string]hearing{},
+		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
+		results: map[string]Results{}, speeds: map[string]Speed{}, contacts: map[string]contact{},
 		gateways: 1, refused: map[string]bool{}, draw: draw,
 	}
 }
@@ -53,9 +55,9 @@
 // gateway's word is not enough.
 const silentLimit = 600 * time.Millisecond
 
-// hearing is when an endpoint that owes answers was heard of last, or when it
-// began to owe them.
-type hearing struct {
+// contact is when an endpoint that owes answers has sent something last, or when
+// it began to owe them.
+type contact struct {
 	owed int
 	last time.Duration
 	// fresh is set once something was heard since the last report.
@@ -66,16 +68,16 @@
 func (l *Loads) Heard(endpoint string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if h, ok := l.heard[endpoint]; ok {
+	if h, ok := l.contacts[endpoint]; ok {
 		h.last, h.fresh = now, true
-		l.heard[endpoint] = h
+		l.contacts[endpoint] = h
 	}
 }
 
 // silent reports whether the endpoint owes answers and sends nothing. The
 // caller holds the lock.
 func (l *Loads) silent(endpoint string, now time.Duration) bool {
-	h, ok := l.heard[endpoint]
+	h, ok := l.contacts[endpoint]
 	return ok && now-h.last > silentLimit
 }
 
@@ -83,12 +85,12 @@
 func (l *Loads) Begin(endpoint string, tokens, prompt int, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, ok := l.heard[endpoint]
+	h, ok := l.contacts[endpoint]
 	if !ok {
 		h.last = now
 	}
 	h.owed++
-	l.heard[endpoint] = h
+	l.contacts[endpoint] = h
 	o := l.own[endpoint]
 	o.Running++
 	o.Tokens += tokens
@@ -110,11 +112,11 @@
 func (l *Loads) End(endpoint string, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if h := l.heard[endpoint]; h.owed > 1 {
+	if h := l.contacts[endpoint]; h.owed > 1 {
 		h.owed--
-		l.heard[endpoint] = h
+		l.contacts[endpoint] = h
 	} else {
-		delete(l.heard, endpoint)
+		delete(l.contacts, endpoint)
 	}
 	o := l.own[endpoint]
 	o.Running--
@@ -141,9 +143,9 @@
 	for id, o := range l.own {
 		w := of(id)
 		w.Running, w.Tokens, w.Silent = uint32(o.Running), uint64(max(o.Tokens, 0)), l.silent(id, now)
-		h := l.heard[id]
+		h := l.contacts[id]
 		w.Heard, h.fresh = h.fresh, false
-		l.heard[id] = h
+		l.contacts[id] = h
 	}
 	for id, r := range l.results {
 		w := of(id)
@@ -162,9 +164,9 @@
 	return out
 }
 
-// SetVerdicts replaces the endpoints that several gateways together take to fail
+// SetSuspects replaces the endpoints that several gateways together take to fail
 // often, and to be dead.
-func (l *Loads) SetVerdicts(failing, dead map[string]bool) {
+func (l *Loads) SetSuspects(failing, dead map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failing, l.dead = failing, dead
@@ -202,9 +204,9 @@
 	l.speeds[endpoint] = sum
 }
 
-// doubt returns what the doubts about an endpoint cost, in shares of a full
-// one. The caller holds the lock.
-func (l *Loads) doubt(endpoint string, now time.Duration) float64 {
+// suspicionCost returns what it costs, in shares of a full endpoint, that this one
+// is taken for failing or dead. The caller holds the lock.
+func (l *Loads) suspicionCost(endpoint string, now time.Duration) float64 {
 	switch {
 	case l.dead[endpoint] || l.health.Blocked(endpoint, now):
 		return deadCost
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -125,7 +125,7 @@
 	var best *engineState
 	least := 0.0
 	for _, e := range l.enginesOf(w.service) {
-		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.ordering || e.elsewhere || e.held[w.model] == nil {
+		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.ordering || e.foreignOrder || e.held[w.model] == nil {
 			continue
 		}
 		cost := float64(l.loads[e.listed.ID].GetRunning()) / float64(max(s.Engine.Slots, 1))
--- a/internal/fleetcontrol/verdicts.go
+++ b/internal/fleetcontrol/detector.go
@@ -30,10 +30,10 @@
 	agreeing = 2
 )
 
-// verdicts pools what gateways say of endpoints, so that each learns of a
+// detector pools what gateways say of endpoints, so that each learns of a
 // failure before it meets it itself. An endpoint may fail for the callers of one
 // failure domain only, so results are kept by the gateways' domains.
-type verdicts struct {
+type detector struct {
 	log     *logrus.Entry
 	domains map[string]*fleet.Health
 	// silent holds, by endpoint and gateway, when the gateway said so last, and
@@ -48,28 +48,28 @@
 	believed map[string]bool
 }
 
-func newVerdicts(log *logrus.Entry) *verdicts {
-	return &verdicts{
+func newDetector(log *logrus.Entry) *detector {
+	return &detector{
 		log: log, domains: map[string]*fleet.Health{}, silent: map[string]map[string]time.Duration{},
 		heard: map[string]time.Duration{}, believed: map[string]bool{}, speeds: map[string]*speed{}, slow: map[string]bool{},
 	}
 }
 
 // take adds what a gateway of the domain says.
-func (v *verdicts) take(gateway, domain string, said []*wire.InProgress, now time.Duration) {
-	h := v.domains[domain]
+func (d *detector) take(gateway, domain string, said []*wire.InProgress, now time.Duration) {
+	h := d.domains[domain]
 	if h == nil {
 		h = fleet.NewHealth(pooledFailureWeight)
-		v.domains[domain] = h
+		d.domains[domain] = h
 	}
 	for _, x := range said {
 		before := h.Suspect(x.Endpoint, now)
 		h.Note(x.Endpoint, fleet.Results{Served: int(x.Served), Failed: int(x.Failed)}, now)
 		if after := h.Suspect(x.Endpoint, now); after != before {
-			v.log.WithFields(logrus.Fields{"endpoint": x.Endpoint, "domain": domain, "failing": after, "failed": x.Failed}).Info("endpoint judged by results")
+			d.log.WithFields(logrus.Fields{"endpoint": x.Endpoint, "domain": domain, "failing": after, "failed": x.Failed}).Info("endpoint judged by results")
 		}
-		v.takeSilence(gateway, x, now)
-		v.takeSpeed(x, now)
+		d.takeSilence(gateway, x, now)
+		d.takeSpeed(x, now)
 	}
 }
 
@@ -85,80 +85,80 @@
 	s.took, s.expected, s.at = s.took*keep+took, s.expected*keep+expected, now
 }
 
-func (v *verdicts) takeSpeed(x *wire.InProgress, now time.Duration) {
+func (d *detector) takeSpeed(x *wire.InProgress, now time.Duration) {
 	if x.ExpectedMs == 0 {
 		return
 	}
-	s := v.speeds[x.Endpoint]
+	s := d.speeds[x.Endpoint]
 	if s == nil {
 		s = &speed{at: now}
-		v.speeds[x.Endpoint] = s
+		d.speeds[x.Endpoint] = s
 	}
 	took, expected := float64(x.TookMs)/1000, float64(x.ExpectedMs)/1000
 	s.add(took, expected, now)
-	v.all.add(took, expected, now)
+	d.all.add(took, expected, now)
 }
 
 // isSlow reports whether requests take much longer at the endpoint than at all
 // together.
-func (v *verdicts) isSlow(endpoint string, now time.Duration) bool {
-	s := v.speeds[endpoint]
+func (d *detector) isSlow(endpoint string, now time.Duration) bool {
+	s := d.speeds[endpoint]
 	slow := false
 	if s != nil {
 		s.add(0, 0, now)
-		v.all.add(0, 0, now)
-		slow = s.expected > slowKnown.Seconds() && s.took*v.all.expected > slowRatio*v.all.took*s.expected
+		d.all.add(0, 0, now)
+		slow = s.expected > slowKnown.Seconds() && s.took*d.all.expected > slowRatio*d.all.took*s.expected
 	}
-	if slow != v.slow[endpoint] {
-		v.slow[endpoint] = slow
-		v.log.WithFields(logrus.Fields{"endpoint": endpoint, "slow": slow, "took_s": s.took, "expected_s": s.expected, "all_took_s": v.all.took, "all_expected_s": v.all.expected}).Info("endpoint judged by its speed")
+	if slow != d.slow[endpoint] {
+		d.slow[endpoint] = slow
+		d.log.WithFields(logrus.Fields{"endpoint": endpoint, "slow": slow, "took_s": s.took, "expected_s": s.expected, "all_took_s": d.all.took, "all_expected_s": d.all.expected}).Info("endpoint judged by its speed")
 	}
 	return slow
 }
 
-func (v *verdicts) takeSilence(gateway string, x *wire.InProgress, now time.Duration) {
+func (d *detector) takeSilence(gateway string, x *wire.InProgress, now time.Duration) {
 	if x.Heard || x.Served > 0 {
-		v.heard[x.Endpoint] = now
+		d.heard[x.Endpoint] = now
 	}
 	if !x.Silent {
-		delete(v.silent[x.Endpoint], gateway)
+		delete(d.silent[x.Endpoint], gateway)
 		return
 	}
-	if v.silent[x.Endpoint] == nil {
-		v.silent[x.Endpoint] = map[string]time.Duration{}
+	if d.silent[x.Endpoint] == nil {
+		d.silent[x.Endpoint] = map[string]time.Duration{}
 	}
-	v.silent[x.Endpoint][gateway] = now
+	d.silent[x.Endpoint][gateway] = now
 }
 
 // dead reports whether the endpoint is taken for dead: it owes answers to
 // several gateways and no gateway hears of it.
-func (v *verdicts) dead(endpoint string, now time.Duration) bool {
+func (d *detector) dead(endpoint string, now time.Duration) bool {
 	silent := 0
-	for _, at := range v.silent[endpoint] {
+	for _, at := range d.silent[endpoint] {
 		if now-at < silenceTrust {
 			silent++
 		}
 	}
-	heard, ever := v.heard[endpoint]
+	heard, ever := d.heard[endpoint]
 	dead := silent >= agreeing && (!ever || now-heard > silenceTrust)
-	if dead != v.believed[endpoint] {
-		v.believed[endpoint] = dead
-		v.log.WithFields(logrus.Fields{"endpoint": endpoint, "dead": dead, "silent_to": silent, "heard_ms_ago": (now - heard).Milliseconds()}).Info("endpoint judged by its silence")
+	if dead != d.believed[endpoint] {
+		d.believed[endpoint] = dead
+		d.log.WithFields(logrus.Fields{"endpoint": endpoint, "dead": dead, "silent_to": silent, "heard_ms_ago": (now - heard).Milliseconds()}).Info("endpoint judged by its silence")
 	}
 	return dead
 }
 
 // failing reports whether gateways of the domain are to avoid the endpoint for
 // its results or its speed.
-func (v *verdicts) failing(endpoint, domain string, now time.Duration) bool {
-	if v.isSlow(endpoint, now) {
+func (d *detector) failing(endpoint, domain string, now time.Duration) bool {
+	if d.isSlow(endpoint, now) {
 		return true
 	}
-	if h := v.domains[domain]; h != nil && h.Suspect(endpoint, now) {
+	if h := d.domains[domain]; h != nil && h.Suspect(endpoint, now) {
 		return true
 	}
 	suspecting := 0
-	for _, h := range v.domains {
+	for _, h := range d.domains {
 		if h.Suspect(endpoint, now) {
 			suspecting++
 		}
@@ -167,15 +167,15 @@
 }
 
 // keep forgets all endpoints but those named.
-func (v *verdicts) keep(named func(endpoint string) bool) {
-	for _, h := range v.domains {
+func (d *detector) keep(named func(endpoint string) bool) {
+	for _, h := range d.domains {
 		h.Keep(named)
 	}
-	forget(v.silent, named)
-	forget(v.heard, named)
-	forget(v.believed, named)
-	forget(v.speeds, named)
-	forget(v.slow, named)
+	forget(d.silent, named)
+	forget(d.heard, named)
+	forget(d.believed, named)
+	forget(d.speeds, named)
+	forget(d.slow, named)
 }
 
 func forget[V any](m map[string]V, named func(endpoint string) bool) {
--- a/internal/fleetcontrol/verdicts_test.go
+++ b/internal/fleetcontrol/detector_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestFailuresOfOneDomainAreItsOwn(t *testing.T) {
-	v := newVerdicts(testLog())
+	v := newDetector(testLog())
 	// Gateways of the domain meet one failure each; none alone has seen enough.
 	for _, gateway := range []string{"a", "b", "c", "d", "e"} {
 		v.take(gateway, "d1", []*wire.InProgress{{Endpoint: "e", Failed: 1}}, time.Second)
@@ -32,7 +32,7 @@
 }
 
 func TestSilenceNeedsTwoGatewaysAndNobodyWhoHears(t *testing.T) {
-	v := newVerdicts(testLog())
+	v := newDetector(testLog())
 	now := time.Second
 	say := func(gateway string, silent, heard bool) {
 		v.take(gateway, "d1", []*wire.InProgress{{Endpoint: "e", Running: 1, Silent: silent, Heard: heard}}, now)
@@ -65,7 +65,7 @@
 // TestSlowEndpointIsAvoided lets three endpoints work at usual speed and one take
 // eight times as long, and then all of them take three times as long.
 func TestSlowEndpointIsAvoided(t *testing.T) {
-	v := newVerdicts(testLog())
+	v := newDetector(testLog())
 	now := time.Second
 	report := func(slow, others uint32) {
 		for _, x := range []struct {
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -24,9 +24,9 @@
 	// an order and is about to be done, and maxPollInterval while it is not.
 	pollInterval    = 150 * time.Millisecond
 	maxPollInterval = time.Second
-	// elsewherePoll is the time between two looks at an engine that carries out
+	// foreignOrderPoll is the time between two looks at an engine that carries out
 	// an order that is not known here.
-	elsewherePoll = 300 * time.Millisecond
+	foreignOrderPoll = 300 * time.Millisecond
 	// orderAnswerTimeout bounds the wait for the answer to an order, and orderTries
 	// is how often one is sent that gets none. Other orders to the engine wait.
 	orderAnswerTimeout = 300 * time.Millisecond
@@ -60,10 +60,10 @@
 	// awaiting is set from the acceptance of an order for a whole model until it
 	// has taken effect.
 	awaiting bool
-	// elsewhere is set while the engine carries out an order that is not known
+	// foreignOrder is set while the engine carries out an order that is not known
 	// here: an earlier leader's, or one whose answer was lost. What it loads is
 	// in no report until it is done, so the engine gets no order meanwhile.
-	elsewhere bool
+	foreignOrder bool
 	// readyAt is when what is loading is expected to be ready.
 	readyAt time.Duration
 	// fromStore is set where what is loading comes from the weight store.
@@ -203,7 +203,7 @@
 	}
 	e.sequence, e.sequenceKnown = r.Sequence, true
 	e.held = holdings(r.Models)
-	e.noteElsewhere(r.Busy && !e.awaiting)
+	e.noteForeignOrder(r.Busy && !e.awaiting)
 	for model, adapters := range holdings(r.Arriving) {
 		for a := range adapters {
 			if e.held[model] != nil {
@@ -218,25 +218,25 @@
 	return r, nil
 }
 
-// noteElsewhere notes whether the engine carries out an order that is not known
+// noteForeignOrder notes whether the engine carries out an order that is not known
 // here, and looks again until it does not. The lead's lock is held.
-func (e *engineState) noteElsewhere(busy bool) {
-	if busy && !e.elsewhere {
+func (e *engineState) noteForeignOrder(busy bool) {
+	if busy && !e.foreignOrder {
 		e.l.s.log.WithFields(logrus.Fields{"endpoint": e.listed.ID, "sequence": e.sequence, "term": e.l.term}).Info("engine carries out an order of another leader")
-		go e.outwait()
+		go e.awaitForeignOrder()
 	}
-	e.elsewhere = busy
+	e.foreignOrder = busy
 	if busy {
 		e.sequenceKnown = false
 	}
 }
 
-// outwait reads the engine until it has done with the order that is not known
+// awaitForeignOrder reads the engine until it has done with the order that is not known
 // here, or is no longer listed.
-func (e *engineState) outwait() {
-	for wait.For(e.l.ctx, elsewherePoll) {
+func (e *engineState) awaitForeignOrder() {
+	for wait.For(e.l.ctx, foreignOrderPoll) {
 		e.l.mu.Lock()
-		over := !e.elsewhere || e.l.engines[e.listed.ID] != e
+		over := !e.foreignOrder || e.l.engines[e.listed.ID] != e
 		e.l.mu.Unlock()
 		if over {
 			e.l.wake()
@@ -324,7 +324,7 @@
 // knowSequence reads the engine's report where its sequence is not known.
 func (e *engineState) knowSequence(ctx context.Context) bool {
 	e.l.mu.Lock()
-	known, stale := e.sequenceKnown, e.elsewhere || e.l.s.clock() < e.staleUntil
+	known, stale := e.sequenceKnown, e.foreignOrder || e.l.s.clock() < e.staleUntil
 	e.l.mu.Unlock()
 	if known || stale {
 		return known
--- a/internal/fleetcontrol/lead.go
+++ b/internal/fleetcontrol/lead.go
@@ -56,7 +56,7 @@
 	wanted   map[string]time.Duration
 	notedAt  map[string]time.Duration
 	jobs     map[wantedAdapter]*adapterJob
-	verdicts *verdicts
+	detector *detector
 	// published is what gateways are told.
 	published *publication
 	// control are the addresses of the replicas.
@@ -143,7 +143,7 @@
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		wanted: map[string]time.Duration{}, notedAt: map[string]time.Duration{}, jobs: map[wantedAdapter]*adapterJob{},
-		verdicts: newVerdicts(s.log), published: newPublication(s.viewRevision.Load()),
+		detector: newDetector(s.log), published: newPublication(s.viewRevision.Load()),
 	}
 	l.allowed = l.mayOrder
 	return l
@@ -249,7 +249,7 @@
 			l.s.log.WithField("endpoint", id).Info("endpoint no longer listed")
 		}
 	}
-	l.verdicts.keep(func(id string) bool { return named[id] })
+	l.detector.keep(func(id string) bool { return named[id] })
 	l.listed = true
 	l.publish(now)
 }
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -117,7 +117,7 @@
 func (e *engineState) planned(d *document.Engine, now time.Duration) residency.Engine {
 	out := residency.Engine{
 		ID: e.listed.ID, CapacityMB: d.WeightsMB, UsedMB: e.usedMB(d), Models: map[string]bool{},
-		Busy: e.ordering || e.elsewhere || e.l.blocked(e.listed.ID, now), Closed: e.listed.Leaving || e.held == nil, NearBy: e.nearBy,
+		Busy: e.ordering || e.foreignOrder || e.l.blocked(e.listed.ID, now), Closed: e.listed.Leaving || e.held == nil, NearBy: e.nearBy,
 	}
 	for name := range e.held {
 		if !e.leaving[name] {
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -64,7 +64,7 @@
 	l.addLoads(g.loads, -1)
 	g.gateway, g.seen, g.loads = r.Gateway, now, r.Loads
 	l.addLoads(g.loads, 1)
-	l.verdicts.take(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
+	l.detector.take(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
 	}
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -137,9 +137,9 @@
 func (l *leadState) judged(domain string, now time.Duration) (failing, dead []uint32) {
 	for i, id := range l.published.order {
 		switch {
-		case l.verdicts.dead(id, now):
+		case l.detector.dead(id, now):
 			dead = append(dead, uint32(i))
-		case l.verdicts.failing(id, domain, now):
+		case l.detector.failing(id, domain, now):
 			failing = append(failing, uint32(i))
 		}
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -24,7 +24,7 @@
 	for {
 		pause, err := g.sync(ctx)
 		if err != nil {
-			g.loads.SetVerdicts(nil, nil)
+			g.loads.SetSuspects(nil, nil)
 		}
 		g.loads.SetStale(err != nil, len(g.knownGateways()))
 		switch {
@@ -85,7 +85,7 @@
 		}).Warn("counts of other gateways do not go with the view; the old ones stay")
 		return
 	}
-	g.loads.SetVerdicts(endpointsAt(v, resp.Failing), endpointsAt(v, resp.Dead))
+	g.loads.SetSuspects(endpointsAt(v, resp.Failing), endpointsAt(v, resp.Dead))
 }
 
 // endpointsAt returns the ids of the endpoints at the positions.
