Log in which phase a gateway's requests are when it drains and when it cuts them off

When a gateway closed connections at the end of the grace period, its log gave the number of neither the requests nor what they were waiting for: a request that waited for a model could not be told from one that an endpoint worked on. Each request in flight now has a phase.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -51,6 +51,7 @@
 	out := &relay{q: q}
 	for {
 		started := q.g.clock()
+		q.state.setPhase(phaseSelecting)
 		e, err := q.selectEndpoint(tried)
 		q.selectionTime += q.g.clock() - started
 		selectionSeconds.Update((q.g.clock() - started).Seconds())
@@ -144,6 +145,7 @@
 func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sendResult {
 	g := q.g
 	started := g.clock()
+	q.state.setSent(e.ID)
 	g.loads.Begin(e.ID, q.requirements.Tokens, q.info.PromptTokens, started)
 	defer g.loads.End(e.ID, q.requirements.Tokens)
 	out.beginSend(e.ID, started)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	retries       *retry.GatewayBudget
 	demand        demand
 	modelRequests modelRequests
+	inFlight      requestsInFlight
 	pool          *upstream.Pool
 	control       *controlclient.Client
 	servers       []*transport.Server
@@ -211,7 +212,7 @@
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	started := time.Now()
 	g.draining.Store(true)
-	g.log.Info("draining")
+	g.log.WithFields(g.inFlight.countFields()).Info("draining")
 	g.clientServer.Drain()
 	wait.For(ctx, drainDelay)
 	g.clientServer.CloseIdle()
@@ -220,14 +221,26 @@
 	defer cancel()
 	err := g.clientServer.Shutdown(ctx)
 	if err != nil {
-		g.log.WithError(err).Warn("requests aborted at the end of the grace period")
+		g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
+		g.logUnfinished()
 	}
 	g.cancel()
 	g.closeAll()
-	g.log.Info("stopped")
+	g.log.WithField("took_ms", time.Since(started).Milliseconds()).Info("stopped")
 	return nil
 }
 
+// maxUnfinishedLogged bounds the log lines on requests that a shutdown cuts off.
+const maxUnfinishedLogged = 50
+
+// logUnfinished logs the requests that the shutdown cuts off.
+func (g *Gateway) logUnfinished() {
+	unfinished := g.inFlight.list()
+	for _, s := range unfinished[:min(len(unfinished), maxUnfinishedLogged)] {
+		g.log.WithFields(s.fields(g.clock())).Warn("request unfinished at the end of the grace period")
+	}
+}
+
 func (g *Gateway) closeAll() {
 	for _, s := range g.servers {
 		// Connections that are still open are closed on purpose.
--- /dev/null
+++ b/internal/gateway/inflight.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// phase is the stage of a request at the gateway.
+type phase int32
+
+// Phases of a request, in their usual order.
+const (
+	// phaseReading: the request is being read, or waits for the first document.
+	phaseReading phase = iota
+	// phaseSelecting: the request waits for an endpoint, for a slot there or for a
+	// model.
+	phaseSelecting
+	// phaseReserving: a slot is being reserved.
+	phaseReserving
+	// phaseSent: the request was sent to an endpoint, and the client has received
+	// no byte of the response.
+	phaseSent
+	// phaseStreaming: the client has received a part of the response.
+	phaseStreaming
+	phaseCount
+)
+
+var phaseNames = [phaseCount]string{"reading", "selecting", "reserving", "sent", "streaming"}
+
+// String returns the value of the label and of the log field for the phase.
+func (p phase) String() string { return phaseNames[p] }
+
+// requestState is the progress of one request in flight. It is safe for
+// concurrent use.
+type requestState struct {
+	id       string
+	arrived  time.Duration
+	phase    atomic.Int32
+	endpoint atomic.Pointer[string]
+}
+
+func (s *requestState) setPhase(p phase) { s.phase.Store(int32(p)) }
+
+func (s *requestState) setSent(endpoint string) {
+	s.endpoint.Store(&endpoint)
+	s.setPhase(phaseSent)
+}
+
+// fields returns the state as log fields.
+func (s *requestState) fields(now time.Duration) logrus.Fields {
+	out := logrus.Fields{"request": s.id, "phase": phase(s.phase.Load()).String(), "age_ms": (now - s.arrived).Milliseconds()}
+	if e := s.endpoint.Load(); e != nil {
+		out["endpoint"] = *e
+	}
+	return out
+}
+
+// requestsInFlight holds the requests that have arrived and have not ended. Its
+// zero value is empty. It is safe for concurrent use.
+type requestsInFlight struct {
+	mu     sync.Mutex
+	states map[*requestState]struct{}
+}
+
+func (r *requestsInFlight) begin(id string, arrived time.Duration) *requestState {
+	s := &requestState{id: id, arrived: arrived}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.states == nil {
+		r.states = map[*requestState]struct{}{}
+	}
+	r.states[s] = struct{}{}
+	return s
+}
+
+func (r *requestsInFlight) end(s *requestState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.states, s)
+}
+
+// list returns the requests in flight, oldest first.
+func (r *requestsInFlight) list() []*requestState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*requestState, 0, len(r.states))
+	for s := range r.states {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *requestState) int { return int(a.arrived - b.arrived) })
+	return out
+}
+
+// counts returns the number of requests in each phase.
+func (r *requestsInFlight) counts() [phaseCount]int {
+	var out [phaseCount]int
+	for _, s := range r.list() {
+		out[s.phase.Load()]++
+	}
+	return out
+}
+
+// countFields returns the counts as log fields.
+func (r *requestsInFlight) countFields() logrus.Fields {
+	out := logrus.Fields{}
+	for p, n := range r.counts() {
+		out[phase(p).String()] = n
+	}
+	return out
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -161,6 +161,7 @@
 
 // beginStream sends the status and the headers of a stream to the client, once.
 func (r *relay) beginStream(resp *upstream.Response) {
+	r.q.state.setPhase(phaseStreaming)
 	if r.headerSent {
 		return
 	}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -27,6 +27,8 @@
 	if !c.Contended || q.maxReservation == 0 || g.deps.Reserver == nil {
 		return c.Endpoint, nil
 	}
+	q.state.setPhase(phaseReserving)
+	defer q.state.setPhase(phaseSelecting)
 	ctx, cancel := context.WithTimeout(q.ctx, reserveTimeout)
 	defer cancel()
 	id, err := g.deps.Reserver.Reserve(ctx, c.Endpoint.Address, c.Endpoint.ID, q.requirements.Tokens, min(reservationTTL, q.maxReservation))
--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -28,7 +28,7 @@
 	for range 2 {
 		g.loads.Begin("e", 0, 0, 0)
 	}
-	return g, &request{g: g, route: &document.Route{}, requirements: fleet.Requirements{Service: "s"}, deadline: timeout, ctx: t.Context()}
+	return g, &request{g: g, state: &requestState{}, route: &document.Route{}, requirements: fleet.Requirements{Service: "s"}, deadline: timeout, ctx: t.Context()}
 }
 
 func TestRequestWaitsForASlot(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,6 +35,7 @@
 	httpRequest  *http.Request
 	body         []byte
 	info         RequestInfo
+	state        *requestState
 	route        *document.Route
 	requirements fleet.Requirements
 	// maxReservation is the longest time for which the service's engines reserve a
@@ -57,6 +58,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
 	info, err := g.deps.Protocol.ParseRequest(r)
+	state := g.inFlight.begin(info.ID, arrived)
+	defer g.inFlight.end(state)
 	if err != nil {
 		g.reject(w, r, info, err)
 		return
@@ -77,7 +80,7 @@
 		g.reject(w, r, info, err)
 		return
 	}
-	q := &request{g: g, w: w, httpRequest: r, body: body, info: info, route: route, arrived: arrived}
+	q := &request{g: g, w: w, httpRequest: r, body: body, info: info, state: state, route: route, arrived: arrived}
 	q.deadline = arrived + route.Timeout
 	if info.Timeout > 0 {
 		q.deadline = min(q.deadline, arrived+info.Timeout)
