--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,17 +45,20 @@
 	used        bool
 }
 
-func dialConn(ctx context.Context, address string) (*conn, error) {
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
 	}
-	c, err := d.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return d.DialContext(ctx, "tcp4", address)
+}
+
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,13 +55,17 @@
 
 // Pool is a pool of connections to endpoints.
 type Pool struct {
+	dial   DialFunc
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	opened atomic.Uint64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+// NewPool returns an empty pool of TCP connections.
+func NewPool() *Pool { return NewPoolWithDial(dialTCP) }
+
+// NewPoolWithDial returns an empty pool whose connections dial opens.
+func NewPoolWithDial(dial DialFunc) *Pool { return &Pool{dial: dial, idle: map[string][]*conn{}} }
 
 // Opened returns the number of attempts to open a connection so far.
 func (p *Pool) Opened() uint64 { return p.opened.Load() }
@@ -246,7 +250,11 @@
 		c.Close()
 	}
 	p.opened.Add(1)
-	return dialConn(ctx, address)
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c, address), nil
 }
 
 func (p *Pool) pop(address string) *conn {
