Answer the requests that are in flight when a gateway's grace period ends

Callers saw their connection closed without an answer 7.4 s after the gateway got SIGTERM, for requests that it had read whole and, in some cases, never sent to an endpoint, so that 503 would have been true.

Cause: Gateway.Shutdown waited for the handlers until the end of the grace period and then closed every connection. Nothing told the handlers, so no request could answer.

Each request now has a context that the shutdown cancels with a cause, 0.2 s before the connections are closed. A request that has not run is rejected with 503, one that may have run gets 502, an endpoint's own failure that was kept is forwarded. Only responses that have begun are still cut: their endpoints are at work then.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -22,6 +22,9 @@
 	// failedRetryAfter is the Retry-After of a request that did not run because
 	// of a transient failure.
 	failedRetryAfter = 250 * time.Millisecond
+	// drainRetryAfter is the Retry-After of a request that another gateway serves
+	// because this one shuts down.
+	drainRetryAfter = 100 * time.Millisecond
 )
 
 // servedLogRatio is the share of served requests that are logged at info level.
@@ -104,6 +107,9 @@
 	return ok
 }
 
+// shutDown reports whether the shutdown of the gateway has canceled the request.
+func (q *request) shutDown() bool { return errors.Is(context.Cause(q.ctx), errShutdown) }
+
 // endWithoutResponse ends a request for which no complete response of an
 // endpoint was forwarded.
 func (q *request) endWithoutResponse(h *attempt.History, out *relay, err error) {
@@ -111,11 +117,13 @@
 	case out.headerSent:
 		q.recordEnd("aborted", nil, h, err)
 		panic(http.ErrAbortHandler)
-	case out.lastFailure != nil && q.ctx.Err() == nil:
+	case out.lastFailure != nil && (q.ctx.Err() == nil || q.shutDown()):
 		out.writeBuffered(out.lastFailure)
 		q.recordEnd("endpoint_failed", nil, h, err)
 	case h.MayHaveRun:
 		q.endWithUnknownOutcome(h, err)
+	case q.shutDown():
+		q.g.reject(q.w, q.httpRequest, q.info, errShutdown)
 	case errors.Is(q.ctx.Err(), context.DeadlineExceeded):
 		q.endWithUnknownOutcome(h, fail.New(fail.DeadlinePassed, "the deadline of the request has passed"))
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,9 +30,11 @@
 	// drainDelay is how long a stopping gateway still accepts requests, because
 	// clients cache its address.
 	drainDelay = 1500 * time.Millisecond
-	// stopReserve is the part of the grace period that is left for the exit of
-	// the process.
-	stopReserve = 600 * time.Millisecond
+	// exitReserve is the part of the grace period that is left for the exit of the
+	// process, and answerReserve the part before it in which requests that are still
+	// in flight are answered.
+	exitReserve   = 600 * time.Millisecond
+	answerReserve = 200 * time.Millisecond
 	// controlTimeout bounds one call to a control replica, and controlRetryDelay
 	// is the pause before the next replica is called.
 	controlTimeout    = 500 * time.Millisecond
@@ -207,8 +209,9 @@
 	return nil
 }
 
-// Shutdown drains the gateway, waits for the requests in flight and stops. It
-// aborts requests that last beyond the grace period.
+// Shutdown drains the gateway, waits for the requests in flight and stops. Requests
+// that last to the end of the grace period are rejected if they have not run, and
+// answered with a failure otherwise; it aborts only responses that have begun.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	started := time.Now()
 	g.draining.Store(true)
@@ -216,13 +219,13 @@
 	g.clientServer.Drain()
 	wait.For(ctx, drainDelay)
 	g.clientServer.CloseIdle()
-	left := g.cfg.Grace.D() - stopReserve - time.Since(started)
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	err := g.clientServer.Shutdown(ctx)
-	if err != nil {
-		g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
+	exitBy := started.Add(g.cfg.Grace.D() - exitReserve)
+	if err := g.awaitRequests(ctx, exitBy.Add(-answerReserve)); err != nil {
 		g.logUnfinished()
+		g.inFlight.cancelAll()
+		if err := g.awaitRequests(ctx, exitBy); err != nil {
+			g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
+		}
 	}
 	g.cancel()
 	g.closeAll()
@@ -230,10 +233,18 @@
 	return nil
 }
 
-// maxUnfinishedLogged bounds the log lines on requests that a shutdown cuts off.
+// awaitRequests waits until no request is in flight, or returns an error at the
+// time until.
+func (g *Gateway) awaitRequests(ctx context.Context, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return g.clientServer.Shutdown(ctx)
+}
+
+// maxUnfinishedLogged bounds the log lines on requests that a shutdown cancels.
 const maxUnfinishedLogged = 50
 
-// logUnfinished logs the requests that the shutdown cuts off.
+// logUnfinished logs the requests that the shutdown cancels.
 func (g *Gateway) logUnfinished() {
 	unfinished := g.inFlight.list()
 	for _, s := range unfinished[:min(len(unfinished), maxUnfinishedLogged)] {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/fail"
 )
 
+// errShutdown is the cause for which a shutdown cancels the requests in flight.
+var errShutdown = fail.New(fail.Draining, "the gateway is shutting down").WithRetryAfter(drainRetryAfter)
+
 // phase is the stage of a request at the gateway.
 type phase int32
 
@@ -39,6 +45,7 @@
 type requestState struct {
 	id       string
 	arrived  time.Duration
+	cancel   context.CancelCauseFunc
 	phase    atomic.Int32
 	endpoint atomic.Pointer[string]
 }
@@ -64,12 +71,19 @@
 type requestsInFlight struct {
 	mu     sync.Mutex
 	states map[*requestState]struct{}
+	// canceled is set once the requests in flight, and all later ones, are canceled.
+	canceled bool
 }
 
-func (r *requestsInFlight) begin(id string, arrived time.Duration) *requestState {
-	s := &requestState{id: id, arrived: arrived}
+// begin adds a request, which cancel cancels.
+func (r *requestsInFlight) begin(id string, arrived time.Duration, cancel context.CancelCauseFunc) *requestState {
+	s := &requestState{id: id, arrived: arrived, cancel: cancel}
+	s.setPhase(phaseReading)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.canceled {
+		cancel(errShutdown)
+	}
 	if r.states == nil {
 		r.states = map[*requestState]struct{}{}
 	}
@@ -83,6 +97,17 @@
 	delete(r.states, s)
 }
 
+// cancelAll cancels all requests with errShutdown, so that they end with a
+// response.
+func (r *requestsInFlight) cancelAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.canceled = true
+	for s := range r.states {
+		s.cancel(errShutdown)
+	}
+}
+
 // list returns the requests in flight, oldest first.
 func (r *requestsInFlight) list() []*requestState {
 	r.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,13 +58,15 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock()
 	info, err := g.deps.Protocol.ParseRequest(r)
-	state := g.inFlight.begin(info.ID, arrived)
+	requestCtx, cancelRequest := context.WithCancelCause(r.Context())
+	defer cancelRequest(nil)
+	state := g.inFlight.begin(info.ID, arrived, cancelRequest)
 	defer g.inFlight.end(state)
 	if err != nil {
 		g.reject(w, r, info, err)
 		return
 	}
-	table, ok := g.awaitDocument(r.Context(), info.Timeout)
+	table, ok := g.awaitDocument(requestCtx, info.Timeout)
 	if !ok {
 		after := startupRetryAfter + time.Duration(g.randFloat()*float64(startupRetryJitter))
 		g.reject(w, r, info, fail.New(fail.Unavailable, "the gateway has no fleet document or view yet").WithRetryAfter(after))
@@ -90,7 +92,7 @@
 		q.maxReservation = s.Engine.MaxReservation
 	}
 	g.retries.RecordRequest(q.requirements.Service, arrived)
-	ctx, cancel := context.WithTimeout(r.Context(), q.deadline-g.clock())
+	ctx, cancel := context.WithTimeout(requestCtx, q.deadline-g.clock())
 	defer cancel()
 	q.ctx = ctx
 	q.run()
