Add failing tests of requests that a stopping gateway keeps although it cannot finish them

A stopping gateway holds a request that waits for a model for 7.2 s before it rejects it, and sends one whose response it cannot forward whole.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -29,6 +30,7 @@
 func (testProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
 	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model")}
 	info.Timeout, _ = time.ParseDuration(r.Header.Get("Deadline"))
+	info.ExpectedOutputTokens, _ = strconv.Atoi(r.Header.Get("Output"))
 	return info, nil
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 	"parsleyramp/internal/retry"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/upstream"
+	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 	"parsleyramp/internal/wire/wireconnect"
 )
@@ -115,7 +117,7 @@
 	}
 	g.changed.init()
 	g.table.Store(document.NewTable(d))
-	g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e", Service: "s", Address: "endpoint", Slots: 10}}}))
+	g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e", Service: "s", Address: "endpoint", Slots: 10, Models: []*wire.HeldModel{{Name: "resident"}}}}}))
 	out := &pipeGateway{Gateway: g, clients: newPipeListener()}
 	g.clientServer = transport.ServeClients(out.clients, g)
 	g.servers = append(g.servers, g.clientServer.Server)
@@ -131,8 +133,9 @@
 	at         time.Duration
 }
 
-// send sends a request for the model on a connection of its own.
-func (g *pipeGateway) send(t *testing.T, model string) <-chan answer {
+// send sends a request for the model on a connection of its own. The client
+// expects the number of output tokens.
+func (g *pipeGateway) send(t *testing.T, model string, outputTokens int) <-chan answer {
 	t.Helper()
 	c, err := g.clients.dial(t.Context(), "")
 	if err != nil {
@@ -143,6 +146,7 @@
 		t.Fatal(err)
 	}
 	req.Header.Set("Model", model)
+	req.Header.Set("Output", strconv.Itoa(outputTokens))
 	if err := req.Write(c); err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		control := &loadingControl{readyAt: time.Now().Add(11 * time.Second)}
 		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, http.NotFoundHandler())
-		received := g.send(t, "loading")
+		received := g.send(t, "loading", 0)
 		time.Sleep(2600 * time.Millisecond)
 		g.stop(t)
 		if a := <-received; a.status != http.StatusServiceUnavailable || a.retryAfter == "" {
@@ -192,7 +196,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
-		received := g.send(t, "")
+		received := g.send(t, "", 0)
 		synctest.Wait()
 		g.stop(t)
 		if a := <-received; a.status != http.StatusBadGateway {
@@ -200,3 +204,58 @@
 		}
 	})
 }
+
+func TestStoppingGatewayRejectsAtOnceWhatItCannotFinish(t *testing.T) {
+	const longOutput, tokenTime = 2000, 6 * time.Millisecond
+	for _, c := range []struct {
+		name         string
+		model        string
+		readyIn      time.Duration
+		outputTokens int
+		rejected     bool
+	}{
+		{"model ready too late", "loading", 8 * time.Second, 0, true},
+		{"response too long", "resident", 0, longOutput, true},
+		{"response in time", "resident", 0, longOutput / 10, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					wait.For(r.Context(), time.Duration(c.outputTokens)*tokenTime)
+					w.Header().Set("Signed", "1")
+				})
+				control := &loadingControl{readyAt: time.Now().Add(c.readyIn)}
+				g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, engine)
+				stopped := make(chan struct{})
+				begin := g.clock()
+				go func() {
+					defer close(stopped)
+					g.stop(t)
+				}()
+				synctest.Wait()
+				a := <-g.send(t, c.model, c.outputTokens)
+				if rejected := a.status == http.StatusServiceUnavailable && a.retryAfter != ""; rejected != c.rejected || !rejected && a.status != http.StatusOK {
+					t.Errorf("answer %+v, want rejected %t", a, c.rejected)
+				}
+				if c.rejected && a.at-begin > time.Second {
+					t.Errorf("rejected %v into the shutdown, want at once", a.at-begin)
+				}
+				<-stopped
+			})
+		})
+	}
+}
+
+func TestRequestThatWaitsIsRejectedWhenTheShutdownBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := &loadingControl{readyAt: time.Now().Add(11 * time.Second)}
+		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, http.NotFoundHandler())
+		received := g.send(t, "loading", 0)
+		time.Sleep(2600 * time.Millisecond)
+		begin := g.clock()
+		g.stop(t)
+		if a := <-received; a.status != http.StatusServiceUnavailable || a.at-begin > time.Second {
+			t.Errorf("answer %+v, %v into the shutdown, want status 503 at once", a, a.at-begin)
+		}
+	})
+}
