Reject at once what a stopping gateway is not expected to finish

Callers whose requests waited at a stopping gateway, for a slot or for a model, were held for up to 7.2 s and then refused, or were sent to an endpoint so late that their response was cut in the middle. Another gateway could have served them.

Cause: the selection of an endpoint knew the request's deadline, but not that of the shutdown. A request with a limit of 20 s waits up to 12 s for a model.

The selection now compares the time at which the response would begin (now, or when the model is expected to be ready) plus its estimated length, with a margin, with the time at which the shutdown cancels requests. The start of a shutdown wakes waiting requests.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,9 @@
 	view     atomic.Pointer[fleet.View]
 	changed  broadcast
 	draining atomic.Bool
+	// cancelAt is the time of clock at which a shutdown cancels the requests in
+	// flight; zero before a shutdown.
+	cancelAt atomic.Int64
 
 	loads         *fleet.Loads
 	serviceTimes  *fleet.ServiceTimes
@@ -210,17 +213,21 @@
 }
 
 // Shutdown drains the gateway, waits for the requests in flight and stops. Requests
+// that are not expected to end in time are rejected before they are sent. Requests
 // that last to the end of the grace period are rejected if they have not run, and
 // answered with a failure otherwise; it aborts only responses that have begun.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	started := time.Now()
+	exitBy := started.Add(g.cfg.Grace.D() - exitReserve)
+	cancelAt := exitBy.Add(-answerReserve)
+	g.cancelAt.Store(int64(g.clock() + time.Until(cancelAt)))
 	g.draining.Store(true)
+	g.changed.notify()
 	g.log.WithFields(g.inFlight.countFields()).Info("draining")
 	g.clientServer.Drain()
 	wait.For(ctx, drainDelay)
 	g.clientServer.CloseIdle()
-	exitBy := started.Add(g.cfg.Grace.D() - exitReserve)
-	if err := g.awaitRequests(ctx, exitBy.Add(-answerReserve)); err != nil {
+	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
 		g.inFlight.cancelAll()
 		if err := g.awaitRequests(ctx, exitBy); err != nil {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -25,6 +25,9 @@
 	// modelRetryAfter is the Retry-After if it is unknown when the model will be
 	// ready.
 	modelRetryAfter = 1500 * time.Millisecond
+	// finishTimeMargin is the factor by which the estimated time of a response is
+	// exceeded by few responses.
+	finishTimeMargin = 1.5
 	// noEndpointRetryAfter is the Retry-After if the service has no endpoint or
 	// none responds.
 	noEndpointRetryAfter = 400 * time.Millisecond
@@ -63,6 +66,9 @@
 		if first {
 			waited = 0
 		}
+		if !q.finishesInTime(now) {
+			return nil, errShutdown
+		}
 		c := g.loads.Choose(g.view.Load(), q.requirements, tried, now)
 		var e *fleet.Endpoint
 		var err error
@@ -83,6 +89,21 @@
 	}
 }
 
+// finishesInTime reports whether a response that starts at the given time is
+// expected to be complete before a shutdown of the gateway cancels it. A response
+// that the client has received a part of is continued in any case.
+func (q *request) finishesInTime(start time.Duration) bool {
+	cancelAt := time.Duration(q.g.cancelAt.Load())
+	if cancelAt == 0 || q.firstByte > 0 {
+		return true
+	}
+	estimate := time.Duration(0)
+	if q.requirements.Model != "" {
+		estimate = q.g.serviceTimes.Estimate(q.requirements.Model, q.info.expectedOutput())
+	}
+	return start+time.Duration(float64(estimate)*finishTimeMargin) <= cancelAt
+}
+
 // maxWait returns how long the client waits for the response, or for the first
 // event of a stream.
 func (q *request) maxWait() time.Duration {
@@ -173,6 +194,9 @@
 	if s.readyAt > 0 {
 		readyIn = max(s.readyAt-g.clock(), modelRequestInterval/2)
 	}
+	if !q.finishesInTime(g.clock() + readyIn) {
+		return nil, errShutdown
+	}
 	if fleet.DecideOnModel(readyIn, g.clock()-s.startedAt, s.limit) == fleet.Wait {
 		waitForChange(q.ctx, changed, max(s.nextModelRequestAt-g.clock(), 0))
 		return nil, nil
