--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -148,9 +148,9 @@
 
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: chunk %d\n\n", id, id) }
 
-// startGateway starts a gateway with one route to the engines and returns its
-// address.
-func startGateway(t *testing.T, route document.Route, engines ...*scriptedEngine) string {
+// newTestGateway returns a gateway with one route to the endpoints of one service,
+// without a server.
+func newTestGateway(t *testing.T, route document.Route, service document.Service, endpoints ...*wire.FleetEndpoint) *Gateway {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -160,29 +160,42 @@
 		cfg: DefaultSettings(), deps: Dependencies{Protocol: testProtocol{}}, log: logrus.NewEntry(log),
 		clock: func() time.Duration { return time.Since(start) }, loads: fleet.NewLoads(func(int) int { return 0 }),
 		serviceTimes: fleet.NewServiceTimes(), waits: fleet.NewWaitHistory(), pool: upstream.NewPool(), retries: retry.NewGatewayBudget(config, 0), randFloat: func() float64 { return 0 },
-		control: controlclient.New(transport.NewPeerClient(), []string{"127.0.0.1:1"}),
+		control: controlclient.New(transport.NewPeerClient(), []string{"127.0.0.1:1"}), cancel: func() {},
 	}
 	g.cfg.ID = "g"
 	g.changed.init()
-	route.Name, route.Host, route.Prefix, route.Split = "r", "h", "/a/", []document.Share{{Service: "s", Weight: 1}}
+	service.Name = "s"
+	route.Name, route.Host, route.Prefix, route.Split = "r", "h", "/a/", []document.Share{{Service: service.Name, Weight: 1}}
 	if route.Timeout == 0 {
 		route.Timeout = 20 * time.Second
 	}
-	d := &document.Document{Version: 1, Routes: []document.Route{route}, Services: []document.Service{{Name: "s"}}}
+	d := &document.Document{Version: 1, Routes: []document.Route{route}, Services: []document.Service{service}}
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
 	}
 	g.table.Store(document.NewTable(d))
 	view := &wire.FleetView{}
-	for i, e := range engines {
-		view.Endpoints = append(view.Endpoints, &wire.FleetEndpoint{Id: fmt.Sprintf("e%d", i), Service: "s", Address: e.address, Slots: 10})
+	for i, e := range endpoints {
+		e.Id, e.Service, e.Slots = fmt.Sprintf("e%d", i), service.Name, 10
+		view.Endpoints = append(view.Endpoints, e)
 	}
 	g.view.Store(fleet.NewView(view))
+	return g
+}
+
+// startGateway starts a gateway with one route to the engines and returns its
+// address.
+func startGateway(t *testing.T, route document.Route, engines ...*scriptedEngine) string {
+	t.Helper()
+	var endpoints []*wire.FleetEndpoint
+	for _, e := range engines {
+		endpoints = append(endpoints, &wire.FleetEndpoint{Address: e.address})
+	}
 	l, err := transport.ListenClients("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := transport.ServeClients(l, g)
+	s := transport.ServeClients(l, newTestGateway(t, route, document.Service{}, endpoints...))
 	t.Cleanup(func() { s.Close() })
 	return s.Address()
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -14,12 +14,9 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
-	"parsleyramp/internal/fleet"
-	"parsleyramp/internal/retry"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
@@ -95,29 +92,14 @@
 // models are ready when control reports it.
 func newPipeGateway(t *testing.T, route document.Route, control *loadingControl, engine http.Handler) *pipeGateway {
 	t.Helper()
-	route.Name, route.Host, route.Prefix, route.Split = "r", "h", "/a/", []document.Share{{Service: "s", Weight: 1}}
-	d := &document.Document{Version: 1, Routes: []document.Route{route}, Services: []document.Service{{Name: "s", Engine: &document.Engine{}}}}
-	if err := d.Check(); err != nil {
-		t.Fatal(err)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	_, controlHandler := wireconnect.NewFleetServiceHandler(control)
 	endpoint := newPipeListener()
 	engineServer := &http.Server{Handler: engine}
 	go func() { _ = engineServer.Serve(endpoint) }()
 	t.Cleanup(func() { engineServer.Close() })
-	cfg, start := DefaultSettings(), time.Now()
-	g := &Gateway{
-		cfg: cfg, deps: Dependencies{Protocol: testProtocol{}}, log: logrus.NewEntry(log),
-		clock: func() time.Duration { return time.Since(start) }, loads: fleet.NewLoads(func(int) int { return 0 }),
-		serviceTimes: fleet.NewServiceTimes(), waits: fleet.NewWaitHistory(), pool: upstream.NewPoolWithDial(endpoint.dial),
-		retries: retry.NewGatewayBudget(cfg.retryConfig(), 0), randFloat: func() float64 { return 0 },
-		control: controlclient.New(&http.Client{Transport: roundTripper{controlHandler}}, []string{"control"}), cancel: func() {},
-	}
-	g.changed.init()
-	g.table.Store(document.NewTable(d))
-	g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e", Service: "s", Address: "endpoint", Slots: 10, Models: []*wire.HeldModel{{Name: "resident"}}}}}))
+	_, controlHandler := wireconnect.NewFleetServiceHandler(control)
+	g := newTestGateway(t, route, document.Service{Engine: &document.Engine{}}, &wire.FleetEndpoint{Models: []*wire.HeldModel{{Name: "resident"}}})
+	g.pool = upstream.NewPoolWithDial(endpoint.dial)
+	g.control = controlclient.New(&http.Client{Transport: roundTripper{controlHandler}}, []string{"control"})
 	out := &pipeGateway{Gateway: g, clients: newPipeListener()}
 	g.clientServer = transport.ServeClients(out.clients, g)
 	g.servers = append(g.servers, g.clientServer.Server)
