Bound the wait for the consensus node at the shutdown of a control replica

A node whose write the disk does not complete does not stop, and Shutdown waited for it until the platform killed the process. After one second it now returns storage_failed and leaves the data folder open. The test also requires that code.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/boottime"
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/journal"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/telemetry"
@@ -141,8 +142,13 @@
 // operator requests in flight at a planned shutdown.
 const shutdownTimeout = 2 * time.Second
 
+// nodeStopTimeout bounds the wait for the consensus node at a shutdown. The node
+// does not stop while the disk does not complete a write.
+const nodeStopTimeout = time.Second
+
 // Shutdown transfers the leadership, finishes the operator requests in flight,
-// ends the consensus node by calling stopNode and closes the data folder.
+// ends the consensus node by calling stopNode and closes the data folder. It
+// takes at most shutdownTimeout and nodeStopTimeout, also if the disk stalls.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.Info("draining")
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
@@ -150,15 +156,27 @@
 	s.node.TransferLeadership(ctx)
 	err := s.operatorServer.Shutdown(ctx)
 	stopNode()
-	if nodeErr := <-s.stopped; nodeErr != nil {
-		err = nodeErr
+	if storageErr := s.closeStorage(); storageErr != nil {
+		err = storageErr
 	}
 	// Gateways keep their connections open, so a graceful shutdown would wait for
 	// them. They reconnect to another replica.
 	_ = s.internalServer.Close()
-	if closeErr := s.journal.Close(); err == nil {
-		err = closeErr
-	}
 	s.log.Info("stopped")
 	return err
 }
+
+// closeStorage waits for the consensus node to stop and closes the data folder. If
+// the node does not stop within nodeStopTimeout, the data folder stays open, because
+// the node still uses it; the exit of the process unlocks it.
+func (s *Server) closeStorage() error {
+	select {
+	case err := <-s.stopped:
+		if closeErr := s.journal.Close(); err == nil {
+			err = closeErr
+		}
+		return err
+	case <-time.After(nodeStopTimeout):
+		return fail.New(fail.StorageFailed, "a write to the data folder did not complete before the shutdown")
+	}
+}
--- a/internal/fleetcontrol/shutdown_test.go
+++ b/internal/fleetcontrol/shutdown_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/journal"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/transport"
@@ -97,18 +98,16 @@
 		storage := stalledStorage{writing: make(chan struct{}, 16), release: make(chan struct{})}
 		s, stopNode := startStalled(t, storage)
 		start := time.Now()
-		done := make(chan struct{})
-		go func() {
-			_ = s.Shutdown(context.Background(), stopNode)
-			close(done)
-		}()
+		done := make(chan error, 1)
+		go func() { done <- s.Shutdown(context.Background(), stopNode) }()
 		select {
-		case <-done:
-			t.Logf("Shutdown took %v", time.Since(start))
+		case err := <-done:
+			if !fail.Is(err, fail.StorageFailed) {
+				t.Errorf("Shutdown: %v, want code storage_failed", err)
+			}
 		case <-time.After(maxShutdown):
 			t.Errorf("Shutdown still runs %v after its start", time.Since(start))
 		}
 		close(storage.release)
-		<-done
 	})
 }
