Add tests for requests that arrive while a client-facing server stops

They run in synctest bubbles over connections in memory, which hold a Read of the server at the moment of the stop: a request read whole, a header read in part, a request in the socket buffer, the first request of a new connection, and a request after a response that began before the drain.

--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // serveBlocking starts a server whose handler sends to begun and then blocks
@@ -111,3 +114,150 @@
 		t.Errorf("response %v, error %v, want a response with Connection: close", resp, err)
 	}
 }
+
+// forEachStop runs a test in a synctest bubble once for each way to close the
+// connections without a request.
+func forEachStop(t *testing.T, f func(t *testing.T, stop func(*ClientFacingServer))) {
+	for name, stop := range stops {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { f(t, stop) })
+		})
+	}
+}
+
+// keepConnection returns a client whose connection has been idle for some time
+// after a first response.
+func keepConnection(t *testing.T, l *pipeListener) *pipeClient {
+	t.Helper()
+	c := l.dial(t)
+	c.send(getRequest)
+	c.expectResponse(t)
+	time.Sleep(idleTimeout / 2)
+	return c
+}
+
+// A Read of the server returns the whole request only after the stop.
+func TestRequestReadBeforeStopIsAnswered(t *testing.T) {
+	forEachStop(t, func(t *testing.T, stop func(*ClientFacingServer)) {
+		s, l := servePipes(t, respondComplete)
+		c := keepConnection(t, l)
+		c.server.after.close()
+		c.send(getRequest)
+		synctest.Wait()
+		stop(s)
+		c.server.after.open()
+		c.expectResponse(t)
+	})
+}
+
+func TestRequestHeaderReadInPartBeforeStopIsAnswered(t *testing.T) {
+	forEachStop(t, func(t *testing.T, stop func(*ClientFacingServer)) {
+		s, l := servePipes(t, respondComplete)
+		c := keepConnection(t, l)
+		c.send(getRequest[:10])
+		synctest.Wait()
+		stop(s)
+		time.Sleep(readHeaderTimeout / 2)
+		c.send(getRequest[10:])
+		c.expectResponse(t)
+	})
+}
+
+func TestRequestInSocketBufferAtStopIsAnswered(t *testing.T) {
+	forEachStop(t, func(t *testing.T, stop func(*ClientFacingServer)) {
+		release := make(chan struct{})
+		s, l := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			respondComplete(w, r)
+		})
+		c := l.dial(t)
+		c.send(getRequest)
+		synctest.Wait()
+		c.server.before.close()
+		close(release)
+		c.expectResponse(t)
+		time.Sleep(idleTimeout / 2)
+		c.send(getRequest)
+		synctest.Wait()
+		stop(s)
+		synctest.Wait()
+		c.server.before.open()
+		c.expectResponse(t)
+	})
+}
+
+func TestFirstRequestAfterStopIsAnswered(t *testing.T) {
+	forEachStop(t, func(t *testing.T, stop func(*ClientFacingServer)) {
+		s, l := servePipes(t, respondComplete)
+		c := l.dial(t)
+		synctest.Wait()
+		stop(s)
+		synctest.Wait()
+		c.send(getRequest)
+		c.expectResponse(t)
+	})
+}
+
+// The response begins before the drain, so that its header cannot announce that
+// the connection closes.
+func TestRequestAfterResponseEndingInShutdownIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s, l := servePipes(t, func(w http.ResponseWriter, _ *http.Request) {
+			http.NewResponseController(w).Flush()
+			<-release
+			io.WriteString(w, "complete")
+		})
+		c := l.dial(t)
+		c.send(getRequest)
+		synctest.Wait()
+		s.Drain()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		synctest.Wait()
+		close(release)
+		if resp := c.expectResponse(t); resp == nil || resp.Close {
+			t.Fatalf("response %v, want one that keeps its connection", resp)
+		}
+		c.send(getRequest)
+		if resp := c.expectResponse(t); resp != nil && !resp.Close {
+			t.Error("the last response lacks Connection: close")
+		}
+		c.expectClosed(t)
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := servePipes(t, respondComplete)
+		kept, unused := keepConnection(t, l), l.dial(t)
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		kept.expectClosed(t)
+		unused.expectClosed(t)
+	})
+}
+
+func TestShutdownReturnsAnErrorForARequestInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s, l := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			respondComplete(w, r)
+		})
+		c := l.dial(t)
+		c.send(getRequest)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := s.Shutdown(ctx); err == nil {
+			t.Error("Shutdown returned no error, want one for the request in flight")
+		}
+		close(release)
+		c.expectResponse(t)
+	})
+}
