Serve a request that was read while its client connection closes as idle

Seen by clients: a whole request on a kept or new connection of a gateway that stops gets neither an answer nor a refusal; the connection is closed.

Cause: CloseIdle closed a connection whose handler had not begun, and its handler then panicked with ErrAbortHandler. http.Server.Shutdown closes a connection as idle until the header of a request has been parsed, and drops every request that it parses after its call.

Why it works: a connection between two requests is closed by the expiry of its read deadline. A Read that has bytes returns them, and the request is served; a Read without bytes fails, and net/http closes the connection. An expired deadline also fails a Read for which bytes wait in the socket buffer, so a closing connection reads once more, for at most 250 ms. From the first byte of a request to the end of its response the deadlines of net/http are in force. Shutdown no longer uses http.Server.Shutdown: it closes the listener and waits until net/http has closed each connection. An error means that a request is in flight at the end of ctx; idle connections are none.

ServeClients speaks HTTP/1.1 only: nothing uses HTTP/2 on a client address (the load generator, the scripts and the client of the stand-in use transports of net/http without HTTP/2; NewPeerClient is used for control and peer addresses).

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -2,31 +2,37 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"parsleyramp/internal/fail"
 )
 
-// ClientFacingServer is a Server that closes idle connections before a planned
-// shutdown without interrupting a request that its handler serves. A request that
-// arrives while its connection is being closed is not served at all.
-// http.Server.Shutdown can close a connection as idle while a request on it is being
-// read.
+// ClientFacingServer is an HTTP/1.1 server that stops without dropping a request
+// that it has begun to read: it serves such a request before it closes the
+// connection. http.Server.Shutdown drops a request whose header it has not yet
+// parsed.
 type ClientFacingServer struct {
 	*Server
+	draining atomic.Bool
 	mu       sync.Mutex
+	// stopping is set once Shutdown has been called.
+	stopping bool
 	conns    map[*trackedConn]bool
-	draining atomic.Bool
+	// open counts the connections that are not closed.
+	open sync.WaitGroup
 }
 
-// ServeClients starts to serve the handler on the listener.
+// ServeClients starts to serve the handler on the listener, over HTTP/1.1.
 func ServeClients(l net.Listener, h http.Handler) *ClientFacingServer {
 	s := &ClientFacingServer{conns: map[*trackedConn]bool{}}
-	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.trackRequests(h))
-	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, trackedConnKey{}, c)
-	}
+	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(h))
+	s.http.Protocols = new(http.Protocols)
+	s.http.Protocols.SetHTTP1(true)
+	s.http.ConnState = s.recordState
 	s.start()
 	return s
 }
@@ -35,26 +41,74 @@
 // that clients send their next request on another connection.
 func (s *ClientFacingServer) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request is in flight.
+// CloseIdle starts to close the connections on which no request is in flight. A
+// connection on which a request arrives in the meantime serves it.
 func (s *ClientFacingServer) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closeIdleLocked()
+}
+
+func (s *ClientFacingServer) closeIdleLocked() {
 	for c := range s.conns {
-		c.closeIdle()
+		c.closeWhenIdle()
 	}
 }
 
-// trackRequests counts the requests in flight on each connection and aborts a
-// request whose connection CloseIdle has closed.
-func (s *ClientFacingServer) trackRequests(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(trackedConnKey{}).(*trackedConn)
-		if ok {
-			if !c.beginRequest() {
-				panic(http.ErrAbortHandler)
-			}
-			defer c.endRequest()
+// Shutdown drains the server, stops accepting connections, and closes each
+// connection once no request is in flight on it. It returns an error if a request
+// is in flight when ctx ends; Close then aborts it.
+func (s *ClientFacingServer) Shutdown(ctx context.Context) error {
+	s.Drain()
+	s.mu.Lock()
+	s.stopping = true
+	s.closeIdleLocked()
+	s.mu.Unlock()
+	// Serve returns once the listener is closed, also if closing it fails.
+	_ = s.listener.Close()
+	serveErr := <-s.done
+	if err := s.awaitConns(ctx); err != nil {
+		return fail.Wrap(err, fail.Internal, "shut down HTTP server")
+	}
+	if !errors.Is(serveErr, net.ErrClosed) && !errors.Is(serveErr, http.ErrServerClosed) {
+		return fail.Wrap(serveErr, fail.Internal, "serve HTTP")
+	}
+	return nil
+}
+
+// awaitConns waits until all connections are closed. It returns an error if a
+// request is in flight when ctx ends.
+func (s *ClientFacingServer) awaitConns(ctx context.Context) error {
+	closed := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+	}
+	if s.requestInFlight() {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s *ClientFacingServer) requestInFlight() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.requestInFlight() {
+			return true
 		}
+	}
+	return false
+}
+
+// announceClose adds "Connection: close" to the responses while the server drains.
+func (s *ClientFacingServer) announceClose(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -62,51 +116,38 @@
 	})
 }
 
-type trackedConnKey struct{}
-
-// trackedConn counts the requests in flight on a connection.
-type trackedConn struct {
-	net.Conn
-	server   *ClientFacingServer
-	mu       sync.Mutex
-	inFlight int
-	closed   bool
-}
-
-func (c *trackedConn) beginRequest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return false
+// recordState records the state that the HTTP server reports of a connection.
+func (s *ClientFacingServer) recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setInFlight(true)
+	case http.StateIdle:
+		c.setInFlight(false)
+	case http.StateClosed, http.StateHijacked:
+		s.remove(c)
 	}
-	c.inFlight++
-	return true
-}
-
-func (c *trackedConn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inFlight--
 }
 
-// closeIdle closes the connection unless a request is in flight on it. An error
-// of the close is ignored: it affects only the client.
-func (c *trackedConn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inFlight > 0 || c.closed {
-		return
+// add adds an accepted connection to the set of open connections.
+func (s *ClientFacingServer) add(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	s.open.Add(1)
+	if s.stopping {
+		c.closeWhenIdle()
 	}
-	c.closed = true
-	_ = c.Conn.Close()
 }
 
-// Close closes the connection and removes it from the server's set.
-func (c *trackedConn) Close() error {
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
-	return c.Conn.Close()
+func (s *ClientFacingServer) remove(c *trackedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.open.Done()
 }
 
 type trackingListener struct {
@@ -120,9 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: c, server: l.server}
-	l.server.mu.Lock()
-	l.server.conns[tracked] = true
-	l.server.mu.Unlock()
+	tracked := &trackedConn{Conn: c}
+	l.server.add(tracked)
 	return tracked, nil
 }
--- /dev/null
+++ b/internal/transport/tracked.go
@@ -0,0 +1,107 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// finalReadTimeout is how long a closing connection waits for a request that its
+// client may already have sent.
+const finalReadTimeout = 250 * time.Millisecond
+
+// expired is a read deadline in the past.
+var expired = time.Unix(1, 0)
+
+// trackedConn is a server's connection that can be closed between two requests.
+// It is closed by the expiry of its read deadline, upon which the HTTP server
+// closes it, and not by Close, because the HTTP server may just have read a
+// request.
+type trackedConn struct {
+	net.Conn
+	mu sync.Mutex
+	// inFlight is set from the first byte of a request to the end of its response.
+	inFlight bool
+	// closing is set once the connection is to be closed between two requests.
+	closing bool
+	// deadline is the read deadline that the HTTP server has set. It is not in
+	// force while the connection is closing and no request is in flight.
+	deadline time.Time
+}
+
+// closeWhenIdle closes the connection as soon as no request is in flight.
+func (c *trackedConn) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return // A final read may be in progress.
+	}
+	c.closing = true
+	c.applyDeadlineLocked()
+}
+
+// setInFlight records the begin or the end of a request. The end must be recorded
+// before the HTTP server reads the next request.
+func (c *trackedConn) setInFlight(inFlight bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight == inFlight {
+		return
+	}
+	c.inFlight = inFlight
+	c.applyDeadlineLocked()
+}
+
+func (c *trackedConn) requestInFlight() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight
+}
+
+// applyDeadlineLocked sets the read deadline of a closing connection after a
+// change. It ignores an error, which means that the connection is closed.
+func (c *trackedConn) applyDeadlineLocked() {
+	if c.closing {
+		_ = c.Conn.SetReadDeadline(c.deadlineLocked())
+	}
+}
+
+func (c *trackedConn) deadlineLocked() time.Time {
+	if c.closing && !c.inFlight {
+		return expired
+	}
+	return c.deadline
+}
+
+// SetReadDeadline sets the read deadline of the requests on the connection.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(c.deadlineLocked())
+}
+
+// Read reads from the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginFinalRead() {
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 {
+		c.setInFlight(true)
+	}
+	return n, err
+}
+
+// beginFinalRead permits one more read from a closing connection whose deadline
+// has expired, because an expired deadline fails a read even if bytes have arrived.
+func (c *trackedConn) beginFinalRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing || c.inFlight {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)) == nil
+}
