--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -265,6 +265,84 @@
 	})
 }
 
+// responders are the ways in which a handler can write its response.
+var responders = map[string]http.HandlerFunc{
+	"nothing": func(http.ResponseWriter, *http.Request) {},
+	"Write":   respondComplete,
+	"WriteHeader": func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	},
+	"Flush": func(w http.ResponseWriter, _ *http.Request) {
+		http.NewResponseController(w).Flush()
+	},
+	"informational header first": func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		respondComplete(w, r)
+	},
+	"without the connection header of the server": func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Del("Connection")
+		respondComplete(w, r)
+	},
+}
+
+// readFinalResponse reads a response after its informational ones.
+func (c *pipeClient) readFinalResponse(t *testing.T) *http.Response {
+	t.Helper()
+	for {
+		resp, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp
+		}
+		if resp.Close {
+			t.Errorf("informational response %d has Connection: close", resp.StatusCode)
+		}
+	}
+}
+
+// forEachResponder checks, for each responder, a response that is written during a
+// drain. begun says whether its request begins before the drain.
+func forEachResponder(t *testing.T, begun bool) {
+	for name, respond := range responders {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { expectCloseAnnounced(t, begun, respond) })
+		})
+	}
+}
+
+func expectCloseAnnounced(t *testing.T, begun bool, respond http.HandlerFunc) {
+	t.Helper()
+	release := make(chan struct{})
+	s, l := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(w, r)
+	})
+	c := l.dial(t)
+	if !begun {
+		s.Drain()
+	}
+	c.send(getRequest)
+	synctest.Wait()
+	s.Drain()
+	close(release)
+	resp := c.readFinalResponse(t)
+	if !resp.Close {
+		t.Error("the response lacks Connection: close")
+	}
+	io.Copy(io.Discard, resp.Body)
+	written := time.Now()
+	c.expectClosed(t)
+	if d := time.Since(written); d > 0 {
+		t.Errorf("the connection was closed %v after the response", d)
+	}
+}
+
+func TestResponseBegunBeforeDrainAnnouncesClose(t *testing.T) { forEachResponder(t, true) }
+
+func TestResponseDuringDrainAnnouncesClose(t *testing.T) { forEachResponder(t, false) }
+
 func TestClientFacingServerDoesNotSpeakHTTP2(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
