Announce the close in every response that is written during a drain

Seen by clients: during a drain, responses forwarded from an endpoint and all responses whose request began before Drain keep the connection open. The client sends its next request on a connection that is about to be closed.

Cause: the server set "Connection: close" before it called the handler. The gateway's relay.copyHeader removes the hop-by-hop headers of the whole header map, thus this one, too.

Why it works: the ResponseWriter sets the header when the handler writes it, flushes or returns, whatever the handler has done before. net/http closes the connection after such a response. A response whose header was sent before Drain cannot announce the close; its connection closes when idle.

The writer hides net/http's hook for http.MaxBytesReader, so a connection may be kept after a body over the limit if at most 256 KiB of it are left, which net/http discards.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -37,8 +37,8 @@
 	return s
 }
 
-// Drain adds "Connection: close" to the headers of every further response, so
-// that clients send their next request on another connection.
+// Drain adds "Connection: close" to the header of every response that is written
+// from now on, so that clients send their next request on another connection.
 func (s *ClientFacingServer) Drain() { s.draining.Store(true) }
 
 // CloseIdle starts to close the connections on which no request is in flight. A
@@ -106,13 +106,13 @@
 	return false
 }
 
-// announceClose adds "Connection: close" to the responses while the server drains.
+// announceClose adds "Connection: close" to the responses that are written while
+// the server drains.
 func (s *ClientFacingServer) announceClose(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
+		out := &drainWriter{ResponseWriter: w, server: s}
+		h.ServeHTTP(out, r)
+		out.announceClose() // A handler may write nothing.
 	})
 }
 
