Let ClientFacingServer.Shutdown be called again

A gateway first waits for the requests in flight until it cancels them, and then again for their answers. The second call blocked, because the first had received the error of Serve.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -57,7 +56,8 @@
 
 // Shutdown drains the server, stops accepting connections, and closes each
 // connection once no request is in flight on it. It returns an error if a request
-// is in flight when ctx ends; Close then aborts it.
+// is in flight when ctx ends; another call continues to wait for it, and Close
+// aborts it.
 func (s *ClientFacingServer) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
@@ -66,14 +66,11 @@
 	s.mu.Unlock()
 	// Serve returns once the listener is closed, also if closing it fails.
 	_ = s.listener.Close()
-	serveErr := <-s.done
+	serveErr := s.serveError(net.ErrClosed, http.ErrServerClosed)
 	if err := s.awaitConns(ctx); err != nil {
 		return fail.Wrap(err, fail.Internal, "shut down HTTP server")
 	}
-	if !errors.Is(serveErr, net.ErrClosed) && !errors.Is(serveErr, http.ErrServerClosed) {
-		return fail.Wrap(serveErr, fail.Internal, "serve HTTP")
-	}
-	return nil
+	return serveErr
 }
 
 // awaitConns waits until all connections are closed. It returns an error if a
--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -411,5 +411,8 @@
 		}
 		close(release)
 		c.expectResponse(t)
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Errorf("second Shutdown: %v", err)
+		}
 	})
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -73,7 +73,8 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
-	done     chan error
+	// done holds the error of Serve once that has returned.
+	done chan error
 }
 
 // Serve starts to serve the handler on the listener, over HTTP/1.1 and
@@ -109,10 +110,20 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fail.Wrap(err, fail.Internal, "shut down HTTP server")
 	}
-	if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
-		return fail.Wrap(err, fail.Internal, "serve HTTP")
+	return s.serveError(http.ErrServerClosed)
+}
+
+// serveError waits for Serve to return. It returns no error if Serve has returned
+// one of the expected errors. It may be called more than once.
+func (s *Server) serveError(expected ...error) error {
+	err := <-s.done
+	s.done <- err
+	for _, e := range expected {
+		if errors.Is(err, e) {
+			return nil
+		}
 	}
-	return nil
+	return fail.Wrap(err, fail.Internal, "serve HTTP")
 }
 
 // Close closes all connections at once, aborting the requests on them.
