Answer the requests in flight before an entry's connections close

Clients of an entry whose shutdown reached its limit of 5 minutes read EOF: requests that waited for a slot or for their endpoint were cut off without an answer, also those that had arrived in the last moments, because the listener stays open while anything is in flight (an overnight attempt is enough).

Cause: at the end of the shutdown context http.Server.Shutdown returns at once and the process exits; nothing of a shutdown reached the contexts of requests.

The contexts of client requests and of attempts for other entries now end 8 s before the deadline of the shutdown, which every wait observes. A request that was not sent is refused (503 draining, ran no), one that was sent is answered with 502 truncated_answer, ran unknown, and connections close after the answers. An entry that relayed the request retries the attempt, since its endpoint has a new owner. The exit code of a shutdown that ended requests is still 1.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -186,7 +186,13 @@
 	return body, nil
 }
 
+// requestContext returns the context of a client's request, which ends after
+// RequestTimeout or when a shutdown ends the requests in flight.
 func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
-	ctx := telemetry.Extract(r.Context(), r.Header)
-	return context.WithTimeout(ctx, s.cfg.RequestTimeout.D())
+	ctx, cancel := endingWith(telemetry.Extract(r.Context(), r.Header), s.serving)
+	ctx, cancelTimeout := context.WithTimeout(ctx, s.cfg.RequestTimeout.D())
+	return ctx, func() {
+		cancelTimeout()
+		cancel()
+	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -116,7 +116,7 @@
 			break
 		}
 	}
-	return d.finalError(p)
+	return d.finalError(ctx, p)
 }
 
 // errNoEndpointLeft means that no endpoint can be selected for the next attempt.
@@ -278,7 +278,7 @@
 }
 
 // finalError returns the error that is sent to the client.
-func (d *dispatcher) finalError(p *progress) error {
+func (d *dispatcher) finalError(ctx context.Context, p *progress) error {
 	if p.crashes >= quarantine.MaxCrashes {
 		return quarantinedError().WithRan(fail.RanUnknown)
 	}
@@ -286,7 +286,7 @@
 	if f.RetryAfter == 0 && !permanentCodes[f.Code] {
 		f = f.WithRetryAfter(defaultRetryAfter)
 	}
-	return f.WithRan(worseRan(f.Ran, p.ran))
+	return shutdownError(ctx, f.WithRan(worseRan(f.Ran, p.ran)))
 }
 
 // worseRan returns the outcome that guarantees less: b if a is RanNo, and a
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -94,14 +94,20 @@
 }
 
 // peerService runs attempts that other entries forward to this owner.
-type peerService struct{ owner *owner }
+type peerService struct {
+	owner *owner
+	// serving ends when this entry must not run attempts any longer.
+	serving context.Context
+}
 
 // Forward runs one attempt on an endpoint that this entry owns.
 func (p *peerService) Forward(ctx context.Context, req *connect.Request[wire.ForwardRequest], stream *connect.ServerStream[wire.ForwardEvent]) error {
-	ctx = telemetry.Extract(ctx, req.Header())
+	ctx, cancel := endingWith(telemetry.Extract(ctx, req.Header()), p.serving)
+	defer cancel()
 	err := p.owner.run(ctx, req.Msg, stream.Send)
 	if err != nil {
-		return stream.Send(&wire.ForwardEvent{Body: &wire.ForwardEvent_Refusal{Refusal: toRejection(err)}})
+		rejection := toRejection(shutdownError(ctx, fail.From(err)))
+		return stream.Send(&wire.ForwardEvent{Body: &wire.ForwardEvent_Refusal{Refusal: rejection}})
 	}
 	return nil
 }
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -20,7 +20,7 @@
 	// while no other request runs on its endpoint.
 	isolated bool
 	// interrupted holds the endpoints at which an attempt that may have run failed
-	// without a crash.
+	// without a crash, or whose owner ended the attempt because it stopped.
 	interrupted []string
 	// allowRedirect lets the owner redirect the current attempt if it would wait.
 	allowRedirect bool
@@ -65,7 +65,7 @@
 	}
 	p.failures++
 	p.query.FailedDomains = append(p.query.FailedDomains, t.vm.Domain)
-	if f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
+	if f.Code == fail.Draining || f.Ran != fail.RanNo && f.Code != fail.EndpointCrashed {
 		p.interrupted = append(p.interrupted, t.vm.Id)
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,7 +4,9 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,6 +17,7 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
@@ -27,8 +30,17 @@
 	drainPollInterval       = 20 * time.Millisecond
 	// handoverTimeout bounds the wait for new owners during a shutdown.
 	handoverTimeout = 10 * time.Second
+	// answerTimeout bounds the time in which requests that a shutdown ends are
+	// answered. It exceeds recordTimeout, for which an answer may be delayed.
+	answerTimeout = 4 * time.Second
+	// stopReserve is the part of the shutdown time that is left for these answers,
+	// the release of the lease and the exit of the process.
+	stopReserve = answerTimeout + releaseTimeout + 2*time.Second
 )
 
+// errStopping is the cause with which a shutdown ends requests.
+var errStopping = fail.New(fail.Draining, "this entry is stopping; use another entry").WithRetryAfter(defaultRetryAfter)
+
 // Server is one entry process.
 type Server struct {
 	cfg          Settings
@@ -44,6 +56,10 @@
 	inFlight     atomic.Int64
 	// runningDeferred holds the keys of the deferred requests that run here.
 	runningDeferred sync.Map
+	// serving is the context of the requests of clients and other entries.
+	// endRequests ends it with errStopping.
+	serving     context.Context
+	endRequests context.CancelCauseFunc
 	// background is the context of the heartbeats and the deferred requests.
 	background context.Context
 	stop       context.CancelFunc
@@ -60,6 +76,7 @@
 		control:    controlclient.New(transport.NewPeerClient(), cfg.Control),
 		background: background, stop: stop,
 	}
+	s.serving, s.endRequests = context.WithCancelCause(context.Background())
 	s.session = &session{
 		cfg: cfg, control: s.control, log: log, clock: func() time.Duration { return time.Since(start) },
 		entryVM: s.entryVM, trigger: make(chan struct{}, 1), onDeferred: s.startDeferred,
@@ -89,7 +106,7 @@
 	}
 	s.clientServer = transport.Serve(clientListener, s.clientMux())
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner}, transport.PeerHandlerOptions()...))
+	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner, s.serving}, transport.PeerHandlerOptions()...))
 	s.peerServer = transport.Serve(peerListener, mux)
 	return nil
 }
@@ -112,19 +129,16 @@
 
 // Shutdown drains and stops the entry. The entry is no longer listed for clients,
 // serves for as long as clients may cache its address, waits for the handover of
-// its endpoints and for requests in flight, and then closes. ctx bounds all of it.
+// its endpoints and for requests in flight, and then closes. It ends requests that
+// are still in flight stopReserve before the deadline of ctx, so that each is
+// answered before its connection closes.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
 	s.session.triggerHeartbeat()
 	s.log.Info("draining")
-	wait.For(ctx, s.cfg.KeepAddresses.D())
-	s.awaitHandover(ctx)
-	for ctx.Err() == nil && (s.inFlight.Load() > 0 || s.owner.busy() || s.isRunningDeferred()) {
-		wait.For(ctx, drainPollInterval)
-	}
-	err := s.clientServer.Shutdown(ctx)
-	if peerErr := s.peerServer.Shutdown(ctx); err == nil {
-		err = peerErr
+	err := s.drain(ctx)
+	if closeErr := s.closeServers(ctx); err == nil {
+		err = closeErr
 	}
 	s.stop()
 	s.done.Wait()
@@ -133,6 +147,61 @@
 	return err
 }
 
+// drain waits until no request is in flight. It returns an error if some still are
+// stopReserve before the deadline of ctx.
+func (s *Server) drain(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopReserve))
+		defer cancel()
+	}
+	wait.For(ctx, s.cfg.KeepAddresses.D())
+	s.awaitHandover(ctx)
+	for s.inFlight.Load() > 0 || s.owner.busy() || s.isRunningDeferred() {
+		if !wait.For(ctx, drainPollInterval) {
+			return fail.Wrap(ctx.Err(), fail.DeadlinePassed, "requests were still in flight at the end of the shutdown time")
+		}
+	}
+	return nil
+}
+
+// closeServers ends the requests in flight, and closes the connections once these
+// are answered.
+func (s *Server) closeServers(ctx context.Context) error {
+	s.endRequests(errStopping)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+	defer cancel()
+	var peerErr error
+	var peers sync.WaitGroup
+	peers.Go(func() { peerErr = s.peerServer.Shutdown(ctx) })
+	err := s.clientServer.Shutdown(ctx)
+	peers.Wait()
+	return cmp.Or(err, peerErr)
+}
+
+// endingWith returns a copy of ctx that also ends, with the same cause, when other
+// ends.
+func endingWith(ctx, other context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(other, func() { cancel(context.Cause(other)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// shutdownError returns the error of a request that a shutdown of this entry has
+// ended, and err for every other request.
+func shutdownError(ctx context.Context, err *fail.Error) *fail.Error {
+	switch {
+	case !errors.Is(context.Cause(ctx), errStopping):
+		return err
+	case err.Ran == fail.RanNo:
+		return errStopping
+	}
+	return fail.Wrap(err, fail.TruncatedAnswer, "this entry stopped before the response was complete").WithRan(err.Ran)
+}
+
 // awaitHandover waits until other entries own the endpoints of this entry, so that
 // requests are not sent to this entry and rejected. Without another entry or the
 // control plane it stops waiting when the lease ends or after handoverTimeout.
