Answer the operator requests that wait when a fleet replica's node is stopped

An operator whose request still waited for the node 2 s into a planned stop read EOF. With the default commit_timeout of 0.9 s a wait for a commit ends earlier; what is left is a longer commit_timeout, and the query for the leader's address, which waits for as long as the node stalls.

Cause: the transfer of the leadership may take the whole 2 s of the shutdown. After that http.Server.Shutdown returns at once, and the process exits while the requests that the stopped node has just failed are being answered. Evidence: TestWaitingOperatorRequestIsAnsweredAtShutdown failed with Get "http://127.0.0.1:33645/": EOF status 0, want 503

Every call of a stopped node fails at once. Shutdown now waits up to 500 ms after the node's end for the answers, and a shutdown that answered them all is no failure.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -137,28 +137,35 @@
 // it ends.
 func (s *Server) Stopped() <-chan error { return s.stopped }
 
-// shutdownTimeout bounds the transfer of the leadership and the completion of
-// operator requests in flight at a planned shutdown.
-const shutdownTimeout = 2 * time.Second
+const (
+	// shutdownTimeout bounds the transfer of the leadership and the completion of
+	// operator requests in flight at a planned shutdown.
+	shutdownTimeout = 2 * time.Second
+	// answerTimeout bounds the answers to operator requests that still wait for the
+	// node when it is stopped.
+	answerTimeout = 500 * time.Millisecond
+)
 
 // Shutdown transfers the leadership, finishes the operator requests in flight,
-// ends the consensus node by calling stopNode and closes the data folder.
+// ends the consensus node by calling stopNode and closes the data folder. Requests
+// that wait for the node when it ends fail, and are answered too.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.Info("draining")
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	s.node.TransferLeadership(ctx)
-	err := s.operatorServer.Shutdown(ctx)
+	s.node.TransferLeadership(finishCtx)
+	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
-	if nodeErr := <-s.stopped; nodeErr != nil {
-		err = nodeErr
+	nodeErr := <-s.stopped
+	if err != nil {
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancel()
+		err = s.operatorServer.Shutdown(answerCtx)
 	}
 	// Gateways keep their connections open, so a graceful shutdown would wait for
 	// them. They reconnect to another replica.
 	_ = s.internalServer.Close()
-	if closeErr := s.journal.Close(); err == nil {
-		err = closeErr
-	}
+	closeErr := s.journal.Close()
 	s.log.Info("stopped")
-	return err
+	return cmp.Or(nodeErr, err, closeErr)
 }
