Add a failing test of a status request that an entry leaves without an answer

While no control leader responds, GET /v1/overnight/{id} waits until the client leaves; a shutdown cuts it off. The test is listed in KNOWN-RED.txt.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -115,3 +115,14 @@
 	checkOutcome(t, "waiting for a slot", <-queued, http.StatusServiceUnavailable, fail.RanNo)
 	checkOutcome(t, "waiting for a slot, relayed by another entry", <-relayed, http.StatusOK, "")
 }
+
+func TestStatusRequestWithoutControlLeaderIsAnsweredAtShutdown(t *testing.T) {
+	d := deploy(t, 1, nil)
+	s := d.servers[0]
+	status := request(func() (*http.Response, error) { return http.Get("http://" + s.cfg.CallerAddress + "/v1/overnight/id") })
+	for s.inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	shutDownNow(t, s)
+	checkOutcome(t, "status of a deferred request", <-status, http.StatusServiceUnavailable, fail.RanUnknown)
+}
