Bound the request for the status of a deferred request

While no control leader responded, a client that asked for a deferred request got no answer at all, and a shutdown of the entry lasted its whole 5 minutes before it cut the request off.

Cause: serveDeferred alone passed the context of the connection to the control client, which retries until its context ends. Evidence: TestStatusRequestWithoutControlLeaderIsAnsweredAtShutdown failed with status of a deferred request: status 0, ran "", error Get "http://...": EOF; want status 503, ran "unknown"

It now uses requestContext as every other handler does, which ends after request_timeout or with the shutdown.

--- a/internal/entry/deferred.go
+++ b/internal/entry/deferred.go
@@ -91,8 +91,10 @@
 // serveDeferred responds with the recorded response of a deferred request, with
 // its failure, or with 202 and its state.
 func (s *Server) serveDeferred(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := s.requestContext(r)
+	defer cancel()
 	var d *wire.DeferredRequest
-	err := s.control.Do(r.Context(), func(ctx context.Context, c controlclient.Conn) error {
+	err := s.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
 		resp, err := c.Control.FetchDeferred(ctx, connect.NewRequest(&wire.FetchDeferredRequest{Id: r.PathValue("id")}))
 		if err == nil {
 			d = resp.Msg.Request
