Add a failing test of a stop while a program starts

SIGTERM ends a program that still reads its settings instead of stopping it gracefully: the exit code is that of the signal.

--- a/internal/program/signals_test.go
+++ b/internal/program/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -103,29 +104,47 @@
 	}
 }
 
-// TestHangUpBeforeSettingsAreReadIsIgnored sends SIGHUP while the daemon blocks
-// on reading its settings from a named pipe.
-func TestHangUpBeforeSettingsAreReadIsIgnored(t *testing.T) {
+// signalDuringStart starts the daemon and sends it the signal while it blocks on
+// reading its settings from a named pipe.
+func signalDuringStart(t *testing.T, sig syscall.Signal) (*exec.Cmd, *bufio.Scanner, *os.File) {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
 	if err := syscall.Mkfifo(path, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd, lines, _ := startDaemon(t, path)
+	cmd, lines, stdin := startDaemon(t, path)
 	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	// OpenFile has returned because the daemon has opened the pipe for reading. The
 	// daemon reads the file a second time, so a regular file replaces the pipe.
-	sendSignal(t, cmd, syscall.SIGHUP)
+	sendSignal(t, cmd, sig)
 	const text = `{"name": "a"}`
 	writeFile(t, path+".new", text)
 	if err := os.Rename(path+".new", path); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := pipe.WriteString(text); err != nil {
+	// A daemon that the signal has ended does not read the pipe.
+	if _, err := pipe.WriteString(text); err != nil && !errors.Is(err, syscall.EPIPE) {
 		t.Fatal(err)
 	}
 	pipe.Close()
+	return cmd, lines, stdin
+}
+
+func TestHangUpBeforeSettingsAreReadIsIgnored(t *testing.T) {
+	_, lines, _ := signalDuringStart(t, syscall.SIGHUP)
 	awaitLine(t, lines, "running")
 }
+
+func TestTerminateBeforeSettingsAreReadStopsGracefully(t *testing.T) {
+	cmd, _, stdin := signalDuringStart(t, syscall.SIGTERM)
+	// The signal may arrive only after the daemon has begun to run.
+	if _, err := stdin.WriteString("go on\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("stop during the start: %v", err)
+	}
+}
