Stop gracefully at a SIGTERM that arrives while a program starts

No request was lost: nothing listens at that time. A second SIGTERM between the end of Run and the exit, while the last log lines are written, had the same effect; no test shows that one.

Cause: the signals were registered in serve, after the settings and the logger, and unregistered when it returned. Evidence: TestTerminateBeforeSettingsAreReadStopsGracefully failed with stop during the start: signal: terminated

They are now registered where SIGHUP is ignored, until Main returns. A program that is to stop before it runs does not begin to listen.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -67,6 +67,10 @@
 	// Before the reloader starts to listen and after it has ended, during a
 	// graceful shutdown, a SIGHUP must not terminate the program.
 	signal.Ignore(syscall.SIGHUP)
+	// Signals are caught from here until the program exits, so that none of them
+	// interrupts its start or its exit.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	// The error is ignored: settings.Load reports a file that cannot be read.
 	content, _ := os.ReadFile(*path)
 	if err := settings.Load(*path, d.Settings); err != nil {
@@ -82,16 +86,19 @@
 	defer out.Close(logFlushTimeout)
 	log := telemetry.NewLogger(t, out, d.Name, id)
 	log.WithField("settings", *path).Info("starting")
-	if err := d.serve(id, *path, content, t, log); err != nil {
+	if ctx.Err() != nil {
+		log.Info("stopped before the program ran")
+		return ExitOK
+	}
+	if err := d.serve(ctx, id, *path, content, t, log); err != nil {
 		log.WithField("code", fail.From(err).Code).WithError(err).Error("program failed")
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func (d Daemon) serve(id, path string, content []byte, t telemetry.Settings, log *logrus.Entry) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+// serve runs the daemon until ctx ends, with tracing and reloading.
+func (d Daemon) serve(ctx context.Context, id, path string, content []byte, t telemetry.Settings, log *logrus.Entry) error {
 	go d.Reload.watch(ctx, path, content, log)
 	flush, err := telemetry.StartTracing(ctx, t, d.Name, id)
 	if err != nil {
