--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -108,10 +108,15 @@
 		return context.WithTimeout(context.Background(), shutdownTimeout)
 	}
 	err = d.Run(ctx, newShutdownContext, log)
-	flushCtx, cancelFlush := newShutdownContext()
-	defer cancelFlush()
-	if flushErr := flush(flushCtx); err == nil {
+	if flushErr := flushSpans(flush); err == nil {
 		err = flushErr
 	}
 	return err
 }
+
+// flushSpans writes the last spans.
+func flushSpans(flush func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return flush(ctx)
+}
