Limit the flush of the last spans at a program's exit

A program whose trace collector does not respond outlived its grace period: after a shutdown that may already have used up that period, the flush of the spans had another 5 minutes. Supervisors then end the program with SIGKILL.

Evidence: TestUnresponsiveCollectorDoesNotDelayTheExit failed with error context deadline exceeded after 5m0s, want an error within 500ms

The flush now has 400 ms, within the 600 ms that a gateway leaves between the end of its shutdown and that of its grace period. Spans that are not written by then are lost, and the exit code is 1 as before.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -30,6 +30,10 @@
 // shutdownTimeout limits a graceful shutdown.
 const shutdownTimeout = 5 * time.Minute
 
+// traceFlushTimeout limits the wait for the last spans to be written. The grace
+// period of a program must leave this time after its graceful shutdown.
+const traceFlushTimeout = 400 * time.Millisecond
+
 // logFlushTimeout limits the wait for the last log lines to be written.
 const logFlushTimeout = 500 * time.Millisecond
 
@@ -114,9 +118,9 @@
 	return err
 }
 
-// flushSpans writes the last spans.
+// flushSpans writes the last spans within traceFlushTimeout.
 func flushSpans(flush func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
 	return flush(ctx)
 }
