Add a failing test of a request that an entry reads while it stops

A kept connection counts as idle until the header of a request has been parsed, so http.Server.Shutdown closes it although a part of the request has arrived.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -126,3 +128,42 @@
 	shutDownNow(t, s)
 	checkOutcome(t, "status of a deferred request", <-status, http.StatusServiceUnavailable, fail.RanUnknown)
 }
+
+func TestRequestBeingReadAtShutdownIsAnswered(t *testing.T) {
+	const text = "GET /v1/entries HTTP/1.1\r\nHost: h\r\n\r\n"
+	d := deploy(t, 1, nil)
+	s := d.servers[0]
+	conn, err := net.Dial("tcp4", s.cfg.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	responses := bufio.NewReader(conn)
+	receive := func() error {
+		resp, err := http.ReadResponse(responses, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return err
+	}
+	io.WriteString(conn, text)
+	if err := receive(); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, text[:len(text)/2])
+	stopped := make(chan struct{})
+	go func() {
+		shutDownNow(t, s)
+		close(stopped)
+	}()
+	// The entry closes its listener just before its idle connections.
+	for c, err := net.Dial("tcp4", s.cfg.CallerAddress); err == nil; c, err = net.Dial("tcp4", s.cfg.CallerAddress) {
+		c.Close()
+		time.Sleep(time.Millisecond)
+	}
+	io.WriteString(conn, text[len(text)/2:])
+	if err := receive(); err != nil {
+		t.Errorf("no response to the request that was being read: %v", err)
+	}
+	<-stopped
+}
