Serve the clients of an entry with a client-facing server

transport.ClientFacingServer is the server whose Shutdown is to close only connections on which nothing of a request has arrived. The entry announces "Connection: close" through its Drain now instead of setting the header itself.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -48,7 +48,7 @@
 
 // trackRequest counts the requests in flight, which a shutdown waits for, bounds
 // the time of each request and records its outcome. While the entry drains, a
-// response lists the entries to use instead in a header and closes the connection.
+// response lists the entries to use instead in a header.
 func (s *Server) trackRequest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
@@ -56,7 +56,6 @@
 		limit := s.cfg.BodyTimeout.D() + s.cfg.RequestTimeout.D() + s.cfg.WriteTimeout.D()
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
 		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
 			w.Header().Set(HeaderUseEntries, strings.Join(s.otherEntries(), ","))
 		}
 		o := newResponseObserver(w)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -50,7 +50,7 @@
 	owner        *owner
 	dispatcher   *dispatcher
 	control      *controlclient.Client
-	clientServer *transport.Server
+	clientServer *transport.ClientFacingServer
 	peerServer   *transport.Server
 	draining     atomic.Bool
 	inFlight     atomic.Int64
@@ -104,7 +104,7 @@
 		clientListener.Close()
 		return err
 	}
-	s.clientServer = transport.Serve(clientListener, s.clientMux())
+	s.clientServer = transport.ServeClients(clientListener, s.clientMux())
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner, s.serving}, transport.PeerHandlerOptions()...))
 	s.peerServer = transport.Serve(peerListener, mux)
@@ -134,6 +134,7 @@
 // answered before its connection closes.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
+	s.clientServer.Drain()
 	s.session.triggerHeartbeat()
 	s.log.Info("draining")
 	err := s.drain(ctx)
