Serve the operators of a fleet replica with a client-facing server

The same fault as at the entry: the replica's stop closes a kept connection as idle while an operator's request on it is being read. While the leadership is being transferred, responses did not announce that the connection closes either. No test of its own: those of internal/transport and entry.TestRequestBeingReadAtShutdownIsAnswered cover the server.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -47,7 +47,7 @@
 	// the same term, and gateways apply only views that are newer than theirs.
 	viewRevision   atomic.Uint64
 	internalServer *transport.Server
-	operatorServer *transport.Server
+	operatorServer *transport.ClientFacingServer
 	stopped        chan error
 }
 
@@ -129,7 +129,7 @@
 		return err
 	}
 	s.internalServer = transport.Serve(internalListener, mux)
-	s.operatorServer = transport.Serve(operatorListener, s.deps.OperatorHandler(s))
+	s.operatorServer = transport.ServeClients(operatorListener, s.deps.OperatorHandler(s))
 	return nil
 }
 
@@ -151,6 +151,7 @@
 // that wait for the node when it ends fail, and are answered too.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.Info("draining")
+	s.operatorServer.Drain()
 	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	s.node.TransferLeadership(finishCtx)
