Add failing tests of requests at a control replica whose node fails

When the storage of a replica fails, its program exits at once and cuts off the requests that the node has just failed; a shutdown in that state does not return.

--- a/internal/fleetcontrol/shutdown_test.go
+++ b/internal/fleetcontrol/shutdown_test.go
@@ -69,3 +69,27 @@
 		t.Errorf("status %d, want %d", got, fail.Unavailable.HTTPStatus())
 	}
 }
+
+// hangTimeout is the time after which a call that does not return fails its test.
+const hangTimeout = 10 * time.Second
+
+func TestWaitingOperatorRequestIsAnsweredWhenTheNodeFails(t *testing.T) {
+	nodeCtx, stopNode := context.WithCancel(context.Background())
+	s, status := startWaiting(t, nodeCtx)
+	stopNode()
+	<-s.Stopped()
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background(), stopNode) }()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(hangTimeout):
+		t.Fatal("Shutdown does not return after the end of the node")
+	}
+	s.operatorServer.Close()
+	if got := <-status; got != fail.Unavailable.HTTPStatus() {
+		t.Errorf("status %d, want %d", got, fail.Unavailable.HTTPStatus())
+	}
+}
