Shut a control replica down gracefully when its node fails

When a write to the data folder failed, the node failed the requests that waited for it, and the program exited at the same moment: entries, gateways and operators read EOF instead of the failure. They may retry, but an operator cannot tell what happened.

Cause: the main functions returned the node's error without a shutdown. Shutdown could not be called, since it received the result of the node from a channel that Stopped had emptied.

Stopped is now closed at the end of the node, and the programs shut down in both cases. Every call of a stopped node fails at once, so the wait for the requests in flight is short. The exit code is still 1, with the node's error.

--- a/cmd/parsleyramp-control/main.go
+++ b/cmd/parsleyramp-control/main.go
@@ -41,8 +41,7 @@
 		return err
 	}
 	select {
-	case err := <-s.Stopped():
-		return err
+	case <-s.Stopped():
 	case <-ctx.Done():
 	}
 	shutdown, cancel := newShutdownContext()
--- a/cmd/parsleyramp-fleet/main.go
+++ b/cmd/parsleyramp-fleet/main.go
@@ -58,8 +58,7 @@
 	}
 	running.Store(s)
 	select {
-	case err := <-s.Stopped():
-		return err
+	case <-s.Stopped():
 	case <-ctx.Done():
 	}
 	shutdown, cancel := newShutdownContext()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -44,7 +45,9 @@
 	planner plannerState
 	clock   func() time.Duration
 	http    *transport.Server
-	stopped chan error
+	// stopped is closed when the node has ended with nodeErr.
+	stopped chan struct{}
+	nodeErr error
 }
 
 // Start opens the data folder and starts a control replica. The node and the
@@ -63,7 +66,7 @@
 		engines: endpoint.NewHTTP(transport.NewEndpointClient(maxIdleConnsPerEngine)),
 		list:    &livelist.HTTPLiveList{Client: transport.NewEndpointClient(1), Address: cfg.LiveList},
 		clock:   func() time.Duration { return time.Since(start) },
-		stopped: make(chan error, 1),
+		stopped: make(chan struct{}),
 	}
 	s.group = replica.NewGroup(identity.Group, j.SetGroup)
 	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, s.group.Name)
@@ -83,15 +86,18 @@
 		return nil, err
 	}
 	s.http = transport.Serve(listener, s.handler())
-	go func() { s.stopped <- s.node.Run(ctx) }()
+	go func() {
+		s.nodeErr = s.node.Run(ctx)
+		close(s.stopped)
+	}()
 	go s.runLeader(ctx)
 	log.WithFields(logrus.Fields{"address": cfg.Address, "replica": identity.ID, "cut_bytes": recovered.TruncatedBytes, "entries": len(recovered.Entries)}).Info("control started")
 	return s, nil
 }
 
-// Stopped returns a channel that receives the result of the node when the node
-// stops.
-func (s *Server) Stopped() <-chan error { return s.stopped }
+// Stopped returns a channel that is closed when the node ends. Shutdown then
+// returns its error.
+func (s *Server) Stopped() <-chan struct{} { return s.stopped }
 
 // Shutdown transfers the leadership, completes the requests in flight, stops the
 // node and closes the data folder. stopNode must cancel the context that was
@@ -101,14 +107,10 @@
 	s.transferLeadership(ctx)
 	err := s.http.Shutdown(ctx)
 	stopNode()
-	if nodeErr := <-s.stopped; err == nil {
-		err = nodeErr
-	}
-	if closeErr := s.journal.Close(); err == nil {
-		err = closeErr
-	}
+	<-s.stopped
+	closeErr := s.journal.Close()
 	s.log.Info("stopped")
-	return err
+	return cmp.Or(s.nodeErr, err, closeErr)
 }
 
 // transferTimeout bounds the wait for the next leader at a planned stop.
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -48,7 +48,9 @@
 	viewRevision   atomic.Uint64
 	internalServer *transport.Server
 	operatorServer *transport.ClientFacingServer
-	stopped        chan error
+	// stopped is closed when the node has ended with nodeErr.
+	stopped chan struct{}
+	nodeErr error
 }
 
 // Start opens the data folder, starts the replica and serves until ctx ends.
@@ -62,7 +64,7 @@
 	}
 	s := &Server{
 		cfg: cfg, deps: deps, log: log, clock: boottime.NewClock(), journal: j,
-		peers: transport.NewPeerClient(), intents: newOrderIntents(), stopped: make(chan error, 1),
+		peers: transport.NewPeerClient(), intents: newOrderIntents(), stopped: make(chan struct{}),
 	}
 	s.group = replica.NewGroup(recovered.Identity.Group, j.SetGroup)
 	s.Reload(cfg)
@@ -79,7 +81,10 @@
 		j.Close()
 		return nil, err
 	}
-	go func() { s.stopped <- s.node.Run(ctx) }()
+	go func() {
+		s.nodeErr = s.node.Run(ctx)
+		close(s.stopped)
+	}()
 	go s.joinGroup(ctx)
 	go s.repairMembership(ctx)
 	go s.pollIntents(ctx)
@@ -133,9 +138,9 @@
 	return nil
 }
 
-// Stopped returns a channel that receives the result of the consensus node when
-// it ends.
-func (s *Server) Stopped() <-chan error { return s.stopped }
+// Stopped returns a channel that is closed when the consensus node ends. Shutdown
+// then returns its error.
+func (s *Server) Stopped() <-chan struct{} { return s.stopped }
 
 const (
 	// shutdownTimeout bounds the transfer of the leadership and the completion of
@@ -157,7 +162,7 @@
 	s.node.TransferLeadership(finishCtx)
 	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
-	nodeErr := <-s.stopped
+	<-s.stopped
 	if err != nil {
 		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
 		defer cancel()
@@ -168,5 +173,5 @@
 	_ = s.internalServer.Close()
 	closeErr := s.journal.Close()
 	s.log.Info("stopped")
-	return cmp.Or(nodeErr, err, closeErr)
+	return cmp.Or(s.nodeErr, err, closeErr)
 }
