--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -48,7 +48,7 @@
 
 // trackRequest counts the requests in flight, which a shutdown waits for, bounds
 // the time of each request and records its outcome. While the entry drains, a
-// response lists the entries to use instead in a header and closes the connection.
+// response lists the entries to use instead in a header.
 func (s *Server) trackRequest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
@@ -56,7 +56,6 @@
 		limit := s.cfg.BodyTimeout.D() + s.cfg.RequestTimeout.D() + s.cfg.WriteTimeout.D()
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
 		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
 			w.Header().Set(HeaderUseEntries, strings.Join(s.otherEntries(), ","))
 		}
 		o := newResponseObserver(w)
@@ -186,7 +185,13 @@
 	return body, nil
 }
 
+// requestContext returns the context of a client's request, which ends after
+// RequestTimeout or when a shutdown ends the requests in flight.
 func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
-	ctx := telemetry.Extract(r.Context(), r.Header)
-	return context.WithTimeout(ctx, s.cfg.RequestTimeout.D())
+	ctx, cancel := endingWith(telemetry.Extract(r.Context(), r.Header), s.serving)
+	ctx, cancelTimeout := context.WithTimeout(ctx, s.cfg.RequestTimeout.D())
+	return ctx, func() {
+		cancelTimeout()
+		cancel()
+	}
 }
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -48,8 +49,10 @@
 	// the same term, and gateways apply only views that are newer than theirs.
 	viewRevision   atomic.Uint64
 	internalServer *transport.Server
-	operatorServer *transport.Server
-	stopped        chan error
+	operatorServer *transport.ClientFacingServer
+	// stopped is closed when the node has ended with nodeErr.
+	stopped chan struct{}
+	nodeErr error
 }
 
 // Start opens the data folder, starts the replica and serves until ctx ends.
@@ -63,7 +66,7 @@
 	}
 	s := &Server{
 		cfg: cfg, deps: deps, log: log, clock: boottime.NewClock(), journal: j,
-		peers: transport.NewPeerClient(), intents: newOrderIntents(), stopped: make(chan error, 1),
+		peers: transport.NewPeerClient(), intents: newOrderIntents(), stopped: make(chan struct{}),
 	}
 	s.group = replica.NewGroup(recovered.Identity.Group, j.SetGroup)
 	s.Reload(cfg)
@@ -80,7 +83,10 @@
 		j.Close()
 		return nil, err
 	}
-	go func() { s.stopped <- s.node.Run(ctx) }()
+	go func() {
+		s.nodeErr = s.node.Run(ctx)
+		close(s.stopped)
+	}()
 	go s.joinGroup(ctx)
 	go s.repairMembership(ctx)
 	go s.pollIntents(ctx)
@@ -130,53 +136,67 @@
 		return err
 	}
 	s.internalServer = transport.Serve(internalListener, mux)
-	s.operatorServer = transport.Serve(operatorListener, s.deps.OperatorHandler(s))
+	s.operatorServer = transport.ServeClients(operatorListener, s.deps.OperatorHandler(s))
 	return nil
 }
 
-// Stopped returns a channel that receives the result of the consensus node when
-// it ends.
-func (s *Server) Stopped() <-chan error { return s.stopped }
-
-// shutdownTimeout bounds the transfer of the leadership and the completion of
-// operator requests in flight at a planned shutdown.
-const shutdownTimeout = 2 * time.Second
+// Stopped returns a channel that is closed when the consensus node ends. Shutdown
+// then returns its error.
+func (s *Server) Stopped() <-chan struct{} { return s.stopped }
+
+const (
+	// shutdownTimeout bounds the transfer of the leadership and the completion of
+	// operator requests in flight at a planned shutdown.
+	shutdownTimeout = 2 * time.Second
+	// answerTimeout bounds the answers to operator requests that still wait for the
+	// node when it is stopped.
+	answerTimeout = 500 * time.Millisecond
+)
 
 // nodeStopTimeout bounds the wait for the consensus node at a shutdown. The node
 // does not stop while the disk does not complete a write.
 const nodeStopTimeout = time.Second
 
+// errNodeBlocked means that the consensus node still uses the data folder.
+var errNodeBlocked = fail.New(fail.StorageFailed, "a write to the data folder did not complete before the shutdown")
+
 // Shutdown transfers the leadership, finishes the operator requests in flight,
-// ends the consensus node by calling stopNode and closes the data folder. It
-// takes at most shutdownTimeout and nodeStopTimeout, also if the disk stalls.
+// ends the consensus node by calling stopNode and closes the data folder. Requests
+// that wait for the node when it ends fail, and are answered too. It takes at most
+// shutdownTimeout, nodeStopTimeout and answerTimeout, also if the disk stalls.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.Info("draining")
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	s.operatorServer.Drain()
+	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	s.node.TransferLeadership(ctx)
-	err := s.operatorServer.Shutdown(ctx)
+	s.node.TransferLeadership(finishCtx)
+	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
-	if storageErr := s.closeStorage(); storageErr != nil {
-		err = storageErr
+	nodeErr := s.awaitNode()
+	if err != nil {
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancel()
+		err = s.operatorServer.Shutdown(answerCtx)
 	}
 	// Gateways keep their connections open, so a graceful shutdown would wait for
 	// them. They reconnect to another replica.
 	_ = s.internalServer.Close()
+	var closeErr error
+	if !errors.Is(nodeErr, errNodeBlocked) {
+		closeErr = s.journal.Close()
+	}
 	s.log.Info("stopped")
-	return err
+	return cmp.Or(nodeErr, err, closeErr)
 }
 
-// closeStorage waits for the consensus node to stop and closes the data folder. If
-// the node does not stop within nodeStopTimeout, the data folder stays open, because
-// the node still uses it; the exit of the process unlocks it.
-func (s *Server) closeStorage() error {
+// awaitNode waits for the consensus node to end and returns its error, or
+// errNodeBlocked after nodeStopTimeout. The data folder must then stay open; the
+// exit of the process unlocks it.
+func (s *Server) awaitNode() error {
 	select {
-	case err := <-s.stopped:
-		if closeErr := s.journal.Close(); err == nil {
-			err = closeErr
-		}
-		return err
+	case <-s.stopped:
+		return s.nodeErr
 	case <-time.After(nodeStopTimeout):
-		return fail.New(fail.StorageFailed, "a write to the data folder did not complete before the shutdown")
+		return errNodeBlocked
 	}
 }
