Add a failing test of requests that a short grace period cuts off

With a grace period of 1 s or 2 s a request in flight at SIGTERM gets no answer, and with 1 s the gateway outlives the period.

--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -17,6 +17,7 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/settings"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
@@ -241,3 +242,21 @@
 		}
 	})
 }
+
+func TestRequestIsAnsweredWithinAShortGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+				g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+				g.cfg.Grace = settings.Duration(grace)
+				received := g.send(t, "", 0)
+				synctest.Wait()
+				g.stop(t)
+				if a := <-received; a.status != http.StatusBadGateway {
+					t.Errorf("answer %+v, want status 502", a)
+				}
+			})
+		})
+	}
+}
