Answer requests within a short grace period, too

Callers of a gateway with a grace period below 2.3 s read EOF when it stopped: the drain delay of 1.5 s had no regard to the end of the period.

Evidence: TestRequestIsAnsweredWithinAShortGracePeriod failed with stopped after 1.5s, want less than the grace period of 1s answer {status:0 ...}, want status 502

The drain delay now ends when the requests in flight are canceled at the latest. Settings with a grace period below exitReserve and answerReserve, in which nothing can be answered, are invalid.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	// in flight are answered.
 	exitReserve   = 600 * time.Millisecond
 	answerReserve = 200 * time.Millisecond
+	// minGrace is the shortest grace period in which requests are answered.
+	minGrace = exitReserve + answerReserve
 	// controlTimeout bounds one call to a control replica, and controlRetryDelay
 	// is the pause before the next replica is called.
 	controlTimeout    = 500 * time.Millisecond
@@ -225,7 +227,7 @@
 	g.changed.notify()
 	g.log.WithFields(g.inFlight.countFields()).Info("draining")
 	g.clientServer.Drain()
-	wait.For(ctx, drainDelay)
+	wait.Until(ctx, earlier(started.Add(drainDelay), cancelAt))
 	g.clientServer.CloseIdle()
 	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
@@ -240,6 +242,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // awaitRequests waits until no request is in flight, or returns an error at the
 // time until.
 func (g *Gateway) awaitRequests(ctx context.Context, until time.Time) error {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,7 +33,8 @@
 	SyncInterval settings.Duration `json:"sync_interval"`
 	// KeepAddresses is how long clients may cache the addresses of gateways.
 	KeepAddresses settings.Duration `json:"keep_addresses"`
-	// Grace is the grace period: the maximum duration of a graceful stop.
+	// Grace is the grace period: the maximum duration of a graceful stop, at least
+	// minGrace.
 	Grace settings.Duration `json:"grace"`
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all gateways to
 	// one service.
@@ -75,7 +76,7 @@
 	c.Require(s.ControlPort > 0 && s.ControlPort < 1<<16, "control_port", "a port number")
 	c.Positive("sync_interval", s.SyncInterval)
 	c.Positive("keep_addresses", s.KeepAddresses)
-	c.Positive("grace", s.Grace)
+	c.Require(s.Grace.D() >= minGrace, "grace", "a duration of at least "+minGrace.String())
 	c.Require(s.RetryRatio >= 0, "retry_ratio", "0 or more")
 	c.Require(s.RetrySlack >= 0, "retry_slack", "0 or more")
 	c.Positive("retry_window", s.RetryWindow)
