Add failing tests of requests that a late cancellation leaves without an answer

If the process does not run for 0.2 s when a gateway cancels its requests, or the shutdown context ends before the grace period, the gateway closes their connections at the same moment.

--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
@@ -260,3 +261,48 @@
 		})
 	}
 }
+
+// pauseHook delays the first warning.
+type pauseHook struct {
+	pause time.Duration
+	once  sync.Once
+}
+
+func (h *pauseHook) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+
+func (h *pauseHook) Fire(*logrus.Entry) error {
+	h.once.Do(func() { time.Sleep(h.pause) })
+	return nil
+}
+
+func TestRequestIsAnsweredWhenTheProcessPausesAtTheEndOfTheGracePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+		// The line on the unfinished request is written before the request is canceled.
+		g.log.Logger.AddHook(&pauseHook{pause: answerReserve + 100*time.Millisecond})
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		g.stop(t)
+		if a := <-received; a.status != http.StatusBadGateway {
+			t.Errorf("answer %+v, want status 502", a)
+		}
+	})
+}
+
+func TestRequestIsAnsweredWhenTheShutdownContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if err := g.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		if a := <-received; a.status != http.StatusBadGateway {
+			t.Errorf("answer %+v, want status 502", a)
+		}
+	})
+}
