Give the answers at the end of a grace period their time after a late cancellation

Callers whose request was in flight at the end of the grace period read EOF instead of 502 or 503 if the gateway did not run for 0.2 s at that moment (VMs are limited to a part of a CPU), or if the shutdown context had ended.

Cause: the wait for the answers ended at a time fixed at SIGTERM, and with the shutdown context; past either of them it did not wait at all.

The wait now begins at the cancellation and lasts answerReserve. A pause of less than exitReserve is within the grace period.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,8 +220,7 @@
 // answered with a failure otherwise; it aborts only responses that have begun.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	started := time.Now()
-	exitBy := started.Add(g.cfg.Grace.D() - exitReserve)
-	cancelAt := exitBy.Add(-answerReserve)
+	cancelAt := started.Add(g.cfg.Grace.D() - exitReserve - answerReserve)
 	g.cancelAt.Store(int64(g.clock() + time.Until(cancelAt)))
 	g.draining.Store(true)
 	g.changed.notify()
@@ -232,7 +231,8 @@
 	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
 		g.inFlight.cancelAll()
-		if err := g.awaitRequests(ctx, exitBy); err != nil {
+		// The answers need their time also if ctx has ended or the process paused.
+		if err := g.awaitRequests(context.WithoutCancel(ctx), time.Now().Add(answerReserve)); err != nil {
 			g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
 		}
 	}
