--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -306,3 +306,27 @@
 		}
 	})
 }
+
+func TestRequestWithoutItsWholeBodyIsRejectedWhenTheGracePeriodEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, http.NotFoundHandler())
+		c, err := g.clients.dial(t.Context(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n12345"); err != nil {
+			t.Fatal(err)
+		}
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			g.stop(t)
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("response %+v, error %v, want status 503", resp, err)
+		}
+		<-stopped
+	})
+}
