Reject a half-read request when a gateway's grace period ends

A caller whose request body was still arriving read EOF at the end of the grace period. The request has not run, so 503 is true.

Cause: nothing ended the read of a body when the requests in flight were canceled. Evidence: TestRequestWithoutItsWholeBodyIsRejectedWhenTheGracePeriodEnds failed, 10 of 10 runs, with response <nil>, error unexpected EOF, want status 503

The cancellation now ends the read by its deadline.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,7 +77,7 @@
 		g.reject(w, r, info, fail.New(fail.UnknownPath, "no route matches the host and path"))
 		return
 	}
-	body, err := readBody(w, r, table.Document.Limits.BodyBytes)
+	body, err := readBody(requestCtx, w, r, table.Document.Limits.BodyBytes)
 	if err != nil {
 		g.reject(w, r, info, err)
 		return
@@ -118,13 +118,21 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of the request until ctx ends.
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	stop := context.AfterFunc(ctx, func() {
+		// An error means that the connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && errors.Is(context.Cause(ctx), errShutdown):
+		return nil, errShutdown
 	case errors.As(err, &tooLarge):
 		return nil, fail.Wrap(err, fail.BodyTooLarge, "the request body exceeds the size limit")
 	case err != nil:
