--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -330,3 +330,22 @@
 		<-stopped
 	})
 }
+
+func TestStreamThatEndsBeforeTheExitIsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signed", "1")
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			wait.For(r.Context(), DefaultSettings().Grace.D()-exitReserve-answerReserve/2)
+			_, _ = io.WriteString(w, event(2))
+		})
+		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, engine)
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		g.stop(t)
+		if a := <-received; a.status != http.StatusOK {
+			t.Errorf("answer %+v, want status 200 and the whole stream", a)
+		}
+	})
+}
