Let streams go on until a stopping gateway exits

Clients of a stream that would have ended in the last 0.2 s before the exit of a gateway had it cut off. Since the requests in flight are answered before the exit, streams were canceled with them, although only the closing of their connection can end them.

Only requests of which the client has received nothing are canceled now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,7 +230,7 @@
 	g.clientServer.CloseIdle()
 	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
-		g.inFlight.cancelAll()
+		g.inFlight.cancelUnanswered()
 		// The answers need their time also if ctx has ended or the process paused.
 		if err := g.awaitRequests(context.WithoutCancel(ctx), time.Now().Add(answerReserve)); err != nil {
 			g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -71,7 +71,7 @@
 type requestsInFlight struct {
 	mu     sync.Mutex
 	states map[*requestState]struct{}
-	// canceled is set once the requests in flight, and all later ones, are canceled.
+	// canceled is set once later requests are canceled when they begin.
 	canceled bool
 }
 
@@ -97,14 +97,16 @@
 	delete(r.states, s)
 }
 
-// cancelAll cancels all requests with errShutdown, so that they end with a
-// response.
-func (r *requestsInFlight) cancelAll() {
+// cancelUnanswered cancels the requests of which the client has received no byte of
+// the response, and all later ones, with errShutdown, so that they end with a response.
+func (r *requestsInFlight) cancelUnanswered() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.canceled = true
 	for s := range r.states {
-		s.cancel(errShutdown)
+		if phase(s.phase.Load()) != phaseStreaming {
+			s.cancel(errShutdown)
+		}
 	}
 }
 
