Add a failing test of a canceled reservation that counts against its endpoint

The endpoint counts as unreachable although the client left, or the gateway shut down, before it could respond.

--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -162,6 +162,32 @@
 	})
 }
 
+// silentReserver does not respond.
+type silentReserver struct{}
+
+func (silentReserver) Reserve(ctx context.Context, _, _ string, _ int, _ time.Duration) (string, error) {
+	<-ctx.Done()
+	return "", fail.Wrap(ctx.Err(), fail.EndpointFailed, "no response")
+}
+
+func TestReservationThatIsCanceledDoesNotCountAgainstTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newContendedRequest(t, &fakeReserver{}, "a")
+		q.g.deps.Reserver = silentReserver{}
+		ctx, cancel := context.WithTimeout(q.ctx, reserveTimeout/2)
+		defer cancel()
+		q.ctx = ctx
+		if e, err := q.selectEndpoint(map[string]bool{}); e != nil || err == nil {
+			t.Errorf("endpoint %v, error %v, want an error", e, err)
+		}
+		for _, r := range q.g.loads.Report(q.g.clock()) {
+			if r.Failed > 0 {
+				t.Errorf("%d failed requests at %s, want none", r.Failed, r.Endpoint)
+			}
+		}
+	})
+}
+
 func TestNoSlotIsReservedAtLowUtilization(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &fakeReserver{}
