Do not count a canceled reservation against its endpoint

While a client left, or a gateway shut down, during the reservation of a slot, the gateway took the endpoint for unreachable: it sent nothing there for a while and reported a failed request to the leader.

Cause: unlike the result of a send, that of a reservation was recorded without regard to the request's context.

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -18,9 +18,9 @@
 )
 
 // reserve reserves a slot at the endpoint if other gateways may occupy the last
-// slots meanwhile. It returns neither an endpoint nor an error if no slot is free
-// or the endpoint does not respond: the request has not run in either case, and
-// selectEndpoint chooses again.
+// slots meanwhile. It returns neither an endpoint nor an error if no slot is free,
+// the endpoint does not respond or the request is canceled: the request has not run in
+// any case, and selectEndpoint goes on.
 func (q *request) reserve(c fleet.Choice, s *search) (*fleet.Endpoint, error) {
 	g := q.g
 	q.reservation = ""
@@ -34,6 +34,8 @@
 	id, err := g.deps.Reserver.Reserve(ctx, c.Endpoint.Address, c.Endpoint.ID, q.requirements.Tokens, min(reservationTTL, q.maxReservation))
 	fields := logrus.Fields{"request": q.info.ID, "endpoint": c.Endpoint.ID, "use": c.Utilization}
 	switch {
+	case err != nil && q.ctx.Err() != nil:
+		return nil, nil
 	case err != nil:
 		reservations.count("failed")
 		g.loads.Record(c.Endpoint.ID, fleet.Unreachable, g.clock())
