--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	// in flight are answered.
 	exitReserve   = 600 * time.Millisecond
 	answerReserve = 200 * time.Millisecond
+	// minGrace is the shortest grace period in which requests are answered.
+	minGrace = exitReserve + answerReserve
 	// controlTimeout bounds one call to a control replica, and controlRetryDelay
 	// is the pause before the next replica is called.
 	controlTimeout    = 500 * time.Millisecond
@@ -218,19 +220,19 @@
 // answered with a failure otherwise; it aborts only responses that have begun.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	started := time.Now()
-	exitBy := started.Add(g.cfg.Grace.D() - exitReserve)
-	cancelAt := exitBy.Add(-answerReserve)
+	cancelAt := started.Add(g.cfg.Grace.D() - exitReserve - answerReserve)
 	g.cancelAt.Store(int64(g.clock() + time.Until(cancelAt)))
 	g.draining.Store(true)
 	g.changed.notify()
 	g.log.WithFields(g.inFlight.countFields()).Info("draining")
 	g.clientServer.Drain()
-	wait.For(ctx, drainDelay)
+	wait.Until(ctx, earlier(started.Add(drainDelay), cancelAt))
 	g.clientServer.CloseIdle()
 	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
-		g.inFlight.cancelAll()
-		if err := g.awaitRequests(ctx, exitBy); err != nil {
+		g.inFlight.cancelUnanswered()
+		// The answers need their time also if ctx has ended or the process paused.
+		if err := g.awaitRequests(context.WithoutCancel(ctx), time.Now().Add(answerReserve)); err != nil {
 			g.log.WithError(err).WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
 		}
 	}
@@ -240,6 +242,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // awaitRequests waits until no request is in flight, or returns an error at the
 // time until.
 func (g *Gateway) awaitRequests(ctx context.Context, until time.Time) error {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/settings"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
@@ -241,3 +243,109 @@
 		}
 	})
 }
+
+func TestRequestIsAnsweredWithinAShortGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+				g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+				g.cfg.Grace = settings.Duration(grace)
+				received := g.send(t, "", 0)
+				synctest.Wait()
+				g.stop(t)
+				if a := <-received; a.status != http.StatusBadGateway {
+					t.Errorf("answer %+v, want status 502", a)
+				}
+			})
+		})
+	}
+}
+
+// pauseHook delays the first warning.
+type pauseHook struct {
+	pause time.Duration
+	once  sync.Once
+}
+
+func (h *pauseHook) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+
+func (h *pauseHook) Fire(*logrus.Entry) error {
+	h.once.Do(func() { time.Sleep(h.pause) })
+	return nil
+}
+
+func TestRequestIsAnsweredWhenTheProcessPausesAtTheEndOfTheGracePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+		// The line on the unfinished request is written before the request is canceled.
+		g.log.Logger.AddHook(&pauseHook{pause: answerReserve + 100*time.Millisecond})
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		g.stop(t)
+		if a := <-received; a.status != http.StatusBadGateway {
+			t.Errorf("answer %+v, want status 502", a)
+		}
+	})
+}
+
+func TestRequestIsAnsweredWhenTheShutdownContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if err := g.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		if a := <-received; a.status != http.StatusBadGateway {
+			t.Errorf("answer %+v, want status 502", a)
+		}
+	})
+}
+
+func TestRequestWithoutItsWholeBodyIsRejectedWhenTheGracePeriodEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, http.NotFoundHandler())
+		c, err := g.clients.dial(t.Context(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n12345"); err != nil {
+			t.Fatal(err)
+		}
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			g.stop(t)
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("response %+v, error %v, want status 503", resp, err)
+		}
+		<-stopped
+	})
+}
+
+func TestStreamThatEndsBeforeTheExitIsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signed", "1")
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			wait.For(r.Context(), DefaultSettings().Grace.D()-exitReserve-answerReserve/2)
+			_, _ = io.WriteString(w, event(2))
+		})
+		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, engine)
+		received := g.send(t, "", 0)
+		synctest.Wait()
+		g.stop(t)
+		if a := <-received; a.status != http.StatusOK {
+			t.Errorf("answer %+v, want status 200 and the whole stream", a)
+		}
+	})
+}
