Let the kernel choose the ports of the tests of waiting operator requests

TestWaitingOperatorRequestIsAnsweredWhenTheNodeFails failed once in a -race run of several packages: "listen tcp4 127.0.0.1:38415: bind: address already in use". Between freeAddress and the listen another process took the port. The tests need no group, so the replica listens on port 0. What they check is unchanged.

--- a/internal/fleetcontrol/shutdown_test.go
+++ b/internal/fleetcontrol/shutdown_test.go
@@ -19,8 +19,7 @@
 	t.Helper()
 	cfg := DefaultSettings()
 	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
-	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
-	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	cfg.Address, cfg.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0"
 	begun := make(chan struct{})
 	var s *Server
 	deps := Dependencies{
@@ -42,7 +41,7 @@
 	}
 	status := make(chan int, 1)
 	go func() {
-		resp, err := http.Get("http://" + cfg.OperatorAddress + "/")
+		resp, err := http.Get("http://" + s.operatorServer.Address() + "/")
 		if err != nil {
 			t.Log(err)
 			status <- 0
