Let an unused connection to an entry's peer address not fail its shutdown

A connection to the peer address without a request, such as that of a port check, made the shutdown of an entry fail: http.Server.Shutdown waits 5 to 6 s for the first request of a new connection, answerTimeout was 4 s, and the exit code was 1.

Requests end 12 s instead of 8 s before the end of the 5 minutes.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,8 +31,9 @@
 	// handoverTimeout bounds the wait for new owners during a shutdown.
 	handoverTimeout = 10 * time.Second
 	// answerTimeout bounds the time in which requests that a shutdown ends are
-	// answered. It exceeds recordTimeout, for which an answer may be delayed.
-	answerTimeout = 4 * time.Second
+	// answered. It exceeds recordTimeout, for which an answer may be delayed, and the
+	// 5 to 6 s after which net/http closes a new connection without a request.
+	answerTimeout = 8 * time.Second
 	// stopReserve is the part of the shutdown time that is left for these answers,
 	// the release of the lease and the exit of the process.
 	stopReserve = answerTimeout + releaseTimeout + 2*time.Second
