--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -175,7 +175,7 @@
 	name := adapterName{model, adapter}
 	result := e.orderAdapter(ctx, d, name)
 	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listed.ID, "model": model, "adapter": adapter, "answer": result.String(), "term": e.leader.term,
+		"endpoint": e.listed.ID, "address": e.listed.Address, "model": model, "adapter": adapter, "answer": result.String(), "term": e.leader.term,
 	}).Info("result of adapter load order")
 	switch result {
 	case OrderAccepted, OrderSatisfied:
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -288,7 +288,7 @@
 	result := e.sendOrder(ctx, Order{Load: load, Model: model})
 	expected := e.recordExpectedReady(load, model)
 	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listed.ID, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
+		"endpoint": e.listed.ID, "address": e.listed.Address, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
 	}).Info("result of model order")
 	if result == OrderAccepted || result == OrderSatisfied {
 		return e.awaitEffect(ctx, load, model, expected)
