Add a failing test of orders to a restarted engine from two leaders

A leader whose live list still names the former incarnation of a restarted engine sends its order to the address, where the next incarnation takes it. The next leader knows the engine by its new id, for which there is no intent, and sends an order at once.

--- /dev/null
+++ b/internal/fleetcontrol/intents_test.go
@@ -0,0 +1,117 @@
+package fleetcontrol
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyramp/internal/journal"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+// discardStorage stores nothing, and discardSender sends nothing: a group of one
+// replica needs neither.
+type discardStorage struct{}
+
+func (discardStorage) Save(*wire.HardState, []*wire.LogEntry) error { return nil }
+
+func (discardStorage) SaveSnapshot(*wire.Snapshot, *wire.HardState, []*wire.LogEntry) error {
+	return nil
+}
+
+type discardSender struct{}
+
+func (discardSender) Send([]*wire.RaftMessage, *wire.Membership) {}
+
+// orderRecorder records when each holder sent its orders to a fakeEngine.
+type orderRecorder struct {
+	*fakeEngine
+	mu   sync.Mutex
+	sent map[string][]time.Time
+}
+
+func newOrderRecorder() *orderRecorder {
+	return &orderRecorder{fakeEngine: &fakeEngine{held: map[string]map[string]bool{}}, sent: map[string][]time.Time{}}
+}
+
+func (r *orderRecorder) Order(ctx context.Context, address, id string, o Order) (OrderResult, error) {
+	r.mu.Lock()
+	r.sent[o.Holder] = append(r.sent[o.Holder], time.Now())
+	r.mu.Unlock()
+	return r.fakeEngine.Order(ctx, address, id, o)
+}
+
+// newReplicatedLeader returns the state of the leader of a group of one replica,
+// which commits its order intents.
+func newReplicatedLeader(t *testing.T, holder string, p Platform) *leaderState {
+	t.Helper()
+	start := time.Now()
+	s := &Server{
+		cfg: DefaultSettings(), log: testLog(), intents: newOrderIntents(), deps: Dependencies{Platform: p},
+		clock: func() time.Duration { return time.Since(start) },
+	}
+	s.cfg.ID = holder
+	var err error
+	s.node, err = replica.NewNode(replica.Options{
+		Recovered: &journal.Recovered{Identity: journal.Identity{ID: 1}}, Storage: discardStorage{}, Sender: discardSender{},
+		Consensus: s.cfg.consensusConfig(), SnapshotEntries: s.cfg.SnapshotEntries, Now: s.clock, Seed: 1, Log: s.log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.node.Run(t.Context()) }()
+	if err := s.node.Bootstrap(t.Context(), &wire.Membership{Replicas: []*wire.Replica{{Id: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if term, ok := s.leadingTerm(t.Context()); ok {
+			l := newLeaderState(t.Context(), s, term)
+			l.doc = testDocument()
+			return l
+		}
+		time.Sleep(leaderCheckInterval)
+	}
+}
+
+// committedIntents returns the intents that the leader's group has committed.
+func committedIntents(t *testing.T, l *leaderState) []*wire.OrderNote {
+	t.Helper()
+	var intents []*wire.OrderNote
+	if err := l.s.node.ReadStale(t.Context(), func(m *state.Machine) { intents = m.OrderIntents() }); err != nil {
+		t.Fatal(err)
+	}
+	return intents
+}
+
+// loadUntilSent orders the model until the order is sent.
+func loadUntilSent(t *testing.T, e *engineState, model string) {
+	t.Helper()
+	for range 100 {
+		if e.ensureSequence(t.Context()) && e.sendOrder(t.Context(), Order{Load: true, Model: model}) != OrderNotSent {
+			return
+		}
+		time.Sleep(intentPollInterval)
+	}
+	t.Fatal("the order was never sent")
+}
+
+func TestNewLeaderWaitsOutOrdersToFormerIncarnationAtSameAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newOrderRecorder()
+		former, next := newReplicatedLeader(t, "a", r), newReplicatedLeader(t, "b", r)
+		// The engine at the address has restarted, which only the list of the next leader shows.
+		former.applyList([]ListedEndpoint{{ID: "e-1", Service: "s", Address: "192.0.2.1:80"}})
+		loadUntilSent(t, former.engines["e-1"], "m0")
+		next.s.intents.observe(committedIntents(t, former), next.s.clock())
+		next.applyList([]ListedEndpoint{{ID: "e-2", Service: "s", Address: "192.0.2.1:80"}})
+		loadUntilSent(t, next.engines["e-2"], "m1")
+		if gap := r.sent["b"][0].Sub(slices.MaxFunc(r.sent["a"], time.Time.Compare)); gap < next.s.cfg.OrderLease.D() {
+			t.Errorf("orders of a and b to one address within %v, want the order lease between them", gap)
+		}
+	})
+}
