Let order intents cover the address of an engine

Cause: an intent names an engine by its id. A restarted engine has another id at the same address. The live list shows the former id for up to 0.8 s (in the soak), so that a leader commits an intent for the former id and its order arrives at the next incarnation. The next leader reads the new id, for which there is no intent, and sends an order without waiting.

Why it works: the intent is committed under the id and the address, and a leader waits for whichever was used last by another holder. What an order can reach is decided by the address. The id stays a key, so that replicas of the version before and of this one exclude each other during an upgrade.

Cost: an engine that restarted within 4 s after the former leader gave an order to its address gets no order for the rest of that time, as other engines do. The bound of stored intents is doubled, for each engine has two.

--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -129,7 +129,7 @@
 	var best *engineState
 	lowest := 0.0
 	for _, e := range l.enginesOf(req.service) {
-		if tried[e.listed.ID] || l.blocked(e.listed.ID, l.s.clock()) || e.listed.Leaving || e.stepInFlight || e.foreignOrder || e.held[req.model] == nil {
+		if tried[e.listed.ID] || l.blocked(e.listed, l.s.clock()) || e.listed.Leaving || e.stepInFlight || e.foreignOrder || e.held[req.model] == nil {
 			continue
 		}
 		cost := float64(l.loads[e.listed.ID].GetRunning()) / float64(max(s.Engine.Slots, 1))
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -395,7 +395,10 @@
 
 // sendOrderOnce makes one attempt to send an order.
 func (e *engineState) sendOrderOnce(ctx context.Context, o Order) OrderResult {
-	if !e.leader.orderAllowed(ctx, e.listed.ID) {
+	e.leader.mu.Lock()
+	x := e.listed
+	e.leader.mu.Unlock()
+	if !e.leader.orderAllowed(ctx, x) {
 		return OrderNotSent
 	}
 	e.leader.mu.Lock()
@@ -408,10 +411,10 @@
 	}
 	call, cancel := context.WithTimeout(ctx, orderResponseTimeout)
 	defer cancel()
-	result, err := e.leader.s.deps.Platform.Order(call, e.listed.Address, e.listed.ID, o)
+	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, o)
 	ordersSent.count(o, result)
 	if err != nil {
-		e.leader.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("outcome of order unknown")
+		e.leader.s.log.WithError(err).WithField("endpoint", x.ID).Warn("outcome of order unknown")
 	}
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -172,7 +172,7 @@
 	}
 	l := newLeaderState(t.Context(), s, 1)
 	l.doc = testDocument()
-	l.orderAllowed = func(context.Context, string) bool { return true }
+	l.orderAllowed = func(context.Context, ListedEndpoint) bool { return true }
 	l.applyList([]ListedEndpoint{{ID: "e", Service: "s", Address: "e", Slots: 24, Models: models}})
 	return l, l.engines["e"]
 }
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -23,14 +23,15 @@
 )
 
 // orderIntents tracks the engines to which another replica may have sent orders
-// that are still valid. A replica commits an order intent for an engine before it
-// sends an order. Every replica records, by its own clock, when it first observed
-// an intent, which is later than the time at which the intent was created. It is
-// safe for concurrent use.
+// that are still valid. A replica commits an order intent under each of the
+// engine's intentKeys before it sends an order. Every replica records, by its own
+// clock, when it first observed an intent, which is later than the time at which
+// the intent was created. It is safe for concurrent use.
 type orderIntents struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// observed holds the committed intents by key.
 	observed map[string]observedIntent
-	// own holds, by engine, when this replica last started to commit an intent.
+	// own holds, by key, when this replica last started to commit an intent.
 	own map[string]time.Duration
 }
 
@@ -40,6 +41,11 @@
 	firstSeen time.Duration
 }
 
+// intentKeys returns the keys of the intents for an engine: its ID and its address.
+// A restarted engine has another ID, but orders that are addressed to its former
+// incarnation arrive at the same address.
+func intentKeys(x ListedEndpoint) []string { return []string{x.ID, x.Address} }
+
 func newOrderIntents() *orderIntents {
 	return &orderIntents{observed: map[string]observedIntent{}, own: map[string]time.Duration{}}
 }
@@ -60,54 +66,56 @@
 	}
 }
 
-// availableAt returns the time from which the replica may send orders to the
-// engine. It is 0 if there is no intent, or if the last one is the replica's own.
-func (o *orderIntents) availableAt(endpoint, self string, lease time.Duration) time.Duration {
+// availableAt returns the time from which no intent under the key prevents orders
+// of the replica. It is 0 if there is no intent, or if the last one is the
+// replica's own.
+func (o *orderIntents) availableAt(key, self string, lease time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	intent, ok := o.observed[endpoint]
+	intent, ok := o.observed[key]
 	if !ok || intent.holder == self {
 		return 0
 	}
 	return intent.firstSeen + intentValidity + lease + orderLeaseMargin
 }
 
-// covered reports whether an intent of this replica covers an order now.
-func (o *orderIntents) covered(endpoint string, now time.Duration) bool {
+// covered reports whether an intent of this replica under the key covers an order
+// now.
+func (o *orderIntents) covered(key string, now time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	at, ok := o.own[endpoint]
+	at, ok := o.own[key]
 	return ok && now-at < intentValidity
 }
 
-// expired returns the engines for which the last intent of this replica is so old
-// that its orders are no longer valid.
+// expired returns the keys of which the last intent of this replica is so old that
+// its orders are no longer valid.
 func (o *orderIntents) expired(lease, now time.Duration) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []string
-	for id, at := range o.own {
+	for key, at := range o.own {
 		if now-at > intentValidity+lease+orderLeaseMargin {
-			out = append(out, id)
+			out = append(out, key)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
 
-// drop removes the engines that expired returned.
-func (o *orderIntents) drop(endpoints []string) {
+// drop removes the keys that expired returned.
+func (o *orderIntents) drop(keys []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, id := range endpoints {
-		delete(o.own, id)
+	for _, key := range keys {
+		delete(o.own, key)
 	}
 }
 
-func (o *orderIntents) recordOwn(endpoint string, at time.Duration) {
+func (o *orderIntents) recordOwn(key string, at time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.own[endpoint] = at
+	o.own[key] = at
 }
 
 // pollIntents observes the committed intents until ctx ends, whether this replica
@@ -129,42 +137,52 @@
 // mayOrder reports whether this replica may send the engine an order now: it
 // holds the leader lease in its term, no order of another replica may still be
 // valid, and an intent of its own is committed.
-func (l *leaderState) mayOrder(ctx context.Context, endpoint string) bool {
-	if l.blocked(endpoint, l.s.clock()) {
+func (l *leaderState) mayOrder(ctx context.Context, x ListedEndpoint) bool {
+	if l.blocked(x, l.s.clock()) {
 		return false
 	}
-	if !l.s.intents.covered(endpoint, l.s.clock()) && !l.commitIntent(ctx, endpoint) {
+	if !l.covered(x, l.s.clock()) && !l.commitIntent(ctx, x) {
 		return false
 	}
 	term, ok := l.s.leadingTerm(ctx)
-	return ok && term == l.term && l.s.intents.covered(endpoint, l.s.clock())
+	return ok && term == l.term && l.covered(x, l.s.clock())
 }
 
 // blocked reports whether orders of another replica to the engine may still be
 // valid.
-func (l *leaderState) blocked(endpoint string, now time.Duration) bool {
-	return now < l.s.intents.availableAt(endpoint, l.s.cfg.ID, l.s.cfg.OrderLease.D())
+func (l *leaderState) blocked(x ListedEndpoint, now time.Duration) bool {
+	return slices.ContainsFunc(intentKeys(x), func(key string) bool {
+		return now < l.s.intents.availableAt(key, l.s.cfg.ID, l.s.cfg.OrderLease.D())
+	})
+}
+
+// covered reports whether intents of this replica cover an order to the engine now.
+func (l *leaderState) covered(x ListedEndpoint, now time.Duration) bool {
+	return !slices.ContainsFunc(intentKeys(x), func(key string) bool { return !l.s.intents.covered(key, now) })
 }
 
 // commitIntent commits an order intent for the engine, and withdraws expired ones.
 // Commits are serialized, so that none of them withdraws a newer intent.
-func (l *leaderState) commitIntent(ctx context.Context, endpoint string) bool {
+func (l *leaderState) commitIntent(ctx context.Context, x ListedEndpoint) bool {
 	l.intentMu.Lock()
 	defer l.intentMu.Unlock()
 	at := l.s.clock()
-	if l.s.intents.covered(endpoint, at) {
+	if l.covered(x, at) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentValidity)
 	defer cancel()
+	keys := intentKeys(x)
 	expired := l.s.intents.expired(l.s.cfg.OrderLease.D(), at)
-	expired = slices.DeleteFunc(expired, func(id string) bool { return id == endpoint })
-	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: []string{endpoint}, Settled: expired}}}
+	expired = slices.DeleteFunc(expired, func(key string) bool { return slices.Contains(keys, key) })
+	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: keys, Settled: expired}}}
 	if _, err := l.s.node.ProposeInTerm(ctx, l.term, c); err != nil {
-		l.s.log.WithError(err).WithField("endpoint", endpoint).Warn("failed to commit order intent; order not sent")
+		l.s.log.WithError(err).WithField("endpoint", x.ID).Warn("failed to commit order intent; order not sent")
 		return false
 	}
 	l.s.intents.drop(expired)
-	l.s.intents.recordOwn(endpoint, at)
+	for _, key := range keys {
+		l.s.intents.recordOwn(key, at)
+	}
 	return true
 }
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -43,7 +43,7 @@
 	stepTrigger chan struct{}
 	// orderAllowed reports whether an order may be sent to an engine now. It is
 	// mayOrder except in tests.
-	orderAllowed func(ctx context.Context, endpoint string) bool
+	orderAllowed func(ctx context.Context, x ListedEndpoint) bool
 
 	// intentMu serializes commits of order intents.
 	intentMu sync.Mutex
--- a/internal/state/order_intents.go
+++ b/internal/state/order_intents.go
@@ -7,8 +7,9 @@
 )
 
 // maxOrderIntents bounds the stored order intents; the oldest are dropped first.
-// Engines are replaced over time, and an intent matters only for seconds.
-const maxOrderIntents = 4096
+// Engines are replaced over time, and an intent matters only for seconds. Each
+// engine has two, by its ID and by its address.
+const maxOrderIntents = 8192
 
 // recordOrderIntents records that the holder sends orders to the endpoints from
 // now on, and drops the intents for settled endpoints that the same holder has.
