Add a failing test of an order that is written after its intent expired

An intent covers orders for 0.5 s, and the next leader relies on that. It is checked before the connection is taken from the pool or opened; a sender that is paused after the check writes the order however late.

--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -31,8 +31,10 @@
 // orderRecorder records when each holder sent its orders to a fakeEngine.
 type orderRecorder struct {
 	*fakeEngine
-	mu   sync.Mutex
-	sent map[string][]time.Time
+	// pause is the time that passes in the sender before it writes an order.
+	pause time.Duration
+	mu    sync.Mutex
+	sent  map[string][]time.Time
 }
 
 func newOrderRecorder() *orderRecorder {
@@ -40,6 +42,7 @@
 }
 
 func (r *orderRecorder) Order(ctx context.Context, address, id string, o Order) (OrderResult, error) {
+	time.Sleep(r.pause)
 	r.mu.Lock()
 	r.sent[o.Holder] = append(r.sent[o.Holder], time.Now())
 	r.mu.Unlock()
@@ -115,3 +118,18 @@
 		}
 	})
 }
+
+func TestOrderIsNotWrittenAfterPauseBeyondItsIntent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newOrderRecorder()
+		r.pause = 2 * intentValidity
+		l := newReplicatedLeader(t, "a", r)
+		l.applyList([]ListedEndpoint{{ID: "e", Service: "s", Address: "192.0.2.1:80"}})
+		e := l.engines["e"]
+		e.probe(t.Context())
+		result := e.sendOrder(t.Context(), Order{Load: true, Model: "m0"})
+		if len(r.sent["a"]) != 0 || result != OrderNotSent {
+			t.Errorf("result %v, %d orders written %v after the check, want not_sent and no order", result, len(r.sent["a"]), r.pause)
+		}
+	})
+}
