Refuse to write an order after its intent has expired

Cause: the intent and the leader lease are checked before the connection is taken from the pool or opened. The timeout of the call is a Go timer, which may fire after the write when a stopped process continues, and does not count the time for which a VM is suspended. So a paused sender writes its order however late, while the next leader waits only until 0.5 s after the intent's coverage.

Why it works: the end of the intent's coverage, on the clock that counts suspension, goes with the order to the connection, which asks for it right before the write. What remains is a pause between that question and the write itself. An intent that is valid for less than 50 ms is renewed first, so that few orders expire on their way. An order that is not written leaves the known sequence of the engine as it is.

TestIntentCoversOrdersWhileValid checks the exact end of the coverage, which covers the two instants that it checked before.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -398,9 +398,12 @@
 	e.leader.mu.Lock()
 	x := e.listed
 	e.leader.mu.Unlock()
-	if !e.leader.orderAllowed(ctx, x) {
+	until, ok := e.leader.orderAllowed(ctx, x)
+	if !ok {
 		return OrderNotSent
 	}
+	// A pause of the process may separate the check from the write.
+	mayWrite := func() bool { return e.leader.s.clock() < until }
 	e.leader.mu.Lock()
 	ready := e.sequenceKnown && (!o.Load || e.fits(o))
 	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
@@ -411,14 +414,18 @@
 	}
 	call, cancel := context.WithTimeout(ctx, orderResponseTimeout)
 	defer cancel()
-	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, o)
+	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, o, mayWrite)
 	ordersSent.count(o, result)
-	if err != nil {
+	switch {
+	case err != nil && result == OrderNotSent:
+		e.leader.s.log.WithError(err).WithField("endpoint", x.ID).Warn("order not sent")
+	case err != nil:
 		e.leader.s.log.WithError(err).WithField("endpoint", x.ID).Warn("outcome of order unknown")
 	}
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
 	switch result {
+	case OrderNotSent:
 	case OrderAccepted:
 		// A report with the new sequence may have arrived before this response.
 		e.sequence = max(e.sequence, o.ExpectedSequence+1)
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -146,7 +147,10 @@
 	return r
 }
 
-func (f *fakeEngine) Order(_ context.Context, _, _ string, o Order) (OrderResult, error) {
+func (f *fakeEngine) Order(_ context.Context, _, _ string, o Order, mayWrite func() bool) (OrderResult, error) {
+	if !mayWrite() {
+		return OrderNotSent, nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders++
@@ -172,7 +176,7 @@
 	}
 	l := newLeaderState(t.Context(), s, 1)
 	l.doc = testDocument()
-	l.orderAllowed = func(context.Context, ListedEndpoint) bool { return true }
+	l.orderAllowed = func(context.Context, ListedEndpoint) (time.Duration, bool) { return math.MaxInt64, true }
 	l.applyList([]ListedEndpoint{{ID: "e", Service: "s", Address: "e", Slots: 24, Models: models}})
 	return l, l.engines["e"]
 }
@@ -425,12 +429,12 @@
 
 func TestIntentCoversOrdersWhileValid(t *testing.T) {
 	intents := newOrderIntents()
-	if intents.covered("e", time.Second) {
-		t.Error("order covered without an intent")
+	if got := intents.coveredUntil("e"); got != 0 {
+		t.Errorf("orders covered until %v without an intent, want 0", got)
 	}
 	intents.recordOwn("e", time.Second)
-	if !intents.covered("e", time.Second+intentValidity-1) || intents.covered("e", time.Second+intentValidity) {
-		t.Error("an intent does not cover orders for exactly intentValidity")
+	if got := intents.coveredUntil("e"); got != time.Second+intentValidity {
+		t.Errorf("orders covered until %v, want exactly intentValidity after the intent", got)
 	}
 }
 
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	// intentValidity is how long an order intent covers further orders of the same
 	// replica. It counts from before the commit of the intent.
 	intentValidity = 500 * time.Millisecond
+	// minIntentLeft is how long an intent must remain valid for an order to be sent
+	// without a new intent.
+	minIntentLeft = 50 * time.Millisecond
 	// intentPollInterval is the time between two reads of the committed intents.
 	intentPollInterval = 100 * time.Millisecond
 	// orderLeaseMargin is added to the order lease, for an order in flight.
@@ -79,13 +83,16 @@
 	return intent.firstSeen + intentValidity + lease + orderLeaseMargin
 }
 
-// covered reports whether an intent of this replica under the key covers an order
-// now.
-func (o *orderIntents) covered(key string, now time.Duration) bool {
+// coveredUntil returns the time until which an intent of this replica under the key
+// covers orders. It is 0 if there is no intent.
+func (o *orderIntents) coveredUntil(key string) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at, ok := o.own[key]
-	return ok && now-at < intentValidity
+	if !ok {
+		return 0
+	}
+	return at + intentValidity
 }
 
 // expired returns the keys of which the last intent of this replica is so old that
@@ -136,16 +143,15 @@
 
 // mayOrder reports whether this replica may send the engine an order now: it
 // holds the leader lease in its term, no order of another replica may still be
-// valid, and an intent of its own is committed.
-func (l *leaderState) mayOrder(ctx context.Context, x ListedEndpoint) bool {
-	if l.blocked(x, l.s.clock()) {
-		return false
-	}
-	if !l.covered(x, l.s.clock()) && !l.commitIntent(ctx, x) {
-		return false
+// valid, and an intent of its own is committed. The order must be written before
+// the returned time, because the next leader expects no order after the intent.
+func (l *leaderState) mayOrder(ctx context.Context, x ListedEndpoint) (until time.Duration, ok bool) {
+	if l.blocked(x, l.s.clock()) || !l.commitIntent(ctx, x) {
+		return 0, false
 	}
-	term, ok := l.s.leadingTerm(ctx)
-	return ok && term == l.term && l.covered(x, l.s.clock())
+	term, leads := l.s.leadingTerm(ctx)
+	until = l.coveredUntil(x)
+	return until, leads && term == l.term && l.s.clock() < until
 }
 
 // blocked reports whether orders of another replica to the engine may still be
@@ -156,18 +162,27 @@
 	})
 }
 
-// covered reports whether intents of this replica cover an order to the engine now.
-func (l *leaderState) covered(x ListedEndpoint, now time.Duration) bool {
-	return !slices.ContainsFunc(intentKeys(x), func(key string) bool { return !l.s.intents.covered(key, now) })
+// coveredUntil returns the time until which intents of this replica cover orders to
+// the engine.
+func (l *leaderState) coveredUntil(x ListedEndpoint) time.Duration {
+	until := time.Duration(math.MaxInt64)
+	for _, key := range intentKeys(x) {
+		until = min(until, l.s.intents.coveredUntil(key))
+	}
+	return until
 }
 
-// commitIntent commits an order intent for the engine, and withdraws expired ones.
-// Commits are serialized, so that none of them withdraws a newer intent.
+// commitIntent commits an order intent for the engine unless one is valid for
+// minIntentLeft, and withdraws expired ones. Commits are serialized, so that none of
+// them withdraws a newer intent.
 func (l *leaderState) commitIntent(ctx context.Context, x ListedEndpoint) bool {
+	if l.coveredUntil(x)-l.s.clock() >= minIntentLeft {
+		return true
+	}
 	l.intentMu.Lock()
 	defer l.intentMu.Unlock()
 	at := l.s.clock()
-	if l.covered(x, at) {
+	if l.coveredUntil(x)-at >= minIntentLeft {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentValidity)
--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -41,12 +41,15 @@
 	return &orderRecorder{fakeEngine: &fakeEngine{held: map[string]map[string]bool{}}, sent: map[string][]time.Time{}}
 }
 
-func (r *orderRecorder) Order(ctx context.Context, address, id string, o Order) (OrderResult, error) {
+func (r *orderRecorder) Order(ctx context.Context, address, id string, o Order, mayWrite func() bool) (OrderResult, error) {
 	time.Sleep(r.pause)
+	if !mayWrite() {
+		return OrderNotSent, nil
+	}
 	r.mu.Lock()
 	r.sent[o.Holder] = append(r.sent[o.Holder], time.Now())
 	r.mu.Unlock()
-	return r.fakeEngine.Order(ctx, address, id, o)
+	return r.fakeEngine.Order(ctx, address, id, o, mayWrite)
 }
 
 // newReplicatedLeader returns the state of the leader of a group of one replica,
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -41,9 +41,9 @@
 	startedAt   time.Duration
 	ctx         context.Context
 	stepTrigger chan struct{}
-	// orderAllowed reports whether an order may be sent to an engine now. It is
-	// mayOrder except in tests.
-	orderAllowed func(ctx context.Context, x ListedEndpoint) bool
+	// orderAllowed reports whether an order may be sent to an engine now, and until
+	// when. It is mayOrder except in tests.
+	orderAllowed func(ctx context.Context, x ListedEndpoint) (until time.Duration, ok bool)
 
 	// intentMu serializes commits of order intents.
 	intentMu sync.Mutex
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -73,8 +73,8 @@
 	// OrderRejected: the engine will not execute the order.
 	OrderRejected
 	// OrderNotSent: the order was not sent, because this replica may not send
-	// orders now, the engine's sequence is not known, or the engine lacks the
-	// memory or adapter slot.
+	// orders now, its intent expired before the order was written, the engine's
+	// sequence is not known, or the engine lacks the memory or adapter slot.
 	OrderNotSent
 )
 
@@ -89,8 +89,9 @@
 	Endpoints(ctx context.Context) ([]ListedEndpoint, error)
 	// Report reads the report of an engine.
 	Report(ctx context.Context, address, id string) (*Report, error)
-	// Order sends an order to an engine.
-	Order(ctx context.Context, address, id string, o Order) (OrderResult, error)
+	// Order sends an order to an engine. It calls mayWrite immediately before it
+	// writes the order, and returns OrderNotSent if the result is false.
+	Order(ctx context.Context, address, id string, o Order, mayWrite func() bool) (OrderResult, error)
 }
 
 // Dependencies holds the platform-specific parts of the control plane: the client
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,10 @@
 	// Header is sent unchanged; Host and Content-Length are added.
 	Header http.Header
 	Body   []byte
+	// MayWrite, if not nil, is called immediately before the request is written. If
+	// it returns false, the request is not written, and Do fails with
+	// fail.DeadlinePassed.
+	MayWrite func() bool
 }
 
 // Response is a response whose header has been read. Body returns io.EOF only
@@ -107,6 +111,9 @@
 func (c *conn) send(r *Request) (<-chan error, error) {
 	c.used = true
 	payload := encode(r)
+	if r.MayWrite != nil && !r.MayWrite() {
+		return nil, errMayNotWrite
+	}
 	if len(payload) <= concurrentWriteBytes {
 		n, err := c.Write(payload)
 		if err == nil {
@@ -126,6 +133,8 @@
 	return done, nil
 }
 
+var errMayNotWrite = fail.New(fail.DeadlinePassed, "the request expired before it was written").WithRan(fail.RanNo)
+
 // readHeader reads the response header. It skips interim responses, and complete
 // responses that accept rejects.
 func (c *conn) readHeader(method string, accept func(http.Header) bool) (*http.Response, error) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -151,6 +151,20 @@
 	}
 }
 
+func TestRequestIsNotWrittenUnlessMayWrite(t *testing.T) {
+	received := make(chan *http.Request, 1)
+	address := listen(t, func(_ net.Conn, r *bufio.Reader) { received <- readRequest(r) })
+	r := request("a")
+	r.MayWrite = func() bool { return false }
+	_, err := NewPool().Do(t.Context(), address, r, nil)
+	if f := fail.From(err); f.Code != fail.DeadlinePassed || f.Ran != fail.RanNo {
+		t.Errorf("Do: %v, ran %s, want deadline_passed and not run", err, f.Ran)
+	}
+	if got := <-received; got != nil {
+		t.Errorf("the endpoint received %v, want no request", got)
+	}
+}
+
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
 	p := NewPool()
 	address := listen(t, respond(ok), respond(ok))
