Read an engine's list entry only under the leader's lock

Cause: calls and log lines outside the lock read engineState.listed, which the live list replaces every 0.5 s. A call could combine the parts of two entries.

One of the races was in a test, which called the planner without the lock; it takes the lock now and checks the same.

--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -68,16 +68,17 @@
 func (l *leaderState) runAdapterJob(req adapterRequest, job *adapterJob, holders []*engineState) {
 	tried := map[string]bool{}
 	for _, e := range holders {
-		tried[e.listed.ID] = true
+		tried[e.listing().ID] = true
 	}
 	for range maxAdapterAttempts {
 		e, d := l.selectAdapterEngine(req, tried)
 		if e == nil {
 			break
 		}
-		tried[e.listed.ID] = true
+		id := e.listing().ID
+		tried[id] = true
 		if e.loadAdapter(l.ctx, d, req.model, req.adapter) {
-			job.endpoint = e.listed.ID
+			job.endpoint = id
 			break
 		}
 	}
@@ -174,8 +175,9 @@
 func (e *engineState) loadAdapter(ctx context.Context, d *document.Engine, model, adapter string) bool {
 	name := adapterName{model, adapter}
 	result := e.orderAdapter(ctx, d, name)
+	x := e.listing()
 	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listed.ID, "address": e.listed.Address, "model": model, "adapter": adapter, "answer": result.String(), "term": e.leader.term,
+		"endpoint": x.ID, "address": x.Address, "model": model, "adapter": adapter, "answer": result.String(), "term": e.leader.term,
 	}).Info("result of adapter load order")
 	switch result {
 	case OrderAccepted, OrderSatisfied:
@@ -230,7 +232,7 @@
 	}
 	e.setAdapterHeld(model, adapter, true)
 	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listed.ID, "model": model, "adapter": adapter, "answer": result.String(),
+		"endpoint": e.listing().ID, "model": model, "adapter": adapter, "answer": result.String(),
 	}).Info("engine did not unload idle adapter")
 	return false
 }
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// listing returns the endpoint's entry in the live list. e.leader.mu must not be held.
+func (e *engineState) listing() ListedEndpoint {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.listed
+}
+
 func modelSet(models []HeldModel) map[string]map[string]bool {
 	out := map[string]map[string]bool{}
 	for _, m := range models {
@@ -199,7 +206,8 @@
 func (e *engineState) refresh(ctx context.Context) (*Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := e.leader.s.deps.Platform.Report(ctx, e.listed.Address, e.listed.ID)
+	x := e.listing()
+	r, err := e.leader.s.deps.Platform.Report(ctx, x.Address, x.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -252,7 +260,7 @@
 			return
 		}
 		if _, err := e.refresh(e.leader.ctx); err != nil {
-			e.leader.s.log.WithError(err).WithField("endpoint", e.listed.ID).Debug("failed to read report of busy engine")
+			e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Debug("failed to read report of busy engine")
 		}
 	}
 }
@@ -260,7 +268,7 @@
 // probe reads the report of a newly listed engine.
 func (e *engineState) probe(ctx context.Context) {
 	if _, err := e.refresh(ctx); err != nil {
-		e.leader.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("failed to read report of newly listed engine")
+		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read report of newly listed engine")
 	}
 }
 
@@ -287,8 +295,9 @@
 	}
 	result := e.sendOrder(ctx, Order{Load: load, Model: model})
 	expected := e.recordExpectedReady(load, model)
+	x := e.listing()
 	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listed.ID, "address": e.listed.Address, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
+		"endpoint": x.ID, "address": x.Address, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
 	}).Info("result of model order")
 	if result == OrderAccepted || result == OrderSatisfied {
 		return e.awaitEffect(ctx, load, model, expected)
@@ -341,7 +350,7 @@
 		return known
 	}
 	if _, err := e.refresh(ctx); err != nil {
-		e.leader.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("failed to read engine report before an order")
+		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read engine report before an order")
 		return false
 	}
 	e.leader.mu.Lock()
@@ -379,7 +388,7 @@
 	e.leader.mu.Unlock()
 	r, err := e.refresh(ctx)
 	if err != nil {
-		e.leader.s.log.WithError(err).WithField("endpoint", e.listed.ID).Warn("failed to read engine report after an order with unknown outcome")
+		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read engine report after an order with unknown outcome")
 		e.endAwaitEffect()
 		return false
 	}
@@ -395,9 +404,7 @@
 
 // sendOrderOnce makes one attempt to send an order.
 func (e *engineState) sendOrderOnce(ctx context.Context, o Order) OrderResult {
-	e.leader.mu.Lock()
-	x := e.listed
-	e.leader.mu.Unlock()
+	x := e.listing()
 	until, ok := e.leader.orderAllowed(ctx, x)
 	if !ok {
 		return OrderNotSent
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -181,11 +181,18 @@
 	return l, l.engines["e"]
 }
 
+// plannerInputOf returns the planner's input for an engine of the test's service.
+func plannerInputOf(e *engineState, now time.Duration) residency.Engine {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.plannerInput(e.leader.doc.Services[0].Engine, now)
+}
+
 func TestEmptyEngineIsPlanned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEngine{held: map[string]map[string]bool{}}
-		l, e := newTestLeader(t, f)
-		planned := e.plannerInput(l.doc.Services[0].Engine, time.Second)
+		_, e := newTestLeader(t, f)
+		planned := plannerInputOf(e, time.Second)
 		if planned.Unavailable || planned.Busy {
 			t.Errorf("planner input = %+v, want an engine without models to be available", planned)
 		}
@@ -309,7 +316,7 @@
 		l, e := newTestLeader(t, f, HeldModel{Name: "m0"}, HeldModel{Name: "m1"})
 		ctx := t.Context()
 		e.probe(ctx)
-		if planned := e.plannerInput(l.doc.Services[0].Engine, l.s.clock()); !planned.Busy {
+		if planned := plannerInputOf(e, l.s.clock()); !planned.Busy {
 			t.Error("an engine that executes another leader's order is available to the planner")
 		}
 		for i := range 8 {
@@ -321,7 +328,7 @@
 			t.Errorf("%d orders sent, want 0; overcommitted by %q", f.orders, f.overcommitted)
 		}
 		time.Sleep(8 * time.Second)
-		planned := e.plannerInput(l.doc.Services[0].Engine, l.s.clock())
+		planned := plannerInputOf(e, l.s.clock())
 		if planned.Busy || !planned.Models["m2"] {
 			t.Errorf("planner input = %+v, want an available engine that holds m2", planned)
 		}
