--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -136,3 +136,13 @@
 		}
 	})
 }
+
+func TestDelayedReadOfIntentsDoesNotMakeEngineAvailable(t *testing.T) {
+	const lease = 3 * time.Second
+	intents := newOrderIntents()
+	intents.observe([]*wire.OrderNote{{Endpoint: "e", Holder: "b", Index: 9}}, 10*time.Second)
+	intents.observe([]*wire.OrderNote{{Endpoint: "e", Holder: "a", Index: 5}}, 10*time.Second)
+	if got := intents.availableAt("e", "a", lease); got < 10*time.Second+lease {
+		t.Errorf("engine available to a at %v after the intent of b was observed at 10s, want the order lease after it", got)
+	}
+}
