Ignore a read of the intents that is older than the observed one

Cause: the regular poll and a new leader read the intents on the replica's goroutine and record them on their own. A poll that is delayed in between replaces what the new leader has read, for up to 0.1 s. If the older read names this replica as the holder of an intent, or has none, the engine counts as available although another holder has sent it orders.

Evidence: TestDelayedReadOfIntentsDoesNotMakeEngineAvailable failed before ("engine available to a at 0s").

Why it works: the intents are recorded with the log index that the read saw, and only if that is not lower than the recorded one. The index never decreases in a process. The tests pass the index as a new argument; the test above also checks an older read without intents.

--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -421,9 +421,9 @@
 func TestNewLeaderWaitsOutIntentsOfOthers(t *testing.T) {
 	const lease = 3 * time.Second
 	intents := newOrderIntents()
-	intents.observe([]*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}, {Endpoint: "mine", Holder: "a", Index: 8}}, 10*time.Second)
+	intents.observe(8, []*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}, {Endpoint: "mine", Holder: "a", Index: 8}}, 10*time.Second)
 	// Observing the same intent again does not extend it.
-	intents.observe([]*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}}, 12*time.Second)
+	intents.observe(9, []*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}}, 12*time.Second)
 	if got := intents.availableAt("theirs", "a", lease); got < 10*time.Second+lease+intentValidity || got > 12*time.Second+lease {
 		t.Errorf("engine with an intent of b available at %v, want the order lease after the intent's last order", got)
 	}
@@ -464,8 +464,8 @@
 		t.Errorf("intents for %v expired again after they were dropped", again)
 	}
 	other := newOrderIntents()
-	other.observe([]*wire.OrderNote{{Endpoint: "old", Holder: "a", Index: 1}}, 5*time.Second)
-	other.observe(nil, 6*time.Second)
+	other.observe(1, []*wire.OrderNote{{Endpoint: "old", Holder: "a", Index: 1}}, 5*time.Second)
+	other.observe(2, nil, 6*time.Second)
 	if at := other.availableAt("old", "b", lease); at != 0 {
 		t.Errorf("engine whose intent was withdrawn available at %v, want 0", at)
 	}
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -33,8 +33,10 @@
 // the intent was created. It is safe for concurrent use.
 type orderIntents struct {
 	mu sync.Mutex
-	// observed holds the committed intents by key.
-	observed map[string]observedIntent
+	// observed holds the committed intents by key, as of the log index
+	// observedIndex.
+	observed      map[string]observedIntent
+	observedIndex uint64
 	// own holds, by key, when this replica last started to commit an intent.
 	own map[string]time.Duration
 }
@@ -54,10 +56,16 @@
 	return &orderIntents{observed: map[string]observedIntent{}, own: map[string]time.Duration{}}
 }
 
-// observe applies the committed intents, and drops those that were withdrawn.
-func (o *orderIntents) observe(intents []*wire.OrderNote, now time.Duration) {
+// observe applies the intents that are committed up to the log index, and drops
+// those that were withdrawn. It ignores intents that are older than the observed
+// ones, because the reads of several goroutines may arrive in another order.
+func (o *orderIntents) observe(index uint64, intents []*wire.OrderNote, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if index < o.observedIndex {
+		return
+	}
+	o.observedIndex = index
 	current := map[string]bool{}
 	for _, intent := range intents {
 		current[intent.Endpoint] = true
@@ -134,11 +142,13 @@
 }
 
 func (s *Server) refreshIntents(ctx context.Context) {
+	var index uint64
 	var intents []*wire.OrderNote
-	if err := s.node.ReadStale(ctx, func(m *state.Machine) { intents = m.OrderIntents() }); err != nil {
+	err := s.node.ReadStale(ctx, func(m *state.Machine) { index, intents = m.AppliedIndex(), m.OrderIntents() })
+	if err != nil {
 		return
 	}
-	s.intents.observe(intents, s.clock())
+	s.intents.observe(index, intents, s.clock())
 }
 
 // mayOrder reports whether this replica may send the engine an order now: it
--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -84,14 +84,16 @@
 	}
 }
 
-// committedIntents returns the intents that the leader's group has committed.
-func committedIntents(t *testing.T, l *leaderState) []*wire.OrderNote {
+// observeIntentsOf makes the replica of next observe the intents that the group of
+// former has committed.
+func observeIntentsOf(t *testing.T, next, former *leaderState) {
 	t.Helper()
-	var intents []*wire.OrderNote
-	if err := l.s.node.ReadStale(t.Context(), func(m *state.Machine) { intents = m.OrderIntents() }); err != nil {
+	err := former.s.node.ReadStale(t.Context(), func(m *state.Machine) {
+		next.s.intents.observe(m.AppliedIndex(), m.OrderIntents(), next.s.clock())
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
-	return intents
 }
 
 // loadUntilSent orders the model until the order is sent.
@@ -113,7 +115,7 @@
 		// The engine at the address has restarted, which only the list of the next leader shows.
 		former.applyList([]ListedEndpoint{{ID: "e-1", Service: "s", Address: "192.0.2.1:80"}})
 		loadUntilSent(t, former.engines["e-1"], "m0")
-		next.s.intents.observe(committedIntents(t, former), next.s.clock())
+		observeIntentsOf(t, next, former)
 		next.applyList([]ListedEndpoint{{ID: "e-2", Service: "s", Address: "192.0.2.1:80"}})
 		loadUntilSent(t, next.engines["e-2"], "m1")
 		if gap := r.sent["b"][0].Sub(slices.MaxFunc(r.sent["a"], time.Time.Compare)); gap < next.s.cfg.OrderLease.D() {
@@ -140,9 +142,11 @@
 func TestDelayedReadOfIntentsDoesNotMakeEngineAvailable(t *testing.T) {
 	const lease = 3 * time.Second
 	intents := newOrderIntents()
-	intents.observe([]*wire.OrderNote{{Endpoint: "e", Holder: "b", Index: 9}}, 10*time.Second)
-	intents.observe([]*wire.OrderNote{{Endpoint: "e", Holder: "a", Index: 5}}, 10*time.Second)
-	if got := intents.availableAt("e", "a", lease); got < 10*time.Second+lease {
-		t.Errorf("engine available to a at %v after the intent of b was observed at 10s, want the order lease after it", got)
+	intents.observe(9, []*wire.OrderNote{{Endpoint: "e", Holder: "b", Index: 9}}, 10*time.Second)
+	for _, delayed := range [][]*wire.OrderNote{{{Endpoint: "e", Holder: "a", Index: 5}}, nil} {
+		intents.observe(8, delayed, 10*time.Second)
+		if got := intents.availableAt("e", "a", lease); got < 10*time.Second+lease {
+			t.Errorf("engine available to a at %v after the intent of b was observed at 10s, want the order lease after it", got)
+		}
 	}
 }
