--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -150,3 +150,17 @@
 		}
 	}
 }
+
+func TestEngineThatIsNoLongerListedGetsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newOrderRecorder()
+		l := newReplicatedLeader(t, "a", r)
+		l.applyList([]ListedEndpoint{{ID: "e-1", Service: "s", Address: "192.0.2.1:80"}})
+		e := l.engines["e-1"]
+		e.probe(t.Context())
+		l.applyList([]ListedEndpoint{{ID: "e-2", Service: "s", Address: "192.0.2.1:80"}})
+		if result := e.sendOrder(t.Context(), Order{Load: true, Model: "m0"}); len(r.sent["a"]) != 0 || result != OrderNotSent {
+			t.Errorf("result %v, %d orders sent to an engine that is no longer listed, want not_sent and no order", result, len(r.sent["a"]))
+		}
+	})
+}
