Send no order to an engine that is no longer listed

Cause: a placement step or an adapter job holds the state of its engine and goes on after applyList has removed it. The sequence of the next incarnation is read and the order is sent to it, although its models and its memory are tracked under the new id.

Evidence: TestEngineThatIsNoLongerListedGetsNoOrder failed before ("result accepted, 1 orders sent to an engine that is no longer listed").

Why it works: right before an order is sent, the engine's state must be the one that the leader has for that id. An order between the restart and the next read of the list is still addressed to the former id; the intent for the address covers that.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -412,7 +412,9 @@
 	// A pause of the process may separate the check from the write.
 	mayWrite := func() bool { return e.leader.s.clock() < until }
 	e.leader.mu.Lock()
-	ready := e.sequenceKnown && (!o.Load || e.fits(o))
+	// A step or an adapter job may outlive the engine's entry in the list.
+	listed := e.leader.engines[x.ID] == e
+	ready := listed && e.sequenceKnown && (!o.Load || e.fits(o))
 	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
 	e.orderedAt = e.leader.s.clock()
 	e.leader.mu.Unlock()
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -73,8 +73,9 @@
 	// OrderRejected: the engine will not execute the order.
 	OrderRejected
 	// OrderNotSent: the order was not sent, because this replica may not send
-	// orders now, its intent expired before the order was written, the engine's
-	// sequence is not known, or the engine lacks the memory or adapter slot.
+	// orders now, its intent expired before the order was written, the engine is no
+	// longer listed, its sequence is not known, or it lacks the memory or adapter
+	// slot.
 	OrderNotSent
 )
 
