--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -146,7 +147,10 @@
 	return r
 }
 
-func (f *fakeEngine) Order(_ context.Context, _, _ string, o Order) (OrderResult, error) {
+func (f *fakeEngine) Order(_ context.Context, _, _ string, o Order, mayWrite func() bool) (OrderResult, error) {
+	if !mayWrite() {
+		return OrderNotSent, nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders++
@@ -172,16 +176,23 @@
 	}
 	l := newLeaderState(t.Context(), s, 1)
 	l.doc = testDocument()
-	l.orderAllowed = func(context.Context, string) bool { return true }
+	l.orderAllowed = func(context.Context, ListedEndpoint) (time.Duration, bool) { return math.MaxInt64, true }
 	l.applyList([]ListedEndpoint{{ID: "e", Service: "s", Address: "e", Slots: 24, Models: models}})
 	return l, l.engines["e"]
 }
 
+// plannerInputOf returns the planner's input for an engine of the test's service.
+func plannerInputOf(e *engineState, now time.Duration) residency.Engine {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.plannerInput(e.leader.doc.Services[0].Engine, now)
+}
+
 func TestEmptyEngineIsPlanned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEngine{held: map[string]map[string]bool{}}
-		l, e := newTestLeader(t, f)
-		planned := e.plannerInput(l.doc.Services[0].Engine, time.Second)
+		_, e := newTestLeader(t, f)
+		planned := plannerInputOf(e, time.Second)
 		if planned.Unavailable || planned.Busy {
 			t.Errorf("planner input = %+v, want an engine without models to be available", planned)
 		}
@@ -305,7 +316,7 @@
 		l, e := newTestLeader(t, f, HeldModel{Name: "m0"}, HeldModel{Name: "m1"})
 		ctx := t.Context()
 		e.probe(ctx)
-		if planned := e.plannerInput(l.doc.Services[0].Engine, l.s.clock()); !planned.Busy {
+		if planned := plannerInputOf(e, l.s.clock()); !planned.Busy {
 			t.Error("an engine that executes another leader's order is available to the planner")
 		}
 		for i := range 8 {
@@ -317,7 +328,7 @@
 			t.Errorf("%d orders sent, want 0; overcommitted by %q", f.orders, f.overcommitted)
 		}
 		time.Sleep(8 * time.Second)
-		planned := e.plannerInput(l.doc.Services[0].Engine, l.s.clock())
+		planned := plannerInputOf(e, l.s.clock())
 		if planned.Busy || !planned.Models["m2"] {
 			t.Errorf("planner input = %+v, want an available engine that holds m2", planned)
 		}
@@ -410,9 +421,9 @@
 func TestNewLeaderWaitsOutIntentsOfOthers(t *testing.T) {
 	const lease = 3 * time.Second
 	intents := newOrderIntents()
-	intents.observe([]*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}, {Endpoint: "mine", Holder: "a", Index: 8}}, 10*time.Second)
+	intents.observe(8, []*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}, {Endpoint: "mine", Holder: "a", Index: 8}}, 10*time.Second)
 	// Observing the same intent again does not extend it.
-	intents.observe([]*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}}, 12*time.Second)
+	intents.observe(9, []*wire.OrderNote{{Endpoint: "theirs", Holder: "b", Index: 7}}, 12*time.Second)
 	if got := intents.availableAt("theirs", "a", lease); got < 10*time.Second+lease+intentValidity || got > 12*time.Second+lease {
 		t.Errorf("engine with an intent of b available at %v, want the order lease after the intent's last order", got)
 	}
@@ -425,12 +436,12 @@
 
 func TestIntentCoversOrdersWhileValid(t *testing.T) {
 	intents := newOrderIntents()
-	if intents.covered("e", time.Second) {
-		t.Error("order covered without an intent")
+	if got := intents.coveredUntil("e"); got != 0 {
+		t.Errorf("orders covered until %v without an intent, want 0", got)
 	}
 	intents.recordOwn("e", time.Second)
-	if !intents.covered("e", time.Second+intentValidity-1) || intents.covered("e", time.Second+intentValidity) {
-		t.Error("an intent does not cover orders for exactly intentValidity")
+	if got := intents.coveredUntil("e"); got != time.Second+intentValidity {
+		t.Errorf("orders covered until %v, want exactly intentValidity after the intent", got)
 	}
 }
 
@@ -453,8 +464,8 @@
 		t.Errorf("intents for %v expired again after they were dropped", again)
 	}
 	other := newOrderIntents()
-	other.observe([]*wire.OrderNote{{Endpoint: "old", Holder: "a", Index: 1}}, 5*time.Second)
-	other.observe(nil, 6*time.Second)
+	other.observe(1, []*wire.OrderNote{{Endpoint: "old", Holder: "a", Index: 1}}, 5*time.Second)
+	other.observe(2, nil, 6*time.Second)
 	if at := other.availableAt("old", "b", lease); at != 0 {
 		t.Errorf("engine whose intent was withdrawn available at %v, want 0", at)
 	}
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	// intentValidity is how long an order intent covers further orders of the same
 	// replica. It counts from before the commit of the intent.
 	intentValidity = 500 * time.Millisecond
+	// minIntentLeft is how long an intent must remain valid for an order to be sent
+	// without a new intent.
+	minIntentLeft = 50 * time.Millisecond
 	// intentPollInterval is the time between two reads of the committed intents.
 	intentPollInterval = 100 * time.Millisecond
 	// orderLeaseMargin is added to the order lease, for an order in flight.
@@ -23,14 +27,17 @@
 )
 
 // orderIntents tracks the engines to which another replica may have sent orders
-// that are still valid. A replica commits an order intent for an engine before it
-// sends an order. Every replica records, by its own clock, when it first observed
-// an intent, which is later than the time at which the intent was created. It is
-// safe for concurrent use.
+// that are still valid. A replica commits an order intent under each of the
+// engine's intentKeys before it sends an order. Every replica records, by its own
+// clock, when it first observed an intent, which is later than the time at which
+// the intent was created. It is safe for concurrent use.
 type orderIntents struct {
-	mu       sync.Mutex
-	observed map[string]observedIntent
-	// own holds, by engine, when this replica last started to commit an intent.
+	mu sync.Mutex
+	// observed holds the committed intents by key, as of the log index
+	// observedIndex.
+	observed      map[string]observedIntent
+	observedIndex uint64
+	// own holds, by key, when this replica last started to commit an intent.
 	own map[string]time.Duration
 }
 
@@ -40,14 +47,25 @@
 	firstSeen time.Duration
 }
 
+// intentKeys returns the keys of the intents for an engine: its ID and its address.
+// A restarted engine has another ID, but orders that are addressed to its former
+// incarnation arrive at the same address.
+func intentKeys(x ListedEndpoint) []string { return []string{x.ID, x.Address} }
+
 func newOrderIntents() *orderIntents {
 	return &orderIntents{observed: map[string]observedIntent{}, own: map[string]time.Duration{}}
 }
 
-// observe applies the committed intents, and drops those that were withdrawn.
-func (o *orderIntents) observe(intents []*wire.OrderNote, now time.Duration) {
+// observe applies the intents that are committed up to the log index, and drops
+// those that were withdrawn. It ignores intents that are older than the observed
+// ones, because the reads of several goroutines may arrive in another order.
+func (o *orderIntents) observe(index uint64, intents []*wire.OrderNote, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if index < o.observedIndex {
+		return
+	}
+	o.observedIndex = index
 	current := map[string]bool{}
 	for _, intent := range intents {
 		current[intent.Endpoint] = true
@@ -60,54 +78,59 @@
 	}
 }
 
-// availableAt returns the time from which the replica may send orders to the
-// engine. It is 0 if there is no intent, or if the last one is the replica's own.
-func (o *orderIntents) availableAt(endpoint, self string, lease time.Duration) time.Duration {
+// availableAt returns the time from which no intent under the key prevents orders
+// of the replica. It is 0 if there is no intent, or if the last one is the
+// replica's own.
+func (o *orderIntents) availableAt(key, self string, lease time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	intent, ok := o.observed[endpoint]
+	intent, ok := o.observed[key]
 	if !ok || intent.holder == self {
 		return 0
 	}
 	return intent.firstSeen + intentValidity + lease + orderLeaseMargin
 }
 
-// covered reports whether an intent of this replica covers an order now.
-func (o *orderIntents) covered(endpoint string, now time.Duration) bool {
+// coveredUntil returns the time until which an intent of this replica under the key
+// covers orders. It is 0 if there is no intent.
+func (o *orderIntents) coveredUntil(key string) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	at, ok := o.own[endpoint]
-	return ok && now-at < intentValidity
+	at, ok := o.own[key]
+	if !ok {
+		return 0
+	}
+	return at + intentValidity
 }
 
-// expired returns the engines for which the last intent of this replica is so old
-// that its orders are no longer valid.
+// expired returns the keys of which the last intent of this replica is so old that
+// its orders are no longer valid.
 func (o *orderIntents) expired(lease, now time.Duration) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []string
-	for id, at := range o.own {
+	for key, at := range o.own {
 		if now-at > intentValidity+lease+orderLeaseMargin {
-			out = append(out, id)
+			out = append(out, key)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
 
-// drop removes the engines that expired returned.
-func (o *orderIntents) drop(endpoints []string) {
+// drop removes the keys that expired returned.
+func (o *orderIntents) drop(keys []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, id := range endpoints {
-		delete(o.own, id)
+	for _, key := range keys {
+		delete(o.own, key)
 	}
 }
 
-func (o *orderIntents) recordOwn(endpoint string, at time.Duration) {
+func (o *orderIntents) recordOwn(key string, at time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.own[endpoint] = at
+	o.own[key] = at
 }
 
 // pollIntents observes the committed intents until ctx ends, whether this replica
@@ -119,52 +142,72 @@
 }
 
 func (s *Server) refreshIntents(ctx context.Context) {
+	var index uint64
 	var intents []*wire.OrderNote
-	if err := s.node.ReadStale(ctx, func(m *state.Machine) { intents = m.OrderIntents() }); err != nil {
+	err := s.node.ReadStale(ctx, func(m *state.Machine) { index, intents = m.AppliedIndex(), m.OrderIntents() })
+	if err != nil {
 		return
 	}
-	s.intents.observe(intents, s.clock())
+	s.intents.observe(index, intents, s.clock())
 }
 
 // mayOrder reports whether this replica may send the engine an order now: it
 // holds the leader lease in its term, no order of another replica may still be
-// valid, and an intent of its own is committed.
-func (l *leaderState) mayOrder(ctx context.Context, endpoint string) bool {
-	if l.blocked(endpoint, l.s.clock()) {
-		return false
-	}
-	if !l.s.intents.covered(endpoint, l.s.clock()) && !l.commitIntent(ctx, endpoint) {
-		return false
+// valid, and an intent of its own is committed. The order must be written before
+// the returned time, because the next leader expects no order after the intent.
+func (l *leaderState) mayOrder(ctx context.Context, x ListedEndpoint) (until time.Duration, ok bool) {
+	if l.blocked(x, l.s.clock()) || !l.commitIntent(ctx, x) {
+		return 0, false
 	}
-	term, ok := l.s.leadingTerm(ctx)
-	return ok && term == l.term && l.s.intents.covered(endpoint, l.s.clock())
+	term, leads := l.s.leadingTerm(ctx)
+	until = l.coveredUntil(x)
+	return until, leads && term == l.term && l.s.clock() < until
 }
 
 // blocked reports whether orders of another replica to the engine may still be
 // valid.
-func (l *leaderState) blocked(endpoint string, now time.Duration) bool {
-	return now < l.s.intents.availableAt(endpoint, l.s.cfg.ID, l.s.cfg.OrderLease.D())
+func (l *leaderState) blocked(x ListedEndpoint, now time.Duration) bool {
+	return slices.ContainsFunc(intentKeys(x), func(key string) bool {
+		return now < l.s.intents.availableAt(key, l.s.cfg.ID, l.s.cfg.OrderLease.D())
+	})
+}
+
+// coveredUntil returns the time until which intents of this replica cover orders to
+// the engine.
+func (l *leaderState) coveredUntil(x ListedEndpoint) time.Duration {
+	until := time.Duration(math.MaxInt64)
+	for _, key := range intentKeys(x) {
+		until = min(until, l.s.intents.coveredUntil(key))
+	}
+	return until
 }
 
-// commitIntent commits an order intent for the engine, and withdraws expired ones.
-// Commits are serialized, so that none of them withdraws a newer intent.
-func (l *leaderState) commitIntent(ctx context.Context, endpoint string) bool {
+// commitIntent commits an order intent for the engine unless one is valid for
+// minIntentLeft, and withdraws expired ones. Commits are serialized, so that none of
+// them withdraws a newer intent.
+func (l *leaderState) commitIntent(ctx context.Context, x ListedEndpoint) bool {
+	if l.coveredUntil(x)-l.s.clock() >= minIntentLeft {
+		return true
+	}
 	l.intentMu.Lock()
 	defer l.intentMu.Unlock()
 	at := l.s.clock()
-	if l.s.intents.covered(endpoint, at) {
+	if l.coveredUntil(x)-at >= minIntentLeft {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentValidity)
 	defer cancel()
+	keys := intentKeys(x)
 	expired := l.s.intents.expired(l.s.cfg.OrderLease.D(), at)
-	expired = slices.DeleteFunc(expired, func(id string) bool { return id == endpoint })
-	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: []string{endpoint}, Settled: expired}}}
+	expired = slices.DeleteFunc(expired, func(key string) bool { return slices.Contains(keys, key) })
+	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: keys, Settled: expired}}}
 	if _, err := l.s.node.ProposeInTerm(ctx, l.term, c); err != nil {
-		l.s.log.WithError(err).WithField("endpoint", endpoint).Warn("failed to commit order intent; order not sent")
+		l.s.log.WithError(err).WithField("endpoint", x.ID).Warn("failed to commit order intent; order not sent")
 		return false
 	}
 	l.s.intents.drop(expired)
-	l.s.intents.recordOwn(endpoint, at)
+	for _, key := range keys {
+		l.s.intents.recordOwn(key, at)
+	}
 	return true
 }
