--- a/internal/fleetcontrol/stalled_disk_test.go
+++ b/internal/fleetcontrol/stalled_disk_test.go
@@ -32,11 +32,6 @@
 	return s.Save(h, remaining)
 }
 
-// discardSender is a replica.Sender that drops all messages.
-type discardSender struct{}
-
-func (discardSender) Send([]*wire.RaftMessage, *wire.Membership) {}
-
 // idleListener is a net.Listener on which no connection arrives.
 type idleListener struct {
 	closed chan struct{}
