Expect no more than the maximum length from a response at a stopping gateway

A stopping gateway rejected requests whose clients state only the maximum length of the response, because it took one and a half times the time for that length as the time that few responses exceed.

TestStoppingGatewayRejectsAtOnceWhatItCannotFinish, 'response in time at the maximum length', failed before with answer {status:503 retryAfter:100ms at:0}, want rejected false The margin now applies only to the client's own estimate.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model")}
 	info.Timeout, _ = time.ParseDuration(r.Header.Get("Deadline"))
 	info.ExpectedOutputTokens, _ = strconv.Atoi(r.Header.Get("Output"))
+	info.MaxOutputTokens, _ = strconv.Atoi(r.Header.Get("Maximum"))
 	return info, nil
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -25,8 +25,8 @@
 	// modelRetryAfter is the Retry-After if it is unknown when the model will be
 	// ready.
 	modelRetryAfter = 1500 * time.Millisecond
-	// finishTimeMargin is the factor by which the estimated time of a response is
-	// exceeded by few responses.
+	// finishTimeMargin is the factor by which few responses exceed the time that is
+	// estimated from the client's estimate of their length.
 	finishTimeMargin = 1.5
 	// noEndpointRetryAfter is the Retry-After if the service has no endpoint or
 	// none responds.
@@ -97,11 +97,21 @@
 	if cancelAt == 0 || q.firstByte > 0 {
 		return true
 	}
-	estimate := time.Duration(0)
-	if q.requirements.Model != "" {
-		estimate = q.g.serviceTimes.Estimate(q.requirements.Model, q.info.expectedOutput())
+	return start+q.maxResponseTime() <= cancelAt
+}
+
+// maxResponseTime returns the time that few responses exceed, zero for a plain
+// service.
+func (q *request) maxResponseTime() time.Duration {
+	if q.requirements.Model == "" {
+		return 0
+	}
+	estimate := q.g.serviceTimes.Estimate(q.requirements.Model, q.info.expectedOutput())
+	if q.info.ExpectedOutputTokens > 0 {
+		return time.Duration(float64(estimate) * finishTimeMargin)
 	}
-	return start+time.Duration(float64(estimate)*finishTimeMargin) <= cancelAt
+	// The estimate is for the maximum number of tokens.
+	return estimate
 }
 
 // maxWait returns how long the client waits for the response, or for the first
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -117,9 +117,9 @@
 	at         time.Duration
 }
 
-// send sends a request for the model on a connection of its own. The client
-// expects the number of output tokens.
-func (g *pipeGateway) send(t *testing.T, model string, outputTokens int) <-chan answer {
+// send sends a request for the model on a connection of its own, with headers as
+// pairs of name and value.
+func (g *pipeGateway) send(t *testing.T, model string, headers ...string) <-chan answer {
 	t.Helper()
 	c, err := g.clients.dial(t.Context(), "")
 	if err != nil {
@@ -130,7 +130,9 @@
 		t.Fatal(err)
 	}
 	req.Header.Set("Model", model)
-	req.Header.Set("Output", strconv.Itoa(outputTokens))
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	if err := req.Write(c); err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +169,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		control := &loadingControl{readyAt: time.Now().Add(11 * time.Second)}
 		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, http.NotFoundHandler())
-		received := g.send(t, "loading", 0)
+		received := g.send(t, "loading")
 		time.Sleep(2600 * time.Millisecond)
 		g.stop(t)
 		if a := <-received; a.status != http.StatusServiceUnavailable || a.retryAfter == "" {
@@ -180,7 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
-		received := g.send(t, "", 0)
+		received := g.send(t, "")
 		synctest.Wait()
 		g.stop(t)
 		if a := <-received; a.status != http.StatusBadGateway {
@@ -192,15 +194,18 @@
 func TestStoppingGatewayRejectsAtOnceWhatItCannotFinish(t *testing.T) {
 	const longOutput, tokenTime = 2000, 6 * time.Millisecond
 	for _, c := range []struct {
-		name         string
-		model        string
-		readyIn      time.Duration
+		name    string
+		model   string
+		readyIn time.Duration
+		// header states the tokens as expected ("Output") or as the maximum.
+		header       string
 		outputTokens int
 		rejected     bool
 	}{
-		{"model ready too late", "loading", 8 * time.Second, 0, true},
-		{"response too long", "resident", 0, longOutput, true},
-		{"response in time", "resident", 0, longOutput / 10, false},
+		{"model ready too late", "loading", 8 * time.Second, "Output", 0, true},
+		{"response too long", "resident", 0, "Output", longOutput, true},
+		{"response in time", "resident", 0, "Output", longOutput / 10, false},
+		{"response in time at the maximum length", "resident", 0, "Maximum", longOutput / 2, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -217,7 +222,7 @@
 					g.stop(t)
 				}()
 				synctest.Wait()
-				a := <-g.send(t, c.model, c.outputTokens)
+				a := <-g.send(t, c.model, c.header, strconv.Itoa(c.outputTokens))
 				if rejected := a.status == http.StatusServiceUnavailable && a.retryAfter != ""; rejected != c.rejected || !rejected && a.status != http.StatusOK {
 					t.Errorf("answer %+v, want rejected %t", a, c.rejected)
 				}
@@ -234,7 +239,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		control := &loadingControl{readyAt: time.Now().Add(11 * time.Second)}
 		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, http.NotFoundHandler())
-		received := g.send(t, "loading", 0)
+		received := g.send(t, "loading")
 		time.Sleep(2600 * time.Millisecond)
 		begin := g.clock()
 		g.stop(t)
@@ -251,7 +256,7 @@
 				silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 				g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
 				g.cfg.Grace = settings.Duration(grace)
-				received := g.send(t, "", 0)
+				received := g.send(t, "")
 				synctest.Wait()
 				g.stop(t)
 				if a := <-received; a.status != http.StatusBadGateway {
@@ -281,7 +286,7 @@
 		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
 		// The line on the unfinished request is written before the request is canceled.
 		g.log.Logger.AddHook(&pauseHook{pause: answerReserve + 100*time.Millisecond})
-		received := g.send(t, "", 0)
+		received := g.send(t, "")
 		synctest.Wait()
 		g.stop(t)
 		if a := <-received; a.status != http.StatusBadGateway {
@@ -294,7 +299,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
-		received := g.send(t, "", 0)
+		received := g.send(t, "")
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
@@ -341,7 +346,7 @@
 			_, _ = io.WriteString(w, event(2))
 		})
 		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, engine)
-		received := g.send(t, "", 0)
+		received := g.send(t, "")
 		synctest.Wait()
 		g.stop(t)
 		if a := <-received; a.status != http.StatusOK {
