Leave 0.4 s for the answers at the end of a gateway's grace period

Found in the review: a gateway that did not run for 0.4 s while its requests were being answered closed their connections unanswered.

TestRequestIsAnsweredWhenTheProcessPausesAtTheEndOfTheGracePeriod, 'before the answer' (0.3 s), fails with 0.2 s: answer {status:0 ... at:}. Requests are canceled 1 s before the end of the grace period now; streams that have begun go on as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,7 @@
 	// process, and answerReserve the part before it in which requests that are still
 	// in flight are answered.
 	exitReserve   = 600 * time.Millisecond
-	answerReserve = 200 * time.Millisecond
+	answerReserve = 400 * time.Millisecond
 	// minGrace is the shortest grace period in which requests are answered.
 	minGrace = exitReserve + answerReserve
 	// controlTimeout bounds one call to a control replica, and controlRetryDelay
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -267,32 +267,41 @@
 	}
 }
 
-// pauseHook delays the first warning.
+// pauseHook delays the first line with the message.
 type pauseHook struct {
-	pause time.Duration
-	once  sync.Once
+	message string
+	pause   time.Duration
+	once    sync.Once
 }
 
-func (h *pauseHook) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+func (h *pauseHook) Levels() []logrus.Level { return logrus.AllLevels }
 
-func (h *pauseHook) Fire(*logrus.Entry) error {
-	h.once.Do(func() { time.Sleep(h.pause) })
+func (h *pauseHook) Fire(e *logrus.Entry) error {
+	if e.Message == h.message {
+		h.once.Do(func() { time.Sleep(h.pause) })
+	}
 	return nil
 }
 
 func TestRequestIsAnsweredWhenTheProcessPausesAtTheEndOfTheGracePeriod(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-		g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
-		// The line on the unfinished request is written before the request is canceled.
-		g.log.Logger.AddHook(&pauseHook{pause: answerReserve + 100*time.Millisecond})
-		received := g.send(t, "")
-		synctest.Wait()
-		g.stop(t)
-		if a := <-received; a.status != http.StatusBadGateway {
-			t.Errorf("answer %+v, want status 502", a)
-		}
-	})
+	for name, hook := range map[string]*pauseHook{
+		"before the cancellation": {message: "request unfinished at the end of the grace period", pause: 500 * time.Millisecond},
+		"before the answer":       {message: "request ended", pause: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+				g := newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
+				g.log.Logger.AddHook(hook)
+				received := g.send(t, "")
+				synctest.Wait()
+				g.stop(t)
+				if a := <-received; a.status != http.StatusBadGateway {
+					t.Errorf("answer %+v, want status 502", a)
+				}
+			})
+		})
+	}
 }
 
 func TestRequestIsAnsweredWhenTheShutdownContextEnds(t *testing.T) {
