Configure a soak run by options, with a flag for the number of gateways

Flags -gateways, for systems larger than the default, and -keep, for the logs of runs without a violation. The schedules of existing seeds are unchanged.

--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -23,8 +23,12 @@
 	seeds := flag.Int("seeds", 1, "number of seeds to run")
 	first := flag.Uint64("first", uint64(time.Now().UnixNano())%1e9, "first seed")
 	length := flag.Duration("for", 15*time.Second, "how long faults are injected in a run")
+	gateways := flag.Int("gateways", defaultSize.gateways, "number of gateways of a run")
+	keep := flag.Bool("keep", false, "keep the logs of every run")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
 	flag.Parse()
+	size := defaultSize
+	size.gateways = *gateways
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
 	fmt.Println("| seed | faults | served | refused | failed | broken off | not reached | newest version | promises broken |")
@@ -35,7 +39,8 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				if !runSeed(ctx, *bin, run, *first+i, *length) {
+				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length}
+				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
 			}
@@ -49,7 +54,8 @@
 
 // runSeed runs one seed and prints its row of the table. It reports whether no
 // guarantee was violated.
-func runSeed(ctx context.Context, bin string, run int, seed uint64, length time.Duration) bool {
+func runSeed(ctx context.Context, o options, keep bool) bool {
+	seed := o.seed
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -62,20 +68,20 @@
 	}
 	defer log.Close()
 	var mu sync.Mutex
-	logLine := func(line string) {
+	o.dir, o.logLine = dir, func(line string) {
 		mu.Lock()
 		defer mu.Unlock()
 		fmt.Fprintln(log, time.Now().Format("15:04:05.000"), line)
 	}
-	r, err := runSoak(ctx, dir, bin, run, seed, length, logLine)
+	r, err := runSoak(ctx, o)
 	if err != nil {
 		fmt.Printf("| %d | | | | | | | | could not run: %v; logs in %s |\n", seed, err, dir)
 		return false
 	}
-	o := r.outcomes
+	n := r.outcomes
 	fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d | %d |\n", seed, r.steps,
-		o[standin.Served], o[standin.Rejected], o[standin.Failed], o[standin.Aborted], o[standin.Unreachable], r.newestVersion, len(r.violations))
-	if len(r.violations) == 0 {
+		n[standin.Served], n[standin.Rejected], n[standin.Failed], n[standin.Aborted], n[standin.Unreachable], r.newestVersion, len(r.violations))
+	if len(r.violations) == 0 && !keep {
 		_ = os.RemoveAll(dir)
 		return true
 	}
@@ -83,5 +89,5 @@
 		fmt.Println("  ", violation)
 	}
 	fmt.Println("   logs in", dir)
-	return false
+	return len(r.violations) == 0
 }
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -36,9 +36,23 @@
 	violations    []string
 }
 
+// options configures a run.
+type options struct {
+	// dir is the folder for settings and logs, and bin that of the built programs.
+	dir, bin string
+	// run distinguishes the addresses of concurrent runs.
+	run  int
+	seed uint64
+	size sizes
+	// length is how long faults are injected.
+	length time.Duration
+	// logLine logs a fault.
+	logLine func(string)
+}
+
 // runSoak injects the faults of one seed and checks the guarantees.
-func runSoak(ctx context.Context, dir, bin string, run int, seed uint64, length time.Duration, logLine func(string)) (result, error) {
-	s, err := startSystem(dir, bin, run)
+func runSoak(ctx context.Context, o options) (result, error) {
+	s, err := startSystem(o.dir, o.bin, o.run, o.size)
 	if s != nil {
 		defer s.stop()
 	}
@@ -47,19 +61,19 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d := &driver{s: s, ctx: ctx, seed: seed}
+	d := &driver{s: s, ctx: ctx, seed: o.seed}
 	if err := d.waitForGroup(); err != nil {
 		return result{}, err
 	}
 	go s.restartStopped()
 	d.start()
-	steps := schedule(seed, length, size)
-	s.runSteps(steps, time.Now(), logLine)
+	steps := schedule(o.seed, o.length, o.size)
+	s.runSteps(steps, time.Now(), o.logLine)
 	s.clearFaults()
-	logLine("faults over")
+	o.logLine("faults over")
 	d.checkRecovery()
 	d.checkChange()
-	d.checkPlannedStops(logLine)
+	d.checkPlannedStops(o.logLine)
 	d.checkLeaving()
 	cancel()
 	d.all.Wait()
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -16,11 +16,11 @@
 )
 
 func TestScheduleIsDeterministicPerSeed(t *testing.T) {
-	a, b := schedule(7, 20*time.Second, size), schedule(7, 20*time.Second, size)
+	a, b := schedule(7, 20*time.Second, defaultSize), schedule(7, 20*time.Second, defaultSize)
 	if !slices.Equal(a, b) || len(a) < 10 {
 		t.Errorf("one seed gives schedules of %d and %d steps, want equal schedules of 10 or more", len(a), len(b))
 	}
-	if slices.Equal(a, schedule(8, 20*time.Second, size)) {
+	if slices.Equal(a, schedule(8, 20*time.Second, defaultSize)) {
 		t.Error("seeds 7 and 8 give the same steps, want different ones")
 	}
 }
@@ -30,7 +30,7 @@
 func TestScheduleWipesOneDiskAtATime(t *testing.T) {
 	down := []kind{killControl, pauseControl, stopControl, tornLog, killControls, killAll, wipeControl}
 	rapid.Check(t, func(t *rapid.T) {
-		steps := schedule(rapid.Uint64().Draw(t, "seed"), time.Minute, size)
+		steps := schedule(rapid.Uint64().Draw(t, "seed"), time.Minute, defaultSize)
 		for i, wipe := range steps {
 			if wipe.kind != wipeControl {
 				continue
@@ -144,7 +144,10 @@
 	for i, c := range shortSeeds {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			t.Parallel()
-			r, err := runSoak(t.Context(), t.TempDir(), bin, firstTestRun+i, c.seed, 7*time.Second, func(line string) { t.Log(line) })
+			r, err := runSoak(t.Context(), options{
+				dir: t.TempDir(), bin: bin, run: firstTestRun + i, seed: c.seed, size: defaultSize, length: 7 * time.Second,
+				logLine: func(line string) { t.Log(line) },
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -16,9 +16,9 @@
 	"parsleyramp/scripts/internal/testbed"
 )
 
-// size is the size of every run: seven processes of the system and eight
-// endpoints.
-var size = sizes{controls: 3, gateways: 4, endpoints: 8}
+// defaultSize is the size of a run unless a flag changes it: seven processes of the
+// system and eight endpoints.
+var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8}
 
 // ledgerEndpointCount is how many of the endpoints belong to the plain service.
 const ledgerEndpointCount = 2
@@ -56,6 +56,7 @@
 // system is one running system with the live list, the endpoints and the proxies.
 type system struct {
 	dir, bin string
+	size     sizes
 	checker  *standin.Checker
 	liveList *standin.LiveList
 	controls []*node
@@ -90,8 +91,8 @@
 
 // startSystem starts the system. run distinguishes the addresses of concurrent
 // runs.
-func startSystem(dir, bin string, run int) (*system, error) {
-	s := &system{dir: dir, bin: bin, checker: standin.NewChecker(), stopped: make(chan struct{})}
+func startSystem(dir, bin string, run int, size sizes) (*system, error) {
+	s := &system{dir: dir, bin: bin, size: size, checker: standin.NewChecker(), stopped: make(chan struct{})}
 	var err error
 	if s.liveList, err = standin.NewLiveList(); err != nil {
 		return nil, err
@@ -112,7 +113,7 @@
 			return s, err
 		}
 	}
-	for i := range size.gateways {
+	for i := range s.size.gateways {
 		if err := s.addGateway(run, i); err != nil {
 			return s, err
 		}
@@ -121,9 +122,9 @@
 }
 
 func (s *system) startEndpoints() error {
-	for i := range size.endpoints {
+	for i := range s.size.endpoints {
 		service, limits := standin.EngineService, fleetLimits
-		if i >= size.endpoints-ledgerEndpointCount {
+		if i >= s.size.endpoints-ledgerEndpointCount {
 			service, limits = standin.LedgerService, nil
 		}
 		e, err := standin.NewEndpoint(service, domain(i), limits, s.checker)
@@ -144,7 +145,7 @@
 
 func (s *system) seeds(run int) []string {
 	var out []string
-	for i := range size.controls {
+	for i := range s.size.controls {
 		out = append(out, address(run, advertisedControl, i, operatorPort))
 	}
 	return out
