Stop gateways in overlapping series under load in the soak

The soak could not find that:

- its 24 clients never filled the 72 slots of the engines, so that no request waited for a slot;
- streams took 0.3 s and other responses 15 ms, so that none was in flight at the end of a grace period of 4 s;
- clients of streams waited 2 s for the first event, which bounds the wait for a slot to 0.8 s and that for a model to 1.2 s;
- planned stops came one at a time, without SIGHUP or leaving engines.

A new phase after the single stops keeps ten clients on each gateway, half of whose requests take 0.3 to 3 s more, and lets all but two engines leave. All gateways but one and one control replica get SIGTERM within 2.5 s, SIGHUP comes several times a second, and documents change. It takes 8 s a series: one in TestShortSoak, two in `bin/soak`.

--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -23,6 +23,7 @@
 	seeds := flag.Int("seeds", 1, "number of seeds to run")
 	first := flag.Uint64("first", uint64(time.Now().UnixNano())%1e9, "first seed")
 	length := flag.Duration("for", 15*time.Second, "how long faults are injected in a run")
+	series := flag.Int("series", 2, "number of series of planned stops in a run")
 	gateways := flag.Int("gateways", defaultSize.gateways, "number of gateways of a run")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
@@ -39,7 +40,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length}
+				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -44,8 +44,10 @@
 	run  int
 	seed uint64
 	size sizes
-	// length is how long faults are injected.
+	// length is how long faults are injected, and series the number of series of
+	// planned stops after them.
 	length time.Duration
+	series int
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -74,6 +76,7 @@
 	d.checkRecovery()
 	d.checkChange()
 	d.checkPlannedStops()
+	d.checkStopsUnderLoad(o.series)
 	d.checkLeaving()
 	cancel()
 	d.all.Wait()
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -145,7 +145,7 @@
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			t.Parallel()
 			r, err := runSoak(t.Context(), options{
-				dir: t.TempDir(), bin: bin, run: firstTestRun + i, seed: c.seed, size: defaultSize, length: 7 * time.Second,
+				dir: t.TempDir(), bin: bin, run: firstTestRun + i, seed: c.seed, size: defaultSize, length: 7 * time.Second, series: 1,
 				logLine: func(line string) { t.Log(line) },
 			})
 			if err != nil {
