Send a tenth of the soak's requests slowly while gateways stop under load

No request was ever received for longer than one read, so that none was being read when a gateway closed its idle connections or when its grace period ended. The client now reports whether it wrote the complete request. One that it did not may be aborted at the end of the grace period, but not before.

--- a/scripts/soak/abort.go
+++ b/scripts/soak/abort.go
@@ -20,7 +20,9 @@
 
 // abort describes an attempt without a complete response.
 type abort struct {
-	kind  standin.Kind
+	kind standin.Kind
+	// sent is set if the client wrote the complete request.
+	sent  bool
 	state standin.RunState
 	// lasted is the time from its start, and sinceStop that since its gateway last
 	// received SIGTERM.
@@ -28,7 +30,11 @@
 }
 
 func (a abort) String() string {
-	return fmt.Sprintf("%s, %s, after %v, %v after SIGTERM", a.kind, a.state, a.lasted.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
+	state := a.state.String()
+	if !a.sent {
+		state = "not sent"
+	}
+	return fmt.Sprintf("%s, %s, after %v, %v after SIGTERM", a.kind, state, a.lasted.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
 }
 
 // allowed reports whether an attempt may end so while gateways are only stopped as
@@ -45,6 +51,8 @@
 	atGraceEnd := a.sinceStop >= gracePeriod-exitReserve && a.sinceStop <= gracePeriod+noticeTime
 	isStream := a.kind == standin.Stream || a.kind == standin.ResumableStream
 	switch a.state {
+	case standin.NotRun:
+		return atGraceEnd && !a.sent
 	case standin.Running:
 		return atGraceEnd || isStream && a.lasted >= standin.Timeout
 	case standin.BrokenOff:
--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -69,21 +69,24 @@
 	defer cancel()
 	plannedOnly, underLoad := d.plannedStopsOnly.Load(), d.stopsUnderLoad.Load()
 	started := time.Now()
-	outcome := client.Do(ctx, n.clientAddress, attempt)
+	outcome, sent := client.Do(ctx, n.clientAddress, attempt)
 	ended := time.Now()
 	if d.ctx.Err() != nil {
 		return
 	}
 	d.outcomes[outcome].Add(1)
-	if outcome != standin.Aborted || !plannedOnly {
+	if !plannedOnly {
 		return
 	}
-	a := abort{kind: attempt.Kind, state: d.s.checker.RunState(attempt.ID), lasted: ended.Sub(started), sinceStop: ended.Sub(n.stopSignalTime())}
-	if a.allowed(underLoad) {
+	state := d.s.checker.RunState(attempt.ID)
+	a := abort{kind: attempt.Kind, sent: sent, state: state, lasted: ended.Sub(started), sinceStop: ended.Sub(n.stopSignalTime())}
+	switch {
+	case outcome != standin.Aborted:
+	case a.allowed(underLoad):
 		d.logLine(fmt.Sprintf("attempt %s (%v) was aborted by %s, which is allowed", attempt.ID, a, n.name))
-		return
+	default:
+		d.s.checker.RecordViolation("attempt %s (%v) was aborted by %s although gateways were only stopped as planned", attempt.ID, a, n.name)
 	}
-	d.s.checker.RecordViolation("attempt %s (%v) was aborted by %s although gateways were only stopped as planned", attempt.ID, a, n.name)
 }
 
 func (d *driver) randomAttempt(r *rand.Rand) standin.Attempt {
--- a/scripts/soak/stops.go
+++ b/scripts/soak/stops.go
@@ -20,6 +20,8 @@
 	// waits for a slot and the work is often longer than the grace period.
 	minWork = 300 * time.Millisecond
 	maxWork = 3 * time.Second
+	// maxBodyTime bounds the time in which a slow client sends a body.
+	maxBodyTime = 3 * time.Second
 	// loadTime is the time from the start of the load until the first stop.
 	loadTime = 1500 * time.Millisecond
 	// stopSpread is the time between the first and the last SIGTERM of a series. It
@@ -92,7 +94,8 @@
 }
 
 // keepSending sends one request after another to a gateway, on one connection while
-// the gateway keeps it open, until the load ends. Half of the requests are slow.
+// the gateway keeps it open, until the load ends. Half of the requests are slow at the
+// endpoint, and a tenth are sent slowly.
 func (d *driver) keepSending(load context.Context, n *node, r *rand.Rand) {
 	client := standin.NewClient(d.s.checker)
 	for load.Err() == nil && d.wait(keeperPause) {
@@ -100,6 +103,9 @@
 		if r.IntN(2) == 0 {
 			attempt.Work = minWork + time.Duration(r.Int64N(int64(maxWork-minWork)))
 		}
+		if r.IntN(10) == 0 {
+			attempt.BodyTime = time.Duration(r.Int64N(int64(maxBodyTime)))
+		}
 		d.do(client, n, attempt)
 	}
 }
