Check in the soak that a rejected request did not run, for every kind of request

The stand-in's checker lets an idempotent request or a resumable stream be rejected after a run. While gateways are only stopped as planned that is a violation too: a gateway must not answer the requests that are left at the end of its grace period with a status that states that they did not run.

--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -81,6 +81,8 @@
 	state := d.s.checker.RunState(attempt.ID)
 	a := abort{kind: attempt.Kind, sent: sent, state: state, lasted: ended.Sub(started), sinceStop: ended.Sub(n.stopSignalTime())}
 	switch {
+	case outcome == standin.Rejected && state != standin.NotRun:
+		d.s.checker.RecordViolation("attempt %s (%s, %s) was rejected by %s although it ran", attempt.ID, attempt.Kind, state, n.name)
 	case outcome != standin.Aborted:
 	case a.allowed(underLoad):
 		d.logLine(fmt.Sprintf("attempt %s (%v) was aborted by %s, which is allowed", attempt.ID, a, n.name))
