Require an answer in the soak for requests at work when a grace period ends

A gateway buffers every response that is not a stream, so it can answer such a request at the end of the grace period, with a status that does not state whether it has run. Only streams may be cut then.

--- a/scripts/soak/abort.go
+++ b/scripts/soak/abort.go
@@ -49,15 +49,14 @@
 		return false
 	}
 	atGraceEnd := a.sinceStop >= gracePeriod-exitReserve && a.sinceStop <= gracePeriod+noticeTime
+	// Other responses are buffered, so a gateway can always answer in their place.
 	isStream := a.kind == standin.Stream || a.kind == standin.ResumableStream
 	switch a.state {
 	case standin.NotRun:
 		return atGraceEnd && !a.sent
 	case standin.Running:
-		return atGraceEnd || isStream && a.lasted >= standin.Timeout
+		return isStream && (atGraceEnd || a.lasted >= standin.Timeout)
 	case standin.BrokenOff:
-		// The response to a request that is not a stream is buffered, so a gateway can
-		// always replace it.
 		return isStream
 	}
 	return false
--- a/scripts/soak/abort_test.go
+++ b/scripts/soak/abort_test.go
@@ -22,6 +22,7 @@
 		{"is being received before the end of the grace period", abort{standin.Stream, false, standin.NotRun, 2 * time.Second, 1500 * time.Millisecond}, false, true},
 		{"is being received, without load", abort{standin.Stream, false, standin.NotRun, 2 * time.Second, cutOff}, false, false},
 		{"runs at the end of the grace period", abort{standin.Stream, true, standin.Running, 2 * time.Second, cutOff}, true, true},
+		{"runs at the end of the grace period and is not a stream", abort{standin.AtMostOnce, true, standin.Running, 2 * time.Second, cutOff}, false, true},
 		{"runs at the end of the grace period, without load", abort{standin.Stream, true, standin.Running, 2 * time.Second, cutOff}, false, false},
 		{"runs before the end of the grace period", abort{standin.Stream, true, standin.Running, 2 * time.Second, 3 * time.Second}, false, true},
 		{"runs at a gateway that was stopped long ago", abort{standin.Stream, true, standin.Running, 2 * time.Second, time.Minute}, false, true},
