--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -16,12 +16,16 @@
 	"parsleyramp/scripts/internal/testbed"
 )
 
-// size is the size of every run: seven processes of the system and eight
-// endpoints.
-var size = sizes{controls: 3, gateways: 4, endpoints: 8}
+// defaultSize is the size of a run unless a flag changes it: seven processes of the
+// system and eight endpoints.
+var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8}
 
-// ledgerEndpointCount is how many of the endpoints belong to the plain service.
-const ledgerEndpointCount = 2
+const (
+	// ledgerEndpointCount is how many of the endpoints belong to the plain service.
+	ledgerEndpointCount = 2
+	// gracePeriod is the grace period of the gateways.
+	gracePeriod = 4 * time.Second
+)
 
 // fleetLimits holds the limits of the model engines.
 var fleetLimits = &standin.Limits{
@@ -49,13 +53,20 @@
 	// started is the time of the last start, and starts the number of starts.
 	started time.Time
 	starts  int
-	// holds is the number of active faults that prevent a start.
-	holds int
+	// holds is the number of active faults that prevent a start, and pauses the
+	// number of pauses so far.
+	holds, pauses int
+	// stopping is the last process that received SIGTERM, at stopSignalAt, and
+	// stopPauses the value of pauses then.
+	stopping     *testbed.Process
+	stopSignalAt time.Time
+	stopPauses   int
 }
 
 // system is one running system with the live list, the endpoints and the proxies.
 type system struct {
 	dir, bin string
+	size     sizes
 	checker  *standin.Checker
 	liveList *standin.LiveList
 	controls []*node
@@ -90,8 +101,8 @@
 
 // startSystem starts the system. run distinguishes the addresses of concurrent
 // runs.
-func startSystem(dir, bin string, run int) (*system, error) {
-	s := &system{dir: dir, bin: bin, checker: standin.NewChecker(), stopped: make(chan struct{})}
+func startSystem(dir, bin string, run int, size sizes) (*system, error) {
+	s := &system{dir: dir, bin: bin, size: size, checker: standin.NewChecker(), stopped: make(chan struct{})}
 	var err error
 	if s.liveList, err = standin.NewLiveList(); err != nil {
 		return nil, err
@@ -112,7 +123,7 @@
 			return s, err
 		}
 	}
-	for i := range size.gateways {
+	for i := range s.size.gateways {
 		if err := s.addGateway(run, i); err != nil {
 			return s, err
 		}
@@ -121,9 +132,9 @@
 }
 
 func (s *system) startEndpoints() error {
-	for i := range size.endpoints {
+	for i := range s.size.endpoints {
 		service, limits := standin.EngineService, fleetLimits
-		if i >= size.endpoints-ledgerEndpointCount {
+		if i >= s.size.endpoints-ledgerEndpointCount {
 			service, limits = standin.LedgerService, nil
 		}
 		e, err := standin.NewEndpoint(service, domain(i), limits, s.checker)
@@ -144,7 +155,7 @@
 
 func (s *system) seeds(run int) []string {
 	var out []string
-	for i := range size.controls {
+	for i := range s.size.controls {
 		out = append(out, address(run, advertisedControl, i, operatorPort))
 	}
 	return out
@@ -167,7 +178,7 @@
 	return s.launch(n, map[string]any{
 		"id": n.name, "caller_address": n.clientAddress, "ready_address": address(run, gatewayVM, i, readyPort),
 		"metrics_address": address(run, gatewayVM, i, metricsPort), "domain": domain(i), "region": "r",
-		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": "4s", "retry_slack": 50,
+		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(), "retry_slack": 50,
 	})
 }
 
@@ -226,6 +237,9 @@
 	n.mu.Lock()
 	n.holds++
 	p, started := n.process, n.started
+	if sig == syscall.SIGTERM && n.stopping != p {
+		n.stopping, n.stopSignalAt, n.stopPauses = p, time.Now(), n.pauses
+	}
 	n.mu.Unlock()
 	if p == nil || !p.Running() {
 		return
@@ -238,6 +252,42 @@
 	if err := p.Stop(); err != nil && !isExpectedExit(err, up) {
 		s.checker.RecordViolation("%s did not stop gracefully: %v", n.name, err)
 	}
+	n.checkExitTime(s.checker)
+}
+
+// checkExitTime checks that a gateway that was not paused has exited within the
+// grace period.
+func (n *node) checkExitTime(c *standin.Checker) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	took := time.Since(n.stopSignalAt)
+	if n.clientAddress != "" && took > gracePeriod && n.pauses == n.stopPauses {
+		c.RecordViolation("%s exited %v after SIGTERM, the grace period is %v", n.name, took, gracePeriod)
+	}
+}
+
+// stopSignalTime returns when the last process that was stopped as planned received
+// SIGTERM.
+func (n *node) stopSignalTime() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopSignalAt
+}
+
+// pause suspends the process for the time.
+func (n *node) pause(d time.Duration) {
+	n.countPause()
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	n.signal(syscall.SIGCONT)
+	// A stop that began during the pause sees this count change.
+	n.countPause()
+}
+
+func (n *node) countPause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pauses++
 }
 
 // signalSetupTime bounds the time from the start of a process until it handles
