Apply settings that are reloaded while a gateway or fleet replica starts

Settings that changed, or were announced by SIGHUP, while the server started were dropped: Apply found no running server, and the reloader had already recorded the file's new content, so they came into force only with the next change or signal.

Found by reading. Without the mechanism TestSettingsReloadedWhileAServerStartsAreApplied fails with: applied [c], want [b c].

--- a/cmd/parsleyramp-fleet/main.go
+++ b/cmd/parsleyramp-fleet/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"os"
 	"runtime/debug"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -26,7 +25,7 @@
 func main() {
 	debug.SetGCPercent(gcPercent)
 	cfg := fleetcontrol.DefaultSettings()
-	var running atomic.Pointer[fleetcontrol.Server]
+	var reloads program.ReloadTarget[fleetcontrol.Settings]
 	d := program.Daemon{
 		Name:     "parsleyramp-fleet",
 		Settings: &cfg,
@@ -36,27 +35,23 @@
 				defaults := fleetcontrol.DefaultSettings()
 				return &defaults
 			},
-			Apply: func(c settings.Checked) {
-				if s := running.Load(); s != nil {
-					s.Reload(*c.(*fleetcontrol.Settings))
-				}
-			},
+			Apply: func(c settings.Checked) { reloads.Apply(*c.(*fleetcontrol.Settings)) },
 		},
 		Run: func(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
-			return run(ctx, newShutdownContext, cfg, &running, log)
+			return run(ctx, newShutdownContext, cfg, &reloads, log)
 		},
 	}
 	os.Exit(d.Main(os.Args[1:]))
 }
 
-func run(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, running *atomic.Pointer[fleetcontrol.Server], log *logrus.Entry) error {
+func run(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, reloads *program.ReloadTarget[fleetcontrol.Settings], log *logrus.Entry) error {
 	nodeCtx, cancelNode := context.WithCancel(context.Background())
 	defer cancelNode()
 	s, err := fleetcontrol.Start(nodeCtx, cfg, dependencies(cfg, log), log)
 	if err != nil {
 		return err
 	}
-	running.Store(s)
+	reloads.Started(s.Reload)
 	select {
 	case <-s.Stopped():
 	case <-ctx.Done():
--- a/cmd/parsleyramp-gateway/main.go
+++ b/cmd/parsleyramp-gateway/main.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"os"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,7 +19,7 @@
 
 func main() {
 	cfg := gateway.DefaultSettings()
-	var running atomic.Pointer[gateway.Gateway]
+	var reloads program.ReloadTarget[gateway.Settings]
 	d := program.Daemon{
 		Name:     "parsleyramp-gateway",
 		Settings: &cfg,
@@ -30,18 +29,14 @@
 				defaults := gateway.DefaultSettings()
 				return &defaults
 			},
-			Apply: func(c settings.Checked) {
-				if g := running.Load(); g != nil {
-					g.Reload(*c.(*gateway.Settings))
-				}
-			},
+			Apply: func(c settings.Checked) { reloads.Apply(*c.(*gateway.Settings)) },
 		},
 		Run: func(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
 			g, err := gateway.Start(cfg, dependencies(log), log)
 			if err != nil {
 				return err
 			}
-			running.Store(g)
+			reloads.Started(g.Reload)
 			<-ctx.Done()
 			shutdown, cancel := newShutdownContext()
 			defer cancel()
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -89,3 +90,15 @@
 	_, applied := startReloader(t, `{"name": "a"}`, `{"name": "b"}`)
 	expectApplied(t, applied, "b")
 }
+
+func TestSettingsReloadedWhileAServerStartsAreApplied(t *testing.T) {
+	var target ReloadTarget[string]
+	var applied []string
+	target.Apply("a")
+	target.Apply("b")
+	target.Started(func(name string) { applied = append(applied, name) })
+	target.Apply("c")
+	if want := []string{"b", "c"}; !slices.Equal(applied, want) {
+		t.Errorf("applied %v, want %v", applied, want)
+	}
+}
