--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -27,10 +28,10 @@
 	phaseSelecting
 	// phaseReserving: a slot is being reserved.
 	phaseReserving
-	// phaseSent: the request was sent to an endpoint, and the client has received
-	// no byte of the response.
+	// phaseSent: the request was sent to an endpoint, no byte of whose response has
+	// been forwarded.
 	phaseSent
-	// phaseStreaming: the client has received a part of the response.
+	// phaseStreaming: a part of the endpoint's response has been forwarded.
 	phaseStreaming
 	phaseCount
 )
@@ -118,7 +119,7 @@
 	for s := range r.states {
 		out = append(out, s)
 	}
-	slices.SortFunc(out, func(a, b *requestState) int { return int(a.arrived - b.arrived) })
+	slices.SortFunc(out, func(a, b *requestState) int { return cmp.Compare(a.arrived, b.arrived) })
 	return out
 }
 
