Add a failing test of a leader that is reached too late in each exchange

A client whose context ends during the call to the leader moves on from it, and its next exchange begins again with the VMs that do not respond.

--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -11,6 +11,7 @@
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/wait"
 )
 
 var (
@@ -59,3 +60,28 @@
 		})
 	}
 }
+
+func TestLeaderReachedLateIsCalledFirstNextTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(http.DefaultClient, []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})
+		c.SetTimeouts(500*time.Millisecond, 30*time.Millisecond)
+		exchange := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+			defer cancel()
+			return c.Do(ctx, func(ctx context.Context, conn Conn) error {
+				leads := conn.Address == "127.0.0.1:3"
+				if leads && wait.For(ctx, 200*time.Millisecond) {
+					return nil
+				}
+				<-ctx.Done()
+				return unavailable
+			})
+		}
+		if err := exchange(); err == nil {
+			t.Fatal("the first exchange succeeded, want its time spent on the two VMs that do not respond")
+		}
+		if err := exchange(); err != nil {
+			t.Errorf("second exchange: %v, want the leader to be called first", err)
+		}
+	})
+}
