Call the control VM first that the end of an exchange left unanswered

Cause: an exchange of a gateway may take 1.2 s and a call 0.5 s. Two calls to replicas without power leave 0.14 s for the leader. When the exchange ended there, the client moved on from the leader as from one that does not respond, and the next exchange began again with the two.

The leader logs 'gateway connected' for edge-riga-d-10 at 12.77 s, whose exchange ends at 12.81 s with deadline_exceeded; its next success is at 17.92 s, and it served by the old version at 15.53 s. That the exchanges in between went this way is inferred: their calls are not logged.

A call that the caller's context ends before half of the time of a call says nothing of the VM; the next exchange begins with it and has its whole time. A VM that names the leader is still followed, and one that does not respond for longer is still left.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -104,7 +104,7 @@
 func (c *Client) Do(ctx context.Context, f func(context.Context, Conn) error) error {
 	ran := fail.RanNo
 	for {
-		conn := c.currentConn()
+		conn, started := c.currentConn(), time.Now()
 		attempt, cancel := context.WithTimeout(ctx, c.attemptTimeout)
 		err := f(attempt, conn)
 		cancel()
@@ -118,7 +118,9 @@
 		if failure.Code != fail.NotLeader && failure.Code != fail.Unavailable {
 			return failure.WithRan(ran)
 		}
-		c.selectNext(conn, leader)
+		if ctx.Err() == nil || leader != "" || time.Since(started) >= c.minAttempt() {
+			c.selectNext(conn, leader)
+		}
 		select {
 		case <-ctx.Done():
 			return fail.Wrap(failure, fail.Unavailable, "no control leader responded before the deadline").WithRan(ran)
@@ -127,6 +129,11 @@
 	}
 }
 
+// minAttempt returns the duration from which an attempt that ends with the caller's
+// context counts as one without a response. After a shorter one the next call of Do
+// begins at the same control VM, which may be the leader.
+func (c *Client) minAttempt() time.Duration { return c.attemptTimeout / 2 }
+
 // Addresses returns the addresses of all known control VMs.
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
