--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -48,8 +48,10 @@
 	// intentMu serializes commits of order intents.
 	intentMu sync.Mutex
 
-	mu                sync.Mutex
-	doc               *document.Document
+	mu  sync.Mutex
+	doc *document.Document
+	// docSince is when this replica first saw doc as the leader.
+	docSince          time.Duration
 	gateways          map[string]*gatewayState
 	engines           map[string]*engineState
 	loads             map[string]*wire.InProgress
@@ -70,6 +72,10 @@
 	gateway    *wire.Gateway
 	lastReport time.Duration
 	loads      []*wire.InProgress
+	// documentVersion is the version that the gateway last reported, and slowVersion
+	// the last one that was logged as missing there.
+	documentVersion uint64
+	slowVersion     uint64
 }
 
 // leaderLoop runs a step at every plan interval or trigger while this replica
@@ -196,7 +202,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.doc = d
+	l.doc, l.docSince = d, l.s.clock()
 	l.mu.Unlock()
 }
 
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -67,6 +67,7 @@
 	l.addLoads(g.loads, -1)
 	g.gateway, g.lastReport, g.loads = r.Gateway, now, r.Loads
 	l.addLoads(g.loads, 1)
+	l.recordDocumentVersion(g, r.DocumentVersion, now)
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -57,14 +60,18 @@
 		req.ViewTerm, req.ViewRevision = v.Term, v.Revision
 	}
 	var resp *wire.SyncResponse
+	var calls controlCalls
 	err := g.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+		started := g.clock()
 		r, err := c.Fleet.Sync(ctx, connect.NewRequest(req))
 		if err == nil {
 			resp = r.Msg
 		}
+		calls.record(c.Address, g.clock()-started, err)
 		return err
 	})
 	if err != nil {
+		g.log.WithFields(logrus.Fields{"calls": calls.String(), "document_version": req.DocumentVersion, "view_term": req.ViewTerm}).Info("calls of the failed exchange with the control plane")
 		return 0, err
 	}
 	g.applyDocument(resp.Document)
@@ -73,6 +80,30 @@
 	return time.Duration(resp.PauseMs) * time.Millisecond, nil
 }
 
+// maxCallsLogged bounds the calls of one exchange that are logged.
+const maxCallsLogged = 12
+
+// controlCalls describes the calls of one exchange, for the log.
+type controlCalls struct{ text []string }
+
+func (c *controlCalls) record(address string, took time.Duration, err error) {
+	if len(c.text) >= maxCallsLogged {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		failure, leader := rpcerror.FromConnect(err)
+		outcome = string(failure.Code)
+		if leader != "" {
+			outcome += " names " + leader
+		}
+	}
+	c.text = append(c.text, address+" "+strconv.FormatInt(took.Milliseconds(), 10)+"ms "+outcome)
+}
+
+// String returns the calls in their order.
+func (c *controlCalls) String() string { return strings.Join(c.text, ", ") }
+
 // applyLoads updates what the other gateways have in flight. The counts are
 // listed in the order of the endpoints of the current view.
 func (g *Gateway) applyLoads(resp *wire.SyncResponse) {
