Add a failing test of the time in which an acknowledged document is in force

The test drives a gateway through states of the control group, each at 30 phases of its calls, and wants a document applied 2 s after its acknowledgement, the bound of the smaller deployments.

--- /dev/null
+++ b/internal/gateway/documentbound_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wait"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const (
+	// applyBound is the time from the acknowledgement of a fleet document in which
+	// every gateway that reaches the control group must route by it.
+	applyBound = 2 * time.Second
+	// settledTime is how long the VMs of the control group have been in their states
+	// at the acknowledgement, and up to phases times phaseStep more, so that it comes at
+	// each phase of the gateway's calls.
+	settledTime = 3 * time.Second
+	phaseStep   = 150 * time.Millisecond
+	phases      = 30
+)
+
+// fakeGroup is a control group of which a gateway's client knows all VMs.
+type fakeGroup struct {
+	mu sync.Mutex
+	// leader is the address of the leader, "" if there is none.
+	leader  string
+	version uint64
+	// changed is closed at each change of leader and version.
+	changed chan struct{}
+}
+
+func newFakeGroup() *fakeGroup { return &fakeGroup{version: 1, changed: make(chan struct{})} }
+
+func (g *fakeGroup) set(leader string, version uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader, g.version = leader, version
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *fakeGroup) state() (leader string, version uint64, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader, g.version, g.changed
+}
+
+// fakeReplica is one control VM of the group.
+type fakeReplica struct {
+	wireconnect.UnimplementedFleetServiceHandler
+	group   *fakeGroup
+	address string
+	// silent VMs have no power or have left the group.
+	silent bool
+	// exchangeTime is how long the response to an exchange takes.
+	exchangeTime time.Duration
+}
+
+func (r *fakeReplica) Sync(ctx context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
+	leader, _, _ := r.group.state()
+	if leader != r.address {
+		return nil, rpcerror.ToConnect(fail.New(fail.NotLeader, "this replica does not lead"), leader)
+	}
+	if !wait.For(ctx, r.exchangeTime) {
+		return nil, ctx.Err()
+	}
+	out := &wire.SyncResponse{Term: 1}
+	if _, version, _ := r.group.state(); version > req.Msg.DocumentVersion {
+		out.Document = testDocument(version)
+	}
+	return connect.NewResponse(out), nil
+}
+
+func testDocument(version uint64) *wire.Document {
+	return &wire.Document{Version: version, Text: []byte(strconv.FormatUint(version, 10))}
+}
+
+// replicaTransport routes calls to the replicas by address.
+type replicaTransport map[string]*fakeReplica
+
+func (t replicaTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	r := t[req.URL.Host]
+	if r == nil || r.silent {
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	_, handler := wireconnect.NewFleetServiceHandler(r, transport.PeerHandlerOptions()...)
+	return roundTripper{handler}.RoundTrip(req)
+}
+
+// controlCase is a state of the control group, with the VMs in the order in which the
+// gateway knows them.
+type controlCase struct {
+	name string
+	vms  []fakeReplica
+	// leader is the index of the VM that leads at the acknowledgement. It has just been
+	// elected then if elected is set.
+	leader  int
+	elected bool
+}
+
+func silentVMs(n int) []fakeReplica {
+	out := make([]fakeReplica, n)
+	for i := range out {
+		out[i].silent = true
+	}
+	return out
+}
+
+func TestAcknowledgedDocumentIsAppliedInTimeInEveryStateOfControl(t *testing.T) {
+	for _, c := range []controlCase{
+		{name: "leader responds at once", vms: make([]fakeReplica, 3)},
+		{name: "two VMs without power", vms: append(silentVMs(2), make([]fakeReplica, 3)...), leader: 2},
+		{name: "two VMs without power before a leader that was just elected", vms: append(silentVMs(2), make([]fakeReplica, 3)...), leader: 4, elected: true},
+		{name: "two VMs without power and four that left the group, new leader", vms: append(silentVMs(6), make([]fakeReplica, 3)...), leader: 8, elected: true},
+		{name: "leader responds to exchanges too late", vms: []fakeReplica{{exchangeTime: 700 * time.Millisecond}, {}, {}}},
+		{name: "leader responds to exchanges too late and one VM is without power", vms: []fakeReplica{{silent: true}, {exchangeTime: 700 * time.Millisecond}, {}}, leader: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for phase := range phases {
+				synctest.Test(t, func(t *testing.T) { c.check(t, settledTime+time.Duration(phase)*phaseStep) })
+			}
+		})
+	}
+}
+
+// check acknowledges a document after the time settled, and checks when the gateway
+// applies it.
+func (c controlCase) check(t *testing.T, settled time.Duration) {
+	group := newFakeGroup()
+	replicas, addresses := replicaTransport{}, []string(nil)
+	for i := range c.vms {
+		r := &fakeReplica{group: group, address: fmt.Sprintf("10.0.0.%d:1", i+1), silent: c.vms[i].silent, exchangeTime: c.vms[i].exchangeTime}
+		replicas[r.address], addresses = r, append(addresses, r.address)
+	}
+	g := newTestGateway(t, idempotent, document.Service{})
+	g.deps.Decode = func(text []byte) (*document.Document, error) {
+		version, err := strconv.ParseUint(string(text), 10, 64)
+		return &document.Document{Version: version}, err
+	}
+	g.control = controlclient.New(&http.Client{Transport: replicas}, addresses)
+	g.control.SetTimeouts(controlTimeout, controlRetryDelay)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	g.followControl(ctx)
+	if !c.elected {
+		group.set(addresses[c.leader], 1)
+	}
+	time.Sleep(settled)
+	acknowledged := g.clock()
+	group.set(addresses[c.leader], 2)
+	for g.table.Load().Document.Version < 2 && g.clock() < acknowledged+10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := g.clock() - acknowledged; took > applyBound {
+		t.Errorf("document applied %v after its acknowledgement at %v, want within %v", took, settled, applyBound)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	go g.syncLoop(ctx)
+	g.followControl(ctx)
 	go g.sweep(ctx)
 	log.WithFields(logrus.Fields{"address": cfg.CallerAddress, "incarnation": g.incarnation}).Info("gateway started")
 	return g, nil
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -21,6 +21,11 @@
 // syncTimeout bounds one exchange with the control plane.
 const syncTimeout = 1200 * time.Millisecond
 
+// followControl keeps this gateway's document and view up to date until ctx ends.
+func (g *Gateway) followControl(ctx context.Context) {
+	go g.syncLoop(ctx)
+}
+
 // syncLoop exchanges state with the control leader until ctx ends.
 func (g *Gateway) syncLoop(ctx context.Context) {
 	var lostAt time.Time
