Log the fingerprint of a request whose send failed

The fingerprint is a digest of path, caller and body under a key that the control leader gives to all gateways.

--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
@@ -41,6 +42,7 @@
 		return nil, f.s.rpcError(ctx, errNotLeading)
 	}
 	resp := l.sync(req.Msg)
+	resp.FingerprintKey = quarantine.NewKey(f.s.group.Name())
 	err := f.s.node.ReadStale(ctx, func(m *state.Machine) {
 		if d := m.Document(); d.GetVersion() > req.Msg.DocumentVersion {
 			resp.Document = d
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/upstream"
 )
 
@@ -253,5 +255,22 @@
 	if s.err != nil {
 		line = line.WithField("error", s.err.Error())
 	}
+	if f, ok := q.fingerprint(); ok {
+		line = line.WithField("fingerprint", quarantine.FormatFingerprint(f))
+	}
 	line.Info("request attempt failed")
 }
+
+// fingerprint returns the fingerprint of the request, or false if this gateway does not
+// have the key yet.
+func (q *request) fingerprint() (uint64, bool) {
+	key := q.g.fingerprintKey.Load()
+	if key == nil {
+		return 0, false
+	}
+	caller, _, err := net.SplitHostPort(q.httpRequest.RemoteAddr)
+	if err != nil {
+		caller = q.httpRequest.RemoteAddr
+	}
+	return key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body}), true
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/retry"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
@@ -67,8 +68,11 @@
 	clock       func() time.Duration
 	incarnation string
 
-	table    atomic.Pointer[document.Table]
-	view     atomic.Pointer[fleet.View]
+	table atomic.Pointer[document.Table]
+	view  atomic.Pointer[fleet.View]
+	// fingerprintKey is nil until the first exchange with the control plane.
+	fingerprintKey atomic.Pointer[quarantine.Key]
+
 	changed  broadcast
 	draining atomic.Bool
 	// cancelAt is the time of clock at which a shutdown cancels the requests in
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -13,6 +13,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
@@ -79,6 +80,8 @@
 		g.log.WithFields(logrus.Fields{"calls": calls.String(), "document_version": req.DocumentVersion, "view_term": req.ViewTerm}).Info("calls of the failed exchange with the control plane")
 		return 0, err
 	}
+	key := quarantine.Key(resp.FingerprintKey)
+	g.fingerprintKey.Store(&key)
 	g.applyDocument(resp.Document)
 	g.applyView(resp.View)
 	g.applyLoads(resp)
