Add a failing soak of a request that crashes each endpoint that runs it

The stand-in's endpoints crash under such a request and start again empty, with a new id. The soak sends it to all gateways in turn after the faults; the endpoints check that it runs at most three times later than 3 s after the third crash, and the clients that no other request is refused for it.

--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -48,6 +48,8 @@
 	// planned stops after them.
 	length time.Duration
 	series int
+	// crashing is set if a request that crashes endpoints is sent after the faults.
+	crashing bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -75,6 +77,9 @@
 	o.logLine("faults over")
 	d.checkRecovery()
 	d.checkChange()
+	if o.crashing {
+		d.checkCrashingRequest()
+	}
 	d.checkPlannedStops()
 	d.checkStopsUnderLoad(o.series)
 	d.checkLeaving()
@@ -141,6 +146,32 @@
 	}
 }
 
+const (
+	// crashingTime is how long a request that crashes endpoints comes again and again,
+	// and crashingPause the time between two of its attempts.
+	crashingTime  = 12 * time.Second
+	crashingPause = 120 * time.Millisecond
+)
+
+// checkCrashingRequest sends a request that crashes each endpoint that runs it to all
+// gateways in turn. The endpoints check how often it runs, and clients that no other
+// request is refused for it.
+func (d *driver) checkCrashingRequest() {
+	content := standin.CrashingContent(fmt.Sprintf("of seed %d", d.seed))
+	client := standin.NewClient(d.s.checker)
+	end := time.Now().Add(crashingTime)
+	for i := 0; time.Now().Before(end) && d.wait(crashingPause); i++ {
+		attempt := standin.Attempt{ID: fmt.Sprintf("%x-crash-%d", d.seed, i), Kind: standin.Stream, Model: fleetLimits.Models[0].Name, Session: "c", Content: content}
+		gateway := d.s.gateways[i%len(d.s.gateways)]
+		d.all.Go(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
+			defer cancel()
+			client.Do(ctx, gateway.clientAddress, attempt)
+		})
+	}
+	d.logLine(fmt.Sprintf("%s: endpoints crashed at %v", content, d.s.checker.Crashes(content)))
+}
+
 // checkPlannedStops restarts every gateway gracefully while clients send requests.
 func (d *driver) checkPlannedStops() {
 	d.logLine("planned stops")
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -136,11 +136,7 @@
 
 // TestShortSoak injects faults into the real programs for a few seconds per seed.
 func TestShortSoak(t *testing.T) {
-	bin := t.TempDir()
-	build := exec.Command("go", "build", "-o", bin+"/", "parsleyramp/cmd/parsleyramp-gateway", "parsleyramp/cmd/parsleyramp-fleet")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	bin := buildPrograms(t)
 	for i, c := range shortSeeds {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			t.Parallel()
@@ -161,5 +157,29 @@
 	}
 }
 
+// buildPrograms builds the programs of a system and returns their folder.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+"/", "parsleyramp/cmd/parsleyramp-gateway", "parsleyramp/cmd/parsleyramp-fleet")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return bin
+}
+
+func TestRequestThatCrashesEveryEndpointIsRefusedAfterItsThirdCrash(t *testing.T) {
+	r, err := runSoak(t.Context(), options{
+		dir: t.TempDir(), bin: buildPrograms(t), run: firstTestRun + len(shortSeeds), seed: 1, size: defaultSize, length: firstFaultDelay, crashing: true,
+		logLine: func(line string) { t.Log(line) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range r.violations {
+		t.Error(violation)
+	}
+}
+
 // firstTestRun keeps the addresses of tests apart from those of manual runs.
 const firstTestRun = 100
