Convict requests that crash each endpoint that runs them at the gateways

Cause: it comes again with another attempt id and is a first try at each gateway. The entries' stack convicts such requests (internal/quarantine); nothing in the gateways' stack remembered a request beyond its attempt.

internal/quarantine now holds the decision of both stacks. Gateways report the fingerprints of requests that an endpoint broke, and whether it accepted a connection right after. The leader takes the endpoint for crashed if no gateway received a byte from it while all reported, or if it left the list without draining. Three crashes convict a request unless another request was in flight during all of them; then the next crash tells them apart, and the fifth convicts in any case. Gateways cannot run a suspect alone, as entries do, because they share their endpoints: they send it once for each attempt, each suspect at an endpoint of its own preference. A request that runs to its end is cleared. Suspects of two crashes and convictions are in the replicated log, so that the next leader has them.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -13,6 +13,7 @@
 
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/routing"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/wire"
@@ -59,7 +60,7 @@
 		return nil, nil, nil, fail.Wrap(err, fail.BadRequest, "the body is not a JSON completion request")
 	}
 	if c.suspects[xxhash.Sum64(body)] == wire.SuspectState_SUSPECT_STATE_CONVICTED {
-		return nil, nil, nil, quarantinedError()
+		return nil, nil, nil, quarantine.NewError()
 	}
 	m := c.models[fields.Model]
 	if m == nil {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -9,7 +9,6 @@
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
-	"parsleyramp/internal/fail"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -158,8 +157,3 @@
 	})
 	return out, err
 }
-
-// quarantinedError returns the final error for a poison request.
-func quarantinedError() *fail.Error {
-	return fail.New(fail.Quarantined, "the request is quarantined: two endpoints crashed while it was in flight")
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -175,7 +175,7 @@
 	switch quarantine.Decide(c.suspects[j.template.Fingerprint], p.crashes) {
 	case quarantine.Reject:
 		p.stop = true
-		return quarantinedError()
+		return quarantine.NewError()
 	case quarantine.RunIsolated:
 		p.isolated = true
 	}
@@ -267,7 +267,7 @@
 		case err != nil:
 			return fail.Wrap(err, fail.Unavailable, "the control plane did not confirm that the request may run again").WithRetryAfter(defaultRetryAfter)
 		case r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED:
-			return quarantinedError()
+			return quarantine.NewError()
 		case r.KnownEverywhere:
 			return nil
 		case ctx.Err() != nil:
@@ -280,7 +280,7 @@
 // finalError returns the error that is sent to the client.
 func (d *dispatcher) finalError(ctx context.Context, p *progress) error {
 	if p.crashes >= quarantine.MaxCrashes {
-		return quarantinedError().WithRan(fail.RanUnknown)
+		return quarantine.NewError().WithRan(fail.RanUnknown)
 	}
 	f := p.lastErr
 	if f.RetryAfter == 0 && !permanentCodes[f.Code] {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -148,7 +148,7 @@
 	}
 	switch decision := quarantine.Decide(c.suspects[r.Fingerprint], 0); {
 	case decision == quarantine.Reject:
-		return nil, quarantinedError()
+		return nil, quarantine.NewError()
 	case decision == quarantine.RunIsolated && !r.Isolated:
 		return nil, fail.New(fail.MustRunAlone, "the request was in flight when an endpoint crashed and must run isolated").WithRetryAfter(time.Second)
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -209,6 +209,13 @@
 	l.latencies[endpoint] = sum
 }
 
+// Dead reports whether several gateways together consider the endpoint dead.
+func (l *Loads) Dead(endpoint string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dead[endpoint]
+}
+
 // healthCost returns the cost, in units of utilization, of an endpoint that several
 // gateways together or this one alone consider failing or dead; zero for others.
 // l.mu must be held.
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/residency"
 	"parsleyramp/internal/state"
@@ -62,6 +63,11 @@
 	placementLoggedAt map[string]time.Duration
 	jobs              map[adapterRequest]*adapterJob
 	detector          *failureDetector
+	suspects          *quarantine.Pool
+	// recordedSuspects are those that the log holds, and recordedRevision is the
+	// revision of the suspects of which they are up to date.
+	recordedSuspects map[uint64]*wire.Suspect
+	recordedRevision uint64
 	// published is the view of the fleet that gateways receive.
 	published *publishedView
 	// control are the addresses of the control replicas.
@@ -140,6 +146,7 @@
 	s.refreshIntents(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	l := newLeaderState(ctx, s, term)
+	l.restoreSuspects(ctx)
 	s.leader.Store(l)
 	go l.pollList(ctx)
 	s.log.WithField("term", term).Info("leadership acquired")
@@ -155,6 +162,7 @@
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
+		suspects: quarantine.NewPool(term << suspectTermShift), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
 	l.orderAllowed = l.mayOrder
 	return l
@@ -173,6 +181,9 @@
 		l.plan(now)
 	}
 	l.publish(now)
+	if r := l.evaluateSuspects(now); r != nil {
+		go l.recordSuspects(ctx, r)
+	}
 }
 
 // triggerStep makes leaderLoop run a step without waiting for the plan interval.
@@ -256,6 +267,7 @@
 	}
 	for id := range l.engines {
 		if !listed[id] {
+			l.suspects.Removed(id, l.engines[id].listed.Leaving)
 			delete(l.engines, id)
 			l.s.log.WithField("endpoint", id).Info("endpoint no longer listed")
 		}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -70,6 +70,7 @@
 	g.gateway, g.lastReport, g.loads = r.Gateway, now, r.Loads
 	l.addLoads(g.loads, 1)
 	l.recordDocumentVersion(g, r.DocumentVersion, now)
+	l.ingestSuspects(r, now)
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
@@ -82,6 +83,7 @@
 		known = r.ViewRevision
 	}
 	resp := &wire.SyncResponse{Term: l.term, View: l.published.changesSince(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
+	l.setSuspects(resp, r.SuspectsRevision)
 	resp.OthersRunning, resp.OthersTokenUnits = l.peerLoads(g)
 	resp.Failing, resp.Dead = l.unhealthyEndpoints(r.Gateway.GetDomain(), now)
 	return resp
--- /dev/null
+++ b/internal/fleetcontrol/suspects.go
@@ -0,0 +1,150 @@
+package fleetcontrol
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyramp/internal/quarantine"
+	"parsleyramp/internal/state"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	// reportMargin is the part of the time until all gateways have reported that does
+	// not depend on their number: the interval between two exchanges and the exchange.
+	reportMargin = 250 * time.Millisecond
+	// suspectTermShift places the term above the revisions of the suspects, so that
+	// those of different leaders differ.
+	suspectTermShift = 32
+)
+
+var endpointCrashes = metrics.GetOrCreateCounter("parsleyramp_fleet_endpoint_crashes_total")
+
+// reportLag returns how old a report of a gateway may be when it arrives, and how long
+// it takes until all gateways have reported. l.mu must be held.
+func (l *leaderState) reportLag() time.Duration {
+	return time.Duration(syncPauseMS(len(l.gateways)))*time.Millisecond + reportMargin
+}
+
+// ingestSuspects adds a gateway's report of broken and completed requests. l.mu must be
+// held.
+func (l *leaderState) ingestSuspects(r *wire.SyncRequest, now time.Duration) {
+	for _, b := range r.Broken {
+		if e := l.engines[b.Endpoint]; e != nil && e.listed.Leaving {
+			continue
+		}
+		l.suspects.Broken(b.Endpoint, b.Fingerprints, b.Refused, now)
+	}
+	for _, f := range r.CompletedSuspects {
+		l.suspects.Completed(f)
+	}
+	lag := l.reportLag()
+	for _, x := range r.Loads {
+		if x.Heard || x.Served > 0 {
+			l.suspects.Responded(x.Endpoint, now, lag)
+		}
+	}
+}
+
+// setSuspects adds the suspects to the response unless the gateway has them. l.mu must
+// be held.
+func (l *leaderState) setSuspects(resp *wire.SyncResponse, known uint64) {
+	if known != l.suspects.Revision() {
+		resp.Suspects, resp.SuspectsRevision = l.suspects.Known()
+	}
+}
+
+// evaluateSuspects logs the crashes that have become certain, and returns the command
+// that records the changed suspects, or nil if none has changed. l.mu must be held.
+func (l *leaderState) evaluateSuspects(now time.Duration) *wire.RecordSuspects {
+	for _, c := range l.suspects.Evaluate(now, l.reportLag()) {
+		endpointCrashes.Inc()
+		l.s.log.WithFields(logrus.Fields{
+			"endpoint": c.Endpoint, "requests_in_flight": len(c.InFlight), "convicted": formatFingerprints(c.Convicted),
+		}).Info("endpoint crashed while it ran requests")
+	}
+	if l.suspects.Revision() == l.recordedRevision {
+		return nil
+	}
+	known, revision := l.suspects.Known()
+	l.recordedRevision = revision
+	return suspectChanges(l.recordedSuspects, known)
+}
+
+// maxFingerprintsLogged bounds the fingerprints in one log line.
+const maxFingerprintsLogged = 10
+
+func formatFingerprints(all []uint64) string {
+	var out []string
+	for _, f := range all[:min(len(all), maxFingerprintsLogged)] {
+		out = append(out, quarantine.FormatFingerprint(f))
+	}
+	return strings.Join(out, " ")
+}
+
+// suspectChanges returns the command that turns the recorded suspects into the known
+// ones, or nil if they are equal.
+func suspectChanges(recorded map[uint64]*wire.Suspect, known []*wire.Suspect) *wire.RecordSuspects {
+	out := &wire.RecordSuspects{}
+	isKnown := map[uint64]bool{}
+	for _, s := range known {
+		isKnown[s.Fingerprint] = true
+		if !proto.Equal(recorded[s.Fingerprint], s) {
+			out.Suspects = append(out.Suspects, s)
+		}
+	}
+	for f := range recorded {
+		if !isKnown[f] {
+			out.Cleared = append(out.Cleared, f)
+		}
+	}
+	if len(out.Suspects)+len(out.Cleared) == 0 {
+		return nil
+	}
+	return out
+}
+
+// recordSuspects commits the changed suspects, so that the next leader knows them.
+// After a failure the next step commits them again.
+func (l *leaderState) recordSuspects(ctx context.Context, r *wire.RecordSuspects) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c := &wire.Command{ProposedUnixMs: time.Now().UnixMilli(), Body: &wire.Command_RecordSuspects{RecordSuspects: r}}
+	_, err := l.s.node.ProposeInTerm(ctx, l.term, c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.recordedRevision = 0
+		l.s.log.WithError(err).WithField("suspects", len(r.Suspects)).Warn("failed to record suspected requests")
+		return
+	}
+	for _, s := range r.Suspects {
+		l.recordedSuspects[s.Fingerprint] = s
+	}
+	for _, f := range r.Cleared {
+		delete(l.recordedSuspects, f)
+	}
+}
+
+// restoreSuspects takes over the suspects that earlier leaders have recorded.
+func (l *leaderState) restoreSuspects(ctx context.Context) {
+	var recorded []*wire.Suspect
+	err := l.s.node.ReadStale(ctx, func(m *state.Machine) { recorded = m.Suspects() })
+	if err != nil {
+		l.s.log.WithError(err).Warn("failed to read the recorded suspects")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.suspects.Restore(recorded, l.s.clock())
+	for _, s := range recorded {
+		s.SeenUnixMs, s.LogIndex = 0, 0
+		l.recordedSuspects[s.Fingerprint] = s
+	}
+	l.recordedRevision = l.suspects.Revision()
+}
--- /dev/null
+++ b/internal/fleetcontrol/suspects_test.go
@@ -0,0 +1,107 @@
+package fleetcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+// report exchanges state for a gateway.
+func report(l *leaderState, r *wire.SyncRequest) *wire.SyncResponse {
+	if r.Gateway == nil {
+		r.Gateway = &wire.Gateway{Id: "a"}
+	}
+	return l.sync(r)
+}
+
+// evaluateLater evaluates the suspects once all gateways have reported.
+func evaluateLater(l *leaderState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	time.Sleep(2*l.reportLag() + time.Millisecond)
+	l.evaluateSuspects(l.s.clock())
+}
+
+func TestRequestThatCrashesEndpointsIsConvictedFromReportsOfSeveralGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+		var resp *wire.SyncResponse
+		for i := range 3 {
+			endpoint := fmt.Sprint("e", i)
+			report(l, &wire.SyncRequest{Broken: []*wire.BrokenRequests{{Endpoint: endpoint, Fingerprints: []uint64{7}, Refused: true}}})
+			report(l, &wire.SyncRequest{Gateway: &wire.Gateway{Id: "b"}, Broken: []*wire.BrokenRequests{{Endpoint: endpoint, Fingerprints: []uint64{uint64(100 + i)}, Refused: true}}})
+			evaluateLater(l)
+		}
+		resp = report(l, &wire.SyncRequest{})
+		if len(resp.Suspects) != 1 || resp.Suspects[0].Fingerprint != 7 || resp.Suspects[0].State != wire.SuspectState_SUSPECT_STATE_CONVICTED {
+			t.Fatalf("suspects %v, want request 7 convicted", resp.Suspects)
+		}
+		if again := report(l, &wire.SyncRequest{SuspectsRevision: resp.SuspectsRevision}); again.SuspectsRevision != 0 {
+			t.Errorf("revision %d sent to a gateway that has %d", again.SuspectsRevision, resp.SuspectsRevision)
+		}
+	})
+}
+
+func TestBrokenRequestsAtEndpointsThatServeOthersConvictNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+		l.applyList([]ListedEndpoint{{ID: "leaving", Leaving: true}})
+		for _, endpoint := range []string{"e0", "leaving", "e1", "e2"} {
+			report(l, &wire.SyncRequest{Broken: []*wire.BrokenRequests{{Endpoint: endpoint, Fingerprints: []uint64{7}, Refused: true}}})
+			time.Sleep(l.reportLag() + time.Millisecond)
+			report(l, &wire.SyncRequest{Gateway: &wire.Gateway{Id: "b"}, Loads: []*wire.InProgress{{Endpoint: endpoint, Heard: endpoint != "leaving"}}})
+			evaluateLater(l)
+		}
+		if resp := report(l, &wire.SyncRequest{}); len(resp.Suspects) > 0 {
+			t.Errorf("suspects %v, want none", resp.Suspects)
+		}
+	})
+}
+
+func TestConvictedRequestSurvivesRestartOfTheControlGroup(t *testing.T) {
+	cfg := DefaultSettings()
+	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
+	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
+	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	s, stop := startSingle(t, cfg)
+	eventually(t, func(context.Context) error {
+		l := s.leader.Load()
+		if l == nil {
+			return errNotLeading
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.recordedSuspects) > 0 {
+			return nil
+		}
+		for i := range 3 {
+			// A crash is certain once all gateways have reported.
+			at := l.s.clock() + time.Duration(i)*time.Second
+			l.suspects.Broken(fmt.Sprint("e", i), []uint64{7}, true, at)
+			l.suspects.Evaluate(at+time.Second, l.reportLag())
+		}
+		return errors.New("the conviction has not been recorded yet")
+	})
+	stop()
+
+	cfg.FirstStart = false
+	_, stop = startSingle(t, cfg)
+	defer stop()
+	client := wireconnect.NewFleetServiceClient(transport.NewPeerClient(), "http://"+cfg.Address)
+	eventually(t, func(ctx context.Context) error {
+		resp, err := client.Sync(ctx, connect.NewRequest(&wire.SyncRequest{Gateway: &wire.Gateway{Id: "g"}}))
+		if err == nil && (len(resp.Msg.Suspects) != 1 || resp.Msg.Suspects[0].State != wire.SuspectState_SUSPECT_STATE_CONVICTED) {
+			t.Fatalf("suspects %v after the restart, want request 7 convicted", resp.Msg.Suspects)
+		}
+		return err
+	})
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -37,7 +36,10 @@
 	outcome attempt.Outcome
 	// complete is set if the complete response was forwarded to the client.
 	complete bool
-	err      error
+	// broken is set if the endpoint closed the connection, or fell silent, before the
+	// response was complete.
+	broken bool
+	err    error
 }
 
 // bufferedResponse is a response that is read completely before any of it is
@@ -51,10 +53,14 @@
 // run executes the steps that package attempt decides until the client has a
 // response or the connection is aborted.
 func (q *request) run() {
-	h := attempt.History{Rules: attemptRules(q.route)}
+	h := attempt.History{Rules: q.attemptRules()}
 	tried := map[string]bool{}
 	out := &relay{q: q}
 	for {
+		if q.quarantined() {
+			q.endWithoutResponse(&h, out, quarantine.NewError())
+			return
+		}
 		started := q.g.clock()
 		q.state.setPhase(phaseSelecting)
 		e, err := q.selectEndpoint(tried)
@@ -66,6 +72,7 @@
 		}
 		tried[e.ID] = true
 		s := q.send(e, out, &h)
+		q.recordCrashEvidence(e, s)
 		if s.complete {
 			sendsDone.count("done")
 			if q.firstByte > 0 {
@@ -93,8 +100,15 @@
 	}
 }
 
-func attemptRules(r *document.Route) attempt.Rules {
-	return attempt.Rules{Retryable: r.Retryable(), Resumable: r.Kind == document.Stream && r.Resumable, MaxSends: max(r.MaxAttempts, 1)}
+// attemptRules returns the retry rules of the route. A suspect is sent once, so that it
+// crashes at most one endpoint for each attempt of its client.
+func (q *request) attemptRules() attempt.Rules {
+	r := q.route
+	rules := attempt.Rules{Retryable: r.Retryable(), Resumable: r.Kind == document.Stream && r.Resumable, MaxSends: max(r.MaxAttempts, 1)}
+	if q.suspected() {
+		rules.MaxSends = 1
+	}
+	return rules
 }
 
 func (q *request) timeLeft() time.Duration { return q.deadline - q.g.clock() }
@@ -133,7 +147,7 @@
 		if f.Code == fail.EndpointFailed {
 			f = fail.Wrap(err, fail.Unavailable, "no endpoint accepted the request")
 		}
-		if f.RetryAfter == 0 {
+		if f.RetryAfter == 0 && f.Code != fail.Quarantined {
 			f = f.WithRetryAfter(failedRetryAfter)
 		}
 		q.g.reject(q.w, q.httpRequest, q.info, f)
@@ -176,6 +190,7 @@
 		if out.headerSent && s.outcome == attempt.Lost {
 			s.outcome = attempt.Interrupted
 		}
+		s.broken = s.outcome != attempt.Unsent
 		q.recordHealth(e, s.outcome)
 		return s
 	}
@@ -183,6 +198,7 @@
 	out.onReceive()
 	s := out.forward(resp)
 	if !s.complete {
+		s.broken = fail.Is(s.err, fail.TruncatedAnswer)
 		q.recordHealth(e, s.outcome)
 	} else {
 		g.loads.Record(e.ID, fleet.Served, g.clock())
@@ -260,17 +276,3 @@
 	}
 	line.Info("request attempt failed")
 }
-
-// fingerprint returns the fingerprint of the request, or false if this gateway does not
-// have the key yet.
-func (q *request) fingerprint() (uint64, bool) {
-	key := q.g.fingerprintKey.Load()
-	if key == nil {
-		return 0, false
-	}
-	caller, _, err := net.SplitHostPort(q.httpRequest.RemoteAddr)
-	if err != nil {
-		caller = q.httpRequest.RemoteAddr
-	}
-	return key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body}), true
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	demand        demand
 	modelRequests modelRequests
 	inFlight      requestsInFlight
+	suspects      suspects
 	pool          *upstream.Pool
 	control       *controlclient.Client
 	servers       []*transport.Server
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -26,8 +27,16 @@
 	selectionSeconds    = metrics.GetOrCreateHistogram("parsleyramp_gateway_place_seconds")
 	sendsDone           sendCounter
 	reservations        reservationCounter
+	brokenRequests      brokenCounter
 )
 
+// brokenCounter counts requests that an endpoint broke off.
+type brokenCounter struct{}
+
+func (brokenCounter) count(refused bool) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_broken_requests_total{refused="` + strconv.FormatBool(refused) + `"}`).Inc()
+}
+
 // reservationCounter counts attempts to reserve a slot by result.
 type reservationCounter struct{}
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,10 @@
 	selectionTime time.Duration
 	firstByte     time.Duration
 	longestPause  time.Duration
+	// brokenSends counts the sends that an endpoint broke off.
+	brokenSends int
+	// knownFingerprint is nil until the fingerprint has been computed.
+	knownFingerprint *uint64
 }
 
 // ServeHTTP serves one request of a client.
@@ -88,6 +92,9 @@
 		q.deadline = min(q.deadline, arrived+info.Timeout)
 	}
 	q.requirements = g.requirementsOf(table.Document, route, info)
+	if q.suspected() {
+		q.requirements.Session = q.suspectSession()
+	}
 	if s := table.Document.Service(q.requirements.Service); s != nil && s.Engine != nil {
 		q.maxReservation = s.Engine.MaxReservation
 	}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -59,6 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Report(g.clock()), Demand: g.demand.flush()}
+	reported := g.suspects.report(req, g.clock())
 	if t := g.table.Load(); t != nil {
 		req.DocumentVersion = t.Document.Version
 	}
@@ -80,6 +81,7 @@
 		g.log.WithFields(logrus.Fields{"calls": calls.String(), "document_version": req.DocumentVersion, "view_term": req.ViewTerm}).Info("calls of the failed exchange with the control plane")
 		return 0, err
 	}
+	g.suspects.apply(resp, reported)
 	key := quarantine.Key(resp.FingerprintKey)
 	g.fingerprintKey.Store(&key)
 	g.applyDocument(resp.Document)
--- /dev/null
+++ b/internal/quarantine/pool_test.go
@@ -0,0 +1,248 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"parsleyramp/internal/wire"
+)
+
+const testReportLag = 300 * time.Millisecond
+
+// testPool is a pool with a clock that advances at each crash.
+type testPool struct {
+	*Pool
+	now time.Duration
+	// ends numbers the endpoints that have crashed.
+	ends int
+}
+
+func newTestPool() *testPool { return &testPool{Pool: NewPool(0)} }
+
+// crash ends an endpoint under the requests and returns those that are convicted by it.
+func (p *testPool) crash(fingerprints ...uint64) []uint64 {
+	p.ends++
+	return p.crashAt(fmt.Sprint("e", p.ends), fingerprints...)
+}
+
+func (p *testPool) crashAt(endpoint string, fingerprints ...uint64) []uint64 {
+	for _, f := range fingerprints {
+		p.Broken(endpoint, []uint64{f}, true, p.now)
+	}
+	p.now += 3 * testReportLag
+	var convicted []uint64
+	for _, c := range p.Evaluate(p.now, testReportLag) {
+		convicted = append(convicted, c.Convicted...)
+	}
+	return convicted
+}
+
+func (p *testPool) state(fingerprint uint64) wire.SuspectState {
+	known, _ := p.Known()
+	for _, s := range known {
+		if s.Fingerprint == fingerprint {
+			return s.State
+		}
+	}
+	return wire.SuspectState_SUSPECT_STATE_UNSPECIFIED
+}
+
+func TestRequestThatCrashesEachEndpointIsConvictedByItsThirdCrash(t *testing.T) {
+	p := newTestPool()
+	for i, want := range []Decision{Run, RunIsolated, Reject} {
+		// Other requests are in flight at each endpoint.
+		convicted := p.crash(7, uint64(100+i), uint64(200+i))
+		if got := Decide(p.state(7), 0); got != want {
+			t.Errorf("after crash %d: decision %v, want %v", i+1, got, want)
+		}
+		if wantConvicted := want == Reject; slices.Equal(convicted, []uint64{7}) != wantConvicted {
+			t.Errorf("crash %d convicts %v", i+1, convicted)
+		}
+	}
+}
+
+// TestInnocentRequestsBesideCrashesAreNotConvicted lets one request crash endpoints while
+// others are in flight there, some of which are sent again and again until they have run
+// to their end.
+func TestInnocentRequestsBesideCrashesAreNotConvicted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTestPool()
+		const crashing = uint64(1000)
+		sends := map[uint64]int{}
+		for range rapid.IntRange(3, 8).Draw(t, "crashes") {
+			inFlight := []uint64{crashing}
+			for f := range uint64(12) {
+				// A client sends an innocent request at most four times.
+				if sends[f] < 4 && rapid.IntRange(0, 3).Draw(t, "in flight") == 0 {
+					sends[f]++
+					inFlight = append(inFlight, f)
+				} else if sends[f] > 0 && rapid.Bool().Draw(t, "completed") {
+					p.Completed(f)
+				}
+			}
+			if p.state(crashing) == wire.SuspectState_SUSPECT_STATE_CONVICTED {
+				return
+			}
+			for _, f := range p.crash(inFlight...) {
+				if f != crashing {
+					t.Fatalf("innocent request %d is convicted", f)
+				}
+			}
+		}
+	})
+}
+
+func TestRequestsThatShareEveryCrashAreToldApartByTheNext(t *testing.T) {
+	p := newTestPool()
+	for range 3 {
+		if convicted := p.crash(1, 2); convicted != nil {
+			t.Fatalf("%v convicted, want none: either of two requests may have caused the crashes", convicted)
+		}
+	}
+	if convicted := p.crash(2); !slices.Equal(convicted, []uint64{2}) {
+		t.Errorf("%v convicted by a crash of 2 alone, want 2", convicted)
+	}
+	if got := p.state(1); got != wire.SuspectState_SUSPECT_STATE_UNSPECIFIED {
+		t.Errorf("state %v of request 1, want it cleared: request 2 explains its crashes", got)
+	}
+}
+
+func TestRequestsThatCannotBeToldApartAreRefusedInTime(t *testing.T) {
+	p := newTestPool()
+	for range 4 {
+		p.crash(1, 2)
+	}
+	if convicted := p.crash(1, 2); len(convicted) != 2 {
+		t.Errorf("%v convicted by the fifth common crash, want both", convicted)
+	}
+}
+
+func TestCommonCrashOfHundredsOfEndpointsConvictsNoRequest(t *testing.T) {
+	p := newTestPool()
+	const endpoints, slots = 400, 32
+	for round := range 3 {
+		for e := range endpoints {
+			for slot := range slots {
+				// Half of the requests are sent again after each crash.
+				f := uint64(e*slots+slot) + uint64(round)*uint64(slot%2)*1e6
+				p.Broken(fmt.Sprintf("e%d-%d", e, round), []uint64{f}, true, p.now)
+			}
+		}
+		p.now += 3 * testReportLag
+		for _, c := range p.Evaluate(p.now, testReportLag) {
+			if c.Convicted != nil {
+				t.Fatalf("round %d: %v convicted", round, c.Convicted)
+			}
+		}
+	}
+	if len(p.suspects) > maxSuspects {
+		t.Errorf("%d suspects are remembered, want %d at most", len(p.suspects), maxSuspects)
+	}
+}
+
+func TestEndpointThatBreaksRequestsWithoutCrashing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(p *testPool, endpoint string)
+		want wire.SuspectState
+	}{
+		{"refuses connections", func(*testPool, string) {}, wire.SuspectState_SUSPECT_STATE_CONVICTED},
+		{"accepts connections", func(p *testPool, e string) { p.broken[e].refused = false }, 0},
+		{"accepts connections and leaves the list", func(p *testPool, e string) { p.broken[e].refused = false; p.Removed(e, false) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
+		{"leaves as planned", func(p *testPool, e string) { p.Removed(e, true) }, 0},
+		{"responds to another gateway", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag+1, testReportLag) }, 0},
+		{"responded before", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag, testReportLag) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newTestPool()
+			for i := range 3 {
+				endpoint := fmt.Sprint("e", i)
+				p.Broken(endpoint, []uint64{7}, true, p.now)
+				c.end(p, endpoint)
+				p.now += 3 * testReportLag
+				p.Evaluate(p.now, testReportLag)
+			}
+			if got := p.state(7); got != c.want {
+				t.Errorf("state %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRequestSentToEndpointThatHasCrashedIsNoSuspect(t *testing.T) {
+	p := newTestPool()
+	for range 3 {
+		p.crashAt("e", 1)
+		p.crashAt("e", 2)
+	}
+	if len(p.suspects) != 1 || p.suspects[1].count() != 1 {
+		t.Errorf("%d suspects after one crash of one endpoint, want the request that was in flight during it", len(p.suspects))
+	}
+}
+
+func TestCompletedRequestIsNoLongerSuspected(t *testing.T) {
+	p := newTestPool()
+	p.crash(7)
+	p.crash(7)
+	_, before := p.Known()
+	p.Completed(7)
+	if _, after := p.Known(); p.state(7) != 0 || after == before {
+		t.Errorf("state %v at revision %d after %d, want no suspect at a new revision", p.state(7), after, before)
+	}
+	if convicted := p.crash(7); convicted != nil {
+		t.Errorf("%v convicted by its first crash after it completed", convicted)
+	}
+}
+
+func TestSuspectsSurviveAChangeOfLeader(t *testing.T) {
+	p := newTestPool()
+	for range 3 {
+		p.crash(7)
+	}
+	p.crash(8)
+	p.crash(8)
+	known, _ := p.Known()
+	next := newTestPool()
+	next.Restore(known, next.now)
+	if got := Decide(next.state(7), 0); got != Reject {
+		t.Errorf("decision %v on the convicted request at the next leader, want Reject", got)
+	}
+	if convicted := next.crash(8, 9); !slices.Equal(convicted, []uint64{8}) {
+		t.Errorf("%v convicted by the third crash of 8, want 8", convicted)
+	}
+}
+
+func TestConvictionExpires(t *testing.T) {
+	p := newTestPool()
+	for range 3 {
+		p.crash(7)
+	}
+	p.now += retention + time.Second
+	p.Evaluate(p.now, testReportLag)
+	if got := Decide(p.state(7), 0); got != RunIsolated {
+		t.Errorf("decision %v after the retention, want RunIsolated", got)
+	}
+	if convicted := p.crash(7); !slices.Equal(convicted, []uint64{7}) {
+		t.Errorf("%v convicted by the next crash, want 7", convicted)
+	}
+}
+
+func TestFingerprintDependsOnPathCallerAndBody(t *testing.T) {
+	key := NewKey("group")
+	c := Content{Path: "/a", Caller: "10.0.0.1", Body: []byte("x")}
+	seen := map[uint64]Content{key.Fingerprint(c): c}
+	for _, other := range []Content{{"/b", c.Caller, c.Body}, {c.Path, "10.0.0.2", c.Body}, {c.Path, c.Caller, []byte("y")}, {"/a1", "0.0.0.1", c.Body}} {
+		f := key.Fingerprint(other)
+		if same, ok := seen[f]; ok {
+			t.Errorf("%v and %v have the same fingerprint", same, other)
+		}
+		seen[f] = other
+	}
+	if key.Fingerprint(c) != NewKey("group").Fingerprint(c) || key.Fingerprint(c) == NewKey("other").Fingerprint(c) {
+		t.Error("the fingerprint does not depend on the group alone")
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,10 +1,13 @@
 // Package quarantine decides how requests may run that were in flight when an
-// endpoint crashed and may have caused the crash. It does no I/O.
+// endpoint crashed and may have caused the crash. Entries, which count what is in
+// flight at their endpoints, run a suspect alone; gateways, which share their
+// endpoints, convict it by several crashes (Pool). The package does no I/O.
 package quarantine
 
 import (
 	"slices"
 
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/wire"
 )
 
@@ -23,7 +26,7 @@
 )
 
 // MaxCrashes is the number of endpoint crashes after which a request is rejected
-// that was in flight during each of them.
+// that was in flight during each of them, alone during all but the first.
 const MaxCrashes = 2
 
 // Decide decides by the suspect state that all entries share, and by the number
@@ -39,6 +42,12 @@
 	return Run
 }
 
+// NewError returns the failure of a quarantined request. It does not invite the client
+// to send the request again.
+func NewError() *fail.Error {
+	return fail.New(fail.Quarantined, "the request is quarantined: endpoints crashed while it was in flight")
+}
+
 // Tracker records the requests that an entry has in flight at the endpoints that
 // it owns. It is not safe for concurrent use.
 type Tracker struct {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -119,6 +119,8 @@
 		return m.reportCrash(b.ReportCrash, c.ProposedUnixMs)
 	case *wire.Command_ClearSuspect:
 		return m.clearSuspect(b.ClearSuspect.Fingerprint)
+	case *wire.Command_RecordSuspects:
+		return m.recordSuspects(b.RecordSuspects, c.ProposedUnixMs)
 	case *wire.Command_ExpireRecords:
 		return m.expireRecords(b.ExpireRecords)
 	case *wire.Command_PutDocument:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -46,7 +46,7 @@
 func drawCommand(t *rapid.T) *wire.Command {
 	c := &wire.Command{ProposedUnixMs: int64(rapid.IntRange(0, 100).Draw(t, "now"))}
 	id := oneOf(t, "id", "x", "y", "z")
-	switch rapid.IntRange(0, 15).Draw(t, "kind") {
+	switch rapid.IntRange(0, 16).Draw(t, "kind") {
 	case 0:
 		c.Body = &wire.Command_ApplySection{ApplySection: drawApply(t)}
 	case 1:
@@ -77,6 +77,10 @@
 		c.Body = &wire.Command_ReportCrash{ReportCrash: &wire.ReportCrash{Endpoint: id, Incarnation: "1", Fingerprints: []uint64{small(t, "fingerprint")}}}
 	case 14:
 		c.Body = &wire.Command_ClearSuspect{ClearSuspect: &wire.ClearSuspect{Fingerprint: small(t, "fingerprint")}}
+	case 15:
+		c.Body = &wire.Command_RecordSuspects{RecordSuspects: &wire.RecordSuspects{
+			Suspects: []*wire.Suspect{{Fingerprint: small(t, "recorded"), State: wire.SuspectState(1 + rapid.IntRange(0, 1).Draw(t, "suspect state")), Crashes: 2}}, Cleared: []uint64{small(t, "cleared")},
+		}}
 	default:
 		at := int64(rapid.IntRange(0, 60).Draw(t, "before"))
 		c.Body = &wire.Command_ExpireRecords{ExpireRecords: &wire.ExpireRecords{ClaimsBeforeUnixMs: at, DeferredBeforeUnixMs: at, SuspectsBeforeUnixMs: at, AppliesBeforeUnixMs: at, NowUnixMs: at + 20}}
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -1,13 +1,18 @@
 package state
 
-import "parsleyramp/internal/wire"
+import (
+	"cmp"
+	"slices"
 
-// crashesToQuarantine is the number of engine crashes after which a request that
-// was in flight during each of them is quarantined.
-const crashesToQuarantine = 2
+	"parsleyramp/internal/quarantine"
+	"parsleyramp/internal/wire"
+)
+
+// maxRecordedSuspects bounds the suspects that recordSuspects stores.
+const maxRecordedSuspects = 4096
 
 // reportCrash marks every request that was in flight during the crash as a
-// suspect, and quarantines those that reach crashesToQuarantine.
+// suspect, and quarantines those that reach quarantine.MaxCrashes.
 func (m *Machine) reportCrash(r *wire.ReportCrash, now int64) *wire.CommandResult {
 	crash := r.Endpoint + "/" + r.Incarnation
 	for _, f := range r.Fingerprints {
@@ -21,7 +26,7 @@
 		}
 		s.LastCrash, s.SeenUnixMs = crash, now
 		s.Crashes++
-		if s.Crashes >= crashesToQuarantine {
+		if s.Crashes >= quarantine.MaxCrashes {
 			s.State = wire.SuspectState_SUSPECT_STATE_CONVICTED
 		}
 		m.markViewChanged()
@@ -48,3 +53,28 @@
 	m.markViewChanged()
 	return applied()
 }
+
+// recordSuspects stores what a leader has decided about suspects. The oldest are
+// dropped beyond maxRecordedSuspects.
+func (m *Machine) recordSuspects(r *wire.RecordSuspects, now int64) *wire.CommandResult {
+	for _, f := range r.Cleared {
+		delete(m.suspects, f)
+	}
+	for _, s := range r.Suspects {
+		recorded := clone(s)
+		recorded.SeenUnixMs, recorded.LogIndex = now, m.applied
+		m.suspects[s.Fingerprint] = recorded
+	}
+	if excess := len(m.suspects) - maxRecordedSuspects; excess > 0 {
+		oldestFirst := m.sortedSuspects()
+		slices.SortStableFunc(oldestFirst, func(a, b *wire.Suspect) int { return cmp.Compare(a.SeenUnixMs, b.SeenUnixMs) })
+		for _, s := range oldestFirst[:excess] {
+			delete(m.suspects, s.Fingerprint)
+		}
+	}
+	m.markViewChanged()
+	return applied()
+}
+
+// Suspects returns the recorded suspects, by fingerprint.
+func (m *Machine) Suspects() []*wire.Suspect { return cloneAll(m.sortedSuspects()) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,6 +112,26 @@
 	return out, nil
 }
 
+// holdTime is how long a new connection must stay open to count as accepted: a proxy
+// before an endpoint that has ended accepts it and closes it at once.
+const holdTime = 150 * time.Millisecond
+
+// Accepts reports whether the endpoint accepts a new connection, and does not close it
+// at once. It opens one and sends nothing.
+func (p *Pool) Accepts(ctx context.Context, address string) bool {
+	p.opened.Add(1)
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(holdTime)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // send writes the request. A request above concurrentWriteBytes is written by
 // another goroutine, which sends its result on the returned channel.
 func (c *conn) send(r *Request) (<-chan error, error) {
