Let each control replica tell gateways of a new document and leader

Cause: only an exchange with the leader brought a document to a gateway, and nothing bounds the time until one succeeds.

TestAcknowledgedDocumentIsAppliedInTimeInEveryStateOfControl failed before: 3.85 s behind six VMs that do not respond, not within 10 s while the leader responds too late.

A gateway now holds a call to each control replica, which returns at a newer document or leader. Every replica that has applied a document delivers it, so that it arrives as long as one of them is reached, whatever the others and the exchanges do: an open call brings it at once, a lost one is renewed within 2.4 s and 0.4 s. The same calls name the leader of a new term, and exchanges go there at once. A leader that is not ready names itself and is called again; VMs that have left the group are forgotten.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -35,22 +35,32 @@
 
 // Client calls the leader among the control VMs. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// seeds are the addresses from the settings, and members those of the replicas of
+	// the control group.
+	seeds, members []string
+	// conns holds the clients of seeds and members, and of a leader that is neither.
 	conns []Conn
-	// preferred is the index in conns of the control VM to call next.
-	preferred int
-	http      *http.Client
+	// preferred is the address of the control VM to call next.
+	preferred string
+	// attempts holds the calls in flight.
+	attempts map[*attempt]struct{}
+	http     *http.Client
 	// attemptTimeout bounds one call, and retryDelay is the wait before the next.
 	attemptTimeout time.Duration
 	retryDelay     time.Duration
 }
 
+// attempt is one call in flight.
+type attempt struct {
+	address string
+	cancel  context.CancelFunc
+}
+
 // New returns a client for the control VMs at the addresses.
 func New(h *http.Client, addresses []string) *Client {
-	c := &Client{http: h, attemptTimeout: attemptTimeout, retryDelay: retryDelay}
-	for _, a := range addresses {
-		c.conns = append(c.conns, c.newConn(a))
-	}
+	c := &Client{http: h, attemptTimeout: attemptTimeout, retryDelay: retryDelay, attempts: map[*attempt]struct{}{}}
+	c.SetSeeds(addresses)
 	return c
 }
 
@@ -60,6 +70,59 @@
 	c.attemptTimeout, c.retryDelay = attempt, delay
 }
 
+// SetSeeds replaces the addresses from the settings.
+func (c *Client) SetSeeds(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(addresses)
+	c.updateConns()
+}
+
+// SetMembers replaces the addresses of the replicas of the control group. VMs that have
+// left the group are not called any more.
+func (c *Client) SetMembers(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = slices.Clone(addresses)
+	c.updateConns()
+}
+
+// updateConns makes conns those of seeds and members, and keeps the preferred one. c.mu
+// must be held.
+func (c *Client) updateConns() {
+	var next []Conn
+	for _, address := range slices.Concat(c.seeds, c.members, []string{c.preferred}) {
+		if address == "" || slices.ContainsFunc(next, func(x Conn) bool { return x.Address == address }) {
+			continue
+		}
+		if i := c.index(address); i >= 0 {
+			next = append(next, c.conns[i])
+		} else {
+			next = append(next, c.newConn(address))
+		}
+	}
+	c.conns = next
+}
+
+// index returns the index of the address in conns, or -1. c.mu must be held.
+func (c *Client) index(address string) int {
+	return slices.IndexFunc(c.conns, func(x Conn) bool { return x.Address == address })
+}
+
+// Prefer makes the next calls go to the VM at the address, which leads now, and ends
+// calls in flight to others.
+func (c *Client) Prefer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preferred = address
+	c.updateConns()
+	for a := range c.attempts {
+		if a.address != address {
+			a.cancel()
+		}
+	}
+}
+
 func (c *Client) newConn(address string) Conn {
 	url := "http://" + address
 	traced := connect.WithInterceptors(telemetry.Interceptor())
@@ -71,30 +134,37 @@
 	}
 }
 
-func (c *Client) currentConn() Conn {
+// begin starts a call to the preferred control VM. end must be called after it.
+func (c *Client) begin(ctx context.Context) (attemptCtx context.Context, conn Conn, end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conns[c.preferred%len(c.conns)]
+	conn = c.conns[max(c.index(c.preferred), 0)]
+	attemptCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout)
+	a := &attempt{address: conn.Address, cancel: cancel}
+	c.attempts[a] = struct{}{}
+	return attemptCtx, conn, func() {
+		cancel()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.attempts, a)
+	}
 }
 
-// selectNext selects the leader that a response named, or the next control VM. It
-// does nothing if another call has already moved on from the same control VM.
+// selectNext selects the leader that a response named, or the next control VM. A VM
+// that names itself is about to lead, and is called again. selectNext does nothing if
+// another VM has been selected since.
 func (c *Client) selectNext(from Conn, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[c.preferred%len(c.conns)].Address != from.Address {
-		return
-	}
-	if leader == "" || leader == from.Address {
-		c.preferred = (c.preferred + 1) % len(c.conns)
+	current := max(c.index(c.preferred), 0)
+	if c.conns[current].Address != from.Address {
 		return
 	}
-	index := slices.IndexFunc(c.conns, func(x Conn) bool { return x.Address == leader })
-	if index < 0 {
-		c.conns = append(c.conns, c.newConn(leader))
-		index = len(c.conns) - 1
+	if leader == "" {
+		leader = c.conns[(current+1)%len(c.conns)].Address
 	}
-	c.preferred = index
+	c.preferred = leader
+	c.updateConns()
 }
 
 // Do calls f with the clients of the leader until f succeeds, fails with an error
@@ -104,10 +174,10 @@
 func (c *Client) Do(ctx context.Context, f func(context.Context, Conn) error) error {
 	ran := fail.RanNo
 	for {
-		conn, started := c.currentConn(), time.Now()
-		attempt, cancel := context.WithTimeout(ctx, c.attemptTimeout)
-		err := f(attempt, conn)
-		cancel()
+		started := time.Now()
+		attemptCtx, conn, end := c.begin(ctx)
+		err := f(attemptCtx, conn)
+		end()
 		if err == nil {
 			return nil
 		}
@@ -134,24 +204,9 @@
 // begins at the same control VM, which may be the leader.
 func (c *Client) minAttempt() time.Duration { return c.attemptTimeout / 2 }
 
-// Addresses returns the addresses of all known control VMs.
-func (c *Client) Addresses() []string {
+// Conns returns the clients of all known control VMs.
+func (c *Client) Conns() []Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]string, len(c.conns))
-	for i, x := range c.conns {
-		out[i] = x.Address
-	}
-	return out
-}
-
-// AddAddresses adds the control VMs that are not known yet.
-func (c *Client) AddAddresses(addresses []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, a := range addresses {
-		if !slices.ContainsFunc(c.conns, func(x Conn) bool { return x.Address == a }) {
-			c.conns = append(c.conns, c.newConn(a))
-		}
-	}
+	return slices.Clone(c.conns)
 }
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -85,3 +85,70 @@
 		}
 	})
 }
+
+// callOrder calls Do until it succeeds and returns the last digits of the addresses
+// that were called.
+func callOrder(t *testing.T, c *Client, f func(ctx context.Context, address string) error) string {
+	t.Helper()
+	called := ""
+	err := c.Do(t.Context(), func(ctx context.Context, conn Conn) error {
+		called += conn.Address[len(conn.Address)-1:]
+		return f(ctx, conn.Address)
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	return called
+}
+
+func TestLeaderThatIsNotReadyIsCalledAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(http.DefaultClient, []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"})
+		start := time.Now()
+		called := callOrder(t, c, func(_ context.Context, address string) error {
+			if address == "127.0.0.1:3" && time.Since(start) > 250*time.Millisecond {
+				return nil
+			}
+			return notLeader
+		})
+		if called != "1333" {
+			t.Errorf("called VMs %s, want the named one until it is ready", called)
+		}
+	})
+}
+
+func TestPreferredLeaderEndsCallsToOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(http.DefaultClient, []string{"127.0.0.1:1", "127.0.0.1:2"})
+		start := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { c.Prefer("127.0.0.1:4") })
+		called := callOrder(t, c, func(ctx context.Context, address string) error {
+			if address == "127.0.0.1:4" {
+				return nil
+			}
+			<-ctx.Done()
+			return unavailable
+		})
+		if took := time.Since(start); called != "14" || took > 200*time.Millisecond+retryDelay {
+			t.Errorf("called VMs %s in %v, want the preferred one right after the call that it ends", called, took)
+		}
+	})
+}
+
+func TestVMsThatHaveLeftTheGroupAreNotCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(http.DefaultClient, []string{"127.0.0.1:1"})
+		c.SetMembers([]string{"127.0.0.1:2", "127.0.0.1:3"})
+		c.SetMembers([]string{"127.0.0.1:3", "127.0.0.1:5"})
+		calls := 0
+		called := callOrder(t, c, func(context.Context, string) error {
+			if calls++; calls < 5 {
+				return unavailable
+			}
+			return nil
+		})
+		if called != "13513" {
+			t.Errorf("called VMs %s, want the seed and the members of the group", called)
+		}
+	})
+}
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -38,6 +38,7 @@
 	journal *journal.Journal
 	peers   *http.Client
 	group   *replica.Group
+	news    *news
 	// seeds are the internal addresses of the seeds in the current settings.
 	seeds atomic.Pointer[[]string]
 
@@ -66,14 +67,14 @@
 	}
 	s := &Server{
 		cfg: cfg, deps: deps, log: log, clock: boottime.NewClock(), journal: j,
-		peers: transport.NewPeerClient(), intents: newOrderIntents(), stopped: make(chan struct{}),
+		peers: transport.NewPeerClient(), intents: newOrderIntents(), news: newNews(), stopped: make(chan struct{}),
 	}
 	s.group = replica.NewGroup(recovered.Identity.Group, j.SetGroup)
 	s.Reload(cfg)
 	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
 		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: cfg.consensusConfig(),
-		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log,
+		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log, OnChange: s.news.publish,
 	})
 	if err != nil {
 		j.Close()
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -21,11 +21,11 @@
 
 var errNotLeading = fail.New(fail.NotLeader, "this replica does not lead")
 
-// rpcError converts the error for the RPC response, with the leader's address if
-// another replica is known to lead.
+// rpcError converts the error for the RPC response, with the address of the leader if
+// it is known. A replica that leads and is not ready yet names itself.
 func (s *Server) rpcError(ctx context.Context, err error) error {
 	leader := ""
-	if status, statusErr := s.node.Status(ctx); statusErr == nil && !status.Leading {
+	if status, statusErr := s.node.Status(ctx); statusErr == nil {
 		leader = status.LeaderAddress()
 	}
 	return rpcerror.ToConnect(err, leader)
--- a/internal/gateway/documentbound_test.go
+++ b/internal/gateway/documentbound_test.go
@@ -86,6 +86,28 @@
 	return connect.NewResponse(out), nil
 }
 
+func (r *fakeReplica) Watch(ctx context.Context, req *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error) {
+	hold := time.After(time.Duration(req.Msg.HoldMs) * time.Millisecond)
+	for {
+		leader, version, changed := r.group.state()
+		if version <= req.Msg.DocumentVersion {
+			select {
+			case <-changed:
+				continue
+			case <-hold:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		return connect.NewResponse(&wire.WatchResponse{DocumentVersion: version, Term: 1, Leader: leader}), nil
+	}
+}
+
+func (r *fakeReplica) GetDocument(context.Context, *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
+	_, version, _ := r.group.state()
+	return connect.NewResponse(&wire.GetDocumentResponse{Document: testDocument(version)}), nil
+}
+
 func testDocument(version uint64) *wire.Document {
 	return &wire.Document{Version: version, Text: []byte(strconv.FormatUint(version, 10))}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,8 +68,10 @@
 	clock       func() time.Duration
 	incarnation string
 
-	table atomic.Pointer[document.Table]
-	view  atomic.Pointer[fleet.View]
+	// documentMu serializes changes of table.
+	documentMu sync.Mutex
+	table      atomic.Pointer[document.Table]
+	view       atomic.Pointer[fleet.View]
 	// fingerprintKey is nil until the first exchange with the control plane.
 	fingerprintKey atomic.Pointer[quarantine.Key]
 
@@ -89,6 +91,8 @@
 	suspects      suspects
 	pool          *upstream.Pool
 	control       *controlclient.Client
+	leaderHint    leaderHint
+	fetches       documentFetches
 	servers       []*transport.Server
 	clientServer  *transport.ClientFacingServer
 	cancel        context.CancelFunc
@@ -149,7 +153,7 @@
 // Reload applies the settings that may change while the gateway runs: the
 // addresses of the control plane and the retry budget.
 func (g *Gateway) Reload(cfg Settings) {
-	g.control.AddAddresses(cfg.controlAddresses())
+	g.control.SetSeeds(cfg.controlAddresses())
 	g.retries.SetConfig(cfg.retryConfig())
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,12 +68,7 @@
 	for p, n := range g.inFlight.counts() {
 		set.NewGauge(`parsleyramp_gateway_in_flight_requests{phase="`+phase(p).String()+`"}`, func() float64 { return float64(n) })
 	}
-	set.NewGauge("parsleyramp_gateway_document_version", func() float64 {
-		if t := g.table.Load(); t != nil {
-			return float64(t.Document.Version)
-		}
-		return 0
-	})
+	set.NewGauge("parsleyramp_gateway_document_version", func() float64 { return float64(g.documentVersion()) })
 	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
 		if v := g.view.Load(); v != nil {
 			return float64(v.Revision)
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -25,6 +25,7 @@
 // followControl keeps this gateway's document and view up to date until ctx ends.
 func (g *Gateway) followControl(ctx context.Context) {
 	go g.syncLoop(ctx)
+	go g.watchLoop(ctx)
 }
 
 // syncLoop exchanges state with the control leader until ctx ends.
@@ -60,9 +61,7 @@
 	defer cancel()
 	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Report(g.clock()), Demand: g.demand.flush()}
 	reported := g.suspects.report(req, g.clock())
-	if t := g.table.Load(); t != nil {
-		req.DocumentVersion = t.Document.Version
-	}
+	req.DocumentVersion = g.documentVersion()
 	if v := g.view.Load(); v != nil {
 		req.ViewTerm, req.ViewRevision = v.Term, v.Revision
 	}
@@ -147,6 +146,8 @@
 	if d == nil {
 		return
 	}
+	g.documentMu.Lock()
+	defer g.documentMu.Unlock()
 	old := g.table.Load()
 	if old != nil && d.Version <= old.Document.Version {
 		return
@@ -170,7 +171,7 @@
 		return
 	}
 	g.view.Store(v)
-	g.control.AddAddresses(v.Control)
+	g.control.SetMembers(v.Control)
 	g.log.WithFields(logrus.Fields{"term": v.Term, "revision": v.Revision, "endpoints": len(v.Endpoints), "gateways": len(v.Gateways)}).Debug("view updated")
 	g.changed.notify()
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -60,6 +60,19 @@
 	Now  func() time.Duration
 	Seed uint64
 	Log  *logrus.Entry
+	// OnChange, if not nil, is called on the Run goroutine with each new summary, and
+	// with the first one. It must not block.
+	OnChange func(Summary)
+}
+
+// Summary is what a replica knows of the group's leader and of the fleet document.
+type Summary struct {
+	// DocumentVersion is the version of the newest document that is known to be
+	// committed, zero if there is none.
+	DocumentVersion uint64
+	Term            uint64
+	// Leader is the address of the leader of the term, "" if it is not known.
+	Leader string
 }
 
 // Node is one control replica.
@@ -82,6 +95,11 @@
 	// transferring is true once TransferLeadership was called; proposals are then
 	// rejected.
 	transferring bool
+	// summary is the last one that was given to OnChange, and summaryLeader the id of
+	// its leader.
+	summary       Summary
+	summaryLeader uint64
+	summarized    bool
 	// storageErr is the error of a write outside of processEffects.
 	storageErr error
 }
@@ -145,6 +163,7 @@
 			return err
 		}
 		n.updateRole()
+		n.updateSummary()
 		tick.Reset(max(minTick, n.core.Deadline()-n.opt.Now()))
 	}
 }
@@ -262,6 +281,20 @@
 	n.lastRole, n.lastTerm = role, term
 }
 
+// updateSummary calls OnChange if the summary has changed.
+func (n *Node) updateSummary() {
+	next := Summary{DocumentVersion: n.machine.Document().GetVersion(), Term: n.core.Term(), Leader: n.summary.Leader}
+	leader := n.core.Leader()
+	if leader != n.summaryLeader || next.Term != n.summary.Term || next.Leader == "" {
+		next.Leader = addressOf(n.core.Membership(), leader)
+	}
+	if n.opt.OnChange == nil || n.summarized && next == n.summary {
+		return
+	}
+	n.summary, n.summaryLeader, n.summarized = next, leader, true
+	n.opt.OnChange(next)
+}
+
 var errLostLeadership = fail.New(fail.Unavailable, "the leadership changed while the command was being committed").WithRan(fail.RanUnknown)
 
 func (n *Node) failAllPending() {
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -33,9 +33,12 @@
 }
 
 // LeaderAddress returns the address of the leader, or "" if it is unknown.
-func (s Status) LeaderAddress() string {
-	for _, r := range s.Membership.GetReplicas() {
-		if r.Id == s.Leader {
+func (s Status) LeaderAddress() string { return addressOf(s.Membership, s.Leader) }
+
+// addressOf returns the address of the replica with the id, or "" if there is none.
+func addressOf(m *wire.Membership, id uint64) string {
+	for _, r := range m.GetReplicas() {
+		if r.Id == id {
 			return r.Address
 		}
 	}
--- a/internal/wire/wireconnect/fleet.connect.go
+++ b/internal/wire/wireconnect/fleet.connect.go
@@ -35,6 +35,11 @@
 const (
 	// FleetServiceSyncProcedure is the fully-qualified name of the FleetService's Sync RPC.
 	FleetServiceSyncProcedure = "/parsleyramp.wire.FleetService/Sync"
+	// FleetServiceWatchProcedure is the fully-qualified name of the FleetService's Watch RPC.
+	FleetServiceWatchProcedure = "/parsleyramp.wire.FleetService/Watch"
+	// FleetServiceGetDocumentProcedure is the fully-qualified name of the FleetService's GetDocument
+	// RPC.
+	FleetServiceGetDocumentProcedure = "/parsleyramp.wire.FleetService/GetDocument"
 	// FleetServiceWantProcedure is the fully-qualified name of the FleetService's Want RPC.
 	FleetServiceWantProcedure = "/parsleyramp.wire.FleetService/Want"
 	// FleetServiceJoinProcedure is the fully-qualified name of the FleetService's Join RPC.
@@ -45,6 +50,12 @@
 type FleetServiceClient interface {
 	// Sync reports the state of a gateway and returns what has changed.
 	Sync(context.Context, *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error)
+	// Watch returns when the replica, which need not lead, knows a newer fleet document
+	// or a newer leader than the gateway, or after hold_ms.
+	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
+	// GetDocument returns the newest fleet document that the replica, which need not
+	// lead, knows to be committed.
+	GetDocument(context.Context, *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error)
 	// Want requests a model or adapter that no endpoint in the gateway's view
 	// holds, or one more engine with an adapter.
 	Want(context.Context, *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error)
@@ -69,6 +80,18 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		watch: connect.NewClient[wire.WatchRequest, wire.WatchResponse](
+			httpClient,
+			baseURL+FleetServiceWatchProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Watch")),
+			connect.WithClientOptions(opts...),
+		),
+		getDocument: connect.NewClient[wire.GetDocumentRequest, wire.GetDocumentResponse](
+			httpClient,
+			baseURL+FleetServiceGetDocumentProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("GetDocument")),
+			connect.WithClientOptions(opts...),
+		),
 		want: connect.NewClient[wire.WantRequest, wire.WantResponse](
 			httpClient,
 			baseURL+FleetServiceWantProcedure,
@@ -86,9 +109,11 @@
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	sync *connect.Client[wire.SyncRequest, wire.SyncResponse]
-	want *connect.Client[wire.WantRequest, wire.WantResponse]
-	join *connect.Client[wire.JoinRequest, wire.JoinResponse]
+	sync        *connect.Client[wire.SyncRequest, wire.SyncResponse]
+	watch       *connect.Client[wire.WatchRequest, wire.WatchResponse]
+	getDocument *connect.Client[wire.GetDocumentRequest, wire.GetDocumentResponse]
+	want        *connect.Client[wire.WantRequest, wire.WantResponse]
+	join        *connect.Client[wire.JoinRequest, wire.JoinResponse]
 }
 
 // Sync calls parsleyramp.wire.FleetService.Sync.
@@ -96,6 +121,16 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Watch calls parsleyramp.wire.FleetService.Watch.
+func (c *fleetServiceClient) Watch(ctx context.Context, req *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error) {
+	return c.watch.CallUnary(ctx, req)
+}
+
+// GetDocument calls parsleyramp.wire.FleetService.GetDocument.
+func (c *fleetServiceClient) GetDocument(ctx context.Context, req *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
+	return c.getDocument.CallUnary(ctx, req)
+}
+
 // Want calls parsleyramp.wire.FleetService.Want.
 func (c *fleetServiceClient) Want(ctx context.Context, req *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error) {
 	return c.want.CallUnary(ctx, req)
@@ -110,6 +145,12 @@
 type FleetServiceHandler interface {
 	// Sync reports the state of a gateway and returns what has changed.
 	Sync(context.Context, *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error)
+	// Watch returns when the replica, which need not lead, knows a newer fleet document
+	// or a newer leader than the gateway, or after hold_ms.
+	Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error)
+	// GetDocument returns the newest fleet document that the replica, which need not
+	// lead, knows to be committed.
+	GetDocument(context.Context, *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error)
 	// Want requests a model or adapter that no endpoint in the gateway's view
 	// holds, or one more engine with an adapter.
 	Want(context.Context, *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error)
@@ -130,6 +171,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceWatchHandler := connect.NewUnaryHandler(
+		FleetServiceWatchProcedure,
+		svc.Watch,
+		connect.WithSchema(fleetServiceMethods.ByName("Watch")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceGetDocumentHandler := connect.NewUnaryHandler(
+		FleetServiceGetDocumentProcedure,
+		svc.GetDocument,
+		connect.WithSchema(fleetServiceMethods.ByName("GetDocument")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceWantHandler := connect.NewUnaryHandler(
 		FleetServiceWantProcedure,
 		svc.Want,
@@ -146,6 +199,10 @@
 		switch r.URL.Path {
 		case FleetServiceSyncProcedure:
 			fleetServiceSyncHandler.ServeHTTP(w, r)
+		case FleetServiceWatchProcedure:
+			fleetServiceWatchHandler.ServeHTTP(w, r)
+		case FleetServiceGetDocumentProcedure:
+			fleetServiceGetDocumentHandler.ServeHTTP(w, r)
 		case FleetServiceWantProcedure:
 			fleetServiceWantHandler.ServeHTTP(w, r)
 		case FleetServiceJoinProcedure:
@@ -163,6 +220,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.Sync is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) Watch(context.Context, *connect.Request[wire.WatchRequest]) (*connect.Response[wire.WatchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.Watch is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) GetDocument(context.Context, *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.GetDocument is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Want(context.Context, *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.Want is not implemented"))
 }
