Add a failing test of voters that are gone and still count

The group had seven voters when the two old replicas stopped, at 7.5 and 12.0 s, and kept both, because an unresponsive voter leaves only a group with an even number of voters. The pause of one replica and the loss of another at 29 s, which the group should bear, left it without a leader until 33.8 s.

--- a/internal/fleetcontrol/group_test.go
+++ b/internal/fleetcontrol/group_test.go
@@ -80,6 +80,43 @@
 }
 
 // describe returns the difference between two memberships as text.
+// TestVotersThatAreGoneDoNotLastInTheQuorum guards against a group that cannot elect a
+// leader after the loss of replicas that it should bear, because replicas that have left
+// for good still count.
+func TestVotersThatAreGoneDoNotLastInTheQuorum(t *testing.T) {
+	for _, c := range []struct {
+		voters, gone int
+		silent       time.Duration
+		want         string
+	}{
+		{voters: 7, gone: 2, silent: time.Minute, want: "without 6"},
+		{voters: 5, gone: 2, silent: time.Minute, want: "without 4"},
+		{voters: 7, gone: 3, silent: time.Minute, want: "without 5"},
+		{voters: 5, gone: 2, silent: 3 * time.Second, want: "none"},
+		{voters: 5, gone: 1, silent: time.Minute, want: "none"},
+		{voters: 3, gone: 1, silent: time.Minute, want: "none"},
+		{voters: 7, gone: 4, silent: time.Minute, want: "none"},
+	} {
+		t.Run(fmt.Sprintf("%d of %d for %v", c.gone, c.voters, c.silent), func(t *testing.T) {
+			s := replica.Status{Membership: &wire.Membership{}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
+			since := map[uint64]time.Duration{}
+			for i := range c.voters {
+				id := uint64(i + 1)
+				s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{Id: id, Address: fmt.Sprint("a", id)})
+				if i < c.voters-c.gone {
+					s.Reachable[id], s.CaughtUp[id] = true, true
+				} else {
+					since[id] = c.silent
+				}
+			}
+			next, _ := nextMembership(s, since)
+			if got := describe(s.Membership, next); got != c.want {
+				t.Errorf("membership change %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
 func describe(from, to *wire.Membership) string {
 	if to == nil {
 		return "none"
