Remove voters that are gone from a control group with more than it needs

Cause: an unresponsive voter left the group only if the number of voters was even. After two overlapping replacements the group had seven voters, two of them gone for good, and needed four of the five others.

TestVotersThatAreGoneDoNotLastInTheQuorum failed before ('none', want 'without 6'). A gone voter now also leaves a group with an odd number if another one is gone: the removal of both lowers the quorum. The group keeps twice the tolerated losses and one voter, now a setting, so that each commit is on enough disks; before, a group of four that tolerates two losses could shrink to three.

--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		reach.record(status, s.clock())
-		next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()))
+		next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()), s.cfg.minVoters())
 		if next == nil {
 			continue
 		}
--- a/internal/fleetcontrol/group_test.go
+++ b/internal/fleetcontrol/group_test.go
@@ -71,7 +71,7 @@
 			for _, id := range c.reached {
 				s.Reachable[id], s.CaughtUp[id] = true, !slices.Contains(c.behind, id)
 			}
-			next, _ := nextMembership(s, c.sinceResponse)
+			next, _ := nextMembership(s, c.sinceResponse, smallestGroup)
 			if got := describe(s.Membership, next); got != c.want {
 				t.Errorf("membership change %q, want %q", got, c.want)
 			}
@@ -85,19 +85,23 @@
 // for good still count.
 func TestVotersThatAreGoneDoNotLastInTheQuorum(t *testing.T) {
 	for _, c := range []struct {
-		voters, gone int
-		silent       time.Duration
-		want         string
+		voters, gone, tolerated int
+		silent                  time.Duration
+		want                    string
 	}{
-		{voters: 7, gone: 2, silent: time.Minute, want: "without 6"},
-		{voters: 5, gone: 2, silent: time.Minute, want: "without 4"},
-		{voters: 7, gone: 3, silent: time.Minute, want: "without 5"},
-		{voters: 5, gone: 2, silent: 3 * time.Second, want: "none"},
-		{voters: 5, gone: 1, silent: time.Minute, want: "none"},
-		{voters: 3, gone: 1, silent: time.Minute, want: "none"},
-		{voters: 7, gone: 4, silent: time.Minute, want: "none"},
+		{voters: 7, gone: 2, tolerated: 2, silent: time.Minute, want: "without 6"},
+		{voters: 6, gone: 1, tolerated: 2, silent: 3 * time.Second, want: "without 6"},
+		{voters: 5, gone: 2, tolerated: 1, silent: time.Minute, want: "without 4"},
+		{voters: 7, gone: 3, tolerated: 2, silent: time.Minute, want: "without 5"},
+		{voters: 5, gone: 2, tolerated: 1, silent: 3 * time.Second, want: "none"},
+		{voters: 5, gone: 1, tolerated: 1, silent: time.Minute, want: "none"},
+		{voters: 3, gone: 1, tolerated: 1, silent: time.Minute, want: "none"},
+		{voters: 7, gone: 4, tolerated: 2, silent: time.Minute, want: "none"},
+		// A commit has to be on three disks if two may be lost.
+		{voters: 5, gone: 2, tolerated: 2, silent: time.Minute, want: "none"},
+		{voters: 4, gone: 1, tolerated: 2, silent: time.Minute, want: "none"},
 	} {
-		t.Run(fmt.Sprintf("%d of %d for %v", c.gone, c.voters, c.silent), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of %d for %v, %d tolerated", c.gone, c.voters, c.silent, c.tolerated), func(t *testing.T) {
 			s := replica.Status{Membership: &wire.Membership{}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
 			since := map[uint64]time.Duration{}
 			for i := range c.voters {
@@ -109,7 +113,8 @@
 					since[id] = c.silent
 				}
 			}
-			next, _ := nextMembership(s, since)
+			cfg := Settings{ToleratedLosses: c.tolerated}
+			next, _ := nextMembership(s, since, cfg.minVoters())
 			if got := describe(s.Membership, next); got != c.want {
 				t.Errorf("membership change %q, want %q", got, c.want)
 			}
@@ -275,7 +280,7 @@
 			s.Reachable[r.Id], s.CaughtUp[r.Id] = l.core.Reachable(r.Id), l.core.CaughtUp(r.Id)
 		}
 		l.reach.record(s, g.now)
-		next, _ := nextMembership(s, l.reach.sinceResponse(s, g.now))
+		next, _ := nextMembership(s, l.reach.sinceResponse(s, g.now), smallestGroup)
 		for _, n := range g.nodes {
 			if n.up && next == nil {
 				next = withLearner(s.Membership, n.core.ID(), n.address)
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// minVoters is the number of voters below which a group does not shrink.
-	minVoters = 3
+	// goneTimeout is the time since its last response after which a voter counts as gone
+	// for good, if there are several.
+	goneTimeout = 4 * time.Second
 	// maxVoters bounds the number of voters; further replicas stay learners.
 	maxVoters = 9
 )
@@ -26,9 +27,11 @@
 //     then it only raises the quorum.
 //   - A caught-up learner becomes a voter.
 //   - An unresponsive voter is removed if the number of voters is even, which
-//     lowers the quorum.
+//     lowers the quorum, or if several are gone, because the removal of two lowers it
+//     too. At least minVoters remain, so that a commit is on as many disks as the group
+//     needs to bear the losses that it tolerates.
 //   - An unresponsive learner is removed.
-func nextMembership(s replica.Status, sinceResponse map[uint64]time.Duration) (*wire.Membership, string) {
+func nextMembership(s replica.Status, sinceResponse map[uint64]time.Duration, minVoters int) (*wire.Membership, string) {
 	var voters, learners []*wire.Replica
 	for _, r := range s.Membership.GetReplicas() {
 		if r.Learner {
@@ -48,10 +51,8 @@
 			return withVoter(s.Membership, l.Id), "learner caught up"
 		}
 	}
-	for _, v := range voters {
-		if len(voters) > minVoters && len(voters)%2 == 0 && sinceResponse[v.Id] >= voterTimeout && keepsQuorum(s, voters, v.Id) {
-			return withoutReplica(s.Membership, v.Id), "voter unresponsive"
-		}
+	if v := removableVoter(s, voters, sinceResponse); v != nil && len(voters) > minVoters {
+		return withoutReplica(s.Membership, v.Id), "voter unresponsive"
 	}
 	for _, l := range learners {
 		if sinceResponse[l.Id] >= learnerTimeout {
@@ -61,6 +62,31 @@
 	return nil, ""
 }
 
+// removableVoter returns an unresponsive voter without which the group has a lower
+// quorum, now or after another removal, or nil.
+func removableVoter(s replica.Status, voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+	gone := 0
+	for _, v := range voters {
+		if sinceResponse[v.Id] >= goneTimeout {
+			gone++
+		}
+	}
+	timeout := voterTimeout
+	switch {
+	case len(voters)%2 == 0:
+	case gone >= 2:
+		timeout = goneTimeout
+	default:
+		return nil
+	}
+	for _, v := range voters {
+		if sinceResponse[v.Id] >= timeout && keepsQuorum(s, voters, v.Id) {
+			return v
+		}
+	}
+	return nil
+}
+
 // voterReplacedBy returns the voter that the learner replaces, or nil.
 func voterReplacedBy(voters []*wire.Replica, l *wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
 	for _, v := range voters {
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -29,6 +29,8 @@
 	// Seeds are the operator addresses of up to three control replicas. All
 	// replicas use the same ports, so their internal addresses follow from these.
 	Seeds []string `json:"seeds"`
+	// ToleratedLosses is the number of replicas whose disks may be lost at once.
+	ToleratedLosses int `json:"tolerated_losses"`
 	// FirstStart is true only when the whole system starts for the first time. Then
 	// the seeds form the group.
 	FirstStart bool `json:"first_start"`
@@ -58,6 +60,7 @@
 // DefaultSettings returns the default values of the settings.
 func DefaultSettings() Settings {
 	return Settings{
+		ToleratedLosses: 1,
 		ListInterval:    settings.Duration(500 * time.Millisecond),
 		PlanInterval:    settings.Duration(150 * time.Millisecond),
 		OrderLease:      settings.Duration(3 * time.Second),
@@ -93,6 +96,7 @@
 	c.Require(s.Election >= 3*s.Heartbeat, "election", "three heartbeats or more")
 	c.Positive("commit_timeout", s.CommitTimeout)
 	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
+	c.Require(s.ToleratedLosses >= 0, "tolerated_losses", "0 or more")
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
 	s.Telemetry.Check(c)
 }
@@ -109,6 +113,12 @@
 // isSeed reports whether this replica is one of the seeds.
 func (s *Settings) isSeed() bool { return slices.Contains(s.seedPeers(), s.Address) }
 
+// smallestGroup is the number of voters below which no group shrinks.
+const smallestGroup = 3
+
+// minVoters returns the number of voters below which the group does not shrink.
+func (s *Settings) minVoters() int { return max(2*s.ToleratedLosses+1, smallestGroup) }
+
 // consensusConfig returns the consensus settings.
 func (s *Settings) consensusConfig() consensus.Config {
 	c := consensus.DefaultConfig()
