Give a call to the confirmed leader the whole time of its caller

A leader whose responses to exchanges take longer than 0.5 s was never reached: the call ended and the next one went to another VM. The leader that a control replica names in a new term keeps the call until the caller's time is over or another leader is named; after a call to it that failed, each call is bounded as before. TestConfirmedLeaderHasTheTimeOfTheCallerUntilItFails failed before: 'exchange with a leader that responds after 1 s: unavailable'.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -41,12 +41,15 @@
 	seeds, members []string
 	// conns holds the clients of seeds and members, and of a leader that is neither.
 	conns []Conn
-	// preferred is the address of the control VM to call next.
+	// preferred is the address of the control VM to call next. confirmed is set while it
+	// is known to lead, until a call to it fails.
 	preferred string
+	confirmed bool
 	// attempts holds the calls in flight.
 	attempts map[*attempt]struct{}
 	http     *http.Client
-	// attemptTimeout bounds one call, and retryDelay is the wait before the next.
+	// attemptTimeout bounds one call, except those to a confirmed leader, and retryDelay
+	// is the wait before the next.
 	attemptTimeout time.Duration
 	retryDelay     time.Duration
 }
@@ -110,11 +113,11 @@
 }
 
 // Prefer makes the next calls go to the VM at the address, which leads now, and ends
-// calls in flight to others.
+// calls in flight to others. A call to it may take the time of its caller.
 func (c *Client) Prefer(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.preferred = address
+	c.preferred, c.confirmed = address, true
 	c.updateConns()
 	for a := range c.attempts {
 		if a.address != address {
@@ -139,7 +142,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn = c.conns[max(c.index(c.preferred), 0)]
-	attemptCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout)
+	var cancel context.CancelFunc
+	if c.confirmed {
+		attemptCtx, cancel = context.WithCancel(ctx)
+	} else {
+		attemptCtx, cancel = context.WithTimeout(ctx, c.attemptTimeout)
+	}
 	a := &attempt{address: conn.Address, cancel: cancel}
 	c.attempts[a] = struct{}{}
 	return attemptCtx, conn, func() {
@@ -160,6 +168,7 @@
 	if c.conns[current].Address != from.Address {
 		return
 	}
+	c.confirmed = false
 	if leader == "" {
 		leader = c.conns[(current+1)%len(c.conns)].Address
 	}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -152,3 +152,31 @@
 		}
 	})
 }
+
+func TestConfirmedLeaderHasTheTimeOfTheCallerUntilItFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(http.DefaultClient, []string{"127.0.0.1:1", "127.0.0.1:2"})
+		c.SetTimeouts(500*time.Millisecond, 30*time.Millisecond)
+		c.Prefer("127.0.0.1:2")
+		exchange := func(responseTime time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+			defer cancel()
+			return c.Do(ctx, func(ctx context.Context, conn Conn) error {
+				if conn.Address == "127.0.0.1:2" && wait.For(ctx, responseTime) {
+					return nil
+				}
+				<-ctx.Done()
+				return unavailable
+			})
+		}
+		if err := exchange(time.Second); err != nil {
+			t.Errorf("exchange with a leader that responds after 1 s: %v", err)
+		}
+		if err := exchange(time.Minute); err == nil {
+			t.Error("exchange with a leader that does not respond succeeded")
+		}
+		if err := exchange(time.Second); err == nil {
+			t.Error("a leader that failed has more time than other VMs")
+		}
+	})
+}
