Let control replicas of both stacks name themselves while they begin to lead

A control replica of the entries' stack that led and was not ready yet named no leader, as those of the gateways' stack did, so that callers left it for VMs that may not respond. Both now use one function. TestGroup/every_replica_names_the_leader failed before: 'replica 2 names "" as the leader, want "address of 2"'.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -26,7 +26,7 @@
 	e.s.planner.addDemand(req.Msg.Demand)
 	resp, err := e.s.heartbeat(ctx, req.Msg)
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -113,7 +113,7 @@
 		err = fail.New(fail.NoLease, "the entry is not registered as live").WithRetryAfter(time.Second)
 	}
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.BeginClaimResponse{Granted: r.Applied, Claim: r.Claim}), nil
 }
@@ -126,7 +126,7 @@
 	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishClaim{FinishClaim: req.Msg}})
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.FinishClaimResponse{Recorded: r.Applied}), nil
 }
@@ -135,7 +135,7 @@
 func (e *entryService) SubmitDeferred(ctx context.Context, req *connect.Request[wire.SubmitDeferred]) (*connect.Response[wire.SubmitDeferredResponse], error) {
 	s := e.s
 	if len(req.Msg.Request.GetBody()) > maxRecordedBytes {
-		return nil, s.rpcError(ctx, fail.New(fail.BodyTooLarge, fmt.Sprintf("the body of a deferred request exceeds the limit of %d bytes", maxRecordedBytes)))
+		return nil, s.node.RPCError(ctx, fail.New(fail.BodyTooLarge, fmt.Sprintf("the body of a deferred request exceeds the limit of %d bytes", maxRecordedBytes)))
 	}
 	req.Msg.LimitBytes, req.Msg.ReserveBytes = s.cfg.DeferredBytes, s.cfg.DeferredReserveBytes
 	r, err := s.propose(ctx, &wire.Command{Body: &wire.Command_SubmitDeferred{SubmitDeferred: req.Msg}})
@@ -147,7 +147,7 @@
 		err = fail.New(fail.KeyReused, r.Reason)
 	}
 	if err != nil {
-		return nil, s.rpcError(ctx, err)
+		return nil, s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.SubmitDeferredResponse{Request: r.Deferred}), nil
 }
@@ -170,7 +170,7 @@
 		resp.Request = machine.Deferred(req.Msg.Id)
 	})
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -184,7 +184,7 @@
 	}
 	r, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_FinishDeferred{FinishDeferred: req.Msg}})
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.FinishDeferredResponse{Recorded: r.Applied}), nil
 }
@@ -194,7 +194,7 @@
 	e.s.probes.trigger(req.Msg.Endpoint)
 	_, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_ReportCrash{ReportCrash: req.Msg}})
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.ReportCrashResponse{}), nil
 }
@@ -214,7 +214,7 @@
 		resp.KnownEverywhere = len(s.leases.lagging(m.Entries(), suspect.LogIndex, s.cfg.EntryLease.D(), l.Now)) == 0
 	})
 	if err != nil {
-		return nil, s.rpcError(ctx, err)
+		return nil, s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -223,7 +223,7 @@
 func (e *entryService) ClearSuspect(ctx context.Context, req *connect.Request[wire.ClearSuspect]) (*connect.Response[wire.ClearSuspectResponse], error) {
 	_, err := e.s.propose(ctx, &wire.Command{Body: &wire.Command_ClearSuspect{ClearSuspect: req.Msg}})
 	if err != nil {
-		return nil, e.s.rpcError(ctx, err)
+		return nil, e.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.ClearSuspectResponse{}), nil
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -25,22 +25,22 @@
 func (o *operatorService) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
 	m := req.Msg
 	if err := o.s.authorize(m.Team, req.Header().Get(HeaderToken)); err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	if m.OrderId == "" {
-		return nil, o.s.rpcError(ctx, fail.New(fail.BadRequest, "the request to apply a section has no order_id"))
+		return nil, o.s.node.RPCError(ctx, fail.New(fail.BadRequest, "the request to apply a section has no order_id"))
 	}
 	if _, err := desired.ParseSection(m.Text); err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	r, err := o.s.propose(ctx, &wire.Command{Body: &wire.Command_ApplySection{ApplySection: &wire.ApplySection{
 		Team: m.Team, BaseRevision: m.BaseRevision, OrderId: m.OrderId, Text: m.Text,
 	}}})
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	if r.Full {
-		return nil, o.s.rpcError(ctx, fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetryAfter))
+		return nil, o.s.node.RPCError(ctx, fail.New(fail.Overloaded, r.Reason).WithRetryAfter(fullRetryAfter))
 	}
 	return connect.NewResponse(&wire.ApplyResponse{Record: r.Apply}), nil
 }
@@ -59,7 +59,7 @@
 	resp := &wire.GetSectionResponse{}
 	err := o.s.node.Read(ctx, func(_ replica.Leadership, m *state.Machine) { resp.Section = m.Section(req.Msg.Team) })
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -68,7 +68,7 @@
 func (o *operatorService) Members(ctx context.Context, _ *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
 	status, err := o.s.node.Status(ctx)
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	resp := &wire.MembersResponse{Leader: status.Leader, Term: status.Term, Commit: status.Commit, Membership: status.Membership}
 	err = o.s.node.Read(ctx, func(l replica.Leadership, m *state.Machine) {
@@ -78,7 +78,7 @@
 		resp.Orders = m.Orders()
 	})
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -89,7 +89,7 @@
 func (o *operatorService) ReplaceReplica(ctx context.Context, req *connect.Request[wire.ReplaceReplicaRequest]) (*connect.Response[wire.ReplaceReplicaResponse], error) {
 	m, err := o.s.replaceReplica(ctx, req.Msg)
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.ReplaceReplicaResponse{Membership: m}), nil
 }
@@ -103,7 +103,7 @@
 		err = fail.New(fail.UnknownRequest, "no live entry has the ID "+req.Msg.Entry)
 	}
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	e.Draining = true
 	r, err := o.s.propose(ctx, &wire.Command{Body: &wire.Command_SetEntry{SetEntry: &wire.SetEntry{Entry: e, ExpectedRegistration: e.Registration}}})
@@ -111,7 +111,7 @@
 		err = fail.New(fail.Unavailable, r.Reason).WithRetryAfter(time.Second)
 	}
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.DrainEntryResponse{Entry: e}), nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,7 +18,6 @@
 	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/placement"
 	"parsleyramp/internal/replica"
-	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
@@ -144,13 +143,3 @@
 	c.ProposedUnixMs = time.Now().UnixMilli()
 	return s.node.Propose(ctx, c)
 }
-
-// rpcError returns the error as a Connect error, with the leader's address if it
-// is known and this replica is not the leader.
-func (s *Server) rpcError(ctx context.Context, err error) error {
-	leader := ""
-	if status, statusErr := s.node.Status(ctx); statusErr == nil && !status.Leading {
-		leader = status.LeaderAddress()
-	}
-	return rpcerror.ToConnect(err, leader)
-}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -28,10 +28,10 @@
 		view, orders = o.s.leases.view(m), m.Orders()
 	})
 	if err != nil {
-		return nil, o.s.rpcError(ctx, err)
+		return nil, o.s.node.RPCError(ctx, err)
 	}
 	if resp.Section == nil {
-		return nil, o.s.rpcError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
+		return nil, o.s.node.RPCError(ctx, fail.New(fail.UnknownRequest, "team "+req.Msg.Team+" has no section"))
 	}
 	resp.Unmet = unmetReasons(resp.Section, view, orders, acknowledged, o.s.planner.reasonFor)
 	resp.Status = changeStatus(resp)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -10,7 +10,6 @@
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/quarantine"
-	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
 )
@@ -21,25 +20,15 @@
 
 var errNotLeading = fail.New(fail.NotLeader, "this replica does not lead")
 
-// rpcError converts the error for the RPC response, with the address of the leader if
-// it is known. A replica that leads and is not ready yet names itself.
-func (s *Server) rpcError(ctx context.Context, err error) error {
-	leader := ""
-	if status, statusErr := s.node.Status(ctx); statusErr == nil {
-		leader = status.LeaderAddress()
-	}
-	return rpcerror.ToConnect(err, leader)
-}
-
 // Sync ingests a gateway's report and returns what has changed since the view and
 // the document that the gateway has.
 func (f *fleetService) Sync(ctx context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
 	if _, ok := f.s.leadingTerm(ctx); !ok {
-		return nil, f.s.rpcError(ctx, errNotLeading)
+		return nil, f.s.node.RPCError(ctx, errNotLeading)
 	}
 	l := f.s.leader.Load()
 	if l == nil {
-		return nil, f.s.rpcError(ctx, errNotLeading)
+		return nil, f.s.node.RPCError(ctx, errNotLeading)
 	}
 	resp := l.sync(req.Msg)
 	resp.FingerprintKey = quarantine.NewKey(f.s.group.Name())
@@ -49,7 +38,7 @@
 		}
 	})
 	if err != nil {
-		return nil, f.s.rpcError(ctx, err)
+		return nil, f.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -140,7 +129,7 @@
 func (f *fleetService) Want(ctx context.Context, req *connect.Request[wire.WantRequest]) (*connect.Response[wire.WantResponse], error) {
 	l := f.s.leader.Load()
 	if l == nil {
-		return nil, f.s.rpcError(ctx, errNotLeading)
+		return nil, f.s.node.RPCError(ctx, errNotLeading)
 	}
 	m := req.Msg
 	resp := &wire.WantResponse{}
@@ -160,10 +149,10 @@
 // Join admits a replica to the group as a learner.
 func (f *fleetService) Join(ctx context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
 	if _, ok := f.s.leadingTerm(ctx); !ok {
-		return nil, f.s.rpcError(ctx, errNotLeading)
+		return nil, f.s.node.RPCError(ctx, errNotLeading)
 	}
 	if err := f.s.admit(ctx, req.Msg); err != nil {
-		return nil, f.s.rpcError(ctx, err)
+		return nil, f.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(&wire.JoinResponse{}), nil
 }
--- a/internal/fleetcontrol/watch.go
+++ b/internal/fleetcontrol/watch.go
@@ -71,7 +71,7 @@
 	out := &wire.GetDocumentResponse{}
 	err := f.s.node.ReadStale(ctx, func(m *state.Machine) { out.Document = m.Document() })
 	if err != nil {
-		return nil, f.s.rpcError(ctx, err)
+		return nil, f.s.node.RPCError(ctx, err)
 	}
 	return connect.NewResponse(out), nil
 }
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
 )
@@ -31,6 +32,7 @@
 		{"slow disk", slowDisk},
 		{"failover", failover},
 		{"planned stop", plannedStop},
+		{"every replica names the leader", everyReplicaNamesTheLeader},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -43,6 +45,29 @@
 	}
 }
 
+// everyReplicaNamesTheLeader checks that callers are sent to the leader by each replica,
+// the leader itself included, so that they do not leave it before it is ready.
+func everyReplicaNamesTheLeader(t *testing.T, g *group) {
+	m := membershipOf(1, 2, 3)
+	for _, r := range m.Replicas {
+		r.Address = fmt.Sprint("address of ", r.Id)
+	}
+	var nodes []*Node
+	for _, r := range m.Replicas {
+		n := g.add(r.Id).node
+		if err := n.Bootstrap(t.Context(), m); err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, n)
+	}
+	want := fmt.Sprint("address of ", g.leader().Identity().ID)
+	for i, n := range nodes {
+		if _, got := rpcerror.FromConnect(n.RPCError(t.Context(), fail.New(fail.NotLeader, "not ready"))); got != want {
+			t.Errorf("replica %d names %q as the leader, want %q", i+1, got, want)
+		}
+	}
+}
+
 func mustHaveEntries(t *testing.T, g *group, n int) {
 	t.Helper()
 	got := g.entries()
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -13,6 +13,7 @@
 	"parsleyramp/internal/consensus"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/journal"
+	"parsleyramp/internal/rpcerror"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
 )
@@ -238,6 +239,16 @@
 	return s, nil
 }
 
+// RPCError converts an error for an RPC response, with the address of the leader if it is
+// known. A replica that leads and is not ready yet names itself.
+func (n *Node) RPCError(ctx context.Context, err error) error {
+	leader := ""
+	if status, statusErr := n.Status(ctx); statusErr == nil {
+		leader = status.LeaderAddress()
+	}
+	return rpcerror.ToConnect(err, leader)
+}
+
 // GroupName returns the name of the group that is bootstrapped with the membership.
 // It depends only on the ids and addresses of the replicas, so that a repeated
 // bootstrap yields the same group, and one of other replicas another group.
