--- a/internal/gateway/documentbound_test.go
+++ b/internal/gateway/documentbound_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,9 @@
 	phases      = 30
 )
 
+// fakeTerm is the term of the only leader of a fakeGroup.
+const fakeTerm = 1
+
 // fakeGroup is a control group of which a gateway's client knows all VMs.
 type fakeGroup struct {
 	mu sync.Mutex
@@ -69,6 +73,10 @@
 	silent bool
 	// exchangeTime is how long the response to an exchange takes.
 	exchangeTime time.Duration
+	// stuck VMs do not deliver documents.
+	stuck bool
+	// exchanges and fetches count the calls that were answered.
+	exchanges, fetches atomic.Int64
 }
 
 func (r *fakeReplica) Sync(ctx context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
@@ -79,7 +87,8 @@
 	if !wait.For(ctx, r.exchangeTime) {
 		return nil, ctx.Err()
 	}
-	out := &wire.SyncResponse{Term: 1}
+	r.exchanges.Add(1)
+	out := &wire.SyncResponse{Term: fakeTerm}
 	if _, version, _ := r.group.state(); version > req.Msg.DocumentVersion {
 		out.Document = testDocument(version)
 	}
@@ -90,7 +99,8 @@
 	hold := time.After(time.Duration(req.Msg.HoldMs) * time.Millisecond)
 	for {
 		leader, version, changed := r.group.state()
-		if version <= req.Msg.DocumentVersion {
+		newLeader := leader != "" && req.Msg.Term < fakeTerm
+		if version <= req.Msg.DocumentVersion && !newLeader {
 			select {
 			case <-changed:
 				continue
@@ -99,11 +109,16 @@
 				return nil, ctx.Err()
 			}
 		}
-		return connect.NewResponse(&wire.WatchResponse{DocumentVersion: version, Term: 1, Leader: leader}), nil
+		return connect.NewResponse(&wire.WatchResponse{DocumentVersion: version, Term: fakeTerm, Leader: leader}), nil
 	}
 }
 
-func (r *fakeReplica) GetDocument(context.Context, *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
+func (r *fakeReplica) GetDocument(ctx context.Context, _ *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
+	if r.stuck {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r.fetches.Add(1)
 	_, version, _ := r.group.state()
 	return connect.NewResponse(&wire.GetDocumentResponse{Document: testDocument(version)}), nil
 }
@@ -129,29 +144,37 @@
 // gateway knows them.
 type controlCase struct {
 	name string
-	vms  []fakeReplica
+	vms  []*fakeReplica
 	// leader is the index of the VM that leads at the acknowledgement. It has just been
 	// elected then if elected is set.
 	leader  int
 	elected bool
 }
 
-func silentVMs(n int) []fakeReplica {
-	out := make([]fakeReplica, n)
+func liveVMs(n int) []*fakeReplica {
+	out := make([]*fakeReplica, n)
 	for i := range out {
-		out[i].silent = true
+		out[i] = &fakeReplica{}
+	}
+	return out
+}
+
+func silentVMs(n int) []*fakeReplica {
+	out := liveVMs(n)
+	for _, r := range out {
+		r.silent = true
 	}
 	return out
 }
 
 func TestAcknowledgedDocumentIsAppliedInTimeInEveryStateOfControl(t *testing.T) {
 	for _, c := range []controlCase{
-		{name: "leader responds at once", vms: make([]fakeReplica, 3)},
-		{name: "two VMs without power", vms: append(silentVMs(2), make([]fakeReplica, 3)...), leader: 2},
-		{name: "two VMs without power before a leader that was just elected", vms: append(silentVMs(2), make([]fakeReplica, 3)...), leader: 4, elected: true},
-		{name: "two VMs without power and four that left the group, new leader", vms: append(silentVMs(6), make([]fakeReplica, 3)...), leader: 8, elected: true},
-		{name: "leader responds to exchanges too late", vms: []fakeReplica{{exchangeTime: 700 * time.Millisecond}, {}, {}}},
-		{name: "leader responds to exchanges too late and one VM is without power", vms: []fakeReplica{{silent: true}, {exchangeTime: 700 * time.Millisecond}, {}}, leader: 1},
+		{name: "leader responds at once", vms: liveVMs(3)},
+		{name: "two VMs without power", vms: append(silentVMs(2), liveVMs(3)...), leader: 2},
+		{name: "two VMs without power before a leader that was just elected", vms: append(silentVMs(2), liveVMs(3)...), leader: 4, elected: true},
+		{name: "two VMs without power and four that left the group, new leader", vms: append(silentVMs(6), liveVMs(3)...), leader: 8, elected: true},
+		{name: "leader responds to exchanges too late", vms: []*fakeReplica{{exchangeTime: 700 * time.Millisecond}, {}, {}}},
+		{name: "leader responds to exchanges too late and one VM is without power", vms: []*fakeReplica{{silent: true}, {exchangeTime: 700 * time.Millisecond}, {}}, leader: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for phase := range phases {
@@ -161,13 +184,13 @@
 	}
 }
 
-// check acknowledges a document after the time settled, and checks when the gateway
-// applies it.
-func (c controlCase) check(t *testing.T, settled time.Duration) {
-	group := newFakeGroup()
+// start starts a gateway that knows the VMs of the control group in their order, and
+// returns it with their addresses.
+func (c controlCase) start(ctx context.Context, t *testing.T, group *fakeGroup) (*Gateway, []string) {
+	t.Helper()
 	replicas, addresses := replicaTransport{}, []string(nil)
-	for i := range c.vms {
-		r := &fakeReplica{group: group, address: fmt.Sprintf("10.0.0.%d:1", i+1), silent: c.vms[i].silent, exchangeTime: c.vms[i].exchangeTime}
+	for i, r := range c.vms {
+		r.group, r.address = group, fmt.Sprintf("10.0.0.%d:1", i+1)
 		replicas[r.address], addresses = r, append(addresses, r.address)
 	}
 	g := newTestGateway(t, idempotent, document.Service{})
@@ -177,19 +200,84 @@
 	}
 	g.control = controlclient.New(&http.Client{Transport: replicas}, addresses)
 	g.control.SetTimeouts(controlTimeout, controlRetryDelay)
+	g.followControl(ctx)
+	return g, addresses
+}
+
+// check acknowledges a document after the time settled, and checks when the gateway
+// applies it.
+func (c controlCase) check(t *testing.T, settled time.Duration) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	g.followControl(ctx)
+	group := newFakeGroup()
+	g, addresses := c.start(ctx, t, group)
 	if !c.elected {
 		group.set(addresses[c.leader], 1)
 	}
 	time.Sleep(settled)
 	acknowledged := g.clock()
 	group.set(addresses[c.leader], 2)
-	for g.table.Load().Document.Version < 2 && g.clock() < acknowledged+10*time.Second {
+	for g.documentVersion() < 2 && g.clock() < acknowledged+10*time.Second {
 		time.Sleep(10 * time.Millisecond)
 	}
 	if took := g.clock() - acknowledged; took > applyBound {
 		t.Errorf("document applied %v after its acknowledgement at %v, want within %v", took, settled, applyBound)
 	}
 }
+
+func TestNewLeaderIsExchangedWithAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := controlCase{vms: append(silentVMs(6), liveVMs(3)...)}
+		group := newFakeGroup()
+		_, addresses := c.start(ctx, t, group)
+		time.Sleep(settledTime)
+		group.set(addresses[8], 1)
+		// The call in flight ends, and the next one follows.
+		time.Sleep(2 * controlRetryDelay)
+		if c.vms[8].exchanges.Load() == 0 {
+			t.Error("no exchange with the new leader right after a VM has named it")
+		}
+	})
+}
+
+func TestNewDocumentIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := controlCase{vms: liveVMs(5)}
+		group := newFakeGroup()
+		g, addresses := c.start(ctx, t, group)
+		group.set(addresses[0], 1)
+		time.Sleep(settledTime)
+		group.set(addresses[0], 2)
+		synctest.Wait()
+		fetches := int64(0)
+		for _, r := range c.vms {
+			fetches += r.fetches.Load()
+		}
+		if g.documentVersion() != 2 || fetches != 1 {
+			t.Errorf("version %d after %d fetches, want version 2 after one", g.documentVersion(), fetches)
+		}
+	})
+}
+
+func TestDocumentIsFetchedFromAnotherVMIfOneDoesNotDeliver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := controlCase{vms: liveVMs(3)}
+		// Exchanges take too long to bring the document.
+		c.vms[0].exchangeTime, c.vms[0].stuck, c.vms[1].stuck = time.Minute, true, true
+		group := newFakeGroup()
+		g, addresses := c.start(ctx, t, group)
+		group.set(addresses[0], 1)
+		time.Sleep(settledTime)
+		group.set(addresses[0], 2)
+		time.Sleep(2*fetchHedge + time.Millisecond)
+		if g.documentVersion() != 2 {
+			t.Errorf("version %d, want 2 from the VM that delivers it", g.documentVersion())
+		}
+	})
+}
