Count each crash of an endpoint that comes back under its old id

A request that crashes a plain service's endpoint as the first one after its restart was counted once for all its crashes there: what is broken at an endpoint after its crash belongs to requests that were sent to it while it was down. An endpoint that has responded since, or that broke nothing for 2 s, is taken to have started again. In one report, what a gateway heard from an endpoint precedes what the endpoint broke. Found by reading; TestEndpointThatCrashesAgainUnderItsOldIDCountsAgain failed before in the second case: 'decision 0 after three crashes of one endpoint, want Reject'.

--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -34,6 +34,13 @@
 // ingestSuspects adds a gateway's report of broken and completed requests. l.mu must be
 // held.
 func (l *leaderState) ingestSuspects(r *wire.SyncRequest, now time.Duration) {
+	// What the gateway heard from an endpoint precedes what the endpoint broke.
+	lag := l.reportLag()
+	for _, x := range r.Loads {
+		if x.Heard || x.Served > 0 {
+			l.suspects.Responded(x.Endpoint, now, lag)
+		}
+	}
 	for _, b := range r.Broken {
 		if e := l.engines[b.Endpoint]; e != nil && e.listed.Leaving {
 			continue
@@ -43,12 +50,6 @@
 	for _, f := range r.CompletedSuspects {
 		l.suspects.Completed(f)
 	}
-	lag := l.reportLag()
-	for _, x := range r.Loads {
-		if x.Heard || x.Served > 0 {
-			l.suspects.Responded(x.Endpoint, now, lag)
-		}
-	}
 }
 
 // setSuspects adds the suspects to the response unless the gateway has them. l.mu must
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -24,6 +24,9 @@
 	// judgedTTL is how long a crash is remembered so that requests which are broken at
 	// the same endpoint later do not count as another one.
 	judgedTTL = time.Minute
+	// restartTime is the time without broken requests after which an endpoint that has
+	// crashed is taken to have started again under its old id.
+	restartTime = 2 * time.Second
 	// retention is how long a request stays suspected or convicted after its last
 	// crash. A convicted one is a suspect for as long again, which its next crash
 	// convicts.
@@ -65,8 +68,10 @@
 	refused, removed bool
 	fingerprints     map[uint64]bool
 	// judged is set once its crash has been counted. Requests that are broken later
-	// were sent to an endpoint that had ended.
+	// were sent to an endpoint that had ended, unless none was broken for restartTime.
 	judged bool
+	// lastAt is when a broken request was last reported.
+	lastAt time.Duration
 }
 
 // suspect is a request that was in flight during crashes.
@@ -89,10 +94,11 @@
 // connection right after.
 func (p *Pool) Broken(endpoint string, fingerprints []uint64, refused bool, now time.Duration) {
 	b := p.broken[endpoint]
-	if b == nil {
+	if b == nil || b.judged && now-b.lastAt > restartTime {
 		b = &brokenEndpoint{firstAt: now, fingerprints: map[uint64]bool{}}
 		p.broken[endpoint] = b
 	}
+	b.lastAt = now
 	if b.judged {
 		return
 	}
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -184,6 +184,28 @@
 	}
 }
 
+func TestEndpointThatCrashesAgainUnderItsOldIDCountsAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// between is what the gateways see of the endpoint between two crashes.
+		between func(p *testPool)
+	}{
+		{"it responds in between", func(p *testPool) { p.Responded("e", p.now, testReportLag) }},
+		{"nothing is sent to it in between", func(p *testPool) { p.now += restartTime + 1 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newTestPool()
+			for range 3 {
+				p.crashAt("e", 7)
+				c.between(p)
+			}
+			if got := Decide(p.state(7), 0); got != Reject {
+				t.Errorf("decision %v after three crashes of one endpoint, want Reject", got)
+			}
+		})
+	}
+}
+
 func TestCompletedRequestIsNoLongerSuspected(t *testing.T) {
 	p := newTestPool()
 	p.crash(7)
