Commit the changes of suspects one after the other

Two steps of the leader could commit changes of suspects at the same time, so that a suspicion could follow the conviction in the log and the next leader would let the request run again. Found by reading; TestSuspectsAreRecordedOneChangeAfterTheOther.

--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -68,6 +68,9 @@
 	// revision of the suspects of which they are up to date.
 	recordedSuspects map[uint64]*wire.Suspect
 	recordedRevision uint64
+	// recordingSuspects is set while a change of recordedSuspects is being committed,
+	// so that an older one does not follow a newer one.
+	recordingSuspects bool
 	// published is the view of the fleet that gateways receive.
 	published *publishedView
 	// control are the addresses of the control replicas.
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -69,12 +69,14 @@
 			"endpoint": c.Endpoint, "requests_in_flight": len(c.InFlight), "convicted": formatFingerprints(c.Convicted),
 		}).Info("endpoint crashed while it ran requests")
 	}
-	if l.suspects.Revision() == l.recordedRevision {
+	if l.recordingSuspects || l.suspects.Revision() == l.recordedRevision {
 		return nil
 	}
 	known, revision := l.suspects.Known()
 	l.recordedRevision = revision
-	return suspectChanges(l.recordedSuspects, known)
+	changes := suspectChanges(l.recordedSuspects, known)
+	l.recordingSuspects = changes != nil
+	return changes
 }
 
 // maxFingerprintsLogged bounds the fingerprints in one log line.
@@ -119,6 +121,7 @@
 	_, err := l.s.node.ProposeInTerm(ctx, l.term, c)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recordingSuspects = false
 	if err != nil {
 		l.recordedRevision = 0
 		l.s.log.WithError(err).WithField("suspects", len(r.Suspects)).Warn("failed to record suspected requests")
--- a/internal/fleetcontrol/suspects_test.go
+++ b/internal/fleetcontrol/suspects_test.go
@@ -67,6 +67,30 @@
 	})
 }
 
+func TestSuspectsAreRecordedOneChangeAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+		crash := func(endpoint string) *wire.RecordSuspects {
+			report(l, &wire.SyncRequest{Broken: []*wire.BrokenRequests{{Endpoint: endpoint, Fingerprints: []uint64{7}, Refused: true}}})
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			time.Sleep(2*l.reportLag() + time.Millisecond)
+			return l.evaluateSuspects(l.s.clock())
+		}
+		crash("e0")
+		if r := crash("e1"); len(r.GetSuspects()) != 1 {
+			t.Fatalf("recorded %v after the second crash, want the suspect", r)
+		}
+		if r := crash("e2"); r != nil {
+			t.Errorf("recorded %v while the change before is being committed", r)
+		}
+		l.recordingSuspects = false
+		if r := l.evaluateSuspects(l.s.clock()); len(r.GetSuspects()) != 1 || r.Suspects[0].State != wire.SuspectState_SUSPECT_STATE_CONVICTED {
+			t.Errorf("recorded %v after the commit, want the conviction", r)
+		}
+	})
+}
+
 func TestConvictedRequestSurvivesRestartOfTheControlGroup(t *testing.T) {
 	cfg := DefaultSettings()
 	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
