--- a/internal/document/main_test.go
+++ b/internal/document/main_test.go
@@ -1,17 +1,9 @@
 package document
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"parsleyramp/internal/rapidtest"
 )
 
-// TestMain sets a fixed seed for rapid, so that runs are reproducible.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 300) }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -253,30 +253,6 @@
 	return d.budget.TryWithdraw(d.session.clock(), j.template.Team, cost)
 }
 
-// suspectPollInterval is the time between two checks whether a suspect may run.
-const suspectPollInterval = 50 * time.Millisecond
-
-// awaitIsolation waits until every entry treats the request as a suspect. From
-// then on each entry checks with the control plane before it runs the request, so
-// that a request that is quarantined by its second crash is rejected at once at
-// every entry to which it is resent.
-func (d *dispatcher) awaitIsolation(ctx context.Context, fingerprint uint64) error {
-	for {
-		r, err := d.reporter.CheckSuspect(ctx, fingerprint)
-		switch {
-		case err != nil:
-			return fail.Wrap(err, fail.Unavailable, "the control plane did not confirm that the request may run again").WithRetryAfter(defaultRetryAfter)
-		case r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED:
-			return quarantine.NewError()
-		case r.KnownEverywhere:
-			return nil
-		case ctx.Err() != nil:
-			return fail.Wrap(ctx.Err(), fail.DeadlinePassed, "the deadline passed before the request could run isolated")
-		}
-		wait.For(ctx, suspectPollInterval)
-	}
-}
-
 // finalError returns the error that is sent to the client.
 func (d *dispatcher) finalError(ctx context.Context, p *progress) error {
 	if p.crashes >= quarantine.MaxCrashes {
@@ -304,18 +280,6 @@
 	d.budget.RecordRequest(d.session.clock(), j.template.Team)
 }
 
-// clearSuspicion removes a request with a complete response from the suspects.
-func (d *dispatcher) clearSuspicion(j *job, p *progress) {
-	if !p.isolated && p.crashes == 0 {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
-		defer cancel()
-		_ = d.reporter.ClearSuspect(ctx, j.template.Fingerprint)
-	}()
-}
-
 func (d *dispatcher) choose(targets []target, p *progress, c *catalog) (target, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/fleetcontrol/engineorders.go
@@ -0,0 +1,263 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/residency"
+	"parsleyramp/internal/wait"
+)
+
+const (
+	// modelDrainTime is the time between the publication that a model is about to
+	// be unloaded and the unload, in which gateways stop sending requests for it.
+	modelDrainTime = 350 * time.Millisecond
+	// minPollInterval is the poll interval for an engine that is about to complete
+	// an order, and maxPollInterval the one for an engine that is not.
+	minPollInterval = 150 * time.Millisecond
+	maxPollInterval = time.Second
+	// orderResponseTimeout bounds the wait for the response to an order, and
+	// maxOrderAttempts is how often an order without a response is sent. Other
+	// orders to the engine wait meanwhile.
+	orderResponseTimeout = 300 * time.Millisecond
+	maxOrderAttempts     = 3
+	// orderEffectTimeout bounds the wait for an order to take effect.
+	orderEffectTimeout = 20 * time.Second
+	// reportLag is how long a report may lag behind the orders.
+	reportLag = 300 * time.Millisecond
+	// unknownOutcomeDelay is the time after an order that was not accepted, or has
+	// an unknown outcome, before the engine gets another one.
+	unknownOutcomeDelay = 600 * time.Millisecond
+)
+
+// executeStep unloads and loads the models of a placement step. The caller has
+// set stepInFlight. A step that fails is abandoned; the next plan replaces it.
+func (e *engineState) executeStep(ctx context.Context, step residency.Step) {
+	defer e.finishStep()
+	if len(step.Unload) > 0 && !wait.For(ctx, modelDrainTime) {
+		return
+	}
+	for _, m := range step.Unload {
+		if !e.executeModelOrder(ctx, false, m) {
+			return
+		}
+	}
+	e.executeModelOrder(ctx, true, step.Load)
+}
+
+// executeModelOrder sends an order for a model and waits for its effect.
+func (e *engineState) executeModelOrder(ctx context.Context, load bool, model string) bool {
+	if !e.ensureSequence(ctx) {
+		wait.For(ctx, unknownOutcomeDelay)
+		return false
+	}
+	result := e.sendOrder(ctx, Order{Load: load, Model: model})
+	expected := e.recordExpectedReady(load, model)
+	x := e.listing()
+	e.leader.s.log.WithFields(logrus.Fields{
+		"endpoint": x.ID, "address": x.Address, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
+	}).Info("result of model order")
+	if result == OrderAccepted || result == OrderSatisfied {
+		return e.awaitEffect(ctx, load, model, expected)
+	}
+	wait.For(ctx, unknownOutcomeDelay)
+	return false
+}
+
+// recordExpectedReady records when a load that was just ordered is expected to be
+// ready, and returns its expected duration. That of an unload is 0.
+func (e *engineState) recordExpectedReady(load bool, model string) time.Duration {
+	if !load {
+		return 0
+	}
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	duration := e.loadTime(model)
+	e.readyAt = e.leader.s.clock() + duration
+	return duration
+}
+
+// loadTime returns the expected time that the engine takes to load the model.
+// e.leader.mu must be held.
+func (e *engineState) loadTime(model string) time.Duration {
+	if e.leader.doc == nil {
+		return 0
+	}
+	s := e.leader.doc.Service(e.listed.Service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	m := s.Engine.Model(model)
+	switch {
+	case m == nil:
+		return 0
+	case e.cached[model]:
+		return m.LoadFromMemory
+	}
+	return m.Load
+}
+
+// ensureSequence reads the engine's report if its sequence is not known, unless the
+// report may be stale or the engine executes a foreign order. It reports whether the
+// sequence is known now.
+func (e *engineState) ensureSequence(ctx context.Context) bool {
+	e.leader.mu.Lock()
+	known, stale := e.sequenceKnown, e.foreignOrder || e.leader.s.clock() < e.reportStaleUntil
+	e.leader.mu.Unlock()
+	if known || stale {
+		return known
+	}
+	if _, err := e.refresh(ctx); err != nil {
+		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read engine report before an order")
+		return false
+	}
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.sequenceKnown
+}
+
+// sendOrder sends an order with the sequence at which the engine may accept it.
+// An order with an unknown outcome is resent at once: both attempts name the same
+// sequence, so the engine accepts at most one of them.
+func (e *engineState) sendOrder(ctx context.Context, o Order) OrderResult {
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	result := e.sendOrderOnce(ctx, o)
+	for attempt := 1; attempt < maxOrderAttempts && result == OrderUnknown; attempt++ {
+		e.leader.mu.Lock()
+		e.sequenceKnown = true
+		e.leader.mu.Unlock()
+		result = e.sendOrderOnce(ctx, o)
+		if result == OrderConflict && e.tookEffect(ctx, o) {
+			result = OrderAccepted
+		}
+	}
+	return result
+}
+
+// tookEffect reports whether an order whose response was lost has been accepted.
+// It waits until the engine's report is no longer older than the order.
+func (e *engineState) tookEffect(ctx context.Context, o Order) bool {
+	if !wait.For(ctx, reportLag) {
+		return false
+	}
+	e.leader.mu.Lock()
+	e.awaitingEffect = e.awaitingEffect || o.Adapter == ""
+	e.leader.mu.Unlock()
+	r, err := e.refresh(ctx)
+	if err != nil {
+		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read engine report after an order with unknown outcome")
+		e.endAwaitEffect()
+		return false
+	}
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	adapters, holds := e.held[o.Model]
+	if o.Adapter != "" {
+		return adapters[o.Adapter] == o.Load
+	}
+	e.awaitingEffect = r.Busy || holds == o.Load
+	return e.awaitingEffect
+}
+
+// sendOrderOnce makes one attempt to send an order.
+func (e *engineState) sendOrderOnce(ctx context.Context, o Order) OrderResult {
+	x := e.listing()
+	until, ok := e.leader.orderAllowed(ctx, x)
+	if !ok {
+		return OrderNotSent
+	}
+	// A pause of the process may separate the check from the write.
+	mayWrite := func() bool { return e.leader.s.clock() < until }
+	e.leader.mu.Lock()
+	// A step or an adapter job may outlive the engine's entry in the list.
+	listed := e.leader.engines[x.ID] == e
+	ready := listed && e.sequenceKnown && (!o.Load || e.fits(o))
+	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
+	e.orderedAt = e.leader.s.clock()
+	e.leader.mu.Unlock()
+	if !ready {
+		return OrderNotSent
+	}
+	call, cancel := context.WithTimeout(ctx, orderResponseTimeout)
+	defer cancel()
+	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, o, mayWrite)
+	ordersSent.count(o, result)
+	switch {
+	case err != nil && result == OrderNotSent:
+		e.leader.s.log.WithError(err).WithField("endpoint", x.ID).Warn("order not sent")
+	case err != nil:
+		e.leader.s.log.WithError(err).WithField("endpoint", x.ID).Warn("outcome of order unknown")
+	}
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	switch result {
+	case OrderNotSent:
+	case OrderAccepted:
+		// A report with the new sequence may have arrived before this response.
+		e.sequence = max(e.sequence, o.ExpectedSequence+1)
+		e.awaitingEffect = e.awaitingEffect || o.Adapter == ""
+	case OrderSatisfied:
+		if o.Adapter != "" && !o.Load {
+			// The engine unloads an idle adapter at once, which counts as an
+			// accepted order.
+			e.sequence = max(e.sequence, o.ExpectedSequence+1)
+		}
+	case OrderConflict:
+		if o.Adapter != "" && !o.Load {
+			// Most likely the adapter is in use. If the sequence is wrong instead,
+			// the next order fails with a conflict too.
+			break
+		}
+		e.sequenceKnown, e.reportStaleUntil = false, e.leader.s.clock()+reportLag
+	default:
+		e.sequenceKnown, e.reportStaleUntil = false, e.leader.s.clock()+reportLag
+	}
+	return result
+}
+
+// awaitEffect polls the engine until the order has taken effect. It returns false
+// after orderEffectTimeout.
+func (e *engineState) awaitEffect(ctx context.Context, load bool, model string, expected time.Duration) bool {
+	defer e.endAwaitEffect()
+	start := e.leader.s.clock()
+	for e.leader.s.clock()-start < orderEffectTimeout && wait.For(ctx, pollDelay(expected-(e.leader.s.clock()-start))) {
+		r, err := e.refresh(ctx)
+		if err != nil || r.Busy {
+			continue
+		}
+		e.leader.mu.Lock()
+		_, holds := e.held[model]
+		current := r.Sequence >= e.sequence
+		e.leader.mu.Unlock()
+		if current && holds == load {
+			return true
+		}
+	}
+	return false
+}
+
+// pollDelay returns the delay before the next poll of an engine that is expected
+// to be done in the time left. It polls earlier than that too, because a load may
+// take less time than expected.
+func pollDelay(left time.Duration) time.Duration {
+	return min(max(left/4, minPollInterval), maxPollInterval)
+}
+
+func (e *engineState) endAwaitEffect() {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	e.awaitingEffect = false
+}
+
+// finishStep ends the step in flight and triggers a new plan.
+func (e *engineState) finishStep() {
+	e.leader.mu.Lock()
+	e.stepInFlight, e.loading = false, ""
+	clear(e.unloading)
+	e.orderedAt = e.leader.s.clock()
+	e.leader.mu.Unlock()
+	e.leader.triggerStep()
+}
--- a/internal/fleetcontrol/server_test.go
+++ b/internal/fleetcontrol/server_test.go
@@ -39,6 +39,17 @@
 	return &document.Document{Version: v}, nil
 }
 
+// singleSettings returns the settings of the only replica of a group, for its first
+// start.
+func singleSettings(t *testing.T) Settings {
+	t.Helper()
+	cfg := DefaultSettings()
+	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
+	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
+	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	return cfg
+}
+
 // startSingle starts a group of one replica with the settings.
 func startSingle(t *testing.T, cfg Settings) (s *Server, stop func()) {
 	t.Helper()
@@ -76,10 +87,7 @@
 }
 
 func TestDocumentSurvivesRestartAndReachesGateways(t *testing.T) {
-	cfg := DefaultSettings()
-	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
-	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
-	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	cfg := singleSettings(t)
 	s, stop := startSingle(t, cfg)
 	if _, err := s.Newest(t.Context()); err == nil {
 		t.Error("Newest succeeded on a replica that does not lead yet")
--- a/internal/fleetcontrol/suspects_test.go
+++ b/internal/fleetcontrol/suspects_test.go
@@ -92,10 +92,7 @@
 }
 
 func TestConvictedRequestSurvivesRestartOfTheControlGroup(t *testing.T) {
-	cfg := DefaultSettings()
-	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
-	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
-	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	cfg := singleSettings(t)
 	s, stop := startSingle(t, cfg)
 	eventually(t, func(context.Context) error {
 		l := s.leader.Load()
--- a/internal/fleetcontrol/watch_test.go
+++ b/internal/fleetcontrol/watch_test.go
@@ -48,10 +48,7 @@
 }
 
 func TestReplicaTellsWatchersOfCommittedDocumentAndLeader(t *testing.T) {
-	cfg := DefaultSettings()
-	cfg.ID, cfg.Domain, cfg.DataFolder, cfg.LiveList = "c", "d", t.TempDir(), "127.0.0.1:1"
-	cfg.Address, cfg.OperatorAddress = freeAddress(t), freeAddress(t)
-	cfg.Seeds, cfg.FirstStart = []string{cfg.OperatorAddress}, true
+	cfg := singleSettings(t)
 	s, stop := startSingle(t, cfg)
 	defer stop()
 	eventually(t, func(ctx context.Context) error { return s.Put(ctx, []byte("7")) })
