Convict a request only by a crash after all gateways suspect it

A request that its client sends so often that it is in flight at several endpoints was convicted when these crashed at once for another reason: no other request explained the same crashes, and it had no chance to be cleared. The last crash must now come once all gateways know the suspect, each of which reports a run to the end. Found by reading; TestRequestInFlightAtManyEndpointsIsNotConvictedByTheirCommonCrash failed before: '[7 8] convicted by crashes at one time'.

--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -15,7 +15,8 @@
 	suspectCrashes = 2
 	// convictingCrashes is the number of crashes after which a request is convicted,
 	// unless another request was in flight during each of them too. After
-	// ambiguousCrashes it is convicted in any case.
+	// ambiguousCrashes it is convicted in any case. The last crash must have come when
+	// all gateways knew the suspect: one of its runs to the end would have cleared it.
 	convictingCrashes = 3
 	ambiguousCrashes  = 5
 	// brokenTTL is how long after a broken request the end of its endpoint counts as
@@ -81,7 +82,8 @@
 	earlier   int
 	crashes   []uint64
 	convicted bool
-	lastAt    time.Duration
+	// knownAt is when it became known, and lastAt the time of the last crash.
+	knownAt, lastAt time.Duration
 }
 
 // NewPool returns an empty pool. Its revisions are higher than floor.
@@ -152,7 +154,7 @@
 			delete(p.broken, endpoint)
 		case !b.judged && (b.refused || b.removed) && age > 2*reportLag:
 			b.judged = true
-			out = append(out, p.judge(endpoint, slices.Sorted(maps.Keys(b.fingerprints)), now))
+			out = append(out, p.judge(endpoint, b, now, reportLag))
 		}
 	}
 	p.expire(now)
@@ -161,14 +163,17 @@
 
 // judge counts a crash for the requests that it broke, and convicts those that no other
 // one of them can stand for.
-func (p *Pool) judge(endpoint string, inFlight []uint64, now time.Duration) Crash {
+func (p *Pool) judge(endpoint string, b *brokenEndpoint, now, reportLag time.Duration) Crash {
+	inFlight := slices.Sorted(maps.Keys(b.fingerprints))
 	p.crashCount++
 	for _, f := range inFlight {
 		p.count(f, p.crashCount, now)
 	}
 	c := Crash{Endpoint: endpoint, InFlight: inFlight}
 	for _, f := range inFlight {
-		if s := p.suspects[f]; !s.convicted && p.guilty(f, s, inFlight) {
+		s := p.suspects[f]
+		knownBefore := s.known() && b.firstAt > s.knownAt+reportLag
+		if !s.convicted && knownBefore && p.guilty(f, s, inFlight) {
 			c.Convicted = append(c.Convicted, f)
 		}
 	}
@@ -189,10 +194,14 @@
 		p.suspects[fingerprint] = s
 	}
 	s.lastAt = now
+	wasKnown := s.known()
 	s.crashes = append(s.crashes, crash)
 	if s.known() {
 		p.revision++
 	}
+	if !wasKnown {
+		s.knownAt = now
+	}
 }
 
 // guilty reports whether the crashes of the request can be put down to it.
@@ -238,7 +247,7 @@
 		switch {
 		case now-s.lastAt <= retention:
 		case s.convicted:
-			*s = suspect{earlier: suspectCrashes, lastAt: now}
+			*s = suspect{earlier: suspectCrashes, knownAt: now, lastAt: now}
 			p.revision++
 		default:
 			p.drop(f, s)
@@ -305,7 +314,7 @@
 func (p *Pool) Restore(recorded []*wire.Suspect, now time.Duration) {
 	for _, r := range recorded {
 		p.suspects[r.Fingerprint] = &suspect{
-			earlier: int(r.Crashes), convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, lastAt: now,
+			earlier: int(r.Crashes), convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, knownAt: now, lastAt: now,
 		}
 	}
 	p.revision++
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -30,6 +30,8 @@
 }
 
 func (p *testPool) crashAt(endpoint string, fingerprints ...uint64) []uint64 {
+	// All gateways learn of the suspects of the crash before.
+	p.now += testReportLag + 1
 	for _, f := range fingerprints {
 		p.Broken(endpoint, []uint64{f}, true, p.now)
 	}
@@ -144,6 +146,26 @@
 	}
 }
 
+// TestRequestInFlightAtManyEndpointsIsNotConvictedByTheirCommonCrash guards a request that
+// its client sends so often that it is in flight at all endpoints.
+func TestRequestInFlightAtManyEndpointsIsNotConvictedByTheirCommonCrash(t *testing.T) {
+	p := newTestPool()
+	for e := range 8 {
+		p.Broken(fmt.Sprint("common ", e), []uint64{7, 8}, true, p.now)
+	}
+	p.Broken("common 8", []uint64{7}, true, p.now)
+	p.now += 3 * testReportLag
+	for _, c := range p.Evaluate(p.now, testReportLag) {
+		if c.Convicted != nil {
+			t.Fatalf("%v convicted by crashes at one time", c.Convicted)
+		}
+	}
+	p.Completed(8)
+	if convicted := p.crash(7, 8); !slices.Equal(convicted, []uint64{7}) {
+		t.Errorf("%v convicted by the next crash, want 7 and not 8, which has run to its end", convicted)
+	}
+}
+
 func TestEndpointThatBreaksRequestsWithoutCrashing(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -161,6 +183,7 @@
 			p := newTestPool()
 			for i := range 3 {
 				endpoint := fmt.Sprint("e", i)
+				p.now += testReportLag + 1
 				p.Broken(endpoint, []uint64{7}, true, p.now)
 				c.end(p, endpoint)
 				p.now += 3 * testReportLag
