Compress a document once for all gateways, and send it once to each

Cause: all gateways fetch a new document within 60 ms since each replica tells them of it, and the replica compressed it for each of them; exchanges then brought it once more. With one processor the consensus core waited for the compressors beyond the election timeout.

A replica now compresses a document once and sends these bytes; an exchange brings a document only in a gateway's first one with a leader, and to a gateway that has not fetched it for 1 s. TestNewDocumentIsCompressedOnceForAllGateways and TestExchangeBringsDocumentFirstAndToGatewaysThatDoNotFetchIt state both.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -39,6 +39,8 @@
 	peers   *http.Client
 	group   *replica.Group
 	news    *news
+	// compressed is the newest document as gateways fetch it.
+	compressed compressedDocument
 	// seeds are the internal addresses of the seeds in the current settings.
 	seeds atomic.Pointer[[]string]
 
@@ -125,7 +127,7 @@
 	mux := http.NewServeMux()
 	options := append(transport.PeerHandlerOptions(), connect.WithInterceptors(telemetry.Interceptor()))
 	mux.Handle(wireconnect.NewReplicaServiceHandler(replica.NewService(s.node, s.group, s.sender), options...))
-	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, options...))
+	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, append(options, connect.WithConditionalHandlerOptions(compression))...))
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.collectMetrics))
 	internalListener, err := transport.Listen(cmp.Or(s.cfg.ListenAddress, s.cfg.Address))
 	if err != nil {
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -30,8 +30,12 @@
 	if l == nil {
 		return nil, f.s.node.RPCError(ctx, errNotLeading)
 	}
+	sendsDocument := l.sendsDocument(req.Msg)
 	resp := l.sync(req.Msg)
 	resp.FingerprintKey = quarantine.NewKey(f.s.group.Name())
+	if !sendsDocument {
+		return connect.NewResponse(resp), nil
+	}
 	err := f.s.node.ReadStale(ctx, func(m *state.Machine) {
 		if d := m.Document(); d.GetVersion() > req.Msg.DocumentVersion {
 			resp.Document = d
--- a/internal/fleetcontrol/spread.go
+++ b/internal/fleetcontrol/spread.go
@@ -5,10 +5,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/wire"
 )
 
 // slowSpread is the time after which a gateway that still reports an older fleet
-// document than the leader's is logged.
+// document than the leader's is logged, and gets the document with its exchanges.
 const slowSpread = time.Second
 
 // documentSpread is the time from the leader's first sight of a fleet document to the
@@ -35,6 +37,17 @@
 	g.documentVersion = reported
 }
 
+// sendsDocument reports whether the response to an exchange brings a newer document.
+// Gateways fetch it by themselves, but the first one that a gateway uses has to be the
+// leader's.
+func (l *leaderState) sendsDocument(r *wire.SyncRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.gateways[r.Gateway.GetId()]
+	first := g == nil || g.gateway.GetIncarnation() != r.Gateway.GetIncarnation()
+	return first || l.doc != nil && r.DocumentVersion < l.doc.Version && l.s.clock()-l.docSince > slowSpread
+}
+
 // gatewaysBehind returns how many gateways last reported an older fleet document than
 // the leader's. l.mu must be held.
 func (l *leaderState) gatewaysBehind() int {
--- a/internal/fleetcontrol/watch.go
+++ b/internal/fleetcontrol/watch.go
@@ -1,15 +1,20 @@
 package fleetcontrol
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
 )
 
 // news holds the newest summary of this replica. It is safe for concurrent use.
@@ -68,10 +73,54 @@
 
 // GetDocument returns the newest document that this replica knows to be committed.
 func (f *fleetService) GetDocument(ctx context.Context, _ *connect.Request[wire.GetDocumentRequest]) (*connect.Response[wire.GetDocumentResponse], error) {
-	out := &wire.GetDocumentResponse{}
-	err := f.s.node.ReadStale(ctx, func(m *state.Machine) { out.Document = m.Document() })
+	var d *wire.Document
+	err := f.s.node.ReadStale(ctx, func(m *state.Machine) { d = m.Document() })
 	if err != nil {
 		return nil, f.s.node.RPCError(ctx, err)
 	}
-	return connect.NewResponse(out), nil
+	if d == nil {
+		return connect.NewResponse(&wire.GetDocumentResponse{}), nil
+	}
+	text, err := f.s.compressed.text(d)
+	if err != nil {
+		return nil, f.s.node.RPCError(ctx, err)
+	}
+	return connect.NewResponse(&wire.GetDocumentResponse{Version: d.Version, GzipText: text}), nil
+}
+
+// compression returns the options by which the responses of a procedure are compressed.
+// Documents are compressed already.
+func compression(spec connect.Spec) []connect.HandlerOption {
+	if spec.Procedure != wireconnect.FleetServiceGetDocumentProcedure {
+		return nil
+	}
+	return []connect.HandlerOption{connect.WithCompressMinBytes(math.MaxInt)}
+}
+
+// compressedDocument holds the compressed text of the newest document, so that it is
+// compressed once and not for each gateway. Its zero value is empty. It is safe for
+// concurrent use.
+type compressedDocument struct {
+	mu       sync.Mutex
+	version  uint64
+	gzipText []byte
+}
+
+// text returns the compressed text of the document.
+func (c *compressedDocument) text(d *wire.Document) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gzipText != nil && c.version == d.Version {
+		return c.gzipText, nil
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(d.Text); err != nil {
+		return nil, fail.Wrap(err, fail.Internal, "compress the fleet document")
+	}
+	if err := w.Close(); err != nil {
+		return nil, fail.Wrap(err, fail.Internal, "compress the fleet document")
+	}
+	c.version, c.gzipText = d.Version, b.Bytes()
+	return c.gzipText, nil
 }
--- a/internal/fleetcontrol/watch_test.go
+++ b/internal/fleetcontrol/watch_test.go
@@ -1,7 +1,10 @@
 package fleetcontrol
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +64,63 @@
 		t.Errorf("news %v, want version 7 and the leader %s", news.Msg, cfg.Address)
 	}
 	got, err := client.GetDocument(t.Context(), connect.NewRequest(&wire.GetDocumentRequest{}))
-	if err != nil || got.Msg.Document.GetVersion() != 7 {
-		t.Errorf("document %v, error %v, want version 7", got, err)
+	if err != nil || got.Msg.Version != 7 {
+		t.Fatalf("document %v, error %v, want version 7", got, err)
 	}
+	r, err := gzip.NewReader(bytes.NewReader(got.Msg.GzipText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(r); err != nil || string(text) != "7" {
+		t.Errorf("text %q, error %v, want 7", text, err)
+	}
+}
+
+// TestNewDocumentIsCompressedOnceForAllGateways guards against a leader that is busy with
+// the copies of a big document for each gateway, and loses its lead.
+func TestNewDocumentIsCompressedOnceForAllGateways(t *testing.T) {
+	var c compressedDocument
+	d := &wire.Document{Version: 7, Text: bytes.Repeat([]byte("route "), 100e3)}
+	first, err := c.text(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := c.text(d)
+	if err != nil || &again[0] != &first[0] {
+		t.Errorf("the text was compressed again, error %v", err)
+	}
+	if next, err := c.text(&wire.Document{Version: 8, Text: d.Text}); err != nil || &next[0] == &first[0] {
+		t.Errorf("version 8 has the text of version 7, error %v", err)
+	}
+}
+
+func TestExchangeBringsDocumentFirstAndToGatewaysThatDoNotFetchIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+		l.doc.Version = 7
+		r := &wire.SyncRequest{Gateway: &wire.Gateway{Id: "a", Incarnation: "1"}}
+		exchange := func() bool {
+			sends := l.sendsDocument(r)
+			l.sync(r)
+			return sends
+		}
+		if !exchange() {
+			t.Error("the first exchange does not bring the document")
+		}
+		if exchange() {
+			t.Error("the second exchange brings the document while the gateway may fetch it")
+		}
+		time.Sleep(slowSpread + time.Millisecond)
+		if !exchange() {
+			t.Error("an exchange does not bring the document to a gateway that has not fetched it")
+		}
+		r.DocumentVersion = 7
+		if exchange() {
+			t.Error("an exchange brings the document that the gateway has")
+		}
+		r.Gateway = &wire.Gateway{Id: "a", Incarnation: "2"}
+		if !exchange() {
+			t.Error("the first exchange of another incarnation does not bring the document")
+		}
+	})
 }
--- a/internal/gateway/documentbound_test.go
+++ b/internal/gateway/documentbound_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"net/http"
@@ -120,7 +122,12 @@
 	}
 	r.fetches.Add(1)
 	_, version, _ := r.group.state()
-	return connect.NewResponse(&wire.GetDocumentResponse{Document: testDocument(version)}), nil
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	// Writing to a buffer does not fail.
+	_, _ = w.Write(testDocument(version).Text)
+	_ = w.Close()
+	return connect.NewResponse(&wire.GetDocumentResponse{Version: version, GzipText: b.Bytes()}), nil
 }
 
 func testDocument(version uint64) *wire.Document {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -9,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
+	"parsleyramp/internal/fail"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -128,10 +132,32 @@
 	if err != nil {
 		return err
 	}
-	g.applyDocument(resp.Msg.Document)
+	if resp.Msg.Version <= g.documentVersion() {
+		return nil
+	}
+	text, err := decompress(resp.Msg.GzipText)
+	if err != nil {
+		return err
+	}
+	g.applyDocument(&wire.Document{Version: resp.Msg.Version, Text: text})
 	return nil
 }
 
+// maxDocumentBytes bounds the text of a fleet document.
+const maxDocumentBytes = 64 << 20
+
+func decompress(gzipText []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(gzipText))
+	if err != nil {
+		return nil, fail.Wrap(err, fail.BadDocument, "cannot decompress the fleet document")
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+	if err != nil {
+		return nil, fail.Wrap(err, fail.BadDocument, "cannot decompress the fleet document")
+	}
+	return text, nil
+}
+
 // documentFetches spaces the fetches of documents by fetchHedge. Its zero value is
 // ready.
 type documentFetches struct {
