Add a failing test of a new leader that orders by an old report

The test shows a way to it: the new leader reads an engine's report, which is some hundred milliseconds old, before the last order of the leader before shows in it, waits out that leader's intent for 4 s or, if it is the same replica, not at all, and then orders by that report.

--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -164,3 +165,51 @@
 		}
 	})
 }
+
+// roomRecorder records the orders that arrive at a fakeEngine without room for them,
+// whether the engine accepts them or not.
+type roomRecorder struct {
+	*fakeEngine
+	beyondRoom []string
+}
+
+func (r *roomRecorder) Order(ctx context.Context, address, id string, o Order, mayWrite func() bool) (OrderResult, error) {
+	r.mu.Lock()
+	r.completeLoad()
+	if o.Load && !fitsLimits(testDocument().Services[0].Engine, r.held, nil, r.loading, o) {
+		r.beyondRoom = append(r.beyondRoom, fmt.Sprintf("%s of %s onto %v and %q", o.Model, o.Holder, r.held, r.loading))
+	}
+	r.mu.Unlock()
+	return r.fakeEngine.Order(ctx, address, id, o, mayWrite)
+}
+
+// TestNewLeaderDoesNotOrderByReportOlderThanTheLastOrderOfTheLeaderBefore guards against
+// a load for which the engine has no room, because another one is on its way that the
+// new leader's only report is too old to show.
+func TestNewLeaderDoesNotOrderByReportOlderThanTheLastOrderOfTheLeaderBefore(t *testing.T) {
+	for _, next := range []string{"b", "a"} {
+		t.Run("replica a, then "+next, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &fakeEngine{loadTime: 10 * time.Second, held: map[string]map[string]bool{"m0": {}, "m1": {}}}
+				engine.recordReport(time.Now())
+				r := &roomRecorder{fakeEngine: engine}
+				former, later := newReplicatedLeader(t, "a", r), newReplicatedLeader(t, next, r)
+				listed := []ListedEndpoint{{ID: "e", Service: "s", Address: "192.0.2.1:80", Models: []HeldModel{{Name: "m0"}, {Name: "m1"}}}}
+				former.applyList(listed)
+				loadUntilSent(t, former.engines["e"], "m2")
+				observeIntentsOf(t, later, former)
+				later.startedAt = later.s.clock()
+				later.applyList(listed)
+				for range 60 {
+					if e := later.engines["e"]; e.ensureSequence(t.Context()) {
+						e.sendOrder(t.Context(), Order{Load: true, Model: "m3"})
+					}
+					time.Sleep(intentPollInterval)
+				}
+				if len(r.beyondRoom) > 0 {
+					t.Errorf("ordered %s: the engine still loads for the leader before", r.beyondRoom[0])
+				}
+			})
+		})
+	}
+}
