Let a new leader order by a report that shows the orders of the leader before

The wait for that leader's intent does not read the report again, and a replica that leads again did not wait at all. The engine's sequence keeps it from accepting such an order, but the order is sent.

An engine with an intent from before the lead gets an order only by a report that was requested after the intent, an order in flight and the lag of reports have passed. TestNewLeaderDoesNotOrderByReportOlderThanTheLastOrderOfTheLeaderBefore failed before, for another replica and for the same one.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -30,6 +30,8 @@
 	// sequence is the number of accepted orders, if sequenceKnown is set.
 	sequence      uint64
 	sequenceKnown bool
+	// reportedAt is when the last report was requested.
+	reportedAt time.Duration
 	// reportStaleUntil is the time until which a report may be older than the last
 	// order.
 	reportStaleUntil time.Duration
@@ -187,6 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	x := e.listing()
+	requestedAt := e.leader.s.clock()
 	r, err := e.leader.s.deps.Platform.Report(ctx, x.Address, x.ID)
 	if err != nil {
 		return nil, err
@@ -197,7 +200,7 @@
 		// The report is older than the last order that was accepted.
 		return r, nil
 	}
-	e.sequence, e.sequenceKnown = r.Sequence, true
+	e.sequence, e.sequenceKnown, e.reportedAt = r.Sequence, true, requestedAt
 	e.held = modelSet(r.Models)
 	e.recordForeignOrder(r.Busy && !e.awaitingEffect)
 	for model, adapters := range modelSet(r.LoadingAdapters) {
--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -99,12 +99,15 @@
 	return m.Load
 }
 
-// ensureSequence reads the engine's report if its sequence is not known, unless the
-// report may be stale or the engine executes a foreign order. It reports whether the
-// sequence is known now.
+// ensureSequence reads the engine's report if its sequence is not known, or if the last
+// report may be older than an order of an earlier leader, unless a report may be stale
+// now or the engine executes a foreign order. It reports whether the sequence is known
+// now.
 func (e *engineState) ensureSequence(ctx context.Context) bool {
 	e.leader.mu.Lock()
-	known, stale := e.sequenceKnown, e.foreignOrder || e.leader.s.clock() < e.reportStaleUntil
+	now, currentFrom := e.leader.s.clock(), e.leader.reportsCurrentFrom(e.listed)
+	known := e.sequenceKnown && e.reportedAt >= currentFrom
+	stale := e.foreignOrder || now < e.reportStaleUntil || now < currentFrom
 	e.leader.mu.Unlock()
 	if known || stale {
 		return known
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -91,6 +91,20 @@
 	return intent.firstSeen + intentValidity + lease + orderLeaseMargin
 }
 
+// currentFrom returns the time from which a report of the engine shows every order under
+// the key that was covered by an intent seen before the time since, which is that of an
+// earlier leader or of an earlier lead of this replica. It is 0 if there is no such
+// intent.
+func (o *orderIntents) currentFrom(key string, since time.Duration) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	intent, ok := o.observed[key]
+	if !ok || intent.firstSeen > since {
+		return 0
+	}
+	return intent.firstSeen + intentValidity + orderResponseTimeout + reportLag
+}
+
 // coveredUntil returns the time until which an intent of this replica under the key
 // covers orders. It is 0 if there is no intent.
 func (o *orderIntents) coveredUntil(key string) time.Duration {
@@ -172,6 +186,16 @@
 	})
 }
 
+// reportsCurrentFrom returns the time from which a report of the engine shows every
+// order that was sent before this leaderState.
+func (l *leaderState) reportsCurrentFrom(x ListedEndpoint) time.Duration {
+	from := time.Duration(0)
+	for _, key := range intentKeys(x) {
+		from = max(from, l.s.intents.currentFrom(key, l.startedAt))
+	}
+	return from
+}
+
 // coveredUntil returns the time until which intents of this replica cover orders to
 // the engine.
 func (l *leaderState) coveredUntil(x ListedEndpoint) time.Duration {
