--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,7 +19,8 @@
 	// Run lets the request run beside others.
 	Run Decision = iota
 	// RunIsolated lets the request run only at an endpoint with no other request
-	// in flight.
+	// in flight. A gateway, which cannot keep others away, sends it once, and to
+	// another endpoint than other suspects if it can.
 	RunIsolated
 	// Reject does not let the request run any more.
 	Reject
