Keep suspects of an earlier leader when another request is convicted

Of two suspects of two crashes that a new leader took over from the log, the conviction of one cleared the other, so that it could crash three more endpoints: their crashes are only counted in the log, and were taken for the same. Found by reading; TestSuspectsSurviveAChangeOfLeader failed before: '[] convicted by the third crash of 10'.

--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -213,10 +213,11 @@
 	return s.count() >= convictingCrashes && !explained
 }
 
-// exonerate drops the requests whose crashes a convicted one explains.
+// exonerate drops the requests whose crashes a convicted one explains. Which crashes an
+// earlier leader counted is not known.
 func (p *Pool) exonerate(convicted *suspect) {
 	for f, s := range p.suspects {
-		if !s.convicted && convicted.explains(s) {
+		if !s.convicted && s.earlier == 0 && convicted.explains(s) {
 			p.drop(f, s)
 		}
 	}
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -250,6 +250,8 @@
 	}
 	p.crash(8)
 	p.crash(8)
+	p.crash(10)
+	p.crash(10)
 	known, _ := p.Known()
 	next := newTestPool()
 	next.Restore(known, next.now)
@@ -259,6 +261,9 @@
 	if convicted := next.crash(8, 9); !slices.Equal(convicted, []uint64{8}) {
 		t.Errorf("%v convicted by the third crash of 8, want 8", convicted)
 	}
+	if convicted := next.crash(10); !slices.Equal(convicted, []uint64{10}) {
+		t.Errorf("%v convicted by the third crash of 10, want 10: the conviction of 8 explains none of its crashes", convicted)
+	}
 }
 
 func TestConvictionExpires(t *testing.T) {
