Keep the connection of a half-sent request open until its rejection is read

Cause: readBody ends by an expired read deadline, so that the HTTP server cannot discard the rest of the body, takes it for read and closes the connection at once. Bytes that arrive afterwards reset it, and a reset can overtake the answer.

Evidence: TestConnectionOfHalfSentRequestStaysOpenUntilItsRejectionIsRead fails without the fix ("closed 50ms after the response, want 200ms or more": the client's next write fails).

Fix: a connection whose request body was not read discards for 300 ms what its client still sends before it closes, unless the request was aborted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -93,7 +94,7 @@
 	control       *controlclient.Client
 	leaderHint    leaderHint
 	fetches       documentFetches
-	servers       []*transport.Server
+	servers       []io.Closer
 	clientServer  *transport.ClientFacingServer
 	cancel        context.CancelFunc
 	// randFloat returns a uniformly distributed number in [0, 1).
@@ -146,7 +147,7 @@
 		return err
 	}
 	g.clientServer = transport.ServeClients(l, g)
-	g.servers = append(g.servers, g.clientServer.Server)
+	g.servers = append(g.servers, g.clientServer)
 	return nil
 }
 
--- a/internal/gateway/pipegateway_test.go
+++ b/internal/gateway/pipegateway_test.go
@@ -99,7 +99,7 @@
 	g.control = controlclient.New(&http.Client{Transport: roundTripper{controlHandler}}, []string{"control"})
 	out := &pipeGateway{Gateway: g, clients: newPipeListener()}
 	g.clientServer = transport.ServeClients(out.clients, g)
-	g.servers = append(g.servers, g.clientServer.Server)
+	g.servers = append(g.servers, g.clientServer)
 	t.Cleanup(g.closeAll)
 	return out
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -212,3 +212,46 @@
 		}
 	})
 }
+
+// A client that is still sending its body could otherwise be reset before it reads the answer.
+func TestConnectionOfHalfSentRequestStaysOpenUntilItsRejectionIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSilentPipeGateway(t)
+		c, err := g.clients.dial(t.Context(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		const bodyBytes = 200 << 10
+		if _, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		failedAt := make(chan time.Duration, 1)
+		go func() {
+			for {
+				if _, err := c.Write(make([]byte, bodyBytes/1000)); err != nil {
+					failedAt <- g.clock()
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			g.stop(t)
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("response %v, error %v, want status 503", resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		answeredAt := g.clock()
+		<-stopped
+		if open := <-failedAt - answeredAt; open < answerReserve/2 {
+			t.Errorf("the connection was closed %v after the response, want %v or more", open, answerReserve/2)
+		}
+	})
+}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -28,14 +28,27 @@
 // ServeClients starts to serve the handler on the listener, over HTTP/1.1.
 func ServeClients(l net.Listener, h http.Handler) *ClientFacingServer {
 	s := &ClientFacingServer{conns: map[*trackedConn]bool{}}
-	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(h))
+	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(recordUnreadBody(h)))
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
 	s.http.ConnState = s.recordState
+	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	s.start()
 	return s
 }
 
+// Close closes all connections at once, aborting the requests on them.
+func (s *ClientFacingServer) Close() error {
+	s.mu.Lock()
+	for c := range s.conns {
+		c.setLinger(false)
+	}
+	s.mu.Unlock()
+	return s.Server.Close()
+}
+
 // Drain adds "Connection: close" to the header of every response that is written
 // from now on, so that clients send their next request on another connection.
 func (s *ClientFacingServer) Drain() { s.draining.Store(true) }
--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -416,3 +416,20 @@
 		}
 	})
 }
+
+// The HTTP server discards the rest of a short body and keeps the connection.
+func TestKeptConnectionDoesNotLingerOverItsNextRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := servePipes(t, respondComplete)
+		c := l.dial(t)
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		c.expectResponse(t)
+		synctest.Wait()
+		begin := time.Now()
+		s.CloseIdle()
+		c.expectClosed(t)
+		if took := time.Since(begin); took > finalReadTimeout {
+			t.Errorf("closed after %v, want %v: a request sent in between gets no answer", took, finalReadTimeout)
+		}
+	})
+}
--- a/internal/transport/tracked.go
+++ b/internal/transport/tracked.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -12,6 +13,11 @@
 // client may already have sent.
 const finalReadTimeout = 250 * time.Millisecond
 
+// lingerTime is how long a connection stays open, after the response to a request whose
+// body has not been read, for its client to read the response: bytes that arrive at a
+// closed connection reset it, and a reset can overtake the response.
+const lingerTime = 300 * time.Millisecond
+
 // expired is a read deadline in the past.
 var expired = time.Unix(1, 0)
 
@@ -29,6 +35,30 @@
 	// deadline is the read deadline that the HTTP server has set. It is not in
 	// force while the connection is closing and no request is in flight.
 	deadline time.Time
+	// linger is set if the connection is to be closed only after lingerTime, or once its
+	// client has closed it. It is not set while the connection may serve another request.
+	linger bool
+}
+
+// setLinger sets whether Close waits for the client to read the last response.
+func (c *trackedConn) setLinger(linger bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.linger = linger
+}
+
+// Close closes the connection. A connection that lingers first discards what its client
+// still sends. Another call closes it at once.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	linger := c.linger
+	c.linger = false
+	c.mu.Unlock()
+	if linger && c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		// The connection is closed next, whatever ends the read.
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	return c.Conn.Close()
 }
 
 // closeWhenIdle closes the connection as soon as no request is in flight.
@@ -51,6 +81,7 @@
 		return
 	}
 	c.inFlight = inFlight
+	c.linger = false
 	c.applyDeadlineLocked()
 }
 
