Tell how answers of endpoints are framed, and which streams end inside an event

The lines of a request and of a failed send carry the framing of the answer; streams_ended_total counts by framing whether the stated end of a stream comes inside an event. The parser of events is internal/answer, which knows the three line ends of the WHATWG standard; nothing decides by it yet.

--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,97 @@
+// Package answer decides whether an endpoint's answer is whole, for every framing of
+// HTTP/1.1 and for both kinds of content: a body that is read before it is passed on,
+// and a stream of events. It opens no connections.
+package answer
+
+import (
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+
+	"parsleyramp/internal/fail"
+)
+
+// Framing is how an answer states where its body ends (RFC 9112, section 6.3).
+type Framing int
+
+// Framings.
+const (
+	// ByLength: a Content-Length, or a status without a body.
+	ByLength Framing = iota
+	// ByChunks: the last chunk.
+	ByChunks
+	// ByConnection: the end of the connection, which comes early if the endpoint fails.
+	ByConnection
+)
+
+// String returns the framing's name, for logs and metrics.
+func (f Framing) String() string { return [...]string{"length", "chunks", "connection"}[f] }
+
+// Head is what the head of an answer states about its body.
+type Head struct {
+	Status      int
+	Framing     Framing
+	ContentType string
+}
+
+// HeadOf returns the head of a response that has been read by net/http.
+func HeadOf(r *http.Response) Head {
+	h := Head{Status: r.StatusCode, ContentType: r.Header.Get("Content-Type")}
+	switch {
+	case len(r.TransferEncoding) > 0:
+		h.Framing = ByChunks
+	case r.ContentLength < 0:
+		h.Framing = ByConnection
+	}
+	return h
+}
+
+const (
+	eventStreamType = "text/event-stream"
+	jsonType        = "application/json"
+)
+
+// mediaType returns the media type without its parameters, empty if it is missing or
+// cannot be parsed.
+func (h Head) mediaType() string {
+	t, _, err := mime.ParseMediaType(h.ContentType)
+	if err != nil {
+		return ""
+	}
+	return t
+}
+
+// MayBeEvents reports whether the body may be a stream of events.
+func (h Head) MayBeEvents() bool {
+	t := h.mediaType()
+	return t == eventStreamType || t == ""
+}
+
+// ReadAll reads a body that states its end, or whose connection was closed in order. It
+// fails with fail.TruncatedAnswer unless the body is whole and within the limit. A body
+// that ends with its connection can be told from a broken one only by its content: a
+// success must have some, and JSON must be complete.
+func ReadAll(body io.Reader, h Head, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	switch {
+	case err != nil:
+		return nil, truncated(err, "the answer was interrupted")
+	case int64(len(data)) > limit:
+		return nil, truncated(nil, "the answer exceeds the size limit")
+	case h.Framing != ByConnection || h.Status >= http.StatusBadRequest:
+		return data, nil
+	case len(data) == 0:
+		return nil, truncated(nil, "the connection ended after the head of the answer")
+	case h.mediaType() == jsonType && !json.Valid(data):
+		return nil, truncated(nil, "the connection ended within a JSON value")
+	}
+	return data, nil
+}
+
+func truncated(cause error, message string) error {
+	if cause == nil {
+		return fail.New(fail.TruncatedAnswer, message).WithRan(fail.RanUnknown)
+	}
+	return fail.Wrap(cause, fail.TruncatedAnswer, message).WithRan(fail.RanUnknown)
+}
--- /dev/null
+++ b/internal/answer/events.go
@@ -0,0 +1,154 @@
+package answer
+
+import (
+	"bytes"
+	"errors"
+	"io"
+)
+
+const (
+	// MaxEventBytes bounds the bytes of an event that is not complete yet.
+	MaxEventBytes   = 1 << 20
+	readBufferBytes = 8 << 10
+)
+
+// Events reads a stream of server-sent events (WHATWG HTML, section 9.2.6). A line ends
+// with CR, LF or both, an event with an empty line; comments belong to no event.
+type Events struct {
+	body    io.Reader
+	framing Framing
+	buffer  []byte
+	// pending holds the bytes that have been read and not returned. The first scanned
+	// of them are known to the position, and the first complete are whole events.
+	pending           []byte
+	scanned, complete int
+	position          Position
+	// any is set once an event is complete.
+	any bool
+	err error
+}
+
+// NewEvents returns a reader of the events in the body.
+func NewEvents(body io.Reader, f Framing) *Events {
+	return &Events{body: body, framing: f, buffer: make([]byte, readBufferBytes)}
+}
+
+// Next returns the bytes of one or more complete events, with the comments between them.
+// They are valid until the next call. It returns io.EOF once the stream has ended and is
+// whole: not inside an event, and, if only the end of the connection ended it, after at
+// least one event. Otherwise it fails with fail.TruncatedAnswer.
+func (e *Events) Next() ([]byte, error) {
+	e.pending = append(e.pending[:0], e.pending[e.complete:]...)
+	e.scanned -= e.complete
+	e.complete = 0
+	for e.err == nil {
+		n, err := e.body.Read(e.buffer)
+		e.pending = append(e.pending, e.buffer[:n]...)
+		e.scan()
+		if err != nil {
+			e.err = e.end(err)
+		}
+		if e.complete > 0 {
+			return e.pending[:e.complete], nil
+		}
+		if e.err == nil && len(e.pending) > MaxEventBytes {
+			e.err = truncated(nil, "an event of the stream exceeds the size limit")
+		}
+	}
+	return nil, e.err
+}
+
+// scan advances the position over the bytes that have been read.
+func (e *Events) scan() {
+	for ; e.scanned < len(e.pending); e.scanned++ {
+		if e.position.step(e.pending[e.scanned]) {
+			e.any = true
+		}
+		if e.position.BetweenEvents() {
+			e.complete = e.scanned + 1
+		}
+	}
+}
+
+// end returns the error of a stream whose body ended with err.
+func (e *Events) end(err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return truncated(err, "the stream was interrupted")
+	case !e.position.BetweenEvents():
+		return truncated(nil, "the stream ended within an event")
+	case !e.any && e.framing == ByConnection:
+		return truncated(nil, "the connection ended before the first event of the stream")
+	}
+	return io.EOF
+}
+
+// Position is a position in a stream of events. Its zero value is the start.
+type Position struct {
+	// inLine is set within a line, inEvent within an event, afterCR after a CR, to which
+	// an LF belongs.
+	inLine, inEvent, afterCR bool
+}
+
+// BetweenEvents reports whether no event and no line is incomplete.
+func (p Position) BetweenEvents() bool { return !p.inLine && !p.inEvent }
+
+// Write advances the position by the bytes.
+func (p *Position) Write(b []byte) (int, error) {
+	for _, x := range b {
+		p.step(x)
+	}
+	return len(b), nil
+}
+
+// step advances the position by one byte, and reports whether that completes an event.
+func (p *Position) step(b byte) bool {
+	afterCR := p.afterCR
+	p.afterCR = b == '\r'
+	switch {
+	case b == '\n' && afterCR:
+		return false
+	case b != '\n' && b != '\r':
+		if !p.inLine && b != ':' {
+			p.inEvent = true
+		}
+		p.inLine = true
+		return false
+	}
+	completes := !p.inLine && p.inEvent
+	if completes {
+		p.inEvent = false
+	}
+	p.inLine = false
+	return completes
+}
+
+// CutEvent returns the first complete event of p, with the empty line that ends it and
+// the comments before it, and the rest. It returns false if p has no complete event.
+func CutEvent(p []byte) (event, rest []byte, ok bool) {
+	var at Position
+	for i, b := range p {
+		if !at.step(b) {
+			continue
+		}
+		end := i + 1
+		if b == '\r' && end < len(p) && p[end] == '\n' {
+			end++
+		}
+		return p[:end], p[end:], true
+	}
+	return nil, p, false
+}
+
+// LastEventID returns the id of the last event in p that has one.
+func LastEventID(p []byte) string {
+	last := ""
+	for _, line := range bytes.FieldsFunc(p, isLineEnd) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			last = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+	return last
+}
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -250,6 +250,9 @@
 	if q.firstByte > 0 {
 		fields["first_byte_ms"], fields["longest_pause_ms"] = q.firstByte.Milliseconds(), q.longestPause.Milliseconds()
 	}
+	if q.framing != "" {
+		fields["framing"] = q.framing
+	}
 	fields["place_ms"] = q.selectionTime.Milliseconds()
 	line := q.g.log.WithFields(fields)
 	if err != nil {
@@ -266,7 +269,7 @@
 	v := q.g.view.Load()
 	line := q.g.log.WithFields(logrus.Fields{
 		"request": q.info.ID, "endpoint": e.ID, "outcome": s.outcome.String(), "step": step.String(), "sends": h.Sends,
-		"time_left_ms": q.timeLeft().Milliseconds(), "view_term": v.Term, "view_revision": v.Revision,
+		"time_left_ms": q.timeLeft().Milliseconds(), "view_term": v.Term, "view_revision": v.Revision, "framing": q.framing,
 	})
 	if s.err != nil {
 		line = line.WithField("error", s.err.Error())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
@@ -28,8 +29,18 @@
 	sendsDone           sendCounter
 	reservations        reservationCounter
 	brokenRequests      brokenCounter
+	streamsEnded        streamCounter
 )
 
+// streamCounter counts the streams that endpoints have ended in order, by their framing
+// and by whether they ended inside an event.
+type streamCounter struct{}
+
+func (streamCounter) count(f answer.Framing, insideEvent bool) {
+	labels := `{framing="` + f.String() + `",inside_event="` + strconv.FormatBool(insideEvent) + `"}`
+	metrics.GetOrCreateCounter("parsleyramp_gateway_streams_ended_total" + labels).Inc()
+}
+
 // brokenCounter counts requests that an endpoint broke off.
 type brokenCounter struct{}
 
--- a/internal/gateway/pipegateway_test.go
+++ b/internal/gateway/pipegateway_test.go
@@ -111,9 +111,9 @@
 	return newPipeGateway(t, document.Route{Kind: document.AtMostOnce, MaxAttempts: 1, Timeout: 20 * time.Second}, &loadingControl{}, silent)
 }
 
-// answer is what a client receives for a request, and when. The status is zero if
+// clientAnswer is what a client receives for a request, and when. The status is zero if
 // the connection is closed without a complete answer.
-type answer struct {
+type clientAnswer struct {
 	status     int
 	retryAfter string
 	at         time.Duration
@@ -121,7 +121,7 @@
 
 // send sends a request for the model on a connection of its own, with headers as
 // pairs of name and value.
-func (g *pipeGateway) send(t *testing.T, model string, headers ...string) <-chan answer {
+func (g *pipeGateway) send(t *testing.T, model string, headers ...string) <-chan clientAnswer {
 	t.Helper()
 	c, err := g.clients.dial(t.Context(), "")
 	if err != nil {
@@ -138,16 +138,16 @@
 	if err := req.Write(c); err != nil {
 		t.Fatal(err)
 	}
-	out := make(chan answer, 1)
+	out := make(chan clientAnswer, 1)
 	go func() {
 		defer c.Close()
-		a := answer{}
+		a := clientAnswer{}
 		resp, err := http.ReadResponse(bufio.NewReader(c), req)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 		}
 		if err == nil {
-			a = answer{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After")}
+			a = clientAnswer{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After")}
 		}
 		a.at = g.clock()
 		out <- a
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
@@ -54,6 +55,7 @@
 // forward reads an endpoint's response and forwards it, or returns why it cannot.
 func (r *relay) forward(resp *upstream.Response) sendResult {
 	info := r.q.g.deps.Protocol.ParseResponse(resp.Status, resp.Header)
+	r.q.framing = resp.Head.Framing.String()
 	ok := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case info.NotRun || info.OtherEndpoint:
@@ -243,8 +245,10 @@
 // forwardStream forwards bytes as they arrive.
 func (r *relay) forwardStream(resp *upstream.Response) sendResult {
 	buf := make([]byte, relayBufferBytes)
+	var at answer.Position
+	body := io.TeeReader(resp.Body, &at)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
 			r.beginStream(resp)
 			if writeErr := r.writeChunk(buf[:n]); writeErr != nil {
@@ -252,6 +256,7 @@
 			}
 		}
 		if err == io.EOF {
+			streamsEnded.count(resp.Head.Framing, !at.BetweenEvents())
 			r.beginStream(resp)
 			return sendResult{complete: true}
 		}
@@ -279,6 +284,9 @@
 			}
 			pending = append(pending[:0], pending[length:]...)
 		}
+		if err == io.EOF {
+			streamsEnded.count(resp.Head.Framing, len(pending) > 0)
+		}
 		switch {
 		case err == io.EOF && len(pending) == 0:
 			r.beginStream(resp)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,8 @@
 	selectionTime time.Duration
 	firstByte     time.Duration
 	longestPause  time.Duration
+	// framing is how the last response of an endpoint was framed; empty for none.
+	framing string
 	// brokenSends counts the sends that an endpoint broke off.
 	brokenSends int
 	// knownFingerprint is nil until the fingerprint has been computed.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
@@ -49,7 +50,9 @@
 	Header http.Header
 	// Length of the body in bytes, or -1 if unknown.
 	Length int64
-	Body   io.Reader
+	// Head is what the head states about the body.
+	Head answer.Head
+	Body io.Reader
 
 	pool        *Pool
 	conn        *conn
@@ -105,7 +108,7 @@
 	}
 	c.applyKeepAlive(resp.Header)
 	out := &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Head: answer.HeadOf(resp),
 		pool: p, conn: c, resp: resp, stop: stop, writeResult: written,
 	}
 	out.Body = &bodyReader{out}
