Decide in one place, for every framing, whether an endpoint's answer is whole

Cause: for a stream that may not be resumed the gateway took the end of the body for the end of the stream. With neither a length nor chunks, that is the end of the connection, which comes as well when an engine crashes. Three ways to read an answer had three notions of a whole one: the end of the body (forwardStream), the end of an event (forwardEvents, which knew LF alone, so that a whole stream with CRLF was broken off), [DONE] (internal/endpoint).

Fix: answer.Events and answer.ReadAll decide for the gateway, for internal/endpoint and for reports. A stream is whole only between two events; one that only its connection ends needs one event at least, as a buffered success needs some content, and JSON must be complete. An aborted response to a caller of HTTP/1.0 ends with a reset. What cannot be told: a stream that ends with its connection between two events, and a buffered answer of another type than JSON that ends so.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 
 	"parsleyramp/internal/fail"
 )
@@ -19,7 +20,7 @@
 const (
 	// ByLength: a Content-Length, or a status without a body.
 	ByLength Framing = iota
-	// ByChunks: the last chunk.
+	// ByChunks: the last chunk, or the end of an HTTP/2 stream.
 	ByChunks
 	// ByConnection: the end of the connection, which comes early if the endpoint fails.
 	ByConnection
@@ -39,7 +40,7 @@
 func HeadOf(r *http.Response) Head {
 	h := Head{Status: r.StatusCode, ContentType: r.Header.Get("Content-Type")}
 	switch {
-	case len(r.TransferEncoding) > 0:
+	case len(r.TransferEncoding) > 0 || r.ContentLength < 0 && r.ProtoMajor > 1:
 		h.Framing = ByChunks
 	case r.ContentLength < 0:
 		h.Framing = ByConnection
@@ -47,10 +48,7 @@
 	return h
 }
 
-const (
-	eventStreamType = "text/event-stream"
-	jsonType        = "application/json"
-)
+const jsonType = "application/json"
 
 // mediaType returns the media type without its parameters, empty if it is missing or
 // cannot be parsed.
@@ -62,10 +60,11 @@
 	return t
 }
 
-// MayBeEvents reports whether the body may be a stream of events.
+// MayBeEvents reports whether the body may be a stream of events: some endpoints name
+// another type of text, or none.
 func (h Head) MayBeEvents() bool {
 	t := h.mediaType()
-	return t == eventStreamType || t == ""
+	return t == "" || strings.HasPrefix(t, "text/")
 }
 
 // ReadAll reads a body that states its end, or whose connection was closed in order. It
@@ -79,7 +78,7 @@
 		return nil, truncated(err, "the answer was interrupted")
 	case int64(len(data)) > limit:
 		return nil, truncated(nil, "the answer exceeds the size limit")
-	case h.Framing != ByConnection || h.Status >= http.StatusBadRequest:
+	case h.Framing != ByConnection || h.Status < http.StatusOK || h.Status >= http.StatusMultipleChoices:
 		return data, nil
 	case len(data) == 0:
 		return nil, truncated(nil, "the connection ended after the head of the answer")
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -130,6 +130,14 @@
 	}
 }
 
+func TestCompleteEvents(t *testing.T) {
+	const text = "id: 1\ndata: x\n\nid: 22\ndata: y\n\nid: 3\nda"
+	got, err := readEvents(strings.NewReader(text), ByChunks)
+	if text[len(got):] != "id: 3\nda" || LastEventID([]byte(got)) != "22" || err == io.EOF {
+		t.Errorf("complete events %q, last id %q, error %v, want the first two events and id 22", got, LastEventID([]byte(got)), err)
+	}
+}
+
 func TestLastEventID(t *testing.T) {
 	for in, want := range map[string]string{
 		"id: 1\ndata: a\n\nid: 2\n\n": "2", "id:7\r\ndata: id: 9\r\n\r\n": "7", "data: a\n\n": "", "id: 1\r\rid: 3\r\r": "3",
--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -22,9 +22,11 @@
 	// of them are known to the position, and the first complete are whole events.
 	pending           []byte
 	scanned, complete int
-	position          Position
+	position          position
 	// any is set once an event is complete.
 	any bool
+	// cut is set if the body has ended inside an event.
+	cut bool
 	err error
 }
 
@@ -58,13 +60,16 @@
 	return nil, e.err
 }
 
+// Cut reports whether the body has ended, in order, inside an event.
+func (e *Events) Cut() bool { return e.cut }
+
 // scan advances the position over the bytes that have been read.
 func (e *Events) scan() {
 	for ; e.scanned < len(e.pending); e.scanned++ {
 		if e.position.step(e.pending[e.scanned]) {
 			e.any = true
 		}
-		if e.position.BetweenEvents() {
+		if e.position.betweenEvents() {
 			e.complete = e.scanned + 1
 		}
 	}
@@ -75,7 +80,8 @@
 	switch {
 	case !errors.Is(err, io.EOF):
 		return truncated(err, "the stream was interrupted")
-	case !e.position.BetweenEvents():
+	case !e.position.betweenEvents():
+		e.cut = true
 		return truncated(nil, "the stream ended within an event")
 	case !e.any && e.framing == ByConnection:
 		return truncated(nil, "the connection ended before the first event of the stream")
@@ -83,26 +89,18 @@
 	return io.EOF
 }
 
-// Position is a position in a stream of events. Its zero value is the start.
-type Position struct {
+// position is a position in a stream of events. Its zero value is the start.
+type position struct {
 	// inLine is set within a line, inEvent within an event, afterCR after a CR, to which
 	// an LF belongs.
 	inLine, inEvent, afterCR bool
 }
 
-// BetweenEvents reports whether no event and no line is incomplete.
-func (p Position) BetweenEvents() bool { return !p.inLine && !p.inEvent }
-
-// Write advances the position by the bytes.
-func (p *Position) Write(b []byte) (int, error) {
-	for _, x := range b {
-		p.step(x)
-	}
-	return len(b), nil
-}
+// betweenEvents reports whether no event and no line is incomplete.
+func (p position) betweenEvents() bool { return !p.inLine && !p.inEvent }
 
 // step advances the position by one byte, and reports whether that completes an event.
-func (p *Position) step(b byte) bool {
+func (p *position) step(b byte) bool {
 	afterCR := p.afterCR
 	p.afterCR = b == '\r'
 	switch {
@@ -126,7 +124,7 @@
 // CutEvent returns the first complete event of p, with the empty line that ends it and
 // the comments before it, and the rest. It returns false if p has no complete event.
 func CutEvent(p []byte) (event, rest []byte, ok bool) {
-	var at Position
+	var at position
 	for i, b := range p {
 		if !at.step(b) {
 			continue
@@ -143,7 +141,7 @@
 // LastEventID returns the id of the last event in p that has one.
 func LastEventID(p []byte) string {
 	last := ""
-	for _, line := range bytes.FieldsFunc(p, isLineEnd) {
+	for _, line := range Lines(p) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			last = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
@@ -151,4 +149,7 @@
 	return last
 }
 
-func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+// Lines returns the lines of complete events that are not empty, without their ends.
+func Lines(p []byte) [][]byte {
+	return bytes.FieldsFunc(p, func(r rune) bool { return r == '\n' || r == '\r' })
+}
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -5,19 +5,15 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
-const (
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-	// maxJSONBytes bounds a response that is buffered and checked before it is
-	// passed on.
-	maxJSONBytes    = 16 << 20
-	readBufferBytes = 16 << 10
-)
+// maxJSONBytes bounds a response that is buffered and checked before it is passed on.
+const maxJSONBytes = 16 << 20
 
 // doneData is the data of the last event of a complete OpenAI-style stream.
 const doneData = "[DONE]"
@@ -41,20 +37,21 @@
 // It drops comments. It returns io.EOF only after the last event of a complete
 // stream.
 type eventStream struct {
-	body       io.ReadCloser
+	body       io.Closer
+	events     *answer.Events
 	requestID  string
 	responseID string
 	requireID  bool
-	readBuffer []byte
-	// pending holds the bytes of the event that is not complete yet.
-	pending []byte
-	ready   []byte
-	done    bool
-	err     error
+	ready      []byte
+	done       bool
+	err        error
 }
 
-func newEventStream(body io.ReadCloser, r Request) *eventStream {
-	return &eventStream{body: body, requestID: r.ID, responseID: r.ResponseID, requireID: r.RequireID, readBuffer: make([]byte, readBufferBytes)}
+func newEventStream(resp *http.Response, r Request) *eventStream {
+	return &eventStream{
+		body: resp.Body, events: answer.NewEvents(resp.Body, answer.HeadOf(resp).Framing),
+		requestID: r.ID, responseID: r.ResponseID, requireID: r.RequireID,
+	}
 }
 
 // Read reads complete events, as far as they fit into p.
@@ -74,52 +71,20 @@
 func (s *eventStream) Close() error { return s.body.Close() }
 
 func (s *eventStream) fill() {
-	n, err := s.body.Read(s.readBuffer)
-	s.pending = append(s.pending, s.readBuffer[:n]...)
+	events, err := s.events.Next()
 	s.ready = s.ready[:0]
+	if errors.Is(err, io.EOF) && !s.done {
+		err = truncated(err, "the stream ended before its last event")
+	}
+	s.err = err
 	for s.err == nil {
-		event, rest, ok := nextEvent(s.pending)
+		event, rest, ok := answer.CutEvent(events)
 		if !ok {
 			break
 		}
-		s.pending = rest
+		events = rest
 		s.err = s.accept(event)
 	}
-	switch {
-	case s.err != nil:
-	case len(s.pending) > maxEventBytes:
-		s.err = truncated(nil, "an event of the stream exceeds the size limit")
-	case err != nil:
-		s.err = s.finalError(err)
-	}
-}
-
-// finalError returns the error that ends a stream whose body ended with err. It
-// is io.EOF only if the stream is complete.
-func (s *eventStream) finalError(err error) error {
-	if !errors.Is(err, io.EOF) {
-		return truncated(err, "the stream was interrupted")
-	}
-	if !s.done || len(bytes.TrimSpace(s.pending)) > 0 {
-		return truncated(err, "the stream ended before its last event")
-	}
-	return io.EOF
-}
-
-// nextEvent splits off the first event, which an empty line ends.
-func nextEvent(b []byte) (event, rest []byte, ok bool) {
-	at := 0
-	for {
-		n := bytes.IndexByte(b[at:], '\n')
-		if n < 0 {
-			return nil, b, false
-		}
-		line := bytes.TrimSuffix(b[at:at+n], []byte("\r"))
-		at += n + 1
-		if len(line) == 0 {
-			return b[:at], b[at:], true
-		}
-	}
 }
 
 // accept checks one event and appends its data to ready. It drops the other fields
@@ -161,8 +126,7 @@
 // one data line that is passed on. Both are white space in JSON.
 func eventData(event []byte) []byte {
 	var data []byte
-	for line := range bytes.Lines(event) {
-		line = bytes.TrimRight(line, "\r\n")
+	for _, line := range answer.Lines(event) {
 		value, ok := bytes.CutPrefix(line, []byte("data:"))
 		if !ok {
 			continue
@@ -263,6 +227,7 @@
 // complete. If requestID is set, the response must carry it.
 type jsonBody struct {
 	body      io.ReadCloser
+	head      answer.Head
 	requestID string
 	checked   *bytes.Reader
 	err       error
@@ -283,14 +248,12 @@
 func (j *jsonBody) Close() error { return j.body.Close() }
 
 func (j *jsonBody) readAll() {
-	data, err := io.ReadAll(io.LimitReader(j.body, maxJSONBytes+1))
+	data, err := answer.ReadAll(j.body, j.head, maxJSONBytes)
 	object := bytes.TrimSpace(data)
 	isContainer := len(object) > 0 && (object[0] == '{' || object[0] == '[')
 	switch {
 	case err != nil:
-		j.err = truncated(err, "the response was truncated")
-	case len(data) > maxJSONBytes:
-		j.err = truncated(nil, "the response exceeds the size limit")
+		j.err = err
 	case !isContainer || !json.Valid(data):
 		j.err = truncated(nil, "the response is not a complete JSON object or array")
 	case j.requestID != "" && !j.hasRequestID(object):
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/telemetry"
 )
@@ -144,21 +145,15 @@
 		return nil, fail.New(fail.ForeignAnswer, "the header of the response does not carry the ID of this request").WithRan(fail.RanUnknown)
 	}
 	out := &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), HasRequestID: id == r.ID, Body: resp.Body}
+	head := answer.HeadOf(resp)
 	stream := strings.HasPrefix(out.ContentType, "text/event-stream") && resp.StatusCode == http.StatusOK
 	switch {
 	case stream:
-		out.Body = newEventStream(resp.Body, r)
+		out.Body = newEventStream(resp, r)
 	case r.RequireID && resp.StatusCode == http.StatusOK:
-		out.Body = &jsonBody{body: resp.Body, requestID: r.ID}
-	case closeDelimited(resp):
-		out.Body = &jsonBody{body: resp.Body}
+		out.Body = &jsonBody{body: resp.Body, head: head, requestID: r.ID}
+	case head.Framing == answer.ByConnection:
+		out.Body = &jsonBody{body: resp.Body, head: head}
 	}
 	return out, nil
 }
-
-// closeDelimited reports whether only the end of the connection ends the body,
-// so that a broken connection looks like the end of the body (RFC 9112, section
-// 6.3).
-func closeDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1
-}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -192,6 +192,13 @@
 	for _, e := range engines {
 		endpoints = append(endpoints, &wire.FleetEndpoint{Address: e.address})
 	}
+	return startGatewayTo(t, route, endpoints...)
+}
+
+// startGatewayTo starts a gateway with one route to the endpoints and returns its
+// address.
+func startGatewayTo(t *testing.T, route document.Route, endpoints ...*wire.FleetEndpoint) string {
+	t.Helper()
 	l, err := transport.ListenClients("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -407,11 +414,3 @@
 		}
 	}
 }
-
-func TestCompleteEvents(t *testing.T) {
-	text := []byte("id: 1\ndata: x\n\nid: 22\ndata: y\n\nid: 3\nda")
-	n := completeEvents(text)
-	if string(text[n:]) != "id: 3\nda" || lastEventID(text[:n]) != "22" {
-		t.Errorf("complete events %q, last id %q, want the first two events and id 22", text[:n], lastEventID(text[:n]))
-	}
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,14 +14,8 @@
 	"parsleyramp/internal/upstream"
 )
 
-const (
-	relayBufferBytes = 8 << 10
-	// maxBufferedBytes bounds a response that is read completely before it is
-	// forwarded.
-	maxBufferedBytes = 8 << 20
-	// maxEventBytes bounds the bytes of an incomplete event that are buffered.
-	maxEventBytes = 1 << 20
-)
+// maxBufferedBytes bounds a response that is read completely before it is forwarded.
+const maxBufferedBytes = 8 << 20
 
 // relay forwards the responses of endpoints to one client.
 type relay struct {
@@ -64,10 +57,8 @@
 		return r.unusable(fail.New(fail.ForeignAnswer, "the response has no signature").WithRan(fail.RanUnknown))
 	case !ok:
 		return r.forwardFailure(resp, info)
-	case r.q.route.Kind == document.Stream && r.q.route.Resumable:
+	case r.q.route.Kind == document.Stream && resp.Head.MayBeEvents():
 		return r.forwardEvents(resp)
-	case r.q.route.Kind == document.Stream:
-		return r.forwardStream(resp)
 	}
 	return r.forwardComplete(resp)
 }
@@ -104,7 +95,7 @@
 // response with a status below 500, and keeps a signed server error in
 // lastFailure for the case that no other endpoint serves the request.
 func (r *relay) forwardFailure(resp *upstream.Response, info ResponseInfo) sendResult {
-	body, err := readBuffered(resp)
+	body, err := answer.ReadAll(resp.Body, resp.Head, maxBufferedBytes)
 	if err != nil {
 		return r.unusable(err)
 	}
@@ -123,7 +114,7 @@
 
 // forwardComplete reads the complete response before it forwards any of it.
 func (r *relay) forwardComplete(resp *upstream.Response) sendResult {
-	body, err := readBuffered(resp)
+	body, err := answer.ReadAll(resp.Body, resp.Head, maxBufferedBytes)
 	if err != nil {
 		return r.unusable(err)
 	}
@@ -131,17 +122,6 @@
 	return sendResult{complete: true}
 }
 
-func readBuffered(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	switch {
-	case err != nil:
-		return nil, fail.Wrap(err, fail.TruncatedAnswer, "the response was truncated").WithRan(fail.RanUnknown)
-	case len(body) > maxBufferedBytes:
-		return nil, fail.New(fail.TruncatedAnswer, "the response exceeds the size limit").WithRan(fail.RanUnknown)
-	}
-	return body, nil
-}
-
 // writeBuffered writes a buffered response to the client.
 func (r *relay) writeBuffered(resp *bufferedResponse) {
 	r.copyHeader(resp.header)
@@ -242,83 +222,33 @@
 	r.lastWriteAt = now
 }
 
-// forwardStream forwards bytes as they arrive.
-func (r *relay) forwardStream(resp *upstream.Response) sendResult {
-	buf := make([]byte, relayBufferBytes)
-	var at answer.Position
-	body := io.TeeReader(resp.Body, &at)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			r.beginStream(resp)
-			if writeErr := r.writeChunk(buf[:n]); writeErr != nil {
-				return sendResult{outcome: attempt.Interrupted, err: writeErr}
-			}
-		}
-		if err == io.EOF {
-			streamsEnded.count(resp.Head.Framing, !at.BetweenEvents())
-			r.beginStream(resp)
-			return sendResult{complete: true}
-		}
-		if err != nil {
-			return r.unusable(fail.Wrap(err, fail.TruncatedAnswer, "the stream was interrupted").WithRan(fail.RanUnknown))
-		}
-	}
-}
-
-// forwardEvents forwards complete events only, so that a truncated stream can be
-// resumed at another endpoint.
+// forwardEvents forwards events as they become complete, so that a stream that is broken
+// off can be resumed after its last whole event.
 func (r *relay) forwardEvents(resp *upstream.Response) sendResult {
-	buf := make([]byte, relayBufferBytes)
-	var pending []byte
+	events := answer.NewEvents(resp.Body, resp.Head.Framing)
 	for {
-		n, err := resp.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		if length := completeEvents(pending); length > 0 {
-			r.beginStream(resp)
-			if id := lastEventID(pending[:length]); id != "" {
-				r.lastEventID = id
-			}
-			if writeErr := r.writeChunk(pending[:length]); writeErr != nil {
-				return sendResult{outcome: attempt.Interrupted, err: writeErr}
-			}
-			pending = append(pending[:0], pending[length:]...)
+		p, err := events.Next()
+		if err != nil {
+			return r.endEvents(resp, events, err)
 		}
-		if err == io.EOF {
-			streamsEnded.count(resp.Head.Framing, len(pending) > 0)
+		r.beginStream(resp)
+		if id := answer.LastEventID(p); id != "" {
+			r.lastEventID = id
 		}
-		switch {
-		case err == io.EOF && len(pending) == 0:
-			r.beginStream(resp)
-			return sendResult{complete: true}
-		case err == io.EOF:
-			return r.unusable(fail.New(fail.TruncatedAnswer, "the stream ended within an event").WithRan(fail.RanUnknown))
-		case err != nil:
-			return r.unusable(fail.Wrap(err, fail.TruncatedAnswer, "the stream was interrupted").WithRan(fail.RanUnknown))
-		case len(pending) > maxEventBytes:
-			return r.unusable(fail.New(fail.TruncatedAnswer, "an event of the stream exceeds the size limit").WithRan(fail.RanUnknown))
+		if err := r.writeChunk(p); err != nil {
+			return sendResult{outcome: attempt.Interrupted, err: err}
 		}
 	}
 }
 
-var eventDelimiter = []byte("\n\n")
-
-// completeEvents returns the length of the complete events at the start of p.
-func completeEvents(p []byte) int {
-	i := bytes.LastIndex(p, eventDelimiter)
-	if i < 0 {
-		return 0
+// endEvents returns the result of a stream that ended with err.
+func (r *relay) endEvents(resp *upstream.Response, events *answer.Events, err error) sendResult {
+	if err == io.EOF || events.Cut() {
+		streamsEnded.count(resp.Head.Framing, events.Cut())
 	}
-	return i + len(eventDelimiter)
-}
-
-// lastEventID returns the id of the last event that has one.
-func lastEventID(p []byte) string {
-	last := ""
-	for line := range bytes.Lines(p) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			last = string(bytes.TrimSpace(value))
-		}
+	if err != io.EOF {
+		return r.unusable(err)
 	}
-	return last
+	r.beginStream(resp)
+	return sendResult{complete: true}
 }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -28,7 +28,7 @@
 // ServeClients starts to serve the handler on the listener, over HTTP/1.1.
 func ServeClients(l net.Listener, h http.Handler) *ClientFacingServer {
 	s := &ClientFacingServer{conns: map[*trackedConn]bool{}}
-	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(recordUnreadBody(h)))
+	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(recordUnreadBody(resetAborted(h))))
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
 	s.http.ConnState = s.recordState
--- a/internal/transport/unreadbody.go
+++ b/internal/transport/connstate.go
@@ -27,6 +27,26 @@
 	})
 }
 
+// resetAborted resets the connection if the handler aborts a response to a client of
+// HTTP/1.0, which takes an orderly close for the end of the response.
+func resetAborted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*trackedConn)
+		if !ok || r.ProtoAtLeast(1, 1) {
+			h.ServeHTTP(w, r)
+			return
+		}
+		aborted := true
+		defer func() {
+			if aborted {
+				c.resetOnClose()
+			}
+		}()
+		h.ServeHTTP(w, r)
+		aborted = false
+	})
+}
+
 // observedBody records whether a body has been read to its end.
 type observedBody struct {
 	io.ReadCloser
--- a/internal/transport/count.go
+++ b/internal/transport/count.go
@@ -56,6 +56,14 @@
 	return n, err
 }
 
+// SetLinger sets what becomes of unsent bytes when the connection is closed.
+func (c *countingConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(lingerSetter); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // countingListener counts the bytes of accepted connections.
 type countingListener struct {
 	net.Listener
--- a/internal/transport/tracked.go
+++ b/internal/transport/tracked.go
@@ -47,6 +47,17 @@
 	c.linger = linger
 }
 
+// lingerSetter is a connection that can be reset in place of an orderly close.
+type lingerSetter interface{ SetLinger(seconds int) error }
+
+// resetOnClose makes Close reset the connection.
+func (c *trackedConn) resetOnClose() {
+	if l, ok := c.Conn.(lingerSetter); ok {
+		// An error means that the connection is closed.
+		_ = l.SetLinger(0)
+	}
+}
+
 // Close closes the connection. A connection that lingers first discards what its client
 // still sends. Another call closes it at once.
 func (c *trackedConn) Close() error {
