--- a/scripts/soak/proxy.go
+++ b/scripts/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -110,11 +111,17 @@
 const copyBufferBytes = 16 << 10
 
 // copy forwards bytes until one side closes. After bytes of a direction were
-// dropped it forwards no later ones, because a TCP stream cannot have gaps.
+// dropped it forwards no later ones, because a TCP stream cannot have gaps: its end is
+// forwarded as a reset, as is a reset.
 func (p *proxy) copy(to, from net.Conn, dropped func(linkState) bool) {
-	defer to.Close()
 	buf := make([]byte, copyBufferBytes)
-	lost := false
+	lost, inOrder := false, false
+	defer func() {
+		if tcp, ok := to.(*net.TCPConn); ok && (lost || !inOrder) {
+			_ = tcp.SetLinger(0)
+		}
+		to.Close()
+	}()
 	for {
 		n, err := from.Read(buf)
 		s := p.get()
@@ -126,6 +133,7 @@
 			}
 		}
 		if err != nil {
+			inOrder = err == io.EOF
 			return
 		}
 	}
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -75,6 +75,7 @@
 	s.runSteps(steps, time.Now(), o.logLine)
 	s.clearFaults()
 	o.logLine("faults over")
+	d.breakOffResponses()
 	d.checkRecovery()
 	d.checkChange()
 	if o.crashing {
@@ -106,6 +107,19 @@
 	return fmt.Errorf("no fleet document was acknowledged within %v of the start", formTimeout)
 }
 
+// breakingTime is how long every endpoint breaks off half of its responses.
+const breakingTime = 2 * time.Second
+
+// breakOffResponses makes every endpoint break off responses. The clients check that none
+// of them looks complete.
+func (d *driver) breakOffResponses() {
+	for _, e := range d.s.endpoints {
+		e.Faults().TruncateResponses.Store(true)
+	}
+	d.wait(breakingTime)
+	d.s.clearFaults()
+}
+
 // checkRecovery checks that requests are served again within recoveryTimeout.
 func (d *driver) checkRecovery() {
 	share := 0.0
