Name the parts of prompts on failed sends, and the suspects of a crash

A failed send carries the fingerprints of the parts of its prompt, and the leader's line of a crash the suspects that earlier crashes broke too.

--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,7 +67,7 @@
 	for _, c := range l.suspects.Evaluate(now, l.reportLag()) {
 		endpointCrashes.Inc()
 		l.s.log.WithFields(logrus.Fields{
-			"endpoint": c.Endpoint, "requests_in_flight": len(c.InFlight), "convicted": formatFingerprints(c.Convicted),
+			"endpoint": c.Endpoint, "requests_in_flight": len(c.InFlight), "suspects": formatSuspects(c.Suspects), "convicted": quarantine.FormatFingerprints(c.Convicted[:min(len(c.Convicted), maxFingerprintsLogged)]),
 		}).Info("endpoint crashed while it ran requests")
 	}
 	if l.recordingSuspects || l.suspects.Revision() == l.recordedRevision {
@@ -82,10 +83,11 @@
 // maxFingerprintsLogged bounds the fingerprints in one log line.
 const maxFingerprintsLogged = 10
 
-func formatFingerprints(all []uint64) string {
+// formatSuspects returns the fingerprints, each with the number of its crashes.
+func formatSuspects(all []quarantine.CrashCount) string {
 	var out []string
-	for _, f := range all[:min(len(all), maxFingerprintsLogged)] {
-		out = append(out, quarantine.FormatFingerprint(f))
+	for _, s := range all[:min(len(all), maxFingerprintsLogged)] {
+		out = append(out, quarantine.FormatFingerprint(s.Fingerprint)+":"+strconv.Itoa(s.Crashes))
 	}
 	return strings.Join(out, " ")
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -274,8 +274,8 @@
 	if s.err != nil {
 		line = line.WithField("error", s.err.Error())
 	}
-	if f, ok := q.fingerprint(); ok {
-		line = line.WithField("fingerprint", quarantine.FormatFingerprint(f))
+	if f := q.fingerprints(); len(f) > 0 {
+		line = line.WithFields(logrus.Fields{"fingerprint": quarantine.FormatFingerprint(f[0]), "parts": quarantine.FormatFingerprints(f[1:])})
 	}
 	line.Info("request attempt failed")
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -22,6 +22,9 @@
 	ExpectedOutputTokens int
 	// Session is the part of the prompt that only requests of one session share.
 	Session string
+	// Parts are the ids of the parts of the prompt, in their order, as far as the client
+	// states them.
+	Parts []string
 	// Timeout is how long the client waits for the response; zero if not stated.
 	Timeout time.Duration
 	// Resumed is set if the request resumes a stream after an event that the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,8 +56,8 @@
 	framing string
 	// brokenSends counts the sends that an endpoint broke off.
 	brokenSends int
-	// knownFingerprint is nil until the fingerprint has been computed.
-	knownFingerprint *uint64
+	// knownFingerprints is nil until the fingerprints have been computed.
+	knownFingerprints []uint64
 }
 
 // ServeHTTP serves one request of a client.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -167,23 +167,38 @@
 	return p.refused
 }
 
-// fingerprint returns the fingerprint of the request, or false if this gateway does not
-// have the key yet.
-func (q *request) fingerprint() (uint64, bool) {
-	if q.knownFingerprint != nil {
-		return *q.knownFingerprint, true
+// maxParts bounds the parts of a prompt whose fingerprints are computed.
+const maxParts = 64
+
+// fingerprints returns the fingerprint of the request, followed by those of the parts of
+// its prompt, or nil if this gateway does not have the key yet.
+func (q *request) fingerprints() []uint64 {
+	if q.knownFingerprints != nil {
+		return q.knownFingerprints
 	}
 	key := q.g.fingerprintKey.Load()
 	if key == nil {
-		return 0, false
+		return nil
 	}
 	caller, _, err := net.SplitHostPort(q.httpRequest.RemoteAddr)
 	if err != nil {
 		caller = q.httpRequest.RemoteAddr
 	}
-	f := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body})
-	q.knownFingerprint = &f
-	return f, true
+	own := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body})
+	q.knownFingerprints = []uint64{own}
+	for _, id := range q.info.Parts[:min(len(q.info.Parts), maxParts)] {
+		q.knownFingerprints = append(q.knownFingerprints, key.PartFingerprint(id))
+	}
+	return q.knownFingerprints
+}
+
+// fingerprint returns the fingerprint of the request, or false if this gateway does not
+// have the key yet.
+func (q *request) fingerprint() (uint64, bool) {
+	if all := q.fingerprints(); len(all) > 0 {
+		return all[0], true
+	}
+	return 0, false
 }
 
 // decision returns how the request may run.
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -109,7 +109,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		q.ctx = ctx
-		q.knownFingerprint = new(uint64)
+		q.knownFingerprints = []uint64{1}
 		e := g.view.Load().Endpoints[0]
 		q.recordCrashEvidence(e, sendResult{broken: true})
 		if len(g.suspects.broken) != 0 {
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -46,6 +46,14 @@
 	// InFlight are the requests that it broke, and Convicted those of them that are
 	// convicted by it, both in ascending order.
 	InFlight, Convicted []uint64
+	// Suspects are those of InFlight that earlier crashes broke too, most crashes first.
+	Suspects []CrashCount
+}
+
+// CrashCount is the number of crashes during which a fingerprint was in flight.
+type CrashCount struct {
+	Fingerprint uint64
+	Crashes     int
 }
 
 // Pool joins what gateways report of broken requests, and decides which requests crash
@@ -169,7 +177,7 @@
 	for _, f := range inFlight {
 		p.count(f, p.crashCount, now)
 	}
-	c := Crash{Endpoint: endpoint, InFlight: inFlight}
+	c := Crash{Endpoint: endpoint, InFlight: inFlight, Suspects: p.crashCounts(inFlight)}
 	for _, f := range inFlight {
 		s := p.suspects[f]
 		knownBefore := s.known() && b.firstAt > s.knownAt+reportLag
@@ -187,6 +195,18 @@
 	return c
 }
 
+// crashCounts returns the suspects among the fingerprints, most crashes first.
+func (p *Pool) crashCounts(fingerprints []uint64) []CrashCount {
+	var out []CrashCount
+	for _, f := range fingerprints {
+		if s := p.suspects[f]; s.known() {
+			out = append(out, CrashCount{f, s.count()})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b CrashCount) int { return b.Crashes - a.Crashes })
+	return out
+}
+
 func (p *Pool) count(fingerprint, crash uint64, now time.Duration) {
 	s := p.suspects[fingerprint]
 	if s == nil {
