Reproduce a part of a prompt that crashes each endpoint

The stand-in crashes as it begins to answer; its checker counts endpoints, and the requests that run when the cause has to be refused.

--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -25,7 +25,7 @@
 	length := flag.Duration("for", 15*time.Second, "how long faults are injected in a run")
 	series := flag.Int("series", 2, "number of series of planned stops in a run")
 	gateways := flag.Int("gateways", defaultSize.gateways, "number of gateways of a run")
-	crashing := flag.Bool("crashing", true, "send a request that crashes each endpoint that runs it, after the faults")
+	crashing := flag.Bool("crashing", true, "send requests that crash each endpoint that runs them, after the faults")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
 	flag.Parse()
@@ -41,7 +41,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashing: *crashing}
+				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -48,8 +48,9 @@
 	// planned stops after them.
 	length time.Duration
 	series int
-	// crashing is set if a request that crashes endpoints is sent after the faults.
-	crashing bool
+	// crashingRequest is set if a request that crashes endpoints is sent after the faults,
+	// and crashingPart if requests are that share a part which does.
+	crashingRequest, crashingPart bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -78,9 +79,12 @@
 	d.breakOffResponses()
 	d.checkRecovery()
 	d.checkChange()
-	if o.crashing {
+	if o.crashingRequest {
 		d.checkCrashingRequest()
 	}
+	if o.crashingPart {
+		d.checkCrashingPart()
+	}
 	d.checkPlannedStops()
 	d.checkStopsUnderLoad(o.series)
 	d.checkLeaving()
@@ -162,9 +166,11 @@
 
 const (
 	// crashingTime is how long a request that crashes endpoints comes again and again,
-	// and crashingPause the time between two of its attempts.
-	crashingTime  = 12 * time.Second
-	crashingPause = 120 * time.Millisecond
+	// crashingPartTime how long requests with a part that does, and crashingPause the time
+	// between two of them.
+	crashingTime     = 12 * time.Second
+	crashingPartTime = 20 * time.Second
+	crashingPause    = 120 * time.Millisecond
 )
 
 // checkCrashingRequest sends a request that crashes each endpoint that runs it to all
@@ -172,18 +178,33 @@
 // request is refused for it.
 func (d *driver) checkCrashingRequest() {
 	content := standin.CrashingContent(fmt.Sprintf("of seed %d", d.seed))
+	d.sendCrashing(standin.CrashCause{Content: content}, crashingTime, func(int) standin.Attempt { return standin.Attempt{Session: "c", Content: content} })
+}
+
+// checkCrashingPart does the same with requests of which no two are alike, and which have
+// one part of their prompts in common.
+func (d *driver) checkCrashingPart() {
+	part := standin.CrashingPart(fmt.Sprintf("%x", d.seed))
+	d.sendCrashing(standin.CrashCause{Part: part}, crashingPartTime, func(i int) standin.Attempt {
+		return standin.Attempt{Session: fmt.Sprintf("c%d", i), Part: part}
+	})
+}
+
+// sendCrashing sends the attempts, which the cause makes crash endpoints, for the time.
+func (d *driver) sendCrashing(cause standin.CrashCause, within time.Duration, attempt func(i int) standin.Attempt) {
 	client := standin.NewClient(d.s.checker)
-	end := time.Now().Add(crashingTime)
+	end := time.Now().Add(within)
 	for i := 0; time.Now().Before(end) && d.wait(crashingPause); i++ {
-		attempt := standin.Attempt{ID: fmt.Sprintf("%x-crash-%d", d.seed, i), Kind: standin.Stream, Model: fleetLimits.Models[0].Name, Session: "c", Content: content}
+		a := attempt(i)
+		a.ID, a.Kind, a.Model = fmt.Sprintf("%x-crash-%s%d", d.seed, cause.Part, i), standin.Stream, fleetLimits.Models[0].Name
 		gateway := d.s.gateways[i%len(d.s.gateways)]
 		d.all.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
 			defer cancel()
-			client.Do(ctx, gateway.clientAddress, attempt)
+			client.Do(ctx, gateway.clientAddress, a)
 		})
 	}
-	d.logLine(fmt.Sprintf("%s: endpoints crashed at %v", content, d.s.checker.Crashes(content)))
+	d.logLine(fmt.Sprintf("%s: endpoints crashed at %v", cause, d.s.checker.Crashes(cause)))
 }
 
 // checkPlannedStops restarts every gateway gracefully while clients send requests.
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -169,10 +169,19 @@
 }
 
 func TestRequestThatCrashesEveryEndpointIsRefusedAfterItsThirdCrash(t *testing.T) {
-	r, err := runSoak(t.Context(), options{
-		dir: t.TempDir(), bin: buildPrograms(t), run: firstTestRun + len(shortSeeds), seed: 1, size: defaultSize, length: firstFaultDelay, crashing: true,
-		logLine: func(line string) { t.Log(line) },
-	})
+	soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds), crashingRequest: true})
+}
+
+func TestPartThatCrashesEveryEndpointIsRefusedByItsFifthCrash(t *testing.T) {
+	soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds) + 1, crashingPart: true})
+}
+
+// soakWithCrashes runs a soak without faults but those that the options add.
+func soakWithCrashes(t *testing.T, o options) {
+	t.Parallel()
+	o.dir, o.bin, o.seed, o.size, o.length = t.TempDir(), buildPrograms(t), 1, defaultSize, firstFaultDelay
+	o.logLine = func(line string) { t.Log(line) }
+	r, err := runSoak(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
