Judge parts of prompts beside whole requests for the crashes of endpoints

Cause: the pool of suspects knew whole requests only, by path, caller and body. Here no two are alike, so that each was in flight during one crash and none became a suspect. What repeats is one part of the prompt.

Fix: to the pool, a part of a prompt is a fingerprint like that of a request. It is a search for one bad item in groups: each crash names what was in flight, and what runs to its end is cleared. Gateways remember when requests with a fingerprint last completed, so that the answer to a new suspect takes one exchange, and conviction no longer waits for a crash after the suspect was known everywhere. What was in flight at endpoints that crashed at once counts once: reports state when requests were sent and broken, and a crash is independent if its requests were sent after the one before. A part is convicted by the fifth crash if three are independent and its service served something between them, unless a convicted request explains them. The parts of an answer that had been streamed for 0.5 s are no evidence, and more than four guilty parts at once are the sign of a common cause. A request that waits for an endpoint is refused as soon as it is convicted, which was checked only before. Heard bytes are reported with their age, so that a late report does not erase a crash.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -64,7 +64,9 @@
 	// lastReceived is when the last byte was received, or when the first of the
 	// pending requests was sent.
 	lastReceived time.Duration
-	// receivedSinceReport is set if a byte was received since the last report.
+	// heardAt is when the last byte was received, and receivedSinceReport is set if that
+	// was since the last report.
+	heardAt             time.Duration
 	receivedSinceReport bool
 }
 
@@ -73,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s, ok := l.responses[endpoint]; ok {
-		s.lastReceived, s.receivedSinceReport = now, true
+		s.lastReceived, s.heardAt, s.receivedSinceReport = now, now, true
 		l.responses[endpoint] = s
 	}
 }
@@ -149,7 +151,10 @@
 		w := of(id)
 		w.Running, w.Tokens, w.Silent = uint32(o.Running), uint64(max(o.Tokens, 0)), l.unresponsive(id, now)
 		s := l.responses[id]
-		w.Heard, s.receivedSinceReport = s.receivedSinceReport, false
+		if s.receivedSinceReport {
+			w.Heard, w.HeardAgoMs = true, uint32((now - s.heardAt).Milliseconds())
+		}
+		s.receivedSinceReport = false
 		l.responses[id] = s
 	}
 	for id, r := range l.results {
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -24,7 +24,10 @@
 	suspectTermShift = 32
 )
 
-var endpointCrashes = metrics.GetOrCreateCounter("parsleyramp_fleet_endpoint_crashes_total")
+var (
+	endpointCrashes = metrics.GetOrCreateCounter("parsleyramp_fleet_endpoint_crashes_total")
+	convictions     = metrics.GetOrCreateCounter("parsleyramp_fleet_convictions_total")
+)
 
 // reportLag returns how old a report of a gateway may be when it arrives, and how long
 // it takes until all gateways have reported. l.mu must be held.
@@ -35,22 +38,54 @@
 // ingestSuspects adds a gateway's report of broken and completed requests. l.mu must be
 // held.
 func (l *leaderState) ingestSuspects(r *wire.SyncRequest, now time.Duration) {
-	// What the gateway heard from an endpoint precedes what the endpoint broke.
 	lag := l.reportLag()
 	for _, x := range r.Loads {
+		heardAt := before(now, x.HeardAgoMs)
 		if x.Heard || x.Served > 0 {
-			l.suspects.Responded(x.Endpoint, now, lag)
+			l.suspects.Responded(x.Endpoint, heardAt, lag)
+		}
+		if e := l.engines[x.Endpoint]; e != nil && x.Served > 0 {
+			l.suspects.Served(e.listed.Service, heardAt)
 		}
 	}
 	for _, b := range r.Broken {
 		if e := l.engines[b.Endpoint]; e != nil && e.listed.Leaving {
 			continue
 		}
-		l.suspects.Broken(b.Endpoint, b.Fingerprints, b.Refused, now)
+		x := brokenFromWire(b, now)
+		if e := l.engines[b.Endpoint]; e != nil {
+			x.Service = e.listed.Service
+		}
+		l.suspects.Broken(x, now)
+	}
+	for i, f := range r.CompletedSuspects {
+		l.suspects.Completed(f, before(now, at(r.CompletedAgoMs, i)))
+	}
+}
+
+// brokenFromWire returns the report of a gateway that has been received now.
+func brokenFromWire(b *wire.BrokenRequests, now time.Duration) quarantine.Broken {
+	out := quarantine.Broken{Endpoint: b.Endpoint, Refused: b.Refused, At: before(now, b.BrokenAgoMs)}
+	for i, f := range b.Fingerprints {
+		sentAt := out.At
+		if i < len(b.SentAgoMs) {
+			sentAt = before(now, b.SentAgoMs[i])
+		}
+		out.InFlight = append(out.InFlight, quarantine.InFlight{Fingerprint: f, SentAt: sentAt})
 	}
-	for _, f := range r.CompletedSuspects {
-		l.suspects.Completed(f)
+	return out
+}
+
+func before(now time.Duration, agoMS uint32) time.Duration {
+	return now - time.Duration(agoMS)*time.Millisecond
+}
+
+// at returns the number at the index, zero if the sender, of an earlier version, gave none.
+func at(numbers []uint32, i int) uint32 {
+	if i < len(numbers) {
+		return numbers[i]
 	}
+	return 0
 }
 
 // setSuspects adds the suspects to the response unless the gateway has them. l.mu must
@@ -61,15 +96,21 @@
 	}
 }
 
-// evaluateSuspects logs the crashes that have become certain, and returns the command
+// evaluateSuspects logs the crashes that have become certain and what is convicted of them,
+// and returns the command
 // that records the changed suspects, or nil if none has changed. l.mu must be held.
 func (l *leaderState) evaluateSuspects(now time.Duration) *wire.RecordSuspects {
-	for _, c := range l.suspects.Evaluate(now, l.reportLag()) {
+	found, convicted := l.suspects.Evaluate(now, l.reportLag())
+	for _, c := range found {
 		endpointCrashes.Inc()
 		l.s.log.WithFields(logrus.Fields{
-			"endpoint": c.Endpoint, "requests_in_flight": len(c.InFlight), "suspects": formatSuspects(c.Suspects), "convicted": quarantine.FormatFingerprints(c.Convicted[:min(len(c.Convicted), maxFingerprintsLogged)]),
+			"endpoint": c.Endpoint, "in_flight": len(c.InFlight), "suspects": formatSuspects(c.Suspects),
 		}).Info("endpoint crashed while it ran requests")
 	}
+	for _, f := range convicted {
+		convictions.Inc()
+		l.s.log.WithFields(logrus.Fields{"fingerprint": quarantine.FormatFingerprint(f), "part": quarantine.IsPart(f)}).Warn("convicted of crashing endpoints")
+	}
 	if l.recordingSuspects || l.suspects.Revision() == l.recordedRevision {
 		return nil
 	}
--- a/internal/fleetcontrol/suspects_test.go
+++ b/internal/fleetcontrol/suspects_test.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
 	"parsleyramp/internal/wire/wireconnect"
@@ -106,7 +107,9 @@
 		for i := range 3 {
 			// A crash is certain once all gateways have reported.
 			at := l.s.clock() + time.Duration(i)*2*time.Second
-			l.suspects.Broken(fmt.Sprint("e", i), []uint64{7}, true, at)
+			l.suspects.Broken(quarantine.Broken{
+				Endpoint: fmt.Sprint("e", i), Refused: true, At: at, InFlight: []quarantine.InFlight{{Fingerprint: 7, SentAt: at}},
+			}, at)
 			l.suspects.Evaluate(at+time.Second, l.reportLag())
 		}
 		return errors.New("the conviction has not been recorded yet")
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -39,7 +39,10 @@
 	// broken is set if the endpoint closed the connection, or fell silent, before the
 	// response was complete.
 	broken bool
-	err    error
+	// sentAt is when the request was sent, and streamed the time between the first and the
+	// last bytes of its answer.
+	sentAt, streamed time.Duration
+	err              error
 }
 
 // bufferedResponse is a response that is read completely before any of it is
@@ -57,10 +60,6 @@
 	tried := map[string]bool{}
 	out := &relay{q: q}
 	for {
-		if q.quarantined() {
-			q.endWithoutResponse(&h, out, quarantine.NewError())
-			return
-		}
 		started := q.g.clock()
 		q.state.setPhase(phaseSelecting)
 		e, err := q.selectEndpoint(tried)
@@ -72,6 +71,7 @@
 		}
 		tried[e.ID] = true
 		s := q.send(e, out, &h)
+		s.sentAt, s.streamed = out.sentAt, out.streamed()
 		q.recordCrashEvidence(e, s)
 		if s.complete {
 			sendsDone.count("done")
@@ -105,7 +105,7 @@
 func (q *request) attemptRules() attempt.Rules {
 	r := q.route
 	rules := attempt.Rules{Retryable: r.Retryable(), Resumable: r.Kind == document.Stream && r.Resumable, MaxSends: max(r.MaxAttempts, 1)}
-	if q.suspected() {
+	if q.suspected() || q.partSuspected() {
 		rules.MaxSends = 1
 	}
 	return rules
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 
 func (testProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
 	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model")}
+	info.Parts = strings.Fields(r.Header.Get("Parts"))
 	info.Timeout, _ = time.ParseDuration(r.Header.Get("Deadline"))
 	info.ExpectedOutputTokens, _ = strconv.Atoi(r.Header.Get("Output"))
 	info.MaxOutputTokens, _ = strconv.Atoi(r.Header.Get("Maximum"))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -187,6 +187,14 @@
 	r.chunkInterval = r.q.g.serviceTimes.ChunkInterval(r.q.requirements.Model)
 }
 
+// streamed returns the time between the first and the last chunk of the current send.
+func (r *relay) streamed() time.Duration {
+	if r.chunks == 0 {
+		return 0
+	}
+	return r.lastChunkAt - r.firstChunkAt
+}
+
 // recordChunk records how long the endpoint took for one more chunk.
 func (r *relay) recordChunk() {
 	now := r.q.g.clock()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -6,6 +6,7 @@
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/wait"
 )
 
@@ -52,7 +53,7 @@
 
 // selectEndpoint returns the endpoint that the request is sent to. It waits for a
 // free slot, or for a model that is being loaded, if that is expected in time,
-// and rejects the request at once if it cannot be served.
+// and rejects the request at once if it cannot be served or is quarantined.
 func (q *request) selectEndpoint(tried map[string]bool) (*fleet.Endpoint, error) {
 	g := q.g
 	now := g.clock()
@@ -66,6 +67,9 @@
 		if first {
 			waited = 0
 		}
+		if q.quarantined() {
+			return nil, quarantine.NewError()
+		}
 		if !q.finishesInTime(now) {
 			return nil, errShutdown
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,8 +54,6 @@
 	longestPause  time.Duration
 	// framing is how the last response of an endpoint was framed; empty for none.
 	framing string
-	// brokenSends counts the sends that an endpoint broke off.
-	brokenSends int
 	// knownFingerprints is nil until the fingerprints have been computed.
 	knownFingerprints []uint64
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -23,7 +23,7 @@
 
 // suspect makes the gateway treat the request as the control plane does.
 func (g *Gateway) suspect(fingerprint uint64, s wire.SuspectState) {
-	g.suspects.apply(&wire.SyncResponse{SuspectsRevision: 1, Suspects: []*wire.Suspect{{Fingerprint: fingerprint, State: s}}}, reportedCounts{})
+	g.suspects.apply(&wire.SyncResponse{SuspectsRevision: 1, Suspects: []*wire.Suspect{{Fingerprint: fingerprint, State: s}}}, suspectsReport{})
 }
 
 func TestConvictedRequestIsRefusedAtOnceAndOthersAreServed(t *testing.T) {
@@ -93,7 +93,7 @@
 
 func TestBrokenRequestThatIsOldIsNotReported(t *testing.T) {
 	var s suspects
-	s.addBroken(brokenRequest{endpoint: "e", fingerprint: 1, at: time.Second})
+	s.addBroken(brokenRequest{endpoint: "e", fingerprints: []uint64{1}, at: time.Second})
 	req := &wire.SyncRequest{}
 	if s.report(req, time.Second+brokenReportTTL+1); len(req.Broken) != 0 {
 		t.Errorf("reported %v, want nothing: the gateway may have been cut off since", req.Broken)
@@ -122,3 +122,127 @@
 		}
 	})
 }
+
+// testPart returns the fingerprint of a part of prompts.
+func testPart(id string) uint64 { return quarantine.NewKey("test").PartFingerprint(id) }
+
+func TestRequestsWithAConvictedPartAreRefusedAndOthersAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Signed", "1") })
+		g := newPipeGateway(t, document.Route{Kind: document.Idempotent, MaxAttempts: 2}, &loadingControl{}, engine)
+		defer g.stop(t)
+		testFingerprint(g.Gateway, "pipe")
+		g.suspect(testPart("bad"), wire.SuspectState_SUSPECT_STATE_CONVICTED)
+		for parts, want := range map[string]int{
+			"first bad session": http.StatusUnprocessableEntity, "bad": http.StatusUnprocessableEntity, "first other session": http.StatusOK, "": http.StatusOK,
+		} {
+			if a := <-g.send(t, "", "Parts", parts); a.status != want || a.retryAfter != "" {
+				t.Errorf("answer %+v to a prompt of the parts %q, want status %d without Retry-After", a, parts, want)
+			}
+		}
+	})
+}
+
+func TestRequestThatWaitsIsRefusedOnceAPartOfItIsConvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := &loadingControl{readyAt: time.Now().Add(5 * time.Second)}
+		g := newPipeGateway(t, document.Route{Kind: document.Stream, MaxAttempts: 1, Timeout: 20 * time.Second}, control, http.NotFoundHandler())
+		defer g.stop(t)
+		testFingerprint(g.Gateway, "pipe")
+		received := g.send(t, "loading", "Parts", "first bad session")
+		time.Sleep(time.Second)
+		g.suspect(testPart("bad"), wire.SuspectState_SUSPECT_STATE_CONVICTED)
+		g.changed.notify()
+		convictedAt := g.clock()
+		if a := <-received; a.status != http.StatusUnprocessableEntity || a.at > convictedAt {
+			t.Errorf("answer %+v, %v after the conviction, want status 422 at once", a, a.at-convictedAt)
+		}
+	})
+}
+
+func TestSuspectedPartIsSentOnceUnlessItHasCompletedHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs, crash := 0, true
+		engine := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			runs++
+			if crash {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Signed", "1")
+		})
+		g := newPipeGateway(t, document.Route{Kind: document.Idempotent, MaxAttempts: 2}, &loadingControl{}, engine)
+		defer g.stop(t)
+		g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e0", Service: "s", Slots: 10}, {Id: "second", Service: "s", Slots: 10}}}))
+		testFingerprint(g.Gateway, "pipe")
+		g.suspect(testPart("shared"), wire.SuspectState_SUSPECT_STATE_SUSPECT)
+		if <-g.send(t, "", "Parts", "shared"); runs != 1 {
+			t.Fatalf("%d runs of a request with a suspected part, want 1", runs)
+		}
+		runs, crash = 0, false
+		<-g.send(t, "", "Parts", "shared")
+		crash = true
+		if <-g.send(t, "", "Parts", "shared"); runs != 3 {
+			t.Errorf("%d runs of two requests, want 3: the part has completed here", runs)
+		}
+	})
+}
+
+func TestCompletionsOfSuspectsAreReportedOnceToEachLeader(t *testing.T) {
+	var s suspects
+	s.addCompleted([]uint64{1, 2}, time.Second)
+	known := &wire.SyncResponse{SuspectsRevision: 5, Suspects: []*wire.Suspect{
+		{Fingerprint: 1, State: wire.SuspectState_SUSPECT_STATE_SUSPECT}, {Fingerprint: 3, State: wire.SuspectState_SUSPECT_STATE_SUSPECT},
+	}}
+	report := func() (*wire.SyncRequest, suspectsReport) {
+		req := &wire.SyncRequest{}
+		return req, s.report(req, 3*time.Second)
+	}
+	_, reported := report()
+	s.apply(known, reported)
+	for range 2 {
+		req, _ := report()
+		if len(req.CompletedSuspects) != 1 || req.CompletedSuspects[0] != 1 || req.CompletedAgoMs[0] != 2000 {
+			t.Fatalf("reported %v, %v ms ago, want 1, 2000 ms ago, until an exchange succeeds", req.CompletedSuspects, req.CompletedAgoMs)
+		}
+	}
+	_, reported = report()
+	s.apply(&wire.SyncResponse{}, reported)
+	if req, _ := report(); len(req.CompletedSuspects) != 0 {
+		t.Errorf("reported %v again to the same leader", req.CompletedSuspects)
+	}
+	known.SuspectsRevision = 9
+	_, reported = report()
+	s.apply(known, reported)
+	if req, _ := report(); len(req.CompletedSuspects) != 1 {
+		t.Errorf("reported %v after a change of the suspects, want 1", req.CompletedSuspects)
+	}
+}
+
+func TestPartsOfAnAnswerThatWasStreamedAreNoSuspects(t *testing.T) {
+	for streamed, want := range map[time.Duration]int{0: 2, survivalTime - 1: 2, survivalTime: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newSilentPipeGateway(t)
+			defer g.stop(t)
+			q := &request{g: g.Gateway, httpRequest: &http.Request{}, ctx: t.Context(), knownFingerprints: []uint64{1, testPart("part")}}
+			q.recordCrashEvidence(g.view.Load().Endpoints[0], sendResult{broken: true, streamed: streamed})
+			time.Sleep(time.Second)
+			if b := g.suspects.broken; len(b) != 1 || len(b[0].fingerprints) != want {
+				t.Errorf("recorded %+v after %v of streaming, want %d fingerprints", b, streamed, want)
+			}
+		})
+	}
+}
+
+func TestCompletionsAreBounded(t *testing.T) {
+	var c completions
+	for f := range uint64(5 * maxCompletions) {
+		c.add(f, time.Duration(f))
+		c.add(0, time.Duration(f))
+	}
+	if len(c.recent)+len(c.older) > 2*maxCompletions {
+		t.Errorf("%d completions are remembered, want %d at most", len(c.recent)+len(c.older), 2*maxCompletions)
+	}
+	if at, ok := c.last(0); !ok || at != time.Duration(5*maxCompletions-1) {
+		t.Errorf("the last completion is at %v, %t", at, ok)
+	}
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -80,7 +80,9 @@
 		g.log.WithFields(logrus.Fields{"calls": calls.String(), "document_version": req.DocumentVersion, "view_term": req.ViewTerm}).Info("calls of the failed exchange with the control plane")
 		return 0, err
 	}
-	g.suspects.apply(resp, reported)
+	if g.suspects.apply(resp, reported) {
+		g.changed.notify()
+	}
 	key := quarantine.Key(resp.FingerprintKey)
 	g.fingerprintKey.Store(&key)
 	g.applyDocument(resp.Document)
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -10,15 +11,22 @@
 )
 
 const (
-	// suspectCrashes is the number of crashes from which a request that was in flight
-	// during each of them is a suspect.
+	// suspectCrashes is the number of crashes from which what was in flight during each of
+	// them is a suspect.
 	suspectCrashes = 2
 	// convictingCrashes is the number of crashes after which a request is convicted,
-	// unless another request was in flight during each of them too. After
-	// ambiguousCrashes it is convicted in any case. The last crash must have come when
-	// all gateways knew the suspect: one of its runs to the end would have cleared it.
+	// unless something else was in flight during each of them too. After ambiguousCrashes
+	// it is convicted in any case, as is a part of prompts, which many requests share.
 	convictingCrashes = 3
 	ambiguousCrashes  = 5
+	// independentCrashes and independentPartCrashes are how many of the crashes must be
+	// independent, so that what was in flight at endpoints that crashed at once is not
+	// convicted for it.
+	independentCrashes     = 2
+	independentPartCrashes = 3
+	// maxGuiltyParts is the number of parts that may be found guilty at once. More are the
+	// sign of a common cause of the crashes, and none of them is convicted.
+	maxGuiltyParts = 4
 	// brokenTTL is how long after a broken request the end of its endpoint counts as
 	// the crash that broke it.
 	brokenTTL = 6 * time.Second
@@ -43,9 +51,8 @@
 // Crash is a crash of an endpoint that requests may have caused.
 type Crash struct {
 	Endpoint string
-	// InFlight are the requests that it broke, and Convicted those of them that are
-	// convicted by it, both in ascending order.
-	InFlight, Convicted []uint64
+	// InFlight are the fingerprints that it broke, in ascending order.
+	InFlight []uint64
 	// Suspects are those of InFlight that earlier crashes broke too, most crashes first.
 	Suspects []CrashCount
 }
@@ -56,26 +63,52 @@
 	Crashes     int
 }
 
-// Pool joins what gateways report of broken requests, and decides which requests crash
-// the endpoints that run them. Gateways cannot run a suspect alone at an endpoint, so
-// that a request is convicted only by several crashes that no other request explains.
-// It is not safe for concurrent use.
+// Pool joins what gateways report of broken requests, and decides which requests, and which
+// parts of prompts, crash the endpoints that run them. All of them are fingerprints to it.
+// Gateways cannot run a suspect alone at an endpoint, so that it is convicted only by
+// several crashes that nothing else explains, and since the first of which no request with
+// it has run to its end. It is not safe for concurrent use.
 type Pool struct {
 	broken   map[string]*brokenEndpoint
 	suspects map[uint64]*suspect
+	// served holds the times of the last requests that were served, by service.
+	served map[string]*servedTimes
 	// crashCount numbers the crashes.
 	crashCount uint64
 	// revision grows with each change of the known suspects.
 	revision uint64
 }
 
+// Broken are requests whose connections an endpoint ended, or to which it fell silent,
+// before their responses were complete.
+type Broken struct {
+	Endpoint string
+	// Service is the service of the endpoint.
+	Service string
+	// Refused is set if the endpoint accepted no connection right after.
+	Refused bool
+	// At is when the connections ended.
+	At time.Duration
+	// InFlight are the fingerprints of the requests and of the parts of their prompts.
+	InFlight []InFlight
+}
+
+// InFlight is a fingerprint, and when the first of the broken requests with it was sent.
+type InFlight struct {
+	Fingerprint uint64
+	SentAt      time.Duration
+}
+
 // brokenEndpoint is an endpoint that broke requests without a response.
 type brokenEndpoint struct {
-	firstAt time.Duration
+	service string
+	// firstAt is when it first broke one, and reportedAt when the pool learned of it.
+	firstAt, reportedAt time.Duration
 	// refused is set if the endpoint accepted no connection right after, and removed
 	// if it left the list without having been marked as leaving.
 	refused, removed bool
-	fingerprints     map[uint64]bool
+	// sentAt holds, by fingerprint, when the first broken request was sent.
+	sentAt map[uint64]time.Duration
 	// judged is set once its crash has been counted. Requests that are broken later
 	// were sent to an endpoint that had ended, unless none was broken for restartTime.
 	judged bool
@@ -83,51 +116,74 @@
 	lastAt time.Duration
 }
 
-// suspect is a request that was in flight during crashes.
+// suspect is a fingerprint that was in flight during crashes.
 type suspect struct {
-	// earlier counts the crashes that an earlier leader recorded, and crashes are the
-	// numbers of the others, in ascending order.
-	earlier   int
-	crashes   []uint64
+	// earlier counts the crashes that an earlier leader recorded, and earlierIndependent
+	// the independent ones of them.
+	earlier, earlierIndependent int
+	// crashes are the others, in the order in which they were found.
+	crashes   []suspectCrash
 	convicted bool
-	// knownAt is when it became known, and lastAt the time of the last crash.
-	knownAt, lastAt time.Duration
+	// firstAt and lastAt are the times of the first and the last crash, and knownAt is
+	// when gateways could be told of the suspect.
+	firstAt, lastAt, knownAt time.Duration
+}
+
+// suspectCrash is a crash during which a fingerprint was in flight.
+type suspectCrash struct {
+	number uint64
+	// sentAt is when the first broken request with the fingerprint was sent, and servedAt
+	// when the service last served a request before the crash.
+	at, sentAt, servedAt time.Duration
 }
 
 // NewPool returns an empty pool. Its revisions are higher than floor.
 func NewPool(floor uint64) *Pool {
-	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, revision: floor + 1}
+	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: floor + 1}
 }
 
-// Broken records that an endpoint ended the connections of requests, or fell silent,
-// before their responses were complete. refused reports whether it accepted no
-// connection right after.
-func (p *Pool) Broken(endpoint string, fingerprints []uint64, refused bool, now time.Duration) {
-	b := p.broken[endpoint]
+// Broken records what a gateway reports of requests that an endpoint broke.
+func (p *Pool) Broken(r Broken, now time.Duration) {
+	b := p.broken[r.Endpoint]
 	if b == nil || b.judged && now-b.lastAt > restartTime {
-		b = &brokenEndpoint{firstAt: now, fingerprints: map[uint64]bool{}}
-		p.broken[endpoint] = b
+		b = &brokenEndpoint{service: r.Service, firstAt: r.At, reportedAt: now, sentAt: map[uint64]time.Duration{}}
+		p.broken[r.Endpoint] = b
 	}
 	b.lastAt = now
 	if b.judged {
 		return
 	}
-	b.refused = b.refused || refused
-	for _, f := range fingerprints {
-		if len(b.fingerprints) < maxInFlight {
-			b.fingerprints[f] = true
+	b.firstAt = min(b.firstAt, r.At)
+	b.refused = b.refused || r.Refused
+	for _, x := range r.InFlight {
+		at, ok := b.sentAt[x.Fingerprint]
+		switch {
+		case ok:
+			b.sentAt[x.Fingerprint] = min(at, x.SentAt)
+		case len(b.sentAt) < maxInFlight:
+			b.sentAt[x.Fingerprint] = x.SentAt
 		}
 	}
 }
 
-// Responded records that a gateway received bytes from the endpoint. A report may be as
-// old as reportLag, and so describe the time before the requests were broken.
-func (p *Pool) Responded(endpoint string, now, reportLag time.Duration) {
-	if b := p.broken[endpoint]; b != nil && !b.removed && now-b.firstAt > reportLag {
+// Responded records that a gateway received a byte from the endpoint at the time at. The
+// times of two gateways differ by less than reportLag.
+func (p *Pool) Responded(endpoint string, at, reportLag time.Duration) {
+	if b := p.broken[endpoint]; b != nil && !b.removed && at-b.firstAt > reportLag {
 		delete(p.broken, endpoint)
 	}
 }
 
+// Served records that an endpoint of the service served a request at the time at.
+func (p *Pool) Served(service string, at time.Duration) {
+	t := p.served[service]
+	if t == nil {
+		t = &servedTimes{}
+		p.served[service] = t
+	}
+	t.add(at)
+}
+
 // Removed records that the endpoint is no longer listed. An endpoint that was leaving
 // has ended as planned.
 func (p *Pool) Removed(endpoint string, leaving bool) {
@@ -141,58 +197,76 @@
 	}
 }
 
-// Completed records that an endpoint ran the request to its end.
-func (p *Pool) Completed(fingerprint uint64) {
-	if s := p.suspects[fingerprint]; s != nil && !s.convicted {
+// Completed records that an endpoint ran a request with the fingerprint to its end at the
+// time at. It clears a suspect that had been in flight during a crash before.
+func (p *Pool) Completed(fingerprint uint64, at time.Duration) {
+	if s := p.suspects[fingerprint]; s != nil && !s.convicted && at > s.firstAt {
 		p.drop(fingerprint, s)
 	}
 }
 
-// Evaluate returns the crashes that have become certain. An endpoint has crashed if it
-// left the list, or accepted no connection and no gateway has received a byte from it
-// since. The reports of all gateways take reportLag to arrive; as much again passes in
-// which a gateway may report a response.
-func (p *Pool) Evaluate(now, reportLag time.Duration) []Crash {
-	var out []Crash
+// Evaluate returns the crashes that have become certain, and the fingerprints that are
+// convicted, in ascending order. An endpoint has crashed if it left the list, or accepted
+// no connection and no gateway has received a byte from it since. The reports of all
+// gateways take reportLag to arrive; as much again passes in which a gateway may report a
+// response.
+func (p *Pool) Evaluate(now, reportLag time.Duration) (found []Crash, convicted []uint64) {
 	for _, endpoint := range slices.Sorted(maps.Keys(p.broken)) {
 		b := p.broken[endpoint]
-		age := now - b.firstAt
+		age := now - b.reportedAt
 		switch {
 		case b.judged && age > judgedTTL, !b.judged && age > brokenTTL:
 			delete(p.broken, endpoint)
 		case !b.judged && (b.refused || b.removed) && age > 2*reportLag:
 			b.judged = true
-			out = append(out, p.judge(endpoint, b, now, reportLag))
+			found = append(found, p.judge(endpoint, b, now))
 		}
 	}
+	convicted = p.convict(now, reportLag)
 	p.expire(now)
-	return out
+	return found, convicted
 }
 
-// judge counts a crash for the requests that it broke, and convicts those that no other
-// one of them can stand for.
-func (p *Pool) judge(endpoint string, b *brokenEndpoint, now, reportLag time.Duration) Crash {
-	inFlight := slices.Sorted(maps.Keys(b.fingerprints))
+// judge counts a crash for what it broke.
+func (p *Pool) judge(endpoint string, b *brokenEndpoint, now time.Duration) Crash {
+	inFlight := slices.Sorted(maps.Keys(b.sentAt))
 	p.crashCount++
+	servedAt := p.served[b.service].before(b.firstAt)
 	for _, f := range inFlight {
-		p.count(f, p.crashCount, now)
+		p.count(f, suspectCrash{number: p.crashCount, at: b.firstAt, sentAt: b.sentAt[f], servedAt: servedAt}, now)
 	}
-	c := Crash{Endpoint: endpoint, InFlight: inFlight, Suspects: p.crashCounts(inFlight)}
-	for _, f := range inFlight {
-		s := p.suspects[f]
-		knownBefore := s.known() && b.firstAt > s.knownAt+reportLag
-		if !s.convicted && knownBefore && p.guilty(f, s, inFlight) {
-			c.Convicted = append(c.Convicted, f)
+	return Crash{Endpoint: endpoint, InFlight: inFlight, Suspects: p.crashCounts(inFlight)}
+}
+
+// convict convicts the suspects whose crashes nothing else can stand for, requests first:
+// what a convicted one has crashed is no evidence against the parts of its prompt.
+func (p *Pool) convict(now, reportLag time.Duration) []uint64 {
+	requests := p.convictKind(false, now, reportLag)
+	return append(requests, p.convictKind(true, now, reportLag)...)
+}
+
+// convictKind convicts requests or parts. All gateways must have been told of a suspect and
+// have had the time to report what has completed since its first crash.
+func (p *Pool) convictKind(parts bool, now, reportLag time.Duration) []uint64 {
+	var out []uint64
+	for f, s := range p.suspects {
+		ready := !s.convicted && s.known() && now-s.knownAt > 2*reportLag
+		if IsPart(f) == parts && ready && p.guilty(f, s) {
+			out = append(out, f)
 		}
 	}
-	for _, f := range c.Convicted {
+	if parts && len(out) > maxGuiltyParts {
+		return nil
+	}
+	slices.Sort(out)
+	for _, f := range out {
 		p.suspects[f].convicted = true
 		p.revision++
 	}
-	for _, f := range c.Convicted {
-		p.exonerate(p.suspects[f])
+	for _, f := range out {
+		p.exonerate(f, p.suspects[f])
 	}
-	return c
+	return out
 }
 
 // crashCounts returns the suspects among the fingerprints, most crashes first.
@@ -207,15 +281,15 @@
 	return out
 }
 
-func (p *Pool) count(fingerprint, crash uint64, now time.Duration) {
+func (p *Pool) count(fingerprint uint64, c suspectCrash, now time.Duration) {
 	s := p.suspects[fingerprint]
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{firstAt: c.at}
 		p.suspects[fingerprint] = s
 	}
-	s.lastAt = now
+	s.firstAt, s.lastAt = min(s.firstAt, c.at), now
 	wasKnown := s.known()
-	s.crashes = append(s.crashes, crash)
+	s.crashes = append(s.crashes, c)
 	if s.known() {
 		p.revision++
 	}
@@ -224,20 +298,54 @@
 	}
 }
 
-// guilty reports whether the crashes of the request can be put down to it.
-func (p *Pool) guilty(fingerprint uint64, s *suspect, inFlight []uint64) bool {
-	if s.count() >= ambiguousCrashes {
+// guilty reports whether the crashes of the suspect can be put down to it.
+func (p *Pool) guilty(fingerprint uint64, s *suspect) bool {
+	if IsPart(fingerprint) {
+		return p.withoutConvictedRequests(s).guiltyPart()
+	}
+	switch {
+	case s.independent(false) < independentCrashes:
+		return false
+	case s.count() >= ambiguousCrashes:
 		return true
 	}
-	explained := slices.ContainsFunc(inFlight, func(f uint64) bool { return f != fingerprint && p.suspects[f].explains(s) })
-	return s.count() >= convictingCrashes && !explained
+	return s.count() >= convictingCrashes && !p.explained(fingerprint, s)
+}
+
+// guiltyPart reports whether the crashes of a part of prompts can be put down to it.
+func (s *suspect) guiltyPart() bool {
+	return s.count() >= ambiguousCrashes && s.independent(true) >= independentPartCrashes
+}
+
+// withoutConvictedRequests returns the suspect without the crashes during which a
+// convicted request was in flight.
+func (p *Pool) withoutConvictedRequests(s *suspect) *suspect {
+	out := *s
+	for f, other := range p.suspects {
+		if other.convicted && !IsPart(f) {
+			out.crashes = slices.DeleteFunc(slices.Clone(out.crashes), func(c suspectCrash) bool { return other.during(c.number) })
+		}
+	}
+	return &out
+}
+
+// explained reports whether another request was in flight during each crash of the suspect.
+// A part of prompts explains nothing: refusing the request alone harms no other.
+func (p *Pool) explained(fingerprint uint64, s *suspect) bool {
+	for f, other := range p.suspects {
+		if f != fingerprint && !IsPart(f) && other.explains(s) {
+			return true
+		}
+	}
+	return false
 }
 
-// exonerate drops the requests whose crashes a convicted one explains. Which crashes an
-// earlier leader counted is not known.
-func (p *Pool) exonerate(convicted *suspect) {
+// exonerate drops the suspects whose crashes a convicted one explains. Which crashes an
+// earlier leader counted is not known. A request does not exonerate parts: others may hold
+// the part that crashed its endpoints.
+func (p *Pool) exonerate(fingerprint uint64, convicted *suspect) {
 	for f, s := range p.suspects {
-		if !s.convicted && s.earlier == 0 && convicted.explains(s) {
+		if !s.convicted && s.earlier == 0 && (IsPart(fingerprint) || !IsPart(f)) && convicted.explains(s) {
 			p.drop(f, s)
 		}
 	}
@@ -256,9 +364,29 @@
 // known reports whether all gateways are told of the suspect.
 func (s *suspect) known() bool { return s.convicted || s.count() >= suspectCrashes }
 
+// independent returns the number of crashes that no earlier one of them can have caused
+// too: the broken requests were sent after it. For parts the service must also have served
+// a request in between: many requests share a part, and endpoints that crash whatever they
+// run must not convict it.
+func (s *suspect) independent(isPart bool) int {
+	n, after := s.earlierIndependent, time.Duration(math.MinInt64)
+	for _, c := range slices.SortedFunc(slices.Values(s.crashes), func(a, b suspectCrash) int { return cmp.Compare(a.at, b.at) }) {
+		if c.sentAt >= after && (!isPart || c.servedAt >= after) {
+			n++
+			after = c.at
+		}
+	}
+	return n
+}
+
 // explains reports whether s was in flight during each crash of the other one.
 func (s *suspect) explains(other *suspect) bool {
-	return s.earlier >= other.earlier && !slices.ContainsFunc(other.crashes, func(c uint64) bool { return !slices.Contains(s.crashes, c) })
+	return s.earlier >= other.earlier && !slices.ContainsFunc(other.crashes, func(c suspectCrash) bool { return !s.during(c.number) })
+}
+
+// during reports whether s was in flight during the crash.
+func (s *suspect) during(crash uint64) bool {
+	return slices.ContainsFunc(s.crashes, func(c suspectCrash) bool { return c.number == crash })
 }
 
 // expire drops what is past its retention, and the oldest single crashes beyond
@@ -268,7 +396,7 @@
 		switch {
 		case now-s.lastAt <= retention:
 		case s.convicted:
-			*s = suspect{earlier: suspectCrashes, knownAt: now, lastAt: now}
+			*s = suspect{earlier: crashesBefore(f), earlierIndependent: crashesBefore(f), firstAt: now, lastAt: now, knownAt: now}
 			p.revision++
 		default:
 			p.drop(f, s)
@@ -281,6 +409,14 @@
 	}
 }
 
+// crashesBefore returns the number of crashes after which the next one convicts.
+func crashesBefore(fingerprint uint64) int {
+	if IsPart(fingerprint) {
+		return ambiguousCrashes - 1
+	}
+	return convictingCrashes - 1
+}
+
 // newestFirst returns the suspects, convicted ones first, then by their number of
 // crashes, then by the time of the last one.
 func (p *Pool) newestFirst() []uint64 {
@@ -324,7 +460,9 @@
 func (p *Pool) Revision() uint64 { return p.revision }
 
 func (s *suspect) toWire(fingerprint uint64) *wire.Suspect {
-	out := &wire.Suspect{Fingerprint: fingerprint, State: wire.SuspectState_SUSPECT_STATE_SUSPECT, Crashes: uint32(s.count())}
+	out := &wire.Suspect{
+		Fingerprint: fingerprint, State: wire.SuspectState_SUSPECT_STATE_SUSPECT, Crashes: uint32(s.count()), IndependentCrashes: uint32(s.independent(IsPart(fingerprint))),
+	}
 	if s.convicted {
 		out.State = wire.SuspectState_SUSPECT_STATE_CONVICTED
 	}
@@ -334,9 +472,14 @@
 // Restore adds the suspects that an earlier leader has recorded.
 func (p *Pool) Restore(recorded []*wire.Suspect, now time.Duration) {
 	for _, r := range recorded {
-		p.suspects[r.Fingerprint] = &suspect{
-			earlier: int(r.Crashes), convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, knownAt: now, lastAt: now,
+		s := &suspect{
+			earlier: int(r.Crashes), earlierIndependent: int(r.IndependentCrashes),
+			convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, firstAt: now, lastAt: now, knownAt: now,
+		}
+		if r.IndependentCrashes == 0 {
+			s.earlierIndependent = s.earlier
 		}
+		p.suspects[r.Fingerprint] = s
 	}
 	p.revision++
 }
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -32,14 +32,26 @@
 func (p *testPool) crashAt(endpoint string, fingerprints ...uint64) []uint64 {
 	// All gateways learn of the suspects of the crash before.
 	p.now += testReportLag + 1
+	p.breakAt(endpoint, fingerprints...)
+	return p.evaluate()
+}
+
+// testRunTime is how long broken requests have run.
+const testRunTime = 10 * time.Millisecond
+
+// breakAt lets an endpoint that accepts no connections break the requests now.
+func (p *testPool) breakAt(endpoint string, fingerprints ...uint64) {
+	r := Broken{Endpoint: endpoint, Refused: true, At: p.now}
 	for _, f := range fingerprints {
-		p.Broken(endpoint, []uint64{f}, true, p.now)
+		r.InFlight = append(r.InFlight, InFlight{f, p.now - testRunTime})
 	}
+	p.Broken(r, p.now)
+}
+
+// evaluate returns the convicted once all gateways have reported.
+func (p *testPool) evaluate() []uint64 {
 	p.now += 3 * testReportLag
-	var convicted []uint64
-	for _, c := range p.Evaluate(p.now, testReportLag) {
-		convicted = append(convicted, c.Convicted...)
-	}
+	_, convicted := p.Evaluate(p.now, testReportLag)
 	return convicted
 }
 
@@ -83,7 +95,7 @@
 					sends[f]++
 					inFlight = append(inFlight, f)
 				} else if sends[f] > 0 && rapid.Bool().Draw(t, "completed") {
-					p.Completed(f)
+					p.Completed(f, p.now)
 				}
 			}
 			if p.state(crashing) == wire.SuspectState_SUSPECT_STATE_CONVICTED {
@@ -131,14 +143,11 @@
 			for slot := range slots {
 				// Half of the requests are sent again after each crash.
 				f := uint64(e*slots+slot) + uint64(round)*uint64(slot%2)*1e6
-				p.Broken(fmt.Sprintf("e%d-%d", e, round), []uint64{f}, true, p.now)
+				p.breakAt(fmt.Sprintf("e%d-%d", e, round), f)
 			}
 		}
-		p.now += 3 * testReportLag
-		for _, c := range p.Evaluate(p.now, testReportLag) {
-			if c.Convicted != nil {
-				t.Fatalf("round %d: %v convicted", round, c.Convicted)
-			}
+		if convicted := p.evaluate(); convicted != nil {
+			t.Fatalf("round %d: %v convicted", round, convicted)
 		}
 	}
 	if len(p.suspects) > maxSuspects {
@@ -151,16 +160,13 @@
 func TestRequestInFlightAtManyEndpointsIsNotConvictedByTheirCommonCrash(t *testing.T) {
 	p := newTestPool()
 	for e := range 8 {
-		p.Broken(fmt.Sprint("common ", e), []uint64{7, 8}, true, p.now)
+		p.breakAt(fmt.Sprint("common ", e), 7, 8)
 	}
-	p.Broken("common 8", []uint64{7}, true, p.now)
-	p.now += 3 * testReportLag
-	for _, c := range p.Evaluate(p.now, testReportLag) {
-		if c.Convicted != nil {
-			t.Fatalf("%v convicted by crashes at one time", c.Convicted)
-		}
+	p.breakAt("common 8", 7)
+	if convicted := p.evaluate(); convicted != nil {
+		t.Fatalf("%v convicted by crashes at one time", convicted)
 	}
-	p.Completed(8)
+	p.Completed(8, p.now)
 	if convicted := p.crash(7, 8); !slices.Equal(convicted, []uint64{7}) {
 		t.Errorf("%v convicted by the next crash, want 7 and not 8, which has run to its end", convicted)
 	}
@@ -184,10 +190,9 @@
 			for i := range 3 {
 				endpoint := fmt.Sprint("e", i)
 				p.now += testReportLag + 1
-				p.Broken(endpoint, []uint64{7}, true, p.now)
+				p.breakAt(endpoint, 7)
 				c.end(p, endpoint)
-				p.now += 3 * testReportLag
-				p.Evaluate(p.now, testReportLag)
+				p.evaluate()
 			}
 			if got := p.state(7); got != c.want {
 				t.Errorf("state %v, want %v", got, c.want)
@@ -234,7 +239,7 @@
 	p.crash(7)
 	p.crash(7)
 	_, before := p.Known()
-	p.Completed(7)
+	p.Completed(7, p.now)
 	if _, after := p.Known(); p.state(7) != 0 || after == before {
 		t.Errorf("state %v at revision %d after %d, want no suspect at a new revision", p.state(7), after, before)
 	}
