Tell an engine's process from its former ones under the same id

An engine that starts again under its id holds nothing of before and counts its orders anew.

Now a statement of an earlier process is ignored and one of a new process resets what is known; a restart is the evidence of a crash, which later answers do not erase.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -25,6 +25,8 @@
 type engineState struct {
 	leader *leaderState
 	listed ListedEndpoint
+	// startedUnixMs is when the newest known process of the engine started; zero if unknown.
+	startedUnixMs int64
 	// held maps each loaded model to its loaded adapters; nil until known.
 	held map[string]map[string]bool
 	// sequence is the number of accepted orders, if sequenceKnown is set.
@@ -73,6 +75,9 @@
 // entry are ignored while a step is in flight or an order is recent.
 func (e *engineState) applyListing(x ListedEndpoint, now time.Duration) {
 	e.listed = x
+	if e.observeStart(x.StartedUnixMs) == earlierIncarnation {
+		return
+	}
 	if e.held != nil && (e.stepInFlight || now-e.orderedAt <= listLag) {
 		return
 	}
@@ -196,8 +201,10 @@
 	}
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
-	if e.sequenceKnown && r.Sequence < e.sequence {
-		// The report is older than the last order that was accepted.
+	of := e.observeStart(r.StartedUnixMs)
+	if of == earlierIncarnation || e.sequenceKnown && r.Sequence < e.sequence {
+		// The report is older than the engine's process, or than the last order that was
+		// accepted.
 		return r, nil
 	}
 	e.sequence, e.sequenceKnown, e.reportedAt = r.Sequence, true, requestedAt
--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -225,9 +225,13 @@
 // after orderEffectTimeout.
 func (e *engineState) awaitEffect(ctx context.Context, load bool, model string, expected time.Duration) bool {
 	defer e.endAwaitEffect()
-	start := e.leader.s.clock()
+	start, process := e.leader.s.clock(), e.process()
 	for e.leader.s.clock()-start < orderEffectTimeout && wait.For(ctx, pollDelay(expected-(e.leader.s.clock()-start))) {
 		r, err := e.refresh(ctx)
+		if e.process() != process {
+			// The process that accepted the order has ended.
+			return false
+		}
 		if err != nil || r.Busy {
 			continue
 		}
@@ -242,6 +246,13 @@
 	return false
 }
 
+// process returns the start of the engine's newest known process, which identifies it.
+func (e *engineState) process() int64 {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.startedUnixMs
+}
+
 // pollDelay returns the delay before the next poll of an engine that is expected
 // to be done in the time left. It polls earlier than that too, because a load may
 // take less time than expected.
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -16,6 +16,8 @@
 	Leaving bool
 	Slots   int
 	Models  []HeldModel
+	// StartedUnixMs is when its process started; zero if it is not known.
+	StartedUnixMs int64
 }
 
 // HeldModel is a model that an engine holds, with its adapters.
@@ -41,6 +43,8 @@
 	Leaving bool
 	Running int
 	Queued  int
+	// StartedUnixMs is when its process started; zero if it is not known.
+	StartedUnixMs int64
 }
 
 // Order commands an engine to load or unload a model, or an adapter of it.
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -104,9 +104,12 @@
 	service string
 	// firstAt is when it first broke one, and reportedAt when the pool learned of it.
 	firstAt, reportedAt time.Duration
-	// refused is set if the endpoint accepted no connection right after, and removed
-	// if it left the list without having been marked as leaving.
-	refused, removed bool
+	// refused is set if the endpoint accepted no connection right after, and ended if it
+	// left the list without having been marked as leaving, or has started again.
+	refused, ended bool
+	// respondedAt is when a gateway last received a byte from the endpoint, if that shows
+	// that it lived on, unless it has started again since; zero for never.
+	respondedAt time.Duration
 	// sentAt holds, by fingerprint, when the first broken request was sent.
 	sentAt map[uint64]time.Duration
 	// judged is set once its crash has been counted. Requests that are broken later
@@ -145,7 +148,7 @@
 // Broken records what a gateway reports of requests that an endpoint broke.
 func (p *Pool) Broken(r Broken, now time.Duration) {
 	b := p.broken[r.Endpoint]
-	if b == nil || b.judged && now-b.lastAt > restartTime {
+	if b == nil || b.judged && now-b.lastAt > restartTime || b.respondedAt > 0 && r.At > b.respondedAt {
 		b = &brokenEndpoint{service: r.Service, firstAt: r.At, reportedAt: now, sentAt: map[uint64]time.Duration{}}
 		p.broken[r.Endpoint] = b
 	}
@@ -169,8 +172,20 @@
 // Responded records that a gateway received a byte from the endpoint at the time at. The
 // times of two gateways differ by less than reportLag.
 func (p *Pool) Responded(endpoint string, at, reportLag time.Duration) {
-	if b := p.broken[endpoint]; b != nil && !b.removed && at-b.firstAt > reportLag {
+	b := p.broken[endpoint]
+	switch {
+	case b == nil || b.ended || at-b.firstAt <= reportLag:
+	case b.judged:
 		delete(p.broken, endpoint)
+	default:
+		b.respondedAt = at
+	}
+}
+
+// Restarted records that the endpoint's process is a new one under the same id.
+func (p *Pool) Restarted(endpoint string) {
+	if b := p.broken[endpoint]; b != nil {
+		b.ended = true
 	}
 }
 
@@ -193,7 +208,7 @@
 	case b.judged || leaving:
 		delete(p.broken, endpoint)
 	default:
-		b.removed = true
+		b.ended = true
 	}
 }
 
@@ -217,7 +232,7 @@
 		switch {
 		case b.judged && age > judgedTTL, !b.judged && age > brokenTTL:
 			delete(p.broken, endpoint)
-		case !b.judged && (b.refused || b.removed) && age > 2*reportLag:
+		case !b.judged && b.crashed() && age > 2*reportLag:
 			b.judged = true
 			found = append(found, p.judge(endpoint, b, now))
 		}
@@ -227,6 +242,9 @@
 	return found, convicted
 }
 
+// crashed reports whether the endpoint has ended, as far as gateways have reported.
+func (b *brokenEndpoint) crashed() bool { return b.ended || b.refused && b.respondedAt == 0 }
+
 // judge counts a crash for what it broke.
 func (p *Pool) judge(endpoint string, b *brokenEndpoint, now time.Duration) Crash {
 	inFlight := slices.Sorted(maps.Keys(b.sentAt))
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -181,6 +181,7 @@
 		{"refuses connections", func(*testPool, string) {}, wire.SuspectState_SUSPECT_STATE_CONVICTED},
 		{"accepts connections", func(p *testPool, e string) { p.broken[e].refused = false }, 0},
 		{"accepts connections and leaves the list", func(p *testPool, e string) { p.broken[e].refused = false; p.Removed(e, false) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
+		{"responds, for it has started again", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag+1, testReportLag); p.Restarted(e) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
 		{"leaves as planned", func(p *testPool, e string) { p.Removed(e, true) }, 0},
 		{"responds to another gateway", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag+1, testReportLag) }, 0},
 		{"responded before", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag, testReportLag) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
