Count a retry when it is sent, not when it is withdrawn from the budget

By reading, one cause: a retry is withdrawn before its endpoint is selected, and the selection may wait for a place or a model as long as the request has time. What was withdrawn in one window arrives in the next, beside that window's own.

That the users' runs had this cause is not known.

A withdrawn retry is pending until it is sent and counts from then on; one whose request finds no endpoint is refunded, which the budget before did not either (TestOnlyRetriesThatAreSentUseTheBudget).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -66,9 +66,11 @@
 		q.selectionTime += q.g.clock() - started
 		selectionSeconds.Update((q.g.clock() - started).Seconds())
 		if err != nil {
+			q.refundRetry()
 			q.endWithoutResponse(&h, out, err)
 			return
 		}
+		q.recordRetrySent()
 		tried[e.ID] = true
 		s := q.send(e, out, &h)
 		s.sentAt, s.streamed = out.sentAt, out.streamed()
@@ -117,12 +119,29 @@
 // returns false if the budget is used up.
 func (q *request) spendRetryBudget() bool {
 	ok := q.g.retries.TryWithdraw(q.requirements.Service, len(q.g.knownGateways()), q.g.clock())
+	q.retryWithdrawn = ok
 	if !ok {
 		retriesDenied.Inc()
 	}
 	return ok
 }
 
+// recordRetrySent records that the retry that was withdrawn, if any, is sent now.
+func (q *request) recordRetrySent() {
+	if q.retryWithdrawn {
+		q.g.retries.Sent(q.requirements.Service, q.g.clock())
+		q.retryWithdrawn = false
+	}
+}
+
+// refundRetry returns the retry that was withdrawn, if any: it is not sent.
+func (q *request) refundRetry() {
+	if q.retryWithdrawn {
+		q.g.retries.Refund(q.requirements.Service, q.g.clock())
+		q.retryWithdrawn = false
+	}
+}
+
 // shutDown reports whether the shutdown of the gateway has canceled the request.
 func (q *request) shutDown() bool { return errors.Is(context.Cause(q.ctx), errShutdown) }
 
--- /dev/null
+++ b/internal/gateway/retries_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/retry"
+	"parsleyramp/internal/wire"
+)
+
+// retriesLeft withdraws what is left of the budget of the gateway.
+func retriesLeft(g *Gateway) int {
+	n := 0
+	for g.retries.TryWithdraw("s", 1, g.clock()) {
+		n++
+	}
+	return n
+}
+
+func TestOnlyRetriesThatAreSentUseTheBudget(t *testing.T) {
+	const slack, requests = 10, 3
+	full := retry.NewGatewayBudget(retry.GatewayBudgetConfig{Slack: slack, Window: 10 * time.Second}, -10*time.Second)
+	allowed := 0
+	for full.TryWithdraw("s", 1, 0) {
+		allowed++
+	}
+	for name, c := range map[string]struct {
+		endpoints []string
+		used      int
+	}{
+		"another endpoint":    {[]string{"e0", "e1"}, requests},
+		"no other endpoint":   {[]string{"e0"}, 0},
+		"no endpoint to send": {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+				g := newPipeGateway(t, document.Route{Kind: document.Idempotent, MaxAttempts: 2}, &loadingControl{}, engine)
+				defer g.stop(t)
+				view := &wire.FleetView{}
+				for _, id := range c.endpoints {
+					view.Endpoints = append(view.Endpoints, &wire.FleetEndpoint{Id: id, Service: "s", Slots: 10})
+				}
+				g.view.Store(fleet.NewView(view))
+				g.retries = retry.NewGatewayBudget(retry.GatewayBudgetConfig{Slack: slack, Window: 10 * time.Second}, -10*time.Second)
+				for range requests {
+					<-g.send(t, "")
+				}
+				if got := retriesLeft(g.Gateway); got != allowed-c.used {
+					t.Errorf("%d retries left of %d, want %d used", got, allowed, c.used)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,8 @@
 	selectionTime time.Duration
 	firstByte     time.Duration
 	longestPause  time.Duration
+	// retryWithdrawn is set while a retry is withdrawn from the budget and not sent yet.
+	retryWithdrawn bool
 	// framing is how the last response of an endpoint was framed; empty for none.
 	framing string
 	// knownFingerprints is nil until the fingerprints have been computed.
--- a/internal/retry/gateway_budget.go
+++ b/internal/retry/gateway_budget.go
@@ -41,7 +41,10 @@
 
 type windowCounts struct {
 	requests []time.Duration
-	retries  []time.Duration
+	// retries are the times at which retries were sent, and pending counts those that have
+	// been withdrawn and not been sent yet.
+	retries []time.Duration
+	pending int
 }
 
 // NewGatewayBudget returns a budget that starts at the given time.
@@ -58,7 +61,9 @@
 }
 
 // TryWithdraw withdraws one retry from this gateway's part of the budget, and
-// returns false if none is left. The slack is divided by the number of gateways.
+// returns false if none is left. The slack is divided by the number of gateways. Each
+// retry must be followed by Sent or Refund: it counts at the time at which it is sent,
+// which may be long after.
 func (b *GatewayBudget) TryWithdraw(service string, gateways int, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -67,13 +72,29 @@
 	if now-b.start >= b.cfg.Window {
 		allowed += b.cfg.Slack / float64(max(gateways, 1))
 	}
-	if float64(len(c.retries)+1) > allowed*safetyFactor {
+	if float64(len(c.retries)+c.pending+1) > allowed*safetyFactor {
 		return false
 	}
-	c.retries = append(c.retries, now)
+	c.pending++
 	return true
 }
 
+// Sent records that a withdrawn retry is sent now.
+func (b *GatewayBudget) Sent(service string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.countsOf(service, now)
+	c.pending--
+	c.retries = append(c.retries, now)
+}
+
+// Refund returns a withdrawn retry that is not sent.
+func (b *GatewayBudget) Refund(service string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.countsOf(service, now).pending--
+}
+
 // countsOf returns the times of the service's requests and retries in the window
 // that ends now, and drops older ones.
 func (b *GatewayBudget) countsOf(service string, now time.Duration) *windowCounts {
--- a/internal/retry/gateway_budget_test.go
+++ b/internal/retry/gateway_budget_test.go
@@ -30,6 +30,7 @@
 				requests = append(requests, now)
 			}
 			for budgets[i].TryWithdraw("s", gateways, now) {
+				budgets[i].Sent("s", now)
 				retries = append(retries, now)
 			}
 		}
@@ -64,3 +65,50 @@
 		t.Error("no slack was granted one window after the start")
 	}
 }
+
+// TestRetriesThatWaitBeforeTheyAreSentStayWithinTheBudget lets retries wait for an endpoint,
+// so that those of one window could arrive together with those of the next.
+func TestRetriesThatWaitBeforeTheyAreSentStayWithinTheBudget(t *testing.T) {
+	const window, step = 10 * time.Second, 250 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := GatewayBudgetConfig{Ratio: 0.2, Slack: 54, Window: window}
+		b := NewGatewayBudget(cfg, -window)
+		var requests, arrivals []time.Duration
+		waiting := map[time.Duration]int{}
+		for now := time.Duration(0); now < 60*time.Second; now += step {
+			for range waiting[now] {
+				if rapid.IntRange(0, 20).Draw(t, "given up") == 0 {
+					b.Refund("s", now)
+					continue
+				}
+				b.Sent("s", now)
+				arrivals = append(arrivals, now)
+			}
+			for range 20 {
+				b.RecordRequest("s", now)
+				requests = append(requests, now)
+			}
+			wait := step * time.Duration(rapid.IntRange(1, 48).Draw(t, "wait"))
+			for b.TryWithdraw("s", 1, now) {
+				waiting[now+wait]++
+			}
+		}
+		for _, from := range arrivals {
+			allowed := cfg.Ratio*float64(max(countFrom(requests, from, window), countFrom(requests, from-window, window))) + cfg.Slack
+			if got := countFrom(arrivals, from, window); float64(got) > allowed {
+				t.Fatalf("%d retries arrive within %v from %v, %.1f allowed", got, window, from, allowed)
+			}
+		}
+	})
+}
+
+// countFrom returns how many of the times are in the window that starts at from.
+func countFrom(times []time.Duration, from, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+window {
+			n++
+		}
+	}
+	return n
+}
