Set the document between two exchanges in TestNewDocumentIsFetchedOnce

Traced: the document was set at the very instant of an exchange with the leader, which then brings it, as it may.

--- a/internal/gateway/documentbound_test.go
+++ b/internal/gateway/documentbound_test.go
@@ -257,7 +257,8 @@
 		group := newFakeGroup()
 		g, addresses := c.start(ctx, t, group)
 		group.set(addresses[0], 1)
-		time.Sleep(settledTime)
+		// Between two exchanges, the next of which would bring the document too.
+		time.Sleep(settledTime + g.cfg.SyncInterval.D()/2)
 		group.set(addresses[0], 2)
 		synctest.Wait()
 		fetches := int64(0)
