Bound every read from an endpoint in bytes

The pool of connections read a status line, a header value, header lines, interim responses and other requests' bodies without a bound; the first two are held in memory. Buffered answers were bounded one by one (8 MB), not together.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -78,6 +78,27 @@
 	}
 }
 
+func TestStreamWithoutEndIsBounded(t *testing.T) {
+	for name, line := range map[string]string{"events": "data: x\n\n", "comments": ": x\n", "empty lines": "\n"} {
+		e := NewEvents(&repeatingReader{text: strings.Repeat(line, 4096)}, ByChunks)
+		read := 0
+		var err error
+		for err == nil {
+			var p []byte
+			p, err = e.Next()
+			read += len(p)
+		}
+		if !fail.Is(err, fail.TruncatedAnswer) || read > MaxStreamBytes {
+			t.Errorf("%s: error %v after %d bytes, want a truncated answer after %d at most", name, err, read, MaxStreamBytes)
+		}
+	}
+}
+
+// repeatingReader returns the text again and again.
+type repeatingReader struct{ text string }
+
+func (r *repeatingReader) Read(p []byte) (int, error) { return copy(p, r.text), nil }
+
 // endlessReader returns bytes of one line without end.
 type endlessReader struct{}
 
--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// MaxEventBytes bounds the bytes of an event that is not complete yet.
-	MaxEventBytes   = 1 << 20
+	// MaxEventBytes bounds the bytes of an event that is not complete yet, and
+	// MaxStreamBytes those of a stream.
+	MaxEventBytes   = 256 << 10
+	MaxStreamBytes  = 64 << 20
 	readBufferBytes = 8 << 10
 )
 
@@ -20,7 +22,9 @@
 	buffer  []byte
 	// pending holds the bytes that have been read and not returned. The first scanned
 	// of them are known to the position, and the first complete are whole events.
-	pending           []byte
+	pending []byte
+	// total counts the bytes that have been read.
+	total             int
 	scanned, complete int
 	position          position
 	// any is set once an event is complete.
@@ -45,6 +49,10 @@
 	e.complete = 0
 	for e.err == nil {
 		n, err := e.body.Read(e.buffer)
+		if e.total += n; e.total > MaxStreamBytes {
+			e.err = truncated(nil, "the stream exceeds the size limit")
+			break
+		}
 		e.pending = append(e.pending, e.buffer[:n]...)
 		e.scan()
 		if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	modelRequests modelRequests
 	inFlight      requestsInFlight
 	suspects      suspects
+	buffers       bufferBudget
 	pool          *upstream.Pool
 	control       *controlclient.Client
 	leaderHint    leaderHint
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -199,12 +199,18 @@
 // startGatewayTo starts a gateway with one route to the endpoints and returns its
 // address.
 func startGatewayTo(t *testing.T, route document.Route, endpoints ...*wire.FleetEndpoint) string {
+	t.Helper()
+	return serveGateway(t, newTestGateway(t, route, document.Service{}, endpoints...))
+}
+
+// serveGateway starts a server for the gateway and returns its address.
+func serveGateway(t *testing.T, g *Gateway) string {
 	t.Helper()
 	l, err := transport.ListenClients("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := transport.ServeClients(l, newTestGateway(t, route, document.Service{}, endpoints...))
+	s := transport.ServeClients(l, g)
 	t.Cleanup(func() { s.Close() })
 	return s.Address()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,8 +14,14 @@
 	"parsleyramp/internal/upstream"
 )
 
-// maxBufferedBytes bounds a response that is read completely before it is forwarded.
-const maxBufferedBytes = 8 << 20
+const (
+	// maxBufferedBytes bounds a response that is read completely before it is forwarded,
+	// and maxAllBufferedBytes all of them together.
+	maxBufferedBytes    = 8 << 20
+	maxAllBufferedBytes = 32 << 20
+	// maxDrainedBytes bounds what is read of a rejection for the sake of its connection.
+	maxDrainedBytes = 64 << 10
+)
 
 // relay forwards the responses of endpoints to one client.
 type relay struct {
@@ -66,7 +72,7 @@
 // drainRejection reads the rest of a response that states that the request did
 // not run, so that the connection can be reused.
 func (r *relay) drainRejection(resp *upstream.Response) sendResult {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
 	message := "the endpoint did not run the request: status " + strconv.Itoa(resp.Status)
 	if err != nil {
 		return sendResult{outcome: attempt.Rejected, err: fail.Wrap(err, fail.EndpointFailed, message)}
@@ -95,7 +101,7 @@
 // response with a status below 500, and keeps a signed server error in
 // lastFailure for the case that no other endpoint serves the request.
 func (r *relay) forwardFailure(resp *upstream.Response, info ResponseInfo) sendResult {
-	body, err := answer.ReadAll(resp.Body, resp.Head, maxBufferedBytes)
+	body, err := answer.ReadAll(&bufferedBody{resp.Body, r.q}, resp.Head, maxBufferedBytes)
 	if err != nil {
 		return r.unusable(err)
 	}
@@ -114,7 +120,7 @@
 
 // forwardComplete reads the complete response before it forwards any of it.
 func (r *relay) forwardComplete(resp *upstream.Response) sendResult {
-	body, err := answer.ReadAll(resp.Body, resp.Head, maxBufferedBytes)
+	body, err := answer.ReadAll(&bufferedBody{resp.Body, r.q}, resp.Head, maxBufferedBytes)
 	if err != nil {
 		return r.unusable(err)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,6 +54,8 @@
 	longestPause  time.Duration
 	// retryWithdrawn is set while a retry is withdrawn from the budget and not sent yet.
 	retryWithdrawn bool
+	// bufferedBytes counts the bytes of responses that are held in memory.
+	bufferedBytes int
 	// framing is how the last response of an endpoint was framed; empty for none.
 	framing string
 	// knownFingerprints is nil until the fingerprints have been computed.
@@ -104,6 +106,7 @@
 	ctx, cancel := context.WithTimeout(requestCtx, q.deadline-g.clock())
 	defer cancel()
 	q.ctx = ctx
+	defer func() { g.buffers.give(q.bufferedBytes) }()
 	q.run()
 }
 
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -226,8 +226,10 @@
 			q := &request{g: g.Gateway, httpRequest: &http.Request{}, ctx: t.Context(), knownFingerprints: []uint64{1, testPart("part")}}
 			q.recordCrashEvidence(g.view.Load().Endpoints[0], sendResult{broken: true, streamed: streamed})
 			time.Sleep(time.Second)
-			if b := g.suspects.broken; len(b) != 1 || len(b[0].fingerprints) != want {
-				t.Errorf("recorded %+v after %v of streaming, want %d fingerprints", b, streamed, want)
+			req := &wire.SyncRequest{}
+			g.suspects.report(req, g.clock())
+			if b := req.Broken; len(b) != 1 || len(b[0].Fingerprints) != want {
+				t.Errorf("reported %v after %v of streaming, want %d fingerprints", b, streamed, want)
 			}
 		})
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -63,7 +63,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: writeCountingDial(countingDial(PeerKindEndpoint)), Protocols: &p, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true,
+			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,7 +37,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader reads through limit, which bounds what may be read before a response.
+	reader *bufio.Reader
+	limit  *readLimit
 	// idleTimeout is how long the connection may stay idle, and idleSince when
 	// it became idle.
 	idleTimeout time.Duration
@@ -58,7 +60,8 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	limit := &readLimit{r: c}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- /dev/null
+++ b/internal/upstream/limit.go
@@ -0,0 +1,43 @@
+package upstream
+
+import (
+	"io"
+
+	"parsleyramp/internal/fail"
+)
+
+const (
+	// maxHeadBytes bounds the head of a response, which is held in memory.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds what is read in all before the head of the response to a
+	// request: interim responses, and responses to other requests.
+	maxSkippedBytes = 256 << 10
+)
+
+var errTooLong = fail.New(fail.ForeignAnswer, "the endpoint sends more bytes than a response may have before its body").WithRan(fail.RanUnknown)
+
+// readLimit is a reader that fails once a limit is reached. Without a limit it reads on.
+type readLimit struct {
+	r       io.Reader
+	limited bool
+	left    int64
+}
+
+// set allows n more bytes to be read.
+func (l *readLimit) set(n int64) { l.limited, l.left = true, n }
+
+// lift removes the limit.
+func (l *readLimit) lift() { l.limited = false }
+
+// Read reads within the limit.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -165,11 +165,12 @@
 var errMayNotWrite = fail.New(fail.DeadlinePassed, "the request expired before it was written").WithRan(fail.RanNo)
 
 // readHeader reads the response header. It skips interim responses, and complete
-// responses that accept rejects.
+// responses that accept rejects, as far as maxSkippedBytes allow.
 func (c *conn) readHeader(method string, accept func(http.Header) bool) (*http.Response, error) {
-	skipped := 0
+	defer c.limit.lift()
+	skipped, left := 0, int64(maxSkippedBytes)
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := c.readOneHeader(method, &left)
 		if err != nil {
 			return nil, err
 		}
@@ -182,12 +183,24 @@
 		if skipped++; skipped > maxSkippedResponses {
 			return nil, errForeignResponses
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.limit.set(left)
+		_, err = io.Copy(io.Discard, resp.Body)
+		left = c.limit.left
+		if err != nil {
 			return nil, err
 		}
 	}
 }
 
+// readOneHeader reads the next header, and takes what it reads from left.
+func (c *conn) readOneHeader(method string, left *int64) (*http.Response, error) {
+	allowed := min(*left, maxHeadBytes)
+	c.limit.set(allowed)
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	*left -= allowed - c.limit.left
+	return resp, err
+}
+
 var errForeignResponses = fail.New(fail.ForeignAnswer, "the responses belong to other requests").WithRan(fail.RanUnknown)
 
 // hopByHopHeaders concern one connection only and are not forwarded.
