--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -182,9 +182,15 @@
 	}
 }
 
-// Restarted records that the endpoint's process is a new one under the same id.
+// Restarted records that the endpoint's process is a new one under the same id. What it
+// breaks from now on belongs to another crash.
 func (p *Pool) Restarted(endpoint string) {
-	if b := p.broken[endpoint]; b != nil {
+	b := p.broken[endpoint]
+	switch {
+	case b == nil:
+	case b.judged:
+		delete(p.broken, endpoint)
+	default:
 		b.ended = true
 	}
 }
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -220,6 +220,7 @@
 		between func(p *testPool)
 	}{
 		{"it responds in between", func(p *testPool) { p.Responded("e", p.now, testReportLag) }},
+		{"it is known to have started again", func(p *testPool) { p.Restarted("e") }},
 		{"nothing is sent to it in between", func(p *testPool) { p.now += restartTime + 1 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/scripts/soak/faults.go
+++ b/scripts/soak/faults.go
@@ -149,7 +149,7 @@
 }
 
 func clearEndpointFaults(f *standin.Faults) {
-	for _, fault := range []*atomic.Bool{&f.FailRequests, &f.DropResponses, &f.TruncateResponses, &f.ExtraResponses, &f.DropOrderResponses} {
+	for _, fault := range []*atomic.Bool{&f.FailRequests, &f.DropResponses, &f.TruncateResponses, &f.ExtraResponses, &f.EndlessBytes, &f.DropOrderResponses} {
 		fault.Store(false)
 	}
 }
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,6 +91,8 @@
 	d.checkLeaving()
 	cancel()
 	d.all.Wait()
+	used := s.checker.CheckRetries(retryBudget)
+	o.logLine(fmt.Sprintf("retries: at most %.0f %% of what is allowed in a window", 100*used))
 	out := result{steps: len(steps), newestVersion: d.newestAcknowledged(), violations: s.checker.Violations()}
 	for i := range out.outcomes {
 		out.outcomes[i] = d.outcomes[i].Load()
@@ -111,16 +114,26 @@
 	return fmt.Errorf("no fleet document was acknowledged within %v of the start", formTimeout)
 }
 
-// breakingTime is how long every endpoint breaks off half of its responses.
-const breakingTime = 2 * time.Second
+const (
+	// breakingTime is how long every endpoint breaks off half of its responses, and
+	// endlessTime how long it answers half of the requests with bytes without end.
+	breakingTime = 2 * time.Second
+	endlessTime  = time.Second
+)
 
-// breakOffResponses makes every endpoint break off responses. The clients check that none
-// of them looks complete.
+// breakOffResponses makes every endpoint break off responses, and then send bytes without
+// end. The clients check that none of that looks complete.
 func (d *driver) breakOffResponses() {
+	d.injectEverywhere(breakingTime, func(f *standin.Faults) *atomic.Bool { return &f.TruncateResponses })
+	d.injectEverywhere(endlessTime, func(f *standin.Faults) *atomic.Bool { return &f.EndlessBytes })
+}
+
+// injectEverywhere makes every endpoint have the fault for the time.
+func (d *driver) injectEverywhere(within time.Duration, fault func(*standin.Faults) *atomic.Bool) {
 	for _, e := range d.s.endpoints {
-		e.Faults().TruncateResponses.Store(true)
+		fault(e.Faults()).Store(true)
 	}
-	d.wait(breakingTime)
+	d.wait(within)
 	d.s.clearFaults()
 }
 
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -27,6 +27,9 @@
 	gracePeriod = 4 * time.Second
 )
 
+// retryBudget is the budget that the gateways share.
+var retryBudget = standin.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
 // fleetLimits holds the limits of the model engines.
 var fleetLimits = &standin.Limits{
 	Slots: 12, WeightsMB: 200e3, AdapterSlots: 4, OrderLease: 3 * time.Second, Models: []standin.Model{
@@ -178,7 +181,8 @@
 	return s.launch(n, map[string]any{
 		"id": n.name, "caller_address": n.clientAddress, "ready_address": address(run, gatewayVM, i, readyPort),
 		"metrics_address": address(run, gatewayVM, i, metricsPort), "domain": domain(i), "region": "r",
-		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(), "retry_slack": 50,
+		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(),
+		"retry_ratio": retryBudget.Ratio, "retry_slack": retryBudget.Slack, "retry_window": retryBudget.Window.String(),
 	})
 }
 
