--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -14,19 +13,6 @@
 	// suspectCrashes is the number of crashes from which what was in flight during each of
 	// them is a suspect.
 	suspectCrashes = 2
-	// convictingCrashes is the number of crashes after which a request is convicted,
-	// unless something else was in flight during each of them too. After ambiguousCrashes
-	// it is convicted in any case, as is a part of prompts, which many requests share.
-	convictingCrashes = 3
-	ambiguousCrashes  = 5
-	// independentCrashes and independentPartCrashes are how many of the crashes must be
-	// independent, so that what was in flight at endpoints that crashed at once is not
-	// convicted for it.
-	independentCrashes     = 2
-	independentPartCrashes = 3
-	// maxGuiltyParts is the number of parts that may be found guilty at once. More are the
-	// sign of a common cause of the crashes, and none of them is convicted.
-	maxGuiltyParts = 4
 	// brokenTTL is how long after a broken request the end of its endpoint counts as
 	// the crash that broke it.
 	brokenTTL = 6 * time.Second
@@ -119,27 +105,6 @@
 	lastAt time.Duration
 }
 
-// suspect is a fingerprint that was in flight during crashes.
-type suspect struct {
-	// earlier counts the crashes that an earlier leader recorded, and earlierIndependent
-	// the independent ones of them.
-	earlier, earlierIndependent int
-	// crashes are the others, in the order in which they were found.
-	crashes   []suspectCrash
-	convicted bool
-	// firstAt and lastAt are the times of the first and the last crash, and knownAt is
-	// when gateways could be told of the suspect.
-	firstAt, lastAt, knownAt time.Duration
-}
-
-// suspectCrash is a crash during which a fingerprint was in flight.
-type suspectCrash struct {
-	number uint64
-	// sentAt is when the first broken request with the fingerprint was sent, and servedAt
-	// when the service last served a request before the crash.
-	at, sentAt, servedAt time.Duration
-}
-
 // NewPool returns an empty pool. Its revisions are higher than floor.
 func NewPool(floor uint64) *Pool {
 	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: floor + 1}
@@ -174,10 +139,10 @@
 func (p *Pool) Responded(endpoint string, at, reportLag time.Duration) {
 	b := p.broken[endpoint]
 	switch {
-	case b == nil || b.ended || at-b.firstAt <= reportLag:
+	case b == nil || at-b.firstAt <= reportLag:
 	case b.judged:
 		delete(p.broken, endpoint)
-	default:
+	case !b.ended:
 		b.respondedAt = at
 	}
 }
@@ -262,37 +227,6 @@
 	return Crash{Endpoint: endpoint, InFlight: inFlight, Suspects: p.crashCounts(inFlight)}
 }
 
-// convict convicts the suspects whose crashes nothing else can stand for, requests first:
-// what a convicted one has crashed is no evidence against the parts of its prompt.
-func (p *Pool) convict(now, reportLag time.Duration) []uint64 {
-	requests := p.convictKind(false, now, reportLag)
-	return append(requests, p.convictKind(true, now, reportLag)...)
-}
-
-// convictKind convicts requests or parts. All gateways must have been told of a suspect and
-// have had the time to report what has completed since its first crash.
-func (p *Pool) convictKind(parts bool, now, reportLag time.Duration) []uint64 {
-	var out []uint64
-	for f, s := range p.suspects {
-		ready := !s.convicted && s.known() && now-s.knownAt > 2*reportLag
-		if IsPart(f) == parts && ready && p.guilty(f, s) {
-			out = append(out, f)
-		}
-	}
-	if parts && len(out) > maxGuiltyParts {
-		return nil
-	}
-	slices.Sort(out)
-	for _, f := range out {
-		p.suspects[f].convicted = true
-		p.revision++
-	}
-	for _, f := range out {
-		p.exonerate(f, p.suspects[f])
-	}
-	return out
-}
-
 // crashCounts returns the suspects among the fingerprints, most crashes first.
 func (p *Pool) crashCounts(fingerprints []uint64) []CrashCount {
 	var out []CrashCount
@@ -322,59 +256,6 @@
 	}
 }
 
-// guilty reports whether the crashes of the suspect can be put down to it.
-func (p *Pool) guilty(fingerprint uint64, s *suspect) bool {
-	if IsPart(fingerprint) {
-		return p.withoutConvictedRequests(s).guiltyPart()
-	}
-	switch {
-	case s.independent(false) < independentCrashes:
-		return false
-	case s.count() >= ambiguousCrashes:
-		return true
-	}
-	return s.count() >= convictingCrashes && !p.explained(fingerprint, s)
-}
-
-// guiltyPart reports whether the crashes of a part of prompts can be put down to it.
-func (s *suspect) guiltyPart() bool {
-	return s.count() >= ambiguousCrashes && s.independent(true) >= independentPartCrashes
-}
-
-// withoutConvictedRequests returns the suspect without the crashes during which a
-// convicted request was in flight.
-func (p *Pool) withoutConvictedRequests(s *suspect) *suspect {
-	out := *s
-	for f, other := range p.suspects {
-		if other.convicted && !IsPart(f) {
-			out.crashes = slices.DeleteFunc(slices.Clone(out.crashes), func(c suspectCrash) bool { return other.during(c.number) })
-		}
-	}
-	return &out
-}
-
-// explained reports whether another request was in flight during each crash of the suspect.
-// A part of prompts explains nothing: refusing the request alone harms no other.
-func (p *Pool) explained(fingerprint uint64, s *suspect) bool {
-	for f, other := range p.suspects {
-		if f != fingerprint && !IsPart(f) && other.explains(s) {
-			return true
-		}
-	}
-	return false
-}
-
-// exonerate drops the suspects whose crashes a convicted one explains. Which crashes an
-// earlier leader counted is not known. A request does not exonerate parts: others may hold
-// the part that crashed its endpoints.
-func (p *Pool) exonerate(fingerprint uint64, convicted *suspect) {
-	for f, s := range p.suspects {
-		if !s.convicted && s.earlier == 0 && (IsPart(fingerprint) || !IsPart(f)) && convicted.explains(s) {
-			p.drop(f, s)
-		}
-	}
-}
-
 func (p *Pool) drop(fingerprint uint64, s *suspect) {
 	delete(p.suspects, fingerprint)
 	if s.known() {
@@ -382,37 +263,6 @@
 	}
 }
 
-// count returns the number of crashes.
-func (s *suspect) count() int { return s.earlier + len(s.crashes) }
-
-// known reports whether all gateways are told of the suspect.
-func (s *suspect) known() bool { return s.convicted || s.count() >= suspectCrashes }
-
-// independent returns the number of crashes that no earlier one of them can have caused
-// too: the broken requests were sent after it. For parts the service must also have served
-// a request in between: many requests share a part, and endpoints that crash whatever they
-// run must not convict it.
-func (s *suspect) independent(isPart bool) int {
-	n, after := s.earlierIndependent, time.Duration(math.MinInt64)
-	for _, c := range slices.SortedFunc(slices.Values(s.crashes), func(a, b suspectCrash) int { return cmp.Compare(a.at, b.at) }) {
-		if c.sentAt >= after && (!isPart || c.servedAt >= after) {
-			n++
-			after = c.at
-		}
-	}
-	return n
-}
-
-// explains reports whether s was in flight during each crash of the other one.
-func (s *suspect) explains(other *suspect) bool {
-	return s.earlier >= other.earlier && !slices.ContainsFunc(other.crashes, func(c suspectCrash) bool { return !s.during(c.number) })
-}
-
-// during reports whether s was in flight during the crash.
-func (s *suspect) during(crash uint64) bool {
-	return slices.ContainsFunc(s.crashes, func(c suspectCrash) bool { return c.number == crash })
-}
-
 // expire drops what is past its retention, and the oldest single crashes beyond
 // maxSuspects.
 func (p *Pool) expire(now time.Duration) {
@@ -483,16 +333,6 @@
 // Revision returns the revision of the known suspects.
 func (p *Pool) Revision() uint64 { return p.revision }
 
-func (s *suspect) toWire(fingerprint uint64) *wire.Suspect {
-	out := &wire.Suspect{
-		Fingerprint: fingerprint, State: wire.SuspectState_SUSPECT_STATE_SUSPECT, Crashes: uint32(s.count()), IndependentCrashes: uint32(s.independent(IsPart(fingerprint))),
-	}
-	if s.convicted {
-		out.State = wire.SuspectState_SUSPECT_STATE_CONVICTED
-	}
-	return out
-}
-
 // Restore adds the suspects that an earlier leader has recorded.
 func (p *Pool) Restore(recorded []*wire.Suspect, now time.Duration) {
 	for _, r := range recorded {
