--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -16,6 +16,9 @@
 	// survivalTime is how long an endpoint must have streamed an answer for the parts of
 	// its prompt to be no suspects if it crashes then.
 	survivalTime = 500 * time.Millisecond
+	// limitingCrashes is the number of crashes from which requests with a suspected part
+	// are sent once. Many innocent parts have two on a day of crashes.
+	limitingCrashes = 3
 	// innocenceTime is how long after a completion here a suspected part is not limited.
 	innocenceTime = 10 * time.Second
 )
@@ -57,7 +60,7 @@
 	if !ok {
 		return quarantine.Run
 	}
-	return quarantine.Decide(q.g.suspects.state(f), 0)
+	return quarantine.Decide(q.g.suspects.of(f).state, 0)
 }
 
 // suspectableFingerprint returns the fingerprint of the request if anything is suspected.
@@ -75,7 +78,7 @@
 		return false
 	}
 	return slices.ContainsFunc(q.fingerprints(), func(f uint64) bool {
-		return quarantine.Decide(q.g.suspects.state(f), 0) == quarantine.Reject
+		return quarantine.Decide(q.g.suspects.of(f).state, 0) == quarantine.Reject
 	})
 }
 
@@ -91,7 +94,9 @@
 	}
 	since := q.g.clock() - innocenceTime
 	return slices.ContainsFunc(q.fingerprints()[1:], func(f uint64) bool {
-		return q.g.suspects.state(f) == wire.SuspectState_SUSPECT_STATE_SUSPECT && !q.g.suspects.completedSince(f, since)
+		x := q.g.suspects.of(f)
+		limited := x.state == wire.SuspectState_SUSPECT_STATE_SUSPECT && x.crashes >= limitingCrashes
+		return limited && !q.g.suspects.completedSince(f, since)
 	})
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -189,7 +189,7 @@
 
 // beginSend resets the measurements for a send to the endpoint.
 func (r *relay) beginSend(endpoint string, at time.Duration) {
-	r.endpoint, r.sentAt, r.chunks = endpoint, at, 0
+	r.endpoint, r.sentAt, r.chunks, r.q.framing = endpoint, at, 0, ""
 	r.chunkInterval = r.q.g.serviceTimes.ChunkInterval(r.q.requirements.Model)
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -35,7 +35,7 @@
 type suspects struct {
 	mu       sync.Mutex
 	revision uint64
-	states   map[uint64]wire.SuspectState
+	known    map[uint64]knownSuspect
 	broken   []brokenRequest
 	// completions holds when requests last ran to their end here, and reported the times
 	// that the control plane knows at the current revision.
@@ -44,6 +44,12 @@
 	probes      map[string]*endpointProbe
 }
 
+// knownSuspect is the shared state of a suspect, and the number of its crashes.
+type knownSuspect struct {
+	state   wire.SuspectState
+	crashes uint32
+}
+
 // brokenRequest is a request that was sent at sentAt and that an endpoint broke at the time
 // at.
 type brokenRequest struct {
@@ -60,18 +66,18 @@
 	refused   bool
 }
 
-// state returns the shared state of a request.
-func (s *suspects) state(fingerprint uint64) wire.SuspectState {
+// of returns what is known of a fingerprint.
+func (s *suspects) of(fingerprint uint64) knownSuspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.states[fingerprint]
+	return s.known[fingerprint]
 }
 
 // any reports whether any request is suspected.
 func (s *suspects) any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.states) > 0
+	return len(s.known) > 0
 }
 
 func (s *suspects) addBroken(b brokenRequest) {
@@ -132,10 +138,10 @@
 // does not know.
 func (s *suspects) unreportedCompletionsLocked() map[uint64]time.Duration {
 	out := map[uint64]time.Duration{}
-	for f, state := range s.states {
+	for f, x := range s.known {
 		at, ok := s.completions.last(f)
-		known, reported := s.reported[f]
-		if state == wire.SuspectState_SUSPECT_STATE_SUSPECT && ok && (!reported || known != at) && len(out) < maxCompletedReports {
+		last, reported := s.reported[f]
+		if x.state == wire.SuspectState_SUSPECT_STATE_SUSPECT && ok && (!reported || last != at) && len(out) < maxCompletedReports {
 			out[f] = at
 		}
 	}
@@ -157,9 +163,9 @@
 	s.revision = resp.SuspectsRevision
 	// Another leader may have sent them, to which nothing has been reported.
 	s.reported = map[uint64]time.Duration{}
-	s.states = make(map[uint64]wire.SuspectState, len(resp.Suspects))
+	s.known = make(map[uint64]knownSuspect, len(resp.Suspects))
 	for _, x := range resp.Suspects {
-		s.states[x.Fingerprint] = x.State
+		s.known[x.Fingerprint] = knownSuspect{x.State, x.Crashes}
 	}
 	return true
 }
