--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -97,8 +97,8 @@
 }
 
 // evaluateSuspects logs the crashes that have become certain and what is convicted of them,
-// and returns the command
-// that records the changed suspects, or nil if none has changed. l.mu must be held.
+// and returns the command that records the changed suspects, or nil if none has changed.
+// l.mu must be held.
 func (l *leaderState) evaluateSuspects(now time.Duration) *wire.RecordSuspects {
 	found, convicted := l.suspects.Evaluate(now, l.reportLag())
 	for _, c := range found {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return quarantine.Run
 	}
-	return quarantine.Decide(q.g.suspects.of(f).state, 0)
+	return quarantine.Decide(q.g.suspects.lookup(f).state, 0)
 }
 
 // suspectableFingerprint returns the fingerprint of the request if anything is suspected.
@@ -78,7 +78,7 @@
 		return false
 	}
 	return slices.ContainsFunc(q.fingerprints(), func(f uint64) bool {
-		return quarantine.Decide(q.g.suspects.of(f).state, 0) == quarantine.Reject
+		return quarantine.Decide(q.g.suspects.lookup(f).state, 0) == quarantine.Reject
 	})
 }
 
@@ -94,7 +94,7 @@
 	}
 	since := q.g.clock() - innocenceTime
 	return slices.ContainsFunc(q.fingerprints()[1:], func(f uint64) bool {
-		x := q.g.suspects.of(f)
+		x := q.g.suspects.lookup(f)
 		limited := x.state == wire.SuspectState_SUSPECT_STATE_SUSPECT && x.crashes >= limitingCrashes
 		return limited && !q.g.suspects.completedSince(f, since)
 	})
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -66,8 +66,8 @@
 	refused   bool
 }
 
-// of returns what is known of a fingerprint.
-func (s *suspects) of(fingerprint uint64) knownSuspect {
+// lookup returns what is known of a fingerprint.
+func (s *suspects) lookup(fingerprint uint64) knownSuspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.known[fingerprint]
--- a/internal/retry/gateway_budget.go
+++ b/internal/retry/gateway_budget.go
@@ -121,8 +121,8 @@
 }
 
 // TryWithdraw withdraws one retry from this gateway's part of the budget, and
-// returns false if none is left. Each retry must be followed by Sent or Refund: it counts at the time at which it is sent,
-// which may be long after.
+// returns false if none is left. Each retry must be followed by Sent or Refund: it
+// counts at the time at which it is sent, which may be long after.
 func (b *GatewayBudget) TryWithdraw(service string, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
