Do not put crashes with a common cause down to what was in flight

Crashes of more than two endpoints within 200 ms at which it was not in flight no longer count for a request or a part; what truly crashes its endpoints does not crash the others. TestRequestIsNotConvictedOfCrashesWithACommonCause fails without it.

--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -30,6 +30,8 @@
 	// are remembered for one crash.
 	maxSuspects = 16 << 10
 	maxInFlight = 1 << 10
+	// maxCrashTimes bounds the crashes whose times are remembered.
+	maxCrashTimes = 2 << 10
 	// maxKnown bounds the suspects that are given to all gateways.
 	maxKnown = 1 << 10
 )
@@ -59,8 +61,9 @@
 	suspects map[uint64]*suspect
 	// served holds the times of the last requests that were served, by service.
 	served map[string]*servedTimes
-	// crashCount numbers the crashes.
+	// crashCount numbers the crashes, and crashTimes holds when the last ones happened.
 	crashCount uint64
+	crashTimes []time.Duration
 	// revision grows with each change of the known suspects.
 	revision uint64
 }
@@ -220,6 +223,10 @@
 func (p *Pool) judge(endpoint string, b *brokenEndpoint, now time.Duration) Crash {
 	inFlight := slices.Sorted(maps.Keys(b.sentAt))
 	p.crashCount++
+	p.crashTimes = append(p.crashTimes, b.firstAt)
+	if excess := len(p.crashTimes) - maxCrashTimes; excess > 0 {
+		p.crashTimes = p.crashTimes[excess:]
+	}
 	servedAt := p.served[b.service].before(b.firstAt)
 	for _, f := range inFlight {
 		p.count(f, suspectCrash{number: p.crashCount, at: b.firstAt, sentAt: b.sentAt[f], servedAt: servedAt}, now)
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -174,6 +174,26 @@
 	}
 }
 
+// TestRequestIsNotConvictedOfCrashesWithACommonCause lets a request be in flight at one of
+// many endpoints that crash at once, three times.
+func TestRequestIsNotConvictedOfCrashesWithACommonCause(t *testing.T) {
+	for others, want := range map[int]bool{maxOtherCrashes: true, maxOtherCrashes + 1: false} {
+		p := newTestPool()
+		for round := range ambiguousCrashes {
+			p.now += time.Second
+			p.breakAt(fmt.Sprint("own ", round), 7)
+			for e := range others {
+				p.now += commonCrashTime / 10
+				p.breakAt(fmt.Sprintf("other %d %d", e, round), uint64(100+10*round+e))
+			}
+			p.evaluate()
+		}
+		if got := p.suspects[7].convicted; got != want {
+			t.Errorf("convicted %t beside %d other crashes at each time, want %t", got, others, want)
+		}
+	}
+}
+
 func TestEndpointThatBreaksRequestsWithoutCrashing(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -36,6 +36,13 @@
 // known reports whether all gateways are told of the suspect.
 func (s *suspect) known() bool { return s.convicted || s.count() >= suspectCrashes }
 
+// without returns the suspect without the crashes that match.
+func (s *suspect) without(matches func(suspectCrash) bool) *suspect {
+	out := *s
+	out.crashes = slices.DeleteFunc(slices.Clone(s.crashes), matches)
+	return &out
+}
+
 // independent returns the number of crashes that no earlier one of them can have caused
 // too: the broken requests were sent after it. For parts the service must also have served
 // a request in between: many requests share a part, and endpoints that crash whatever they
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -16,6 +16,10 @@
 	// convicted for it.
 	independentCrashes     = 2
 	independentPartCrashes = 3
+	// Crashes of several endpoints within commonCrashTime have a common cause, unless what
+	// is judged was in flight at all of them but maxOtherCrashes.
+	commonCrashTime = 200 * time.Millisecond
+	maxOtherCrashes = 2
 	// maxGuiltyParts is the number of parts that may be found guilty at once. More are the
 	// sign of a common cause of the crashes, and none of them is convicted.
 	maxGuiltyParts = 4
@@ -30,7 +34,7 @@
 	requests := p.find(func(f uint64, s *suspect) bool { return !IsPart(f) && ready(s) && p.guiltyRequest(f, s) })
 	p.setConvicted(requests)
 	convicted := p.convictedRequests()
-	parts := p.find(func(f uint64, s *suspect) bool { return IsPart(f) && ready(s) && s.guiltyPart(convicted) })
+	parts := p.find(func(f uint64, s *suspect) bool { return IsPart(f) && ready(s) && p.guiltyPart(s, convicted) })
 	if len(parts) > maxGuiltyParts {
 		parts = nil
 	}
@@ -62,23 +66,47 @@
 
 // guiltyRequest reports whether the crashes of a request can be put down to it.
 func (p *Pool) guiltyRequest(fingerprint uint64, s *suspect) bool {
-	if s.count() < convictingCrashes || s.independent(false) < independentCrashes {
+	if s.count() < convictingCrashes {
 		return false
 	}
-	return s.count() >= ambiguousCrashes || !p.explained(fingerprint, s)
+	own := s.without(p.hasCommonCause(s))
+	if own.count() < convictingCrashes || own.independent(false) < independentCrashes {
+		return false
+	}
+	return own.count() >= ambiguousCrashes || !p.explained(fingerprint, own)
 }
 
 // guiltyPart reports whether the crashes of a part of prompts can be put down to it. Those
 // during which a convicted request was in flight cannot.
-func (s *suspect) guiltyPart(convictedRequests []*suspect) bool {
+func (p *Pool) guiltyPart(s *suspect, convictedRequests []*suspect) bool {
 	if s.count() < ambiguousCrashes {
 		return false
 	}
-	others := *s
+	own := s.without(p.hasCommonCause(s))
 	for _, r := range convictedRequests {
-		others.crashes = slices.DeleteFunc(slices.Clone(others.crashes), func(c suspectCrash) bool { return r.during(c.number) })
+		own = own.without(func(c suspectCrash) bool { return r.during(c.number) })
+	}
+	return own.count() >= ambiguousCrashes && own.independent(true) >= independentPartCrashes
+}
+
+// hasCommonCause returns a function that reports whether a crash of the suspect came
+// together with those of endpoints at which it was not in flight.
+func (p *Pool) hasCommonCause(s *suspect) func(suspectCrash) bool {
+	return func(c suspectCrash) bool {
+		near := func(at time.Duration) bool { return max(at-c.at, c.at-at) <= commonCrashTime }
+		others := 0
+		for _, at := range p.crashTimes {
+			if near(at) {
+				others++
+			}
+		}
+		for _, own := range s.crashes {
+			if near(own.at) {
+				others--
+			}
+		}
+		return others > maxOtherCrashes
 	}
-	return others.count() >= ambiguousCrashes && others.independent(true) >= independentPartCrashes
 }
 
 // convictedRequests returns the convicted suspects that are requests.
