--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -14,37 +13,16 @@
 )
 
 // startEndlessEngine starts an engine that answers each request with the text and then with
-// bytes without end, and counts the connections that are open.
+// bytes without end. open waits for the connections to be closed.
 func startEndlessEngine(t *testing.T, text string) (e *wire.FleetEndpoint, open *sync.WaitGroup) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	open = &sync.WaitGroup{}
 	block := []byte(strings.Repeat("x", 64<<10))
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			open.Go(func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				io.Copy(io.Discard, req.Body)
-				io.WriteString(c, text)
-				for err == nil {
-					_, err = c.Write(block)
-				}
-			})
+	return startRawEngine(t, func(c net.Conn) {
+		_, err := io.WriteString(c, text)
+		for err == nil {
+			_, err = c.Write(block)
 		}
-	}()
-	return &wire.FleetEndpoint{Address: l.Addr().String()}, open
+	})
 }
 
 func TestAnswerWithoutEndIsBrokenOffAndItsConnectionClosed(t *testing.T) {
--- a/internal/gateway/wholeanswer_test.go
+++ b/internal/gateway/wholeanswer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"parsleyramp/internal/document"
@@ -23,33 +24,42 @@
 	"chunks": func(body string) string { return chunks(true, body) },
 }
 
-// startClosingEngine starts an engine that answers each request with the text, and then
-// closes the connection in order.
-func startClosingEngine(t *testing.T, text string) *wire.FleetEndpoint {
+// startRawEngine starts an engine that reads one request on each connection, lets respond
+// write to it and then closes it. open waits for the connections.
+func startRawEngine(t *testing.T, respond func(c net.Conn)) (e *wire.FleetEndpoint, open *sync.WaitGroup) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	open = &sync.WaitGroup{}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
+			open.Go(func() {
 				defer c.Close()
 				req, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return
 				}
 				io.Copy(io.Discard, req.Body)
-				io.WriteString(c, text)
-			}()
+				respond(c)
+			})
 		}
 	}()
-	return &wire.FleetEndpoint{Address: l.Addr().String()}
+	return &wire.FleetEndpoint{Address: l.Addr().String()}, open
+}
+
+// startClosingEngine starts an engine that answers each request with the text, and then
+// closes the connection in order.
+func startClosingEngine(t *testing.T, text string) *wire.FleetEndpoint {
+	t.Helper()
+	e, _ := startRawEngine(t, func(c net.Conn) { io.WriteString(c, text) })
+	return e
 }
 
 // receive sends a request with the version of HTTP, and returns the body of the response
