Show what a change of leader does to the conviction of a part

With a new leader after the second, third or fourth crash a part is convicted by its fifth, and a convicted one stays refused. With one after the first crash it takes six: that crash is lost with its leader.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -203,3 +203,48 @@
 		t.Errorf("%d suspects are remembered, want %d at most", len(p.suspects), maxSuspects)
 	}
 }
+
+// crashAcrossLeaders lets a part crash endpoints up to its fifth crash, with a new leader
+// after the given number of them, and returns what the last crash convicts.
+func crashAcrossLeaders(newLeaderAfter int) []uint64 {
+	p := newTestPool()
+	var convicted []uint64
+	for i := range ambiguousCrashes {
+		if i == newLeaderAfter {
+			known, _ := p.Known()
+			p = newTestPool()
+			p.Restore(known, p.now)
+		}
+		p.serve(1)
+		convicted = p.crash(uint64(100+i), badPart)
+	}
+	return convicted
+}
+
+func TestPartIsConvictedByItsFifthCrashAlthoughTheLeaderChanges(t *testing.T) {
+	for after := suspectCrashes; after < ambiguousCrashes; after++ {
+		if convicted := crashAcrossLeaders(after); !slices.Equal(convicted, []uint64{badPart}) {
+			t.Errorf("%x convicted with a new leader after crash %d, want the part", convicted, after)
+		}
+	}
+}
+
+func TestFirstCrashOfAPartIsNotLostWithItsLeader(t *testing.T) {
+	if convicted := crashAcrossLeaders(1); !slices.Equal(convicted, []uint64{badPart}) {
+		t.Errorf("%x convicted by the fifth crash with a new leader after the first, want the part", convicted)
+	}
+}
+
+func TestConvictedPartIsRefusedByTheNextLeader(t *testing.T) {
+	p := newTestPool()
+	for i := range ambiguousCrashes {
+		p.serve(1)
+		p.crash(uint64(100+i), badPart)
+	}
+	known, _ := p.Known()
+	next := newTestPool()
+	next.Restore(known, next.now)
+	if got := Decide(next.state(badPart), 0); got != Reject {
+		t.Errorf("decision %v at the next leader, want Reject", got)
+	}
+}
