Bound the bodies that an entry passes on as they arrive

A body that is neither events nor checked JSON was bounded in time only. The test failed before: 68,157,440 bytes passed on without an error. The bound is that of a stream, 64 MB; the gateways' stack had it. Found by asking for a bound at each read, not by a run of the system.

--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -12,8 +12,12 @@
 	"parsleyramp/internal/fail"
 )
 
-// maxJSONBytes bounds a response that is buffered and checked before it is passed on.
-const maxJSONBytes = 16 << 20
+const (
+	// maxJSONBytes bounds a response that is buffered and checked before it is passed on,
+	// and maxPassedBytes one that is passed on as it arrives.
+	maxJSONBytes   = 16 << 20
+	maxPassedBytes = 64 << 20
+)
 
 // doneData is the data of the last event of a complete OpenAI-style stream.
 const doneData = "[DONE]"
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -144,7 +144,7 @@
 		resp.Body.Close()
 		return nil, fail.New(fail.ForeignAnswer, "the header of the response does not carry the ID of this request").WithRan(fail.RanUnknown)
 	}
-	out := &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), HasRequestID: id == r.ID, Body: resp.Body}
+	out := &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), HasRequestID: id == r.ID, Body: http.MaxBytesReader(nil, resp.Body, maxPassedBytes)}
 	head := answer.HeadOf(resp)
 	stream := strings.HasPrefix(out.ContentType, "text/event-stream") && resp.StatusCode == http.StatusOK
 	switch {
