Measure how often sound streams begin beside a crashing part

The soak compares, from 12 s after the first request with a part that crashes endpoints, the share of streams that begin at the first attempt with the usual one: all have the first part and the caller in common. A share below half of the usual one, of 20 or more, is a violation.

--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -31,6 +31,10 @@
 
 	attempts atomic.Int64
 	outcomes [standin.OutcomeCount]atomic.Int64
+	// streams and startedStreams count the streams of sound requests that have ended, and
+	// those of them that began at the first attempt. All have the first part of their
+	// prompts and their caller in common.
+	streams, startedStreams atomic.Int64
 	// plannedStopsOnly is set while gateways are only stopped as planned, so that no
 	// response may be aborted. stopsUnderLoad is set while, besides, requests may last
 	// longer than the grace period and endpoints leave.
@@ -75,6 +79,12 @@
 		return
 	}
 	d.outcomes[outcome].Add(1)
+	if attempt.Model != "" {
+		d.streams.Add(1)
+		if d.s.checker.RunState(attempt.ID) != standin.NotRun {
+			d.startedStreams.Add(1)
+		}
+	}
 	if !plannedOnly {
 		return
 	}
@@ -204,6 +214,15 @@
 	return float64(d.outcomes[standin.Served].Load()-servedBefore) / float64(max(d.total()-totalBefore, 1))
 }
 
+// startedShare waits for the given time and returns the share of the streams that ended
+// during it which began at the first attempt, and their number.
+func (d *driver) startedShare(within time.Duration) (share float64, streams int64) {
+	startedBefore, before := d.startedStreams.Load(), d.streams.Load()
+	d.wait(within)
+	streams = d.streams.Load() - before
+	return float64(d.startedStreams.Load()-startedBefore) / float64(max(streams, 1)), streams
+}
+
 func (d *driver) total() int64 {
 	sum := int64(0)
 	for i := range d.outcomes {
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -194,13 +194,37 @@
 	d.sendCrashing(standin.CrashCause{Content: content}, crashingTime, func(int) standin.Attempt { return standin.Attempt{Session: "c", Content: content} })
 }
 
+const (
+	// usualTime is how long the usual share of streams that begin is measured, and
+	// settleTime the time after the first request with a crashing part from which their
+	// share is measured again: five crashes, and twice the time until the refusal.
+	usualTime  = 4 * time.Second
+	settleTime = 12 * time.Second
+	// minStartedRatio is the least part of the usual share, over minStreams or more.
+	minStartedRatio = 0.5
+	minStreams      = 20
+)
+
 // checkCrashingPart does the same with requests of which no two are alike, and which have
-// one part of their prompts in common.
+// one part of their prompts in common. While they come, sound requests with the same first
+// part must begin at the first attempt nearly as often as before.
 func (d *driver) checkCrashingPart() {
+	usual, _ := d.startedShare(usualTime)
 	part := standin.CrashingPart(fmt.Sprintf("%x", d.seed))
+	measured := make(chan struct{})
+	d.all.Go(func() {
+		defer close(measured)
+		d.wait(settleTime)
+		share, n := d.startedShare(crashingPartTime - settleTime)
+		d.logLine(fmt.Sprintf("sound streams: %.3f of %d began at the first attempt, %.3f before", share, n, usual))
+		if n >= minStreams && share < minStartedRatio*usual {
+			d.s.checker.RecordViolation("a share of %.2f of %d sound streams began at the first attempt beside a crashing part, %.2f before", share, n, usual)
+		}
+	})
 	d.sendCrashing(standin.CrashCause{Part: part}, crashingPartTime, func(i int) standin.Attempt {
 		return standin.Attempt{Session: fmt.Sprintf("c%d", i), Part: part}
 	})
+	<-measured
 }
 
 // sendCrashing sends the attempts, which the cause makes crash endpoints, for the time.
