Report broken requests again to a new leader

A part whose first crash was found by one leader and whose others by the next was convicted by its sixth crash, not its fifth: the log holds the suspects of two crashes and more, and gateways had dropped what they had reported. They now keep the reports of the last minute, 512 at most, and repeat them to the leader of another term, without the fingerprints that it names itself, so that no crash counts twice.

--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -165,7 +165,7 @@
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
-		suspects: quarantine.NewPool(term << suspectTermShift), recordedSuspects: map[uint64]*wire.Suspect{},
+		suspects: quarantine.NewPool(term), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
 	l.orderAllowed = l.mayOrder
 	return l
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -15,14 +15,9 @@
 	"parsleyramp/internal/wire"
 )
 
-const (
-	// reportMargin is the part of the time until all gateways have reported that does
-	// not depend on their number: the interval between two exchanges and the exchange.
-	reportMargin = 250 * time.Millisecond
-	// suspectTermShift places the term above the revisions of the suspects, so that
-	// those of different leaders differ.
-	suspectTermShift = 32
-)
+// reportMargin is the part of the time until all gateways have reported that does not
+// depend on their number: the interval between two exchanges and the exchange.
+const reportMargin = 250 * time.Millisecond
 
 var (
 	endpointCrashes = metrics.GetOrCreateCounter("parsleyramp_fleet_endpoint_crashes_total")
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -17,8 +19,12 @@
 	// brokenReportTTL is how long the report of a broken request is kept for the
 	// control plane. Older ones may describe a time in which this gateway was cut off.
 	brokenReportTTL = 3 * time.Second
+	// repeatedReportTTL is how long broken requests that have been reported are kept for the
+	// next leader, which knows only the suspects of several crashes.
+	repeatedReportTTL = time.Minute
 	// maxBrokenReports bounds the broken requests that are kept for the next exchange, and
-	// maxCompletedReports the completed suspects that it reports.
+	// for the next leader. maxCompletedReports bounds the completed suspects that an exchange
+	// reports.
 	maxBrokenReports    = 512
 	maxCompletedReports = 512
 	// probeDelay is the time that a process that has ended takes to close its
@@ -37,6 +43,8 @@
 	revision uint64
 	known    map[uint64]knownSuspect
 	broken   []brokenRequest
+	// reportedBroken are those that the present leader knows.
+	reportedBroken []brokenRequest
 	// completions holds when requests last ran to their end here, and reported the times
 	// that the control plane knows at the current revision.
 	completions completions
@@ -57,6 +65,8 @@
 	fingerprints []uint64
 	refused      bool
 	sentAt, at   time.Duration
+	// repeated is set if an earlier leader knew it.
+	repeated bool
 }
 
 // endpointProbe is a check whether an endpoint accepts connections.
@@ -80,6 +90,14 @@
 	return len(s.known) > 0
 }
 
+// reportTTL returns how long after it happened it is reported.
+func (b brokenRequest) reportTTL() time.Duration {
+	if b.repeated {
+		return repeatedReportTTL
+	}
+	return brokenReportTTL
+}
+
 func (s *suspects) addBroken(b brokenRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,9 +133,7 @@
 func (s *suspects) report(req *wire.SyncRequest, now time.Duration) suspectsReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.broken) > 0 && now-s.broken[0].at > brokenReportTTL {
-		s.broken = s.broken[1:]
-	}
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenRequest) bool { return now-b.at > b.reportTTL() })
 	for _, b := range s.broken {
 		w := &wire.BrokenRequests{Endpoint: b.endpoint, Refused: b.refused, BrokenAgoMs: agoMS(now, b.at), Fingerprints: b.fingerprints}
 		for range b.fingerprints {
@@ -155,11 +171,14 @@
 func (s *suspects) apply(resp *wire.SyncResponse, reported suspectsReport) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reportedBroken = append(s.reportedBroken, s.broken[:reported.broken]...)
+	s.reportedBroken = s.reportedBroken[max(len(s.reportedBroken)-maxBrokenReports, 0):]
 	s.broken = s.broken[reported.broken:]
 	if resp.SuspectsRevision == 0 {
 		maps.Copy(s.reported, reported.completed)
 		return false
 	}
+	newLeader := quarantine.RevisionTerm(resp.SuspectsRevision) != quarantine.RevisionTerm(s.revision)
 	s.revision = resp.SuspectsRevision
 	// Another leader may have sent them, to which nothing has been reported.
 	s.reported = map[uint64]time.Duration{}
@@ -167,9 +186,28 @@
 	for _, x := range resp.Suspects {
 		s.known[x.Fingerprint] = knownSuspect{x.State, x.Crashes}
 	}
+	if newLeader {
+		s.repeatReportsLocked(reported.broken)
+	}
 	return true
 }
 
+// repeatReportsLocked makes the next exchange report what earlier leaders knew, but for the
+// suspects whose crashes the new leader has from the log. The last reports went to the new
+// leader itself.
+func (s *suspects) repeatReportsLocked(last int) {
+	n := len(s.reportedBroken) - min(last, len(s.reportedBroken))
+	var repeated []brokenRequest
+	for _, b := range s.reportedBroken[:n] {
+		b.fingerprints = slices.DeleteFunc(slices.Clone(b.fingerprints), func(f uint64) bool { _, ok := s.known[f]; return ok })
+		if b.repeated = true; len(b.fingerprints) > 0 {
+			repeated = append(repeated, b)
+		}
+	}
+	s.reportedBroken = s.reportedBroken[n:]
+	s.broken = append(repeated, s.broken...)
+}
+
 // probe returns the current check of the endpoint, and whether the caller has to run it.
 func (s *suspects) probe(endpoint string, now time.Duration) (p *endpointProbe, run bool) {
 	s.mu.Lock()
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -205,15 +205,22 @@
 }
 
 // crashAcrossLeaders lets a part crash endpoints up to its fifth crash, with a new leader
-// after the given number of them, and returns what the last crash convicts.
+// after the given number of them, and returns what the last crash convicts. Gateways report
+// again what they told the former leader, but for the suspects that the new one knows.
 func crashAcrossLeaders(newLeaderAfter int) []uint64 {
 	p := newTestPool()
 	var convicted []uint64
 	for i := range ambiguousCrashes {
 		if i == newLeaderAfter {
 			known, _ := p.Known()
+			now := p.now
 			p = newTestPool()
+			p.now = now
 			p.Restore(known, p.now)
+			if p.state(badPart) == 0 {
+				p.Broken(Broken{Endpoint: "e1", Refused: true, At: 0, InFlight: []InFlight{{badPart, 0}}}, p.now)
+			}
+			p.ends = i
 		}
 		p.serve(1)
 		convicted = p.crash(uint64(100+i), badPart)
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -108,11 +108,18 @@
 	lastAt time.Duration
 }
 
-// NewPool returns an empty pool. Its revisions are higher than floor.
-func NewPool(floor uint64) *Pool {
-	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: floor + 1}
+// termShift places the term of a leader above the numbers of its revisions.
+const termShift = 32
+
+// NewPool returns the empty pool of the leader of a term. Its revisions are higher than
+// those of earlier leaders.
+func NewPool(term uint64) *Pool {
+	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: term<<termShift + 1}
 }
 
+// RevisionTerm returns the term of the leader whose pool has the revision.
+func RevisionTerm(revision uint64) uint64 { return revision >> termShift }
+
 // Broken records what a gateway reports of requests that an endpoint broke.
 func (p *Pool) Broken(r Broken, now time.Duration) {
 	b := p.broken[r.Endpoint]
