Do not send a request once a shutdown of its entry ends requests

The contexts of requests end one after the other: one that ended first freed its slot, and one that waited took it, or was sent to another entry, before its own context ended. What ends all of them is now checked before each send.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -167,6 +167,10 @@
 
 // tryOnce selects an endpoint and makes one attempt.
 func (d *dispatcher) tryOnce(ctx context.Context, j *job, p *progress) error {
+	if ending(ctx) {
+		p.stop = true
+		return errStopping
+	}
 	c, err := d.session.catalog()
 	if err != nil {
 		p.stop = true
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -114,6 +114,9 @@
 		return err
 	}
 	defer o.release(admitted)
+	if ending(ctx) {
+		return errStopping
+	}
 	// The view can change while the attempt waits.
 	if vm, err = o.validate(r); err != nil {
 		return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -184,7 +184,7 @@
 // endingWith returns a copy of ctx that also ends, with the same cause, when other
 // ends.
 func endingWith(ctx, other context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, endingKey{}, other))
 	stop := context.AfterFunc(other, func() { cancel(context.Cause(other)) })
 	return ctx, func() {
 		stop()
@@ -192,6 +192,17 @@
 	}
 }
 
+// endingKey is the key of the context with which a copy of endingWith ends.
+type endingKey struct{}
+
+// ending reports whether the context with which ctx ends has ended. It holds for all
+// requests at once: ctx itself ends a moment later, when others may have ended already
+// and their slots have become free.
+func ending(ctx context.Context) bool {
+	other, ok := ctx.Value(endingKey{}).(context.Context)
+	return ok && other.Err() != nil
+}
+
 // shutdownError returns the error of a request that a shutdown of this entry has
 // ended, and err for every other request.
 func shutdownError(ctx context.Context, err *fail.Error) *fail.Error {
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"parsleyramp/internal/fail"
@@ -167,3 +168,23 @@
 	}
 	<-stopped
 }
+
+func TestRequestIsNotSentOnceAShutdownHasBegunToEndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1)
+		serving, end := context.WithCancelCause(t.Context())
+		ctx := context.WithValue(t.Context(), endingKey{}, serving)
+		if _, err := f.entries[0].call(ctx, newTestJob("before", false, false, false)); err != nil {
+			t.Fatalf("before the shutdown: %v", err)
+		}
+		end(errStopping)
+		got := fail.From(f.entries[0].dispatcher.run(ctx, newTestJob("after", false, false, false), nil))
+		if got.Code != errStopping.Code || got.Ran != fail.RanNo {
+			t.Errorf("error %v, ran %q; want the request ended unsent", got, got.Ran)
+		}
+		r := &wire.ForwardRequest{RequestId: "relayed", Endpoint: "engine-0", Model: testModel, Version: "v1"}
+		if got := fail.From(f.entries[0].owner.run(ctx, r, nil)); got.Code != errStopping.Code || got.Ran != fail.RanNo {
+			t.Errorf("error %v, ran %q of a request relayed by another entry; want it ended unsent", got, got.Ran)
+		}
+	})
+}
