Log the fingerprint of a request's content, and who answered in place of an endpoint

The lines of failed sends had one fingerprint of path, caller and body together: whether attempts differ by their caller or by the request could not be told. They now have that of path and body beside it, and the endpoint that answered with 421 in place of the one that was meant, which a counter counts. No decision changes.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -39,6 +39,9 @@
 	// broken is set if the endpoint closed the connection, or fell silent, before the
 	// response was complete.
 	broken bool
+	// otherEndpoint is the endpoint that answered in place of the one that was meant; empty
+	// for none.
+	otherEndpoint string
 	// sentAt is when the request was sent, and streamed the time between the first and the
 	// last bytes of its answer.
 	sentAt, streamed time.Duration
@@ -294,7 +297,12 @@
 		line = line.WithField("error", s.err.Error())
 	}
 	if f := q.fingerprints(); len(f) > 0 {
-		line = line.WithFields(logrus.Fields{"fingerprint": quarantine.FormatFingerprint(f[0]), "parts": quarantine.FormatFingerprints(f[1:])})
+		line = line.WithFields(logrus.Fields{
+			"fingerprint": quarantine.FormatFingerprint(f[0]), "content": quarantine.FormatFingerprint(q.contentFingerprint), "parts": quarantine.FormatFingerprints(f[1:]),
+		})
+	}
+	if s.otherEndpoint != "" {
+		line = line.WithField("other_endpoint", s.otherEndpoint)
 	}
 	line.Info("request attempt failed")
 }
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		caller = q.httpRequest.RemoteAddr
 	}
+	q.contentFingerprint = key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Body: q.body})
 	own := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body})
 	q.knownFingerprints = []uint64{own}
 	for _, id := range q.info.Parts[:min(len(q.info.Parts), maxParts)] {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,9 @@
 	requestSeconds = metrics.GetOrCreateHistogram("parsleyramp_gateway_request_seconds")
 	retriesDenied  = metrics.GetOrCreateCounter("parsleyramp_gateway_repeats_denied_total")
 	rejections     rejectionCounter
+	// misdirectedSends counts the sends that another endpoint answered, at the address of
+	// the one that was meant.
+	misdirectedSends = metrics.GetOrCreateCounter("parsleyramp_gateway_misdirected_sends_total")
 
 	// firstByteSeconds is the time from the arrival of a request to the first byte
 	// of a stream, longestPauseSeconds the longest pause within a stream, and
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -59,9 +59,11 @@
 type ResponseInfo struct {
 	// NotRun is set if the endpoint states that it did not run the request.
 	NotRun bool
-	// OtherEndpoint is set if the response states that another endpoint has the
-	// address now.
-	OtherEndpoint bool
+	// Misdirected is set if the response states that the endpoint is not the one that was
+	// meant, or does not hold the model.
+	Misdirected bool
+	// Endpoint is the id of the endpoint that responded; empty if it did not name itself.
+	Endpoint string
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -57,8 +57,8 @@
 	r.q.framing = resp.Head.Framing.String()
 	ok := resp.Status >= 200 && resp.Status < 300
 	switch {
-	case info.NotRun || info.OtherEndpoint:
-		return r.drainRejection(resp)
+	case info.NotRun || info.Misdirected:
+		return r.drainRejection(resp, info)
 	case ok && !info.Signed:
 		return r.unusable(fail.New(fail.ForeignAnswer, "the response has no signature").WithRan(fail.RanUnknown))
 	case !ok:
@@ -71,13 +71,20 @@
 
 // drainRejection reads the rest of a response that states that the request did
 // not run, so that the connection can be reused.
-func (r *relay) drainRejection(resp *upstream.Response) sendResult {
+func (r *relay) drainRejection(resp *upstream.Response, info ResponseInfo) sendResult {
+	out := sendResult{outcome: attempt.Rejected}
+	if info.Misdirected && info.Endpoint != "" && info.Endpoint != r.endpoint {
+		out.otherEndpoint = info.Endpoint
+		misdirectedSends.Inc()
+	}
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
 	message := "the endpoint did not run the request: status " + strconv.Itoa(resp.Status)
 	if err != nil {
-		return sendResult{outcome: attempt.Rejected, err: fail.Wrap(err, fail.EndpointFailed, message)}
+		out.err = fail.Wrap(err, fail.EndpointFailed, message)
+	} else {
+		out.err = fail.New(fail.EndpointFailed, message)
 	}
-	return sendResult{outcome: attempt.Rejected, err: fail.New(fail.EndpointFailed, message)}
+	return out
 }
 
 // unusable returns the result of a response that cannot be used, and whose
