Let the soak send a read that crashes a small service, from several callers

Stand-in endpoints of a service of two or three are down for 3 s when the read crashes them, while other clients read and post there.

--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -26,11 +26,12 @@
 	series := flag.Int("series", 2, "number of series of planned stops in a run")
 	gateways := flag.Int("gateways", defaultSize.gateways, "number of gateways of a run")
 	crashing := flag.Bool("crashing", true, "send requests that crash each endpoint that runs them, after the faults")
+	ledger := flag.Int("ledger", defaultSize.ledger, "number of endpoints of the plain service, out of all")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
 	flag.Parse()
 	size := defaultSize
-	size.gateways = *gateways
+	size.gateways, size.ledger = *gateways, *ledger
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
 	fmt.Println("| seed | faults | served | refused | failed | broken off | not reached | newest version | promises broken |")
@@ -41,7 +42,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing}
+				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
--- a/scripts/soak/schedule.go
+++ b/scripts/soak/schedule.go
@@ -58,8 +58,9 @@
 	return fmt.Sprintf("%.2fs %s %d for %v", s.at.Seconds(), s.kind, s.target, s.duration.Round(time.Millisecond))
 }
 
-// sizes holds the number of targets of each type.
-type sizes struct{ controls, gateways, endpoints int }
+// sizes holds the number of targets of each type. ledger is how many of the endpoints, the
+// last ones, belong to the plain service.
+type sizes struct{ controls, gateways, endpoints, ledger int }
 
 const (
 	// firstFaultDelay is the time for the system to start and form its group.
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -176,10 +176,23 @@
 	soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds) + 1, crashingPart: true})
 }
 
+func TestReadThatCrashesASmallServiceIsRefusedBeforeASecondWave(t *testing.T) {
+	for i, endpoints := range []int{2, 3} {
+		t.Run(strconv.Itoa(endpoints), func(t *testing.T) {
+			size := defaultSize
+			size.ledger = endpoints
+			soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds) + 2 + i, size: size, crashingRead: true})
+		})
+	}
+}
+
 // soakWithCrashes runs a soak without faults but those that the options add.
 func soakWithCrashes(t *testing.T, o options) {
 	t.Parallel()
-	o.dir, o.bin, o.seed, o.size, o.length = t.TempDir(), buildPrograms(t), 1, defaultSize, firstFaultDelay
+	o.dir, o.bin, o.seed, o.length = t.TempDir(), buildPrograms(t), 1, firstFaultDelay
+	if o.size.endpoints == 0 {
+		o.size = defaultSize
+	}
 	o.logLine = func(line string) { t.Log(line) }
 	r, err := runSoak(t.Context(), o)
 	if err != nil {
--- a/scripts/soak/stops.go
+++ b/scripts/soak/stops.go
@@ -51,7 +51,7 @@
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(r.Int64N(int64(high-low))) }
 	var out []step
 	lastStopEnd := loadTime + stopSpread + gracePeriod
-	for _, e := range r.Perm(n.endpoints - ledgerEndpointCount)[stayingEngineCount:] {
+	for _, e := range r.Perm(n.endpoints - n.ledger)[stayingEngineCount:] {
 		out = append(out, step{kind: drainEndpoint, target: e, duration: lastStopEnd - drainTime})
 	}
 	for _, g := range r.Perm(n.gateways)[1:] {
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -18,14 +18,10 @@
 
 // defaultSize is the size of a run unless a flag changes it: seven processes of the
 // system and eight endpoints.
-var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8}
+var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8, ledger: 2}
 
-const (
-	// ledgerEndpointCount is how many of the endpoints belong to the plain service.
-	ledgerEndpointCount = 2
-	// gracePeriod is the grace period of the gateways.
-	gracePeriod = 4 * time.Second
-)
+// gracePeriod is the grace period of the gateways.
+const gracePeriod = 4 * time.Second
 
 // retryBudget is the budget that the gateways share.
 var retryBudget = standin.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
@@ -102,6 +98,9 @@
 	gatewayVM
 )
 
+// callerIP returns the loopback address of a caller.
+func callerIP(i int) string { return fmt.Sprintf("127.9.0.%d", i+1) }
+
 // startSystem starts the system. run distinguishes the addresses of concurrent
 // runs.
 func startSystem(dir, bin string, run int, size sizes) (*system, error) {
@@ -137,7 +136,7 @@
 func (s *system) startEndpoints() error {
 	for i := range s.size.endpoints {
 		service, limits := standin.EngineService, fleetLimits
-		if i >= s.size.endpoints-ledgerEndpointCount {
+		if i >= s.size.endpoints-s.size.ledger {
 			service, limits = standin.LedgerService, nil
 		}
 		e, err := standin.NewEndpoint(service, domain(i), limits, s.checker)
