Know a request that crashes endpoints by its content, whoever sends it

Cause: the fingerprint of a request held its caller's address. The read came from many callers, each of which had a fingerprint of its own, whose crashes were counted apart: 29 refused attempts with one path had 16 fingerprints, an attempt and its client's retry sharing one, and the conviction of the first refused none of them.

A request now has two fingerprints, that of its content and that of its caller's requests with the content, and both are judged. An endpoint sees nothing of a caller but what the request holds, so that the content is the first to be convicted; where others get answers to the same content it is cleared, and the caller's requests are judged alone.

TestRequestIsConvictedByItsThirdCrashWhoeverSendsIt could not pass before, for the pool was given nothing that the callers share.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -298,7 +298,7 @@
 	}
 	if f := q.fingerprints(); len(f) > 0 {
 		line = line.WithFields(logrus.Fields{
-			"fingerprint": quarantine.FormatFingerprint(f[0]), "content": quarantine.FormatFingerprint(q.contentFingerprint), "parts": quarantine.FormatFingerprints(f[1:]),
+			"content": quarantine.FormatFingerprint(f[0]), "fingerprint": quarantine.FormatFingerprint(f[1]), "parts": quarantine.FormatFingerprints(f[requestFingerprints:]),
 		})
 	}
 	if s.otherEndpoint != "" {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -23,7 +23,11 @@
 	innocenceTime = 10 * time.Second
 )
 
-// fingerprints returns the fingerprint of the request, followed by those of the parts of
+// requestFingerprints is how many fingerprints a request has by itself: that of its content
+// and that of its caller's requests with the content.
+const requestFingerprints = 2
+
+// fingerprints returns the fingerprints of the request, followed by those of the parts of
 // its prompt, or nil if this gateway does not have the key yet.
 func (q *request) fingerprints() []uint64 {
 	if q.knownFingerprints != nil {
@@ -37,64 +41,44 @@
 	if err != nil {
 		caller = q.httpRequest.RemoteAddr
 	}
-	q.contentFingerprint = key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Body: q.body})
-	own := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Caller: caller, Body: q.body})
-	q.knownFingerprints = []uint64{own}
+	content := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Body: q.body})
+	q.knownFingerprints = []uint64{content, key.CallerFingerprint(content, caller)}
 	for _, id := range q.info.Parts[:min(len(q.info.Parts), maxParts)] {
 		q.knownFingerprints = append(q.knownFingerprints, key.PartFingerprint(id))
 	}
 	return q.knownFingerprints
 }
 
-// fingerprint returns the fingerprint of the request, or false if this gateway does not
-// have the key yet.
-func (q *request) fingerprint() (uint64, bool) {
-	if all := q.fingerprints(); len(all) > 0 {
-		return all[0], true
-	}
-	return 0, false
-}
-
-// decision returns how the request may run by what is known of the request itself.
-func (q *request) decision() quarantine.Decision {
-	f, ok := q.suspectableFingerprint()
-	if !ok {
-		return quarantine.Run
-	}
-	return quarantine.Decide(q.g.suspects.lookup(f).state, 0)
-}
-
-// suspectableFingerprint returns the fingerprint of the request if anything is suspected.
-func (q *request) suspectableFingerprint() (uint64, bool) {
+// suspectable returns the fingerprints of the request if anything is suspected.
+func (q *request) suspectable() []uint64 {
 	if !q.g.suspects.any() {
-		return 0, false
+		return nil
 	}
-	return q.fingerprint()
+	return q.fingerprints()
 }
 
 // quarantined reports whether the request must not run any more, for itself or for a part
 // of its prompt.
-func (q *request) quarantined() bool {
-	if _, ok := q.suspectableFingerprint(); !ok {
-		return false
-	}
-	return slices.ContainsFunc(q.fingerprints(), func(f uint64) bool {
-		return quarantine.Decide(q.g.suspects.lookup(f).state, 0) == quarantine.Reject
-	})
-}
+func (q *request) quarantined() bool { return q.anyDecided(q.suspectable(), quarantine.Reject) }
 
 // suspected reports whether the request was in flight during several crashes and may
 // have caused them.
-func (q *request) suspected() bool { return q.decision() == quarantine.RunIsolated }
+func (q *request) suspected() bool {
+	all := q.suspectable()
+	return q.anyDecided(all[:min(len(all), requestFingerprints)], quarantine.RunIsolated)
+}
+
+// anyDecided reports whether the decision on any of the fingerprints is d.
+func (q *request) anyDecided(fingerprints []uint64, d quarantine.Decision) bool {
+	return slices.ContainsFunc(fingerprints, func(f uint64) bool { return quarantine.Decide(q.g.suspects.lookup(f).state, 0) == d })
+}
 
 // partSuspected reports whether a part of the prompt may have caused several crashes. One
 // with which a request has completed here has not.
 func (q *request) partSuspected() bool {
-	if _, ok := q.suspectableFingerprint(); !ok {
-		return false
-	}
+	all := q.suspectable()
 	since := q.g.clock() - innocenceTime
-	return slices.ContainsFunc(q.fingerprints()[1:], func(f uint64) bool {
+	return slices.ContainsFunc(all[min(len(all), requestFingerprints):], func(f uint64) bool {
 		x := q.g.suspects.lookup(f)
 		limited := x.state == wire.SuspectState_SUSPECT_STATE_SUSPECT && x.crashes >= limitingCrashes
 		return limited && !q.g.suspects.completedSince(f, since)
@@ -104,8 +88,7 @@
 // suspectSession returns a session that the request shares with no other one. Suspects
 // then prefer different endpoints, so that the next crash tells them apart.
 func (q *request) suspectSession() string {
-	f, _ := q.fingerprint()
-	return "suspect " + quarantine.FormatFingerprint(f)
+	return "suspect " + quarantine.FormatFingerprint(q.fingerprints()[0])
 }
 
 // recordCrashEvidence records, for the control plane, a request that the endpoint has
@@ -128,7 +111,7 @@
 		return
 	}
 	if s.streamed >= survivalTime {
-		all = all[:1]
+		all = all[:requestFingerprints]
 	}
 	g := q.g
 	b := brokenRequest{endpoint: e.ID, fingerprints: all, sentAt: s.sentAt, at: g.clock()}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,8 +60,6 @@
 	framing string
 	// knownFingerprints is nil until the fingerprints have been computed.
 	knownFingerprints []uint64
-	// contentFingerprint is that of the path and body, whoever sends them.
-	contentFingerprint uint64
 }
 
 // ServeHTTP serves one request of a client.
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -19,7 +19,12 @@
 func testFingerprint(g *Gateway, caller string) uint64 {
 	key := quarantine.NewKey("test")
 	g.fingerprintKey.Store(&key)
-	return key.Fingerprint(quarantine.Content{Path: "/a/x", Caller: caller})
+	return key.CallerFingerprint(testContent(), caller)
+}
+
+// testContent returns the fingerprint of the content of these requests.
+func testContent() uint64 {
+	return quarantine.NewKey("test").Fingerprint(quarantine.Content{Path: "/a/x"})
 }
 
 // suspect makes the gateway treat the request as the control plane does.
@@ -44,6 +49,10 @@
 		if a := <-g.send(t, ""); a.status != http.StatusOK || runs != 1 {
 			t.Errorf("answer %+v after %d runs, want status 200 for another caller's request", a, runs)
 		}
+		g.suspect(testContent(), wire.SuspectState_SUSPECT_STATE_CONVICTED)
+		if a := <-g.send(t, ""); a.status != http.StatusUnprocessableEntity || runs != 1 {
+			t.Errorf("answer %+v after %d runs, want status 422 for a convicted content, whoever sends it", a, runs)
+		}
 	})
 }
 
@@ -79,7 +88,7 @@
 		for range 2 {
 			req := &wire.SyncRequest{}
 			g.suspects.report(req, g.clock())
-			if len(req.Broken) != 1 || req.Broken[0].Endpoint != "e0" || req.Broken[0].Fingerprints[0] != fingerprint || req.Broken[0].Refused {
+			if len(req.Broken) != 1 || req.Broken[0].Endpoint != "e0" || !slices.Equal(req.Broken[0].Fingerprints, []uint64{testContent(), fingerprint}) || req.Broken[0].Refused {
 				t.Fatalf("reported %v, want the request at e0, which still accepts connections", req.Broken)
 			}
 		}
@@ -136,7 +145,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		q.ctx = ctx
-		q.knownFingerprints = []uint64{1}
+		q.knownFingerprints = []uint64{1, 2}
 		e := g.view.Load().Endpoints[0]
 		q.recordCrashEvidence(e, sendResult{broken: true})
 		if len(g.suspects.broken) != 0 {
@@ -190,7 +199,7 @@
 func TestPartOfFewCrashesDoesNotLimitItsRequests(t *testing.T) {
 	g := newTestGateway(t, idempotent, document.Service{})
 	testFingerprint(g, "caller")
-	q := &request{g: g, httpRequest: &http.Request{}, knownFingerprints: []uint64{1, testPart("part")}}
+	q := &request{g: g, httpRequest: &http.Request{}, knownFingerprints: []uint64{1, 2, testPart("part")}}
 	for crashes, want := range map[uint32]bool{limitingCrashes - 1: false, limitingCrashes: true} {
 		g.suspects.apply(&wire.SyncResponse{SuspectsRevision: 1, Suspects: []*wire.Suspect{
 			{Fingerprint: testPart("part"), State: wire.SuspectState_SUSPECT_STATE_SUSPECT, Crashes: crashes},
@@ -260,11 +269,11 @@
 }
 
 func TestPartsOfAnAnswerThatWasStreamedAreNoSuspects(t *testing.T) {
-	for streamed, want := range map[time.Duration]int{0: 2, survivalTime - 1: 2, survivalTime: 1} {
+	for streamed, want := range map[time.Duration]int{0: 3, survivalTime - 1: 3, survivalTime: 2} {
 		synctest.Test(t, func(t *testing.T) {
 			g := newSilentPipeGateway(t)
 			defer g.stop(t)
-			q := &request{g: g.Gateway, httpRequest: &http.Request{}, ctx: t.Context(), knownFingerprints: []uint64{1, testPart("part")}}
+			q := &request{g: g.Gateway, httpRequest: &http.Request{}, ctx: t.Context(), knownFingerprints: []uint64{1, 2, testPart("part")}}
 			q.recordCrashEvidence(g.view.Load().Endpoints[0], sendResult{broken: true, streamed: streamed})
 			time.Sleep(time.Second)
 			req := &wire.SyncRequest{}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -8,13 +8,11 @@
 	"strings"
 )
 
-// Content is what makes two attempts of clients the same request.
+// Content is what a request asks for, whoever sends it.
 type Content struct {
 	// Path is the path with the query.
 	Path string
-	// Caller identifies the client across its connections.
-	Caller string
-	Body   []byte
+	Body []byte
 }
 
 // Key is the key of fingerprints. All gateways of a fleet have the same one, so that
@@ -28,12 +26,26 @@
 	return sum[:]
 }
 
-// partBit is set in the fingerprints of parts of prompts, and in no other.
-const partBit = 1 << 63
+const (
+	// partBit is set in the fingerprints of parts of prompts, and in no other.
+	partBit = 1 << 63
+	// callerBit is set in those of one caller's requests with a content.
+	callerBit = 1 << 62
+	// callerMask covers the bits that tell the callers of a content apart. They are zero in
+	// the fingerprint of the content itself.
+	callerMask = (1<<20 - 1) << 42
+)
 
-// Fingerprint returns the keyed digest of the content.
+// Fingerprint returns the keyed digest of the content. Its requests have it in common, for
+// endpoints see nothing of a caller but what the request holds.
 func (k Key) Fingerprint(c Content) uint64 {
-	return k.digest([]byte(c.Path), []byte(c.Caller), c.Body) &^ partBit
+	return k.digest([]byte(c.Path), c.Body) &^ (partBit | callerBit | callerMask)
+}
+
+// CallerFingerprint returns the fingerprint of one caller's requests with the content. It
+// tells them from those of others where the content alone crashes no endpoint.
+func (k Key) CallerFingerprint(content uint64, caller string) uint64 {
+	return content | callerBit | k.digest([]byte(caller))&callerMask
 }
 
 // PartFingerprint returns the keyed digest of a part of prompts, which requests share,
@@ -43,6 +55,15 @@
 // IsPart reports whether the fingerprint is that of a part.
 func IsPart(fingerprint uint64) bool { return fingerprint&partBit != 0 }
 
+// isContent reports whether the fingerprint is that of the content of requests.
+func isContent(fingerprint uint64) bool { return fingerprint&(partBit|callerBit) == 0 }
+
+// sameContent reports whether the fingerprints are those of requests with one content.
+func sameContent(a, b uint64) bool {
+	const mask = ^uint64(callerBit | callerMask)
+	return !IsPart(a) && a&mask == b&mask
+}
+
 func (k Key) digest(fields ...[]byte) uint64 {
 	h := hmac.New(sha256.New, k)
 	for _, f := range fields {
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -310,18 +310,61 @@
 	}
 }
 
-func TestFingerprintDependsOnPathCallerAndBody(t *testing.T) {
+func TestFingerprintDependsOnPathAndBodyAndThatOfACallerOnTheCallerToo(t *testing.T) {
 	key := NewKey("group")
-	c := Content{Path: "/a", Caller: "10.0.0.1", Body: []byte("x")}
-	seen := map[uint64]Content{key.Fingerprint(c): c}
-	for _, other := range []Content{{"/b", c.Caller, c.Body}, {c.Path, "10.0.0.2", c.Body}, {c.Path, c.Caller, []byte("y")}, {"/a1", "0.0.0.1", c.Body}} {
-		f := key.Fingerprint(other)
-		if same, ok := seen[f]; ok {
-			t.Errorf("%v and %v have the same fingerprint", same, other)
+	c := Content{Path: "/a", Body: []byte("x")}
+	content := key.Fingerprint(c)
+	seen := map[uint64]string{}
+	for _, x := range []struct {
+		name        string
+		fingerprint uint64
+	}{
+		{"content", content}, {"another path", key.Fingerprint(Content{"/b", c.Body})}, {"another body", key.Fingerprint(Content{"/a", []byte("y")})},
+		{"path and body moved", key.Fingerprint(Content{"/ax", nil})},
+		{"caller", key.CallerFingerprint(content, "10.0.0.1")}, {"another caller", key.CallerFingerprint(content, "10.0.0.2")},
+	} {
+		if same, ok := seen[x.fingerprint]; ok {
+			t.Errorf("%s and %s have the same fingerprint", same, x.name)
 		}
-		seen[f] = other
+		seen[x.fingerprint] = x.name
 	}
-	if key.Fingerprint(c) != NewKey("group").Fingerprint(c) || key.Fingerprint(c) == NewKey("other").Fingerprint(c) {
+	if content != NewKey("group").Fingerprint(c) || content == NewKey("other").Fingerprint(c) {
 		t.Error("the fingerprint does not depend on the group alone")
 	}
+	if !sameContent(content, key.CallerFingerprint(content, "10.0.0.1")) || sameContent(content, key.Fingerprint(Content{"/b", c.Body})) || !isContent(content) {
+		t.Error("a content and its callers cannot be told from others")
+	}
+}
+
+// TestRequestIsConvictedByItsThirdCrashWhoeverSendsIt lets several callers send a request
+// that crashes endpoints, beside one caller's requests that do not.
+func TestRequestIsConvictedByItsThirdCrashWhoeverSendsIt(t *testing.T) {
+	key := NewKey("group")
+	content := key.Fingerprint(Content{Path: "/bad"})
+	p := newTestPool()
+	var convicted []uint64
+	for i, caller := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
+		other := key.Fingerprint(Content{Path: fmt.Sprint("/good/", i)})
+		convicted = p.crash(content, key.CallerFingerprint(content, caller), other, key.CallerFingerprint(other, "10.0.0.9"))
+	}
+	if !slices.Equal(convicted, []uint64{content}) {
+		t.Errorf("%x convicted by the third crash, want %x", convicted, content)
+	}
+}
+
+func TestCallerIsConvictedAloneIfOthersCompleteTheSameContent(t *testing.T) {
+	key := NewKey("group")
+	content := key.Fingerprint(Content{Path: "/a"})
+	bad := key.CallerFingerprint(content, "10.0.0.1")
+	p := newTestPool()
+	var convicted []uint64
+	for range convictingCrashes {
+		convicted = p.crash(content, bad)
+		p.now += time.Millisecond
+		p.Completed(content, p.now)
+		p.Completed(key.CallerFingerprint(content, "10.0.0.2"), p.now)
+	}
+	if convicted = append(convicted, p.evaluate()...); !slices.Equal(convicted, []uint64{bad}) {
+		t.Errorf("%x convicted, want the one caller's requests %x", convicted, bad)
+	}
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -121,10 +121,14 @@
 }
 
 // explained reports whether another request was in flight during each crash of the suspect.
-// A part of prompts explains nothing: refusing the request alone harms no other.
+// A part of prompts explains nothing: refusing the request alone harms no other. Nor do one
+// caller's requests explain the crashes of their content: others may send it too.
 func (p *Pool) explained(fingerprint uint64, s *suspect) bool {
 	for f, other := range p.suspects {
-		if f != fingerprint && !IsPart(f) && other.explains(s) {
+		if f == fingerprint || IsPart(f) || isContent(fingerprint) && sameContent(f, fingerprint) {
+			continue
+		}
+		if other.explains(s) {
 			return true
 		}
 	}
