Do not send to an endpoint in whose place another one has answered

The gateways chose the former id until the live list no longer had it, and each such answer counted as a sign of life of the endpoint that had ended, which can erase its crash; arrivals that are rejected count against the budget of retries besides.

An endpoint in whose place another one has answered is now left out for 3 s, by then the list has dropped it, and the answer counts for nothing else. Without that the two new tests fail: the first request and the two after it arrive there, and the ended endpoint is chosen.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -63,13 +63,14 @@
 
 // Choose returns an endpoint that meets the requirements, or a choice without an
 // endpoint. It returns the cheapest of a random sample, or of all endpoints if
-// those of the sample are full or suspect. Endpoints in tried are excluded.
+// those of the sample are full or suspect. Endpoints in tried, and those in whose place
+// others have answered, are excluded.
 func (l *Loads) Choose(v *View, req Requirements, tried map[string]bool, now time.Duration) Choice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []*Endpoint
 	for _, e := range v.candidates(req.Service, req.Model) {
-		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) {
+		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) {
 			all = append(all, e)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -397,3 +397,27 @@
 		t.Errorf("latencies reported twice: %v", again)
 	}
 }
+
+func TestEndpointInWhosePlaceAnotherAnsweredIsNotChosen(t *testing.T) {
+	l := NewLoads(sequentialDraws())
+	view := func(address string) *View {
+		return NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "a", Service: "s", Slots: 4, Address: address}, {Id: "b", Service: "s", Slots: 4, Leaving: true}}})
+	}
+	v := view("here")
+	l.MarkReplaced(v.Endpoints[0], time.Second)
+	for _, c := range []struct {
+		name string
+		view *View
+		now  time.Duration
+		want bool
+	}{
+		{"at once", v, time.Second, false},
+		{"before it may be tried again", v, time.Second + replacedTTL - 1, false},
+		{"after that", v, time.Second + replacedTTL, true},
+		{"at another address", view("there"), time.Second, true},
+	} {
+		if got := l.Choose(c.view, Requirements{Service: "s"}, nil, c.now).Endpoint != nil; got != c.want {
+			t.Errorf("%s: chosen %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -39,15 +40,27 @@
 	// full holds the endpoints that reported, since the last counts, that they are
 	// full.
 	full map[string]bool
-	draw func(n int) int
+	// replaced are the endpoints in whose place others have answered.
+	replaced map[string]replacement
+	draw     func(n int) int
 }
 
+// replacement states that another endpoint answered at the address of one.
+type replacement struct {
+	address string
+	at      time.Duration
+}
+
+// replacedTTL is how long an endpoint is not used after another one has answered at its
+// address. The list shows the end of most endpoints sooner.
+const replacedTTL = 3 * time.Second
+
 // NewLoads returns empty counts. draw returns a random number in [0, n).
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
 		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
-		gateways: 1, full: map[string]bool{}, draw: draw,
+		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, draw: draw,
 	}
 }
 
@@ -266,6 +279,22 @@
 	l.full[endpoint] = true
 }
 
+// MarkReplaced records that another endpoint answered at the endpoint's address. The
+// endpoint has ended, and is not used there for replacedTTL.
+func (l *Loads) MarkReplaced(e *Endpoint, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.replaced, func(_ string, r replacement) bool { return now-r.at >= replacedTTL })
+	l.replaced[e.ID] = replacement{e.Address, now}
+}
+
+// isReplaced reports whether another endpoint has lately answered at the endpoint's address.
+// l.mu must be held.
+func (l *Loads) isReplaced(e *Endpoint, now time.Duration) bool {
+	r, ok := l.replaced[e.ID]
+	return ok && r.address == e.Address && now-r.at < replacedTTL
+}
+
 // SetStale sets whether the other gateways' counts are old, and how many gateways
 // share the endpoints. While the counts are old, each of the other gateways is
 // assumed to have as much in flight as this one.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -223,8 +223,14 @@
 		return s
 	}
 	defer resp.Close()
-	out.onReceive()
-	s := out.forward(resp)
+	info := g.deps.Protocol.ParseResponse(resp.Status, resp.Header)
+	if info.fromAnother(e.ID) {
+		misdirectedSends.Inc()
+		g.loads.MarkReplaced(e, g.clock())
+	} else {
+		out.onReceive()
+	}
+	s := out.forward(resp, info)
 	if !s.complete {
 		s.broken = fail.Is(s.err, fail.TruncatedAnswer)
 		q.recordHealth(e, s.outcome)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,8 +49,10 @@
 	return h.Get("Id") == "" || h.Get("Id") == id
 }
 
-func (testProtocol) ParseResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
+func (testProtocol) ParseResponse(status int, h http.Header) ResponseInfo {
+	return ResponseInfo{
+		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Misdirected: status == http.StatusMisdirectedRequest, Endpoint: h.Get("Other"),
+	}
 }
 
 func (testProtocol) SetRetryAfter(h http.Header, after time.Duration) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -68,6 +68,12 @@
 	Signed bool
 }
 
+// fromAnother reports whether another endpoint responded at the address of the one with the
+// id.
+func (i ResponseInfo) fromAnother(id string) bool {
+	return i.Misdirected && i.Endpoint != "" && i.Endpoint != id
+}
+
 // Protocol translates between the HTTP of a platform's clients and endpoints and
 // the types of this package.
 type Protocol interface {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,8 +52,7 @@
 }
 
 // forward reads an endpoint's response and forwards it, or returns why it cannot.
-func (r *relay) forward(resp *upstream.Response) sendResult {
-	info := r.q.g.deps.Protocol.ParseResponse(resp.Status, resp.Header)
+func (r *relay) forward(resp *upstream.Response, info ResponseInfo) sendResult {
 	r.q.framing = resp.Head.Framing.String()
 	ok := resp.Status >= 200 && resp.Status < 300
 	switch {
@@ -73,9 +72,8 @@
 // not run, so that the connection can be reused.
 func (r *relay) drainRejection(resp *upstream.Response, info ResponseInfo) sendResult {
 	out := sendResult{outcome: attempt.Rejected}
-	if info.Misdirected && info.Endpoint != "" && info.Endpoint != r.endpoint {
+	if info.fromAnother(r.endpoint) {
 		out.otherEndpoint = info.Endpoint
-		misdirectedSends.Inc()
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
 	message := "the endpoint did not run the request: status " + strconv.Itoa(resp.Status)
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -61,3 +61,31 @@
 		})
 	}
 }
+
+// TestAnswerOfAnotherEndpointIsNoSignOfLifeOfTheOneMeant lets an endpoint end, and another
+// one start at its address. Only the first request is sent there.
+func TestAnswerOfAnotherEndpointIsNoSignOfLifeOfTheOneMeant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrivals := 0
+		engine := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			arrivals++
+			w.Header().Set("Other", "new")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		})
+		g := newPipeGateway(t, document.Route{Kind: document.Idempotent, MaxAttempts: 2, Timeout: time.Second}, &loadingControl{}, engine)
+		defer g.stop(t)
+		for range 3 {
+			if a := <-g.send(t, ""); a.status != http.StatusServiceUnavailable || a.retryAfter == "" {
+				t.Errorf("answer %+v, want status 503 with Retry-After", a)
+			}
+		}
+		if arrivals != 1 {
+			t.Errorf("%d requests arrived, want 1", arrivals)
+		}
+		for _, x := range g.loads.Report(g.clock()) {
+			if x.Heard {
+				t.Error("the endpoint that ended was heard")
+			}
+		}
+	})
+}
