Decode and log the limits that endpoints name

Gateways now log a limit when it is first seen, changes and ends, name one that cannot be read once, and count limited endpoints. No decision changes yet.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -229,6 +229,7 @@
 		g.loads.MarkReplaced(e, g.clock())
 	} else {
 		out.onReceive()
+		g.observeLimit(e, info, out.sentAt)
 	}
 	s := out.forward(resp, info)
 	if !s.complete {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	modelRequests modelRequests
 	inFlight      requestsInFlight
 	suspects      suspects
+	limits        limits
 	buffers       bufferBudget
 	pool          *upstream.Pool
 	control       *controlclient.Client
@@ -299,6 +300,7 @@
 			addresses[e.Address] = true
 		}
 		g.pool.Retain(addresses)
+		g.limits.retain(v)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -82,6 +82,7 @@
 	for p, n := range g.inFlight.counts() {
 		set.NewGauge(`parsleyramp_gateway_in_flight_requests{phase="`+phase(p).String()+`"}`, func() float64 { return float64(n) })
 	}
+	set.NewGauge("parsleyramp_gateway_limited_endpoints", func() float64 { return float64(g.limits.count()) })
 	set.NewGauge("parsleyramp_gateway_document_version", func() float64 { return float64(g.documentVersion()) })
 	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
 		if v := g.view.Load(); v != nil {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"parsleyramp/internal/ratelimit"
 )
 
 // RequestInfo is what a client states about a request.
@@ -64,6 +66,8 @@
 	Misdirected bool
 	// Endpoint is the id of the endpoint that responded; empty if it did not name itself.
 	Endpoint string
+	// Limit is what the response states of the rate of requests that its endpoint takes.
+	Limit ratelimit.Limit
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
 }
