Let stand-in endpoints name limits, and the soak check them

The endpoints count what arrives in any 4 s from 3 s after they first named a limit, from all gateways and rejected arrivals included, while the control replicas and a gateway are killed.

--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -53,6 +53,8 @@
 	// crashingPart if requests are that share a part which does, and crashingRead if a read
 	// of the plain service is.
 	crashingRequest, crashingPart, crashingRead bool
+	// limits is set if endpoints name limits after the faults.
+	limits bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -81,6 +83,9 @@
 	d.breakOffResponses()
 	d.checkRecovery()
 	d.checkChange()
+	if o.limits {
+		d.checkLimits()
+	}
 	if o.crashingRequest {
 		d.checkCrashingRequest()
 	}
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -169,11 +169,11 @@
 }
 
 func TestRequestThatCrashesEveryEndpointIsRefusedAfterItsThirdCrash(t *testing.T) {
-	soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds), crashingRequest: true})
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds), crashingRequest: true})
 }
 
 func TestPartThatCrashesEveryEndpointIsRefusedByItsFifthCrash(t *testing.T) {
-	soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds) + 1, crashingPart: true})
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 1, crashingPart: true})
 }
 
 func TestReadThatCrashesASmallServiceIsRefusedBeforeASecondWave(t *testing.T) {
@@ -181,13 +181,17 @@
 		t.Run(strconv.Itoa(endpoints), func(t *testing.T) {
 			size := defaultSize
 			size.ledger = endpoints
-			soakWithCrashes(t, options{run: firstTestRun + len(shortSeeds) + 2 + i, size: size, crashingRead: true})
+			soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 2 + i, size: size, crashingRead: true})
 		})
 	}
 }
 
-// soakWithCrashes runs a soak without faults but those that the options add.
-func soakWithCrashes(t *testing.T, o options) {
+func TestEndpointsGetNoMoreThanTheLimitsThatTheyName(t *testing.T) {
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 4, limits: true})
+}
+
+// soakWithoutFaults runs a soak without faults but those that the options add.
+func soakWithoutFaults(t *testing.T, o options) {
 	t.Parallel()
 	o.dir, o.bin, o.seed, o.length = t.TempDir(), buildPrograms(t), 1, firstFaultDelay
 	if o.size.endpoints == 0 {
