Keep the requests to an endpoint within the limit that it names

A limit on the sum over all gateways is no gateway's to keep: nine that each keep to it send nine times as many, and equal shares break down with many gateways, low rates, restarts and cuts.

The leader gives a permit for each request to an endpoint with a limit, from a bucket at the rate named. Gateways report what responses state, with its age, to each leader; the view has the limit. A response lifts a limit only if its request was sent after the limit was named. Without a leader one gateway uses the endpoint, at half its rate, chosen by rendezvous hash.

A gateway without a permit leaves the endpoint for the time that the leader names, each asker another one, so that the whole limit is used and the endpoint's next answers tell when it has recovered. Its requests go elsewhere, wait if that is in time, or are refused at once with the time of the next permit.

TestEndpointsGetNoMoreThanTheLimitsThatTheyName, with all control replicas and a gateway killed in between, failed before with 21, 25 and 224 requests in 4 s; it passes, and endpoints that all name 4 a second get 3.5 of them.

--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -45,12 +45,21 @@
 	switch {
 	case utilization <= maxUtilizationAfterWait, waited == 0 && utilization <= maxUtilization:
 		return Dispatch
-	case waited < min(maxSlotWait, time.Duration(float64(limit)*maxSlotWaitShare)):
+	case waited < maxWaitForSlot(limit):
 		return Wait
 	}
 	return Reject
 }
 
+// SlotWaitLeft returns how much longer a request waits for a slot.
+func SlotWaitLeft(waited, limit time.Duration) time.Duration {
+	return maxWaitForSlot(limit) - waited
+}
+
+func maxWaitForSlot(limit time.Duration) time.Duration {
+	return min(maxSlotWait, time.Duration(float64(limit)*maxSlotWaitShare))
+}
+
 // DecideOnModel decides whether a request waits for a model that is not resident
 // on any endpoint. Waiting serves demand that shifts to such models. readyIn is
 // the time until the model is expected to be ready, zero if unknown. waited and
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -49,6 +49,9 @@
 	Endpoint *Endpoint
 	// Utilization is that of the endpoint before the request, 1 if it is full.
 	Utilization float64
+	// HeldOffUntil is until when the endpoint takes no request, for its limit; it counts as
+	// full until then.
+	HeldOffUntil time.Duration
 	// Contended is set if the utilization of the chosen endpoint, or of all
 	// endpoints of the model together, is so high that other gateways may take the
 	// last slots in the meantime.
@@ -119,6 +122,11 @@
 	bestCost := 0.0
 	for _, e := range endpoints {
 		utilization := l.utilization(e, req)
+		heldOffUntil := l.heldOffUntil[e.ID]
+		if heldOffUntil > now {
+			// Of several, the one that is free first.
+			utilization = max(utilization, fullUtilization+(heldOffUntil-now).Seconds())
+		}
 		cost := utilization + prefillCost*float64(l.totalLoad(e.ID).PrefillTokens)/prefillCostTokens
 		if e.Domain != req.Domain {
 			cost += crossDomainCost
@@ -131,7 +139,7 @@
 		}
 		cost += l.healthCost(e.ID, now)
 		if best.Endpoint == nil || cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, Utilization: utilization}, cost
+			best, bestCost = Choice{Endpoint: e, Utilization: utilization, HeldOffUntil: heldOffUntil}, cost
 		}
 	}
 	return best, bestCost
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -40,6 +40,8 @@
 	// full holds the endpoints that reported, since the last counts, that they are
 	// full.
 	full map[string]bool
+	// heldOffUntil is until when endpoints take no request, for their limit.
+	heldOffUntil map[string]time.Duration
 	// replaced are the endpoints in whose place others have answered.
 	replaced map[string]replacement
 	draw     func(n int) int
@@ -60,7 +62,7 @@
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
 		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
-		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, draw: draw,
+		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, draw: draw,
 	}
 }
 
@@ -279,6 +281,21 @@
 	l.full[endpoint] = true
 }
 
+// HoldOff records until when the endpoint takes no request, for its limit.
+func (l *Loads) HoldOff(endpoint string, until, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.heldOffUntil, func(_ string, t time.Duration) bool { return t <= now })
+	l.heldOffUntil[endpoint] = until
+}
+
+// HeldOffUntil returns until when the endpoint takes no request, for its limit.
+func (l *Loads) HeldOffUntil(endpoint string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heldOffUntil[endpoint]
+}
+
 // MarkReplaced records that another endpoint answered at the endpoint's address. The
 // endpoint has ended, and is not used there for replacedTTL.
 func (l *Loads) MarkReplaced(e *Endpoint, now time.Duration) {
@@ -307,6 +324,13 @@
 	}
 }
 
+// Stale reports whether the other gateways' counts are old, as they are without a leader.
+func (l *Loads) Stale() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stale
+}
+
 // maxPrefillScale bounds the factor by which this gateway's prompts are scaled to
 // estimate those of all gateways. With many gateways, the prompts of one predict
 // little about those of the others.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -20,6 +20,9 @@
 	Leaving bool
 	Slots   int
 	Models  map[string]ResidentModel
+	// Limited endpoints take PerSecond requests a second from all gateways together.
+	Limited   bool
+	PerSecond float64
 }
 
 // ResidentModel is a model that is resident on an engine or being loaded.
@@ -128,6 +131,7 @@
 	return &Endpoint{
 		ID: w.Id, Service: w.Service, Address: w.Address, Domain: w.Domain,
 		Leaving: w.Leaving, Slots: int(w.Slots), Models: residentModels(w.Models),
+		Limited: w.Limited, PerSecond: w.PerSecond,
 	}
 }
 
--- a/internal/fleetcontrol/incarnation.go
+++ b/internal/fleetcontrol/incarnation.go
@@ -33,6 +33,8 @@
 	e.awaitingEffect, e.foreignOrder = false, false
 	clear(e.loadingAdapters)
 	e.leader.suspects.Restarted(e.listed.ID)
+	e.leader.limits.book.Restart(e.listed.ID, e.leader.s.clock())
+	delete(e.leader.limits.buckets, e.listed.ID)
 	e.leader.s.log.WithFields(logrus.Fields{"endpoint": e.listed.ID, "started_unix_ms": startedUnixMs}).Info("endpoint has started again under its id")
 	return nextIncarnation
 }
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -65,6 +65,7 @@
 	detector          *failureDetector
 	suspects          *quarantine.Pool
 	trials            quarantine.Trials
+	limits            limitsState
 	// recordedSuspects are those that the log holds, and recordedRevision is the
 	// revision of the suspects of which they are up to date.
 	recordedSuspects map[uint64]*wire.Suspect
@@ -277,6 +278,7 @@
 		}
 	}
 	l.detector.retain(func(id string) bool { return listed[id] })
+	l.dropLimits(listed)
 	l.listReceived = true
 	l.publish(now)
 }
--- a/internal/fleetcontrol/permits.go
+++ b/internal/fleetcontrol/permits.go
@@ -36,7 +36,8 @@
 	return connect.NewResponse(l.permit(req.Msg)), nil
 }
 
-// permit begins a trial of the request's suspects.
+// permit decides whether the request may be sent: within the limit of the endpoint, and
+// apart from other suspects.
 func (l *leaderState) permit(r *wire.PermitRequest) *wire.PermitResponse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -48,13 +49,34 @@
 		// The gateway learns of the conviction with its next exchange.
 		return &wire.PermitResponse{RetryAfterMs: convictedRetryMS}
 	}
+	if ok, retryAfter := l.beginTrial(r, now); !ok {
+		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter)}
+	}
+	if ok, retryAfter := l.takePermit(r, now); !ok {
+		l.trials.Cancel(r.Endpoint, r.Suspects)
+		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter), Limited: true}
+	}
+	return &wire.PermitResponse{Granted: true}
+}
+
+// beginTrial begins a trial of the request's suspects, if it has any, or returns the time
+// after which one may be possible. l.mu must be held.
+func (l *leaderState) beginTrial(r *wire.PermitRequest, now time.Duration) (ok bool, retryAfter time.Duration) {
+	if len(r.Suspects) == 0 {
+		return true, 0
+	}
 	l.trials.EndDecided(l.suspects.Undecided)
-	ok, retryAfter := l.trials.Begin(r.Endpoint, r.Suspects, now, 2*l.reportLag()+trialMargin)
+	ok, retryAfter = l.trials.Begin(r.Endpoint, r.Suspects, now, 2*l.reportLag()+trialMargin)
 	if ok {
 		trials.Inc()
 		l.s.log.WithFields(logrus.Fields{
-			"gateway": r.Gateway, "endpoint": r.Endpoint, "suspects": quarantine.FormatFingerprints(slices.Clone(r.Suspects)),
+			"gateway": r.Gateway, "endpoint": r.Endpoint, "suspects": quarantine.FormatFingerprints(r.Suspects),
 		}).Info("suspect runs apart from others")
 	}
-	return &wire.PermitResponse{Granted: ok, RetryAfterMs: uint32(retryAfter.Milliseconds())}
+	return ok, retryAfter
+}
+
+// milliseconds returns the time in milliseconds, rounded up.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -107,6 +107,7 @@
 		Id: e.listed.ID, Service: e.listed.Service, Address: e.listed.Address, Domain: e.listed.Domain,
 		Leaving: e.listed.Leaving, Slots: uint32(e.listed.Slots),
 	}
+	out.PerSecond, out.Limited = e.leader.limitOf(e.listed.ID)
 	for name, adapters := range e.held {
 		m := &wire.HeldModel{Name: name, Leaving: e.unloading[name], Loading: e.loading == name}
 		m.Adapters = slices.Sorted(maps.Keys(adapters))
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -267,7 +267,9 @@
 	q.g.deps.Protocol.PrepareHeaders(header, SendOptions{
 		Endpoint: e.ID, TimeLeft: max(q.timeLeft(), time.Millisecond), Priority: q.route.Priority, LastEventID: out.lastEventID, Reservation: q.reservation,
 	})
-	return &upstream.Request{Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body}
+	return &upstream.Request{
+		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body, MayWrite: q.permitHolds(),
+	}
 }
 
 // recordEnd updates the metrics of a request that has ended, and logs its outcome.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	rejections     rejectionCounter
 	// misdirectedSends counts the sends that another endpoint answered, at the address of
 	// the one that was meant.
+	// permitsDenied counts the sends to endpoints with a limit that were not permitted.
+	permitsDenied    = metrics.GetOrCreateCounter("parsleyramp_gateway_permits_denied_total")
 	misdirectedSends = metrics.GetOrCreateCounter("parsleyramp_gateway_misdirected_sends_total")
 
 	// firstByteSeconds is the time from the arrival of a request to the first byte
@@ -82,7 +84,7 @@
 	for p, n := range g.inFlight.counts() {
 		set.NewGauge(`parsleyramp_gateway_in_flight_requests{phase="`+phase(p).String()+`"}`, func() float64 { return float64(n) })
 	}
-	set.NewGauge("parsleyramp_gateway_limited_endpoints", func() float64 { return float64(g.limits.count()) })
+	set.NewGauge("parsleyramp_gateway_limited_endpoints", func() float64 { return float64(g.limitedEndpoints()) })
 	set.NewGauge("parsleyramp_gateway_document_version", func() float64 { return float64(g.documentVersion()) })
 	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
 		if v := g.view.Load(); v != nil {
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/quarantine"
+	"parsleyramp/internal/ratelimit"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -39,36 +41,90 @@
 // endpointCount returns the number of endpoints of the service.
 func (q *request) endpointCount() int { return len(q.g.view.Load().Service(q.requirements.Service)) }
 
+// neededPermit is the permit that a request needs before it is sent to an endpoint.
+type neededPermit struct {
+	// suspects are its fingerprints that may only run apart from other suspects.
+	suspects []uint64
+	// limited is set if the endpoint takes perSecond requests a second from all gateways.
+	limited   bool
+	perSecond float64
+}
+
 // permitted reports whether the request may be sent to the endpoint now. It asks the leader
-// if the request is suspected of crashes of endpoints: gateways together keep such requests
-// apart. If it may not, permitted pauses until it is worth asking again, and returns an
-// error once the request has waited too long or the leader does not answer.
+// if the endpoint has a limit, or if the request is suspected of crashes of endpoints. If it
+// may not, the endpoint is held off, or permitted pauses until it is worth asking again; it
+// returns an error once the request has waited too long or may not run without a leader.
 func (q *request) permitted(e *fleet.Endpoint, s *search) (bool, error) {
-	suspects := q.suspectsOnTrial()
-	if len(suspects) == 0 {
+	n := neededPermit{suspects: q.suspectsOnTrial()}
+	n.perSecond, n.limited = q.g.limitOf(e)
+	if len(n.suspects) == 0 && !n.limited {
 		return true, nil
 	}
-	retryAfter, err := q.askForPermit(e, suspects)
+	now := q.g.clock()
+	if until := q.g.loads.HeldOffUntil(e.ID); n.limited && until > now {
+		return false, q.pauseForPermit(until-now, s)
+	}
+	if n.limited {
+		// The others of this gateway go elsewhere while this one asks.
+		q.g.loads.HoldOff(e.ID, now+permitTimeout, now)
+	}
+	resp, err := q.askForPermit(e, n)
+	if err != nil {
+		return q.permittedAlone(e, n, err)
+	}
+	retryAfter := max(time.Duration(resp.RetryAfterMs)*time.Millisecond, time.Millisecond)
+	if n.limited {
+		until := q.g.clock()
+		if resp.Limited {
+			until += retryAfter
+		}
+		q.g.loads.HoldOff(e.ID, until, q.g.clock())
+	}
 	switch {
-	case err != nil && q.ctx.Err() == nil:
-		return false, fail.Wrap(err, fail.Unavailable, "the control plane cannot be asked whether the request may run").WithRetryAfter(failedRetryAfter)
-	case err == nil && retryAfter == 0:
-		q.permitAt = e.ID
+	case resp.Granted:
+		q.permitAt, q.permitUntil = e.ID, now+ratelimit.PermitTTL
 		return true, nil
+	case resp.Limited:
+		permitsDenied.Inc()
+		return false, nil
 	}
-	if fleet.DecideOnSlot(1, q.g.clock()-s.startedAt, s.limit) == fleet.Reject {
-		return false, fail.New(fail.Overloaded, "requests that may crash endpoints run one after the other").WithRetryAfter(max(retryAfter, failedRetryAfter))
+	return false, q.pauseForPermit(retryAfter, s)
+}
+
+// permittedAlone decides without an answer of the leader: a suspect does not run, and an
+// endpoint with a limit is used by one gateway.
+func (q *request) permittedAlone(e *fleet.Endpoint, n neededPermit, err error) (bool, error) {
+	if len(n.suspects) > 0 {
+		return false, fail.Wrap(err, fail.Unavailable, "the control plane cannot be asked whether the request may run").WithRetryAfter(failedRetryAfter)
+	}
+	now := q.g.clock()
+	ok, retryAfter := q.g.takeAlone(e, n.perSecond)
+	q.g.loads.HoldOff(e.ID, now+retryAfter, now)
+	if ok {
+		q.permitUntil = now + ratelimit.PermitTTL
+	} else {
+		permitsDenied.Inc()
+	}
+	return ok, nil
+}
+
+// pauseForPermit pauses before the request asks again, or returns an error if it has waited
+// too long.
+func (q *request) pauseForPermit(retryAfter time.Duration, s *search) error {
+	if fleet.SlotWaitLeft(q.g.clock()-s.startedAt, s.limit) <= 0 {
+		return fail.New(fail.Overloaded, "the endpoint takes no more requests for now").WithRetryAfter(max(retryAfter, failedRetryAfter))
 	}
 	wait.For(q.ctx, min(retryAfter, maxPermitPause))
-	return false, nil
+	return nil
 }
 
-// askForPermit returns zero if the leader permits the request now, or the time after which
-// it may.
-func (q *request) askForPermit(e *fleet.Endpoint, suspects []uint64) (time.Duration, error) {
+// askForPermit asks the leader for the permit.
+func (q *request) askForPermit(e *fleet.Endpoint, n neededPermit) (*wire.PermitResponse, error) {
 	ctx, cancel := context.WithTimeout(q.ctx, permitTimeout)
 	defer cancel()
-	req := &wire.PermitRequest{Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: suspects, Unused: q.unusedPermitAt}
+	req := &wire.PermitRequest{
+		Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: n.suspects, Unused: q.unusedPermitAt, Limited: n.limited, PerSecond: n.perSecond,
+	}
 	var resp *wire.PermitResponse
 	err := q.g.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
 		r, err := c.Fleet.Permit(ctx, connect.NewRequest(req))
@@ -78,14 +134,21 @@
 		return err
 	})
 	if err != nil {
-		q.g.log.WithError(err).WithField("request", q.info.ID).Warn("asking for a permit failed")
-		return 0, err
+		q.g.log.WithError(err).WithFields(logrus.Fields{"request": q.info.ID, "endpoint": e.ID}).Info("asking for a permit failed")
+		return nil, err
 	}
 	q.unusedPermitAt = ""
-	if resp.Granted {
-		return 0, nil
+	return resp, nil
+}
+
+// permitHolds returns a function that reports whether the permit for the next send may still
+// be used, or nil if it needs none.
+func (q *request) permitHolds() func() bool {
+	if q.permitUntil == 0 {
+		return nil
 	}
-	return max(time.Duration(resp.RetryAfterMs)*time.Millisecond, time.Millisecond), nil
+	until := q.permitUntil
+	return func() bool { return q.g.clock() <= until }
 }
 
 // recordPermitUse records whether the send used the permit that it had, if any.
@@ -93,5 +156,5 @@
 	if q.permitAt != "" && s.notRun() {
 		q.unusedPermitAt = q.permitAt
 	}
-	q.permitAt = ""
+	q.permitAt, q.permitUntil = "", 0
 }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -146,6 +146,9 @@
 	if decision == fleet.Wait && waited == 0 && !q.g.waits.Worthwhile(q.requirements.Model, q.g.clock()) {
 		decision = fleet.Reject
 	}
+	if decision == fleet.Wait && c.HeldOffUntil-q.g.clock() > fleet.SlotWaitLeft(waited, s.limit) {
+		decision = fleet.Reject
+	}
 	switch decision {
 	case fleet.Dispatch:
 		e, err := q.reserve(c, s)
@@ -160,7 +163,7 @@
 	if waited > 0 {
 		q.g.waits.Record(q.requirements.Model, false, q.g.clock())
 	}
-	return nil, fail.New(fail.Overloaded, "all endpoints of the service are at capacity").WithRetryAfter(q.overloadRetryDelay())
+	return nil, fail.New(fail.Overloaded, "all endpoints of the service are at capacity").WithRetryAfter(max(q.overloadRetryDelay(), c.HeldOffUntil-q.g.clock()))
 }
 
 // spreadAdapter requests the adapter on one more engine, because those that hold
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,6 +57,8 @@
 	// permitAt is the endpoint of the permit for the next send, and unusedPermitAt that of
 	// a permit that was not used; empty for none.
 	permitAt, unusedPermitAt string
+	// permitUntil is until when the permit for the next send may be used.
+	permitUntil time.Duration
 	// bufferedBytes counts the bytes of responses that are held in memory.
 	bufferedBytes int
 	// framing is how the last response of an endpoint was framed; empty for none.
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -61,6 +61,7 @@
 	defer cancel()
 	req := &wire.SyncRequest{Gateway: g.self(), Loads: g.loads.Report(g.clock()), Demand: g.demand.flush()}
 	reported := g.suspects.report(req, g.clock())
+	reportedLimits := g.limits.report(req, g.clock())
 	req.DocumentVersion = g.documentVersion()
 	if v := g.view.Load(); v != nil {
 		req.ViewTerm, req.ViewRevision = v.Term, v.Revision
@@ -86,6 +87,7 @@
 	key := quarantine.Key(resp.FingerprintKey)
 	g.fingerprintKey.Store(&key)
 	g.applyDocument(resp.Document)
+	g.limits.confirm(reportedLimits, resp.Term, g.view.Load(), g.clock())
 	g.applyView(resp.View)
 	g.applyLoads(resp)
 	g.retries.SetGateways(len(g.knownGateways()), g.clock())
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -75,6 +75,18 @@
 	return Unchanged
 }
 
+// Note records a statement that an endpoint has no limit, although this book has none of it.
+func (b *Book) Note(endpoint string, s Statement) {
+	known, ok := b.statements[endpoint]
+	if ok && (known.Limited || s.At <= known.At) {
+		return
+	}
+	if b.statements == nil {
+		b.statements = map[string]Statement{}
+	}
+	b.statements[endpoint] = s
+}
+
 // Lookup returns the newest statement on the endpoint, or false if there is none.
 func (b *Book) Lookup(endpoint string) (Statement, bool) {
 	s, ok := b.statements[endpoint]
--- /dev/null
+++ b/internal/ratelimit/bucket.go
@@ -0,0 +1,48 @@
+package ratelimit
+
+import "time"
+
+const (
+	// PermitTTL is how long after it was asked for a permit may be used.
+	PermitTTL = 500 * time.Millisecond
+	// minPerSecond is the rate at which an endpoint is used that names a lower one, so that
+	// a response can lift the limit.
+	minPerSecond = 0.1
+	// A bucket holds burst permits, and those of burstTime at its rate. What is sent in 4 s
+	// with permits of 4.5 s is then less than 1.5 times the limit and 5 more, also if a VM
+	// without a leader spends from a bucket of its own in that time.
+	burst     = 2
+	burstTime = 500 * time.Millisecond
+	// maxRetryAfter bounds the time after which a permit is asked for again.
+	maxRetryAfter = 5 * time.Second
+)
+
+// Bucket gives permits for the requests to one endpoint, at the rate of its limit. A new
+// bucket is empty, so that a new holder gives no permits that the one before it may have
+// given. It is not safe for concurrent use.
+type Bucket struct {
+	permits float64
+	// promised counts those who were told to ask again and whose time has not come.
+	promised float64
+	at       time.Duration
+}
+
+// NewBucket returns an empty bucket.
+func NewBucket(now time.Duration) *Bucket { return &Bucket{at: now} }
+
+// Take takes a permit, or returns the time after which to ask again: when one will be there
+// for each of those that have been told so before.
+func (b *Bucket) Take(perSecond float64, now time.Duration) (ok bool, retryAfter time.Duration) {
+	rate := max(perSecond, minPerSecond)
+	added := rate * max(now-b.at, 0).Seconds()
+	b.at = max(b.at, now)
+	b.permits = min(b.permits+added, burst+rate*burstTime.Seconds())
+	b.promised = max(b.promised-added, 0)
+	if b.permits >= 1 {
+		b.permits--
+		return true, 0
+	}
+	missing := 1 - b.permits + b.promised
+	b.promised++
+	return false, min(time.Duration(missing/rate*float64(time.Second)), maxRetryAfter)
+}
