Keep an entry's endpoints within the limits that they name

An entry that owns an endpoint is the only one that sends there, so that its own bucket, the same as the leader's at gateways, bounds the requests of all entries: an attempt without a permit is refused before it queues, with the time of the next one, and its entry tries another endpoint. The header is of the engine protocol. A new owner learns of a limit from the first response.

--- a/internal/endpoint/api.go
+++ b/internal/endpoint/api.go
@@ -13,6 +13,9 @@
 const (
 	HeaderRequestID   = "X-Request-Id"
 	HeaderIncarnation = "X-Engine-Incarnation"
+	// HeaderLimit names, in responses, the requests a second that the endpoint takes from
+	// all callers together, for as long as responses name it.
+	HeaderLimit = "X-Engine-Request-Limit"
 )
 
 // OrderKind is the kind of an order to an engine.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"parsleyramp/internal/ratelimit"
 )
 
 // Request is one attempt to run a request on an endpoint.
@@ -39,7 +40,9 @@
 	// HasRequestID is true if the header of the response carries the ID of the
 	// attempt.
 	HasRequestID bool
-	Body         io.ReadCloser
+	// Limit is what the header states of the rate of requests that the endpoint takes.
+	Limit ratelimit.Limit
+	Body  io.ReadCloser
 }
 
 // Runner runs attempts on an endpoint.
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -13,6 +13,7 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/ratelimit"
 	"parsleyramp/internal/telemetry"
 )
 
@@ -145,6 +146,7 @@
 		return nil, fail.New(fail.ForeignAnswer, "the header of the response does not carry the ID of this request").WithRan(fail.RanUnknown)
 	}
 	out := &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), HasRequestID: id == r.ID, Body: http.MaxBytesReader(nil, resp.Body, maxPassedBytes)}
+	out.Limit = ratelimit.ParseLimit(resp.Header.Values(HeaderLimit))
 	head := answer.HeadOf(resp)
 	stream := strings.HasPrefix(out.ContentType, "text/event-stream") && resp.StatusCode == http.StatusOK
 	switch {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -14,10 +14,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/ratelimit"
 	"parsleyramp/internal/routing"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/state"
@@ -89,6 +91,9 @@
 	crashed     chan struct{}
 	inFlight    int
 	service     bool
+	// limit is what its responses state, and arrivals are the times of its requests.
+	limit    ratelimit.Limit
+	arrivals []time.Duration
 }
 
 type fakeEntry struct {
@@ -136,7 +141,9 @@
 func (f *fleet) newEntry(id string, seed uint64) *fakeEntry {
 	cfg := DefaultSettings()
 	cfg.ID, cfg.Heartbeat, cfg.RoutingPolicy = id, settings.Duration(testHeartbeat), string(routing.Owner)
-	s := &session{cfg: cfg, clock: func() time.Duration { return time.Since(f.start) }}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &session{cfg: cfg, log: logrus.NewEntry(log), clock: func() time.Duration { return time.Since(f.start) }}
 	e := &fakeEntry{session: s}
 	e.onResponse = func(j *job) {
 		var body struct {
@@ -334,7 +341,8 @@
 	f.runs[body.Prompt]++
 	f.sentAt[address] = time.Since(f.start)
 	e.inFlight++
-	crashed := e.crashed
+	e.arrivals = append(e.arrivals, time.Since(f.start))
+	crashed, limit := e.crashed, e.limit
 	f.mu.Unlock()
 	a := &fakeResponse{fleet: f, engine: e, ctx: ctx, crashed: crashed, prompt: body.Prompt, from: body.ResumeFrom, stream: body.Stream}
 	if strings.Contains(body.Prompt, crashMark) {
@@ -361,7 +369,7 @@
 	if body.Stream {
 		kind = "text/event-stream"
 	}
-	return &endpoint.Response{Status: http.StatusOK, ContentType: kind, HasRequestID: true, Body: a}, nil
+	return &endpoint.Response{Status: http.StatusOK, ContentType: kind, HasRequestID: true, Limit: limit, Body: a}, nil
 }
 
 func token(prompt string, i int) string { return fmt.Sprintf("data: %s.%d\n\n", prompt, i) }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -50,6 +50,7 @@
 	arrivals map[residentName]uint32
 	// tracker holds the fingerprints of the requests in flight.
 	tracker *quarantine.Tracker
+	limits  endpointLimits
 }
 
 // ownedEndpoint is the admission controller of one endpoint with its waiting and
@@ -94,6 +95,8 @@
 	id       uint64
 	vm       *wire.Endpoint
 	resident residentName
+	// sentAt is when it was sent.
+	sentAt time.Duration
 }
 
 // run admits one attempt, runs it and forwards the response to the sink.
--- a/internal/entry/owner_admission.go
+++ b/internal/entry/owner_admission.go
@@ -37,6 +37,10 @@
 		o.mu.Unlock()
 		return nil, fail.New(fail.Redirected, "the request would have to wait at this endpoint")
 	}
+	if err := o.checkLimitLocked(vm); err != nil {
+		o.mu.Unlock()
+		return nil, err
+	}
 	o.lastID++
 	if r.Model != "" {
 		// Demand is counted per model, regardless of the version that serves it.
--- a/internal/entry/owner_send.go
+++ b/internal/entry/owner_send.go
@@ -17,14 +17,18 @@
 	"parsleyramp/internal/wire"
 )
 
-// beforeSend checks the lease and the view once a connection is ready, and records
-// the attempt as in flight.
+// beforeSend checks the lease, the view and the endpoint's limit once a connection is
+// ready, and records the attempt as in flight.
 func (o *owner) beforeSend(a *ownedAttempt, r *wire.ForwardRequest) error {
 	if _, err := o.validate(r); err != nil {
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err := o.takePermitLocked(a.vm); err != nil {
+		return err
+	}
+	a.sentAt = o.clock()
 	o.tracker.Begin(a.vm.Id, a.vm.Incarnation, a.id, r.Fingerprint)
 	return nil
 }
@@ -46,6 +50,7 @@
 		return err
 	}
 	defer response.Body.Close()
+	o.observeLimit(a.vm, response, a.sentAt)
 	if isEngine {
 		if err := engineError(response); err != nil {
 			return err
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -33,16 +33,24 @@
 // Take takes a permit, or returns the time after which to ask again: when one will be there
 // for each of those that have been told so before.
 func (b *Bucket) Take(perSecond float64, now time.Duration) (ok bool, retryAfter time.Duration) {
+	if retryAfter = b.Wait(perSecond, now); retryAfter > 0 {
+		b.promised++
+		return false, retryAfter
+	}
+	b.permits--
+	return true, 0
+}
+
+// Wait returns zero if there is a permit, or the time after which to ask again.
+func (b *Bucket) Wait(perSecond float64, now time.Duration) time.Duration {
 	rate := max(perSecond, minPerSecond)
 	added := rate * max(now-b.at, 0).Seconds()
 	b.at = max(b.at, now)
 	b.permits = min(b.permits+added, burst+rate*burstTime.Seconds())
 	b.promised = max(b.promised-added, 0)
 	if b.permits >= 1 {
-		b.permits--
-		return true, 0
+		return 0
 	}
-	missing := 1 - b.permits + b.promised
-	b.promised++
-	return false, min(time.Duration(missing/rate*float64(time.Second)), maxRetryAfter)
+	wait := time.Duration((1 - b.permits + b.promised) / rate * float64(time.Second))
+	return max(min(wait, maxRetryAfter), time.Millisecond)
 }
