Do not count on an engine that serves little for its limit in placement

A model that only an engine with a limit of 2 requests a second holds was served at that rate, however many asked for it: placement counted the engine as a whole replica, and took its room for other models.

--- a/internal/fleetcontrol/limits.go
+++ b/internal/fleetcontrol/limits.go
@@ -49,6 +49,26 @@
 	return s.PerSecond, s.Limited
 }
 
+// minCapacityRatio is the ratio of what an engine with a limit serves to what its slots
+// would, below which placement does not count on it: its models get replicas elsewhere, and
+// it gets no other ones.
+const minCapacityRatio = 0.5
+
+// limitedBelow reports whether the engine has a limit under which it serves less than the
+// ratio of what its slots would, by the time that requests for its models take. e.leader.mu
+// must be held.
+func (e *engineState) limitedBelow(ratio float64, slots int) bool {
+	perSecond, limited := e.leader.limitOf(e.listed.ID)
+	if !limited {
+		return false
+	}
+	longest := time.Duration(0)
+	for model := range e.held {
+		longest = max(longest, e.leader.demand.SlotTime(model))
+	}
+	return perSecond*longest.Seconds() < ratio*float64(slots)
+}
+
 // dropLimits forgets the limits of endpoints that are not listed. l.mu must be held.
 func (l *leaderState) dropLimits(listed map[string]bool) {
 	l.limits.book.Retain(func(id string) bool { return listed[id] })
--- a/internal/fleetcontrol/limits_test.go
+++ b/internal/fleetcontrol/limits_test.go
@@ -62,3 +62,18 @@
 		}
 	})
 }
+
+func TestPlacementDoesNotCountOnAnEngineThatServesLittleForItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, e := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{"m0": {}}}, HeldModel{Name: "m0"})
+		l.demand.Add("m0", "", 1, 2*time.Second, l.s.clock())
+		slots := l.doc.Services[0].Engine.Slots
+		for perSecond, unavailable := range map[float64]bool{float64(slots) * minCapacityRatio / 4: true, float64(slots): false} {
+			time.Sleep(time.Second)
+			l.sync(&wire.SyncRequest{Gateway: &wire.Gateway{Id: "g"}, Limits: []*wire.EndpointLimit{{Endpoint: "e", Limited: true, PerSecond: perSecond}}})
+			if got := plannerInputOf(e, l.s.clock()).Unavailable; got != unavailable {
+				t.Errorf("unavailable %t with a limit of %g a second for %d slots, want %t", got, perSecond, slots, unavailable)
+			}
+		}
+	})
+}
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// SlotTime returns the average time for which a request for the model occupies a slot; zero
+// if there was none.
+func (d *Demand) SlotTime(model string) time.Duration {
+	a := d.models[model]
+	if a == nil {
+		return 0
+	}
+	return time.Duration(a.slotTime * float64(time.Second))
+}
+
 // Slots returns the demand for the model, in slots.
 func (d *Demand) Slots(model string, now time.Duration) float64 {
 	a := d.models[model]
