--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -64,6 +64,9 @@
 	if until := q.g.loads.HeldOffUntil(e.ID); n.limited && until > now {
 		return false, q.pauseForPermit(until-now, s)
 	}
+	if n.limited && len(n.suspects) == 0 && q.g.loads.Stale() {
+		return q.permittedAlone(e, n, nil)
+	}
 	if n.limited {
 		// The others of this gateway go elsewhere while this one asks.
 		q.g.loads.HoldOff(e.ID, now+permitTimeout, now)
