--- a/internal/fleetcontrol/permits.go
+++ b/internal/fleetcontrol/permits.go
@@ -26,12 +26,9 @@
 // Permit decides whether a request that may not run beside others of its kind may be sent
 // to an endpoint now.
 func (f *fleetService) Permit(ctx context.Context, req *connect.Request[wire.PermitRequest]) (*connect.Response[wire.PermitResponse], error) {
-	if _, ok := f.s.leadingTerm(ctx); !ok {
-		return nil, f.s.node.RPCError(ctx, errNotLeading)
-	}
-	l := f.s.leader.Load()
-	if l == nil {
-		return nil, f.s.node.RPCError(ctx, errNotLeading)
+	l, err := f.leader(ctx)
+	if err != nil {
+		return nil, err
 	}
 	return connect.NewResponse(l.permit(req.Msg)), nil
 }
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -20,15 +20,23 @@
 
 var errNotLeading = fail.New(fail.NotLeader, "this replica does not lead")
 
+// leader returns the state of this replica as the leader, or the error of a call that only
+// the leader serves.
+func (f *fleetService) leader(ctx context.Context) (*leaderState, error) {
+	if _, ok := f.s.leadingTerm(ctx); ok {
+		if l := f.s.leader.Load(); l != nil {
+			return l, nil
+		}
+	}
+	return nil, f.s.node.RPCError(ctx, errNotLeading)
+}
+
 // Sync ingests a gateway's report and returns what has changed since the view and
 // the document that the gateway has.
 func (f *fleetService) Sync(ctx context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
-	if _, ok := f.s.leadingTerm(ctx); !ok {
-		return nil, f.s.node.RPCError(ctx, errNotLeading)
-	}
-	l := f.s.leader.Load()
-	if l == nil {
-		return nil, f.s.node.RPCError(ctx, errNotLeading)
+	l, err := f.leader(ctx)
+	if err != nil {
+		return nil, err
 	}
 	sendsDocument := l.sendsDocument(req.Msg)
 	resp := l.sync(req.Msg)
@@ -36,7 +44,7 @@
 	if !sendsDocument {
 		return connect.NewResponse(resp), nil
 	}
-	err := f.s.node.ReadStale(ctx, func(m *state.Machine) {
+	err = f.s.node.ReadStale(ctx, func(m *state.Machine) {
 		if d := m.Document(); d.GetVersion() > req.Msg.DocumentVersion {
 			resp.Document = d
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
-	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/upstream"
 )
 
@@ -28,9 +24,6 @@
 	drainRetryAfter = 100 * time.Millisecond
 )
 
-// servedLogRatio is the share of served requests that are logged at info level.
-const servedLogRatio = 0.02
-
 // sendResult is the result of sending a request to one endpoint.
 type sendResult struct {
 	outcome attempt.Outcome
@@ -151,48 +144,6 @@
 	}
 }
 
-// shutDown reports whether the shutdown of the gateway has canceled the request.
-func (q *request) shutDown() bool { return errors.Is(context.Cause(q.ctx), errShutdown) }
-
-// endWithoutResponse ends a request for which no complete response of an
-// endpoint was forwarded.
-func (q *request) endWithoutResponse(h *attempt.History, out *relay, err error) {
-	switch {
-	case out.headerSent:
-		q.recordEnd("aborted", nil, h, err)
-		panic(http.ErrAbortHandler)
-	case out.lastFailure != nil && (q.ctx.Err() == nil || q.shutDown()):
-		out.writeBuffered(out.lastFailure)
-		q.recordEnd("endpoint_failed", nil, h, err)
-	case h.MayHaveRun:
-		q.endWithUnknownOutcome(h, err)
-	case q.shutDown():
-		q.g.reject(q.w, q.httpRequest, q.info, errShutdown)
-	case errors.Is(q.ctx.Err(), context.DeadlineExceeded):
-		q.endWithUnknownOutcome(h, fail.New(fail.DeadlinePassed, "the deadline of the request has passed"))
-	default:
-		f := fail.From(err)
-		if f.Code == fail.EndpointFailed {
-			f = fail.Wrap(err, fail.Unavailable, "no endpoint accepted the request")
-		}
-		if f.RetryAfter == 0 && f.Code != fail.Quarantined {
-			f = f.WithRetryAfter(failedRetryAfter)
-		}
-		q.g.reject(q.w, q.httpRequest, q.info, f)
-	}
-}
-
-// endWithUnknownOutcome responds to a request that may have run, or whose
-// deadline has passed, with a status that does not state whether it has run.
-func (q *request) endWithUnknownOutcome(h *attempt.History, err error) {
-	status := http.StatusBadGateway
-	if errors.Is(q.ctx.Err(), context.DeadlineExceeded) {
-		status = http.StatusGatewayTimeout
-	}
-	q.recordEnd("failed", nil, h, err)
-	http.Error(q.w, "the request may have run, but no response is available", status)
-}
-
 // send sends the request to the endpoint and forwards the response.
 func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sendResult {
 	g := q.g
@@ -271,53 +222,3 @@
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body, MayWrite: q.permitHolds(),
 	}
 }
-
-// recordEnd updates the metrics of a request that has ended, and logs its outcome.
-func (q *request) recordEnd(outcome string, e *fleet.Endpoint, h *attempt.History, err error) {
-	elapsed := q.g.clock() - q.arrived
-	requestsDone.count(q.route.Kind.String(), outcome)
-	requestSeconds.Update(elapsed.Seconds())
-	fields := logrus.Fields{
-		"request": q.info.ID, "route": q.route.Name, "service": q.requirements.Service, "model": q.requirements.Model, "adapter": q.requirements.Adapter,
-		"outcome": outcome, "sends": h.Sends, "may_have_run": h.MayHaveRun, "took_ms": elapsed.Milliseconds(),
-	}
-	if e != nil {
-		fields["endpoint"] = e.ID
-	}
-	if q.firstByte > 0 {
-		fields["first_byte_ms"], fields["longest_pause_ms"] = q.firstByte.Milliseconds(), q.longestPause.Milliseconds()
-	}
-	if q.framing != "" {
-		fields["framing"] = q.framing
-	}
-	fields["place_ms"] = q.selectionTime.Milliseconds()
-	line := q.g.log.WithFields(fields)
-	if err != nil {
-		line = line.WithField("error", err.Error())
-	}
-	if outcome == "served" && q.g.randFloat() >= servedLogRatio {
-		line.Debug("request ended")
-		return
-	}
-	line.Info("request ended")
-}
-
-func (q *request) logFailedSend(e *fleet.Endpoint, s sendResult, step attempt.Step, h *attempt.History) {
-	v := q.g.view.Load()
-	line := q.g.log.WithFields(logrus.Fields{
-		"request": q.info.ID, "endpoint": e.ID, "outcome": s.outcome.String(), "step": step.String(), "sends": h.Sends,
-		"time_left_ms": q.timeLeft().Milliseconds(), "view_term": v.Term, "view_revision": v.Revision, "framing": q.framing,
-	})
-	if s.err != nil {
-		line = line.WithField("error", s.err.Error())
-	}
-	if f := q.fingerprints(); len(f) > 0 {
-		line = line.WithFields(logrus.Fields{
-			"content": quarantine.FormatFingerprint(f[0]), "fingerprint": quarantine.FormatFingerprint(f[1]), "parts": quarantine.FormatFingerprints(f[requestFingerprints:]),
-		})
-	}
-	if s.otherEndpoint != "" {
-		line = line.WithField("other_endpoint", s.otherEndpoint)
-	}
-	line.Info("request attempt failed")
-}
