--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -72,28 +72,36 @@
 		q.g.loads.HoldOff(e.ID, now+permitTimeout, now)
 	}
 	resp, err := q.askForPermit(e, n)
-	if err != nil {
+	switch {
+	case q.ctx.Err() != nil:
+		q.endHoldOff(e, n, 0)
+		return false, nil
+	case err != nil:
 		return q.permittedAlone(e, n, err)
 	}
-	retryAfter := max(time.Duration(resp.RetryAfterMs)*time.Millisecond, time.Millisecond)
-	if n.limited {
-		until := q.g.clock()
-		if resp.Limited {
-			until += retryAfter
-		}
-		q.g.loads.HoldOff(e.ID, until, q.g.clock())
-	}
+	retryAfter := time.Duration(resp.RetryAfterMs) * time.Millisecond
 	switch {
 	case resp.Granted:
+		q.endHoldOff(e, n, 0)
 		q.permitAt, q.permitUntil = e.ID, now+ratelimit.PermitTTL
 		return true, nil
 	case resp.Limited:
 		permitsDenied.Inc()
+		q.endHoldOff(e, n, retryAfter)
 		return false, nil
 	}
+	q.endHoldOff(e, n, 0)
 	return false, q.pauseForPermit(retryAfter, s)
 }
 
+// endHoldOff lets other requests of this gateway ask for the endpoint again, after the time.
+func (q *request) endHoldOff(e *fleet.Endpoint, n neededPermit, after time.Duration) {
+	if n.limited {
+		now := q.g.clock()
+		q.g.loads.HoldOff(e.ID, now+after, now)
+	}
+}
+
 // permittedAlone decides without an answer of the leader: a suspect does not run, and an
 // endpoint with a limit is used by one gateway.
 func (q *request) permittedAlone(e *fleet.Endpoint, n neededPermit, err error) (bool, error) {
