--- a/scripts/soak/crashing.go
+++ b/scripts/soak/crashing.go
@@ -21,6 +21,9 @@
 	crashingReadPause   = 60 * time.Millisecond
 	smallServiceRestart = 3 * time.Second
 	readRetryPause      = 120 * time.Millisecond
+	// leaderKillDelay is the time from the first of them to the loss of the leader, if it is
+	// lost: the crashes have happened and are not judged yet.
+	leaderKillDelay = 400 * time.Millisecond
 	// crashingCallers is the number of callers of such a read.
 	crashingCallers = 8
 )
@@ -85,8 +88,9 @@
 
 // checkCrashingRead sends a read that crashes each endpoint of the plain service that runs
 // it, from several callers, beside the requests of the other clients. Each caller sends it
-// again once if it gets no answer, as clients do.
-func (d *driver) checkCrashingRead() {
+// again once if it gets no answer, as clients do. With leaderChange all control replicas are
+// killed leaderKillDelay after the first one.
+func (d *driver) checkCrashingRead(leaderChange bool) {
 	for _, e := range d.s.endpoints[d.s.size.endpoints-d.s.size.ledger:] {
 		e.SetRestartTime(smallServiceRestart)
 	}
@@ -94,6 +98,12 @@
 	for i := range crashingCallers {
 		callers = append(callers, standin.NewClientAt(d.s.checker, callerIP(i)))
 	}
+	if leaderChange {
+		d.all.Go(func() {
+			d.wait(leaderKillDelay)
+			d.killAndRestart(d.s.controls)
+		})
+	}
 	content := standin.CrashingContent(fmt.Sprintf("read of seed %d", d.seed))
 	end := time.Now().Add(crashingTime)
 	for i := 0; time.Now().Before(end) && d.wait(crashingReadPause); i++ {
--- a/scripts/soak/limits.go
+++ b/scripts/soak/limits.go
@@ -10,11 +10,11 @@
 
 const (
 	// limitedTime is how long endpoints name limits. During it all control replicas are
-	// killed after limitedKillTime and a gateway is after twice that, and each starts again
-	// after limitedDownTime.
+	// killed after limitedKillTime and a gateway is after twice that. restartDelay is the time
+	// from such a kill to the start.
 	limitedTime     = 16 * time.Second
 	limitedKillTime = 5 * time.Second
-	limitedDownTime = time.Second
+	restartDelay    = time.Second
 	// engineLimit and lowEngineLimit are the limits, in requests a second, of one engine each,
 	// and ledgerLimit that of each endpoint of the plain service.
 	engineLimit    = 2.0
@@ -53,14 +53,19 @@
 		if !d.wait(limitedKillTime) {
 			return
 		}
-		for _, n := range nodes {
-			n.stopAndHold(d.s, syscall.SIGKILL)
-		}
-		d.wait(limitedDownTime)
-		for _, n := range nodes {
-			if err := n.release(d.s); err != nil {
-				d.s.checker.RecordViolation("%s did not start again: %v", n.name, err)
-			}
+		d.killAndRestart(nodes)
+	}
+}
+
+// killAndRestart kills the processes, which start again restartDelay later.
+func (d *driver) killAndRestart(nodes []*node) {
+	for _, n := range nodes {
+		n.stopAndHold(d.s, syscall.SIGKILL)
+	}
+	d.wait(restartDelay)
+	for _, n := range nodes {
+		if err := n.release(d.s); err != nil {
+			d.s.checker.RecordViolation("%s did not start again: %v", n.name, err)
 		}
 	}
 }
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -53,6 +53,9 @@
 	// crashingPart if requests are that share a part which does, and crashingRead if a read
 	// of the plain service is.
 	crashingRequest, crashingPart, crashingRead bool
+	// leaderChange is set if all control replicas are killed soon after the first read of
+	// crashingRead.
+	leaderChange bool
 	// limits is set if endpoints name limits after the faults.
 	limits bool
 	// logLine logs a fault.
@@ -93,7 +96,7 @@
 		d.checkCrashingPart()
 	}
 	if o.crashingRead {
-		d.checkCrashingRead()
+		d.checkCrashingRead(o.leaderChange)
 	}
 	d.checkPlannedStops()
 	d.checkStopsUnderLoad(o.series)
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -186,6 +186,12 @@
 	}
 }
 
+func TestReadThatCrashesASmallServiceIsRefusedAlthoughItsLeaderIsLost(t *testing.T) {
+	size := defaultSize
+	size.ledger = 3
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 5, size: size, crashingRead: true, leaderChange: true})
+}
+
 func TestEndpointsGetNoMoreThanTheLimitsThatTheyName(t *testing.T) {
 	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 4, limits: true})
 }
