--- a/internal/fleetcontrol/permits_test.go
+++ b/internal/fleetcontrol/permits_test.go
@@ -42,3 +42,11 @@
 		}
 	})
 }
+
+func BenchmarkPermit(b *testing.B) {
+	s := &Server{cfg: DefaultSettings(), log: testLog(), clock: func() time.Duration { return 0 }}
+	l := newLeaderState(b.Context(), s, 1)
+	for b.Loop() {
+		l.permit(&wire.PermitRequest{Gateway: "g", Endpoint: "e", Limited: true, PerSecond: 100})
+	}
+}
