Count a crash that the log lacks at the next leader

Gateways repeated their reports to the next leader without the suspects that it knew from the log, so that those crashes were lost.

The log now has digests of the endpoints whose crashes it counts, the last eight of each suspect, and gateways repeat all reports: the new leader passes over what is counted. What it counts so is no independent crash, for when the earlier ones happened is not known. TestCrashThatTheLogLacksCountsOnceAtTheNextLeader failed before: it convicted neither the guilty one alone, nor counted a crash once when all was repeated.

--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -88,6 +88,10 @@
 func (l *leaderState) setSuspects(resp *wire.SyncResponse, known uint64) {
 	if known != l.suspects.Revision() {
 		resp.Suspects, resp.SuspectsRevision = l.suspects.Known()
+		for _, s := range resp.Suspects {
+			// Only the log needs them.
+			s.CrashedEndpoints = nil
+		}
 	}
 }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -20,7 +20,7 @@
 	// control plane. Older ones may describe a time in which this gateway was cut off.
 	brokenReportTTL = 3 * time.Second
 	// repeatedReportTTL is how long broken requests that have been reported are kept for the
-	// next leader, which knows only the suspects of several crashes.
+	// next leader, which knows only what the log has.
 	repeatedReportTTL = time.Minute
 	// maxBrokenReports bounds the broken requests that are kept for the next exchange, and
 	// for the next leader. maxCompletedReports bounds the completed suspects that an exchange
@@ -192,17 +192,13 @@
 	return true
 }
 
-// repeatReportsLocked makes the next exchange report what earlier leaders knew, but for the
-// suspects whose crashes the new leader has from the log. The last reports went to the new
-// leader itself.
+// repeatReportsLocked makes the next exchange report what earlier leaders knew. The last
+// reports went to the new leader itself.
 func (s *suspects) repeatReportsLocked(last int) {
 	n := len(s.reportedBroken) - min(last, len(s.reportedBroken))
-	var repeated []brokenRequest
-	for _, b := range s.reportedBroken[:n] {
-		b.fingerprints = slices.DeleteFunc(slices.Clone(b.fingerprints), func(f uint64) bool { _, ok := s.known[f]; return ok })
-		if b.repeated = true; len(b.fingerprints) > 0 {
-			repeated = append(repeated, b)
-		}
+	repeated := slices.Clone(s.reportedBroken[:n])
+	for i := range repeated {
+		repeated[i].repeated = true
 	}
 	s.reportedBroken = s.reportedBroken[n:]
 	s.broken = append(repeated, s.broken...)
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleyramp/internal/wire"
 )
 
@@ -130,7 +132,7 @@
 	}
 	servedAt := p.served[b.service].before(b.firstAt)
 	for _, f := range inFlight {
-		p.count(f, suspectCrash{number: p.crashCount, at: b.firstAt, sentAt: b.sentAt[f], servedAt: servedAt}, now)
+		p.count(f, suspectCrash{number: p.crashCount, endpoint: xxhash.Sum64String(endpoint), at: b.firstAt, sentAt: b.sentAt[f], servedAt: servedAt}, now)
 	}
 	return Crash{Endpoint: endpoint, InFlight: inFlight, Suspects: p.crashCounts(inFlight)}
 }
@@ -153,6 +155,9 @@
 		s = &suspect{firstAt: c.at}
 		p.suspects[fingerprint] = s
 	}
+	if s.isRecorded(c) {
+		return
+	}
 	s.firstAt, s.lastAt = min(s.firstAt, c.at), now
 	wasKnown := s.known()
 	s.crashes = append(s.crashes, c)
@@ -257,7 +262,7 @@
 func (p *Pool) Restore(recorded []*wire.Suspect, now time.Duration) {
 	for _, r := range recorded {
 		s := &suspect{
-			earlier: int(r.Crashes), earlierIndependent: int(r.IndependentCrashes),
+			earlier: int(r.Crashes), earlierIndependent: int(r.IndependentCrashes), earlierEndpoints: r.CrashedEndpoints, restoredAt: now,
 			convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, firstAt: now, lastAt: now, knownAt: now,
 		}
 		if r.IndependentCrashes == 0 {
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -368,3 +368,45 @@
 		t.Errorf("%x convicted, want the one caller's requests %x", convicted, bad)
 	}
 }
+
+// TestCrashThatTheLogLacksCountsOnceAtTheNextLeader lets the leader be lost before it has
+// judged the fourth crash of two suspects, of which one was in flight. Gateways report all
+// crashes again to the next one, which has the first three from the log.
+func TestCrashThatTheLogLacksCountsOnceAtTheNextLeader(t *testing.T) {
+	p := newTestPool()
+	var reported []func(*testPool)
+	crash := func(endpoint string, fingerprints ...uint64) {
+		at := p.now
+		reported = append(reported, func(p *testPool) {
+			r := Broken{Endpoint: endpoint, Refused: true, At: at}
+			for _, f := range fingerprints {
+				r.InFlight = append(r.InFlight, InFlight{f, at - testRunTime})
+			}
+			p.Broken(r, p.now)
+		})
+		reported[len(reported)-1](p)
+	}
+	for _, endpoint := range []string{"a", "b", "c"} {
+		crash(endpoint, 1, 2)
+		if convicted := p.evaluate(); convicted != nil {
+			t.Fatalf("%v convicted, want none: either of two requests may have caused the crashes", convicted)
+		}
+		p.now += testReportLag
+	}
+	known, _ := p.Known()
+	crash("d", 1)
+	p.now += testReportLag
+	next := newTestPool()
+	next.now = p.now
+	next.Restore(known, next.now)
+	for _, report := range reported {
+		report(next)
+	}
+	convicted := next.evaluate()
+	if convicted = append(convicted, next.evaluate()...); !slices.Equal(convicted, []uint64{1}) {
+		t.Errorf("%v convicted by the next leader, want 1", convicted)
+	}
+	if s := next.suspects[2]; s != nil && s.count() > 3 {
+		t.Errorf("%d crashes of the other one, want 3", s.count())
+	}
+}
