Return the permit of a suspect that was not sent

A suspect whose endpoint was down, or was another one by then, held the endpoint's trial until it lapsed, though it had not run, unless its request asked again. The gateway returns it at the end of the request; a trial is known by its endpoint and its gateway.

--- a/internal/fleetcontrol/permits.go
+++ b/internal/fleetcontrol/permits.go
@@ -40,7 +40,10 @@
 	defer l.mu.Unlock()
 	now := l.s.clock()
 	if r.Unused != "" {
-		l.trials.Cancel(r.Unused, r.Suspects)
+		l.trials.Cancel(r.Unused, r.Gateway)
+	}
+	if r.Endpoint == "" {
+		return &wire.PermitResponse{}
 	}
 	if slices.ContainsFunc(r.Suspects, l.suspects.Convicted) {
 		// The gateway learns of the conviction with its next exchange.
@@ -50,7 +53,7 @@
 		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter)}
 	}
 	if ok, retryAfter := l.takePermit(r, now); !ok {
-		l.trials.Cancel(r.Endpoint, r.Suspects)
+		l.trials.Cancel(r.Endpoint, r.Gateway)
 		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter), Limited: true}
 	}
 	return &wire.PermitResponse{Granted: true}
@@ -63,7 +66,7 @@
 		return true, 0
 	}
 	l.trials.EndDecided(l.suspects.Undecided)
-	ok, retryAfter = l.trials.Begin(r.Endpoint, r.Suspects, now, 2*l.reportLag()+trialMargin)
+	ok, retryAfter = l.trials.Begin(r.Endpoint, r.Gateway, r.Suspects, now, 2*l.reportLag()+trialMargin)
 	if ok {
 		trials.Inc()
 		l.s.log.WithFields(logrus.Fields{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -60,6 +60,7 @@
 	h := attempt.History{Rules: q.attemptRules()}
 	tried := map[string]bool{}
 	out := &relay{q: q}
+	defer q.returnUnusedPermit()
 	for {
 		started := q.g.clock()
 		q.state.setPhase(phaseSelecting)
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -24,6 +24,14 @@
 	maxPermitPause = 100 * time.Millisecond
 )
 
+// permit lets a request be sent to an endpoint once, until it lapses.
+type permit struct {
+	endpoint string
+	// trial is set if it is for a suspect that runs apart from others.
+	trial bool
+	until time.Duration
+}
+
 // suspectsOnTrial returns the fingerprints of the request that may only run apart from other
 // suspects.
 func (q *request) suspectsOnTrial() []uint64 {
@@ -83,7 +91,7 @@
 	switch {
 	case resp.Granted:
 		q.endHoldOff(e, n, 0)
-		q.permitAt, q.permitUntil = e.ID, now+ratelimit.PermitTTL
+		q.permit = &permit{endpoint: e.ID, trial: len(n.suspects) > 0, until: now + ratelimit.PermitTTL}
 		return true, nil
 	case resp.Limited:
 		permitsDenied.Inc()
@@ -112,7 +120,7 @@
 	ok, retryAfter := q.g.takeAlone(e, n.perSecond)
 	q.g.loads.HoldOff(e.ID, now+retryAfter, now)
 	if ok {
-		q.permitUntil = now + ratelimit.PermitTTL
+		q.permit = &permit{endpoint: e.ID, until: now + ratelimit.PermitTTL}
 	} else {
 		permitsDenied.Inc()
 	}
@@ -133,39 +141,61 @@
 func (q *request) askForPermit(e *fleet.Endpoint, n neededPermit) (*wire.PermitResponse, error) {
 	ctx, cancel := context.WithTimeout(q.ctx, permitTimeout)
 	defer cancel()
-	req := &wire.PermitRequest{
-		Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: n.suspects, Unused: q.unusedPermitAt, Limited: n.limited, PerSecond: n.perSecond,
+	req := &wire.PermitRequest{Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: n.suspects, Limited: n.limited, PerSecond: n.perSecond}
+	if q.unusedPermit != nil {
+		req.Unused = q.unusedPermit.endpoint
 	}
+	resp, err := q.g.callPermit(ctx, req)
+	if err != nil {
+		q.g.log.WithError(err).WithFields(logrus.Fields{"request": q.info.ID, "endpoint": e.ID}).Info("asking for a permit failed")
+		return nil, err
+	}
+	q.unusedPermit = nil
+	return resp, nil
+}
+
+func (g *Gateway) callPermit(ctx context.Context, req *wire.PermitRequest) (*wire.PermitResponse, error) {
 	var resp *wire.PermitResponse
-	err := q.g.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
+	err := g.control.Do(ctx, func(ctx context.Context, c controlclient.Conn) error {
 		r, err := c.Fleet.Permit(ctx, connect.NewRequest(req))
 		if err == nil {
 			resp = r.Msg
 		}
 		return err
 	})
-	if err != nil {
-		q.g.log.WithError(err).WithFields(logrus.Fields{"request": q.info.ID, "endpoint": e.ID}).Info("asking for a permit failed")
-		return nil, err
-	}
-	q.unusedPermitAt = ""
-	return resp, nil
+	return resp, err
 }
 
 // permitHolds returns a function that reports whether the permit for the next send may still
 // be used, or nil if it needs none.
 func (q *request) permitHolds() func() bool {
-	if q.permitUntil == 0 {
+	p := q.permit
+	if p == nil {
 		return nil
 	}
-	until := q.permitUntil
-	return func() bool { return q.g.clock() <= until }
+	return func() bool { return q.g.clock() <= p.until }
 }
 
 // recordPermitUse records whether the send used the permit that it had, if any.
 func (q *request) recordPermitUse(s sendResult) {
-	if q.permitAt != "" && s.notRun() {
-		q.unusedPermitAt = q.permitAt
+	if q.permit != nil && q.permit.trial && s.notRun() {
+		q.unusedPermit = q.permit
 	}
-	q.permitAt, q.permitUntil = "", 0
+	q.permit = nil
+}
+
+// returnUnusedPermit tells the leader that the suspect does not run, so that others may.
+func (q *request) returnUnusedPermit() {
+	if q.unusedPermit == nil {
+		return
+	}
+	g, req := q.g, &wire.PermitRequest{Gateway: q.g.cfg.ID, Unused: q.unusedPermit.endpoint}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+		defer cancel()
+		if _, err := g.callPermit(ctx, req); err != nil {
+			// The permit lapses by itself.
+			g.log.WithError(err).WithField("endpoint", req.Unused).Debug("returning a permit failed")
+		}
+	}()
 }
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -98,6 +98,15 @@
 		if asked[0].Unused != "" || asked[1].Unused != "e0" || asked[2].Unused != "" {
 			t.Errorf("asked %v, want the unused permit at e0 in the second call alone", asked)
 		}
+		if ok, err := q.permitted(e, &s); !ok || err != nil {
+			t.Fatalf("not permitted: %v", err)
+		}
+		q.recordPermitUse(sendResult{outcome: 0})
+		q.returnUnusedPermit()
+		synctest.Wait()
+		if last := asked[len(asked)-1]; last.Unused != "e0" || last.Endpoint != "" {
+			t.Errorf("asked %v at the end of the request, want the unused permit returned", last)
+		}
 	})
 }
 
@@ -190,7 +199,7 @@
 	if q.permitHolds() != nil {
 		t.Error("a request that needs no permit is checked for one")
 	}
-	q.permitUntil = now
+	q.permit = &permit{until: now}
 	holds := q.permitHolds()
 	if !holds() {
 		t.Error("a permit may not be used in its time")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,11 +54,9 @@
 	longestPause  time.Duration
 	// retryWithdrawn is set while a retry is withdrawn from the budget and not sent yet.
 	retryWithdrawn bool
-	// permitAt is the endpoint of the permit for the next send, and unusedPermitAt that of
-	// a permit that was not used; empty for none.
-	permitAt, unusedPermitAt string
-	// permitUntil is until when the permit for the next send may be used.
-	permitUntil time.Duration
+	// permit is that for the next send, if it needs one, and unusedPermit one of a suspect
+	// that was not used and has not been returned.
+	permit, unusedPermit *permit
 	// bufferedBytes counts the bytes of responses that are held in memory.
 	bufferedBytes int
 	// framing is how the last response of an endpoint was framed; empty for none.
--- a/internal/quarantine/trials_test.go
+++ b/internal/quarantine/trials_test.go
@@ -13,7 +13,7 @@
 func TestSuspectsRunOneAtATimeAtAnEndpointAndEachAtOneEndpointAtATime(t *testing.T) {
 	var x Trials
 	begin := func(endpoint string, now time.Duration, suspects ...uint64) bool {
-		ok, retryAfter := x.Begin(endpoint, suspects, now, time.Second)
+		ok, retryAfter := x.Begin(endpoint, "g", suspects, now, time.Second)
 		if !ok && retryAfter <= 0 {
 			t.Errorf("trial at %s denied without a time to ask again", endpoint)
 		}
@@ -36,7 +36,10 @@
 			t.Errorf("%s: permitted %t, want %t", c.name, got, c.want)
 		}
 	}
-	x.Cancel("a", []uint64{3})
+	if x.Cancel("a", "another"); begin("a", time.Second, 5) {
+		t.Error("another holder ends a trial")
+	}
+	x.Cancel("a", "g")
 	if !begin("a", time.Second, 1) {
 		t.Error("a trial that was not used holds its endpoint")
 	}
@@ -174,7 +177,7 @@
 	r.suspected = content != nil || caller != nil
 	if needsSimTrial(content, len(s.endpoints)) || needsSimTrial(caller, len(s.endpoints)) {
 		s.trials.EndDecided(s.pool.Undecided)
-		if ok, _ := s.trials.Begin(fmt.Sprint(e.number), []uint64{r.content}, s.now, 2*testReportLag+time.Second); !ok || s.pool.Convicted(r.content) {
+		if ok, _ := s.trials.Begin(fmt.Sprint(e.number), "g", []uint64{r.content}, s.now, 2*testReportLag+time.Second); !ok || s.pool.Convicted(r.content) {
 			r.readyAt = s.now + simExchangeTime
 			s.waiting = append(s.waiting, r)
 			return
