--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -131,6 +131,7 @@
 	{1, "none"},
 	{4, "SIGHUP during a graceful stop ended a gateway"},
 	{100, "a request was sent while the gateway closed the idle connection, which is allowed"},
+	{800, "a new leader did not count a crash of a suspect that it knew"},
 	{233, "SIGTERM before the program handled signals, which is allowed"},
 }
 
