Do not end a trial with a request that a limit denies

A request without suspects that the limit of an endpoint denied ended the trial of the same gateway there. Found by reading; the new test failed before.

--- a/internal/fleetcontrol/permits.go
+++ b/internal/fleetcontrol/permits.go
@@ -53,7 +53,9 @@
 		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter)}
 	}
 	if ok, retryAfter := l.takePermit(r, now); !ok {
-		l.trials.Cancel(r.Endpoint, r.Gateway)
+		if len(r.Suspects) > 0 {
+			l.trials.Cancel(r.Endpoint, r.Gateway)
+		}
 		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter), Limited: true}
 	}
 	return &wire.PermitResponse{Granted: true}
--- a/internal/fleetcontrol/permits_test.go
+++ b/internal/fleetcontrol/permits_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyramp/internal/quarantine"
+	"parsleyramp/internal/ratelimit"
 	"parsleyramp/internal/wire"
 )
 
@@ -43,6 +44,30 @@
 	})
 }
 
+func TestLimitOfAnEndpointEndsNoTrialThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+		at := l.s.clock()
+		for _, e := range []string{"a", "b", "c"} {
+			l.suspects.Broken(quarantine.Broken{Endpoint: e, Refused: true, At: at, InFlight: []quarantine.InFlight{{Fingerprint: 1, SentAt: at}, {Fingerprint: 2, SentAt: at}}}, at)
+		}
+		l.suspects.Evaluate(at+3*time.Second, l.reportLag())
+		ask := func(suspects ...uint64) bool {
+			return l.permit(&wire.PermitRequest{Gateway: "g", Endpoint: "e", Suspects: suspects}).Granted
+		}
+		if !ask(1) {
+			t.Fatal("no trial of a suspect")
+		}
+		l.limits.book.Record("e", ratelimit.Statement{Limited: true, PerSecond: 1, At: at})
+		if ask() {
+			t.Fatal("a request is permitted at once at an endpoint that has just named a limit")
+		}
+		if time.Sleep(time.Second); ask(2) {
+			t.Error("the trial has ended with a request that the limit denied")
+		}
+	})
+}
+
 func BenchmarkPermit(b *testing.B) {
 	s := &Server{cfg: DefaultSettings(), log: testLog(), clock: func() time.Duration { return 0 }}
 	l := newLeaderState(b.Context(), s, 1)
