--- a/internal/entry/owner_limit.go
+++ b/internal/entry/owner_limit.go
@@ -35,6 +35,8 @@
 	now, key := o.clock(), limitKey(vm)
 	s, ok := ratelimit.NewStatement(l, sentAt, now)
 	if !ok {
+		// A line at a higher level would come with each response.
+		o.session.log.WithField("endpoint", vm.Id).Debug("endpoint names a limit that cannot be read; what was known holds")
 		return
 	}
 	change := o.limits.book.Record(key, s)
