Let a completion before a change of the leader clear a suspect

A suspect that a new leader has from the log counted as first crashed when the leader took over, so that what had completed between its crashes and the change, and was not reported yet, did not clear it. Completions of the 10 s before count now. The new test failed before.

--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -32,6 +32,10 @@
 	// are remembered for one crash.
 	maxSuspects = 16 << 10
 	maxInFlight = 1 << 10
+	// restoredCompletionTime is how long before a change of the leader a completion clears a
+	// suspect that the new one has from the log, which does not tell when it first crashed.
+	// What crashes endpoints completes at no time.
+	restoredCompletionTime = 10 * time.Second
 	// maxCrashTimes bounds the crashes whose times are remembered.
 	maxCrashTimes = 2 << 10
 	// maxKnown bounds the suspects that are given to all gateways.
@@ -263,7 +267,7 @@
 	for _, r := range recorded {
 		s := &suspect{
 			earlier: int(r.Crashes), earlierIndependent: int(r.IndependentCrashes), earlierEndpoints: r.CrashedEndpoints, restoredAt: now,
-			convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, firstAt: now, lastAt: now, knownAt: now,
+			convicted: r.State == wire.SuspectState_SUSPECT_STATE_CONVICTED, firstAt: now - restoredCompletionTime, lastAt: now, knownAt: now,
 		}
 		if r.IndependentCrashes == 0 {
 			s.earlierIndependent = s.earlier
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -410,3 +410,22 @@
 		t.Errorf("%d crashes of the other one, want 3", s.count())
 	}
 }
+
+func TestCompletionBeforeAChangeOfLeaderClearsASuspect(t *testing.T) {
+	p := newTestPool()
+	for range ambiguousCrashes - 1 {
+		p.serve(1)
+		p.crash(100+uint64(p.ends), badPart)
+	}
+	p.now += time.Second
+	completedAt := p.now
+	known, _ := p.Known()
+	next := newTestPool()
+	next.now = p.now + time.Second
+	next.Restore(known, next.now)
+	next.Completed(badPart, completedAt)
+	next.serve(1)
+	if convicted := next.crash(200, badPart); convicted != nil || next.suspects[badPart].count() != 1 {
+		t.Errorf("%x convicted, %d crashes, want the part cleared: it completed after its crashes", convicted, next.suspects[badPart].count())
+	}
+}
