Let a rejected send use the permit of a suspect

Only a suspect of which nothing was sent returns its permit now. The test, with a rejected send in its second place, failed before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -41,10 +41,8 @@
 	err              error
 }
 
-// notRun reports whether the endpoint has not run the request.
-func (s sendResult) notRun() bool {
-	return !s.complete && (s.outcome == attempt.Unsent || s.outcome == attempt.Rejected)
-}
+// unsent reports whether no byte of the request has reached the endpoint.
+func (s sendResult) unsent() bool { return !s.complete && s.outcome == attempt.Unsent }
 
 // bufferedResponse is a response that is read completely before any of it is
 // forwarded.
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -176,9 +176,11 @@
 	return func() bool { return q.g.clock() <= p.until }
 }
 
-// recordPermitUse records whether the send used the permit that it had, if any.
+// recordPermitUse records whether the send used the permit that it had, if any. One that was
+// rejected did: if each gateway sent a suspect to an endpoint until one has run it, it would
+// arrive there once for each.
 func (q *request) recordPermitUse(s sendResult) {
-	if q.permit != nil && q.permit.trial && s.notRun() {
+	if q.permit != nil && q.permit.trial && s.unsent() {
 		q.unusedPermit = q.permit
 	}
 	q.permit = nil
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/ratelimit"
@@ -89,7 +90,7 @@
 		q.requirements.Service = "s"
 		s := search{startedAt: g.clock(), limit: time.Second}
 		e := g.view.Load().Endpoints[0]
-		for _, result := range []sendResult{{outcome: 0}, {complete: true}, {complete: true}} {
+		for _, result := range []sendResult{{outcome: attempt.Unsent}, {outcome: attempt.Rejected}, {complete: true}} {
 			if ok, err := q.permitted(e, &s); !ok || err != nil {
 				t.Fatalf("not permitted: %v", err)
 			}
@@ -101,7 +102,7 @@
 		if ok, err := q.permitted(e, &s); !ok || err != nil {
 			t.Fatalf("not permitted: %v", err)
 		}
-		q.recordPermitUse(sendResult{outcome: 0})
+		q.recordPermitUse(sendResult{outcome: attempt.Unsent})
 		q.returnUnusedPermit()
 		synctest.Wait()
 		if last := asked[len(asked)-1]; last.Unused != "e0" || last.Endpoint != "" {
