Settle the probes before the test of an additional engine for an adapter

The leader probes each newly listed engine beside the test, and the one fake engine reports its adapter for all three. With the probes awaited first it failed each time in the same words; it now awaits them and then gives each engine what the test lists for it. The checks are as before.

--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -270,6 +270,11 @@
 			listed = append(listed, x)
 		}
 		l.applyList(listed)
+		// The only fake engine has answered the probes of all of them with its adapter.
+		synctest.Wait()
+		for _, x := range listed {
+			l.engines[x.ID].held = modelSet(x.Models)
+		}
 		l.loads["e"], l.loads["busy"] = &wire.InProgress{Running: 24}, &wire.InProgress{Running: 22}
 		req := newAdapterRequest("m0", "a1")
 		if got := l.ensureAdapter(t.Context(), req); got != "e" {
