Do not take for one crash what an endpoint broke at different times

The pool now tells events of an endpoint apart by when they happened, and gateways repeat only what an endpoint broke that accepted no connection right after. TestReportsOfDifferentTimesAreNotOneCrash failed before: it counted a crash of each request that had not been in flight, and found one crash of two.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -192,13 +192,17 @@
 	return true
 }
 
-// repeatReportsLocked makes the next exchange report what earlier leaders knew. The last
-// reports went to the new leader itself.
+// repeatReportsLocked makes the next exchange report the crashes that earlier leaders knew.
+// An endpoint that accepted connections after it broke a request had not crashed by that.
+// The last reports went to the new leader itself.
 func (s *suspects) repeatReportsLocked(last int) {
 	n := len(s.reportedBroken) - min(last, len(s.reportedBroken))
-	repeated := slices.Clone(s.reportedBroken[:n])
-	for i := range repeated {
-		repeated[i].repeated = true
+	var repeated []brokenRequest
+	for _, b := range s.reportedBroken[:n] {
+		if b.refused {
+			b.repeated = true
+			repeated = append(repeated, b)
+		}
 	}
 	s.reportedBroken = s.reportedBroken[n:]
 	s.broken = append(repeated, s.broken...)
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -110,6 +110,7 @@
 		return req
 	}
 	s.addBroken(brokenRequest{endpoint: "a", fingerprints: []uint64{1, 2}, refused: true, at: 9 * time.Second})
+	s.addBroken(brokenRequest{endpoint: "a", fingerprints: []uint64{4}, at: 9 * time.Second})
 	exchange(firstTerm + 1)
 	if got := exchange(firstTerm + 2).Broken; len(got) != 0 {
 		t.Fatalf("reported %v twice to one leader", got)
@@ -117,7 +118,7 @@
 	s.addBroken(brokenRequest{endpoint: "b", fingerprints: []uint64{3}, at: 10 * time.Second})
 	exchange(secondTerm + 1)
 	if got := exchange(secondTerm + 1).Broken; len(got) != 1 || got[0].Endpoint != "a" || !slices.Equal(got[0].Fingerprints, []uint64{1, 2}) || !got[0].Refused || got[0].BrokenAgoMs != 1000 {
-		t.Errorf("reported %v to the new leader, want the requests at endpoint a, 1 s ago", got)
+		t.Errorf("reported %v to the new leader, want the requests at the crash of endpoint a, 1 s ago", got)
 	}
 	if got := exchange(secondTerm + 2).Broken; len(got) != 0 {
 		t.Errorf("reported %v again", got)
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -63,7 +63,8 @@
 // several crashes that nothing else explains, and since the first of which no request with
 // it has run to its end. It is not safe for concurrent use.
 type Pool struct {
-	broken   map[string]*brokenEndpoint
+	// broken holds what each endpoint has broken lately.
+	broken   map[string][]*brokenEndpoint
 	suspects map[uint64]*suspect
 	// served holds the times of the last requests that were served, by service.
 	served map[string]*servedTimes
@@ -80,7 +81,7 @@
 // NewPool returns the empty pool of the leader of a term. Its revisions are higher than
 // those of earlier leaders.
 func NewPool(term uint64) *Pool {
-	return &Pool{broken: map[string]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: term<<termShift + 1}
+	return &Pool{broken: map[string][]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: term<<termShift + 1}
 }
 
 // RevisionTerm returns the term of the leader whose pool has the revision.
@@ -111,15 +112,14 @@
 // response.
 func (p *Pool) Evaluate(now, reportLag time.Duration) (found []Crash, convicted []uint64) {
 	for _, endpoint := range slices.Sorted(maps.Keys(p.broken)) {
-		b := p.broken[endpoint]
-		age := now - b.reportedAt
-		switch {
-		case b.judged && age > judgedTTL, !b.judged && age > brokenTTL:
-			delete(p.broken, endpoint)
-		case !b.judged && b.crashed() && age > 2*reportLag:
-			b.judged = true
-			found = append(found, p.judge(endpoint, b, now))
-		}
+		p.forget(endpoint, func(b *brokenEndpoint) bool {
+			age := now - b.reportedAt
+			if !b.judged && b.crashed() && age > 2*reportLag && age <= brokenTTL {
+				b.judged = true
+				found = append(found, p.judge(endpoint, b, now))
+			}
+			return b.judged && age > judgedTTL || !b.judged && age > brokenTTL
+		})
 	}
 	convicted = p.convict(now, reportLag)
 	p.expire(now)
--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -201,8 +201,8 @@
 		want wire.SuspectState
 	}{
 		{"refuses connections", func(*testPool, string) {}, wire.SuspectState_SUSPECT_STATE_CONVICTED},
-		{"accepts connections", func(p *testPool, e string) { p.broken[e].refused = false }, 0},
-		{"accepts connections and leaves the list", func(p *testPool, e string) { p.broken[e].refused = false; p.Removed(e, false) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
+		{"accepts connections", func(p *testPool, e string) { p.broken[e][0].refused = false }, 0},
+		{"accepts connections and leaves the list", func(p *testPool, e string) { p.broken[e][0].refused = false; p.Removed(e, false) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
 		{"responds, for it has started again", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag+1, testReportLag); p.Restarted(e) }, wire.SuspectState_SUSPECT_STATE_CONVICTED},
 		{"leaves as planned", func(p *testPool, e string) { p.Removed(e, true) }, 0},
 		{"responds to another gateway", func(p *testPool, e string) { p.Responded(e, p.now+testReportLag+1, testReportLag) }, 0},
@@ -429,3 +429,34 @@
 		t.Errorf("%x convicted, %d crashes, want the part cleared: it completed after its crashes", convicted, next.suspects[badPart].count())
 	}
 }
+
+// TestReportsOfDifferentTimesAreNotOneCrash lets gateways report again, to a new leader and
+// at once, what an endpoint has broken in the last minute. It crashed twice in that time.
+func TestReportsOfDifferentTimesAreNotOneCrash(t *testing.T) {
+	p := newTestPool()
+	p.now = time.Minute
+	const brokeOff, gatewayAway, firstCrash, secondCrash = 1, 2, 3, 4
+	for _, r := range []Broken{
+		{Refused: true, At: 40 * time.Second, InFlight: []InFlight{{firstCrash, 0}}},
+		{Refused: false, At: 10 * time.Second, InFlight: []InFlight{{brokeOff, 0}}},
+		{Refused: true, At: 50 * time.Second, InFlight: []InFlight{{secondCrash, 0}}},
+		{Refused: true, At: 40*time.Second + restartTime, InFlight: []InFlight{{firstCrash, 0}}},
+		{Refused: false, At: 55 * time.Second, InFlight: []InFlight{{gatewayAway, 0}}},
+	} {
+		r.Endpoint = "e"
+		p.Broken(r, p.now)
+	}
+	p.evaluate()
+	for f, want := range map[uint64]int{brokeOff: 0, gatewayAway: 0, firstCrash: 1, secondCrash: 1} {
+		got := 0
+		if s := p.suspects[f]; s != nil {
+			got = s.count()
+		}
+		if got != want {
+			t.Errorf("%d crashes of request %d, want %d", got, f, want)
+		}
+	}
+	if p.crashCount != 2 {
+		t.Errorf("%d crashes found, want 2", p.crashCount)
+	}
+}
