Tell gateways of a leader that begins anew in its term

Each such beginning has a number of its own now, which is above the revisions. TestLeaderThatBeginsAnewInItsTermIsToldApart failed before.

--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -29,6 +29,8 @@
 	// gatewayTimeout is the time since its last report after which a gateway is
 	// dropped.
 	gatewayTimeout = 2500 * time.Millisecond
+	// leadsBits is how many low bits of a leadership count those of the process in the term.
+	leadsBits = 12
 	// callTimeout bounds one call to the platform or an engine, and the commit with
 	// which a new leader begins.
 	callTimeout = time.Second
@@ -37,8 +39,10 @@
 // leaderState is the state of a replica while it leads in one term. It is not
 // replicated: the next leader builds its own from the list and from reports.
 type leaderState struct {
-	s           *Server
-	term        uint64
+	s    *Server
+	term uint64
+	// leadership differs from that of each other leaderState of the group, also in one term.
+	leadership  uint64
 	startedAt   time.Duration
 	ctx         context.Context
 	stepTrigger chan struct{}
@@ -161,13 +165,14 @@
 // newLeaderState returns the state for a term in which this replica starts to
 // lead now.
 func newLeaderState(ctx context.Context, s *Server, term uint64) *leaderState {
+	leadership := term<<leadsBits | s.leads.Add(1)%(1<<leadsBits)
 	l := &leaderState{
-		s: s, term: term, startedAt: s.clock(), ctx: ctx, stepTrigger: make(chan struct{}, 1),
+		s: s, term: term, leadership: leadership, startedAt: s.clock(), ctx: ctx, stepTrigger: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
-		suspects: quarantine.NewPool(term), recordedSuspects: map[uint64]*wire.Suspect{},
+		suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
 	l.orderAllowed = l.mayOrder
 	return l
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -50,7 +50,9 @@
 	// viewRevision is the latest revision of the view that this process has
 	// published. It outlives a leaderState, because the process may lead again in
 	// the same term, and gateways apply only views that are newer than theirs.
-	viewRevision   atomic.Uint64
+	viewRevision atomic.Uint64
+	// leads counts the times that this process has begun to lead.
+	leads          atomic.Uint64
 	internalServer *transport.Server
 	operatorServer *transport.ClientFacingServer
 	// stopped is closed when the node has ended with nodeErr.
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -84,7 +84,7 @@
 	if r.ViewTerm == l.term {
 		known = r.ViewRevision
 	}
-	resp := &wire.SyncResponse{Term: l.term, View: l.published.changesSince(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
+	resp := &wire.SyncResponse{Term: l.term, Leadership: l.leadership, View: l.published.changesSince(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
 	l.setSuspects(resp, r.SuspectsRevision)
 	resp.OthersRunning, resp.OthersTokenUnits = l.peerLoads(g)
 	resp.Failing, resp.Dead = l.unhealthyEndpoints(r.Gateway.GetDomain(), now)
--- a/internal/fleetcontrol/suspects_test.go
+++ b/internal/fleetcontrol/suspects_test.go
@@ -128,3 +128,12 @@
 		return err
 	})
 }
+
+func TestLeaderThatBeginsAnewInItsTermIsToldApart(t *testing.T) {
+	l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+	again := newLeaderState(t.Context(), l.s, l.term)
+	first, second := l.sync(&wire.SyncRequest{Gateway: &wire.Gateway{Id: "g"}}), again.sync(&wire.SyncRequest{Gateway: &wire.Gateway{Id: "g"}})
+	if first.Term != second.Term || first.Leadership == second.Leadership || first.SuspectsRevision == second.SuspectsRevision {
+		t.Errorf("term %d, leadership %d, revision %d of suspects, then %d, %d, %d; want another leadership and revision", first.Term, first.Leadership, first.SuspectsRevision, second.Term, second.Leadership, second.SuspectsRevision)
+	}
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -31,8 +31,8 @@
 	book ratelimit.Book
 	// unreported are the endpoints on which the leader lacks a statement of the book.
 	unreported map[string]bool
-	// term is that of the last exchange.
-	term uint64
+	// leadership is that of the last exchange.
+	leadership uint64
 	// alone are the buckets from which this gateway spends while no leader answers.
 	alone map[string]*ratelimit.Bucket
 	// unreadable holds the endpoints that have named something that is no rate.
@@ -102,10 +102,10 @@
 	return out
 }
 
-// confirm records that an exchange with the leader of the term has succeeded, which had the
-// reported statements. The leader of another term learns from the next one what the view
+// confirm records that an exchange with a leader has succeeded, which had the reported
+// statements. A leader that has begun anew learns from the next one what the view
 // of the former leader had.
-func (l *limits) confirm(reported map[string]ratelimit.Statement, term uint64, v *fleet.View, now time.Duration) {
+func (l *limits) confirm(reported map[string]ratelimit.Statement, leadership uint64, v *fleet.View, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.alone = nil
@@ -114,7 +114,7 @@
 			delete(l.unreported, id)
 		}
 	}
-	if l.term != 0 && term != l.term && v != nil {
+	if l.leadership != 0 && leadership != l.leadership && v != nil {
 		for _, e := range v.Endpoints {
 			if e.Limited {
 				l.book.Record(e.ID, ratelimit.Statement{Limited: true, PerSecond: e.PerSecond, At: now})
@@ -122,7 +122,7 @@
 			}
 		}
 	}
-	l.term = term
+	l.leadership = leadership
 }
 
 // limitOf returns the limit of the endpoint: the one of the view, or one that has just been
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -215,10 +215,10 @@
 	now := 10 * time.Second
 	g.clock = func() time.Duration { return now }
 	v := limitedView(3, "known", "seen")
-	exchange := func(term uint64) []*wire.EndpointLimit {
+	exchange := func(leadership uint64) []*wire.EndpointLimit {
 		req := &wire.SyncRequest{}
 		reported := g.limits.report(req, now)
-		g.limits.confirm(reported, term, v, now)
+		g.limits.confirm(reported, leadership, v, now)
 		return req.Limits
 	}
 	exchange(1)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/fleet"
-	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -41,8 +40,10 @@
 type suspects struct {
 	mu       sync.Mutex
 	revision uint64
-	known    map[uint64]knownSuspect
-	broken   []brokenRequest
+	// leadership is that of the last exchange that brought suspects.
+	leadership uint64
+	known      map[uint64]knownSuspect
+	broken     []brokenRequest
 	// reportedBroken are those that the present leader knows.
 	reportedBroken []brokenRequest
 	// completions holds when requests last ran to their end here, and reported the times
@@ -178,7 +179,8 @@
 		maps.Copy(s.reported, reported.completed)
 		return false
 	}
-	newLeader := quarantine.RevisionTerm(resp.SuspectsRevision) != quarantine.RevisionTerm(s.revision)
+	newLeader := resp.Leadership != s.leadership
+	s.leadership = resp.Leadership
 	s.revision = resp.SuspectsRevision
 	// Another leader may have sent them, to which nothing has been reported.
 	s.reported = map[uint64]time.Duration{}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -102,25 +102,25 @@
 }
 
 func TestBrokenRequestsAreReportedAgainToANewLeader(t *testing.T) {
-	const firstTerm, secondTerm = 1 << 32, 2 << 32
+	const first, second = 1, 2
 	var s suspects
-	exchange := func(revision uint64) *wire.SyncRequest {
+	exchange := func(leadership, revision uint64) *wire.SyncRequest {
 		req := &wire.SyncRequest{}
-		s.apply(&wire.SyncResponse{SuspectsRevision: revision}, s.report(req, 10*time.Second))
+		s.apply(&wire.SyncResponse{Leadership: leadership, SuspectsRevision: revision}, s.report(req, 10*time.Second))
 		return req
 	}
 	s.addBroken(brokenRequest{endpoint: "a", fingerprints: []uint64{1, 2}, refused: true, at: 9 * time.Second})
 	s.addBroken(brokenRequest{endpoint: "a", fingerprints: []uint64{4}, at: 9 * time.Second})
-	exchange(firstTerm + 1)
-	if got := exchange(firstTerm + 2).Broken; len(got) != 0 {
+	exchange(first, 11)
+	if got := exchange(first, 12).Broken; len(got) != 0 {
 		t.Fatalf("reported %v twice to one leader", got)
 	}
 	s.addBroken(brokenRequest{endpoint: "b", fingerprints: []uint64{3}, at: 10 * time.Second})
-	exchange(secondTerm + 1)
-	if got := exchange(secondTerm + 1).Broken; len(got) != 1 || got[0].Endpoint != "a" || !slices.Equal(got[0].Fingerprints, []uint64{1, 2}) || !got[0].Refused || got[0].BrokenAgoMs != 1000 {
+	exchange(second, 21)
+	if got := exchange(second, 21).Broken; len(got) != 1 || got[0].Endpoint != "a" || !slices.Equal(got[0].Fingerprints, []uint64{1, 2}) || !got[0].Refused || got[0].BrokenAgoMs != 1000 {
 		t.Errorf("reported %v to the new leader, want the requests at the crash of endpoint a, 1 s ago", got)
 	}
-	if got := exchange(secondTerm + 2).Broken; len(got) != 0 {
+	if got := exchange(second, 22).Broken; len(got) != 0 {
 		t.Errorf("reported %v again", got)
 	}
 }
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -87,7 +87,7 @@
 	key := quarantine.Key(resp.FingerprintKey)
 	g.fingerprintKey.Store(&key)
 	g.applyDocument(resp.Document)
-	g.limits.confirm(reportedLimits, resp.Term, g.view.Load(), g.clock())
+	g.limits.confirm(reportedLimits, resp.Leadership, g.view.Load(), g.clock())
 	g.applyView(resp.View)
 	g.applyLoads(resp)
 	g.retries.SetGateways(len(g.knownGateways()), g.clock())
--- a/internal/quarantine/pool.go
+++ b/internal/quarantine/pool.go
@@ -75,18 +75,14 @@
 	revision uint64
 }
 
-// termShift places the term of a leader above the numbers of its revisions.
-const termShift = 32
+// leadershipShift places the leadership above the numbers of its revisions.
+const leadershipShift = 20
 
-// NewPool returns the empty pool of the leader of a term. Its revisions are higher than
-// those of earlier leaders.
-func NewPool(term uint64) *Pool {
-	return &Pool{broken: map[string][]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: term<<termShift + 1}
+// NewPool returns the empty pool of a leader. The revisions of different leaderships differ.
+func NewPool(leadership uint64) *Pool {
+	return &Pool{broken: map[string][]*brokenEndpoint{}, suspects: map[uint64]*suspect{}, served: map[string]*servedTimes{}, revision: leadership<<leadershipShift + 1}
 }
 
-// RevisionTerm returns the term of the leader whose pool has the revision.
-func RevisionTerm(revision uint64) uint64 { return revision >> termShift }
-
 // Served records that an endpoint of the service served a request at the time at.
 func (p *Pool) Served(service string, at time.Duration) {
 	t := p.served[service]
