--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -98,6 +99,9 @@
 	gatewayVM
 )
 
+// endpointHost returns the loopback address of the endpoints of the run.
+func endpointHost(run int) string { return fmt.Sprintf("127.%d.3.1", 10+run) }
+
 // callerIP returns the loopback address of a caller.
 func callerIP(i int) string { return fmt.Sprintf("127.9.0.%d", i+1) }
 
@@ -116,7 +120,7 @@
 		}
 		s.links = append(s.links, p)
 	}
-	if err := s.startEndpoints(); err != nil {
+	if err := s.startEndpoints(endpointHost(run)); err != nil {
 		return s, err
 	}
 	go s.liveList.Run(s.stopped)
@@ -133,17 +137,19 @@
 	return s, nil
 }
 
-func (s *system) startEndpoints() error {
+// startEndpoints starts the endpoints and their proxies at the host. Another run that took
+// the port of one that is down would get its requests and orders.
+func (s *system) startEndpoints(host string) error {
 	for i := range s.size.endpoints {
 		service, limits := standin.EngineService, fleetLimits
 		if i >= s.size.endpoints-s.size.ledger {
 			service, limits = standin.LedgerService, nil
 		}
-		e, err := standin.NewEndpoint(service, domain(i), limits, s.checker)
+		e, err := standin.NewEndpoint(host, service, domain(i), limits, s.checker)
 		if err != nil {
 			return err
 		}
-		p, err := startProxy("127.0.0.1:0", e.Address())
+		p, err := startProxy(net.JoinHostPort(host, "0"), e.Address())
 		if err != nil {
 			return err
 		}
