--- a/internal/quarantine/trials_test.go
+++ b/internal/quarantine/trials_test.go
@@ -62,7 +62,11 @@
 	known, next map[uint64]*wire.Suspect
 	completed   map[uint64]time.Duration
 	crashes     []time.Duration
-	refused     int
+	// refused and lost count innocent requests that were convicted, and that their clients
+	// gave up after endpoints broke them. waits are the times for which others waited for a
+	// permit.
+	refused, lost int
+	waits         []time.Duration
 }
 
 type simEndpoint struct {
@@ -77,6 +81,8 @@
 	sends, tries      int
 	readyAt           time.Duration
 	sentAt, endsAt    time.Duration
+	// deniedAt is when it was first denied a permit; zero for never.
+	deniedAt time.Duration
 }
 
 // Times of the simulated service. The guilty request and the others come as often as in
@@ -153,8 +159,11 @@
 	if r.sends >= 2 || r.suspected {
 		again.sends, again.tries, again.readyAt = 0, r.tries+1, s.now+simRetryPause
 	}
-	if again.tries < 2 {
+	switch {
+	case again.tries < 2:
 		s.waiting = append(s.waiting, again)
+	case !r.guilty:
+		s.lost++
 	}
 }
 
@@ -179,10 +188,16 @@
 		s.trials.EndDecided(s.pool.Undecided)
 		if ok, _ := s.trials.Begin(fmt.Sprint(e.number), "g", []uint64{r.content}, s.now, 2*testReportLag+time.Second); !ok || s.pool.Convicted(r.content) {
 			r.readyAt = s.now + simExchangeTime
+			if r.deniedAt == 0 {
+				r.deniedAt = s.now
+			}
 			s.waiting = append(s.waiting, r)
 			return
 		}
 	}
+	if r.deniedAt > 0 && !r.guilty {
+		s.waits = append(s.waits, s.now-r.deniedAt)
+	}
 	r.sends++
 	r.sentAt, r.endsAt = s.now, s.now+time.Duration(20+s.random.IntN(60))*time.Millisecond
 	e.running = append(e.running, r)
@@ -216,6 +231,8 @@
 		// The first wave lasts until the leader has found the third crash.
 		firstWave := max(endpoints, convictingCrashes)
 		var counts []int
+		var waits []time.Duration
+		lost := 0
 		for seed := range uint64(draws) {
 			s := &smallService{
 				random: rand.New(rand.NewPCG(seed, uint64(endpoints))), pool: NewPool(1),
@@ -234,9 +251,12 @@
 				t.Errorf("%d endpoints, seed %d: crashes at %v", endpoints, seed, s.crashes)
 			}
 			counts = append(counts, len(s.crashes))
+			waits = append(waits, s.waits...)
+			lost += s.lost
 		}
 		slices.Sort(counts)
-		t.Logf("%d endpoints: %d crashes in the median, %d at worst", endpoints, counts[draws/2], slices.Max(counts))
+		t.Logf("%d endpoints: %d crashes in the median, %d at worst; of the others %d waited for a permit, %v at worst, and %d were broken too often",
+			endpoints, counts[draws/2], slices.Max(counts), len(waits), slices.Max(append(waits, 0)), lost)
 		if counts[draws/2] > firstWave {
 			t.Errorf("%d endpoints: %d crashes in the median, want %d", endpoints, counts[draws/2], firstWave)
 		}
