--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -18,6 +18,8 @@
 	Domain  string
 	// Leaving endpoints are sent no new requests.
 	Leaving bool
+	// Version is that of its software; empty if it is not known surely.
+	Version string
 	Slots   int
 	Models  map[string]ResidentModel
 	// Limited endpoints take PerSecond requests a second from all gateways together.
@@ -130,7 +132,7 @@
 func newEndpoint(w *wire.FleetEndpoint) *Endpoint {
 	return &Endpoint{
 		ID: w.Id, Service: w.Service, Address: w.Address, Domain: w.Domain,
-		Leaving: w.Leaving, Slots: int(w.Slots), Models: residentModels(w.Models),
+		Leaving: w.Leaving, Version: w.Version, Slots: int(w.Slots), Models: residentModels(w.Models),
 		Limited: w.Limited, PerSecond: w.PerSecond,
 	}
 }
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -27,6 +27,8 @@
 	listed ListedEndpoint
 	// startedUnixMs is when the newest known process of the engine started; zero if unknown.
 	startedUnixMs int64
+	// version is that of the software of this process; empty if it is not known surely.
+	version versionState
 	// held maps each loaded model to its loaded adapters; nil until known.
 	held map[string]map[string]bool
 	// sequence is the number of accepted orders, if sequenceKnown is set.
@@ -78,6 +80,7 @@
 	if e.observeStart(x.StartedUnixMs) == earlierIncarnation {
 		return
 	}
+	e.version.observe(x, now)
 	if e.held != nil && (e.stepInFlight || now-e.orderedAt <= listLag) {
 		return
 	}
--- a/internal/fleetcontrol/incarnation.go
+++ b/internal/fleetcontrol/incarnation.go
@@ -29,6 +29,7 @@
 	}
 	e.startedUnixMs = startedUnixMs
 	e.held, e.cached = nil, nil
+	e.version.restart(e.leader.s.clock())
 	e.sequence, e.sequenceKnown = 0, false
 	e.awaitingEffect, e.foreignOrder = false, false
 	clear(e.loadingAdapters)
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -268,7 +268,7 @@
 		if e == nil {
 			e = &engineState{leader: l, unloading: map[string]bool{}}
 			l.engines[x.ID] = e
-			l.s.log.WithFields(logrus.Fields{"endpoint": x.ID, "service": x.Service, "address": x.Address, "leaving": x.Leaving}).Info("endpoint listed")
+			l.s.log.WithFields(logrus.Fields{"endpoint": x.ID, "service": x.Service, "address": x.Address, "version": x.Version, "leaving": x.Leaving}).Info("endpoint listed")
 			if len(x.Models) > 0 {
 				go e.probe(l.ctx)
 			}
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -16,6 +16,8 @@
 	Leaving bool
 	Slots   int
 	Models  []HeldModel
+	// Version is that of its software; empty if it is not known.
+	Version string
 	// StartedUnixMs is when its process started; zero if it is not known.
 	StartedUnixMs int64
 }
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -68,7 +68,10 @@
 		"outcome": outcome, "sends": h.Sends, "may_have_run": h.MayHaveRun, "took_ms": elapsed.Milliseconds(),
 	}
 	if e != nil {
-		fields["endpoint"] = e.ID
+		fields["endpoint"], fields["version"] = e.ID, e.Version
+	}
+	if q.info.Resumed {
+		fields["resumes"] = q.info.Resumes
 	}
 	if q.firstByte > 0 {
 		fields["first_byte_ms"], fields["longest_pause_ms"] = q.firstByte.Milliseconds(), q.longestPause.Milliseconds()
@@ -91,7 +94,7 @@
 func (q *request) logFailedSend(e *fleet.Endpoint, s sendResult, step attempt.Step, h *attempt.History) {
 	v := q.g.view.Load()
 	line := q.g.log.WithFields(logrus.Fields{
-		"request": q.info.ID, "endpoint": e.ID, "outcome": s.outcome.String(), "step": step.String(), "sends": h.Sends,
+		"request": q.info.ID, "endpoint": e.ID, "version": e.Version, "outcome": s.outcome.String(), "step": step.String(), "sends": h.Sends,
 		"time_left_ms": q.timeLeft().Milliseconds(), "view_term": v.Term, "view_revision": v.Revision, "framing": q.framing,
 	})
 	if s.err != nil {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -30,8 +30,10 @@
 	// Timeout is how long the client waits for the response; zero if not stated.
 	Timeout time.Duration
 	// Resumed is set if the request resumes a stream after an event that the
-	// client has received.
+	// client has received, and Resumes is the id of the attempt that brought the first
+	// event; empty if the client does not name it.
 	Resumed bool
+	Resumes string
 }
 
 // SendOptions is what the gateway adds to a client's request to an endpoint.
