--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 type testProtocol struct{}
 
 func (testProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
-	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model")}
+	info := RequestInfo{ID: r.Header.Get("Id"), Model: r.Header.Get("Model"), Resumed: r.Header.Get("After") != "", Resumes: r.Header.Get("Resumes")}
 	info.Parts = strings.Fields(r.Header.Get("Parts"))
 	info.Timeout, _ = time.ParseDuration(r.Header.Get("Deadline"))
 	info.ExpectedOutputTokens, _ = strconv.Atoi(r.Header.Get("Output"))
@@ -180,7 +181,7 @@
 	g.table.Store(document.NewTable(d))
 	view := &wire.FleetView{}
 	for i, e := range endpoints {
-		e.Id, e.Service, e.Slots = fmt.Sprintf("e%d", i), service.Name, 10
+		e.Id, e.Service, e.Slots, e.Version = fmt.Sprintf("e%d", i), service.Name, 10, cmp.Or(e.Version, "v1")
 		view.Endpoints = append(view.Endpoints, e)
 	}
 	g.view.Store(fleet.NewView(view))
