Let a stream go on only at the software version that began it

Callers saw streams that hold events of two software versions of one service: inside one answer, when the gateway resumed a broken stream at any endpoint that held the model, and over their own tries, when they took a stream up at another gateway.

Cause: nothing knew an endpoint's software, and nothing remembered where a stream began.

The gateway that forwards a stream's first event tells its origin (service, endpoint, version) to three other gateways by rendezvous hash, in different failure domains where there are as many, in batches and without holding the event back. A gateway at which a caller takes the stream up knows it or asks up to eight of them. The version then binds the choice of the endpoint, reservations, requests for models and adapters, and placement: the planner loads the model at an engine of that version. What nobody knows is refused as not run. What is not sure counts as unknown: an endpoint that refused a connection, a process that is not listed yet, an id that runs other software since.

Why it works: an origin is written once, with the first event, so that no copy of it can be an older one; losing all copies loses the stream, and never mixes it.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -12,6 +12,8 @@
 	// Model is empty for plain services.
 	Model   string
 	Adapter string
+	// Version is that of the software that the endpoint must run; empty for any.
+	Version string
 	// Tokens is how many tokens the request may occupy in memory when it ends.
 	Tokens int
 	// Session identifies requests that share a prompt prefix; empty for none.
@@ -73,7 +75,7 @@
 	defer l.mu.Unlock()
 	var all []*Endpoint
 	for _, e := range v.candidates(req.Service, req.Model) {
-		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) {
+		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) && (req.Version == "" || l.versionOf(e, now) == req.Version) {
 			all = append(all, e)
 		}
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -44,7 +44,9 @@
 	heldOffUntil map[string]time.Duration
 	// replaced are the endpoints in whose place others have answered.
 	replaced map[string]replacement
-	draw     func(n int) int
+	// endedAt is when endpoints have refused connections.
+	endedAt map[string]time.Duration
+	draw    func(n int) int
 }
 
 // replacement states that another endpoint answered at the address of one.
@@ -62,7 +64,7 @@
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
 		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
-		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, draw: draw,
+		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, draw: draw,
 	}
 }
 
@@ -312,6 +314,33 @@
 	return ok && r.address == e.Address && now-r.at < replacedTTL
 }
 
+// endedTTL is how long the software of an endpoint that has refused connections is unknown:
+// it may be back under its id with other software before the list shows that.
+const endedTTL = 3 * time.Second
+
+// MarkEnded records that the endpoint refuses connections, as one that has ended does.
+func (l *Loads) MarkEnded(endpoint string, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.endedAt, func(_ string, at time.Duration) bool { return now-at >= endedTTL })
+	l.endedAt[endpoint] = now
+}
+
+// VersionOf returns the version of the endpoint's software; empty if it is not known surely.
+func (l *Loads) VersionOf(e *Endpoint, now time.Duration) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.versionOf(e, now)
+}
+
+// versionOf is VersionOf. l.mu must be held.
+func (l *Loads) versionOf(e *Endpoint, now time.Duration) string {
+	if at, ended := l.endedAt[e.ID]; ended && now-at < endedTTL {
+		return ""
+	}
+	return e.Version
+}
+
 // SetStale sets whether the other gateways' counts are old, and how many gateways
 // share the endpoints. While the counts are old, each of the other gateways is
 // assumed to have as much in flight as this one.
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -56,14 +56,16 @@
 	mu  sync.Mutex
 	doc *document.Document
 	// docSince is when this replica first saw doc as the leader.
-	docSince          time.Duration
-	gateways          map[string]*gatewayState
-	engines           map[string]*engineState
-	loads             map[string]*wire.InProgress
-	listReceived      bool
-	demand            *residency.Demand
-	budgets           map[string]*residency.StoreBudget
-	requestedUntil    map[string]time.Duration
+	docSince       time.Duration
+	gateways       map[string]*gatewayState
+	engines        map[string]*engineState
+	loads          map[string]*wire.InProgress
+	listReceived   bool
+	demand         *residency.Demand
+	budgets        map[string]*residency.StoreBudget
+	requestedUntil map[string]time.Duration
+	// requestedVersions holds until when models are requested on engines of a version.
+	requestedVersions map[modelVersion]time.Duration
 	placementLoggedAt map[string]time.Duration
 	jobs              map[adapterRequest]*adapterJob
 	detector          *failureDetector
@@ -170,7 +172,7 @@
 		s: s, term: term, leadership: leadership, startedAt: s.clock(), ctx: ctx, stepTrigger: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
-		requestedUntil: map[string]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
+		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
 		suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -41,7 +41,7 @@
 	for _, m := range s.Engine.Models {
 		in.Models = append(in.Models, residency.Model{
 			Name: m.Name, MB: m.WeightsMB + adapterReserveMB(s.Engine, m), Demand: l.demand.Slots(m.Name, now), Forecast: l.demand.Forecast(m.Name, m.Load, now),
-			Adapters: recent[m.Name], Requested: l.requestedUntil[m.Name] > now,
+			Adapters: recent[m.Name], Requested: l.requestedUntil[m.Name] > now, RequestedVersions: l.versionsRequested(m.Name, now),
 		})
 	}
 	l.logPlacement(s.Name, in, now)
@@ -120,7 +120,7 @@
 func (e *engineState) plannerInput(d *document.Engine, now time.Duration) residency.Engine {
 	out := residency.Engine{
 		ID: e.listed.ID, CapacityMB: d.WeightsMB, UsedMB: e.usedMB(d), Models: map[string]bool{},
-		Busy: e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now), Unavailable: e.listed.Leaving || e.held == nil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
+		Busy: e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now), Version: e.version.known, Unavailable: e.listed.Leaving || e.held == nil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
 	}
 	for name := range e.held {
 		if !e.unloading[name] {
@@ -134,11 +134,11 @@
 }
 
 // timeToReady returns the time until the model is expected to be ready on an
-// engine of the service that loads it, or 0 if no engine loads it.
-func (l *leaderState) timeToReady(service, model string) time.Duration {
+// engine of the service and version that loads it, or 0 if no engine loads it.
+func (l *leaderState) timeToReady(service, model, version string) time.Duration {
 	soonest := time.Duration(0)
 	for _, e := range l.engines {
-		if e.listed.Service != service || e.loading != model || model == "" {
+		if e.listed.Service != service || e.loading != model || model == "" || !e.runs(version) {
 			continue
 		}
 		left := max(e.readyAt-l.s.clock(), minPollInterval)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -147,12 +147,12 @@
 	m := req.Msg
 	resp := &wire.WantResponse{}
 	if m.Adapter != "" {
-		resp.Endpoint = l.ensureAdapter(ctx, adapterRequest{service: m.Service, adapterName: adapterName{m.Model, m.Adapter}, additional: m.More})
+		resp.Endpoint = l.ensureAdapter(ctx, adapterRequest{service: m.Service, adapterName: adapterName{m.Model, m.Adapter}, additional: m.More, version: m.Version})
 	}
 	if resp.Endpoint == "" {
 		l.mu.Lock()
-		l.requestedUntil[m.Model] = l.s.clock() + modelRequestTTL
-		resp.ReadyInMs = uint32(l.timeToReady(m.Service, m.Model).Milliseconds())
+		l.requestModel(m.Model, m.Version)
+		resp.ReadyInMs = uint32(l.timeToReady(m.Service, m.Model, m.Version).Milliseconds())
 		l.mu.Unlock()
 		l.triggerStep()
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"parsleyramp/internal/attempt"
@@ -88,7 +90,14 @@
 		step := h.Next(s.outcome, q.timeLeft() > minSendTime && q.ctx.Err() == nil, q.spendRetryBudget)
 		q.logFailedSend(e, s, step, &h)
 		switch step {
-		case attempt.Send, attempt.Resume:
+		case attempt.Resume:
+			if err := q.requireOrigin(); err != nil {
+				q.refundRetry()
+				q.endWithoutResponse(&h, out, err)
+				return
+			}
+			continue
+		case attempt.Send:
 			continue
 		case attempt.PassOn:
 			out.writeBuffered(out.lastFailure)
@@ -150,6 +159,7 @@
 	q.state.setSent(e.ID)
 	g.loads.Begin(e.ID, q.requirements.Tokens, q.info.PromptTokens, started)
 	defer g.loads.End(e.ID, q.requirements.Tokens)
+	q.endpoint, q.endpointVersion = e, g.loads.VersionOf(e, started)
 	out.beginSend(e.ID, started)
 	defer out.recordNoChunk()
 	out.onReceive = func() { g.loads.RecordReceived(e.ID, g.clock()) }
@@ -169,7 +179,7 @@
 			s.outcome = attempt.Interrupted
 		}
 		s.broken = s.outcome != attempt.Unsent
-		q.recordHealth(e, s.outcome)
+		q.recordHealth(e, s.outcome, s.err)
 		return s
 	}
 	defer resp.Close()
@@ -184,7 +194,7 @@
 	s := out.forward(resp, info)
 	if !s.complete {
 		s.broken = fail.Is(s.err, fail.TruncatedAnswer)
-		q.recordHealth(e, s.outcome)
+		q.recordHealth(e, s.outcome, s.err)
 	} else {
 		g.loads.Record(e.ID, fleet.Served, g.clock())
 		if q.requirements.Model != "" && out.lastEventID == "" {
@@ -195,7 +205,7 @@
 	return s
 }
 
-func (q *request) recordHealth(e *fleet.Endpoint, o attempt.Outcome) {
+func (q *request) recordHealth(e *fleet.Endpoint, o attempt.Outcome, err error) {
 	if q.ctx.Err() != nil {
 		// The client disconnected or the deadline passed, which does not indicate
 		// a fault of the endpoint.
@@ -204,6 +214,9 @@
 	switch o {
 	case attempt.Unsent:
 		q.g.loads.Record(e.ID, fleet.Unreachable, q.g.clock())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			q.g.loads.MarkEnded(e.ID, q.g.clock())
+		}
 	case attempt.Failed, attempt.Lost, attempt.Interrupted:
 		q.g.loads.Record(e.ID, fleet.Failed, q.g.clock())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,8 @@
 	inFlight      requestsInFlight
 	suspects      suspects
 	limits        limits
+	origins       streamOrigins
+	peers         peerClients
 	buffers       bufferBudget
 	pool          *upstream.Pool
 	control       *controlclient.Client
@@ -139,6 +141,11 @@
 	if err := g.startServer(g.cfg.ReadyAddress, g.deps.Ready(g)); err != nil {
 		return err
 	}
+	if g.cfg.PeerAddress != "" {
+		if err := g.startServer(g.cfg.PeerAddress, g.peerHandler()); err != nil {
+			return err
+		}
+	}
 	if g.cfg.DirectoryAddress != "" {
 		if err := g.startServer(g.cfg.DirectoryAddress, g.deps.Directory(g)); err != nil {
 			return err
@@ -175,7 +182,7 @@
 func (g *Gateway) self() *wire.Gateway {
 	return &wire.Gateway{
 		Id: g.cfg.ID, Domain: g.cfg.Domain, Region: g.cfg.Region, CallerAddress: g.cfg.CallerAddress,
-		Accepting: g.Accepting(), Incarnation: g.incarnation,
+		Accepting: g.Accepting(), Incarnation: g.incarnation, PeerAddress: g.cfg.PeerAddress,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,8 +35,25 @@
 	reservations        reservationCounter
 	brokenRequests      brokenCounter
 	streamsEnded        streamCounter
+	resumptions         resumptionCounter
+	originsTold         originCounter
 )
 
+// resumptionCounter counts the streams that clients take up here by whether the software
+// version that began them is known and runs.
+type resumptionCounter struct{}
+
+func (resumptionCounter) count(known bool) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_resumptions_total{known="` + strconv.FormatBool(known) + `"}`).Inc()
+}
+
+// originCounter counts the origins of streams that were told to keepers by result.
+type originCounter struct{}
+
+func (originCounter) count(result string, n int) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_stream_origins_total{result="` + result + `"}`).Add(n)
+}
+
 // streamCounter counts the streams that endpoints have ended in order, by their framing
 // and by whether they ended inside an event.
 type streamCounter struct{}
@@ -84,6 +101,7 @@
 	for p, n := range g.inFlight.counts() {
 		set.NewGauge(`parsleyramp_gateway_in_flight_requests{phase="`+phase(p).String()+`"}`, func() float64 { return float64(n) })
 	}
+	set.NewGauge("parsleyramp_gateway_kept_stream_origins", func() float64 { return float64(g.origins.len()) })
 	set.NewGauge("parsleyramp_gateway_limited_endpoints", func() float64 { return float64(g.limitedEndpoints()) })
 	set.NewGauge("parsleyramp_gateway_document_version", func() float64 { return float64(g.documentVersion()) })
 	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
--- a/internal/gateway/modelrequest.go
+++ b/internal/gateway/modelrequest.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), modelRequestTimeout)
 	defer cancel()
 	err := g.control.Do(ctx, func(ctx context.Context, conn controlclient.Conn) error {
-		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter, More: k.more}))
+		r, err := conn.Fleet.Want(ctx, connect.NewRequest(&wire.WantRequest{Service: service, Model: k.model, Adapter: k.adapter, More: k.more, Version: k.version}))
 		if err == nil {
 			c.result = modelAvailability{endpoint: r.Msg.Endpoint, readyIn: time.Duration(r.Msg.ReadyInMs) * time.Millisecond}
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -250,6 +250,9 @@
 		if err != nil {
 			return r.endEvents(resp, events, err)
 		}
+		if r.chunks == 0 {
+			r.q.recordStreamBegun()
+		}
 		r.beginStream(resp)
 		if id := answer.LastEventID(p); id != "" {
 			r.lastEventID = id
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -170,7 +170,7 @@
 // it are highly utilized. It waits for the response only if they are full, and
 // returns the engine or nil.
 func (q *request) spreadAdapter(c fleet.Choice, s *search) *fleet.Endpoint {
-	k := modelRequestKey{modelKey{q.requirements.Model, q.requirements.Adapter}, true}
+	k := modelRequestKey{modelKey{q.requirements.Model, q.requirements.Adapter}, true, q.requirements.Version}
 	if c.Utilization <= 1 {
 		go q.g.modelRequests.do(context.Background(), q.g, k, q.requirements.Service)
 		return nil
@@ -193,7 +193,7 @@
 	if q.requirements.Model == "" {
 		return overloadRetryAfter + jitter
 	}
-	a := q.g.modelRequests.do(q.ctx, q.g, modelRequestKey{modelKey: modelKey{q.requirements.Model, ""}}, q.requirements.Service)
+	a := q.g.modelRequests.do(q.ctx, q.g, modelRequestKey{modelKey: modelKey{q.requirements.Model, ""}, version: q.requirements.Version}, q.requirements.Service)
 	return max(overloadRetryAfter, a.readyIn) + jitter
 }
 
@@ -261,7 +261,7 @@
 // the engine that holds them now, or nil and the time until one is expected to;
 // zero if unknown.
 func (q *request) requestModel(tried map[string]bool) (*fleet.Endpoint, time.Duration) {
-	k := modelRequestKey{modelKey: modelKey{q.requirements.Model, q.requirements.Adapter}}
+	k := modelRequestKey{modelKey: modelKey{q.requirements.Model, q.requirements.Adapter}, version: q.requirements.Version}
 	a := q.g.modelRequests.do(q.ctx, q.g, k, q.requirements.Service)
 	return q.endpointByID(a.endpoint, tried), a.readyIn
 }
@@ -273,9 +273,16 @@
 		return nil
 	}
 	for _, e := range q.g.view.Load().Service(q.requirements.Service) {
-		if e.ID == id && !e.Leaving {
+		if e.ID == id && !e.Leaving && q.runsRequiredVersion(e) {
 			return e
 		}
 	}
 	return nil
 }
+
+// runsRequiredVersion reports whether the endpoint surely runs the software that the request
+// requires.
+func (q *request) runsRequiredVersion(e *fleet.Endpoint) bool {
+	v := q.requirements.Version
+	return v == "" || q.g.loads.VersionOf(e, q.g.clock()) == v
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/streamorigin"
 )
 
 const (
@@ -38,6 +39,12 @@
 	state        *requestState
 	route        *document.Route
 	requirements fleet.Requirements
+	// origin is where the stream began; nil until it is known.
+	origin *streamorigin.Origin
+	// endpoint is that of the current send, and endpointVersion the version of its software
+	// when the request was sent.
+	endpoint        *fleet.Endpoint
+	endpointVersion string
 	// maxReservation is the longest time for which the service's engines reserve a
 	// slot; zero if they reserve none. reservation is the id of the slot reserved
 	// for the next send.
@@ -110,6 +117,10 @@
 	defer cancel()
 	q.ctx = ctx
 	defer func() { g.buffers.give(q.bufferedBytes) }()
+	if err := q.resumeAtOrigin(); err != nil {
+		g.reject(w, r, info, err)
+		return
+	}
 	q.run()
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,8 +22,11 @@
 	DirectoryAddress string `json:"directory_address"`
 	// MetricsAddress serves the metrics.
 	MetricsAddress string `json:"metrics_address"`
-	Domain         string `json:"domain"`
-	Region         string `json:"region"`
+	// PeerAddress serves the other gateways, as ip:port. A gateway without it keeps nothing
+	// for others.
+	PeerAddress string `json:"peer_address"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
 	// ControlSeeds are the operator addresses of up to three control replicas, and
 	// ControlPort is the port on which all replicas serve gateways. The addresses
 	// of other replicas are received with the view.
@@ -68,6 +71,9 @@
 		c.Address("directory_address", s.DirectoryAddress)
 	}
 	c.Address("metrics_address", s.MetricsAddress)
+	if s.PeerAddress != "" {
+		c.Address("peer_address", s.PeerAddress)
+	}
 	c.Require(s.Domain != "", "domain", "the name of a failure domain")
 	c.Require(len(s.ControlSeeds) > 0, "control_seeds", "the address of one control replica or more")
 	for _, a := range s.ControlSeeds {
--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -1,8 +1,14 @@
 package gateway
 
 import (
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
 )
 
@@ -33,3 +39,133 @@
 		t.Errorf("the endpoint got %d requests, want 0", n)
 	}
 }
+
+// peerGroup is several gateways that know each other.
+type peerGroup struct {
+	gateways []*Gateway
+	// addresses serve clients, and peers the other gateways.
+	addresses []string
+	peers     []*transport.Server
+}
+
+// startPeerGroup starts gateways in as many failure domains as there are endpoints given,
+// all with a route to the endpoints.
+func startPeerGroup(t *testing.T, gateways, domains int, endpoints ...*wire.FleetEndpoint) *peerGroup {
+	t.Helper()
+	p := &peerGroup{}
+	var known []*wire.Gateway
+	for i := range gateways {
+		g := newTestGateway(t, resumable, document.Service{}, endpoints...)
+		g.cfg.ID, g.cfg.Domain = fmt.Sprintf("g%d", i), fmt.Sprintf("d%d", i%domains)
+		l, err := transport.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := transport.Serve(l, g.peerHandler())
+		t.Cleanup(func() { server.Close() })
+		g.cfg.PeerAddress = server.Address()
+		known = append(known, g.self())
+		p.gateways, p.peers, p.addresses = append(p.gateways, g), append(p.peers, server), append(p.addresses, serveGateway(t, g))
+	}
+	for _, g := range p.gateways {
+		p.setView(g, known, endpoints)
+	}
+	return p
+}
+
+func (p *peerGroup) setView(g *Gateway, known []*wire.Gateway, endpoints []*wire.FleetEndpoint) {
+	g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: endpoints, Gateways: known}))
+}
+
+// kill kills gateways at once.
+func (p *peerGroup) kill(dead ...int) {
+	for _, i := range dead {
+		p.peers[i].Close()
+	}
+}
+
+// awaitCopies waits until as many gateways know the origin of the stream.
+func (p *peerGroup) awaitCopies(t *testing.T, id string, copies int) {
+	t.Helper()
+	for range 200 {
+		known := 0
+		for _, g := range p.gateways {
+			if _, ok := g.origins.find(id, g.clock()); ok {
+				known++
+			}
+		}
+		if known >= copies {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("fewer than %d gateways know the origin of stream %s", copies, id)
+}
+
+func TestStreamTakenUpElsewhereGoesOnAtItsVersionWhateverDies(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		dead []int
+	}{
+		{"nothing dies", nil},
+		{"the gateway dies", []int{0}},
+		{"its failure domain dies", []int{0, 3, 6}},
+		{"its failure domain and another one die", []int{0, 3, 6, 1, 4, 7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			old, next := startEngine(t, chunks(false, event(1)), chunks(true, event(2)), chunks(true, event(3))), startEngine(t, chunks(true, event(2)))
+			p := startPeerGroup(t, 9, 3, versioned(next, "v1.1"), versioned(old, "v1"))
+			p.gateways[0].loads.MarkReplaced(p.gateways[0].view.Load().Endpoints[0], p.gateways[0].clock())
+			if _, body, err := call(t, t.Context(), p.addresses[0], "Id", "root"); err == nil {
+				t.Fatalf("body %q, want a stream that is broken off", body)
+			}
+			p.awaitCopies(t, "root", 4)
+			p.kill(c.dead...)
+			last := slices.IndexFunc(p.gateways, func(g *Gateway) bool { return g.cfg.Domain == "d2" })
+			for n, id := range []string{"second", "third"} {
+				resp, body, err := call(t, t.Context(), p.addresses[last], "Id", id, "After", fmt.Sprint(n+1), "Resumes", "root")
+				if err != nil || resp.StatusCode != 200 || body != event(n+2) {
+					t.Fatalf("attempt %s: response %v, body %q, error %v, want event %d", id, resp, body, err, n+2)
+				}
+			}
+			if n := len(next.requests()); n != 0 {
+				t.Errorf("the endpoint of v1.1 got %d requests, want 0", n)
+			}
+		})
+	}
+}
+
+func TestStreamWhoseEndpointRunsOtherSoftwareSinceIsRefused(t *testing.T) {
+	e := startEngine(t, chunks(false, event(1)), chunks(true, event(2)))
+	p := startPeerGroup(t, 1, 1, versioned(e, "v1"))
+	if _, _, err := call(t, t.Context(), p.addresses[0], "Id", "root"); err == nil {
+		t.Fatal("want a stream that is broken off")
+	}
+	other := versioned(startEngine(t), "v1")
+	other.Id, other.Service = "e1", "s"
+	restarted := versioned(e, "v1.1")
+	restarted.Id, restarted.Service = "e0", "s"
+	p.setView(p.gateways[0], nil, []*wire.FleetEndpoint{restarted, other})
+	resp, _, err := call(t, t.Context(), p.addresses[0], "Id", "second", "After", "1", "Resumes", "root")
+	if err != nil || resp.StatusCode != 503 {
+		t.Errorf("response %v, error %v, want status 503: the version that began the stream is not sure", resp, err)
+	}
+}
+
+func TestStreamDoesNotGoOnAtAnEndpointThatMayHaveRestarted(t *testing.T) {
+	a, b := startEngine(t, chunks(false, event(1))), startEngine(t, chunks(true, event(2)))
+	g := newTestGateway(t, resumable, document.Service{}, versioned(a, "v1"), versioned(b, "v1"))
+	g.loads.MarkEnded("e1", g.clock())
+	if _, body, err := call(t, t.Context(), serveGateway(t, g)); err == nil || len(b.requests()) > 0 {
+		t.Errorf("body %q, error %v; the endpoint that refused connections got %d requests, want none", body, err, len(b.requests()))
+	}
+}
+
+func TestAttemptWithoutAnEventMayChangeTheVersion(t *testing.T) {
+	a, b := startEngine(t, "CUT"), startEngine(t, chunks(true, event(1)))
+	address := startGatewayTo(t, resumable, versioned(a, "v1"), versioned(b, "v1.1"))
+	resp, body, err := call(t, t.Context(), address)
+	if err != nil || resp.StatusCode != 200 || body != event(1) {
+		t.Errorf("response %v, body %q, error %v, want event 1 of v1.1", resp, body, err)
+	}
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -243,6 +243,9 @@
 	defer cancel()
 	wait.For(ctx, probeDelay)
 	p.refused = !g.pool.Accepts(ctx, e.Address)
+	if p.refused {
+		g.loads.MarkEnded(e.ID, g.clock())
+	}
 	g.log.WithFields(logrus.Fields{"endpoint": e.ID, "address": e.Address, "refused": p.refused}).Info("endpoint checked after it broke a request")
 	return p.refused
 }
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -189,6 +189,8 @@
 	modelKey
 	// more requests the adapter on one more engine.
 	more bool
+	// version is that of the software that the engine must run; empty for any.
+	version string
 }
 
 // demand counts the requests of clients by model between two exchanges.
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -9,6 +9,8 @@
 // Engine is the state of one engine in the plan.
 type Engine struct {
 	ID string
+	// Version is that of its software; empty if it is not known.
+	Version string
 	// CapacityMB bounds the memory of models and adapters. UsedMB is the memory that
 	// they occupy now, including those that may still be loaded.
 	CapacityMB float64
@@ -35,6 +37,9 @@
 	Adapters int
 	// Requested is set while clients wait for a model that no engine holds.
 	Requested bool
+	// RequestedVersions are the software versions on whose engines clients wait for the
+	// model: streams that those began go on only there.
+	RequestedVersions []string
 }
 
 // Input is the complete input of a plan.
@@ -84,9 +89,10 @@
 // engine.
 func Plan(in Input) []Step {
 	p := newPlanner(in)
+	p.placeRequestedVersions()
 	for _, m := range p.byPriority() {
 		for p.deficit(m) > 0 {
-			s, ok := p.cheapestStep(m)
+			s, ok := p.cheapestStep(m, "")
 			if !ok {
 				s, ok = p.relocate(m)
 			}
@@ -176,12 +182,34 @@
 	return u
 }
 
-// cheapestStep returns the step that loads the model at the lowest cost.
-func (p *planner) cheapestStep(m *Model) (Step, bool) {
+// placeRequestedVersions adds a step for each version on which clients wait for a model that
+// no engine of the version holds.
+func (p *planner) placeRequestedVersions() {
+	for i := range p.in.Models {
+		m := &p.in.Models[i]
+		for _, version := range m.RequestedVersions {
+			if p.heldAt(m.Name, version) {
+				continue
+			}
+			if s, ok := p.cheapestStep(m, version); ok {
+				p.add(s)
+			}
+		}
+	}
+}
+
+// heldAt reports whether an engine of the version holds the model or is loading it.
+func (p *planner) heldAt(model, version string) bool {
+	return slices.ContainsFunc(p.engines, func(e *Engine) bool { return e.Version == version && e.Models[model] })
+}
+
+// cheapestStep returns the step that loads the model at the lowest cost, on an engine of the
+// version if that is not empty.
+func (p *planner) cheapestStep(m *Model, version string) (Step, bool) {
 	var best Step
 	bestCost := math.Inf(1)
 	for _, e := range p.engines {
-		if !p.available(e) || e.Models[m.Name] {
+		if !p.available(e) || e.Models[m.Name] || version != "" && e.Version != version {
 			continue
 		}
 		if s, cost, ok := p.loadStep(e, m); ok && cost < bestCost {
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -356,3 +356,17 @@
 		}
 	})
 }
+
+func TestModelIsLoadedAtTheVersionOnWhichStreamsWait(t *testing.T) {
+	all := engines([]string{"l1"}, []string{"l2"}, []string{"l3"})
+	all[0].Version, all[1].Version, all[2].Version = "v1", "v1.1", "v1.1"
+	in := input(all, map[string]float64{"l1": 1, "l2": 1, "l3": 1})
+	for i := range in.Models {
+		if in.Models[i].Name == "l1" {
+			in.Models[i].RequestedVersions = []string{"v1", "v1.1"}
+		}
+	}
+	if got := loadsOf(Plan(in), "l1"); len(got) != 1 || got[0] == "e00" {
+		t.Errorf("loaded on %v, want one engine of v1.1 alone: one of v1 holds it", got)
+	}
+}
