Let the soak kill whole domains of gateways while callers take streams up again

Endpoints run one of two software versions and pick one at each start, also under their id of before; the stand-in checks that no run goes on with a stream at another version.

--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -58,6 +58,9 @@
 	leaderChange bool
 	// limits is set if endpoints name limits after the faults.
 	limits bool
+	// versions is set if whole domains of gateways are killed, after the faults, while clients
+	// have long streams.
+	versions bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -86,6 +89,10 @@
 	d.breakOffResponses()
 	d.checkRecovery()
 	d.checkChange()
+	if o.versions {
+		d.checkVersions()
+		d.checkRecovery()
+	}
 	if o.limits {
 		d.checkLimits()
 	}
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -197,6 +197,10 @@
 	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 4, limits: true})
 }
 
+func TestStreamsGoOnAtTheirSoftwareVersionAlthoughDomainsDie(t *testing.T) {
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 6, versions: true})
+}
+
 // soakWithoutFaults runs a soak without faults but those that the options add.
 func soakWithoutFaults(t *testing.T, o options) {
 	t.Parallel()
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -85,6 +85,7 @@
 	clientPort   = 7002
 	readyPort    = 7003
 	metricsPort  = 7004
+	peerPort     = 7005
 )
 
 // address returns a loopback address of VM i of the run. kind distinguishes
@@ -159,7 +160,10 @@
 	return nil
 }
 
-func domain(i int) string { return fmt.Sprintf("d%d", i%3) }
+// domainCount is the number of failure domains.
+const domainCount = 3
+
+func domain(i int) string { return fmt.Sprintf("d%d", i%domainCount) }
 
 func (s *system) seeds(run int) []string {
 	var out []string
@@ -185,7 +189,7 @@
 	s.gateways = append(s.gateways, n)
 	return s.launch(n, map[string]any{
 		"id": n.name, "caller_address": n.clientAddress, "ready_address": address(run, gatewayVM, i, readyPort),
-		"metrics_address": address(run, gatewayVM, i, metricsPort), "domain": domain(i), "region": "r",
+		"metrics_address": address(run, gatewayVM, i, metricsPort), "peer_address": address(run, gatewayVM, i, peerPort), "domain": domain(i), "region": "r",
 		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(),
 		"retry_ratio": retryBudget.Ratio, "retry_slack": retryBudget.Slack, "retry_window": retryBudget.Window.String(),
 	})
