Tell whether a gateway reaches the endpoints of a service in a failure domain

No line or metric could tell a gateway that has lost its links from endpoints that are down: each send failed by itself. After failures at two endpoints of a group, or silence of all of them, the gateway checks a sample, logs a change and counts the checks. Nothing acts on it yet.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -46,7 +46,9 @@
 	replaced map[string]replacement
 	// endedAt is when endpoints have refused connections.
 	endedAt map[string]time.Duration
-	draw    func(n int) int
+	// outOfReach are the endpoints that this gateway does not reach.
+	outOfReach map[string]bool
+	draw       func(n int) int
 }
 
 // replacement states that another endpoint answered at the address of one.
@@ -166,7 +168,8 @@
 	}
 	for id, o := range l.own {
 		w := of(id)
-		w.Running, w.Tokens, w.Silent = uint32(o.Running), uint64(max(o.Tokens, 0)), l.unresponsive(id, now)
+		w.Running, w.Tokens = uint32(o.Running), uint64(max(o.Tokens, 0))
+		w.Silent = l.unresponsive(id, now)
 		s := l.responses[id]
 		if s.receivedSinceReport {
 			w.Heard, w.HeardAgoMs = true, uint32((now - s.heardAt).Milliseconds())
@@ -341,6 +344,98 @@
 	return e.Version
 }
 
+// silentGroupAfter is how long no endpoint of a group may have sent a byte, while responses of
+// several are pending, before the gateway checks whether it reaches any.
+const silentGroupAfter = 400 * time.Millisecond
+
+// SilentGroups returns the endpoints with pending responses of the groups of which none has
+// sent a byte for silentGroupAfter.
+func (l *Loads) SilentGroups(v *View, now time.Duration) []*Endpoint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pending := map[Group][]*Endpoint{}
+	heard := map[Group]bool{}
+	for _, e := range v.Endpoints {
+		s, ok := l.responses[e.ID]
+		if !ok {
+			continue
+		}
+		g := GroupOf(e)
+		pending[g] = append(pending[g], e)
+		heard[g] = heard[g] || now-s.lastReceived <= silentGroupAfter
+	}
+	var out []*Endpoint
+	for g, endpoints := range pending {
+		if !heard[g] {
+			out = append(out, endpoints...)
+		}
+	}
+	return out
+}
+
+// SetOutOfReach replaces the endpoints that this gateway does not reach.
+func (l *Loads) SetOutOfReach(endpoints map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outOfReach = endpoints
+}
+
+// OutOfReach reports whether this gateway does not reach the endpoint.
+func (l *Loads) OutOfReach(endpoint string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outOfReach[endpoint]
+}
+
+// OutOfReachCount returns the number of endpoints that this gateway does not reach.
+func (l *Loads) OutOfReachCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.outOfReach)
+}
+
+// AllOutOfReach reports whether this gateway reaches none of the endpoints that meet the
+// requirements; if there are none, none of the service's.
+func (l *Loads) AllOutOfReach(v *View, req Requirements, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.outOfReach) == 0 {
+		return false
+	}
+	var service, meeting reachCount
+	for _, e := range v.Service(req.Service) {
+		if e.Leaving {
+			continue
+		}
+		service.add(l.outOfReach[e.ID])
+		if e.Serves(req.Model, req.Adapter) && l.runsVersion(e, req.Version, now) {
+			meeting.add(l.outOfReach[e.ID])
+		}
+	}
+	if meeting.endpoints > 0 {
+		return meeting.none()
+	}
+	return service.none()
+}
+
+// reachCount counts endpoints, and those of them that are reached.
+type reachCount struct{ endpoints, reached int }
+
+func (c *reachCount) add(outOfReach bool) {
+	c.endpoints++
+	if !outOfReach {
+		c.reached++
+	}
+}
+
+func (c *reachCount) none() bool { return c.endpoints > 0 && c.reached == 0 }
+
+// runsVersion reports whether the endpoint surely runs the version; an empty one stands for
+// any. l.mu must be held.
+func (l *Loads) runsVersion(e *Endpoint, version string, now time.Duration) bool {
+	return version == "" || l.versionOf(e, now) == version
+}
+
 // SetStale sets whether the other gateways' counts are old, and how many gateways
 // share the endpoints. While the counts are old, each of the other gateways is
 // assumed to have as much in flight as this one.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -211,6 +211,7 @@
 		// a fault of the endpoint.
 		return
 	}
+	q.g.recordUnreached(e, err)
 	switch o {
 	case attempt.Unsent:
 		q.g.loads.Record(e.ID, fleet.Unreachable, q.g.clock())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	suspects      suspects
 	limits        limits
 	origins       streamOrigins
+	reach         reach
 	peers         peerClients
 	buffers       bufferBudget
 	pool          *upstream.Pool
@@ -128,6 +129,7 @@
 	g.cancel = cancel
 	g.followControl(ctx)
 	go g.sweep(ctx)
+	go g.watchReach(ctx)
 	log.WithFields(logrus.Fields{"address": cfg.CallerAddress, "incarnation": g.incarnation}).Info("gateway started")
 	return g, nil
 }
@@ -183,6 +185,7 @@
 	return &wire.Gateway{
 		Id: g.cfg.ID, Domain: g.cfg.Domain, Region: g.cfg.Region, CallerAddress: g.cfg.CallerAddress,
 		Accepting: g.Accepting(), Incarnation: g.incarnation, PeerAddress: g.cfg.PeerAddress,
+		RelayAddress: g.cfg.RelayAddress, OutOfReach: g.unreachedServices(),
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,8 +37,17 @@
 	streamsEnded        streamCounter
 	resumptions         resumptionCounter
 	originsTold         originCounter
+	reachChecks         reachCounter
 )
 
+// reachCounter counts the checks of whether this gateway reaches any endpoint of a group by
+// result.
+type reachCounter struct{}
+
+func (reachCounter) count(reached bool) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_reach_checks_total{reached="` + strconv.FormatBool(reached) + `"}`).Inc()
+}
+
 // resumptionCounter counts the streams that clients take up here by whether the software
 // version that began them is known and runs.
 type resumptionCounter struct{}
@@ -102,6 +111,7 @@
 		set.NewGauge(`parsleyramp_gateway_in_flight_requests{phase="`+phase(p).String()+`"}`, func() float64 { return float64(n) })
 	}
 	set.NewGauge("parsleyramp_gateway_kept_stream_origins", func() float64 { return float64(g.origins.len()) })
+	set.NewGauge("parsleyramp_gateway_endpoints_out_of_reach", func() float64 { return float64(g.loads.OutOfReachCount()) })
 	set.NewGauge("parsleyramp_gateway_limited_endpoints", func() float64 { return float64(g.limitedEndpoints()) })
 	set.NewGauge("parsleyramp_gateway_document_version", func() float64 { return float64(g.documentVersion()) })
 	set.NewGauge("parsleyramp_gateway_view_revision", func() float64 {
