Send requests by way of another gateway where this one reaches no endpoint

Cause: a gateway had no way to endpoints but its own links. It stayed in the directory, took requests, waited 0.8 s for each of up to three connections, and failed.

A gateway that reaches no endpoint that could serve a request now sends it to one that does, over the port at which it serves the other gateways, once. The outcome is typed: not run, may have run, or the endpoint's own answer, so that at most one run follows as with an endpoint that breaks; the first gateway counts the sends and the retries, the second one decides on permits, limits, suspects, slots and the version of the stream. A cancellation, the deadline and a stop go through. Where no other gateway reaches the endpoints the request is refused at once. A gateway reports nothing about endpoints that it does not reach.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -4,7 +4,10 @@
 // desired-state document, in contrast, is changed one section at a time.
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind determines whether requests of a route may be retried.
 type Kind int
@@ -67,6 +70,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Serves reports whether the service has a share of the route.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
+}
+
 // Share is the weight of one service on a route.
 type Share struct {
 	Service string
--- a/internal/fail/fail.go
+++ b/internal/fail/fail.go
@@ -33,6 +33,7 @@
 	NotOwner         Code = "not_owner"
 	NotLeader        Code = "not_leader"
 	Unavailable      Code = "unavailable"
+	OutOfReach       Code = "out_of_reach"
 	Draining         Code = "draining"
 	Quarantined      Code = "quarantined"
 	EndpointFailed   Code = "endpoint_failed"
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -75,7 +75,7 @@
 	defer l.mu.Unlock()
 	var all []*Endpoint
 	for _, e := range v.candidates(req.Service, req.Model) {
-		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) && l.runsVersion(e, req.Version, now) {
+		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) && !l.outOfReach[e.ID] && l.runsVersion(e, req.Version, now) {
 			all = append(all, e)
 		}
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -169,7 +169,7 @@
 	for id, o := range l.own {
 		w := of(id)
 		w.Running, w.Tokens = uint32(o.Running), uint64(max(o.Tokens, 0))
-		w.Silent = l.unresponsive(id, now)
+		w.Silent = l.unresponsive(id, now) && !l.outOfReach[id] // Its own lost links make no endpoint unresponsive.
 		s := l.responses[id]
 		if s.receivedSinceReport {
 			w.Heard, w.HeardAgoMs = true, uint32((now - s.heardAt).Milliseconds())
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -34,6 +35,8 @@
 	// broken is set if the endpoint closed the connection, or fell silent, before the
 	// response was complete.
 	broken bool
+	// refused is set if the gateway that relayed the request refused it for all gateways.
+	refused bool
 	// otherEndpoint is the endpoint that answered in place of the one that was meant; empty
 	// for none.
 	otherEndpoint string
@@ -60,24 +63,17 @@
 	h := attempt.History{Rules: q.attemptRules()}
 	tried := map[string]bool{}
 	out := &relay{q: q}
+	if q.hop != nil {
+		out.lastEventID = q.hop.lastEvent
+	}
 	defer q.returnUnusedPermit()
 	for {
-		started := q.g.clock()
-		q.state.setPhase(phaseSelecting)
-		e, err := q.selectEndpoint(tried)
-		q.selectionTime += q.g.clock() - started
-		selectionSeconds.Update((q.g.clock() - started).Seconds())
-		if err != nil {
+		e, s, err := q.selectAndSend(tried, out)
+		if err != nil || s.refused {
 			q.refundRetry()
-			q.endWithoutResponse(&h, out, err)
+			q.endWithoutResponse(&h, out, cmp.Or(err, s.err))
 			return
 		}
-		q.recordRetrySent()
-		tried[e.ID] = true
-		s := q.send(e, out, &h)
-		s.sentAt, s.streamed = out.sentAt, out.streamed()
-		q.recordCrashEvidence(e, s)
-		q.recordPermitUse(s)
 		if s.complete {
 			sendsDone.count("done")
 			if q.firstByte > 0 {
@@ -88,7 +84,9 @@
 		}
 		sendsDone.count(s.outcome.String())
 		step := h.Next(s.outcome, q.timeLeft() > minSendTime && q.ctx.Err() == nil, q.spendRetryBudget)
-		q.logFailedSend(e, s, step, &h)
+		if e != nil {
+			q.logFailedSend(e, s, step, &h)
+		}
 		switch step {
 		case attempt.Resume:
 			if err := q.requireOrigin(); err != nil {
@@ -112,12 +110,42 @@
 	}
 }
 
+// selectAndSend sends the request to an endpoint, which it returns, or by way of another
+// gateway if this one reaches none.
+func (q *request) selectAndSend(tried map[string]bool, out *relay) (*fleet.Endpoint, sendResult, error) {
+	for {
+		if q.hop == nil && q.outOfReach() {
+			s, err := q.runByRelay(out, tried)
+			return nil, s, err
+		}
+		started := q.g.clock()
+		q.state.setPhase(phaseSelecting)
+		e, err := q.selectEndpoint(tried)
+		q.selectionTime += q.g.clock() - started
+		selectionSeconds.Update((q.g.clock() - started).Seconds())
+		if fail.Is(err, fail.OutOfReach) && q.hop == nil {
+			continue
+		}
+		if err != nil {
+			return nil, sendResult{}, err
+		}
+		q.recordRetrySent()
+		tried[e.ID] = true
+		s := q.send(e, out)
+		s.sentAt, s.streamed = out.sentAt, out.streamed()
+		q.recordCrashEvidence(e, s)
+		q.recordPermitUse(s)
+		return e, s, nil
+	}
+}
+
 // attemptRules returns the retry rules of the route. A suspect is sent once, so that it
-// crashes at most one endpoint for each attempt of its client.
+// crashes at most one endpoint for each attempt of its client; so is a relayed request, whose
+// sends the gateway counts that took it.
 func (q *request) attemptRules() attempt.Rules {
 	r := q.route
 	rules := attempt.Rules{Retryable: r.Retryable(), Resumable: r.Kind == document.Stream && r.Resumable, MaxSends: max(r.MaxAttempts, 1)}
-	if q.suspected() || q.partSuspected() {
+	if q.hop != nil || q.suspected() || q.partSuspected() {
 		rules.MaxSends = 1
 	}
 	return rules
@@ -153,7 +181,7 @@
 }
 
 // send sends the request to the endpoint and forwards the response.
-func (q *request) send(e *fleet.Endpoint, out *relay, h *attempt.History) sendResult {
+func (q *request) send(e *fleet.Endpoint, out *relay) sendResult {
 	g := q.g
 	started := g.clock()
 	q.state.setSent(e.ID)
@@ -171,13 +199,7 @@
 		return g.deps.Protocol.MatchesRequest(header, q.info.ID)
 	})
 	if err != nil {
-		s := sendResult{outcome: attempt.Lost, err: err}
-		if fail.From(err).Ran == fail.RanNo {
-			s.outcome = attempt.Unsent
-		}
-		if out.headerSent && s.outcome == attempt.Lost {
-			s.outcome = attempt.Interrupted
-		}
+		s := out.failedSend(err)
 		s.broken = s.outcome != attempt.Unsent
 		q.recordHealth(e, s.outcome, s.err)
 		return s
@@ -212,6 +234,10 @@
 		return
 	}
 	q.g.recordUnreached(e, err)
+	if q.g.loads.OutOfReach(e.ID) {
+		// Its links failed, not the endpoint.
+		return
+	}
 	switch o {
 	case attempt.Unsent:
 		q.g.loads.Record(e.ID, fleet.Unreachable, q.g.clock())
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -55,6 +55,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	q.recordEnd("failed", nil, h, err)
+	describeFailure(q.w, q.httpRequest, fail.From(err).WithRan(fail.RanUnknown))
 	http.Error(q.w, "the request may have run, but no response is available", status)
 }
 
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -37,9 +37,9 @@
 	if key == nil {
 		return nil
 	}
-	caller, _, err := net.SplitHostPort(q.httpRequest.RemoteAddr)
+	caller, _, err := net.SplitHostPort(q.clientAddress())
 	if err != nil {
-		caller = q.httpRequest.RemoteAddr
+		caller = q.clientAddress()
 	}
 	content := key.Fingerprint(quarantine.Content{Path: q.httpRequest.URL.RequestURI(), Body: q.body})
 	q.knownFingerprints = []uint64{content, key.CallerFingerprint(content, caller)}
@@ -119,6 +119,10 @@
 	case q.ctx.Err() == nil:
 		go func() {
 			b.refused = g.refusesConnections(e)
+			if b.refused && g.isOutOfReach(e) {
+				// The links of this gateway ended it.
+				return
+			}
 			g.addBroken(b)
 		}()
 	case g.loads.Dead(e.ID):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	limits        limits
 	origins       streamOrigins
 	reach         reach
+	relays        relayPeers
 	peers         peerClients
 	buffers       bufferBudget
 	pool          *upstream.Pool
@@ -101,7 +102,9 @@
 	fetches       documentFetches
 	servers       []io.Closer
 	clientServer  *transport.ClientFacingServer
-	cancel        context.CancelFunc
+	// peerServer serves the other gateways; nil if there is no address for it.
+	peerServer *transport.ClientFacingServer
+	cancel     context.CancelFunc
 	// randFloat returns a uniformly distributed number in [0, 1).
 	randFloat func() float64
 }
@@ -144,9 +147,12 @@
 		return err
 	}
 	if g.cfg.PeerAddress != "" {
-		if err := g.startServer(g.cfg.PeerAddress, g.peerHandler()); err != nil {
+		l, err := transport.Listen(g.cfg.PeerAddress)
+		if err != nil {
 			return err
 		}
+		g.peerServer = transport.ServeClients(l, g.peerHandler())
+		g.servers = append(g.servers, g.peerServer)
 	}
 	if g.cfg.DirectoryAddress != "" {
 		if err := g.startServer(g.cfg.DirectoryAddress, g.deps.Directory(g)); err != nil {
@@ -185,7 +191,7 @@
 	return &wire.Gateway{
 		Id: g.cfg.ID, Domain: g.cfg.Domain, Region: g.cfg.Region, CallerAddress: g.cfg.CallerAddress,
 		Accepting: g.Accepting(), Incarnation: g.incarnation, PeerAddress: g.cfg.PeerAddress,
-		RelayAddress: g.cfg.RelayAddress, OutOfReach: g.unreachedServices(),
+		OutOfReach: g.unreachedServices(),
 	}
 }
 
@@ -247,9 +253,13 @@
 	g.draining.Store(true)
 	g.changed.notify()
 	g.log.WithFields(g.inFlight.countFields()).Info("draining")
-	g.clientServer.Drain()
+	for _, s := range g.requestServers() {
+		s.Drain()
+	}
 	wait.Until(ctx, earlier(started.Add(drainDelay), cancelAt))
-	g.clientServer.CloseIdle()
+	for _, s := range g.requestServers() {
+		s.CloseIdle()
+	}
 	if err := g.awaitRequests(ctx, cancelAt); err != nil {
 		g.logUnfinished()
 		g.inFlight.cancelUnanswered()
@@ -276,7 +286,22 @@
 func (g *Gateway) awaitRequests(ctx context.Context, until time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	return g.clientServer.Shutdown(ctx)
+	for _, s := range g.requestServers() {
+		if err := s.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// requestServers returns the servers that take requests, those of clients first: they may
+// wait for requests that other gateways relay, but not the other way round.
+func (g *Gateway) requestServers() []*transport.ClientFacingServer {
+	out := []*transport.ClientFacingServer{g.clientServer}
+	if g.peerServer != nil {
+		out = append(out, g.peerServer)
+	}
+	return out
 }
 
 // maxUnfinishedLogged bounds the log lines on requests that a shutdown cancels.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,8 +38,16 @@
 	resumptions         resumptionCounter
 	originsTold         originCounter
 	reachChecks         reachCounter
+	relayedSends        relayCounter
 )
 
+// relayCounter counts the requests that were sent by way of another gateway by outcome.
+type relayCounter struct{}
+
+func (relayCounter) count(outcome string) {
+	metrics.GetOrCreateCounter(`parsleyramp_gateway_relayed_sends_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // reachCounter counts the checks of whether this gateway reaches any endpoint of a group by
 // result.
 type reachCounter struct{}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,7 +24,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.http == nil {
-		p.http = transport.NewPeerClient()
+		p.http = transport.NewPeerClientHTTP1()
 	}
 	if p.clients == nil {
 		p.clients = map[string]wireconnect.PeerServiceClient{}
@@ -37,9 +37,16 @@
 	return c
 }
 
-// peerHandler returns the handler of what the other gateways ask of this one.
+// peerHandler returns the handler of what the other gateways ask of this one: calls, and
+// requests of clients that they relay, which may have any path.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewPeerServiceHandler(&peerService{g}, transport.PeerHandlerOptions()...))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isRelayed(r.Header) {
+			g.serveRelayed(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -22,7 +22,7 @@
 	// reachCheckTimeout bounds the check of a group, and reachSample the endpoints that are
 	// checked.
 	reachCheckTimeout = 500 * time.Millisecond
-	reachSample       = 2
+	reachSample       = 3
 )
 
 // reach is what this gateway knows of the endpoints that it reaches. Its zero value reaches
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -150,6 +150,10 @@
 		out[name] = values
 	}
 	upstream.RemoveHopByHopHeaders(out)
+	removeRelayHeaders(out)
+	if r.q.hop != nil {
+		setOrigin(out, r.q.origin)
+	}
 }
 
 // beginStream sends the status and the headers of a stream to the client, once.
@@ -198,6 +202,22 @@
 	r.chunkInterval = r.q.g.serviceTimes.ChunkInterval(r.q.requirements.Model)
 }
 
+// beginRelayedSend resets the measurements for a send by way of another gateway, which
+// measures the endpoint.
+func (r *relay) beginRelayedSend(at time.Duration) {
+	r.endpoint, r.sentAt, r.chunks, r.q.framing, r.chunkInterval = "", at, 0, "", 0
+	r.onReceive, r.onPrefill = func() {}, nil
+	r.q.endpoint, r.q.endpointVersion = nil, ""
+}
+
+// failedSend returns the result of a send without a response.
+func (r *relay) failedSend(err error) sendResult {
+	if fail.From(err).Ran == fail.RanNo {
+		return sendResult{outcome: attempt.Unsent, err: err}
+	}
+	return r.unusable(err)
+}
+
 // streamed returns the time between the first and the last chunk of the current send.
 func (r *relay) streamed() time.Duration {
 	if r.chunks == 0 {
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,7 +57,7 @@
 	p.links.cut.Store(true)
 	p.sound.cfg.ID = "sound"
 	relay := serveRelay(t, p.sound)
-	known := []*wire.Gateway{{Id: "sound", Accepting: true, RelayAddress: relay}}
+	known := []*wire.Gateway{{Id: "sound", Accepting: true, PeerAddress: relay}}
 	p.cut.view.Store(fleet.NewView(&wire.FleetView{Endpoints: endpoints, Gateways: known}))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -70,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := transport.ServeClients(l, g)
+	s := transport.ServeClients(l, g.peerHandler())
 	t.Cleanup(func() { s.Close() })
 	return s.Address()
 }
@@ -105,3 +108,137 @@
 	resp, body, err := call(t, t.Context(), p.address, "Id", id)
 	return err == nil && resp.StatusCode == 200 && body == "fine"
 }
+
+// awaitCut waits until the gateway knows that it reaches no endpoint.
+func (p *cutPair) awaitCut(t *testing.T) {
+	t.Helper()
+	for _, e := range p.cut.view.Load().Endpoints {
+		p.cut.recordUnreached(e, syscall.ECONNRESET)
+	}
+	for end := time.Now().Add(detectionTime); len(p.cut.unreachedServices()) == 0; {
+		if time.Now().After(end) {
+			t.Fatalf("the gateway does not know within %v that it is cut off", detectionTime)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestRelayedRequestRunsOnceAndItsOutcomeIsTrue(t *testing.T) {
+	signed := "Signed: 1\r\n"
+	for _, c := range []struct {
+		name      string
+		route     document.Route
+		responses []string
+		status    int
+		sends     int
+	}{
+		{"complete answer", nonIdempotent, []string{response(200, signed, "fine")}, 200, 1},
+		{"the endpoint fails", nonIdempotent, []string{response(500, signed, "broken")}, 500, 1},
+		{"the endpoint does not run it", nonIdempotent, []string{response(503, "Not-Run: 1\r\n", "")}, 503, 1},
+		{"the answer is lost", nonIdempotent, []string{"CUT", response(200, signed, "fine")}, 502, 1},
+		{"the answer is lost, and it may run again", idempotent, []string{"CUT", response(200, signed, "fine")}, 200, 2},
+		{"the answer is lost twice", idempotent, []string{"CUT", "CUT", response(200, signed, "fine")}, 502, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEngine(t, c.responses...)
+			p := startCutPair(t, c.route, versioned(e, "v1"))
+			p.addSound(t)
+			p.awaitCut(t)
+			resp, body, err := call(t, t.Context(), p.address, "Id", "once")
+			if err != nil || resp.StatusCode != c.status {
+				t.Errorf("response %v, body %q, error %v, want status %d", resp, body, err, c.status)
+			}
+			sent := 0
+			for _, r := range e.requests() {
+				if r.Header.Get("Id") == "once" {
+					sent++
+				}
+				for name := range r.Header {
+					if strings.HasPrefix(name, relayHeaderPrefix) {
+						t.Errorf("the endpoint received the header %s", name)
+					}
+				}
+			}
+			if sent != c.sends {
+				t.Errorf("the request was sent to endpoints %d times, want %d", sent, c.sends)
+			}
+		})
+	}
+}
+
+// addSound adds a second gateway whose links are sound.
+func (p *cutPair) addSound(t *testing.T) {
+	t.Helper()
+	v := p.cut.view.Load()
+	known := append(slices.Clone(v.Gateways), &wire.Gateway{Id: "sound2", Accepting: true, PeerAddress: serveRelay(t, p.sound)})
+	next := *v
+	next.Gateways = known
+	p.cut.view.Store(&next)
+}
+
+func TestStreamGoesOnByWayOfAnotherGatewayAtItsVersion(t *testing.T) {
+	old, next := startEngine(t, chunks(false, event(1)), chunks(true, event(2))), startEngine(t)
+	p := startCutPair(t, resumable, versioned(old, "v1"), versioned(next, "v1.1"))
+	p.addSound(t)
+	p.awaitCut(t)
+	resp, body, err := call(t, t.Context(), p.address, "Id", "stream")
+	if err != nil || resp.StatusCode != 200 || body != event(1)+event(2) {
+		t.Errorf("response %v, body %q, error %v, want events 1 and 2 of v1", resp, body, err)
+	}
+	if got := old.requests(); len(got) != 2 || got[1].Header.Get("After") != "1" {
+		t.Errorf("the endpoint of v1 got %d requests, want a second one after event 1", len(got))
+	}
+	if n := len(next.requests()); n != 0 {
+		t.Errorf("the endpoint of v1.1 got %d requests, want 0", n)
+	}
+	if o, ok := p.sound.origins.find("stream", p.sound.clock()); !ok || o.Version != "v1" {
+		t.Errorf("origin %+v, %v, want v1", o, ok)
+	}
+}
+
+func TestRequestIsRefusedAtOnceIfNoGatewayReachesTheEndpoints(t *testing.T) {
+	e := startEngine(t)
+	p := startCutPair(t, nonIdempotent, versioned(e, "v1"))
+	p.sound.loads.SetOutOfReach(map[string]bool{"e0": true})
+	p.awaitCut(t)
+	started := time.Now()
+	resp, _, err := call(t, t.Context(), p.address)
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("response %v, error %v, want status 503 with a time to come back", resp, err)
+	}
+	if took := time.Since(started); took > 200*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+}
+
+func TestGatewaySendsByItselfAgainOnceItsLinksAreBack(t *testing.T) {
+	e := startEngine(t, response(200, "Signed: 1\r\n", "fine"))
+	p := startCutPair(t, nonIdempotent, versioned(e, "v1"))
+	p.awaitCut(t)
+	p.links.cut.Store(false)
+	for end := time.Now().Add(time.Second); len(p.cut.unreachedServices()) > 0; {
+		if time.Now().After(end) {
+			t.Fatal("the gateway does not know within 1 s that it reaches the endpoint")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.cut.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{{Id: "e0", Service: "s", Slots: 10, Address: e.address}}}))
+	if !p.served(t, "after") {
+		t.Error("a request is not served after the links are back")
+	}
+}
+
+func TestGatewayWithoutLinksReportsNoEndpointAsUnresponsive(t *testing.T) {
+	g := newTestGateway(t, nonIdempotent, document.Service{}, &wire.FleetEndpoint{})
+	g.loads.Begin("e0", 0, 0, 0)
+	reported := func() bool {
+		return slices.ContainsFunc(g.loads.Report(time.Hour), func(x *wire.InProgress) bool { return x.Silent })
+	}
+	if !reported() {
+		t.Fatal("an endpoint without an answer is not reported")
+	}
+	g.loads.SetOutOfReach(map[string]bool{"e0": true})
+	if reported() {
+		t.Error("an endpoint out of reach is reported as unresponsive")
+	}
+}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -73,6 +73,9 @@
 		if !q.finishesInTime(now) {
 			return nil, errShutdown
 		}
+		if q.outOfReach() {
+			return nil, errOutOfReach
+		}
 		c := g.loads.Choose(g.view.Load(), q.requirements, tried, now)
 		var e *fleet.Endpoint
 		var err error
@@ -99,6 +102,9 @@
 	}
 }
 
+// errOutOfReach is the failure of a request to endpoints that this gateway does not reach.
+var errOutOfReach = fail.New(fail.OutOfReach, "the endpoints are out of reach").WithRetryAfter(outOfReachRetryAfter)
+
 // finishesInTime reports whether a response that starts at the given time is
 // expected to be complete before a shutdown of the gateway cancels it. A response
 // that the client has received a part of is continued in any case.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,6 +41,8 @@
 	requirements fleet.Requirements
 	// origin is where the stream began; nil until it is known.
 	origin *streamorigin.Origin
+	// hop is set if another gateway relays the request here.
+	hop *hop
 	// endpoint is that of the current send, and endpointVersion the version of its software
 	// when the request was sent.
 	endpoint        *fleet.Endpoint
@@ -73,9 +75,15 @@
 }
 
 // ServeHTTP serves one request of a client.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve serves one request of a client, or of a gateway that relays one here by hop.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, hop *hop) {
 	arrived := g.clock()
 	info, err := g.deps.Protocol.ParseRequest(r)
+	if hop != nil {
+		info.Timeout = max(hop.timeLeft, time.Millisecond)
+	}
 	requestCtx, cancelRequest := context.WithCancelCause(r.Context())
 	defer cancelRequest(nil)
 	state := g.inFlight.begin(info.ID, arrived, cancelRequest)
@@ -100,24 +108,26 @@
 		g.reject(w, r, info, err)
 		return
 	}
-	q := &request{g: g, w: w, httpRequest: r, body: body, info: info, state: state, route: route, arrived: arrived}
+	q := &request{g: g, w: w, httpRequest: r, body: body, info: info, state: state, route: route, arrived: arrived, hop: hop}
 	q.deadline = arrived + route.Timeout
 	if info.Timeout > 0 {
 		q.deadline = min(q.deadline, arrived+info.Timeout)
 	}
-	q.requirements = g.requirementsOf(table.Document, route, info)
+	q.requirements = g.requirementsOf(table.Document, route, info, q.service())
 	if q.suspected() {
 		q.requirements.Session = q.suspectSession()
 	}
 	if s := table.Document.Service(q.requirements.Service); s != nil && s.Engine != nil {
 		q.maxReservation = s.Engine.MaxReservation
 	}
-	g.retries.RecordRequest(q.requirements.Service, arrived)
+	if hop == nil {
+		g.retries.RecordRequest(q.requirements.Service, arrived)
+	}
 	ctx, cancel := context.WithTimeout(requestCtx, q.deadline-g.clock())
 	defer cancel()
 	q.ctx = ctx
 	defer func() { g.buffers.give(q.bufferedBytes) }()
-	if err := q.resumeAtOrigin(); err != nil {
+	if err := q.findOriginOrHop(); err != nil {
 		g.reject(w, r, info, err)
 		return
 	}
@@ -167,10 +177,26 @@
 	return body, nil
 }
 
-// requirementsOf returns what the request requires of an endpoint.
-func (g *Gateway) requirementsOf(d *document.Document, route *document.Route, info RequestInfo) fleet.Requirements {
+// service returns the service that the request goes to.
+func (q *request) service() string {
+	if q.hop != nil {
+		return q.hop.service
+	}
+	return q.route.Pick(q.g.randFloat())
+}
+
+// clientAddress returns the address of the client.
+func (q *request) clientAddress() string {
+	if q.hop != nil {
+		return q.hop.client
+	}
+	return q.httpRequest.RemoteAddr
+}
+
+// requirementsOf returns what the request requires of an endpoint of the service.
+func (g *Gateway) requirementsOf(d *document.Document, route *document.Route, info RequestInfo, service string) fleet.Requirements {
 	n := fleet.Requirements{
-		Service: route.Pick(g.randFloat()), Model: info.Model, Adapter: info.Adapter,
+		Service: service, Model: info.Model, Adapter: info.Adapter,
 		Tokens: info.PromptTokens + info.expectedOutput(), Domain: g.cfg.Domain,
 	}
 	if route.Sticky && info.Session != "" {
@@ -202,6 +228,7 @@
 	}
 	status := f.Code.HTTPStatus()
 	rejections.count(f.Code)
+	describeFailure(w, r, f.WithRan(fail.RanNo))
 	g.log.WithFields(logrus.Fields{
 		"request": info.ID, "host": r.Host, "path": r.URL.Path, "outcome": "refused", "code": f.Code, "reason": f.Message,
 		"status": status, "retry_after": f.RetryAfter,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,13 +23,10 @@
 	// MetricsAddress serves the metrics.
 	MetricsAddress string `json:"metrics_address"`
 	// PeerAddress serves the other gateways, as ip:port. A gateway without it keeps nothing
-	// for others.
+	// for others, and relays no requests of theirs.
 	PeerAddress string `json:"peer_address"`
-	// RelayAddress takes requests that other gateways cannot send to endpoints, as ip:port. A
-	// gateway without it takes none.
-	RelayAddress string `json:"relay_address"`
-	Domain       string `json:"domain"`
-	Region       string `json:"region"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
 	// ControlSeeds are the operator addresses of up to three control replicas, and
 	// ControlPort is the port on which all replicas serve gateways. The addresses
 	// of other replicas are received with the view.
@@ -77,9 +74,6 @@
 	if s.PeerAddress != "" {
 		c.Address("peer_address", s.PeerAddress)
 	}
-	if s.RelayAddress != "" {
-		c.Address("relay_address", s.RelayAddress)
-	}
 	c.Require(s.Domain != "", "domain", "the name of a failure domain")
 	c.Require(len(s.ControlSeeds) > 0, "control_seeds", "the address of one control replica or more")
 	for _, a := range s.ControlSeeds {
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -178,6 +177,21 @@
 	return resp.Msg.Stream
 }
 
+// findOriginOrHop makes a request that goes on with a stream require the software version
+// that began it, as the gateway that relays the request knows it, or as this one or a keeper does.
+func (q *request) findOriginOrHop() error {
+	switch {
+	case q.hop == nil:
+		return q.resumeAtOrigin()
+	case !q.route.Serves(q.hop.service):
+		return fail.New(fail.Unavailable, "the route does not lead to the service here").WithRetryAfter(failedRetryAfter)
+	case q.hop.origin != nil:
+		q.origin = q.hop.origin
+		return q.requireOrigin()
+	}
+	return nil
+}
+
 // resumeAtOrigin makes a request that takes a stream up require the software version that
 // began it. It returns an error if that is not known, or no endpoint runs it.
 func (q *request) resumeAtOrigin() error {
@@ -196,7 +210,7 @@
 	switch {
 	case o == nil || o.Version == "" || q.g.replacedSince(o):
 		return fail.New(fail.Unavailable, "the software version that began the stream is not known").WithRetryAfter(unknownOriginRetryAfter)
-	case !slices.ContainsFunc(q.route.Split, func(s document.Share) bool { return s.Service == o.Service }):
+	case !q.route.Serves(o.Service):
 		return fail.New(fail.Unavailable, "the service that began the stream does not serve the route any more")
 	case !q.g.runs(o):
 		return fail.New(fail.Unavailable, "no endpoint runs the software version that began the stream")
@@ -233,7 +247,10 @@
 	}
 	id := q.info.ID
 	if q.origin == nil {
-		q.origin = &streamorigin.Origin{Service: q.requirements.Service, Endpoint: q.endpoint.ID, Version: q.endpointVersion}
+		q.origin = &streamorigin.Origin{Service: q.requirements.Service, Version: q.endpointVersion}
+		if q.endpoint != nil {
+			q.origin.Endpoint = q.endpoint.ID
+		}
 	}
 	if q.info.Resumed {
 		id = q.info.Resumes
--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -45,7 +45,7 @@
 	gateways []*Gateway
 	// addresses serve clients, and peers the other gateways.
 	addresses []string
-	peers     []*transport.Server
+	peers     []*transport.ClientFacingServer
 }
 
 // startPeerGroup starts gateways in as many failure domains as there are endpoints given,
@@ -61,7 +61,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := transport.Serve(l, g.peerHandler())
+		server := transport.ServeClients(l, g.peerHandler())
 		t.Cleanup(func() { server.Close() })
 		g.cfg.PeerAddress = server.Address()
 		known = append(known, g.self())
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -243,7 +243,7 @@
 	defer cancel()
 	wait.For(ctx, probeDelay)
 	p.refused = !g.pool.Accepts(ctx, e.Address)
-	if p.refused {
+	if p.refused && !g.loads.OutOfReach(e.ID) {
 		g.loads.MarkEnded(e.ID, g.clock())
 	}
 	g.log.WithFields(logrus.Fields{"endpoint": e.ID, "address": e.Address, "refused": p.refused}).Info("endpoint checked after it broke a request")
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -17,6 +17,7 @@
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
+	maxIdlePerPeer    = 2
 	maxHeaderBytes    = 64 << 10
 	// peerPingInterval and peerPingTimeout detect an unresponsive connection
 	// between the system's own processes.
@@ -55,6 +56,16 @@
 	}}
 }
 
+// NewPeerClientHTTP1 returns an HTTP/1.1 client for servers of the system's own processes
+// that serve requests of clients too.
+func NewPeerClientHTTP1() *http.Client {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: countingDial(PeerKindSystem), Protocols: &p, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer,
+	}}
+}
+
 // NewEndpointClient returns an HTTP client for engines, services and the
 // platform. It does not follow redirects and never resends a request on its own.
 func NewEndpointClient(maxConnsPerHost int) *http.Client {
