Let no gateways that hear of no endpoint convict sound ones

A gateway that hears nothing of several endpoints and something of none is no witness. The test failed before: gateways that share a cause convicted sound endpoints. Where endpoints are dead for all, each gateway still finds them by its own failures.

--- a/internal/fleetcontrol/detector.go
+++ b/internal/fleetcontrol/detector.go
@@ -69,13 +69,14 @@
 		h = fleet.NewHealth(pooledFailureWeight)
 		d.domains[domain] = h
 	}
+	linksLost := lostLinks(loads)
 	for _, x := range loads {
 		before := h.Suspect(x.Endpoint, now)
 		h.Record(x.Endpoint, fleet.Results{Served: int(x.Served), Failed: int(x.Failed)}, now)
 		if after := h.Suspect(x.Endpoint, now); after != before {
 			d.log.WithFields(logrus.Fields{"endpoint": x.Endpoint, "domain": domain, "failing": after, "failed": x.Failed}).Info("endpoint failure status changed")
 		}
-		d.ingestUnresponsive(gateway, x, now)
+		d.ingestUnresponsive(gateway, x, x.Silent && !linksLost, now)
 		d.ingestLatency(x, now)
 	}
 }
@@ -123,11 +124,26 @@
 	return slow
 }
 
-func (d *failureDetector) ingestUnresponsive(gateway string, x *wire.InProgress, now time.Duration) {
+// lostLinks reports whether a gateway hears nothing of several endpoints and something of
+// none: its own links are the likelier cause, and those of others may be lost with them.
+func lostLinks(loads []*wire.InProgress) bool {
+	silent := 0
+	for _, x := range loads {
+		switch {
+		case x.Silent:
+			silent++
+		case x.Heard || x.Served > 0:
+			return false
+		}
+	}
+	return silent >= minAgreeing
+}
+
+func (d *failureDetector) ingestUnresponsive(gateway string, x *wire.InProgress, unresponsive bool, now time.Duration) {
 	if x.Heard || x.Served > 0 {
 		d.lastReceived[x.Endpoint] = now
 	}
-	if !x.Silent {
+	if !unresponsive {
 		delete(d.unresponsive[x.Endpoint], gateway)
 		return
 	}
--- a/internal/fleetcontrol/detector_test.go
+++ b/internal/fleetcontrol/detector_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+func TestGatewaysThatHearNothingOfSeveralEndpointsConvictNone(t *testing.T) {
+	silent := func(ids ...string) []*wire.InProgress {
+		var out []*wire.InProgress
+		for _, id := range ids {
+			out = append(out, &wire.InProgress{Endpoint: id, Running: 1, Silent: true})
+		}
+		return out
+	}
+	d := newFailureDetector(testLog())
+	for _, gateway := range []string{"a", "b", "c"} {
+		d.ingest(gateway, "d1", silent("e", "f"), time.Second)
+	}
+	if d.dead("e", time.Second) || d.dead("f", time.Second) {
+		t.Error("gateways that share a cause convicted sound endpoints")
+	}
+	heard := &wire.InProgress{Endpoint: "f", Running: 1, Heard: true}
+	for _, gateway := range []string{"a", "b"} {
+		d.ingest(gateway, "d1", append(silent("e"), heard), time.Second)
+	}
+	if !d.dead("e", time.Second) {
+		t.Error("an endpoint is not dead of which two gateways hear nothing that hear another one")
+	}
+}
+
 // TestSlowEndpointIsAvoided reports one endpoint at eight times the expected
 // latency and three at the expected one, and then all four at three times the
 // expected latency.
