Let a sound endpoint be silent for two seconds without losing its answers

An endpoint that falls silent for a second or so and goes on thus lost all answers of a gateway that it had not acknowledged anything to for 1.5 s. It is 2.2 s now: a retry still fits into the 2.5 s of a read. That a cut is found no later is the work of the checks of reach, which open connections of their own.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,14 +14,15 @@
 const (
 	// dialTimeout bounds the wait for a new connection.
 	dialTimeout = 800 * time.Millisecond
-	// userTimeout is the time after which the kernel closes a connection whose
-	// sent bytes are not acknowledged.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is the time after which the kernel closes a connection whose sent bytes,
+	// or keep-alive probes whatever their count, are not acknowledged. Sound endpoints fall
+	// silent for a second and more.
+	userTimeout = 2200 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP
 	// keep-alive probes that detect an unresponsive peer.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 	// defaultIdleTimeout applies if the endpoint announces no idle timeout.
 	defaultIdleTimeout = 8 * time.Second
 	// idleTimeoutRatio of the endpoint's idle timeout is used, so that a request
