Send nothing to endpoints that state that they leave, or want no requests for a time

By the users' news a leaving engine says so in its answers before the list shows it, and a rejection may name a time in which its engine wants no request of that gateway. Neither was read: an engine that leaves got requests until the list showed it, and one that had named a time got the next request at once.

A gateway leaves such an endpoint at once and tells the leader, whose view tells all and whose planner replaces its models; a new process under the id starts anew.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -51,8 +51,8 @@
 	Endpoint *Endpoint
 	// Utilization is that of the endpoint before the request, 1 if it is full.
 	Utilization float64
-	// HeldOffUntil is until when the endpoint takes no request, for its limit; it counts as
-	// full until then.
+	// HeldOffUntil is until when the endpoint takes no request, for its limit or because it
+	// has asked for that; it counts as full until then.
 	HeldOffUntil time.Duration
 	// Contended is set if the utilization of the chosen endpoint, or of all
 	// endpoints of the model together, is so high that other gateways may take the
@@ -75,7 +75,7 @@
 	defer l.mu.Unlock()
 	var all []*Endpoint
 	for _, e := range v.candidates(req.Service, req.Model) {
-		if !e.Leaving && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) && !l.outOfReach[e.ID] && l.runsVersion(e, req.Version, now) {
+		if !l.closed(e, now) && !tried[e.ID] && e.Serves(req.Model, req.Adapter) && !l.isReplaced(e, now) && !l.outOfReach[e.ID] && l.runsVersion(e, req.Version, now) {
 			all = append(all, e)
 		}
 	}
@@ -124,7 +124,7 @@
 	bestCost := 0.0
 	for _, e := range endpoints {
 		utilization := l.utilization(e, req)
-		heldOffUntil := l.heldOffUntil[e.ID]
+		heldOffUntil := max(l.heldOffUntil[e.ID], l.restingUntil[e.ID])
 		if heldOffUntil > now {
 			// Of several, the one that is free first.
 			utilization = max(utilization, fullUtilization+(heldOffUntil-now).Seconds())
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -48,7 +48,11 @@
 	endedAt map[string]time.Duration
 	// outOfReach are the endpoints that this gateway does not reach.
 	outOfReach map[string]bool
-	draw       func(n int) int
+	// restingUntil is until when endpoints that have rejected a request want none.
+	restingUntil map[string]time.Duration
+	// leaving holds when endpoints have stated that they are about to end.
+	leaving map[string]time.Duration
+	draw    func(n int) int
 }
 
 // replacement states that another endpoint answered at the address of one.
@@ -66,7 +70,7 @@
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
 		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
-		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, draw: draw,
+		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, restingUntil: map[string]time.Duration{}, leaving: map[string]time.Duration{}, draw: draw,
 	}
 }
 
@@ -404,7 +408,7 @@
 	}
 	var service, meeting reachCount
 	for _, e := range v.Service(req.Service) {
-		if e.Leaving {
+		if l.closed(e, now) {
 			continue
 		}
 		service.add(l.outOfReach[e.ID])
@@ -436,6 +440,58 @@
 	return version == "" || l.versionOf(e, now) == version
 }
 
+// Rest records that the endpoint wants no request until the time.
+func (l *Loads) Rest(endpoint string, until, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.restingUntil, func(_ string, end time.Duration) bool { return end <= now })
+	l.restingUntil[endpoint] = max(l.restingUntil[endpoint], until)
+}
+
+// leavingTTL is how long an endpoint is not used after it has stated that it is about to end,
+// longer than such an endpoint lives on. One that has started again under its id since may
+// be used later than that.
+const leavingTTL = 30 * time.Second
+
+// MarkLeaving records that the endpoint has stated that it is about to end. It reports whether
+// that is news.
+func (l *Loads) MarkLeaving(endpoint string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.leaving, func(_ string, at time.Duration) bool { return now-at >= leavingTTL })
+	_, known := l.leaving[endpoint]
+	l.leaving[endpoint] = now
+	return !known
+}
+
+// LeavingUnknownTo returns the endpoints that have stated here that they are about to end, of
+// which the view does not show that.
+func (l *Loads) LeavingUnknownTo(v *View, now time.Duration) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for _, e := range v.Endpoints {
+		if at, ok := l.leaving[e.ID]; ok && !e.Leaving && now-at < leavingTTL {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// Closed reports whether the endpoint takes no request of this gateway now: it is about to
+// end, or wants none for a time.
+func (l *Loads) Closed(e *Endpoint, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed(e, now) || l.restingUntil[e.ID] > now
+}
+
+// closed reports whether the endpoint is about to end. l.mu must be held.
+func (l *Loads) closed(e *Endpoint, now time.Duration) bool {
+	at, ok := l.leaving[e.ID]
+	return e.Leaving || ok && now-at < leavingTTL
+}
+
 // SetStale sets whether the other gateways' counts are old, and how many gateways
 // share the endpoints. While the counts are old, each of the other gateways is
 // assumed to have as much in flight as this one.
--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -97,7 +97,7 @@
 func (l *leaderState) holdersOf(req adapterRequest) []*engineState {
 	var out []*engineState
 	for _, e := range l.enginesOf(req.service) {
-		if !e.listed.Leaving && e.runs(req.version) && !e.unloading[req.model] && e.held[req.model][req.adapter] {
+		if !e.leaving() && e.runs(req.version) && !e.unloading[req.model] && e.held[req.model][req.adapter] {
 			out = append(out, e)
 		}
 	}
@@ -132,7 +132,7 @@
 	var best *engineState
 	lowest := 0.0
 	for _, e := range l.enginesOf(req.service) {
-		if tried[e.listed.ID] || l.blocked(e.listed, l.s.clock()) || e.listed.Leaving || e.stepInFlight || e.foreignOrder || e.held[req.model] == nil || !e.runs(req.version) {
+		if tried[e.listed.ID] || l.blocked(e.listed, l.s.clock()) || e.leaving() || e.stepInFlight || e.foreignOrder || e.held[req.model] == nil || !e.runs(req.version) {
 			continue
 		}
 		cost := float64(l.loads[e.listed.ID].GetRunning()) / float64(max(s.Engine.Slots, 1))
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -29,6 +29,9 @@
 	startedUnixMs int64
 	// version is that of the software of this process; empty if it is not known surely.
 	version versionState
+	// statesLeaving is set once a response of this process has stated that it is about to end,
+	// which the list shows later.
+	statesLeaving bool
 	// held maps each loaded model to its loaded adapters; nil until known.
 	held map[string]map[string]bool
 	// sequence is the number of accepted orders, if sequenceKnown is set.
@@ -91,6 +94,9 @@
 	}
 }
 
+// leaving reports whether the engine is about to end. e.leader.mu must be held.
+func (e *engineState) leaving() bool { return e.listed.Leaving || e.statesLeaving }
+
 // listing returns the endpoint's entry in the live list. e.leader.mu must not be held.
 func (e *engineState) listing() ListedEndpoint {
 	e.leader.mu.Lock()
--- a/internal/fleetcontrol/incarnation.go
+++ b/internal/fleetcontrol/incarnation.go
@@ -31,7 +31,7 @@
 	e.held, e.cached = nil, nil
 	e.version.restart(e.leader.s.clock())
 	e.sequence, e.sequenceKnown = 0, false
-	e.awaitingEffect, e.foreignOrder = false, false
+	e.awaitingEffect, e.foreignOrder, e.statesLeaving = false, false, false
 	clear(e.loadingAdapters)
 	e.leader.suspects.Restarted(e.listed.ID)
 	e.leader.limits.book.Restart(e.listed.ID, e.leader.s.clock())
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -279,7 +279,7 @@
 	}
 	for id := range l.engines {
 		if !listed[id] {
-			l.suspects.Removed(id, l.engines[id].listed.Leaving)
+			l.suspects.Removed(id, l.engines[id].leaving())
 			delete(l.engines, id)
 			l.s.log.WithField("endpoint", id).Info("endpoint no longer listed")
 		}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -73,6 +73,7 @@
 	l.recordDocumentVersion(g, r.DocumentVersion, now)
 	l.ingestSuspects(r, now)
 	l.ingestLimits(r, now)
+	l.ingestLeaving(r)
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
@@ -91,6 +92,21 @@
 	return resp
 }
 
+// ingestLeaving records the endpoints whose responses have stated that they are about to end.
+// l.mu must be held.
+func (l *leaderState) ingestLeaving(r *wire.SyncRequest) {
+	for _, id := range r.Leaving {
+		e := l.engines[id]
+		if e == nil || e.leaving() {
+			continue
+		}
+		e.statesLeaving = true
+		l.s.log.WithFields(logrus.Fields{"endpoint": id, "gateway": r.Gateway.GetId(), "term": l.term}).Info("endpoint states that it is about to end")
+		l.publishEngine(e)
+		l.triggerStep()
+	}
+}
+
 // maxSyncsPerSecond bounds the Sync calls of all gateways together, and so the
 // leader's CPU time and network traffic, independently of the number of gateways.
 const maxSyncsPerSecond = 400
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for _, b := range r.Broken {
-		if e := l.engines[b.Endpoint]; e != nil && e.listed.Leaving {
+		if e := l.engines[b.Endpoint]; e != nil && e.leaving() {
 			continue
 		}
 		x := brokenFromWire(b, now)
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -105,7 +105,7 @@
 func (e *engineState) toWire() *wire.FleetEndpoint {
 	out := &wire.FleetEndpoint{
 		Id: e.listed.ID, Service: e.listed.Service, Address: e.listed.Address, Domain: e.listed.Domain,
-		Leaving: e.listed.Leaving, Slots: uint32(e.listed.Slots), Version: e.version.known,
+		Leaving: e.leaving(), Slots: uint32(e.listed.Slots), Version: e.version.known,
 	}
 	out.PerSecond, out.Limited = e.leader.limitOf(e.listed.ID)
 	for name, adapters := range e.held {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -212,6 +212,7 @@
 	} else {
 		out.onReceive()
 		g.observeLimit(e, info, out.sentAt)
+		g.observeClosing(e, info)
 	}
 	s := out.forward(resp, info)
 	if !s.complete {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,8 +51,11 @@
 }
 
 func (testProtocol) ParseResponse(status int, h http.Header) ResponseInfo {
+	// The time is zero if the header is missing.
+	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return ResponseInfo{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Misdirected: status == http.StatusMisdirectedRequest, Endpoint: h.Get("Other"),
+		Leaving: h.Get("Leaving") != "", RetryAfter: rest,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,8 @@
 	// permitsDenied counts the sends to endpoints with a limit that were not permitted.
 	permitsDenied    = metrics.GetOrCreateCounter("parsleyramp_gateway_permits_denied_total")
 	misdirectedSends = metrics.GetOrCreateCounter("parsleyramp_gateway_misdirected_sends_total")
+	// restsNamed counts the rejections that name a time in which the endpoint wants no request.
+	restsNamed = metrics.GetOrCreateCounter("parsleyramp_gateway_endpoint_rests_total")
 
 	// firstByteSeconds is the time from the arrival of a request to the first byte
 	// of a stream, longestPauseSeconds the longest pause within a stream, and
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -70,6 +70,11 @@
 	Endpoint string
 	// Limit is what the response states of the rate of requests that its endpoint takes.
 	Limit ratelimit.Limit
+	// Leaving is set if the endpoint is about to end.
+	Leaving bool
+	// RetryAfter is how long the endpoint, which rejected the request, wants no other one from
+	// this gateway; zero for none.
+	RetryAfter time.Duration
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
 }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -279,7 +279,7 @@
 		return nil
 	}
 	for _, e := range q.g.view.Load().Service(q.requirements.Service) {
-		if e.ID == id && !e.Leaving && q.runsRequiredVersion(e) {
+		if e.ID == id && !q.g.loads.Closed(e, q.g.clock()) && q.runsRequiredVersion(e) {
 			return e
 		}
 	}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -64,6 +64,7 @@
 	reportedLimits := g.limits.report(req, g.clock())
 	req.DocumentVersion = g.documentVersion()
 	if v := g.view.Load(); v != nil {
+		req.Leaving = g.loads.LeavingUnknownTo(v, g.clock())
 		req.ViewTerm, req.ViewRevision = v.Term, v.Revision
 	}
 	var resp *wire.SyncResponse
