Bound what brittle endpoints reject, on the sum over all gateways

By the users' news the endpoints of a service may say that they fall over once they have to reject more than some requests in a second. Nothing read that.

A service counts as brittle at a gateway for 3 s after one of its endpoints has said so: three quarters of its slots are used, old counts are no reason to send, places are not asked for ahead, and an endpoint that has rejected a request gets none of that gateway for a second. A send into known room, up to 0.6 of the slots, needs nothing. One that may be rejected needs a permit of the leader, a quarter of the rejections that the endpoint survives in a second, by the buckets that bound limits already.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -123,7 +123,7 @@
 	var best Choice
 	bestCost := 0.0
 	for _, e := range endpoints {
-		utilization := l.utilization(e, req)
+		utilization := l.utilization(e, req, now)
 		heldOffUntil := max(l.heldOffUntil[e.ID], l.restingUntil[e.ID])
 		if heldOffUntil > now {
 			// Of several, the one that is free first.
@@ -153,7 +153,7 @@
 
 // utilization returns the larger of the utilizations of slots and of memory.
 // l.mu must be held.
-func (l *Loads) utilization(e *Endpoint, req Requirements) float64 {
+func (l *Loads) utilization(e *Endpoint, req Requirements, now time.Duration) float64 {
 	load := l.totalLoad(e.ID)
 	utilization := float64(load.Running) / float64(max(e.Slots, 1))
 	if l.full[e.ID] {
@@ -162,6 +162,9 @@
 	if req.CacheTokens > 0 {
 		utilization = max(utilization, float64(load.Tokens)/float64(req.CacheTokens))
 	}
+	if _, brittle := l.brittleLocked(e.Service, now); brittle {
+		return utilization / brittleRoom
+	}
 	if l.stale {
 		// An estimate may rank an endpoint after others, but never keeps a new
 		// request from it: only the endpoint itself can state that it is full.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -52,6 +52,8 @@
 	restingUntil map[string]time.Duration
 	// leaving holds when endpoints have stated that they are about to end.
 	leaving map[string]time.Duration
+	// brittle holds what services say of rejections.
+	brittle map[string]brittleness
 	draw    func(n int) int
 }
 
@@ -70,7 +72,7 @@
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
 		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
-		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, restingUntil: map[string]time.Duration{}, leaving: map[string]time.Duration{}, draw: draw,
+		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, restingUntil: map[string]time.Duration{}, leaving: map[string]time.Duration{}, brittle: map[string]brittleness{}, draw: draw,
 	}
 }
 
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -262,3 +262,23 @@
 		t.Error("not limited without a leader, though no answer has lifted the limit")
 	}
 }
+
+func TestSendThatABrittleEndpointMayRejectNeedsAPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked []*wire.PermitRequest
+		runs := 0
+		g := newPermitGateway(t, &runs, func(r *wire.PermitRequest) (*wire.PermitResponse, error) {
+			asked = append(asked, r)
+			return &wire.PermitResponse{Granted: true}, nil
+		})
+		if a := <-g.send(t, "resident"); a.status != 200 || len(asked) != 0 {
+			t.Fatalf("status %d, %d permits, want 200 without a permit", a.status, len(asked))
+		}
+		g.loads.SetBrittle("s", 8, g.clock())
+		g.loads.MarkFull("e0")
+		if perSecond, limited := g.limitOf(g.view.Load().Endpoints[0]); !limited || perSecond != 8*riskShare {
+			t.Errorf("limit %v, %v, want the share of the rejections that the endpoint survives", perSecond, limited)
+		}
+		g.stop(t)
+	})
+}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -75,6 +75,10 @@
 	// RetryAfter is how long the endpoint, which rejected the request, wants no other one from
 	// this gateway; zero for none.
 	RetryAfter time.Duration
+	// Brittle is set if the endpoint falls over once it has to reject more than MaxRejections
+	// requests in a second.
+	Brittle       bool
+	MaxRejections float64
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -24,7 +24,7 @@
 func (q *request) reserve(c fleet.Choice, s *search) (*fleet.Endpoint, error) {
 	g := q.g
 	q.reservation = ""
-	if _, limited := g.limitOf(c.Endpoint); limited || !c.Contended || q.maxReservation == 0 || g.deps.Reserver == nil {
+	if _, limited := g.limitOf(c.Endpoint); limited || g.loads.Brittle(c.Endpoint.Service, g.clock()) || !c.Contended || q.maxReservation == 0 || g.deps.Reserver == nil {
 		return c.Endpoint, nil
 	}
 	q.state.setPhase(phaseReserving)
