Let the soak cut gateways off from all endpoints

The proxies of endpoints reset new connections of some gateways, which open them from an address of their own (endpoint_source_ip), with their open connections reset or living on.

--- a/cmd/parsleyramp-gateway/main.go
+++ b/cmd/parsleyramp-gateway/main.go
@@ -32,7 +32,7 @@
 			Apply: func(c settings.Checked) { reloads.Apply(*c.(*gateway.Settings)) },
 		},
 		Run: func(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), log *logrus.Entry) error {
-			g, err := gateway.Start(cfg, dependencies(log), log)
+			g, err := gateway.Start(cfg, dependencies(cfg, log), log)
 			if err != nil {
 				return err
 			}
@@ -46,8 +46,8 @@
 	os.Exit(d.Main(os.Args[1:]))
 }
 
-func dependencies(log *logrus.Entry) gateway.Dependencies {
-	pool := upstream.NewPool()
+func dependencies(cfg gateway.Settings, log *logrus.Entry) gateway.Dependencies {
+	pool := upstream.NewPoolFrom(cfg.EndpointSourceIP)
 	return gateway.Dependencies{
 		Pool: pool, Reserver: platform.NewClient(pool, "", log),
 		Protocol: platform.Protocol{}, Decode: platform.DecodeDocument,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"strconv"
 	"time"
 
@@ -25,8 +26,10 @@
 	// PeerAddress serves the other gateways, as ip:port. A gateway without it keeps nothing
 	// for others, and relays no requests of theirs.
 	PeerAddress string `json:"peer_address"`
-	Domain      string `json:"domain"`
-	Region      string `json:"region"`
+	// EndpointSourceIP is the local address of connections to endpoints; empty for any.
+	EndpointSourceIP string `json:"endpoint_source_ip"`
+	Domain           string `json:"domain"`
+	Region           string `json:"region"`
 	// ControlSeeds are the operator addresses of up to three control replicas, and
 	// ControlPort is the port on which all replicas serve gateways. The addresses
 	// of other replicas are received with the view.
@@ -74,6 +77,7 @@
 	if s.PeerAddress != "" {
 		c.Address("peer_address", s.PeerAddress)
 	}
+	c.Require(s.EndpointSourceIP == "" || net.ParseIP(s.EndpointSourceIP) != nil, "endpoint_source_ip", "an IP address")
 	c.Require(s.Domain != "", "domain", "the name of a failure domain")
 	c.Require(len(s.ControlSeeds) > 0, "control_seeds", "the address of one control replica or more")
 	for _, a := range s.ControlSeeds {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,7 +52,17 @@
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return dialFrom(nil)(ctx, address)
+}
+
+// dialFrom returns a function that opens connections from the local address; nil for any.
+func dialFrom(local net.Addr) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, local, address) }
+}
+
+func dial(ctx context.Context, local net.Addr, address string) (net.Conn, error) {
 	d := net.Dialer{
+		LocalAddr:       local,
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -73,6 +74,14 @@
 // NewPool returns an empty pool of TCP connections.
 func NewPool() *Pool { return NewPoolWithDial(dialTCP) }
 
+// NewPoolFrom returns an empty pool of TCP connections from the local IP; empty for any.
+func NewPoolFrom(ip string) *Pool {
+	if ip == "" {
+		return NewPool()
+	}
+	return NewPoolWithDial(dialFrom(&net.TCPAddr{IP: net.ParseIP(ip)}))
+}
+
 // NewPoolWithDial returns an empty pool whose connections dial opens.
 func NewPoolWithDial(dial DialFunc) *Pool { return &Pool{dial: dial, idle: map[string][]*conn{}} }
 
--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// sendOnce sends the attempt to a gateway and returns its outcome.
+func (d *driver) sendOnce(client *standin.Client, n *node, attempt standin.Attempt) standin.Outcome {
+	ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
+	defer cancel()
+	outcome, _ := client.Do(ctx, n.clientAddress, attempt)
+	return outcome
+}
+
 // do sends the attempt to a gateway and checks its outcome.
 func (d *driver) do(client *standin.Client, n *node, attempt standin.Attempt) {
 	ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
--- a/scripts/soak/proxy.go
+++ b/scripts/soak/proxy.go
@@ -24,6 +24,8 @@
 	mu    sync.Mutex
 	state linkState
 	conns map[net.Conn]bool
+	// refused are the IPs of clients whose new connections are reset.
+	refused map[string]bool
 }
 
 // startProxy listens on the address and forwards connections to the target.
@@ -52,6 +54,41 @@
 	return p.state
 }
 
+// refuse makes new connections of the clients with the IPs be reset.
+func (p *proxy) refuse(ips map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = ips
+}
+
+// refuses reports whether the client's new connection is reset.
+func (p *proxy) refuses(client net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[clientIP(client)]
+}
+
+// clientIP returns the IP of a connection's client.
+func clientIP(c net.Conn) string {
+	a, ok := c.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return ""
+	}
+	return a.IP.String()
+}
+
+// resetFrom resets the open connections of the clients with the IPs.
+func (p *proxy) resetFrom(ips map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok && ips[clientIP(c)] {
+			_ = tcp.SetLinger(0)
+			c.Close()
+		}
+	}
+}
+
 // reset resets all open connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -80,6 +117,11 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
+	if p.refuses(client) {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		client.Close()
+		return
+	}
 	target, err := net.Dial("tcp4", p.target)
 	if err != nil {
 		// The client sees a refused connection to the target as a reset.
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -61,6 +61,8 @@
 	// versions is set if whole domains of gateways are killed, after the faults, while clients
 	// have long streams.
 	versions bool
+	// cutOff is set if gateways are cut off from all endpoints, after the faults.
+	cutOff bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -93,6 +95,10 @@
 		d.checkVersions()
 		d.checkRecovery()
 	}
+	if o.cutOff {
+		d.checkCutOff()
+		d.checkRecovery()
+	}
 	if o.limits {
 		d.checkLimits()
 	}
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -201,6 +201,10 @@
 	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 6, versions: true})
 }
 
+func TestCallersOfGatewaysThatAreCutOffAreServed(t *testing.T) {
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 7, cutOff: true})
+}
+
 // soakWithoutFaults runs a soak without faults but those that the options add.
 func soakWithoutFaults(t *testing.T, o options) {
 	t.Parallel()
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -189,7 +189,7 @@
 	s.gateways = append(s.gateways, n)
 	return s.launch(n, map[string]any{
 		"id": n.name, "caller_address": n.clientAddress, "ready_address": address(run, gatewayVM, i, readyPort),
-		"metrics_address": address(run, gatewayVM, i, metricsPort), "peer_address": address(run, gatewayVM, i, peerPort), "domain": domain(i), "region": "r",
+		"metrics_address": address(run, gatewayVM, i, metricsPort), "peer_address": address(run, gatewayVM, i, peerPort), "endpoint_source_ip": n.ip(), "domain": domain(i), "region": "r",
 		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(),
 		"retry_ratio": retryBudget.Ratio, "retry_slack": retryBudget.Slack, "retry_window": retryBudget.Window.String(),
 	})
@@ -228,6 +228,13 @@
 	return os.Rename(path+".new", path)
 }
 
+// ip returns the IP of a gateway VM.
+func (n *node) ip() string {
+	// The address is made by this package.
+	host, _, _ := net.SplitHostPort(n.clientAddress)
+	return host
+}
+
 // start starts the process unless it runs or a fault prevents that.
 func (n *node) start(s *system) error {
 	n.mu.Lock()
