Look at reach without a pass over all endpoints

The look each 0.1 s went over all endpoints three times; it goes over those with pending responses, and over all only while a group is out of reach.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -361,9 +361,9 @@
 	defer l.mu.Unlock()
 	pending := map[Group][]*Endpoint{}
 	heard := map[Group]bool{}
-	for _, e := range v.Endpoints {
-		s, ok := l.responses[e.ID]
-		if !ok {
+	for id, s := range l.responses {
+		e := v.Endpoint(id)
+		if e == nil {
 			continue
 		}
 		g := GroupOf(e)
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -109,6 +109,16 @@
 	return x != nil && x.cut
 }
 
+// AnyCut reports whether any group is out of reach.
+func (r *Reach) AnyCut() bool {
+	for _, x := range r.groups {
+		if x.cut {
+			return true
+		}
+	}
+	return false
+}
+
 // Undecided reports whether a check may find the group out of reach soon.
 func (r *Reach) Undecided(g Group, size int, now time.Duration) bool {
 	x := r.groups[g]
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -59,6 +59,8 @@
 
 	byService map[string][]*Endpoint
 	byModel   map[serviceModel][]*Endpoint
+	// groupSizes is the number of endpoints of each group.
+	groupSizes map[Group]int
 }
 
 // serviceModel identifies a model of a service.
@@ -152,8 +154,10 @@
 // index builds the indexes by service and by model, so that finding the endpoints
 // of a model does not scan all endpoints.
 func (v *View) index() {
+	v.groupSizes = map[Group]int{}
 	v.byService, v.byModel = map[string][]*Endpoint{}, map[serviceModel][]*Endpoint{}
 	for _, e := range v.Endpoints {
+		v.groupSizes[GroupOf(e)]++
 		v.byService[e.Service] = append(v.byService[e.Service], e)
 		for model := range e.Models {
 			k := serviceModel{e.Service, model}
@@ -165,6 +169,18 @@
 // Service returns the endpoints of a service, sorted by ID.
 func (v *View) Service(name string) []*Endpoint { return v.byService[name] }
 
+// GroupSizes returns the number of endpoints of each group. It must not be changed.
+func (v *View) GroupSizes() map[Group]int { return v.groupSizes }
+
+// Endpoint returns the endpoint with the id, or nil.
+func (v *View) Endpoint(id string) *Endpoint {
+	i, ok := slices.BinarySearchFunc(v.Endpoints, id, func(e *Endpoint, id string) int { return cmp.Compare(e.ID, id) })
+	if !ok {
+		return nil
+	}
+	return v.Endpoints[i]
+}
+
 // candidates returns the endpoints of the service that hold the model in any
 // state, or all endpoints of the service if the model is empty.
 func (v *View) candidates(service, model string) []*Endpoint {
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -45,7 +45,7 @@
 		for _, e := range silent {
 			g.reach.state.RecordFailure(fleet.GroupOf(e), e.ID, now)
 		}
-		due := g.reach.state.Due(groupSizes(v), now)
+		due := g.reach.state.Due(v.GroupSizes(), now)
 		g.reach.mu.Unlock()
 		for _, group := range due {
 			go g.checkGroup(ctx, v, group)
@@ -54,15 +54,6 @@
 	}
 }
 
-// groupSizes returns the number of endpoints of each group.
-func groupSizes(v *fleet.View) map[fleet.Group]int {
-	out := map[fleet.Group]int{}
-	for _, e := range v.Endpoints {
-		out[fleet.GroupOf(e)]++
-	}
-	return out
-}
-
 // checkGroup checks whether any endpoint of a sample of the group accepts a connection.
 func (g *Gateway) checkGroup(ctx context.Context, v *fleet.View, group fleet.Group) {
 	var members []*fleet.Endpoint
@@ -80,16 +71,16 @@
 	for _, e := range members {
 		go func() { accepted <- g.pool.Accepts(ctx, e.Address) }()
 	}
-	any := false
+	reached := false
 	for range members {
-		any = any || <-accepted
+		reached = <-accepted || reached
 	}
 	g.reach.mu.Lock()
-	changed := g.reach.state.RecordCheck(group, any, g.clock())
+	changed := g.reach.state.RecordCheck(group, reached, g.clock())
 	g.reach.mu.Unlock()
-	reachChecks.count(any)
+	reachChecks.count(reached)
 	if changed {
-		g.log.WithFields(logrus.Fields{"service": group.Service, "domain": group.Domain, "reached": any}).Warn("reach of endpoints changed")
+		g.log.WithFields(logrus.Fields{"service": group.Service, "domain": group.Domain, "reached": reached}).Warn("reach of endpoints changed")
 		g.updateOutOfReach(v)
 		g.changed.notify()
 	}
@@ -99,6 +90,9 @@
 func (g *Gateway) updateOutOfReach(v *fleet.View) {
 	g.reach.mu.Lock()
 	defer g.reach.mu.Unlock()
+	if !g.reach.state.AnyCut() && g.loads.OutOfReachCount() == 0 {
+		return
+	}
 	out := map[string]bool{}
 	for _, e := range v.Endpoints {
 		if g.reach.state.Cut(fleet.GroupOf(e)) {
@@ -124,7 +118,7 @@
 // check that decides about that.
 func (g *Gateway) isOutOfReach(e *fleet.Endpoint) bool {
 	group := fleet.GroupOf(e)
-	size := groupSizes(g.view.Load())[group]
+	size := g.view.Load().GroupSizes()[group]
 	undecided := func() bool {
 		g.reach.mu.Lock()
 		defer g.reach.mu.Unlock()
@@ -139,7 +133,7 @@
 // unreachedServices returns the services none of whose endpoints this gateway reaches.
 func (g *Gateway) unreachedServices() []string {
 	v := g.view.Load()
-	if v == nil {
+	if v == nil || g.loads.OutOfReachCount() == 0 {
 		return nil
 	}
 	reached := map[string]bool{}
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -222,12 +222,8 @@
 // replacedSince reports whether the endpoint at which the stream began runs another version
 // now: it may have been started again before the stream began.
 func (g *Gateway) replacedSince(o *streamorigin.Origin) bool {
-	for _, e := range g.view.Load().Service(o.Service) {
-		if e.ID == o.Endpoint {
-			return e.Version != o.Version
-		}
-	}
-	return false
+	e := g.view.Load().Endpoint(o.Endpoint)
+	return e != nil && e.Service == o.Service && e.Version != o.Version
 }
 
 // runs reports whether an endpoint that is not leaving runs the version.
