Give each place of a brittle endpoint once

What counted as known room was known to each of them alone.

Each send to a brittle endpoint now needs a permit, which the leader gives while what all gateways report and what it has granted since fit into three quarters of the slots. A grant counts until its gateway has reported later.

--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -6,12 +6,9 @@
 	// brittleTTL is how long a service counts as brittle after one of its endpoints has said
 	// so last. All their responses say so while it lasts.
 	brittleTTL = 3 * time.Second
-	// brittleRoom is the share of the slots of an endpoint of a brittle service that is used:
+	// BrittleRoom is the share of the slots of an endpoint of a brittle service that is used:
 	// such an endpoint lets fewer requests wait, and falls over if it has to reject many.
-	brittleRoom = 0.75
-	// knownRoom is the share of the slots up to which an endpoint surely has room, although
-	// the counts of other gateways are old.
-	knownRoom = 0.6
+	BrittleRoom = 0.75
 )
 
 // brittleness is what endpoints of a service have said last of how many rejections a second
@@ -38,20 +35,10 @@
 	return b.maxRejections, ok && now-b.at < brittleTTL
 }
 
-// Brittle reports whether the service is brittle.
-func (l *Loads) Brittle(service string, now time.Duration) bool {
+// Brittle reports whether the service is brittle, and how many rejections a second an
+// endpoint of it survives.
+func (l *Loads) Brittle(service string, now time.Duration) (maxRejections float64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, ok := l.brittleLocked(service, now)
-	return ok
-}
-
-// Risk returns how many rejections a second the endpoint survives, if it is brittle and may
-// reject a request that is sent now.
-func (l *Loads) Risk(e *Endpoint, now time.Duration) (maxRejections float64, risky bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n, ok := l.brittleLocked(e.Service, now)
-	used := float64(l.totalLoad(e.ID).Running+1) / float64(max(e.Slots, 1))
-	return n, ok && (l.full[e.ID] || used > knownRoom)
+	return l.brittleLocked(service, now)
 }
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -163,7 +163,7 @@
 		utilization = max(utilization, float64(load.Tokens)/float64(req.CacheTokens))
 	}
 	if _, brittle := l.brittleLocked(e.Service, now); brittle {
-		return utilization / brittleRoom
+		return utilization / BrittleRoom
 	}
 	if l.stale {
 		// An estimate may rank an endpoint after others, but never keeps a new
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -72,6 +72,7 @@
 	suspects          *quarantine.Pool
 	trials            quarantine.Trials
 	limits            limitsState
+	roomGrants        roomGrants
 	// recordedSuspects are those that the log holds, and recordedRevision is the
 	// revision of the suspects of which they are up to date.
 	recordedSuspects map[uint64]*wire.Suspect
@@ -172,7 +173,7 @@
 		s: s, term: term, leadership: leadership, startedAt: s.clock(), ctx: ctx, stepTrigger: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
-		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
+		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, roomGrants: roomGrants{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
 		suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
--- a/internal/fleetcontrol/permits.go
+++ b/internal/fleetcontrol/permits.go
@@ -52,7 +52,11 @@
 	if ok, retryAfter := l.beginTrial(r, now); !ok {
 		return &wire.PermitResponse{RetryAfterMs: milliseconds(retryAfter)}
 	}
-	if ok, retryAfter := l.takePermit(r, now); !ok {
+	ok, retryAfter := l.takeRoom(r, now)
+	if ok {
+		ok, retryAfter = l.takePermit(r, now)
+	}
+	if !ok {
 		if len(r.Suspects) > 0 {
 			l.trials.Cancel(r.Endpoint, r.Gateway)
 		}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -74,6 +74,7 @@
 	l.ingestSuspects(r, now)
 	l.ingestLimits(r, now)
 	l.ingestLeaving(r)
+	l.countGranted(r.Gateway.GetId(), now)
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	for _, d := range r.Demand {
 		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -125,25 +125,6 @@
 // limitOf returns the limit of the endpoint: the one of the view, or one that has just been
 // named here. Without an answer of the leader what was seen here holds on.
 func (g *Gateway) limitOf(e *fleet.Endpoint) (perSecond float64, limited bool) {
-	perSecond, limited = g.namedLimitOf(e)
-	maxRejections, risky := g.loads.Risk(e, g.clock())
-	if !risky {
-		return perSecond, limited
-	}
-	// All gateways together may be rejected no more often, and a permit may come in bursts.
-	risk := maxRejections * riskShare
-	if limited {
-		risk = min(risk, perSecond)
-	}
-	return risk, true
-}
-
-// riskShare is the share of the rejections that a brittle endpoint survives for which permits
-// are given.
-const riskShare = 0.25
-
-// namedLimitOf returns the limit that the endpoint names.
-func (g *Gateway) namedLimitOf(e *fleet.Endpoint) (perSecond float64, limited bool) {
 	g.limits.mu.Lock()
 	defer g.limits.mu.Unlock()
 	s, _ := g.limits.book.Lookup(e.ID)
@@ -211,7 +192,7 @@
 	}
 	n := 0
 	for _, e := range v.Endpoints {
-		if _, limited := g.namedLimitOf(e); limited {
+		if _, limited := g.limitOf(e); limited {
 			n++
 		}
 	}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -56,6 +56,25 @@
 	// limited is set if the endpoint takes perSecond requests a second from all gateways.
 	limited   bool
 	perSecond float64
+	// brittle is set if the endpoint falls over once it rejects more than maxRejections requests
+	// in a second.
+	brittle       bool
+	maxRejections float64
+}
+
+// atEndpoint reports whether the need is one of the endpoint.
+func (n neededPermit) atEndpoint() bool { return n.limited || n.brittle }
+
+// aloneRate returns the requests a second that the endpoint gets of one gateway without a
+// leader.
+func (n neededPermit) aloneRate() float64 {
+	switch {
+	case !n.brittle:
+		return n.perSecond
+	case !n.limited:
+		return n.maxRejections
+	}
+	return min(n.perSecond, n.maxRejections)
 }
 
 // permitted reports whether the request may be sent to the endpoint now. It asks the leader
@@ -65,17 +84,18 @@
 func (q *request) permitted(e *fleet.Endpoint, s *search) (bool, error) {
 	n := neededPermit{suspects: q.suspectsOnTrial()}
 	n.perSecond, n.limited = q.g.limitOf(e)
-	if len(n.suspects) == 0 && !n.limited {
+	n.maxRejections, n.brittle = q.g.loads.Brittle(e.Service, q.g.clock())
+	if len(n.suspects) == 0 && !n.atEndpoint() {
 		return true, nil
 	}
 	now := q.g.clock()
-	if until := q.g.loads.HeldOffUntil(e.ID); n.limited && until > now {
+	if until := q.g.loads.HeldOffUntil(e.ID); n.atEndpoint() && until > now {
 		return false, q.pauseForPermit(until-now, s)
 	}
-	if n.limited && len(n.suspects) == 0 && q.g.loads.Stale() {
+	if n.atEndpoint() && len(n.suspects) == 0 && q.g.loads.Stale() {
 		return q.permittedAlone(e, n, nil)
 	}
-	if n.limited {
+	if n.atEndpoint() {
 		// The others of this gateway go elsewhere while this one asks.
 		q.g.loads.HoldOff(e.ID, now+permitTimeout, now)
 	}
@@ -104,7 +124,7 @@
 
 // endHoldOff lets other requests of this gateway ask for the endpoint again, after the time.
 func (q *request) endHoldOff(e *fleet.Endpoint, n neededPermit, after time.Duration) {
-	if n.limited {
+	if n.atEndpoint() {
 		now := q.g.clock()
 		q.g.loads.HoldOff(e.ID, now+after, now)
 	}
@@ -117,7 +137,7 @@
 		return false, fail.Wrap(err, fail.Unavailable, "the control plane cannot be asked whether the request may run").WithRetryAfter(failedRetryAfter)
 	}
 	now := q.g.clock()
-	ok, retryAfter := q.g.takeAlone(e, n.perSecond)
+	ok, retryAfter := q.g.takeAlone(e, n.aloneRate())
 	q.g.loads.HoldOff(e.ID, now+retryAfter, now)
 	if ok {
 		q.permit = &permit{endpoint: e.ID, until: now + ratelimit.PermitTTL}
@@ -141,7 +161,7 @@
 func (q *request) askForPermit(e *fleet.Endpoint, n neededPermit) (*wire.PermitResponse, error) {
 	ctx, cancel := context.WithTimeout(q.ctx, permitTimeout)
 	defer cancel()
-	req := &wire.PermitRequest{Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: n.suspects, Limited: n.limited, PerSecond: n.perSecond}
+	req := &wire.PermitRequest{Gateway: q.g.cfg.ID, Endpoint: e.ID, Suspects: n.suspects, Limited: n.limited, PerSecond: n.perSecond, Brittle: n.brittle}
 	if q.unusedPermit != nil {
 		req.Unused = q.unusedPermit.endpoint
 	}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -18,13 +18,15 @@
 )
 
 // reserve reserves a slot at the endpoint if other gateways may occupy the last
-// slots meanwhile. At one with a limit its permits keep them away. It returns neither an endpoint nor an error if no slot is free,
+// slots meanwhile. At one with a limit, and at a brittle one, permits keep them away. It returns neither an endpoint nor an error if no slot is free,
 // the endpoint does not respond or the request is canceled: the request has not run in
 // any case, and selectEndpoint goes on.
 func (q *request) reserve(c fleet.Choice, s *search) (*fleet.Endpoint, error) {
 	g := q.g
 	q.reservation = ""
-	if _, limited := g.limitOf(c.Endpoint); limited || g.loads.Brittle(c.Endpoint.Service, g.clock()) || !c.Contended || q.maxReservation == 0 || g.deps.Reserver == nil {
+	_, limited := g.limitOf(c.Endpoint)
+	_, brittle := g.loads.Brittle(c.Endpoint.Service, g.clock())
+	if limited || brittle || !c.Contended || q.maxReservation == 0 || g.deps.Reserver == nil {
 		return c.Endpoint, nil
 	}
 	q.state.setPhase(phaseReserving)
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -42,7 +42,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: true, versions: true, cutOff: true}
+				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: true, versions: true, cutOff: true, brittle: true}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
--- a/scripts/soak/proxy.go
+++ b/scripts/soak/proxy.go
@@ -122,7 +122,7 @@
 		client.Close()
 		return
 	}
-	target, err := net.Dial("tcp4", p.target)
+	target, err := dialAs(client, p.target)
 	if err != nil {
 		// The client sees a refused connection to the target as a reset.
 		_ = client.(*net.TCPConn).SetLinger(0)
@@ -137,6 +137,13 @@
 	both.Wait()
 }
 
+// dialAs connects to the target from the client's IP, so that the target can tell clients
+// apart.
+func dialAs(client net.Conn, target string) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(clientIP(client))}}
+	return d.Dial("tcp4", target)
+}
+
 func (p *proxy) track(a, b net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -63,6 +63,8 @@
 	versions bool
 	// cutOff is set if gateways are cut off from all endpoints, after the faults.
 	cutOff bool
+	// brittle is set if engines are brittle under more load than they serve, after the faults.
+	brittle bool
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -99,6 +101,10 @@
 		d.checkCutOff()
 		d.checkRecovery()
 	}
+	if o.brittle {
+		d.checkBrittle()
+		d.checkRecovery()
+	}
 	if o.limits {
 		d.checkLimits()
 	}
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -205,6 +205,10 @@
 	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 7, cutOff: true})
 }
 
+func TestBrittleEndpointsSeldomFallOver(t *testing.T) {
+	soakWithoutFaults(t, options{run: firstTestRun + len(shortSeeds) + 8, brittle: true})
+}
+
 // soakWithoutFaults runs a soak without faults but those that the options add.
 func soakWithoutFaults(t *testing.T, o options) {
 	t.Parallel()
