Take no route that another gateway lacks for one that does not exist

A gateway that relays a request may have another document: where it had no route, it answered 404, which the first gateway passed on to a caller whose route exists. The test failed with 404; now another gateway is tried, and then the request is refused as not run, with a time.

--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -211,6 +211,9 @@
 	switch {
 	case failure.Ran != fail.RanNo:
 		return out.unusable(failure)
+	case failure.Code == fail.UnknownPath:
+		// It has another document than this gateway, whose route led here.
+		s.outcome, s.err = attempt.Unsent, errOutOfReach
 	case failure.Code == fail.OutOfReach || failure.Code == fail.Draining:
 		s.outcome = attempt.Unsent
 	default:
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -211,6 +211,33 @@
 	}
 }
 
+func TestRequestIsNotFoundOnlyIfTheGatewayThatTookItHasNoRoute(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		document document.Document
+	}{
+		{"the other gateway has no route", document.Document{Version: 2}},
+		{"its route leads to another service", document.Document{
+			Version: 2, Services: []document.Service{{Name: "t"}},
+			Routes: []document.Route{{Name: "r", Host: "h", Prefix: "/a/", Timeout: time.Second, MaxAttempts: 1, Split: []document.Share{{Service: "t", Weight: 1}}}},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEngine(t)
+			p := startCutPair(t, nonIdempotent, versioned(e, "v1"))
+			p.sound.table.Store(document.NewTable(&c.document))
+			p.awaitCut(t)
+			resp, _, err := call(t, t.Context(), p.address)
+			if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("response %v, error %v, want status 503 with a time to come back", resp, err)
+			}
+			if n := len(e.requests()); n != 0 {
+				t.Errorf("the endpoint got %d requests, want 0", n)
+			}
+		})
+	}
+}
+
 func TestGatewaySendsByItselfAgainOnceItsLinksAreBack(t *testing.T) {
 	e := startEngine(t, response(200, "Signed: 1\r\n", "fine"))
 	p := startCutPair(t, nonIdempotent, versioned(e, "v1"))
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -184,7 +184,7 @@
 	case q.hop == nil:
 		return q.resumeAtOrigin()
 	case !q.route.Serves(q.hop.service):
-		return fail.New(fail.Unavailable, "the route does not lead to the service here").WithRetryAfter(failedRetryAfter)
+		return fail.New(fail.OutOfReach, "the route does not lead to the service here").WithRetryAfter(failedRetryAfter)
 	case q.hop.origin != nil:
 		q.origin = q.hop.origin
 		return q.requireOrigin()
