--- a/internal/fleetcontrol/brittle.go
+++ b/internal/fleetcontrol/brittle.go
@@ -34,6 +34,10 @@
 	if !r.Brittle || e == nil {
 		return true, 0
 	}
+	if now-l.startedAt < l.reportLag() {
+		// Not all gateways have told this leader yet what they have in flight.
+		return false, roomRetry
+	}
 	grants := slices.DeleteFunc(l.roomGrants[r.Endpoint], func(x roomGrant) bool { return now-x.at > grantTTL })
 	l.roomGrants[r.Endpoint] = grants
 	used := int(l.loads[r.Endpoint].GetRunning()) + len(grants)
--- a/internal/fleetcontrol/brittle_test.go
+++ b/internal/fleetcontrol/brittle_test.go
@@ -37,6 +37,11 @@
 			return total
 		}
 		report()
+		if total := ask(); total != 0 {
+			t.Errorf("a leader that may not know all loads yet granted %d requests", total)
+		}
+		time.Sleep(time.Second)
+		report()
 		if total := ask(); total != room {
 			t.Errorf("%d requests were granted, want the room of %d", total, room)
 		}
