--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -20,6 +20,8 @@
 	originLinger = 3 * time.Millisecond
 	// originTimeout bounds one call to a keeper.
 	originTimeout = 300 * time.Millisecond
+	// maxSubstitutes bounds the keepers that are told instead of one that does not respond.
+	maxSubstitutes = 3
 	// unknownOriginRetryAfter is the Retry-After of a stream whose origin no keeper knows
 	// that could be asked.
 	unknownOriginRetryAfter = 400 * time.Millisecond
@@ -101,7 +103,7 @@
 	for i, k := range keepers[:n] {
 		// Each copy has other substitutes, so that no keeper gets two.
 		var next []streamorigin.Keeper
-		for j := n + i; j < len(keepers); j += n {
+		for j := n + i; j < len(keepers) && len(next) < maxSubstitutes; j += n {
 			next = append(next, keepers[j])
 		}
 		g.tellKeeper(k, unsentOrigin{w, next})
--- a/internal/streamorigin/book.go
+++ b/internal/streamorigin/book.go
@@ -18,6 +18,8 @@
 	TTL = time.Minute
 	// MaxOrigins bounds the origins of one book. Beyond it the oldest are dropped.
 	MaxOrigins = 1 << 15
+	// maxRecordings bounds how often the origins of one book have been recorded.
+	maxRecordings = 2 * MaxOrigins
 )
 
 // Book holds the origins of streams by the id of the attempt that brought the first event.
@@ -50,7 +52,7 @@
 	}
 	b.entries[id] = entry{o, now}
 	b.order = append(b.order, recording{id, now})
-	for len(b.entries) > MaxOrigins {
+	for len(b.entries) > MaxOrigins || len(b.order) > maxRecordings {
 		b.dropOldest()
 	}
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -46,6 +46,16 @@
 	}
 }
 
+func TestBookIsBoundedAlthoughOneStreamIsRecordedAgainAndAgain(t *testing.T) {
+	var b Book
+	for range maxRecordings + 10 {
+		b.Record("a", Origin{Version: "v1"}, 0)
+	}
+	if len(b.order) > maxRecordings {
+		t.Errorf("%d recordings are kept, want %d at most", len(b.order), maxRecordings)
+	}
+}
+
 // TestOriginOutlivesTheLossOfDomains checks that a gateway that asks knows the origin although
 // whole domains have died, as long as a keeper lives, and although gateways have come since.
 func TestOriginOutlivesTheLossOfDomains(t *testing.T) {
