--- /dev/null
+++ b/internal/gateway/streamkeepers.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/streamorigin"
+	"parsleyramp/internal/wire"
+)
+
+const (
+	// originLinger is how long origins for one keeper are collected, so that they go in one
+	// call. A stream whose gateway dies within it is refused when it is taken up.
+	originLinger = 3 * time.Millisecond
+	// originTimeout bounds one call to a keeper.
+	originTimeout = 300 * time.Millisecond
+	// maxSubstitutes bounds the keepers that are told instead of one that does not respond.
+	maxSubstitutes = 3
+)
+
+// streamOrigins holds the origins of streams that this gateway began, or keeps for others.
+// Its zero value is empty. It is safe for concurrent use.
+type streamOrigins struct {
+	mu   sync.Mutex
+	book streamorigin.Book
+	// unsent are the origins to tell to each keeper, by its address.
+	unsent map[string][]unsentOrigin
+}
+
+// unsentOrigin is an origin to tell to a keeper, and the keepers to tell instead if that one
+// does not respond, best first.
+type unsentOrigin struct {
+	origin *wire.StreamOrigin
+	next   []streamorigin.Keeper
+}
+
+func (s *streamOrigins) record(id string, o streamorigin.Origin, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Record(id, o, now)
+}
+
+func (s *streamOrigins) find(id string, now time.Duration) (streamorigin.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Find(id, now)
+}
+
+func (s *streamOrigins) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Len()
+}
+
+// add adds an origin to those for the keeper. It returns true if the caller has to start
+// their transfer.
+func (s *streamOrigins) add(address string, o unsentOrigin) (start bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unsent == nil {
+		s.unsent = map[string][]unsentOrigin{}
+	}
+	_, running := s.unsent[address]
+	s.unsent[address] = append(s.unsent[address], o)
+	return !running
+}
+
+func (s *streamOrigins) take(address string) []unsentOrigin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.unsent[address]
+	delete(s.unsent, address)
+	return out
+}
+
+// keepers returns the other gateways in the order in which they keep the origin of the
+// stream.
+func (g *Gateway) keepers(id, avoid string) []streamorigin.Keeper {
+	var out []streamorigin.Keeper
+	for _, other := range g.knownGateways() {
+		if other.Id != g.cfg.ID && other.PeerAddress != "" {
+			out = append(out, streamorigin.Keeper{ID: other.Id, Domain: other.Domain, Address: other.PeerAddress})
+		}
+	}
+	return streamorigin.Rank(id, out, avoid)
+}
+
+// recordOrigin records the origin of a stream here and tells it to its keepers.
+func (g *Gateway) recordOrigin(id string, o streamorigin.Origin) {
+	g.origins.record(id, o, g.clock())
+	w := &wire.StreamOrigin{Id: id, Service: o.Service, Endpoint: o.Endpoint, Version: o.Version}
+	keepers := g.keepers(id, g.cfg.Domain)
+	n := min(streamorigin.Copies, len(keepers))
+	for i, k := range keepers[:n] {
+		// Each copy has other substitutes, so that no keeper gets two.
+		var next []streamorigin.Keeper
+		for j := n + i; j < len(keepers) && len(next) < maxSubstitutes; j += n {
+			next = append(next, keepers[j])
+		}
+		g.tellKeeper(k, unsentOrigin{w, next})
+	}
+}
+
+func (g *Gateway) tellKeeper(k streamorigin.Keeper, o unsentOrigin) {
+	if g.origins.add(k.Address, o) {
+		go g.tellKeeperAll(k)
+	}
+}
+
+// tellKeeperAll tells the keeper all that has been collected for it, or others if it does
+// not respond.
+func (g *Gateway) tellKeeperAll(k streamorigin.Keeper) {
+	time.Sleep(originLinger)
+	all := g.origins.take(k.Address)
+	req := &wire.RecordStreamsRequest{}
+	for _, o := range all {
+		req.Streams = append(req.Streams, o.origin)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	defer cancel()
+	_, err := g.peers.client(k.Address).RecordStreams(ctx, connect.NewRequest(req))
+	if err == nil {
+		originsTold.count("told", len(all))
+		return
+	}
+	originsTold.count("failed", len(all))
+	g.log.WithError(err).WithFields(logrus.Fields{"keeper": k.ID, "streams": len(all)}).Info("telling the origins of streams failed")
+	for _, o := range all {
+		if len(o.next) > 0 {
+			g.tellKeeper(o.next[0], unsentOrigin{o.origin, o.next[1:]})
+		}
+	}
+}
+
+// findOrigin returns the origin of a stream, or nil if neither this gateway nor a keeper
+// knows it.
+func (g *Gateway) findOrigin(ctx context.Context, id string) *streamorigin.Origin {
+	if id == "" {
+		return nil
+	}
+	if o, ok := g.origins.find(id, g.clock()); ok {
+		return &o
+	}
+	keepers := g.keepers(id, "")
+	keepers = keepers[:min(len(keepers), streamorigin.MaxAsked)]
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	found := make(chan *wire.StreamOrigin, len(keepers))
+	for _, k := range keepers {
+		go func() { found <- g.askKeeper(ctx, k, id) }()
+	}
+	for range keepers {
+		if w := <-found; w != nil {
+			return &streamorigin.Origin{Service: w.Service, Endpoint: w.Endpoint, Version: w.Version}
+		}
+	}
+	return nil
+}
+
+// askKeeper returns the origin of the stream, or nil if the keeper does not know it or does
+// not respond.
+func (g *Gateway) askKeeper(ctx context.Context, k streamorigin.Keeper, id string) *wire.StreamOrigin {
+	resp, err := g.peers.client(k.Address).FindStream(ctx, connect.NewRequest(&wire.FindStreamRequest{Id: id}))
+	if err != nil {
+		if ctx.Err() == nil {
+			g.log.WithError(err).WithFields(logrus.Fields{"keeper": k.ID, "stream": id}).Info("asking for the origin of a stream failed")
+		}
+		return nil
+	}
+	return resp.Msg.Stream
+}
+
+// peerService serves the other gateways.
+type peerService struct{ g *Gateway }
+
+// RecordStreams records the origins of streams that another gateway began.
+func (p *peerService) RecordStreams(_ context.Context, req *connect.Request[wire.RecordStreamsRequest]) (*connect.Response[wire.RecordStreamsResponse], error) {
+	for _, s := range req.Msg.Streams {
+		p.g.origins.record(s.Id, streamorigin.Origin{Service: s.Service, Endpoint: s.Endpoint, Version: s.Version}, p.g.clock())
+	}
+	return connect.NewResponse(&wire.RecordStreamsResponse{}), nil
+}
+
+// FindStream returns the origin of a stream.
+func (p *peerService) FindStream(_ context.Context, req *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
+	resp := &wire.FindStreamResponse{}
+	if o, ok := p.g.origins.find(req.Msg.Id, p.g.clock()); ok {
+		resp.Stream = &wire.StreamOrigin{Id: req.Msg.Id, Service: o.Service, Endpoint: o.Endpoint, Version: o.Version}
+	}
+	return connect.NewResponse(resp), nil
+}
