--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -115,7 +115,7 @@
 func (q *request) selectAndSend(tried map[string]bool, out *relay) (*fleet.Endpoint, sendResult, error) {
 	for {
 		if q.hop == nil && q.outOfReach() {
-			s, err := q.runByRelay(out, tried)
+			s, err := q.runByPeer(out, tried)
 			return nil, s, err
 		}
 		started := q.g.clock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -335,6 +335,7 @@
 			addresses[e.Address] = true
 		}
 		g.pool.Retain(addresses)
+		g.relays.retain(v)
 		g.limits.retain(v)
 	}
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -14,6 +14,7 @@
 
 	"parsleyramp/internal/attempt"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/streamorigin"
 	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wire"
@@ -62,6 +63,15 @@
 	return r.pool
 }
 
+// retain closes idle connections to gateways that are not in the view.
+func (r *relayPeers) retain(v *fleet.View) {
+	addresses := map[string]bool{}
+	for _, g := range v.Gateways {
+		addresses[g.PeerAddress] = true
+	}
+	r.connections().Retain(addresses)
+}
+
 func (r *relayPeers) block(id string, until time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -163,9 +173,9 @@
 	return fail.New(fail.Code(code), "the gateway that relayed the request failed it").WithRan(ran).WithRetryAfter(time.Duration(ms) * time.Millisecond)
 }
 
-// selectRelay returns a gateway by way of which the request can be sent although this one
+// selectPeer returns a gateway by way of which the request can be sent although this one
 // does not reach the endpoints, or nil if there is none that was not tried.
-func (q *request) selectRelay(tried map[string]bool) *wire.Gateway {
+func (q *request) selectPeer(tried map[string]bool) *wire.Gateway {
 	g, now := q.g, q.g.clock()
 	var candidates []*wire.Gateway
 	for _, other := range g.knownGateways() {
@@ -186,14 +196,14 @@
 	return q.g.loads.AllOutOfReach(q.g.view.Load(), q.requirements, q.g.clock())
 }
 
-// sendByRelay sends the request by way of another gateway and forwards the response.
-func (q *request) sendByRelay(relay *wire.Gateway, out *relay) sendResult {
+// sendByPeer sends the request by way of another gateway and forwards the response.
+func (q *request) sendByPeer(peer *wire.Gateway, out *relay) sendResult {
 	g := q.g
-	q.state.setSent("gateway " + relay.Id)
+	q.state.setSent("gateway " + peer.Id)
 	out.beginRelayedSend(g.clock())
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	resp, err := g.relays.connections().Do(ctx, relay.PeerAddress, q.relayedRequest(out), func(http.Header) bool { return true })
+	resp, err := g.relays.connections().Do(ctx, peer.PeerAddress, q.relayedRequest(out), func(http.Header) bool { return true })
 	if err != nil {
 		return out.failedSend(err)
 	}
@@ -239,18 +249,18 @@
 	return &upstream.Request{Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body}
 }
 
-// runByRelay sends the request by way of another gateway, and records the result of that.
-func (q *request) runByRelay(out *relay, tried map[string]bool) (sendResult, error) {
+// runByPeer sends the request by way of another gateway, and records the result of that.
+func (q *request) runByPeer(out *relay, tried map[string]bool) (sendResult, error) {
 	if !q.finishesInTime(q.g.clock()) {
 		return sendResult{}, errShutdown
 	}
-	r := q.selectRelay(tried)
-	if r == nil {
+	peer := q.selectPeer(tried)
+	if peer == nil {
 		return sendResult{}, errOutOfReach
 	}
-	tried[r.Id] = true
+	tried[peer.Id] = true
 	q.recordRetrySent()
-	s := q.sendByRelay(r, out)
+	s := q.sendByPeer(peer, out)
 	outcome := s.outcome.String()
 	switch {
 	case s.complete:
@@ -258,11 +268,11 @@
 	case s.refused:
 		outcome = "refused"
 	case s.outcome == attempt.Unsent:
-		q.g.relays.block(r.Id, q.g.clock()+relayBlockTime)
+		q.g.relays.block(peer.Id, q.g.clock()+relayBlockTime)
 	}
 	relayedSends.count(outcome)
 	if !s.complete {
-		q.g.log.WithError(s.err).WithFields(logrus.Fields{"request": q.info.ID, "relay": r.Id, "outcome": outcome}).Info("request failed by way of another gateway")
+		q.g.log.WithError(s.err).WithFields(logrus.Fields{"request": q.info.ID, "relay": peer.Id, "outcome": outcome}).Info("request failed by way of another gateway")
 	}
 	return s, nil
 }
