Take endpoints for out of reach only where most are, and leave no peer for one request

Endpoints count as out of reach now only where they are most of all, and a gateway is left for a second only if it does not respond. A cut ends once two checks in a row reach most of a sample.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -46,7 +46,8 @@
 	replaced map[string]replacement
 	// endedAt is when endpoints have refused connections.
 	endedAt map[string]time.Duration
-	// outOfReach are the endpoints that this gateway does not reach.
+	// outOfReach are the endpoints that this gateway does not reach, if they are most of all:
+	// then its own links are the cause, rather than the endpoints.
 	outOfReach map[string]bool
 	// restingUntil is until when endpoints that have rejected a request want none.
 	restingUntil map[string]time.Duration
@@ -379,11 +380,14 @@
 	return out
 }
 
-// SetOutOfReach replaces the endpoints that this gateway does not reach.
-func (l *Loads) SetOutOfReach(endpoints map[string]bool) {
+// SetOutOfReach replaces the endpoints, of all, that this gateway does not reach.
+func (l *Loads) SetOutOfReach(endpoints map[string]bool, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.outOfReach = endpoints
+	l.outOfReach = nil
+	if 2*len(endpoints) > all {
+		l.outOfReach = endpoints
+	}
 }
 
 // OutOfReach reports whether this gateway does not reach the endpoint.
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -18,6 +18,9 @@
 	// cutCheckInterval that between two checks of one that is out of reach.
 	soundCheckInterval = time.Second
 	cutCheckInterval   = 400 * time.Millisecond
+	// confirmations is how many checks in a row must reach most of a sample before a group
+	// that was out of reach is within reach.
+	confirmations = 2
 )
 
 // Reach decides which groups of endpoints a gateway does not reach. Its zero value reaches
@@ -32,6 +35,8 @@
 	checking    bool
 	nextCheckAt time.Duration
 	cut         bool
+	// confirmed counts the last checks in a row that reached most of a sample.
+	confirmed int
 }
 
 func (r *Reach) of(g Group) *groupReach {
@@ -81,13 +86,23 @@
 	return x.suspected || len(x.failures) >= min(minFailures, size)
 }
 
-// RecordCheck records whether any endpoint of the group accepted a connection. It reports
-// whether the group has come out of reach or within reach by that. If it has come out of
-// reach, all other groups are suspected: a gateway mostly loses all of them together.
-func (r *Reach) RecordCheck(g Group, accepted bool, now time.Duration) (changed bool) {
+// Check is the result of a check of a group: how many endpoints of a sample accepted a
+// connection.
+type Check struct{ Accepted, Sampled int }
+
+// RecordCheck records a check of the group. It reports whether the group has come out of
+// reach or within reach by that. If it has come out of reach, all other groups are suspected: a
+// gateway mostly loses all of them together.
+func (r *Reach) RecordCheck(g Group, c Check, now time.Duration) (changed bool) {
 	x := r.of(g)
-	changed = x.cut == accepted
-	x.checking, x.suspected, x.cut = false, false, !accepted
+	x.checking, x.suspected = false, false
+	x.confirmed++
+	if 2*c.Accepted <= c.Sampled {
+		x.confirmed = 0
+	}
+	was := x.cut
+	x.cut = c.Accepted == 0 || was && x.confirmed < confirmations
+	changed = x.cut != was
 	clear(x.failures)
 	x.nextCheckAt = now + soundCheckInterval
 	if x.cut {
@@ -118,9 +133,3 @@
 	}
 	return false
 }
-
-// Undecided reports whether a check may find the group out of reach soon.
-func (r *Reach) Undecided(g Group, size int, now time.Duration) bool {
-	x := r.groups[g]
-	return x != nil && !x.cut && (x.checking || x.doubtful(size, now))
-}
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -119,7 +119,7 @@
 	case q.ctx.Err() == nil:
 		go func() {
 			b.refused = g.refusesConnections(e)
-			if b.refused && g.isOutOfReach(e) {
+			if b.refused && g.loads.OutOfReach(e.ID) {
 				// The links of this gateway ended it.
 				return
 			}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -13,6 +13,7 @@
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
 )
 
@@ -21,8 +22,10 @@
 	reachInterval = 100 * time.Millisecond
 	// reachCheckTimeout bounds the check of a group, and reachSample the endpoints that are
 	// checked.
-	reachCheckTimeout = 500 * time.Millisecond
+	reachCheckTimeout = 600 * time.Millisecond
 	reachSample       = 3
+	// reachHold is how long a connection of a check must stay open.
+	reachHold = 2 * upstream.HoldTime
 )
 
 // reach is what this gateway knows of the endpoints that it reaches. Its zero value reaches
@@ -69,14 +72,17 @@
 	defer cancel()
 	accepted := make(chan bool, len(members))
 	for _, e := range members {
-		go func() { accepted <- g.pool.Accepts(ctx, e.Address) }()
+		go func() { accepted <- g.pool.Accepts(ctx, e.Address, reachHold) }()
 	}
-	reached := false
+	check := fleet.Check{Sampled: len(members)}
 	for range members {
-		reached = <-accepted || reached
+		if <-accepted {
+			check.Accepted++
+		}
 	}
 	g.reach.mu.Lock()
-	changed := g.reach.state.RecordCheck(group, reached, g.clock())
+	changed := g.reach.state.RecordCheck(group, check, g.clock())
+	reached := !g.reach.state.Cut(group)
 	g.reach.mu.Unlock()
 	reachChecks.count(reached)
 	if changed {
@@ -99,7 +105,7 @@
 			out[e.ID] = true
 		}
 	}
-	g.loads.SetOutOfReach(out)
+	g.loads.SetOutOfReach(out, len(v.Endpoints))
 }
 
 // recordUnreached records that an endpoint was not reached, if err is of a kind that a lost
@@ -114,22 +120,6 @@
 	g.reach.state.RecordFailure(fleet.GroupOf(e), e.ID, g.clock())
 }
 
-// isOutOfReach reports whether the endpoint is out of reach of this gateway. It waits for a
-// check that decides about that.
-func (g *Gateway) isOutOfReach(e *fleet.Endpoint) bool {
-	group := fleet.GroupOf(e)
-	size := g.view.Load().GroupSizes()[group]
-	undecided := func() bool {
-		g.reach.mu.Lock()
-		defer g.reach.mu.Unlock()
-		return g.reach.state.Undecided(group, size, g.clock())
-	}
-	for waited := time.Duration(0); undecided() && waited < reachInterval+reachCheckTimeout; waited += reachInterval {
-		time.Sleep(reachInterval)
-	}
-	return g.loads.OutOfReach(e.ID)
-}
-
 // unreachedServices returns the services none of whose endpoints this gateway reaches.
 func (g *Gateway) unreachedServices() []string {
 	v := g.view.Load()
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -43,11 +43,11 @@
 // outOfReachRetryAfter is the Retry-After of a request that no gateway could send.
 const outOfReachRetryAfter = 400 * time.Millisecond
 
-// relayBlockTime is how long a gateway that took no request is not asked again.
+// relayBlockTime is how long a gateway that did not respond is not asked again.
 const relayBlockTime = time.Second
 
 // relayPeers holds the connections to gateways that relay requests, and those of them that
-// took none lately. Its zero value is ready. It is safe for concurrent use.
+// did not respond lately. Its zero value is ready. It is safe for concurrent use.
 type relayPeers struct {
 	mu           sync.Mutex
 	pool         *upstream.Pool
@@ -205,6 +205,7 @@
 	defer cancel()
 	resp, err := g.relays.connections().Do(ctx, peer.PeerAddress, q.relayedRequest(out), func(http.Header) bool { return true })
 	if err != nil {
+		g.relays.block(peer.Id, g.clock()+relayBlockTime)
 		return out.failedSend(err)
 	}
 	defer resp.Close()
@@ -267,8 +268,6 @@
 		outcome = "done"
 	case s.refused:
 		outcome = "refused"
-	case s.outcome == attempt.Unsent:
-		q.g.relays.block(peer.Id, q.g.clock()+relayBlockTime)
 	}
 	relayedSends.count(outcome)
 	if !s.complete {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
 )
@@ -242,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	wait.For(ctx, probeDelay)
-	p.refused = !g.pool.Accepts(ctx, e.Address)
+	p.refused = !g.pool.Accepts(ctx, e.Address, upstream.HoldTime)
 	if p.refused && !g.loads.OutOfReach(e.ID) {
 		g.loads.MarkEnded(e.ID, g.clock())
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -124,20 +124,20 @@
 	return out, nil
 }
 
-// holdTime is how long a new connection must stay open to count as accepted: a proxy
+// HoldTime is how long a new connection must usually stay open to count as accepted: a proxy
 // before an endpoint that has ended accepts it and closes it at once.
-const holdTime = 150 * time.Millisecond
+const HoldTime = 150 * time.Millisecond
 
 // Accepts reports whether the endpoint accepts a new connection, and does not close it
-// at once. It opens one and sends nothing.
-func (p *Pool) Accepts(ctx context.Context, address string) bool {
+// before hold has passed. It opens one and sends nothing.
+func (p *Pool) Accepts(ctx context.Context, address string, hold time.Duration) bool {
 	p.opened.Add(1)
 	c, err := p.dial(ctx, address)
 	if err != nil {
 		return false
 	}
 	defer c.Close()
-	if err := c.SetReadDeadline(time.Now().Add(holdTime)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(hold)); err != nil {
 		return false
 	}
 	_, err = c.Read(make([]byte, 1))
