Keep the place of an adapter until its engine has unloaded it

Two more ways to the same, by reading, each shown by a test: - after an order that was rejected, a report older than the last accepted orders replaced what was known, and the next order relied on it. A report below the highest sequence that the process has shown is dropped now; - an order to load with an unknown outcome may still be carried out, and its room was given to the next one. It keeps its room until the sequence is beyond it. The result of an order is not applied to another process of the engine, and no order is sent again at another sequence than before.

The fake engine now checks room when an order arrives, as the users do, not only when it is accepted, loses answers of orders that it accepts, and keeps adapters in use. TestAdapterInUseKeepsItsPlaceUntilItsRequestsEnd, TestReportOlderThanAnAcceptedOrderIsNotUsed and TestOrderOfUnknownOutcomeKeepsItsRoom failed before. The unloading of an adapter is logged with its answer.

--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -97,7 +97,7 @@
 func (l *leaderState) holdersOf(req adapterRequest) []*engineState {
 	var out []*engineState
 	for _, e := range l.enginesOf(req.service) {
-		if !e.leaving() && e.runs(req.version) && !e.unloading[req.model] && e.held[req.model][req.adapter] {
+		if !e.leaving() && e.runs(req.version) && !e.unloading[req.model] && e.held[req.model][req.adapter] && !e.unloadingAdapters[req.adapterName] {
 			out = append(out, e)
 		}
 	}
@@ -164,7 +164,7 @@
 			if !requested {
 				at = 0
 			}
-			if at < oldest {
+			if at < oldest && !e.unloadingAdapters[adapterName{m, a}] {
 				model, adapter, found, oldest = m, a, true, at
 			}
 		}
@@ -205,10 +205,7 @@
 		return OrderNotSent
 	}
 	e.leader.mu.Lock()
-	if e.loadingAdapters == nil {
-		e.loadingAdapters = map[adapterName]bool{}
-	}
-	e.loadingAdapters[name] = true
+	e.loadingAdapters = withAdapter(e.loadingAdapters, name)
 	e.leader.mu.Unlock()
 	return e.sendOrder(ctx, Order{Load: true, Model: name.model, Adapter: name.adapter})
 }
@@ -216,39 +213,74 @@
 // ensureAdapterSlot unloads the least recently used adapter if the engine has no
 // free adapter slot. It reports whether there is one now.
 func (e *engineState) ensureAdapterSlot(ctx context.Context, d *document.Engine) bool {
-	e.leader.mu.Lock()
-	full := e.adapterCount() >= d.AdapterSlots
-	model, adapter, found := e.evictionCandidate()
-	e.leader.mu.Unlock()
+	full, unloading := e.adapterSlots(d)
+	if full && unloading {
+		if _, err := e.refresh(ctx); err != nil {
+			e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Info("failed to read whether the engine has unloaded an adapter")
+		}
+		if full, unloading = e.adapterSlots(d); full && unloading {
+			// Requests still use the adapter that makes room.
+			return false
+		}
+	}
 	if !full {
 		return true
 	}
-	if !found {
-		return false
-	}
+	e.leader.mu.Lock()
+	model, adapter, found := e.evictionCandidate()
+	e.leader.mu.Unlock()
+	return found && e.evictAdapter(ctx, adapterName{model, adapter})
+}
+
+// adapterSlots reports whether all adapter slots of the engine are taken, and whether one of
+// them is about to become free.
+func (e *engineState) adapterSlots(d *document.Engine) (full, unloading bool) {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	return e.adapterCount() >= d.AdapterSlots, len(e.unloadingAdapters) > 0
+}
+
+// evictAdapter orders the engine to unload the adapter. It reports whether its slot is free
+// now.
+func (e *engineState) evictAdapter(ctx context.Context, name adapterName) bool {
 	// Gateways stop sending requests for the adapter before it is unloaded.
-	e.setAdapterHeld(model, adapter, false)
-	result := e.sendOrder(ctx, Order{Model: model, Adapter: adapter})
-	if result == OrderSatisfied || result == OrderAccepted {
+	e.setAdapterUnloading(name, true)
+	result := e.sendOrder(ctx, Order{Model: name.model, Adapter: name.adapter})
+	e.leader.s.log.WithFields(logrus.Fields{
+		"endpoint": e.listing().ID, "model": name.model, "adapter": name.adapter, "answer": result.String(), "term": e.leader.term,
+	}).Info("result of adapter unload order")
+	switch result {
+	case OrderSatisfied:
+		e.setAdapterUnloading(name, false)
+		e.dropAdapter(name)
 		return true
+	case OrderAccepted:
+		// Requests use the adapter; the engine unloads it when they have ended.
+		return false
 	}
-	e.setAdapterHeld(model, adapter, true)
-	e.leader.s.log.WithFields(logrus.Fields{
-		"endpoint": e.listing().ID, "model": model, "adapter": adapter, "answer": result.String(),
-	}).Info("engine did not unload idle adapter")
+	e.setAdapterUnloading(name, false)
 	return false
 }
 
-// setAdapterHeld records whether the engine holds the adapter, and publishes it.
-func (e *engineState) setAdapterHeld(model, adapter string, holds bool) {
+// setAdapterUnloading records whether the engine is about to unload the adapter, and
+// publishes it.
+func (e *engineState) setAdapterUnloading(name adapterName, unloading bool) {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	if unloading {
+		e.unloadingAdapters = withAdapter(e.unloadingAdapters, name)
+	} else {
+		delete(e.unloadingAdapters, name)
+	}
+	e.leader.publishEngine(e)
+}
+
+// dropAdapter records that the engine does not hold the adapter any more.
+func (e *engineState) dropAdapter(name adapterName) {
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
-	switch {
-	case e.held[model] == nil:
-	case holds:
-		e.held[model][adapter] = true
-	default:
-		delete(e.held[model], adapter)
+	if adapters := e.held[name.model]; adapters != nil {
+		delete(adapters, name.adapter)
 	}
 	e.leader.publishEngine(e)
 }
--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -37,6 +37,13 @@
 	// sequence is the number of accepted orders, if sequenceKnown is set.
 	sequence      uint64
 	sequenceKnown bool
+	// shownSequence is the highest sequence that a report or an accepted order has shown. A
+	// report below it is older than that.
+	shownSequence uint64
+	// unresolved is the last order to load of which it is unknown whether the engine has
+	// accepted it, or still will; nil for none. It keeps its room until the engine's sequence
+	// is beyond its own.
+	unresolved *Order
 	// reportedAt is when the last report was requested.
 	reportedAt time.Duration
 	// reportStaleUntil is the time until which a report may be older than the last
@@ -66,6 +73,9 @@
 	cached map[string]bool
 	// loadingAdapters are adapters that were ordered and are not ready yet.
 	loadingAdapters map[adapterName]bool
+	// unloadingAdapters are adapters whose unloading the engine has accepted and may not have
+	// completed: requests still use them. They keep their places until a report lacks them.
+	unloadingAdapters map[adapterName]bool
 	// orderMu serializes orders, because each order names the sequence that
 	// results from the previous one. adapterMu serializes adapter loads, because
 	// each needs a slot that is still free.
@@ -130,7 +140,26 @@
 			used += m.WeightsMB
 		}
 	}
-	return used
+	return used + e.unresolvedMB(d)
+}
+
+// unresolvedMB returns the memory that the unresolved order needs beyond that of the held
+// and the loading models.
+func (e *engineState) unresolvedMB(d *document.Engine) float64 {
+	if e.unresolved == nil {
+		return 0
+	}
+	m := d.Model(e.unresolved.Model)
+	_, held := e.held[e.unresolved.Model]
+	switch {
+	case m == nil:
+		return 0
+	case e.unresolved.Adapter != "":
+		return m.AdapterMB
+	case held || e.loading == e.unresolved.Model:
+		return 0
+	}
+	return m.WeightsMB
 }
 
 // fits reports whether the engine has the memory and adapter slot that the order
@@ -144,27 +173,57 @@
 	if s == nil || s.Engine == nil {
 		return false
 	}
-	return fitsLimits(s.Engine, e.held, e.loadingAdapters, e.loading, o)
+	loading := []string{e.loading}
+	if e.unresolved != nil && e.unresolved.Adapter == "" {
+		loading = append(loading, e.unresolved.Model)
+	}
+	return fitsLimits(s.Engine, e.held, e.adaptersInPlace(), loading, o)
+}
+
+// adaptersInPlace returns the adapters that occupy, or may occupy, a place of the engine.
+// e.leader.mu must be held.
+func (e *engineState) adaptersInPlace() map[adapterName]bool {
+	out := map[adapterName]bool{}
+	for model, adapters := range e.held {
+		for a := range adapters {
+			out[adapterName{model, a}] = true
+		}
+	}
+	maps.Copy(out, e.loadingAdapters)
+	maps.Copy(out, e.unloadingAdapters)
+	if u := e.unresolved; u != nil && u.Adapter != "" {
+		out[adapterName{u.Model, u.Adapter}] = true
+	}
+	return out
+}
+
+// withAdapter returns the set, which may be nil, with the adapter added.
+func withAdapter(set map[adapterName]bool, a adapterName) map[adapterName]bool {
+	if set == nil {
+		set = map[adapterName]bool{}
+	}
+	set[a] = true
+	return set
 }
 
 // fitsLimits reports whether the order keeps an engine within its memory and its
-// adapter slots, given the held models and adapters, the adapters that are being
-// loaded, and the model that is being loaded, if not empty.
-func fitsLimits(d *document.Engine, held map[string]map[string]bool, loadingAdapters map[adapterName]bool, loading string, o Order) bool {
+// adapter slots, given the held models and adapters, the other adapters in place, and the
+// models that are being loaded. Empty names of models are ignored.
+func fitsLimits(d *document.Engine, held map[string]map[string]bool, adapters map[adapterName]bool, loading []string, o Order) bool {
 	all := map[adapterName]bool{}
 	models := map[string]bool{o.Model: true}
-	if loading != "" {
-		models[loading] = true
+	for _, m := range loading {
+		if m != "" {
+			models[m] = true
+		}
 	}
-	for model, adapters := range held {
+	for model, names := range held {
 		models[model] = true
-		for a := range adapters {
+		for a := range names {
 			all[adapterName{model, a}] = true
 		}
 	}
-	for a := range loadingAdapters {
-		all[a] = true
-	}
+	maps.Copy(all, adapters)
 	if o.Adapter != "" {
 		all[adapterName{o.Model, o.Adapter}] = true
 	}
@@ -184,17 +243,14 @@
 	return used <= d.WeightsMB && len(all) <= d.AdapterSlots
 }
 
-func (e *engineState) adapterCount() int {
-	n := 0
-	for _, adapters := range e.held {
-		n += len(adapters)
-	}
-	for a := range e.loadingAdapters {
-		if !e.held[a.model][a.adapter] {
-			n++
-		}
+func (e *engineState) adapterCount() int { return len(e.adaptersInPlace()) }
+
+// showSequence records that the engine has accepted as many orders. e.leader.mu must be held.
+func (e *engineState) showSequence(sequence uint64) {
+	e.shownSequence = max(e.shownSequence, sequence)
+	if e.unresolved != nil && e.unresolved.ExpectedSequence < sequence {
+		e.unresolved = nil
 	}
-	return n
 }
 
 // refresh reads the engine's report and applies it, unless it is older than the
@@ -211,12 +267,13 @@
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
 	of := e.observeStart(r.StartedUnixMs)
-	if of == earlierIncarnation || e.sequenceKnown && r.Sequence < e.sequence {
+	if of == earlierIncarnation || r.Sequence < e.shownSequence || e.sequenceKnown && r.Sequence < e.sequence {
 		// The report is older than the engine's process, or than the last order that was
 		// accepted.
 		return r, nil
 	}
 	e.sequence, e.sequenceKnown, e.reportedAt = r.Sequence, true, requestedAt
+	e.showSequence(r.Sequence)
 	e.held = modelSet(r.Models)
 	e.recordForeignOrder(r.Busy && !e.awaitingEffect)
 	for model, adapters := range modelSet(r.LoadingAdapters) {
@@ -226,6 +283,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(e.unloadingAdapters, func(a adapterName, _ bool) bool { return !e.held[a.model][a.adapter] })
 	e.cached = map[string]bool{}
 	for _, m := range r.Cached {
 		e.cached[m] = true
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -48,10 +48,15 @@
 	doneAt   time.Time
 	loadTime time.Duration
 	reported []timedReport
-	// overcommitted describes the first order that exceeded a limit.
+	// overcommitted describes the first order to load more than the engine has room for,
+	// also if it was rejected.
 	overcommitted string
 	orders        int
-	loseResponse  func() bool
+	// inUseUntil is until when requests use adapters, by name. One that is unloaded before
+	// then keeps its place until then.
+	inUseUntil map[string]time.Time
+	// loseResponse delays an order, and loseAcceptance executes it; both lose the response.
+	loseResponse, loseAcceptance func() bool
 }
 
 type timedReport struct {
@@ -62,8 +67,17 @@
 // reportDelay is the age of a report. It is less than reportLag.
 const reportDelay = 200 * time.Millisecond
 
-// completeLoad adds the loading model to the held ones if doneAt has passed.
+// completeLoad adds the loading model to the held ones if doneAt has passed, and drops the
+// adapters that no request uses any more.
 func (f *fakeEngine) completeLoad() {
+	for _, adapters := range f.held {
+		for a, inUse := range adapters {
+			if !inUse && !time.Now().Before(f.inUseUntil[a]) {
+				delete(adapters, a)
+				f.recordReport(f.inUseUntil[a])
+			}
+		}
+	}
 	if f.loading == "" || time.Now().Before(f.doneAt) {
 		return
 	}
@@ -88,10 +102,7 @@
 		f.recordReport(time.Time{})
 	}
 	defer func() { f.recordReport(time.Now()) }()
-	d := testDocument().Services[0].Engine
-	if o.Load && !fitsLimits(d, f.held, nil, f.loading, o) && f.overcommitted == "" {
-		f.overcommitted = fmt.Sprintf("%+v onto %v", o, f.held)
-	}
+	f.checkRoom(o)
 	f.sequence++
 	switch {
 	case o.Load && o.Adapter == "" && f.held[o.Model] == nil:
@@ -102,6 +113,8 @@
 		f.held[o.Model][o.Adapter] = true
 	case o.Adapter == "":
 		delete(f.held, o.Model)
+	case time.Now().Before(f.inUseUntil[o.Adapter]):
+		f.held[o.Model][o.Adapter] = false
 	case f.held[o.Model] != nil:
 		delete(f.held[o.Model], o.Adapter)
 		return OrderSatisfied
@@ -109,6 +122,14 @@
 	return OrderAccepted
 }
 
+// checkRoom records an order to load more than the engine has room for.
+func (f *fakeEngine) checkRoom(o Order) {
+	d := testDocument().Services[0].Engine
+	if o.Load && !fitsLimits(d, f.held, nil, []string{f.loading}, o) && f.overcommitted == "" {
+		f.overcommitted = fmt.Sprintf("%+v onto %v", o, f.held)
+	}
+}
+
 // executeDelayed executes the orders whose response was lost, if the engine still
 // accepts them.
 func (f *fakeEngine) executeDelayed() {
@@ -158,6 +179,12 @@
 		f.delayed = append(f.delayed, o)
 		return OrderUnknown, io.ErrUnexpectedEOF
 	}
+	f.completeLoad()
+	f.checkRoom(o)
+	if f.loseAcceptance != nil && f.loseAcceptance() {
+		f.accept(o)
+		return OrderUnknown, io.ErrUnexpectedEOF
+	}
 	return f.accept(o), nil
 }
 
@@ -290,6 +317,46 @@
 	})
 }
 
+// TestReportOlderThanAnAcceptedOrderIsNotUsed reads a report right after eight adapters
+// were loaded and a ninth order was rejected: the report shows the engine without them.
+func TestReportOlderThanAnAcceptedOrderIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
+		l, e := newTestLeader(t, f, HeldModel{Name: "m0"})
+		for i := range 8 {
+			l.ensureAdapter(t.Context(), newAdapterRequest("m0", fmt.Sprintf("a%d", i)))
+		}
+		l.mu.Lock()
+		e.sequenceKnown = false
+		l.mu.Unlock()
+		if _, err := e.refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		l.ensureAdapter(t.Context(), newAdapterRequest("m0", "a8"))
+		if f.overcommitted != "" || len(f.held["m0"]) != 8 {
+			t.Errorf("overcommitted by %q, holds %v, want the eight adapters and no order beyond them", f.overcommitted, f.held)
+		}
+	})
+}
+
+// TestOrderOfUnknownOutcomeKeepsItsRoom loses the responses to a load that the engine
+// executes late, and orders another one that does not fit beside it.
+func TestOrderOfUnknownOutcomeKeepsItsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}, "m1": {}}, loadTime: 5 * time.Second}
+		f.loseResponse = func() bool { return f.orders <= maxOrderAttempts }
+		_, e := newTestLeader(t, f, HeldModel{Name: "m0"}, HeldModel{Name: "m1"})
+		e.stepInFlight, e.loading = true, "m2"
+		e.executeStep(t.Context(), residency.Step{Engine: "e", Load: "m2"})
+		f.executeDelayed()
+		e.stepInFlight, e.loading = true, "m3"
+		e.executeStep(t.Context(), residency.Step{Engine: "e", Load: "m3"})
+		if f.overcommitted != "" {
+			t.Errorf("overcommitted by %q: an order whose outcome is unknown may still be executed", f.overcommitted)
+		}
+	})
+}
+
 func TestIdleAdapterIsEvicted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
@@ -392,6 +459,7 @@
 				time.Sleep(reportDelay)
 			}
 			f.loseResponse = func() bool { return lost[f.orders%len(lost)] == 0 }
+			f.loseAcceptance = func() bool { return lost[f.orders%len(lost)] == 1 }
 			l, e := newTestLeader(t, f, listed...)
 			for _, a := range actions {
 				f.perform(t.Context(), l, e, a)
@@ -511,6 +579,36 @@
 	})
 }
 
+// TestAdapterInUseKeepsItsPlaceUntilItsRequestsEnd evicts an adapter that long requests use:
+// the engine accepts the order, and carries it out when they have ended.
+func TestAdapterInUseKeepsItsPlaceUntilItsRequestsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
+		l, e := newTestLeader(t, f, HeldModel{Name: "m0"})
+		time.Sleep(time.Minute)
+		f.inUseUntil = map[string]time.Time{}
+		for i := range 8 {
+			name := fmt.Sprintf("a%d", i)
+			f.inUseUntil[name] = time.Now().Add(6 * time.Second)
+			l.ensureAdapter(t.Context(), newAdapterRequest("m0", name))
+		}
+		time.Sleep(2 * minAdapterIdle)
+		if got := l.ensureAdapter(t.Context(), newAdapterRequest("m0", "a8")); got != "" || f.overcommitted != "" {
+			t.Errorf("adapter a8 is on %q, overcommitted by %q; want none while all adapters are in use", got, f.overcommitted)
+		}
+		l.mu.Lock()
+		listed := len(e.toWire().Models[0].Adapters)
+		l.mu.Unlock()
+		if listed != 7 {
+			t.Errorf("gateways are told of %d adapters, want 7 without the one that is about to go", listed)
+		}
+		time.Sleep(6 * time.Second)
+		if got := l.ensureAdapter(t.Context(), newAdapterRequest("m0", "a8")); got != "e" || f.overcommitted != "" {
+			t.Errorf("adapter a8 is on %q, overcommitted by %q; want e once requests have ended", got, f.overcommitted)
+		}
+	})
+}
+
 // TestUnansweredOrderIsResentAtOnce loses the response to an order. The engine
 // executes that order later, if it still accepts it.
 func TestUnansweredOrderIsResentAtOnce(t *testing.T) {
--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -127,12 +127,9 @@
 func (e *engineState) sendOrder(ctx context.Context, o Order) OrderResult {
 	e.orderMu.Lock()
 	defer e.orderMu.Unlock()
-	result := e.sendOrderOnce(ctx, o)
-	for attempt := 1; attempt < maxOrderAttempts && result == OrderUnknown; attempt++ {
-		e.leader.mu.Lock()
-		e.sequenceKnown = true
-		e.leader.mu.Unlock()
-		result = e.sendOrderOnce(ctx, o)
+	sent, result := e.sendOrderOnce(ctx, o)
+	for attempt := 1; attempt < maxOrderAttempts && result == OrderUnknown && e.prepareResend(sent); attempt++ {
+		sent, result = e.sendOrderOnce(ctx, o)
 		if result == OrderConflict && e.tookEffect(ctx, o) {
 			result = OrderAccepted
 		}
@@ -140,6 +137,18 @@
 	return result
 }
 
+// prepareResend makes the next order name the sequence of the one that was sent. It returns
+// false if the engine is at another one by now, or is another process.
+func (e *engineState) prepareResend(sent sentOrder) bool {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	if e.startedUnixMs != sent.process || e.sequence != sent.ExpectedSequence || e.foreignOrder {
+		return false
+	}
+	e.sequenceKnown = true
+	return true
+}
+
 // tookEffect reports whether an order whose response was lost has been accepted.
 // It waits until the engine's report is no longer older than the order.
 func (e *engineState) tookEffect(ctx context.Context, o Order) bool {
@@ -165,28 +174,29 @@
 	return e.awaitingEffect
 }
 
+// sentOrder is an order as it was sent, to the process of an engine.
+type sentOrder struct {
+	Order
+	// process is the start of the process in Unix milliseconds.
+	process int64
+}
+
 // sendOrderOnce makes one attempt to send an order.
-func (e *engineState) sendOrderOnce(ctx context.Context, o Order) OrderResult {
+func (e *engineState) sendOrderOnce(ctx context.Context, o Order) (sentOrder, OrderResult) {
 	x := e.listing()
 	until, ok := e.leader.orderAllowed(ctx, x)
 	if !ok {
-		return OrderNotSent
+		return sentOrder{}, OrderNotSent
 	}
 	// A pause of the process may separate the check from the write.
 	mayWrite := func() bool { return e.leader.s.clock() < until }
-	e.leader.mu.Lock()
-	// A step or an adapter job may outlive the engine's entry in the list.
-	listed := e.leader.engines[x.ID] == e
-	ready := listed && e.sequenceKnown && (!o.Load || e.fits(o))
-	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
-	e.orderedAt = e.leader.s.clock()
-	e.leader.mu.Unlock()
-	if !ready {
-		return OrderNotSent
+	sent, ok := e.prepareOrder(x, o)
+	if !ok {
+		return sent, OrderNotSent
 	}
 	call, cancel := context.WithTimeout(ctx, orderResponseTimeout)
 	defer cancel()
-	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, o, mayWrite)
+	result, err := e.leader.s.deps.Platform.Order(call, x.Address, x.ID, sent.Order, mayWrite)
 	ordersSent.count(o, result)
 	switch {
 	case err != nil && result == OrderNotSent:
@@ -196,16 +206,39 @@
 	}
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
+	if e.startedUnixMs == sent.process {
+		e.recordResult(sent.Order, result)
+	}
+	return sent, result
+}
+
+// prepareOrder returns the order with the sequence at which the engine may accept it, or
+// false if that is not known or the engine has no room for it.
+func (e *engineState) prepareOrder(x ListedEndpoint, o Order) (sentOrder, bool) {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
+	e.orderedAt = e.leader.s.clock()
+	// A step or an adapter job may outlive the engine's entry in the list.
+	listed := e.leader.engines[x.ID] == e
+	ready := listed && e.sequenceKnown && (!o.Load || e.fits(o))
+	return sentOrder{o, e.startedUnixMs}, ready
+}
+
+// recordResult applies the result of an order to what is known of the process that it was
+// sent to. e.leader.mu must be held.
+func (e *engineState) recordResult(o Order, result OrderResult) {
 	switch result {
 	case OrderNotSent:
 	case OrderAccepted:
 		// A report with the new sequence may have arrived before this response.
 		e.sequence = max(e.sequence, o.ExpectedSequence+1)
+		e.showSequence(o.ExpectedSequence + 1)
 		e.awaitingEffect = e.awaitingEffect || o.Adapter == ""
 	case OrderSatisfied:
 		if o.Adapter != "" && !o.Load {
 			// The engine unloads an idle adapter at once, which counts as an
-			// accepted order.
+			// accepted order. One that it did not hold does not count.
 			e.sequence = max(e.sequence, o.ExpectedSequence+1)
 		}
 	case OrderConflict:
@@ -216,9 +249,11 @@
 		}
 		e.sequenceKnown, e.reportStaleUntil = false, e.leader.s.clock()+reportLag
 	default:
+		if o.Load && result == OrderUnknown {
+			e.unresolved = &o
+		}
 		e.sequenceKnown, e.reportStaleUntil = false, e.leader.s.clock()+reportLag
 	}
-	return result
 }
 
 // awaitEffect polls the engine until the order has taken effect. It returns false
--- a/internal/fleetcontrol/incarnation.go
+++ b/internal/fleetcontrol/incarnation.go
@@ -30,9 +30,10 @@
 	e.startedUnixMs = startedUnixMs
 	e.held, e.cached = nil, nil
 	e.version.restart(e.leader.s.clock())
-	e.sequence, e.sequenceKnown = 0, false
+	e.sequence, e.sequenceKnown, e.shownSequence, e.unresolved = 0, false, 0, nil
 	e.awaitingEffect, e.foreignOrder, e.statesLeaving = false, false, false
 	clear(e.loadingAdapters)
+	clear(e.unloadingAdapters)
 	e.leader.suspects.Restarted(e.listed.ID)
 	e.leader.limits.book.Restart(e.listed.ID, e.leader.s.clock())
 	delete(e.leader.limits.buckets, e.listed.ID)
--- a/internal/fleetcontrol/intents_test.go
+++ b/internal/fleetcontrol/intents_test.go
@@ -176,7 +176,7 @@
 func (r *roomRecorder) Order(ctx context.Context, address, id string, o Order, mayWrite func() bool) (OrderResult, error) {
 	r.mu.Lock()
 	r.completeLoad()
-	if o.Load && !fitsLimits(testDocument().Services[0].Engine, r.held, nil, r.loading, o) {
+	if o.Load && !fitsLimits(testDocument().Services[0].Engine, r.held, nil, []string{r.loading}, o) {
 		r.beyondRoom = append(r.beyondRoom, fmt.Sprintf("%s of %s onto %v and %q", o.Model, o.Holder, r.held, r.loading))
 	}
 	r.mu.Unlock()
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -110,7 +109,12 @@
 	out.PerSecond, out.Limited = e.leader.limitOf(e.listed.ID)
 	for name, adapters := range e.held {
 		m := &wire.HeldModel{Name: name, Leaving: e.unloading[name], Loading: e.loading == name}
-		m.Adapters = slices.Sorted(maps.Keys(adapters))
+		for a := range adapters {
+			if !e.unloadingAdapters[adapterName{name, a}] {
+				m.Adapters = append(m.Adapters, a)
+			}
+		}
+		slices.Sort(m.Adapters)
 		out.Models = append(out.Models, m)
 	}
 	if _, ok := e.held[e.loading]; e.loading != "" && !ok {
