Count an adapter as used from the moment at which a request waits for it

It learns of an adapter's requests from the gateways' reports, which are 0.5 s old with 195 gateways, and took adapters without a report for idle.

The call that asks for an adapter counts as its use now. TestAdapterJustRequestedIsNotEvicted failed before.

--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -46,6 +46,7 @@
 // returns "" if that is not possible now.
 func (l *leaderState) ensureAdapter(ctx context.Context, req adapterRequest) string {
 	l.mu.Lock()
+	l.demand.RequestAdapter(req.model, req.adapter, l.s.clock())
 	job := l.jobs[req]
 	if job == nil {
 		holders := l.holdersOf(req)
--- a/internal/fleetcontrol/engine_test.go
+++ b/internal/fleetcontrol/engine_test.go
@@ -609,6 +609,25 @@
 	})
 }
 
+// TestAdapterJustRequestedIsNotEvicted requests more adapters at once than the engine has
+// places for, before any gateway has reported the requests.
+func TestAdapterJustRequestedIsNotEvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
+		l, _ := newTestLeader(t, f, HeldModel{Name: "m0"})
+		time.Sleep(time.Minute)
+		for i := range 12 {
+			l.ensureAdapter(t.Context(), newAdapterRequest("m0", fmt.Sprintf("a%d", i)))
+		}
+		for i := range 8 {
+			if !f.held["m0"][fmt.Sprintf("a%d", i)] {
+				t.Errorf("the engine holds %v, want a0 to a7, which requests wait for", f.held["m0"])
+				break
+			}
+		}
+	})
+}
+
 // TestUnansweredOrderIsResentAtOnce loses the response to an order. The engine
 // executes that order later, if it still accepts it.
 func TestUnansweredOrderIsResentAtOnce(t *testing.T) {
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -75,6 +75,12 @@
 	}
 }
 
+// RequestAdapter records that a request waits for the adapter, ahead of the report of its
+// demand.
+func (d *Demand) RequestAdapter(model, adapter string, now time.Duration) {
+	d.adapters[model+"/"+adapter] = now
+}
+
 // SlotTime returns the average time for which a request for the model occupies a slot; zero
 // if there was none.
 func (d *Demand) SlotTime(model string) time.Duration {
