Let idle models give way to those in use

- Models that nobody uses come last, take at most what half of the store's budget leaves, and displace nothing.
- The only replica of an idle model gives way to a model that has too few for its demand, if its engine keeps a copy: it returns without the store when it is asked for.
- A plan of a leader that does not know the demand yet unloads nothing.
- The share of an engine that earns a second replica, and the gain of a copy, are shares of its slots.
They were numbers of slots, which mean less on engines with 64 of them.
- The budget of the store is its whole rate; a load that was not ordered can be returned.

--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,6 +56,14 @@
 	return &Demand{models: map[string]*average{}, adapters: map[string]time.Duration{}}
 }
 
+// Observed returns for how long demand has been measured.
+func (d *Demand) Observed(now time.Duration) time.Duration {
+	if !d.started {
+		return 0
+	}
+	return now - d.began
+}
+
 // Add records requests that together occupy a slot for slotTime.
 func (d *Demand) Add(model, adapter string, requests int, slotTime, now time.Duration) {
 	if !d.started {
@@ -180,10 +189,6 @@
 	starts []time.Duration
 }
 
-// storeRateFraction is the share of the store's rate that is used. The store counts
-// a load when it starts, a little later than it is ordered.
-const storeRateFraction = 0.9
-
 // NewStoreBudget returns a budget of loads per second over a window.
 func NewStoreBudget(perSecond float64, window time.Duration) *StoreBudget {
 	return &StoreBudget{rate: perSecond, window: window}
@@ -199,8 +204,22 @@
 		i++
 	}
 	b.starts = b.starts[i:]
-	return max(int(b.rate*b.window.Seconds()*storeRateFraction)-len(b.starts), 0)
+	return max(b.size()-len(b.starts), 0)
 }
 
+// LeftForIdle returns how many loads of models that nobody uses may start now. They leave
+// half of the budget to the models that are used next.
+func (b *StoreBudget) LeftForIdle(now time.Duration) int { return max(b.Left(now)-b.size()/2, 0) }
+
+// size returns how many loads may start in one window.
+func (b *StoreBudget) size() int { return int(b.rate * b.window.Seconds()) }
+
 // Start records a load that starts now.
 func (b *StoreBudget) Start(now time.Duration) { b.starts = append(b.starts, now) }
+
+// Refund returns a load that was recorded at the time: its order has not been accepted.
+func (b *StoreBudget) Refund(at time.Duration) {
+	if i := slices.Index(b.starts, at); i >= 0 {
+		b.starts = slices.Delete(b.starts, i, i+1)
+	}
+}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -50,8 +50,12 @@
 	Slots int
 	// AdapterSlots is how many adapters one engine can hold.
 	AdapterSlots int
-	// MaxStoreLoads bounds the loads from the weight store that the plan starts.
-	MaxStoreLoads int
+	// MaxStoreLoads bounds the loads from the weight store that the plan starts, and
+	// MaxIdleStoreLoads those of models that nobody uses.
+	MaxStoreLoads, MaxIdleStoreLoads int
+	// DemandUnknown is set while demand has not been measured for long enough. Then only
+	// models that clients wait for are loaded, and nothing is unloaded.
+	DemandUnknown bool
 }
 
 // Step changes which models one engine holds: it unloads models to free memory and
@@ -68,12 +72,12 @@
 	// targetUtilization is the share of an engine's slots that the demand of a model
 	// may occupy before the model gets another replica.
 	targetUtilization = 0.45
-	// secondReplicaDemand is the demand, in slots, from which a model gets a second
-	// replica, so that it stays available if one engine is lost.
-	secondReplicaDemand = 7.0
-	// cachedWeightsGain is the gain, in slots, of a load that does not need the
-	// weight store.
-	cachedWeightsGain = 1.0
+	// secondReplicaShare is the demand, as a share of an engine's slots, from which a model
+	// gets a second replica, so that it stays available if one engine is lost.
+	secondReplicaShare = 0.3
+	// cachedWeightsGain is the gain, as a share of an engine's slots, of a load that does not
+	// need the weight store.
+	cachedWeightsGain = 0.15
 	// adapterWeight is the load, in slots, that an adapter in use counts for, so that
 	// models with many adapters do not share an engine.
 	adapterWeight = 0.5
@@ -83,6 +87,9 @@
 	// loses a replica, as a ratio of that of the model which replaces it. It
 	// prevents two models from displacing each other in turn.
 	maxDisplacedLoadRatio = 0.6
+	// restCost is the cost, in slots, of unloading the only replica of an idle model, which
+	// has to return when it is requested.
+	restCost = 3.0
 )
 
 // Plan returns the steps to start now, in order of priority, at most one for each
@@ -91,9 +98,9 @@
 	p := newPlanner(in)
 	p.placeRequestedVersions()
 	for _, m := range p.byPriority() {
-		for p.deficit(m) > 0 {
+		for p.deficit(m) > 0 && (m.Requested || !in.DemandUnknown) {
 			s, ok := p.cheapestStep(m, "")
-			if !ok {
+			if !ok && !m.idle() && !in.DemandUnknown {
 				s, ok = p.relocate(m)
 			}
 			if !ok {
@@ -146,17 +153,20 @@
 	if m.Adapters > 0 && p.in.AdapterSlots > 0 {
 		n = max(n, int(math.Ceil(float64(m.Adapters)/float64(p.in.AdapterSlots))))
 	}
-	if demand >= secondReplicaDemand {
+	if demand >= p.secondReplicaDemand() {
 		n = max(n, 2)
 	}
 	return min(n, len(p.engines))
 }
 
+// secondReplicaDemand returns the demand, in slots, from which a model gets a second replica.
+func (p *planner) secondReplicaDemand() float64 { return secondReplicaShare * float64(p.in.Slots) }
+
 func (p *planner) deficit(m *Model) int { return p.forecastReplicas(m) - p.replicas[m.Name] }
 
 // byPriority returns the models that lack replicas: first those without a replica that
-// clients wait for, then the others without a replica, then those with the highest
-// demand per replica.
+// clients wait for, then the others in use without a replica, then those with the highest
+// demand per replica, and last those that nobody uses.
 func (p *planner) byPriority() []*Model {
 	var lacking []*Model
 	for i := range p.in.Models {
@@ -173,15 +183,19 @@
 func (p *planner) replicaPriority(m *Model) float64 {
 	const noReplicaBonus, requestedBonus = 1e6, 1e9
 	u := max(m.Forecast, m.Demand) / float64(p.replicas[m.Name]+1)
-	if p.replicas[m.Name] == 0 {
+	switch {
+	case p.replicas[m.Name] > 0 || m.idle():
+	case m.Requested:
+		u += requestedBonus
+	default:
 		u += noReplicaBonus
-		if m.Requested {
-			u += requestedBonus
-		}
 	}
 	return u
 }
 
+// idle reports whether nobody uses the model.
+func (m *Model) idle() bool { return m.Demand == 0 && m.Forecast == 0 && !m.Requested }
+
 // placeRequestedVersions adds a step for each version on which clients wait for a model that
 // no engine of the version holds.
 func (p *planner) placeRequestedVersions() {
@@ -224,13 +238,13 @@
 // loadStep returns the step that loads the model on the engine, and its cost in slots.
 func (p *planner) loadStep(e *Engine, m *Model) (Step, float64, bool) {
 	cached := e.Cached[m.Name]
-	if e.CapacityMB < m.MB || !cached && p.storeLoads >= p.in.MaxStoreLoads {
+	if e.CapacityMB < m.MB || !cached && p.storeLoads >= p.maxStoreLoads(m) {
 		return Step{}, 0, false
 	}
 	s := Step{Engine: e.ID, Load: m.Name, FromStore: !cached}
 	cost := p.expectedLoad(e)
 	if cached {
-		cost -= cachedWeightsGain
+		cost -= cachedWeightsGain * float64(p.in.Slots)
 	}
 	used := e.UsedMB
 	for e.CapacityMB-used < m.MB {
@@ -245,6 +259,14 @@
 	return s, cost, true
 }
 
+// maxStoreLoads bounds the loads from the weight store that the plan starts up to the model.
+func (p *planner) maxStoreLoads(m *Model) int {
+	if m.idle() {
+		return p.in.MaxIdleStoreLoads
+	}
+	return p.in.MaxStoreLoads
+}
+
 // size returns the memory of the model in MB. It is zero for a model that is no
 // longer declared, so that the plan does not rely on memory freed by it.
 func (p *planner) size(name string) float64 {
@@ -275,7 +297,7 @@
 		if slices.Contains(unloading, name) {
 			continue
 		}
-		cost, ok := p.evictionCost(m, name)
+		cost, ok := p.evictionCost(m, name, e)
 		if ok && (cost < bestCost || cost == bestCost && name < best) {
 			best, bestCost = name, cost
 		}
@@ -283,25 +305,29 @@
 	return best, bestCost
 }
 
-// evictionCost returns the cost, in slots, of unloading a replica of the named model,
-// and whether it may be unloaded for the model m. It may be if the model is no
-// longer declared, if the remaining replicas suffice for its demand, if they are
-// much less loaded than those of a model m that needs two replicas or more, or, for
-// a model m with demand but no replica, if it is the only replica of a model without
-// demand.
-func (p *planner) evictionCost(m *Model, name string) (float64, bool) {
+// evictionCost returns the cost, in slots, of unloading a replica of the named model from the
+// engine, and whether it may be unloaded for the model m. It may be if the model is no
+// longer declared, or, for a model m in use, if the remaining replicas suffice for its demand,
+// if they are much less loaded than those of a model m that needs two replicas or more, or if
+// it is the only replica of an idle model, and m has none, or is overloaded and the idle model
+// can return without the weight store.
+func (p *planner) evictionCost(m *Model, name string, e *Engine) (float64, bool) {
 	v := p.models[name]
 	if v == nil {
 		return 0, true
 	}
 	remaining := p.replicas[name] - 1
 	switch {
+	case m.idle() || p.in.DemandUnknown:
+		return 0, false
 	case remaining >= p.neededReplicas(v):
 		return v.Demand / float64(remaining+1), true
-	case remaining >= 1 && m.Demand >= secondReplicaDemand && v.Demand/float64(remaining) < maxDisplacedLoadRatio*m.Demand/float64(max(p.replicas[m.Name], 1)):
+	case remaining >= 1 && m.Demand >= p.secondReplicaDemand() && v.Demand/float64(remaining) < maxDisplacedLoadRatio*m.Demand/float64(max(p.replicas[m.Name], 1)):
 		return v.Demand / float64(remaining), true
 	case remaining == 0 && p.replicas[m.Name] == 0 && v.Demand == 0 && m.Demand > 0:
 		return unloadCost, true
+	case remaining == 0 && v.idle() && e.Cached[name] && p.replicas[m.Name] < p.neededReplicas(m):
+		return restCost, true
 	}
 	return 0, false
 }
@@ -319,7 +345,7 @@
 		}
 		for name := range from.Models {
 			v := p.models[name]
-			if v == nil || p.replicas[name] != 1 || v.Demand >= secondReplicaDemand || from.CapacityMB-from.UsedMB+v.MB < m.MB {
+			if v == nil || p.replicas[name] != 1 || v.Demand >= p.secondReplicaDemand() || from.CapacityMB-from.UsedMB+v.MB < m.MB {
 				continue
 			}
 			to, cached := p.tightestFit(v, from)
