Admit requests by the time that their engine needs for the prompts ahead

An engine there reads 19 prompt tokens a ms, so eight prompts of 2,400 tokens a second are its limit, which uses 3 of its slots; slots and memory were all that admission, choice and placement knew.

Gateways report how long first events took and how many prompt tokens the engine had to read before them, their own and the others', and how many are unread now. The leader pools that by engine (internal/prefill), an engine with few answers counts as usual, and returns a time for a unit of tokens and the unread units of the others. An engine is full for a stream once the prompts ahead take 0.6 of the time to an event on time, at most 0.6 s, so that patient requests do not fill the queue of urgent ones. Unknown times keep nobody away. Placement counts a request as the slots that its engine could not serve meanwhile.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -22,6 +22,9 @@
 	Domain string
 	// CacheTokens is an engine's memory in tokens; zero if not declared.
 	CacheTokens int
+	// FirstEventTarget is the time to the first event within which a stream counts as on
+	// time; zero if there is none.
+	FirstEventTarget time.Duration
 }
 
 const (
@@ -40,6 +43,11 @@
 	suspectCost = 4.0
 	fullCost    = 8.0
 	deadCost    = 16.0
+	// maxReadAheadShare is the share of the time to an event on time, maxFirstEventTarget at
+	// most, that an endpoint may spend on the prompts of earlier requests. Patient requests
+	// leave the same time as others, so that they do not delay those.
+	maxReadAheadShare   = 0.6
+	maxFirstEventTarget = time.Second
 	// sampleSize is how many endpoints are compared, besides the one that the
 	// session prefers. The counts are 0.1 s old: if all gateways chose the least
 	// loaded endpoint by them, they would fill it together.
@@ -49,7 +57,8 @@
 // Choice is the endpoint chosen for a request.
 type Choice struct {
 	Endpoint *Endpoint
-	// Utilization is that of the endpoint before the request, 1 if it is full.
+	// Utilization is that of the endpoint before the request, 1 if it is full: of its slots,
+	// its memory, or the time that it has to prefill prompts before the first event is late.
 	Utilization float64
 	// HeldOffUntil is until when the endpoint takes no request, for its limit or because it
 	// has asked for that; it counts as full until then.
@@ -83,12 +92,12 @@
 	contended := l.totalUtilization(all) >= contendedUtilization
 	if len(all) > sampleSize {
 		if c, cost := l.cheapest(l.sample(all, preferred), req, preferred, now); c.Utilization < 1 && cost < suspectCost {
-			c.Contended = contended || c.Utilization >= contendedUtilization
+			c.Contended = contended || l.occupancy(c.Endpoint, req, now) >= contendedUtilization
 			return c
 		}
 	}
 	c, _ := l.cheapest(all, req, preferred, now)
-	c.Contended = contended || c.Utilization >= contendedUtilization
+	c.Contended = contended || c.Endpoint != nil && l.occupancy(c.Endpoint, req, now) >= contendedUtilization
 	return c
 }
 
@@ -151,9 +160,19 @@
 // is full.
 const fullUtilization = 1.25
 
-// utilization returns the larger of the utilizations of slots and of memory.
-// l.mu must be held.
+// utilization returns the largest of the utilizations of slots, of memory, and of the time
+// for prompts ahead. l.mu must be held.
 func (l *Loads) utilization(e *Endpoint, req Requirements, now time.Duration) float64 {
+	occupancy := l.occupancy(e, req, now)
+	if req.FirstEventTarget <= 0 || l.stale {
+		return occupancy
+	}
+	allowed := maxReadAheadShare * min(req.FirstEventTarget, maxFirstEventTarget).Seconds()
+	return max(occupancy, l.readAhead(e.ID).Seconds()/allowed)
+}
+
+// occupancy returns the larger of the utilizations of slots and of memory. l.mu must be held.
+func (l *Loads) occupancy(e *Endpoint, req Requirements, now time.Duration) float64 {
 	load := l.totalLoad(e.ID)
 	utilization := float64(load.Running) / float64(max(e.Slots, 1))
 	if l.full[e.ID] {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -34,7 +34,7 @@
 	for i, e := range v.Endpoints {
 		running[i] = busy[e.ID]
 	}
-	if !l.SetOthers(v.Endpoints, running, make([]uint32, len(running))) {
+	if !l.SetOthers(v.Endpoints, Counts{Running: running, TokenUnits: make([]uint32, len(running))}) {
 		t.Fatal("SetOthers rejected the counts")
 	}
 }
@@ -302,7 +302,7 @@
 // are matched to endpoints by position, so both must be of the same endpoints.
 func TestCountsOfAnotherViewAreRejected(t *testing.T) {
 	v := NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{engine("a", "d1"), engine("b", "d1")}})
-	if NewLoads(sequentialDraws()).SetOthers(v.Endpoints, []uint32{1}, []uint32{1}) {
+	if NewLoads(sequentialDraws()).SetOthers(v.Endpoints, Counts{Running: []uint32{1}, TokenUnits: []uint32{1}}) {
 		t.Error("SetOthers accepted one count for two endpoints")
 	}
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -32,6 +32,13 @@
 	// failing and dead are the endpoints that the leader considers failing or dead
 	// from the reports of several gateways.
 	failing, dead map[string]bool
+	// perToken is how long endpoints take to read a prompt token, for those of which it is
+	// known.
+	perToken map[string]time.Duration
+	// unreadKnown is set if the leader counts the prompt tokens of the other gateways.
+	unreadKnown bool
+	// firstReads are the responses that began since the last report.
+	firstReads map[string]firstReads
 	// stale is set while the other gateways' counts are old. Then each of them is
 	// assumed to have as much in flight as this one.
 	stale bool
@@ -58,6 +65,13 @@
 	draw    func(n int) int
 }
 
+// firstReads is how long the first bytes of responses took in all, and how many prompt tokens
+// their endpoint had to read before them.
+type firstReads struct {
+	took   time.Duration
+	tokens int
+}
+
 // replacement states that another endpoint answered at the address of one.
 type replacement struct {
 	address string
@@ -72,7 +86,7 @@
 func NewLoads(draw func(n int) int) *Loads {
 	return &Loads{
 		own: map[string]Load{}, others: map[string]Load{}, health: NewHealth(failureWeight),
-		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{},
+		results: map[string]Results{}, latencies: map[string]Latency{}, responses: map[string]responseState{}, firstReads: map[string]firstReads{},
 		gateways: 1, full: map[string]bool{}, replaced: map[string]replacement{}, heldOffUntil: map[string]time.Duration{}, endedAt: map[string]time.Duration{}, restingUntil: map[string]time.Duration{}, leaving: map[string]time.Duration{}, brittle: map[string]brittleness{}, draw: draw,
 	}
 }
@@ -114,8 +128,9 @@
 }
 
 // Begin counts a request that is sent to the endpoint. tokens is how many it may
-// occupy in memory, prompt how many have to be prefilled.
-func (l *Loads) Begin(endpoint string, tokens, prompt int, now time.Duration) {
+// occupy in memory, prompt how many have to be prefilled. It returns the load of the endpoint
+// with the request.
+func (l *Loads) Begin(endpoint string, tokens, prompt int, now time.Duration) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, ok := l.responses[endpoint]
@@ -129,6 +144,18 @@
 	o.Tokens += tokens
 	o.PrefillTokens += prompt
 	l.own[endpoint] = o
+	return l.totalLoad(endpoint)
+}
+
+// RecordFirst records how long the first byte of a response took, before which the endpoint
+// had to prefill the tokens.
+func (l *Loads) RecordFirst(endpoint string, unread int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.firstReads[endpoint]
+	f.took += took
+	f.tokens += unread
+	l.firstReads[endpoint] = f
 }
 
 // EndPrefill subtracts the prompt of a request whose response has begun or ended.
@@ -175,7 +202,7 @@
 	}
 	for id, o := range l.own {
 		w := of(id)
-		w.Running, w.Tokens = uint32(o.Running), uint64(max(o.Tokens, 0))
+		w.Running, w.Tokens, w.UnreadTokens = uint32(o.Running), uint64(max(o.Tokens, 0)), uint64(max(o.PrefillTokens, 0))
 		w.Silent = l.unresponsive(id, now) && !l.outOfReach[id] // Its own lost links make no endpoint unresponsive.
 		s := l.responses[id]
 		if s.receivedSinceReport {
@@ -194,6 +221,11 @@
 		w.TookMs, w.ExpectedMs = uint32(x.Took.Milliseconds()), uint32(x.Expected.Milliseconds())
 	}
 	clear(l.latencies)
+	for id, f := range l.firstReads {
+		w := of(id)
+		w.FirstTookMs, w.FirstTokens = uint32(f.took.Milliseconds()), uint64(max(f.tokens, 0))
+	}
+	clear(l.firstReads)
 	out := make([]*wire.InProgress, 0, len(all))
 	for _, w := range all {
 		out = append(out, w)
@@ -265,22 +297,45 @@
 // are sent.
 const TokenUnit = 256
 
-// SetOthers replaces what the other gateways have in flight: requests and units of
-// tokens at each of the endpoints. It returns false and changes nothing if the
-// number of counts differs from that of the endpoints.
-func (l *Loads) SetOthers(endpoints []*Endpoint, running, tokenUnits []uint32) bool {
-	if len(running) != len(endpoints) || len(tokenUnits) != len(endpoints) {
+// Counts is what the other gateways have in flight at endpoints, in their order: requests,
+// and units of tokens that they may occupy and that are not yet prefilled. PerUnit is how long
+// each endpoint takes to prefill a unit, zero if unknown. UnreadUnits and PerUnit are empty if
+// they are not known for any endpoint.
+type Counts struct {
+	Running, TokenUnits, UnreadUnits []uint32
+	PerUnit                          []time.Duration
+}
+
+// matches reports whether there is a count for each of n endpoints.
+func (c Counts) matches(n int) bool {
+	return len(c.Running) == n && len(c.TokenUnits) == n && (len(c.UnreadUnits) == 0 || len(c.UnreadUnits) == n) && (len(c.PerUnit) == 0 || len(c.PerUnit) == n)
+}
+
+// SetOthers replaces what the other gateways have in flight. It returns false and changes
+// nothing if the number of counts differs from that of the endpoints.
+func (l *Loads) SetOthers(endpoints []*Endpoint, c Counts) bool {
+	if !c.matches(len(endpoints)) {
 		return false
 	}
-	others := make(map[string]Load, len(endpoints))
+	others, perToken := make(map[string]Load, len(endpoints)), map[string]time.Duration{}
 	for i, e := range endpoints {
-		if running[i] > 0 {
-			others[e.ID] = Load{Running: int(running[i]), Tokens: int(tokenUnits[i]) * TokenUnit}
+		var o Load
+		if c.Running[i] > 0 {
+			o.Running, o.Tokens = int(c.Running[i]), int(c.TokenUnits[i])*TokenUnit
+		}
+		if len(c.UnreadUnits) > 0 {
+			o.PrefillTokens = int(c.UnreadUnits[i]) * TokenUnit
+		}
+		if o != (Load{}) {
+			others[e.ID] = o
+		}
+		if len(c.PerUnit) > 0 && c.PerUnit[i] > 0 {
+			perToken[e.ID] = c.PerUnit[i] / TokenUnit
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others = others
+	l.others, l.perToken, l.unreadKnown = others, perToken, len(c.UnreadUnits) > 0
 	clear(l.full)
 	return true
 }
@@ -522,14 +577,21 @@
 // little about those of the others.
 const maxPrefillScale = 8
 
-// of returns the load of all gateways at the endpoint. l.mu must be held.
+// totalLoad returns the load of all gateways at the endpoint. l.mu must be held.
 func (l *Loads) totalLoad(endpoint string) Load {
 	a, b := l.own[endpoint], l.others[endpoint]
-	// Prompts are prefilled faster than counts are exchanged, so those of the other
-	// gateways are estimated.
-	prefill := a.PrefillTokens * min(l.gateways, maxPrefillScale)
+	prefill := a.PrefillTokens + b.PrefillTokens
+	if l.stale || !l.unreadKnown {
+		prefill = a.PrefillTokens * min(l.gateways, maxPrefillScale)
+	}
 	if l.stale {
 		return Load{Running: a.Running * l.gateways, Tokens: a.Tokens * l.gateways, PrefillTokens: prefill}
 	}
 	return Load{Running: a.Running + b.Running, Tokens: a.Tokens + b.Tokens, PrefillTokens: prefill}
 }
+
+// readAhead returns how long the endpoint takes to prefill the prompts of requests in flight;
+// zero if that is not known. l.mu must be held.
+func (l *Loads) readAhead(endpoint string) time.Duration {
+	return time.Duration(l.totalLoad(endpoint).PrefillTokens) * l.perToken[endpoint]
+}
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/prefill"
 	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/residency"
@@ -57,11 +58,13 @@
 	doc *document.Document
 	// docSince is when this replica first saw doc as the leader.
 	docSince       time.Duration
+	serviceIndex   serviceIndex
 	gateways       map[string]*gatewayState
 	engines        map[string]*engineState
 	loads          map[string]*wire.InProgress
 	listReceived   bool
 	demand         *residency.Demand
+	prefill        *prefill.Rates
 	budgets        map[string]*residency.StoreBudget
 	requestedUntil map[string]time.Duration
 	// requestedVersions holds until when models are requested on engines of a version.
@@ -172,7 +175,7 @@
 	l := &leaderState{
 		s: s, term: term, leadership: leadership, startedAt: s.clock(), ctx: ctx, stepTrigger: make(chan struct{}, 1),
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
-		demand: residency.NewDemand(), budgets: map[string]*residency.StoreBudget{},
+		demand: residency.NewDemand(), prefill: prefill.NewRates(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, roomGrants: roomGrants{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
 		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
 		suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
@@ -282,6 +285,7 @@
 		if !listed[id] {
 			l.suspects.Removed(id, l.engines[id].leaving())
 			delete(l.engines, id)
+			l.prefill.Forget(id)
 			l.s.log.WithField("endpoint", id).Info("endpoint no longer listed")
 		}
 	}
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -12,6 +12,7 @@
 
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/residency"
+	"parsleyramp/internal/wire"
 )
 
 // modelRequestTTL is how long a gateway's request for a model counts in the plan.
@@ -33,7 +34,12 @@
 		l.budgets[s.Name] = budget
 	}
 	budget.SetRate(s.Engine.LoadsPerSecond)
-	in := residency.Input{Slots: s.Engine.Slots, AdapterSlots: s.Engine.AdapterSlots, MaxStoreLoads: min(budget.Left(now), l.availableStoreLoads(s))}
+	available := l.availableStoreLoads(s)
+	in := residency.Input{
+		Slots: s.Engine.Slots, AdapterSlots: s.Engine.AdapterSlots, DemandUnknown: l.demandUnknown(now),
+		MaxStoreLoads: max(min(budget.Left(now), available)-l.unresolvedStoreLoads(s.Name), 0),
+	}
+	in.MaxIdleStoreLoads = min(budget.LeftForIdle(now), in.MaxStoreLoads)
 	recent := l.demand.RecentAdapters(now)
 	for _, e := range l.enginesOf(s.Name) {
 		in.Engines = append(in.Engines, e.plannerInput(s.Engine, now))
@@ -50,6 +56,69 @@
 	}
 }
 
+const (
+	// demandSettleTime is how long a leader measures demand before it relies on it.
+	demandSettleTime = time.Second
+	// trafficWait is how long a new leader waits for demand before it takes the fleet for
+	// idle.
+	trafficWait = 3 * time.Second
+)
+
+// demandUnknown reports whether demand has not been measured for long enough to plan by it.
+// l.mu must be held.
+func (l *leaderState) demandUnknown(now time.Duration) bool {
+	observed := l.demand.Observed(now)
+	return observed < demandSettleTime && (observed > 0 || now-l.startedAt < trafficWait)
+}
+
+// unresolvedStoreLoads returns how many loads from the weight store may still start because
+// it is unknown whether engines have accepted them. l.mu must be held.
+func (l *leaderState) unresolvedStoreLoads(service string) int {
+	n := 0
+	for _, e := range l.engines {
+		if u := e.unresolved; e.listed.Service == service && u != nil && u.Adapter == "" && !e.cached[u.Model] {
+			n++
+		}
+	}
+	return n
+}
+
+// slotTime returns how long the requests occupy slots of engines, or as many slots as an
+// engine has for as long as it prefills their prompts, if that is longer: an engine that
+// prefills all the time has no room left, however few of its slots are in use. l.mu must be
+// held.
+func (l *leaderState) slotTime(d *wire.ModelDemand, now time.Duration) time.Duration {
+	slotTime := time.Duration(d.PlaceMs) * time.Millisecond
+	s := l.serviceOf(d.Model)
+	if s == nil {
+		return slotTime
+	}
+	return max(slotTime, time.Duration(d.PromptTokens)*l.prefill.Usual(s.Name, now)*time.Duration(s.Engine.Slots))
+}
+
+// serviceIndex holds the service of each model of a document.
+type serviceIndex struct {
+	doc      *document.Document
+	services map[string]*document.Service
+}
+
+// serviceOf returns the service whose engines hold the model, or nil. l.mu must be held.
+func (l *leaderState) serviceOf(model string) *document.Service {
+	if l.doc != l.serviceIndex.doc {
+		l.serviceIndex = serviceIndex{l.doc, map[string]*document.Service{}}
+		for i := range l.doc.Services {
+			s := &l.doc.Services[i]
+			if s.Engine == nil {
+				continue
+			}
+			for _, m := range s.Engine.Models {
+				l.serviceIndex.services[m.Name] = s
+			}
+		}
+	}
+	return l.serviceIndex.services[model]
+}
+
 // availableStoreLoads returns how many more loads from the weight store may run
 // concurrently. The limit is the number that saturates the store at its rate;
 // more loads would slow each other down.
@@ -120,7 +189,8 @@
 func (e *engineState) plannerInput(d *document.Engine, now time.Duration) residency.Engine {
 	out := residency.Engine{
 		ID: e.listed.ID, CapacityMB: d.WeightsMB, UsedMB: e.usedMB(d), Models: map[string]bool{},
-		Busy: e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now), Version: e.version.known, Unavailable: e.leaving() || e.held == nil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
+		Busy:    e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now),
+		Version: e.version.known, Unavailable: e.leaving() || e.held == nil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
 	}
 	for name := range e.held {
 		if !e.unloading[name] {
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -76,8 +76,9 @@
 	l.ingestLeaving(r)
 	l.countGranted(r.Gateway.GetId(), now)
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
+	l.ingestPrefill(r.Loads, now)
 	for _, d := range r.Demand {
-		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
+		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), l.slotTime(d, now), now)
 	}
 	if changed {
 		l.publish(now)
@@ -88,11 +89,20 @@
 	}
 	resp := &wire.SyncResponse{Term: l.term, Leadership: l.leadership, View: l.published.changesSince(l.term, known), PauseMs: syncPauseMS(len(l.gateways))}
 	l.setSuspects(resp, r.SuspectsRevision)
-	resp.OthersRunning, resp.OthersTokenUnits = l.peerLoads(g)
+	l.setPeerLoads(resp, g, now)
 	resp.Failing, resp.Dead = l.unhealthyEndpoints(r.Gateway.GetDomain(), now)
 	return resp
 }
 
+// ingestPrefill records how long the first bytes of responses took. l.mu must be held.
+func (l *leaderState) ingestPrefill(loads []*wire.InProgress, now time.Duration) {
+	for _, x := range loads {
+		if e := l.engines[x.Endpoint]; e != nil && x.FirstTokens > 0 {
+			l.prefill.Record(e.listed.Service, x.Endpoint, time.Duration(x.FirstTookMs)*time.Millisecond, x.FirstTokens, now)
+		}
+	}
+}
+
 // ingestLeaving records the endpoints whose responses have stated that they are about to end.
 // l.mu must be held.
 func (l *leaderState) ingestLeaving(r *wire.SyncRequest) {
@@ -148,6 +158,7 @@
 		}
 		total.Running += uint32(sign) * x.Running
 		total.Tokens += uint64(sign) * x.Tokens
+		total.UnreadTokens += uint64(sign) * x.UnreadTokens
 		if total.Running == 0 {
 			delete(l.loads, x.Endpoint)
 		}
--- a/internal/fleetcontrol/view.go
+++ b/internal/fleetcontrol/view.go
@@ -124,19 +124,29 @@
 	return out
 }
 
-// peerLoads returns the requests in flight and token units of all gateways except
-// g, in the order in which the endpoints are published.
-func (l *leaderState) peerLoads(g *gatewayState) (running, tokenUnits []uint32) {
+// setPeerLoads sets what all gateways except g have in flight, and how fast endpoints prefill
+// prompts, in the order in which the endpoints are published.
+func (l *leaderState) setPeerLoads(resp *wire.SyncResponse, g *gatewayState, now time.Duration) {
 	own := make(map[string]*wire.InProgress, len(g.loads))
 	for _, x := range g.loads {
 		own[x.Endpoint] = x
 	}
 	for _, id := range l.published.endpointOrder {
 		total, o := l.loads[id], own[id]
-		running = append(running, total.GetRunning()-o.GetRunning())
-		tokenUnits = append(tokenUnits, uint32((total.GetTokens()-o.GetTokens()+fleet.TokenUnit-1)/fleet.TokenUnit))
+		resp.OthersRunning = append(resp.OthersRunning, total.GetRunning()-o.GetRunning())
+		resp.OthersTokenUnits = append(resp.OthersTokenUnits, tokenUnits(total.GetTokens()-o.GetTokens()))
+		resp.OthersUnreadUnits = append(resp.OthersUnreadUnits, tokenUnits(total.GetUnreadTokens()-o.GetUnreadTokens()))
+		perUnit := time.Duration(0)
+		if e := l.engines[id]; e != nil {
+			perUnit = l.prefill.PerToken(e.listed.Service, id, now) * fleet.TokenUnit
+		}
+		resp.UnitReadUs = append(resp.UnitReadUs, uint32(perUnit.Microseconds()))
 	}
-	return running, tokenUnits
+}
+
+// tokenUnits returns the tokens in units of fleet.TokenUnit, rounded up.
+func tokenUnits(tokens uint64) uint32 {
+	return uint32((tokens + fleet.TokenUnit - 1) / fleet.TokenUnit)
 }
 
 // unhealthyEndpoints returns the positions of the endpoints that gateways of the
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -185,13 +185,18 @@
 	g := q.g
 	started := g.clock()
 	q.state.setSent(e.ID)
-	g.loads.Begin(e.ID, q.requirements.Tokens, q.info.PromptTokens, started)
+	load := g.loads.Begin(e.ID, q.requirements.Tokens, q.info.PromptTokens, started)
 	defer g.loads.End(e.ID, q.requirements.Tokens)
 	q.endpoint, q.endpointVersion = e, g.loads.VersionOf(e, started)
 	out.beginSend(e.ID, started)
 	defer out.recordNoChunk()
 	out.onReceive = func() { g.loads.RecordReceived(e.ID, g.clock()) }
 	out.onPrefill = func() { g.loads.EndPrefill(e.ID, q.info.PromptTokens) }
+	out.unread = 0
+	if load.Running <= e.Slots {
+		// Beyond that it may wait for a slot rather than for prompts.
+		out.unread = load.PrefillTokens
+	}
 	defer out.recordPrefill()
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,6 +47,9 @@
 	// onPrefill subtracts the prompt from the tokens that the endpoint has not yet
 	// prefilled; nil once it was called.
 	onPrefill func()
+	// unread is how many prompt tokens the endpoint had to prefill until the response began;
+	// zero if that does not explain how long it took.
+	unread int
 	// lastEventID is the id of the last complete event that was forwarded.
 	lastEventID string
 }
@@ -205,7 +208,7 @@
 // beginRelayedSend resets the measurements for a send by way of another gateway, which
 // measures the endpoint.
 func (r *relay) beginRelayedSend(at time.Duration) {
-	r.endpoint, r.sentAt, r.chunks, r.q.framing, r.chunkInterval = "", at, 0, "", 0
+	r.endpoint, r.sentAt, r.chunks, r.q.framing, r.chunkInterval, r.unread = "", at, 0, "", 0, 0
 	r.onReceive, r.onPrefill = func() {}, nil
 	r.q.endpoint, r.q.endpointVersion = nil, ""
 }
@@ -232,6 +235,9 @@
 	latency := fleet.Latency{Took: now - r.lastChunkAt, Expected: r.chunkInterval}
 	if r.chunks == 0 {
 		r.firstChunkAt = now
+		if r.unread > 0 {
+			r.q.g.loads.RecordFirst(r.endpoint, r.unread, now-r.sentAt)
+		}
 		latency = fleet.Latency{Took: now - r.sentAt, Expected: fleet.FirstChunkTime}
 	}
 	r.chunks++
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -208,6 +208,9 @@
 		return n
 	}
 	n.CacheTokens = s.Engine.CacheTokens
+	if route.Kind == document.Stream {
+		n.FirstEventTarget = route.TargetLatency
+	}
 	return n
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -126,7 +126,11 @@
 	if v == nil || len(resp.OthersRunning) == 0 {
 		return
 	}
-	if !g.loads.SetOthers(v.Endpoints, resp.OthersRunning, resp.OthersTokenUnits) {
+	counts := fleet.Counts{Running: resp.OthersRunning, TokenUnits: resp.OthersTokenUnits, UnreadUnits: resp.OthersUnreadUnits}
+	for _, us := range resp.UnitReadUs {
+		counts.PerUnit = append(counts.PerUnit, time.Duration(us)*time.Microsecond)
+	}
+	if !g.loads.SetOthers(v.Endpoints, counts) {
 		g.log.WithFields(logrus.Fields{
 			"term": v.Term, "revision": v.Revision, "endpoints": len(v.Endpoints), "numbers": len(resp.OthersRunning),
 		}).Warn("number of counts of other gateways does not match the endpoints of the view; keeping the previous counts")
@@ -200,8 +204,8 @@
 	sums map[modelKey]*wire.ModelDemand
 }
 
-// add counts one request that is expected to occupy a slot for slotTime.
-func (d *demand) add(model, adapter string, slotTime time.Duration) {
+// add counts one request with a prompt that is expected to occupy a slot for slotTime.
+func (d *demand) add(model, adapter string, slotTime time.Duration, promptTokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.sums == nil {
@@ -215,6 +219,7 @@
 	}
 	s.Arrivals++
 	s.PlaceMs += uint64(slotTime.Milliseconds())
+	s.PromptTokens += uint64(max(promptTokens, 0))
 }
 
 func (d *demand) flush() []*wire.ModelDemand {
