Return a load to the store's budget if its engine did not accept it

A load whose order was not sent, or was rejected, is returned. An engine that could not be read gets no step for 1.5 s, and holds nothing for the planner if it refused a connection.

--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -50,6 +50,9 @@
 	// order.
 	reportStaleUntil time.Duration
 	orderedAt        time.Duration
+	// unreachedUntil and refusedUntil are until when the engine gets no step because it could
+	// not be read, and counts as ended because it refused a connection.
+	unreachedUntil, refusedUntil time.Duration
 	// stepInFlight is set while a placement step is executed.
 	stepInFlight bool
 	// loading is the model that the step in flight loads, and unloading are the
@@ -68,6 +71,8 @@
 	readyAt time.Duration
 	// fromStore is set if the loading model comes from the weight store.
 	fromStore bool
+	// storeLoadAt is when the budget of the weight store was charged for the step in flight.
+	storeLoadAt time.Duration
 	// cached are the models whose weights the engine has in its memory or
 	// on its disk.
 	cached map[string]bool
--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,40 +32,66 @@
 	// unknownOutcomeDelay is the time after an order that was not accepted, or has
 	// an unknown outcome, before the engine gets another one.
 	unknownOutcomeDelay = 600 * time.Millisecond
+	// unreachedTime is how long no step is planned for an engine after it could not be read.
+	unreachedTime = 1500 * time.Millisecond
 )
 
 // executeStep unloads and loads the models of a placement step. The caller has
 // set stepInFlight. A step that fails is abandoned; the next plan replaces it.
 func (e *engineState) executeStep(ctx context.Context, step residency.Step) {
 	defer e.finishStep()
-	if len(step.Unload) > 0 && !wait.For(ctx, modelDrainTime) {
-		return
-	}
-	for _, m := range step.Unload {
-		if !e.executeModelOrder(ctx, false, m) {
+	if e.executeUnloads(ctx, step.Unload) {
+		if result, _ := e.executeModelOrder(ctx, true, step.Load); result.mayTakeEffect() {
 			return
 		}
 	}
-	e.executeModelOrder(ctx, true, step.Load)
+	if step.FromStore {
+		e.refundStoreLoad()
+	}
+}
+
+// executeUnloads unloads the models one after the other. It returns false if one of them
+// was not unloaded.
+func (e *engineState) executeUnloads(ctx context.Context, models []string) bool {
+	if len(models) > 0 && !wait.For(ctx, modelDrainTime) {
+		return false
+	}
+	for _, m := range models {
+		if _, done := e.executeModelOrder(ctx, false, m); !done {
+			return false
+		}
+	}
+	return true
+}
+
+// refundStoreLoad returns a load from the weight store that was not ordered to the budget.
+func (e *engineState) refundStoreLoad() {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	if b := e.leader.budgets[e.listed.Service]; b != nil {
+		b.Refund(e.storeLoadAt)
+	}
+	storeLoadsRefunded.Inc()
 }
 
-// executeModelOrder sends an order for a model and waits for its effect.
-func (e *engineState) executeModelOrder(ctx context.Context, load bool, model string) bool {
+// executeModelOrder sends an order for a model and waits for its effect. It returns the result
+// of the order and whether it has taken effect.
+func (e *engineState) executeModelOrder(ctx context.Context, load bool, model string) (result OrderResult, done bool) {
 	if !e.ensureSequence(ctx) {
 		wait.For(ctx, unknownOutcomeDelay)
-		return false
+		return OrderNotSent, false
 	}
-	result := e.sendOrder(ctx, Order{Load: load, Model: model})
+	result = e.sendOrder(ctx, Order{Load: load, Model: model})
 	expected := e.recordExpectedReady(load, model)
 	x := e.listing()
 	e.leader.s.log.WithFields(logrus.Fields{
 		"endpoint": x.ID, "address": x.Address, "model": model, "load": load, "term": e.leader.term, "answer": result.String(),
 	}).Info("result of model order")
 	if result == OrderAccepted || result == OrderSatisfied {
-		return e.awaitEffect(ctx, load, model, expected)
+		return result, e.awaitEffect(ctx, load, model, expected)
 	}
 	wait.For(ctx, unknownOutcomeDelay)
-	return false
+	return result, false
 }
 
 // recordExpectedReady records when a load that was just ordered is expected to be
@@ -114,6 +142,7 @@
 	}
 	if _, err := e.refresh(ctx); err != nil {
 		e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Warn("failed to read engine report before an order")
+		e.recordUnreached(err)
 		return false
 	}
 	e.leader.mu.Lock()
@@ -121,6 +150,18 @@
 	return e.sequenceKnown
 }
 
+// recordUnreached records that the engine could not be read. One that refuses connections has
+// most likely ended.
+func (e *engineState) recordUnreached(err error) {
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	until := e.leader.s.clock() + unreachedTime
+	e.unreachedUntil = until
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		e.refusedUntil = until
+	}
+}
+
 // sendOrder sends an order with the sequence at which the engine may accept it.
 // An order with an unknown outcome is resent at once: both attempts name the same
 // sequence, so the engine accepts at most one of them.
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -23,7 +23,9 @@
 
 var (
 	storeLoads = metrics.GetOrCreateCounter("parsleyramp_fleet_store_loads_total")
-	listReads  = metrics.GetOrCreateCounter("parsleyramp_fleet_list_reads_total")
+	// storeLoadsRefunded counts planned loads from the store whose order was not accepted.
+	storeLoadsRefunded = metrics.GetOrCreateCounter("parsleyramp_fleet_store_loads_refunded_total")
+	listReads          = metrics.GetOrCreateCounter("parsleyramp_fleet_list_reads_total")
 )
 
 // collectMetrics adds the gauges that are computed at the time of a scrape.
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -189,8 +189,8 @@
 func (e *engineState) plannerInput(d *document.Engine, now time.Duration) residency.Engine {
 	out := residency.Engine{
 		ID: e.listed.ID, CapacityMB: d.WeightsMB, UsedMB: e.usedMB(d), Models: map[string]bool{},
-		Busy:    e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now),
-		Version: e.version.known, Unavailable: e.leaving() || e.held == nil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
+		Busy:    e.stepInFlight || e.foreignOrder || e.leader.blocked(e.listed, now) || now < e.unreachedUntil,
+		Version: e.version.known, Unavailable: e.leaving() || e.held == nil || now < e.refusedUntil || e.limitedBelow(minCapacityRatio, d.Slots), Cached: e.cached,
 	}
 	for name := range e.held {
 		if !e.unloading[name] {
@@ -230,6 +230,7 @@
 	}
 	if step.FromStore {
 		budget.Start(now)
+		e.storeLoadAt = now
 		storeLoads.Inc()
 	}
 	l.s.log.WithFields(logrus.Fields{
--- a/internal/fleetcontrol/platform.go
+++ b/internal/fleetcontrol/platform.go
@@ -90,6 +90,11 @@
 	return [...]string{"unknown", "accepted", "holds", "conflict", "refused", "not_sent"}[r]
 }
 
+// mayTakeEffect reports whether the engine executes the order, or may still do so.
+func (r OrderResult) mayTakeEffect() bool {
+	return r == OrderUnknown || r == OrderAccepted || r == OrderSatisfied
+}
+
 // Platform is the interface of the control plane to the platform and the engines.
 type Platform interface {
 	// Endpoints reads the live list.
