Give up idle models only for overloaded ones, and bound the extrapolated rise

The extrapolated demand is at most 2.5 times the current one. Only a model whose replicas are above half of their slots takes the last place of an idle one.

--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -20,6 +20,8 @@
 	// maxRisePerSecond bounds the extrapolated rise of demand, as a share of the
 	// current demand per second.
 	maxRisePerSecond = 0.4
+	// maxRise bounds the extrapolated demand, as a multiple of the current demand.
+	maxRise = 2.5
 	// noiseDeviations is how many standard deviations of the fluctuation of a
 	// steady demand are not considered a rise.
 	noiseDeviations = 1.0
@@ -137,7 +139,7 @@
 	noise := noiseDeviations * a.deviation(slow) * d.biasCorrection(fastTimeConstant, now)
 	rise := (slots - slow - noise) / (slowTimeConstant - fastTimeConstant).Seconds()
 	horizon := (reactionDelay + loadTime).Seconds()
-	return min(max(slots, slots+rise*horizon), (1+maxRisePerSecond*horizon)*slots)
+	return min(max(slots, slots+rise*horizon), min(1+maxRisePerSecond*horizon, maxRise)*slots)
 }
 
 // deviation returns the standard deviation of the fast average around the slow one
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -87,6 +87,9 @@
 	// loses a replica, as a ratio of that of the model which replaces it. It
 	// prevents two models from displacing each other in turn.
 	maxDisplacedLoadRatio = 0.6
+	// overloadedUtilization is the share of an engine's slots that the demand of a model
+	// occupies for each replica if the model is overloaded.
+	overloadedUtilization = 0.5
 	// restCost is the cost, in slots, of unloading the only replica of an idle model, which
 	// has to return when it is requested.
 	restCost = 3.0
@@ -326,12 +329,21 @@
 		return v.Demand / float64(remaining), true
 	case remaining == 0 && p.replicas[m.Name] == 0 && v.Demand == 0 && m.Demand > 0:
 		return unloadCost, true
-	case remaining == 0 && v.idle() && e.Cached[name] && p.replicas[m.Name] < p.neededReplicas(m):
+	case remaining == 0 && v.idle() && e.Cached[name] && p.overloaded(m):
 		return restCost, true
 	}
 	return 0, false
 }
 
+// overloaded reports whether the demand of the model is too high for its replicas, or it is
+// used and has none.
+func (p *planner) overloaded(m *Model) bool {
+	if p.replicas[m.Name] == 0 {
+		return !m.idle()
+	}
+	return m.Demand > overloadedUtilization*float64(p.in.Slots*p.replicas[m.Name])
+}
+
 // relocate returns a step that loads a model with a single replica and little
 // demand on another engine with enough free memory, so that it can be unloaded where
 // it is and m loaded there. The copy counts as a replica at once: a later step of the
