Test that streams taken up after the loss of all gateways keep their version

Operators reported streams joined from two software versions after all gateways had been killed at once. Here they are not: a stream whose origin no gateway knows any more is refused as not run, and one whose origin a gateway still knows goes on at its version alone.

--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -135,6 +135,80 @@
 	}
 }
 
+// TestStreamsTakenUpAfterAllGatewaysWereKilledKeepTheirVersion kills all gateways at once while
+// streams of two versions are broken off, and takes the streams up at the gateways that come
+// back, which know of none of them.
+func TestStreamsTakenUpAfterAllGatewaysWereKilledKeepTheirVersion(t *testing.T) {
+	const streams = 8
+	for _, c := range []struct {
+		name     string
+		oldLeft  bool
+		survives int
+	}{
+		{"both versions serve", false, 0},
+		{"the old version has just left", true, 0},
+		{"one gateway survives", false, 1},
+		{"one gateway survives, the old version has just left", true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var first, rest []string
+			for range streams {
+				first, rest = append(first, chunks(false, event(1))), append(rest, chunks(true, event(2)))
+			}
+			old, next := startEngine(t, append(first, rest...)...), startEngine(t, rest...)
+			endpoints := []*wire.FleetEndpoint{versioned(next, "v1.1"), versioned(old, "v1")}
+			before := startPeerGroup(t, 3, 3, endpoints...)
+			for _, g := range before.gateways {
+				g.loads.MarkReplaced(g.view.Load().Endpoints[0], g.clock())
+			}
+			for i := range streams {
+				if _, body, err := call(t, t.Context(), before.addresses[i%3], "Id", fmt.Sprint("root", i)); err == nil {
+					t.Fatalf("body %q, want a stream that is broken off", body)
+				}
+			}
+			before.awaitCopies(t, "root0", 3)
+			before.kill([]int{0, 1, 2}[c.survives:]...)
+			if c.oldLeft {
+				endpoints = endpoints[:1]
+			}
+			after := startPeerGroup(t, 3, 3, endpoints...)
+			if c.survives > 0 {
+				known := append([]*wire.Gateway{before.gateways[0].self()}, after.gateways[1].self(), after.gateways[2].self())
+				for _, g := range after.gateways[1:] {
+					after.setView(g, known, withIDs(endpoints))
+				}
+			}
+			asked := len(next.requests())
+			for i := range streams {
+				resp, body, err := call(t, t.Context(), after.addresses[1+i%2], "Id", fmt.Sprint("again", i), "After", "1", "Resumes", fmt.Sprint("root", i))
+				switch {
+				case err != nil:
+					t.Errorf("stream %d: %v", i, err)
+				case resp.StatusCode == 200 && c.survives == 0:
+					t.Errorf("stream %d goes on with %q at a gateway that cannot know its version", i, body)
+				case resp.StatusCode == 200 && c.oldLeft:
+					t.Errorf("stream %d goes on with %q although no endpoint runs its version", i, body)
+				case resp.StatusCode == 503 && c.survives > 0 && !c.oldLeft:
+					t.Errorf("stream %d is refused although a gateway knows its version: %q", i, body)
+				case resp.StatusCode != 200 && resp.StatusCode != 503:
+					t.Errorf("stream %d: status %d, want 200 or 503", i, resp.StatusCode)
+				}
+			}
+			if n := len(next.requests()) - asked; n != 0 {
+				t.Errorf("the endpoint of v1.1 got %d requests for streams of v1, want 0", n)
+			}
+		})
+	}
+}
+
+// withIDs returns the endpoints with the ids and the service that newTestGateway gives them.
+func withIDs(endpoints []*wire.FleetEndpoint) []*wire.FleetEndpoint {
+	for i, e := range endpoints {
+		e.Id, e.Service = fmt.Sprintf("e%d", i), "s"
+	}
+	return endpoints
+}
+
 func TestStreamWhoseEndpointRunsOtherSoftwareSinceIsRefused(t *testing.T) {
 	e := startEngine(t, chunks(false, event(1)), chunks(true, event(2)))
 	p := startPeerGroup(t, 1, 1, versioned(e, "v1"))
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -96,6 +96,8 @@
 	if o.versions {
 		d.checkVersions()
 		d.checkRecovery()
+		d.checkLossOfAllGateways()
+		d.checkRecovery()
 	}
 	if o.cutOff {
 		d.checkCutOff()
--- a/scripts/soak/versions.go
+++ b/scripts/soak/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,26 +38,71 @@
 // stream goes on at another version.
 func (d *driver) checkVersions() {
 	var c streamCounts
+	d.whileStreaming(&c, func() {
+		for domainIndex := range domainCount {
+			if !d.wait(domainKillInterval) {
+				return
+			}
+			d.killDomain(domainIndex)
+		}
+		d.wait(domainKillInterval)
+	})
+	d.judgeTakenUp(&c)
+}
+
+// checkLossOfAllGateways kills all gateways at once while clients have long streams and both
+// software versions serve, and again when all engines of one version have just ended. The
+// endpoints check that no stream goes on at another version.
+func (d *driver) checkLossOfAllGateways() {
+	var c streamCounts
+	engines := d.s.endpoints[:d.s.size.endpoints-d.s.size.ledger]
+	version := engines[0].SoftwareVersion()
+	ended := slices.DeleteFunc(slices.Clone(engines), func(e *standin.Endpoint) bool { return e.SoftwareVersion() != version })
+	d.whileStreaming(&c, func() {
+		d.wait(domainKillInterval)
+		d.killAllGateways()
+		d.wait(domainKillInterval)
+		d.logLine(fmt.Sprintf("all %d engines of %s end", len(ended), version))
+		for _, e := range ended {
+			e.Crash()
+		}
+		d.killAllGateways()
+		d.wait(domainKillInterval)
+	})
+	for _, e := range ended {
+		if err := e.Start(); err != nil {
+			d.s.checker.RecordViolation("the engine %s did not start again: %v", e.Address(), err)
+		}
+	}
+	resumed, mixed := d.s.checker.ResumedStreams()
+	d.logLine(fmt.Sprintf("streams over losses of all gateways: %d of %d began, %d of %d taken up went on; %d runs of all went on with a stream, %d at another version",
+		c.begun.Load(), c.sent.Load(), c.wentOn.Load(), c.takenUp.Load(), resumed, mixed))
+}
+
+// killAllGateways kills all gateways at once. They start again restartDelay later.
+func (d *driver) killAllGateways() {
+	d.logLine("all gateways are killed")
+	for _, n := range d.s.gateways {
+		n.signal(syscall.SIGKILL)
+	}
+	d.killAndRestart(d.s.gateways)
+}
+
+// whileStreaming calls f while clients have long streams, which it counts in c.
+func (d *driver) whileStreaming(c *streamCounts, f func()) {
 	var clients sync.WaitGroup
 	ctx, cancel := context.WithCancel(d.ctx)
 	for i := range streamClients {
 		clients.Go(func() {
 			r := rand.New(rand.NewPCG(d.seed, uint64(2000+i)))
 			for ctx.Err() == nil && d.wait(requestPause) {
-				d.doLongStream(r, &c)
+				d.doLongStream(r, c)
 			}
 		})
 	}
-	for domainIndex := range domainCount {
-		if !d.wait(domainKillInterval) {
-			break
-		}
-		d.killDomain(domainIndex)
-	}
-	d.wait(domainKillInterval)
+	f()
 	cancel()
 	clients.Wait()
-	d.judgeTakenUp(&c)
 }
 
 // killDomain kills the gateways of a domain and an engine, and the control replicas with the
