Spread the returns of clients over a lasting overload

If waits for a slot of the model have not succeeded of late, clients come back spread between 1 s and a third of the time that they have left, 3 s at most; else as before.

TestReturnsSpreadOverALastingOverload plays four seconds of twice the load: spread returns have to serve 1.3 times as many.

--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -60,6 +60,33 @@
 	return min(maxSlotWait, time.Duration(float64(limit)*maxSlotWaitShare))
 }
 
+const (
+	// minRetryAfter and maxRetryAfter bound the Retry-After of a request to full endpoints if
+	// waits for a slot there have succeeded of late, and minSustainedRetryAfter and
+	// maxSustainedRetryAfter if they have not.
+	minRetryAfter          = 400 * time.Millisecond
+	maxRetryAfter          = time.Second
+	minSustainedRetryAfter = time.Second
+	maxSustainedRetryAfter = 3 * time.Second
+	// retryAfterShare is the share of their time left that clients wait as they are asked.
+	retryAfterShare = 1.0 / 3
+)
+
+// RetryAfter returns when a client that is rejected by full endpoints should come back: soon
+// if room appears within a burst, else spread over as much of its time as it can spare, for
+// an overload that lasts rejects those that come back at once a second time. readyIn is the
+// time until another replica is ready, zero if none is expected, and draw a random number in
+// [0, 1).
+func RetryAfter(sustained bool, timeLeft, readyIn time.Duration, draw float64) time.Duration {
+	least, most := minRetryAfter, maxRetryAfter
+	if sustained {
+		least = minSustainedRetryAfter
+		most = max(least, min(maxSustainedRetryAfter, time.Duration(float64(timeLeft)*retryAfterShare)))
+	}
+	jitter := time.Duration(draw * float64(most-least))
+	return max(least, readyIn) + jitter
+}
+
 // DecideOnModel decides whether a request waits for a model that is not resident
 // on any endpoint. Waiting serves demand that shifts to such models. readyIn is
 // the time until the model is expected to be ready, zero if unknown. waited and
--- a/internal/fleet/admit_test.go
+++ b/internal/fleet/admit_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -92,3 +94,54 @@
 		t.Errorf("%d of %d served by waiting, %d by rejecting at once, want all by waiting and fewer by rejecting", waiting, all, rejecting)
 	}
 }
+
+// TestReturnsSpreadOverALastingOverload plays four seconds in which twice as many requests come
+// as the slots serve, and lets each rejected client come back once, when it is told to.
+func TestReturnsSpreadOverALastingOverload(t *testing.T) {
+	const slots, serviceTime, limit = 10, 500 * time.Millisecond, 12 * time.Second
+	const step, overload, end = 25 * time.Millisecond, 4 * time.Second, 12 * time.Second
+	play := func(sustained bool) (servedOnReturn int) {
+		var ends, returns []time.Duration
+		draws := 0.0
+		for now := time.Duration(0); now < end; now += step {
+			ends = slices.DeleteFunc(ends, func(at time.Duration) bool { return at <= now })
+			if now < overload {
+				if len(ends) < slots {
+					ends = append(ends, now+serviceTime)
+				} else {
+					draws = math.Mod(draws+0.618, 1)
+					returns = append(returns, now+RetryAfter(sustained, limit, 0, draws))
+				}
+			}
+			returns = slices.DeleteFunc(returns, func(at time.Duration) bool {
+				if at > now {
+					return false
+				}
+				if len(ends) < slots {
+					ends = append(ends, now+serviceTime)
+					servedOnReturn++
+				}
+				return true
+			})
+		}
+		return servedOnReturn
+	}
+	soon, spread := play(false), play(true)
+	if spread*10 < soon*13 {
+		t.Errorf("%d clients served on their return if spread and %d if told to come back soon, want 1.3 times as many", spread, soon)
+	}
+}
+
+func TestRetryAfterLeavesTimeToBeServed(t *testing.T) {
+	for _, left := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 12 * time.Second, time.Minute} {
+		for _, draw := range []float64{0, 0.5, 0.999} {
+			got := RetryAfter(true, left, 0, draw)
+			if got > max(minSustainedRetryAfter, left/3) || got > maxSustainedRetryAfter || got < minSustainedRetryAfter {
+				t.Errorf("Retry-After %v with %v left", got, left)
+			}
+		}
+	}
+	if got := RetryAfter(false, time.Minute, 5*time.Second, 0); got != 5*time.Second {
+		t.Errorf("Retry-After %v, want the time until the replica is ready", got)
+	}
+}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -16,10 +16,9 @@
 	spreadUtilization = 0.6
 	// slotPollInterval is the time between two checks for a free slot.
 	slotPollInterval = 50 * time.Millisecond
-	// overloadRetryAfter plus a random part of overloadRetryJitter is the
-	// Retry-After of a request to an overloaded service.
-	overloadRetryAfter  = 400 * time.Millisecond
-	overloadRetryJitter = 600 * time.Millisecond
+	// modelRetryJitter bounds the random part of the Retry-After of a request for a model
+	// that is being loaded.
+	modelRetryJitter = 600 * time.Millisecond
 	// modelRequestInterval is the time between two model requests to the control
 	// plane for one client request.
 	modelRequestInterval = 400 * time.Millisecond
@@ -195,12 +194,12 @@
 // full: at the earliest when another replica of the model is ready, if one is
 // being loaded.
 func (q *request) overloadRetryDelay() time.Duration {
-	jitter := time.Duration(q.g.randFloat() * float64(overloadRetryJitter))
+	sustained := !q.g.waits.Worthwhile(q.requirements.Model, q.g.clock())
 	if q.requirements.Model == "" {
-		return overloadRetryAfter + jitter
+		return fleet.RetryAfter(sustained, q.timeLeft(), 0, q.g.randFloat())
 	}
 	a := q.g.modelRequests.do(q.ctx, q.g, modelRequestKey{modelKey: modelKey{q.requirements.Model, ""}, version: q.requirements.Version}, q.requirements.Service)
-	return max(overloadRetryAfter, a.readyIn) + jitter
+	return fleet.RetryAfter(sustained, q.timeLeft(), a.readyIn, q.g.randFloat())
 }
 
 // awaitModel requests the model or adapter, which no endpoint holds, from the
@@ -232,7 +231,7 @@
 	}
 	retryAfter := modelRetryAfter
 	if readyIn > 0 {
-		retryAfter = readyIn + time.Duration(g.randFloat()*float64(overloadRetryJitter))
+		retryAfter = readyIn + time.Duration(g.randFloat()*float64(modelRetryJitter))
 	}
 	return nil, fail.New(fail.NoReplica, "the model is not loaded on any engine yet").WithRetryAfter(retryAfter)
 }
