--- a/scripts/soak/abort.go
+++ b/scripts/soak/abort.go
@@ -27,6 +27,9 @@
 	// lasted is the time from its start, and sinceStop that since its gateway last
 	// received SIGTERM.
 	lasted, sinceStop time.Duration
+	// workedUntil is the time from that SIGTERM until the endpoint ended its run; zero if it
+	// has not.
+	workedUntil time.Duration
 }
 
 func (a abort) String() string {
@@ -34,7 +37,11 @@
 	if !a.sent {
 		state = "not sent"
 	}
-	return fmt.Sprintf("%s, %s, after %v, %v after SIGTERM", a.kind, state, a.lasted.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
+	out := fmt.Sprintf("%s, %s, after %v, %v after SIGTERM", a.kind, state, a.lasted.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
+	if a.workedUntil != 0 {
+		out += fmt.Sprintf(", its endpoint worked until %v after it", a.workedUntil.Round(time.Millisecond))
+	}
+	return out
 }
 
 // allowed reports whether an attempt may end so while gateways are only stopped as
--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -98,6 +98,9 @@
 	}
 	state := d.s.checker.RunState(attempt.ID)
 	a := abort{kind: attempt.Kind, sent: sent, state: state, lasted: ended.Sub(started), sinceStop: ended.Sub(n.stopSignalTime())}
+	if end := d.s.checker.RunEnd(attempt.ID); !end.IsZero() {
+		a.workedUntil = end.Sub(n.stopSignalTime())
+	}
 	switch {
 	case outcome == standin.Rejected && state != standin.NotRun:
 		d.s.checker.RecordViolation("attempt %s (%s, %s) was rejected by %s although it ran", attempt.ID, attempt.Kind, state, n.name)
