Log what binds where a request is rejected, and bound the line on placement

A rejection by full endpoints names the use of the best one and for how long it reads the prompts ahead, so that slots and prompts can be told apart. The line on the placement state listed every model, 20 KB a second with 305 of them: it lists the 60 with the highest demand for each replica, and says how many are in use.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -60,6 +60,9 @@
 	// Utilization is that of the endpoint before the request, 1 if it is full: of its slots,
 	// its memory, or the time that it has to prefill prompts before the first event is late.
 	Utilization float64
+	// ReadAhead is how long the endpoint needs for the prompts of requests in flight; zero if
+	// that is not known.
+	ReadAhead time.Duration
 	// HeldOffUntil is until when the endpoint takes no request, for its limit or because it
 	// has asked for that; it counts as full until then.
 	HeldOffUntil time.Duration
@@ -150,7 +153,7 @@
 		}
 		cost += l.healthCost(e.ID, now)
 		if best.Endpoint == nil || cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, Utilization: utilization, HeldOffUntil: heldOffUntil}, cost
+			best, bestCost = Choice{Endpoint: e, Utilization: utilization, ReadAhead: l.readAhead(e.ID), HeldOffUntil: heldOffUntil}, cost
 		}
 	}
 	return best, bestCost
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -140,8 +140,11 @@
 // of a service.
 const placementLogInterval = time.Second
 
-// logPlacement logs the demand and the replicas of the models in use, and the
-// requests in flight at the service's engines.
+// maxModelsLogged bounds the models of one line on the placement state.
+const maxModelsLogged = 60
+
+// logPlacement logs the demand and the replicas of the models in use, those with the highest
+// demand for each replica first, and the requests in flight at the service's engines.
 func (l *leaderState) logPlacement(service string, in residency.Input, now time.Duration) {
 	if now-l.placementLoggedAt[service] < placementLogInterval {
 		return
@@ -155,14 +158,17 @@
 			replicas[m]++
 		}
 	}
+	models := slices.DeleteFunc(slices.Clone(in.Models), func(m residency.Model) bool { return m.Demand == 0 && replicas[m.Name] > 0 })
+	slices.SortStableFunc(models, func(a, b residency.Model) int {
+		return cmp.Compare(b.Demand/float64(replicas[b.Name]+1), a.Demand/float64(replicas[a.Name]+1))
+	})
 	var parts []string
-	for _, m := range in.Models {
-		if m.Demand > 0 || replicas[m.Name] == 0 {
-			parts = append(parts, fmt.Sprintf("%s:%.1f/%d/%d", m.Name, m.Demand, replicas[m.Name], m.Adapters))
-		}
+	for _, m := range models[:min(len(models), maxModelsLogged)] {
+		parts = append(parts, fmt.Sprintf("%s:%.1f/%d/%d", m.Name, m.Demand, replicas[m.Name], m.Adapters))
 	}
 	l.s.log.WithFields(logrus.Fields{
 		"service": service, "engines": len(in.Engines), "running": running, "loads_left": in.MaxStoreLoads,
+		"models_in_use": len(models), "demand_unknown": in.DemandUnknown,
 		"model_demand_replicas_adapters": strings.Join(parts, " "),
 	}).Info("placement state")
 }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"parsleyramp/internal/fail"
@@ -168,7 +169,12 @@
 	if waited > 0 {
 		q.g.waits.Record(q.requirements.Model, false, q.g.clock())
 	}
-	return nil, fail.New(fail.Overloaded, "all endpoints of the service are at capacity").WithRetryAfter(max(q.overloadRetryDelay(), c.HeldOffUntil-q.g.clock()))
+	return nil, fail.New(fail.Overloaded, describeOverload(c)).WithRetryAfter(max(q.overloadRetryDelay(), c.HeldOffUntil-q.g.clock()))
+}
+
+// describeOverload states why a request is rejected, by the endpoint with the most room.
+func describeOverload(c fleet.Choice) string {
+	return fmt.Sprintf("all endpoints of the service are at capacity: the best one at %.2f, with prompts ahead for %v", c.Utilization, c.ReadAhead.Round(time.Millisecond))
 }
 
 // spreadAdapter requests the adapter on one more engine, because those that hold
