Bound the tokens that a client states by what an engine holds

A client that states 10^12 prompt tokens made its engine look full to all gateways until its first event, for admission counts the prompts ahead now, and its model look as if it needed every engine; a negative number took load off. Engines reject what is larger than their memory, so that is the bound.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,7 +113,9 @@
 	if info.Timeout > 0 {
 		q.deadline = min(q.deadline, arrived+info.Timeout)
 	}
-	q.requirements = g.requirementsOf(table.Document, route, info, q.service())
+	service := q.service()
+	q.info = info.boundTokens(table.Document.Service(service))
+	q.requirements = g.requirementsOf(table.Document, route, q.info, service)
 	if q.suspected() {
 		q.requirements.Session = q.suspectSession()
 	}
@@ -214,6 +216,22 @@
 	return n
 }
 
+// maxStatedTokens bounds the tokens that a client states, where the engine's memory is not
+// declared.
+const maxStatedTokens = 1 << 20
+
+// boundTokens returns the information with no more tokens than an engine of the service
+// holds: engines reject larger requests, and a false statement would make them look full.
+func (r RequestInfo) boundTokens(s *document.Service) RequestInfo {
+	limit := maxStatedTokens
+	if s != nil && s.Engine != nil && s.Engine.CacheTokens > 0 {
+		limit = s.Engine.CacheTokens
+	}
+	bound := func(n int) int { return min(max(n, 0), limit) }
+	r.PromptTokens, r.MaxOutputTokens, r.ExpectedOutputTokens = bound(r.PromptTokens), bound(r.MaxOutputTokens), bound(r.ExpectedOutputTokens)
+	return r
+}
+
 // expectedOutput returns the expected number of output tokens: the client's
 // estimate, or else the maximum.
 func (r RequestInfo) expectedOutput() int {
