--- a/internal/fleetcontrol/adapters.go
+++ b/internal/fleetcontrol/adapters.go
@@ -214,12 +214,12 @@
 // ensureAdapterSlot unloads the least recently used adapter if the engine has no
 // free adapter slot. It reports whether there is one now.
 func (e *engineState) ensureAdapterSlot(ctx context.Context, d *document.Engine) bool {
-	full, unloading := e.adapterSlots(d)
+	full, unloading := e.adapterRoom(d)
 	if full && unloading {
 		if _, err := e.refresh(ctx); err != nil {
 			e.leader.s.log.WithError(err).WithField("endpoint", e.listing().ID).Info("failed to read whether the engine has unloaded an adapter")
 		}
-		if full, unloading = e.adapterSlots(d); full && unloading {
+		if full, unloading = e.adapterRoom(d); full && unloading {
 			// Requests still use the adapter that makes room.
 			return false
 		}
@@ -233,9 +233,9 @@
 	return found && e.evictAdapter(ctx, adapterName{model, adapter})
 }
 
-// adapterSlots reports whether all adapter slots of the engine are taken, and whether one of
+// adapterRoom reports whether all adapter slots of the engine are taken, and whether one of
 // them is about to become free.
-func (e *engineState) adapterSlots(d *document.Engine) (full, unloading bool) {
+func (e *engineState) adapterRoom(d *document.Engine) (full, unloading bool) {
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
 	return e.adapterCount() >= d.AdapterSlots, len(e.unloadingAdapters) > 0
