Place models by the slots that requests occupy again

Placement counted a long prompt as all slots of an engine for as long as it is read.

Demand is in slots again; prompts bind admission and choice alone. The demand of a second replica is 7 slots again, less on engines with few slots.

--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -57,11 +57,10 @@
 	mu  sync.Mutex
 	doc *document.Document
 	// docSince is when this replica first saw doc as the leader.
-	docSince     time.Duration
-	serviceIndex serviceIndex
-	gateways     map[string]*gatewayState
-	engines      map[string]*engineState
-	loads        map[string]*wire.InProgress
+	docSince time.Duration
+	gateways map[string]*gatewayState
+	engines  map[string]*engineState
+	loads    map[string]*wire.InProgress
 	// counts are the loads in the order of the endpoints of the published view, as of the
 	// version countsOrder of it.
 	counts      *endpointCounts
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -12,7 +12,6 @@
 
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/residency"
-	"parsleyramp/internal/wire"
 )
 
 // modelRequestTTL is how long a gateway's request for a model counts in the plan.
@@ -83,42 +82,6 @@
 	return n
 }
 
-// slotTime returns how long the requests occupy slots of engines, or as many slots as an
-// engine has for as long as it prefills their prompts, if that is longer: an engine that
-// prefills all the time has no room left, however few of its slots are in use. l.mu must be
-// held.
-func (l *leaderState) slotTime(d *wire.ModelDemand, now time.Duration) time.Duration {
-	slotTime := time.Duration(d.PlaceMs) * time.Millisecond
-	s := l.serviceOf(d.Model)
-	if s == nil {
-		return slotTime
-	}
-	return max(slotTime, time.Duration(d.PromptTokens)*l.prefill.Usual(s.Name, now)*time.Duration(s.Engine.Slots))
-}
-
-// serviceIndex holds the service of each model of a document.
-type serviceIndex struct {
-	doc      *document.Document
-	services map[string]*document.Service
-}
-
-// serviceOf returns the service whose engines hold the model, or nil. l.mu must be held.
-func (l *leaderState) serviceOf(model string) *document.Service {
-	if l.doc != l.serviceIndex.doc {
-		l.serviceIndex = serviceIndex{l.doc, map[string]*document.Service{}}
-		for i := range l.doc.Services {
-			s := &l.doc.Services[i]
-			if s.Engine == nil {
-				continue
-			}
-			for _, m := range s.Engine.Models {
-				l.serviceIndex.services[m.Name] = s
-			}
-		}
-	}
-	return l.serviceIndex.services[model]
-}
-
 // availableStoreLoads returns how many more loads from the weight store may run
 // concurrently. The limit is the number that saturates the store at its rate;
 // more loads would slow each other down.
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -79,7 +79,7 @@
 	l.detector.ingest(r.Gateway.GetId(), r.Gateway.GetDomain(), r.Loads, now)
 	l.ingestPrefill(r.Loads, now)
 	for _, d := range r.Demand {
-		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), l.slotTime(d, now), now)
+		l.demand.Add(d.Model, d.Adapter, int(d.Arrivals), time.Duration(d.PlaceMs)*time.Millisecond, now)
 	}
 	if changed {
 		l.publish(now)
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -72,9 +72,11 @@
 	// targetUtilization is the share of an engine's slots that the demand of a model
 	// may occupy before the model gets another replica.
 	targetUtilization = 0.45
-	// secondReplicaShare is the demand, as a share of an engine's slots, from which a model
-	// gets a second replica, so that it stays available if one engine is lost.
-	secondReplicaShare = 0.3
+	// maxSecondReplicaDemand, in slots, and secondReplicaShare, as a share of an engine's
+	// slots, are the demands from the lower of which a model gets a second replica, so that it
+	// stays available if one engine is lost.
+	maxSecondReplicaDemand = 7.0
+	secondReplicaShare     = 0.3
 	// cachedWeightsGain is the gain, as a share of an engine's slots, of a load that does not
 	// need the weight store.
 	cachedWeightsGain = 0.15
@@ -163,7 +165,9 @@
 }
 
 // secondReplicaDemand returns the demand, in slots, from which a model gets a second replica.
-func (p *planner) secondReplicaDemand() float64 { return secondReplicaShare * float64(p.in.Slots) }
+func (p *planner) secondReplicaDemand() float64 {
+	return min(maxSecondReplicaDemand, secondReplicaShare*float64(p.in.Slots))
+}
 
 func (p *planner) deficit(m *Model) int { return p.forecastReplicas(m) - p.replicas[m.Name] }
 
