--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -204,8 +204,8 @@
 	sums map[modelKey]*wire.ModelDemand
 }
 
-// add counts one request with a prompt that is expected to occupy a slot for slotTime.
-func (d *demand) add(model, adapter string, slotTime time.Duration, promptTokens int) {
+// add counts one request that is expected to occupy a slot for slotTime.
+func (d *demand) add(model, adapter string, slotTime time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.sums == nil {
@@ -219,7 +219,6 @@
 	}
 	s.Arrivals++
 	s.PlaceMs += uint64(slotTime.Milliseconds())
-	s.PromptTokens += uint64(max(promptTokens, 0))
 }
 
 func (d *demand) flush() []*wire.ModelDemand {
--- a/internal/prefill/rates.go
+++ b/internal/prefill/rates.go
@@ -132,11 +132,5 @@
 	return min(max((e.seconds+prior)/(expected+prior), minSlowness), maxSlowness)
 }
 
-// Usual returns how long an endpoint of the service takes for one token; zero if that is not
-// known.
-func (r *Rates) Usual(service string, now time.Duration) time.Duration {
-	return r.PerToken(service, "", now)
-}
-
 // Forget drops what is known of an endpoint.
 func (r *Rates) Forget(endpoint string) { delete(r.endpoints, endpoint) }
--- a/internal/prefill/rates_test.go
+++ b/internal/prefill/rates_test.go
@@ -56,7 +56,7 @@
 	if slow < 2*fast {
 		t.Errorf("%v a token at the slow endpoint and %v at the fast one, want twice as much or more", slow, fast)
 	}
-	if usual := r.Usual("s", now); idle != usual || idle <= fast || idle >= slow {
+	if usual := r.PerToken("s", "another", now); idle != usual || idle <= fast || idle >= slow {
 		t.Errorf("%v a token at an endpoint without responses, usual %v, want the usual one between %v and %v", idle, usual, fast, slow)
 	}
 }
@@ -69,7 +69,7 @@
 	for i := range 200 {
 		r.Record("s", "other", response(100*time.Millisecond, 2000), time.Duration(i)*100*time.Millisecond)
 	}
-	if got, usual := r.PerToken("s", "e", 20*time.Second), r.Usual("s", 20*time.Second); got > usual*3/2 {
+	if got, usual := r.PerToken("s", "e", 20*time.Second), r.PerToken("s", "another", 20*time.Second); got > usual*3/2 {
 		t.Errorf("%v a token 20 s after the last slow response, want about the usual %v", got, usual)
 	}
 }
