Forget adapters that nobody has asked for in a minute

Found by reading: the leader kept each adapter's name that a client ever asked for, and clients make names up. TestAdaptersThatNobodyAsksForAreForgotten failed before.

--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -154,9 +155,14 @@
 // it.
 const recentAdapterTime = 6 * time.Second
 
+// adapterMemory is how long a request for an adapter is remembered. Clients choose the names,
+// so they have to be forgotten.
+const adapterMemory = time.Minute
+
 // RecentAdapters returns how many adapters of each model were requested within
-// recentAdapterTime.
+// recentAdapterTime, and forgets those that were not within adapterMemory.
 func (d *Demand) RecentAdapters(now time.Duration) map[string]int {
+	maps.DeleteFunc(d.adapters, func(_ string, at time.Duration) bool { return now-at > adapterMemory })
 	out := map[string]int{}
 	for name, at := range d.adapters {
 		if now-at > recentAdapterTime {
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -370,3 +370,18 @@
 		t.Errorf("loaded on %v, want one engine of v1.1 alone: one of v1 holds it", got)
 	}
 }
+
+func TestAdaptersThatNobodyAsksForAreForgotten(t *testing.T) {
+	d := NewDemand()
+	for i := range 1000 {
+		d.RequestAdapter("m", fmt.Sprintf("made up %d", i), 0)
+	}
+	d.RequestAdapter("m", "a1", adapterMemory)
+	d.RecentAdapters(adapterMemory + time.Second)
+	if n := len(d.adapters); n != 1 {
+		t.Errorf("%d adapters are known, want only the one that was asked for of late", n)
+	}
+	if _, known := d.AdapterLastRequested("m", "a1"); !known {
+		t.Error("the adapter that was asked for of late is forgotten")
+	}
+}
