--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -341,6 +341,9 @@
         return version
 
 
+# How long a case may run; the processes are ended after it.
+RUN_S = 112
+
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 
 
@@ -353,12 +356,15 @@
     async def run():
         bed = Bed(path)
         try:
-            return await asyncio.wait_for(case(bed, os.environ.get("TROUBLE", "1") != "0"), 112)
+            task = asyncio.ensure_future(case(bed, os.environ.get("TROUBLE", "1") != "0"))
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+            return await asyncio.wait_for(task, RUN_S)
         finally:
             await bed.close()
     try:
         broken, text = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as e:
         print("the case could not run: %r" % e)
         sys.exit(2)
     print(text)
