--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -90,6 +90,8 @@
 	hasLeaderContact bool
 	startedAt        time.Duration
 
+	// stopping is true once this replica is about to stop.
+	stopping bool
 	// lostVoter is the voter whose disk is known to be lost, and discounted the one that
 	// was known so when this replica's last campaign began; zero if there is none.
 	lostVoter  uint64
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -65,16 +65,35 @@
 	if c.role != Leader || len(voters(c.Membership())) == 1 {
 		return true
 	}
+	to := c.transferTarget()
+	if to == 0 {
+		return false
+	}
+	c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER, To: to, Term: c.term})
+	c.becomeFollower(c.term, 0)
+	return true
+}
+
+// transferTarget returns a reachable voter that stores the complete log, preferably one
+// that isn't about to stop itself, or zero.
+func (c *Core) transferTarget() uint64 {
+	target := uint64(0)
 	for _, id := range voters(c.Membership()) {
-		if id != c.id && c.Reachable(id) && c.progressOf(id).match == c.log.lastIndex() {
-			c.send(&wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER, To: id, Term: c.term})
-			c.becomeFollower(c.term, 0)
-			return true
+		p := c.progressOf(id)
+		if id == c.id || !c.Reachable(id) || p.match != c.log.lastIndex() {
+			continue
+		}
+		if !p.stopping {
+			return id
 		}
+		target = id
 	}
-	return false
+	return target
 }
 
+// SetStopping makes this replica tell leaders that it is about to stop.
+func (c *Core) SetStopping() { c.stopping = true }
+
 // CaughtUp reports whether the replica has stored all but the last few committed
 // entries, so that making it a voter does not delay commits.
 func (c *Core) CaughtUp(id uint64) bool {
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -21,6 +21,8 @@
 	resendAt time.Duration
 	// snapshotAt is the earliest time at which the snapshot may be sent again.
 	snapshotAt time.Duration
+	// stopping is true if the replica is about to stop.
+	stopping bool
 	// probing is true until the replica's log is known to match at next-1. A
 	// probing replica gets only empty appends.
 	probing bool
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -146,7 +146,7 @@
 }
 
 func (c *Core) handleAppend(m *wire.RaftMessage) {
-	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence}
+	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence, Stopping: c.stopping}
 	defer c.send(reply)
 	if m.LogIndex < c.commitIndex {
 		// Committed entries are the same on all replicas.
@@ -185,7 +185,7 @@
 }
 
 func (c *Core) handleSnapshot(m *wire.RaftMessage) {
-	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence}
+	reply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Term: c.term, Sequence: m.Sequence, Stopping: c.stopping}
 	defer c.send(reply)
 	s := m.Snapshot
 	if s.GetIndex() <= c.commitIndex {
@@ -212,6 +212,7 @@
 	p := c.progressOf(m.From)
 	p.contactAt = c.now
 	p.acked = max(p.acked, m.Sequence)
+	p.stopping = m.Stopping
 	if m.Reject {
 		c.decrementNext(p, m)
 		c.continueAppend(m.From, p)
--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -50,7 +50,7 @@
 			return
 		case <-tick.C:
 		}
-		if status, err := s.node.Status(ctx); err != nil || s.isMember(status) {
+		if status, err := s.node.Status(ctx); err != nil || s.isMember(status) || s.leaving.Load() {
 			continue
 		}
 		s.requestJoin(ctx, attempt)
--- /dev/null
+++ b/internal/fleetcontrol/leave.go
@@ -0,0 +1,127 @@
+package fleetcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"parsleyramp/internal/fail"
+	"parsleyramp/internal/replica"
+	"parsleyramp/internal/rpcerror"
+	"parsleyramp/internal/wire"
+	"parsleyramp/internal/wire/wireconnect"
+)
+
+const (
+	// leaveTimeout bounds all attempts of a stopping replica to leave the membership,
+	// and leaveRetryInterval is the time between two of them.
+	leaveTimeout       = time.Second
+	leaveRetryInterval = 20 * time.Millisecond
+	// maxLeaveSteps is the number of membership changes that one request to leave may
+	// need: a learner becomes a voter, and the stopping voter is removed.
+	maxLeaveSteps = 2
+)
+
+// errTooFewVoters means that the group needs the voter that asks to leave.
+var errTooFewVoters = fail.New(fail.MembershipChange, "too few voters would remain")
+
+// leaveGroup asks the leader to remove this voter, which is about to stop, from the
+// membership, so that the quorum doesn't count it while it is gone. Nothing tells a
+// removal from a restart, so the voter stays if the others are not enough for the
+// tolerated losses. A replica that left and starts again joins as a learner.
+func (s *Server) leaveGroup(ctx context.Context) {
+	s.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for {
+		done, err := s.tryLeave(ctx)
+		switch {
+		case done && err == nil:
+			s.log.Info("left the membership")
+			return
+		case done:
+			s.log.WithError(err).Info("stays in the membership")
+			return
+		}
+		select {
+		case <-ctx.Done():
+			s.log.WithError(err).Warn("failed to leave the membership before the shutdown")
+			return
+		case <-time.After(leaveRetryInterval):
+		}
+	}
+}
+
+// tryLeave makes one attempt to leave. done is true if no further one is needed; the
+// error then tells why this replica stays a voter.
+func (s *Server) tryLeave(ctx context.Context) (done bool, err error) {
+	status, err := s.node.Status(ctx)
+	if err != nil {
+		return true, err
+	}
+	if !mayLeave(status, s.cfg.minVoters()) {
+		return true, errTooFewVoters
+	}
+	if status.Leading {
+		// Another replica that is stopping has handed its leadership over.
+		s.node.TransferLeadership(ctx)
+		return false, errNotLeading
+	}
+	leader := status.LeaderAddress()
+	if leader == "" {
+		return false, errNotLeading
+	}
+	client := wireconnect.NewFleetServiceClient(s.peers, "http://"+leader)
+	_, err = client.Leave(ctx, connect.NewRequest(&wire.LeaveRequest{Id: status.ID, Group: s.group.Name()}))
+	if err == nil {
+		return true, nil
+	}
+	failure, _ := rpcerror.FromConnect(err)
+	return failure.Message == errTooFewVoters.Message, failure
+}
+
+// mayLeave reports whether this replica is a voter that others may replace, as far as
+// it knows.
+func mayLeave(s replica.Status, minVoters int) bool {
+	isVoter := slices.ContainsFunc(s.Membership.GetReplicas(), func(r *wire.Replica) bool { return r.Id == s.ID && !r.Learner })
+	return isVoter && len(s.Membership.GetReplicas()) > minVoters
+}
+
+// removeVoter removes a voter that is about to stop, if the group can do without it.
+func (s *Server) removeVoter(ctx context.Context, r *wire.LeaveRequest) error {
+	if r.Group != s.group.Name() {
+		return replica.ErrOtherGroup
+	}
+	for range maxLeaveSteps {
+		status, err := s.node.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(status.Membership.GetReplicas(), func(x *wire.Replica) bool { return x.Id == r.Id }) {
+			return nil
+		}
+		next := membershipWithoutLeaving(status, r.Id, s.cfg.minVoters())
+		if next == nil {
+			return errTooFewVoters
+		}
+		if err := s.node.ProposeMembership(ctx, next); err != nil {
+			return err
+		}
+		s.log.WithFields(logrus.Fields{"reason": "voter is stopping", "voter": r.Id, "replicas": len(next.Replicas)}).Info("membership changed")
+	}
+	return nil
+}
+
+// Leave removes a voter that is about to stop.
+func (f *fleetService) Leave(ctx context.Context, req *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveResponse], error) {
+	if _, ok := f.s.leadingTerm(ctx); !ok {
+		return nil, f.s.node.RPCError(ctx, errNotLeading)
+	}
+	if err := f.s.removeVoter(ctx, req.Msg); err != nil {
+		return nil, f.s.node.RPCError(ctx, err)
+	}
+	return connect.NewResponse(&wire.LeaveResponse{}), nil
+}
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -62,6 +62,29 @@
 	return nil, ""
 }
 
+// membershipWithoutLeaving returns the membership without a voter that is about to
+// stop, or a step towards it: one with a caught-up learner as another voter. It returns
+// nil if fewer than minVoters, or no quorum of those that remain, would be left.
+func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) *wire.Membership {
+	var voters []*wire.Replica
+	var successor *wire.Replica
+	for _, r := range s.Membership.GetReplicas() {
+		switch {
+		case !r.Learner:
+			voters = append(voters, r)
+		case s.Reachable[r.Id] && s.CaughtUp[r.Id]:
+			successor = r
+		}
+	}
+	if len(voters) > minVoters && keepsQuorum(s, voters, leaving) {
+		return withoutReplica(s.Membership, leaving)
+	}
+	if successor != nil && len(voters) < maxVoters {
+		return withVoter(s.Membership, successor.Id)
+	}
+	return nil
+}
+
 // removableVoter returns an unresponsive voter without which the group has a lower
 // quorum, now or after another removal, or nil.
 func removableVoter(s replica.Status, voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -44,6 +44,8 @@
 	// seeds are the internal addresses of the seeds in the current settings.
 	seeds atomic.Pointer[[]string]
 
+	// leaving is true once this replica has begun to stop, so that it does not join again.
+	leaving atomic.Bool
 	intents *orderIntents
 	// leader is the state of this replica while it leads; nil otherwise.
 	leader atomic.Pointer[leaderState]
@@ -166,7 +168,8 @@
 // errNodeBlocked means that the consensus node still uses the data folder.
 var errNodeBlocked = fail.New(fail.StorageFailed, "a write to the data folder did not complete before the shutdown")
 
-// Shutdown transfers the leadership, finishes the operator requests in flight,
+// Shutdown transfers the leadership, leaves the membership if the group can do without
+// this replica, finishes the operator requests in flight,
 // ends the consensus node by calling stopNode and closes the data folder. Requests
 // that wait for the node when it ends fail, and are answered too. It takes at most
 // shutdownTimeout, nodeStopTimeout and answerTimeout, also if the disk stalls.
@@ -176,6 +179,7 @@
 	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	s.node.TransferLeadership(finishCtx)
+	s.leaveGroup(finishCtx)
 	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
 	nodeErr := s.awaitNode()
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -188,6 +188,7 @@
 		done := false
 		err := n.do(ctx, func() {
 			n.transferring = true
+			n.core.SetStopping()
 			leading := n.core.Role() == consensus.Leader
 			if leading && len(n.pending) == 0 {
 				n.core.TransferLeadership()
--- a/internal/wire/wireconnect/fleet.connect.go
+++ b/internal/wire/wireconnect/fleet.connect.go
@@ -48,6 +48,8 @@
 	FleetServiceQuotaProcedure = "/parsleyramp.wire.FleetService/Quota"
 	// FleetServiceJoinProcedure is the fully-qualified name of the FleetService's Join RPC.
 	FleetServiceJoinProcedure = "/parsleyramp.wire.FleetService/Join"
+	// FleetServiceLeaveProcedure is the fully-qualified name of the FleetService's Leave RPC.
+	FleetServiceLeaveProcedure = "/parsleyramp.wire.FleetService/Leave"
 )
 
 // FleetServiceClient is a client for the parsleyramp.wire.FleetService service.
@@ -70,6 +72,8 @@
 	Quota(context.Context, *connect.Request[wire.QuotaRequest]) (*connect.Response[wire.QuotaResponse], error)
 	// Join adds a replica to the group as a learner.
 	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
+	// Leave removes a voter that is about to stop, if enough voters remain.
+	Leave(context.Context, *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the parsleyramp.wire.FleetService service. By
@@ -125,6 +129,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[wire.LeaveRequest, wire.LeaveResponse](
+			httpClient,
+			baseURL+FleetServiceLeaveProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -137,6 +147,7 @@
 	permit      *connect.Client[wire.PermitRequest, wire.PermitResponse]
 	quota       *connect.Client[wire.QuotaRequest, wire.QuotaResponse]
 	join        *connect.Client[wire.JoinRequest, wire.JoinResponse]
+	leave       *connect.Client[wire.LeaveRequest, wire.LeaveResponse]
 }
 
 // Sync calls parsleyramp.wire.FleetService.Sync.
@@ -174,6 +185,11 @@
 	return c.join.CallUnary(ctx, req)
 }
 
+// Leave calls parsleyramp.wire.FleetService.Leave.
+func (c *fleetServiceClient) Leave(ctx context.Context, req *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the parsleyramp.wire.FleetService service.
 type FleetServiceHandler interface {
 	// Sync reports the state of a gateway and returns what has changed.
@@ -194,6 +210,8 @@
 	Quota(context.Context, *connect.Request[wire.QuotaRequest]) (*connect.Response[wire.QuotaResponse], error)
 	// Join adds a replica to the group as a learner.
 	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
+	// Leave removes a voter that is about to stop, if enough voters remain.
+	Leave(context.Context, *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -245,6 +263,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLeaveHandler := connect.NewUnaryHandler(
+		FleetServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(fleetServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/parsleyramp.wire.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceSyncProcedure:
@@ -261,6 +285,8 @@
 			fleetServiceQuotaHandler.ServeHTTP(w, r)
 		case FleetServiceJoinProcedure:
 			fleetServiceJoinHandler.ServeHTTP(w, r)
+		case FleetServiceLeaveProcedure:
+			fleetServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -297,3 +323,7 @@
 func (UnimplementedFleetServiceHandler) Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.Join is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Leave(context.Context, *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("parsleyramp.wire.FleetService.Leave is not implemented"))
+}
