--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -127,6 +127,11 @@
 // gateway if this one reaches none.
 func (q *request) selectAndSend(tried map[string]bool, out *relay) (*fleet.Endpoint, sendResult, error) {
 	for {
+		if q.requirements.Version != "" {
+			if err := q.g.awaitSureVersions(q.ctx); err != nil {
+				return nil, sendResult{}, err
+			}
+		}
 		if q.hop == nil && q.outOfReach() {
 			s, err := q.runByPeer(out, tried)
 			return nil, s, err
@@ -219,7 +224,7 @@
 	defer g.loads.End(e.ID, q.requirements.Tokens)
 	q.leaveSlotQueue()
 	defer q.countUse()()
-	q.endpoint, q.endpointVersion = e, g.loads.VersionOf(e, started)
+	q.endpoint, q.endpointVersion, q.versionSure = e, g.loads.VersionOf(e, started), g.versionsSure()
 	out.beginSend(e.ID, started)
 	defer out.recordNoChunk()
 	out.onReceive = func() { g.loads.RecordReceived(e.ID, g.clock()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	// asked that knew no newer document.
 	bootClock   func() time.Duration
 	confirmedAt atomic.Int64
+	// viewConfirmedAt is when the leader was last asked that knew no newer view.
+	viewConfirmedAt atomic.Int64
 
 	changed  broadcast
 	draining atomic.Bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -211,6 +211,8 @@
 		view.Endpoints = append(view.Endpoints, e)
 	}
 	g.view.Store(fleet.NewView(view))
+	// No test lasts that long, unless it makes the view older.
+	g.viewConfirmedAt.Store(int64(time.Hour))
 	return g
 }
 
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -35,8 +35,9 @@
 	headerRelayWorkspace = relayHeaderPrefix + "Workspace"
 	headerRelayKey       = relayHeaderPrefix + "Key"
 	// Of both: where the stream began.
-	headerRelayEndpoint = relayHeaderPrefix + "Endpoint"
-	headerRelayVersion  = relayHeaderPrefix + "Version"
+	headerRelayEndpoint    = relayHeaderPrefix + "Endpoint"
+	headerRelayVersion     = relayHeaderPrefix + "Version"
+	headerRelayUnconfirmed = relayHeaderPrefix + "Unconfirmed"
 	// Of a response that the relaying gateway itself gives: the failure, whether the request
 	// has run, and when to come back.
 	headerRelayCode       = relayHeaderPrefix + "Code"
@@ -123,13 +124,16 @@
 	if h.Get(headerRelayEndpoint) == "" {
 		return nil
 	}
-	return &streamorigin.Origin{Service: service, Endpoint: h.Get(headerRelayEndpoint), Version: h.Get(headerRelayVersion)}
+	return &streamorigin.Origin{Service: service, Endpoint: h.Get(headerRelayEndpoint), Version: h.Get(headerRelayVersion), Unconfirmed: h.Get(headerRelayUnconfirmed) != ""}
 }
 
 func setOrigin(h http.Header, o *streamorigin.Origin) {
 	if o != nil {
 		h.Set(headerRelayEndpoint, o.Endpoint)
 		h.Set(headerRelayVersion, o.Version)
+		if o.Unconfirmed {
+			h.Set(headerRelayUnconfirmed, "1")
+		}
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,6 +50,8 @@
 	// when the request was sent.
 	endpoint        *fleet.Endpoint
 	endpointVersion string
+	// versionSure is whether the leader had confirmed that version recently.
+	versionSure bool
 	// maxReservation is the longest time for which the service's engines reserve a
 	// slot; zero if they reserve none. reservation is the id of the slot reserved
 	// for the next send.
--- a/internal/gateway/streamkeepers.go
+++ b/internal/gateway/streamkeepers.go
@@ -89,10 +89,18 @@
 	return streamorigin.Rank(id, out, avoid)
 }
 
+func originToWire(id string, o streamorigin.Origin) *wire.StreamOrigin {
+	return &wire.StreamOrigin{Id: id, Service: o.Service, Endpoint: o.Endpoint, Version: o.Version, Unconfirmed: o.Unconfirmed}
+}
+
+func originFromWire(w *wire.StreamOrigin) streamorigin.Origin {
+	return streamorigin.Origin{Service: w.Service, Endpoint: w.Endpoint, Version: w.Version, Unconfirmed: w.Unconfirmed}
+}
+
 // recordOrigin records the origin of a stream here and tells it to its keepers.
 func (g *Gateway) recordOrigin(id string, o streamorigin.Origin) {
 	g.origins.record(id, o, g.clock())
-	w := &wire.StreamOrigin{Id: id, Service: o.Service, Endpoint: o.Endpoint, Version: o.Version}
+	w := originToWire(id, o)
 	keepers := g.keepers(id, g.cfg.Domain)
 	n := min(streamorigin.Copies, len(keepers))
 	for i, k := range keepers[:n] {
@@ -155,7 +163,8 @@
 	}
 	for range keepers {
 		if w := <-found; w != nil {
-			return &streamorigin.Origin{Service: w.Service, Endpoint: w.Endpoint, Version: w.Version}
+			o := originFromWire(w)
+			return &o
 		}
 	}
 	return nil
@@ -180,7 +189,7 @@
 // RecordStreams records the origins of streams that another gateway began.
 func (p *peerService) RecordStreams(_ context.Context, req *connect.Request[wire.RecordStreamsRequest]) (*connect.Response[wire.RecordStreamsResponse], error) {
 	for _, s := range req.Msg.Streams {
-		p.g.origins.record(s.Id, streamorigin.Origin{Service: s.Service, Endpoint: s.Endpoint, Version: s.Version}, p.g.clock())
+		p.g.origins.record(s.Id, originFromWire(s), p.g.clock())
 	}
 	return connect.NewResponse(&wire.RecordStreamsResponse{}), nil
 }
@@ -189,7 +198,7 @@
 func (p *peerService) FindStream(_ context.Context, req *connect.Request[wire.FindStreamRequest]) (*connect.Response[wire.FindStreamResponse], error) {
 	resp := &wire.FindStreamResponse{}
 	if o, ok := p.g.origins.find(req.Msg.Id, p.g.clock()); ok {
-		resp.Stream = &wire.StreamOrigin{Id: req.Msg.Id, Service: o.Service, Endpoint: o.Endpoint, Version: o.Version}
+		resp.Stream = originToWire(req.Msg.Id, o)
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -42,8 +42,13 @@
 // requireOrigin makes the next sends go to endpoints of the version that began the stream.
 func (q *request) requireOrigin() error {
 	o := q.origin
+	if o != nil && o.Version != "" {
+		if err := q.g.awaitSureVersions(q.ctx); err != nil {
+			return err
+		}
+	}
 	switch {
-	case o == nil || o.Version == "" || q.g.replacedSince(o):
+	case o == nil || o.Version == "" || q.g.mayDiffer(o):
 		return fail.New(fail.Unavailable, "the software version that began the stream is not known").WithRetryAfter(unknownOriginRetryAfter)
 	case !q.route.Serves(o.Service):
 		return fail.New(fail.Unavailable, "the service that began the stream does not serve the route any more")
@@ -51,14 +56,19 @@
 		return fail.New(fail.Unavailable, "no endpoint runs the software version that began the stream")
 	}
 	q.requirements.Service, q.requirements.Version = o.Service, o.Version
+	o.Unconfirmed = false
 	return nil
 }
 
-// replacedSince reports whether the endpoint at which the stream began runs another version
-// now: it may have been started again before the stream began.
-func (g *Gateway) replacedSince(o *streamorigin.Origin) bool {
+// mayDiffer reports whether the stream may have begun at another version than its origin
+// says. The endpoint runs another one now: it may have been started again before the stream
+// began. Or it is gone, and the gateway at which the stream began was not sure.
+func (g *Gateway) mayDiffer(o *streamorigin.Origin) bool {
 	e := g.view.Load().Endpoint(o.Endpoint)
-	return e != nil && e.Service == o.Service && e.Version != o.Version
+	if e == nil || e.Service != o.Service {
+		return o.Unconfirmed
+	}
+	return e.Version != o.Version
 }
 
 // runs reports whether an endpoint that is not leaving runs the version.
@@ -78,7 +88,7 @@
 	}
 	id := q.info.ID
 	if q.origin == nil {
-		q.origin = &streamorigin.Origin{Service: q.requirements.Service, Version: q.endpointVersion}
+		q.origin = &streamorigin.Origin{Service: q.requirements.Service, Version: q.endpointVersion, Unconfirmed: !q.versionSure}
 		if q.endpoint != nil {
 			q.origin.Endpoint = q.endpoint.ID
 		}
--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -243,3 +243,94 @@
 		t.Errorf("response %v, body %q, error %v, want event 1 of v1.1", resp, body, err)
 	}
 }
+
+// outdate makes a gateway one that has not heard from the leader for longer than versions
+// are sure, for whatever reason.
+func outdate(g *Gateway) {
+	g.viewConfirmedAt.Store(int64(g.bootClock() - maxVersionAge - time.Second))
+}
+
+// TestStreamDoesNotGoOnAtAGatewayThatMissesNewsOfVersions guards against a stream that goes
+// on at an engine that has started again with other software, which the gateway does not
+// know: by an attempt of its caller or within an answer.
+func TestStreamDoesNotGoOnAtAGatewayThatMissesNewsOfVersions(t *testing.T) {
+	began := startEngine(t, chunks(false, event(1)))
+	restarted := startEngine(t, chunks(true, event(2)), chunks(true, event(2)))
+	p := startPeerGroup(t, 2, 2, versioned(began, "v1"), versioned(restarted, "v1"))
+	if _, body, err := call(t, t.Context(), p.addresses[0], "Id", "root"); err == nil && body != event(1)+event(2) {
+		t.Fatalf("body %q, want events of v1", body)
+	}
+	p.awaitCopies(t, "root", 2)
+	before := len(restarted.requests())
+	outdate(p.gateways[1])
+	resp, body, err := call(t, t.Context(), p.addresses[1], "Id", "second", "After", "1", "Resumes", "root")
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("response %v, body %q, error %v, want status 503 with a time to come back", resp, body, err)
+	}
+	if n := len(restarted.requests()) - before; n != 0 {
+		t.Errorf("the endpoint that may run other software got %d requests, want 0", n)
+	}
+	a, b := startEngine(t, chunks(false, event(1))), startEngine(t, chunks(true, event(2)))
+	g := newTestGateway(t, resumable, document.Service{}, versioned(a, "v1"), versioned(b, "v1"))
+	outdate(g)
+	if _, body, err := call(t, t.Context(), serveGateway(t, g)); err == nil || len(b.requests()) > 0 {
+		t.Errorf("body %q, error %v; the endpoint that may run other software got %d requests, want none", body, err, len(b.requests()))
+	}
+}
+
+// TestStreamBegunAtAGatewayThatMissesNewsOfVersionsIsNotTrusted guards against a stream that
+// goes on elsewhere at the version at which an outdated gateway believed it to begin.
+func TestStreamBegunAtAGatewayThatMissesNewsOfVersionsIsNotTrusted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed []string
+		want   int
+	}{
+		{"its endpoint is gone", nil, 503},
+		{"its endpoint runs other software", []string{"v1.1"}, 503},
+		{"its endpoint runs the version", []string{"v1"}, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			began, other := startEngine(t, chunks(false, event(1)), chunks(true, event(2))), startEngine(t, chunks(true, event(2)))
+			p := startPeerGroup(t, 2, 2, versioned(began, "v1"))
+			outdate(p.gateways[0])
+			if _, body, err := call(t, t.Context(), p.addresses[0], "Id", "root"); err == nil {
+				t.Fatalf("body %q, want a stream that is broken off", body)
+			}
+			p.awaitCopies(t, "root", 2)
+			endpoints := []*wire.FleetEndpoint{{Id: "e1", Service: "s", Slots: 10, Address: other.address, Version: "v1"}}
+			for _, version := range c.listed {
+				endpoints = append(endpoints, &wire.FleetEndpoint{Id: "e0", Service: "s", Slots: 10, Address: began.address, Version: version})
+			}
+			p.setView(p.gateways[1], nil, endpoints)
+			resp, body, err := call(t, t.Context(), p.addresses[1], "Id", "second", "After", "1", "Resumes", "root")
+			if err != nil || resp.StatusCode != c.want {
+				t.Errorf("response %v, body %q, error %v, want status %d", resp, body, err, c.want)
+			}
+		})
+	}
+}
+
+// TestOnlyTheLeaderOfTheViewConfirmsIt guards against versions that a leader without a view of
+// its own seems to confirm.
+func TestOnlyTheLeaderOfTheViewConfirmsIt(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		resp *wire.SyncResponse
+		want bool
+	}{
+		{"no news of the same leader", &wire.SyncResponse{Term: 3}, true},
+		{"a view that has been applied", &wire.SyncResponse{Term: 3, View: &wire.FleetView{Term: 3, Revision: 5}}, true},
+		{"a view that could not be applied", &wire.SyncResponse{Term: 3, View: &wire.FleetView{Term: 3, Revision: 6}}, false},
+		{"a leader that has no view yet", &wire.SyncResponse{Term: 4}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newTestGateway(t, resumable, document.Service{})
+			g.view.Store(fleet.NewView(&wire.FleetView{Term: 3, Revision: 5}))
+			outdate(g)
+			if g.confirmView(c.resp, g.bootClock()); g.versionsSure() != c.want {
+				t.Errorf("versions are sure: %v, want %v", !c.want, c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -97,6 +97,7 @@
 	g.confirmDocument(resp, asked)
 	g.limits.confirm(reportedLimits, resp.Leadership, g.view.Load(), g.clock())
 	g.applyView(resp.View)
+	g.confirmView(resp, asked)
 	g.applyLoads(resp)
 	g.excess.set(resp.WorkspaceExcess)
 	g.retries.SetGateways(len(g.knownGateways()), g.clock())
--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -128,6 +128,9 @@
 		if permitHolds != nil && !permitHolds() || q.readmit() != nil {
 			return false
 		}
+		if q.requirements.Version != "" && !q.g.versionsSure() {
+			return false
+		}
 		return q.admission.withKeys == withKeys && q.workspaceName() == workspace
 	}
 }
--- a/internal/streamorigin/book.go
+++ b/internal/streamorigin/book.go
@@ -10,6 +10,9 @@
 	Endpoint string
 	// Version is that of the endpoint's software; empty if it is not known surely.
 	Version string
+	// Unconfirmed is true if the gateway at which the stream began had not heard recently
+	// which version the endpoint runs.
+	Unconfirmed bool
 }
 
 const (
