--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -298,13 +298,31 @@
 	}
 }
 
+// distinct returns the entries without those whose id another entry has, of a service that
+// the document names if there is one: the other comes from another writer.
+func distinct(endpoints []ListedEndpoint, d *document.Document) []ListedEndpoint {
+	positions := map[string]int{}
+	var out []ListedEndpoint
+	for _, x := range endpoints {
+		i, known := positions[x.ID]
+		switch {
+		case !known:
+			positions[x.ID] = len(out)
+			out = append(out, x)
+		case d != nil && d.Service(out[i].Service) == nil && d.Service(x.Service) != nil:
+			out[i] = x
+		}
+	}
+	return out
+}
+
 // applyList applies the endpoints of the live list.
 func (l *leaderState) applyList(endpoints []ListedEndpoint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.s.clock()
 	listed := map[string]bool{}
-	for _, x := range endpoints {
+	for _, x := range distinct(endpoints, l.doc) {
 		listed[x.ID] = true
 		e := l.engines[x.ID]
 		if e == nil {
--- a/internal/fleetcontrol/server_test.go
+++ b/internal/fleetcontrol/server_test.go
@@ -239,3 +239,16 @@
 		}
 	}
 }
+
+func TestEntryOfAnotherWriterDoesNotDisplaceAnEngine(t *testing.T) {
+	l, _ := newTestLeader(t, &fakeEngine{held: map[string]map[string]bool{}})
+	service := l.doc.Services[0].Name
+	for _, list := range [][]ListedEndpoint{
+		{{ID: "e", Service: service, Address: "a"}, {ID: "e", Service: "unknown", Address: "b"}},
+		{{ID: "e", Service: "unknown", Address: "b"}, {ID: "e", Service: service, Address: "a"}},
+	} {
+		if l.applyList(list); l.engines["e"].listed.Address != "a" {
+			t.Errorf("the engine is at %s, want a", l.engines["e"].listed.Address)
+		}
+	}
+}
--- a/internal/livelist/livelist.go
+++ b/internal/livelist/livelist.go
@@ -7,8 +7,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
+	"unicode/utf8"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/jsonarray"
 )
 
 // PathVMs is the URL path of the live list.
@@ -73,9 +76,40 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fail.New(fail.Unavailable, "reading the live list failed: status "+resp.Status)
 	}
-	var vms []VM
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&vms); err != nil {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Unavailable, "reading the live list failed")
+	}
+	return decode(text)
+}
+
+// decode decodes the list. Elements that name no VM are left out, because other writers
+// may put any bytes there.
+func decode(text []byte) ([]VM, error) {
+	object := append(append([]byte(`{"vms":`), text...), '}')
+	elements, _, err := jsonarray.Split(object, "vms", func(element []byte) bool {
+		_, ok := decodeVM(element)
+		return ok
+	})
+	if err != nil {
 		return nil, fail.Wrap(err, fail.Unavailable, "cannot decode the live list")
 	}
-	return vms, nil
+	var out []VM
+	for _, element := range elements {
+		if vm, ok := decodeVM(element); ok {
+			out = append(out, vm)
+		}
+	}
+	return out, nil
+}
+
+// decodeVM decodes one element. It returns false if it names no VM.
+func decodeVM(element []byte) (VM, bool) {
+	var vm VM
+	if !utf8.Valid(element) || json.Unmarshal(element, &vm) != nil {
+		return VM{}, false
+	}
+	address, err := netip.ParseAddrPort(vm.Address)
+	known := (vm.State == Live || vm.State == Leaving) && (vm.Kind == KindEngine || vm.Kind == KindService)
+	return vm, err == nil && address.Port() != 0 && vm.ID != "" && known
 }
