--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -312,5 +312,6 @@
 	})
 	return &upstream.Request{
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body, MayWrite: q.mayWrite(q.permitHolds()),
+		NewConnection: q.info.ID == "",
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,7 +70,7 @@
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return ResponseInfo{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Misdirected: status == http.StatusMisdirectedRequest, Endpoint: h.Get("Other"),
-		Leaving: h.Get("Leaving") != "", RetryAfter: rest,
+		Leaving: h.Get("Leaving") != "", RetryAfter: rest, Identified: h.Get("Id") != "",
 	}
 }
 
@@ -88,9 +88,22 @@
 	disconnected chan struct{}
 	// onReceive, if not nil, is called for each request before it is answered.
 	onReceive func()
+	// anonymous engines do not name the attempt in their responses.
+	anonymous bool
 	address   string
 }
 
+// withID returns the response with the id of the attempt, as endpoints echo it, unless it
+// names one.
+func withID(text, id string) string {
+	status, rest, ok := strings.Cut(text, "\r\n")
+	header, _, _ := strings.Cut(rest, "\r\n\r\n")
+	if !ok || id == "" || strings.Contains(header, "Id: ") {
+		return text
+	}
+	return status + "\r\nId: " + id + "\r\n" + rest
+}
+
 func startEngine(t *testing.T, responses ...string) *scriptedEngine {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -127,6 +140,9 @@
 		if text == "" {
 			return
 		}
+		if !s.anonymous {
+			text = withID(text, req.Header.Get("Id"))
+		}
 		open := strings.HasSuffix(text, "...")
 		io.WriteString(c, strings.TrimSuffix(text, "..."))
 		if open {
@@ -452,3 +468,42 @@
 		}
 	}
 }
+
+// TestEarlierResponseOnAKeptConnectionIsNotTakenForTheNext guards against clients that are
+// told that a request has not run, and against a second run, because an endpoint wrote an
+// earlier response once more.
+func TestEarlierResponseOnAKeptConnectionIsNotTakenForTheNext(t *testing.T) {
+	refusal, done := response(503, "Not-Run: 1\r\n", ""), response(200, "Signed: 1\r\n", "mine")
+	for _, c := range []struct {
+		name      string
+		anonymous bool
+		earlier   string
+		want      int
+	}{
+		{"a refusal that names its attempt", false, withID(refusal, "first"), 200},
+		{"a refusal that names none", true, refusal, 502},
+		{"a misdirection that names none", true, response(421, "", ""), 502},
+		{"an answer that names its attempt", false, withID(done, "first"), 200},
+		{"an answer that names none", true, response(200, "Signed: 1\r\n", "theirs"), 502},
+		{"a failure that names none", true, response(404, "Signed: 1\r\n", ""), 502},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEngine(t, c.earlier, c.earlier+withID(done, "second"))
+			other := startEngine(t, done, done)
+			e.anonymous = c.anonymous
+			g := newTestGateway(t, nonIdempotent, document.Service{}, versioned(e, "v1"))
+			address := serveGateway(t, g)
+			if _, _, err := call(t, t.Context(), address, "Id", "first"); err != nil {
+				t.Fatal(err)
+			}
+			g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: withIDs([]*wire.FleetEndpoint{versioned(e, "v1"), versioned(other, "v1")})}))
+			resp, body, err := call(t, t.Context(), address, "Id", "second")
+			if err != nil || resp.StatusCode != c.want || c.want == 200 && body != "mine" {
+				t.Errorf("response %v, body %q, error %v, want status %d", resp, body, err, c.want)
+			}
+			if n := len(other.requests()); n != 0 {
+				t.Errorf("the request was sent to %d more endpoints, want none: it may have run", n)
+			}
+		})
+	}
+}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -89,6 +89,8 @@
 	MaxRejections float64
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
+	// Identified is set if the response names the attempt that it is for.
+	Identified bool
 }
 
 // fromAnother reports whether another endpoint responded at the address of the one with the
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,6 +61,8 @@
 	r.q.framing = resp.Head.Framing.String()
 	ok := resp.Status >= 200 && resp.Status < 300
 	switch {
+	case resp.Reused && !info.Identified:
+		return r.unusable(errUnattributed)
 	case info.NotRun || info.Misdirected:
 		return r.drainRejection(resp, info)
 	case ok && !info.Signed:
@@ -73,6 +75,10 @@
 	return r.forwardComplete(resp)
 }
 
+// errUnattributed is the failure of a request whose response names no attempt, on a connection
+// that has carried other requests: it may be an earlier response once more.
+var errUnattributed = fail.New(fail.ForeignAnswer, "the response may belong to an earlier request").WithRan(fail.RanUnknown)
+
 // drainRejection reads the rest of a response that states that the request did
 // not run, so that the connection can be reused.
 func (r *relay) drainRejection(resp *upstream.Response, info ResponseInfo) sendResult {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,6 +42,11 @@
 	// it returns false, the request is not written, and Do fails with
 	// ErrMayNotWrite.
 	MayWrite func() bool
+	// NewConnection requires a connection that has carried no request, so that the response
+	// cannot be an earlier one.
+	NewConnection bool
+	// LastOnConnection makes the connection be closed after the response.
+	LastOnConnection bool
 }
 
 // Response is a response whose header has been read. Body returns io.EOF only
@@ -53,14 +58,20 @@
 	Length int64
 	// Head is what the head states about the body.
 	Head answer.Head
-	Body io.Reader
+	// Reused is set if the connection has carried another request before, whose response may
+	// come once more.
+	Reused bool
+	Body   io.Reader
 
-	pool        *Pool
-	conn        *conn
-	resp        *http.Response
-	stop        func() bool
-	reachedEOF  bool
+	pool       *Pool
+	conn       *conn
+	resp       *http.Response
+	stop       func() bool
+	reachedEOF bool
+	// moved is set if the connection belongs to the next response.
+	moved       bool
 	writeResult <-chan error
+	request     *Request
 }
 
 // Pool is a pool of connections to endpoints.
@@ -92,10 +103,11 @@
 // returns true; a nil accept stands for any header. The error states whether the
 // request can have run. The connection is closed when ctx ends.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, accept func(http.Header) bool) (*Response, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.connect(ctx, address, r.NewConnection)
 	if err != nil {
 		return nil, fail.Wrap(err, fail.EndpointFailed, "connect to "+address)
 	}
+	reused := c.used
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	discard := func() {
 		stop()
@@ -118,12 +130,28 @@
 	c.applyKeepAlive(resp.Header)
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Head: answer.HeadOf(resp),
-		pool: p, conn: c, resp: resp, stop: stop, writeResult: written,
+		Reused: reused, pool: p, conn: c, resp: resp, stop: stop, writeResult: written, request: r,
 	}
 	out.Body = &bodyReader{out}
 	return out, nil
 }
 
+// Next returns the response that follows on the connection, in place of this one, which
+// belongs to an earlier request and whose body must have been read. Close must then be
+// called for both.
+func (r *Response) Next() (*Response, error) {
+	resp, err := r.conn.readHeader(r.request.Method, nil)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.EndpointFailed, "read response from "+r.conn.address).WithRan(fail.RanUnknown)
+	}
+	out := *r
+	out.Status, out.Header, out.Length, out.Head = resp.StatusCode, resp.Header, resp.ContentLength, answer.HeadOf(resp)
+	out.resp, out.reachedEOF, out.moved = resp, false, false
+	out.Body = &bodyReader{&out}
+	r.moved = true
+	return &out, nil
+}
+
 // HoldTime is how long a new connection must usually stay open to count as accepted: a proxy
 // before an endpoint that has ended accepts it and closes it at once.
 const HoldTime = 150 * time.Millisecond
@@ -271,6 +299,9 @@
 // the complete response was read and no bytes follow it. Otherwise it closes
 // the connection.
 func (r *Response) Close() {
+	if r.moved {
+		return
+	}
 	open := r.stop()
 	if !open || !r.reusable() {
 		r.conn.Close()
@@ -280,7 +311,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.reachedEOF || r.resp.Close || r.conn.reader.Buffered() > 0 {
+	if r.request.LastOnConnection || !r.reachedEOF || r.resp.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.writeResult == nil {
@@ -294,18 +325,22 @@
 	}
 }
 
-// get returns the most recently used idle connection that is clean and within its
-// idle timeout, or a new one. It closes the connections that it skips.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// connect returns the most recently used idle connection that is clean and within its
+// idle timeout, or a new one. It closes the connections that it skips. A required new one
+// takes the place of an idle one.
+func (p *Pool) connect(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < c.idleTimeout && c.clean() {
+		if !newConnection && time.Since(c.idleSince) < c.idleTimeout && c.clean() {
 			return c, nil
 		}
 		c.Close()
+		if newConnection {
+			break
+		}
 	}
 	p.opened.Add(1)
 	c, err := p.dial(ctx, address)
