--- a/internal/fleetcontrol/engine.go
+++ b/internal/fleetcontrol/engine.go
@@ -149,26 +149,7 @@
 			used += m.WeightsMB
 		}
 	}
-	return used + e.unresolvedMB(d)
-}
-
-// unresolvedMB returns the memory that the unresolved order needs beyond that of the held
-// and the loading models.
-func (e *engineState) unresolvedMB(d *document.Engine) float64 {
-	if e.unresolved == nil {
-		return 0
-	}
-	m := d.Model(e.unresolved.Model)
-	_, held := e.held[e.unresolved.Model]
-	switch {
-	case m == nil:
-		return 0
-	case e.unresolved.Adapter != "":
-		return m.AdapterMB
-	case held || e.loading == e.unresolved.Model:
-		return 0
-	}
-	return m.WeightsMB
+	return used + e.pendingMB(d)
 }
 
 // fits reports whether the engine has the memory and adapter slot that the order
@@ -183,8 +164,10 @@
 		return false
 	}
 	loading := []string{e.loading}
-	if e.unresolved != nil && e.unresolved.Adapter == "" {
-		loading = append(loading, e.unresolved.Model)
+	for _, pending := range e.pendingLoads() {
+		if pending.Adapter == "" {
+			loading = append(loading, pending.Model)
+		}
 	}
 	return fitsLimits(s.Engine, e.held, e.adaptersInPlace(), loading, o)
 }
@@ -200,8 +183,10 @@
 	}
 	maps.Copy(out, e.loadingAdapters)
 	maps.Copy(out, e.unloadingAdapters)
-	if u := e.unresolved; u != nil && u.Adapter != "" {
-		out[adapterName{u.Model, u.Adapter}] = true
+	for _, pending := range e.pendingLoads() {
+		if pending.Adapter != "" {
+			out[adapterName{pending.Model, pending.Adapter}] = true
+		}
 	}
 	return out
 }
--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -261,6 +261,9 @@
 	}
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
+	if o.Load && result == OrderUnknown {
+		e.leader.recordUnanswered(x.ID, sent.Order)
+	}
 	if e.startedUnixMs == sent.process {
 		e.recordResult(sent.Order, result)
 	}
--- a/internal/fleetcontrol/incarnation_test.go
+++ b/internal/fleetcontrol/incarnation_test.go
@@ -71,3 +71,61 @@
 		}
 	})
 }
+
+// silentEngine carries out no order, and responds to none.
+type silentEngine struct{ *restartingEngine }
+
+func (silentEngine) Order(context.Context, string, string, Order, func() bool) (OrderResult, error) {
+	return OrderUnknown, nil
+}
+
+// TestOrderToAFormerProcessKeepsItsRoomAtTheNext guards against an engine that gets more than it
+// holds, because an order without a response arrives after a restart under the same id.
+func TestOrderToAFormerProcessKeepsItsRoomAtTheNext(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// relisted is whether the engine leaves the list before it comes back.
+		relisted bool
+		// sequence is that of the new process.
+		sequence uint64
+		after    time.Duration
+		want     bool
+	}{
+		{"its sequence may come again", false, 1, 0, false},
+		{"it was off the list", true, 1, 0, false},
+		{"the new process is beyond its sequence", false, 3, 0, true},
+		{"it was sent too long ago", false, 1, lateOrderTTL, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, e := newTestLeader(t, &fakeEngine{})
+				engine := silentEngine{&restartingEngine{fakeEngine: &fakeEngine{}}}
+				l.s.deps.Platform = engine
+				refresh := func(r Report) {
+					t.Helper()
+					engine.report.Store(&r)
+					if _, err := e.refresh(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				refresh(Report{Sequence: 2, StartedUnixMs: 1000})
+				// The engine has room for three of the models.
+				if result := e.sendOrder(t.Context(), Order{Load: true, Model: "m0"}); result != OrderUnknown {
+					t.Fatalf("order %v, want an unknown outcome", result)
+				}
+				if c.relisted {
+					l.applyList(nil)
+					l.applyList([]ListedEndpoint{{ID: "e", Service: "s", Address: "e", Slots: 24}})
+					e = l.engines["e"]
+				}
+				time.Sleep(c.after)
+				refresh(Report{Sequence: c.sequence, StartedUnixMs: 2000, Models: []HeldModel{{Name: "m1"}, {Name: "m3"}}})
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				if got := e.fits(Order{Load: true, Model: "m2"}); got != c.want {
+					t.Errorf("a third model fits: %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -65,7 +65,9 @@
 	docSince time.Duration
 	gateways map[string]*gatewayState
 	engines  map[string]*engineState
-	loads    map[string]*wire.InProgress
+	// unanswered are the orders to load without a response, by engine.
+	unanswered map[string][]unansweredOrder
+	loads      map[string]*wire.InProgress
 	// counts are the loads in the order of the endpoints of the published view, as of the
 	// version countsOrder of it.
 	counts      *endpointCounts
@@ -212,7 +214,7 @@
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), prefill: prefill.NewRates(), slowness: prefill.NewSlowness(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, waits: map[string]modelWait{}, roomGrants: roomGrants{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
-		detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
+		unanswered: map[string][]unansweredOrder{}, detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
 		shares: fairShares{services: map[string]*fairshare.Service{}}, suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
 	l.orderAllowed = l.mayOrder
--- a/internal/fleetcontrol/plan.go
+++ b/internal/fleetcontrol/plan.go
@@ -86,8 +86,13 @@
 func (l *leaderState) unresolvedStoreLoads(service string) int {
 	n := 0
 	for _, e := range l.engines {
-		if u := e.unresolved; e.listed.Service == service && u != nil && u.Adapter == "" && !e.cached[u.Model] {
-			n++
+		if e.listed.Service != service {
+			continue
+		}
+		for _, o := range e.pendingLoads() {
+			if o.Adapter == "" && !e.cached[o.Model] {
+				n++
+			}
 		}
 	}
 	return n
