--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,14 +108,16 @@
 	relays        relayPeers
 	peers         peerClients
 	buffers       bufferBudget
-	streams       streamWriters
-	quotas        quotas
-	pool          *upstream.Pool
-	control       *controlclient.Client
-	leaderHint    leaderHint
-	fetches       documentFetches
-	servers       []io.Closer
-	clientServer  *transport.ClientFacingServer
+	// bodies is the budget of the bodies of requests.
+	bodies       bufferBudget
+	streams      streamWriters
+	quotas       quotas
+	pool         *upstream.Pool
+	control      *controlclient.Client
+	leaderHint   leaderHint
+	fetches      documentFetches
+	servers      []io.Closer
+	clientServer *transport.ClientFacingServer
 	// peerServer serves the other gateways; nil if there is no address for it.
 	peerServer *transport.ClientFacingServer
 	cancel     context.CancelFunc
--- /dev/null
+++ b/internal/gateway/requestbody_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"parsleyramp/internal/document"
+	"parsleyramp/internal/transport"
+	"parsleyramp/internal/wire"
+)
+
+// post sends a body to the gateway, in chunks if the length is not stated.
+func post(t *testing.T, address, id string, body []byte, chunked bool) *http.Response {
+	t.Helper()
+	var reader io.Reader = bytes.NewReader(body)
+	if chunked {
+		reader = io.MultiReader(reader)
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/a/x", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", id)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp
+}
+
+// TestBodiesInFlightAreBoundedTogether guards against a gateway that exceeds its memory because
+// it holds the bodies of many large requests.
+func TestBodiesInFlightAreBoundedTogether(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		e := startEngine(t, response(200, "Signed: 1\r\n", "one"), response(200, "Signed: 1\r\n", "two"))
+		running, end := make(chan struct{}), make(chan struct{})
+		e.onReceive = func() {
+			running <- struct{}{}
+			<-end
+		}
+		g := newTestGateway(t, nonIdempotent, document.Service{}, &wire.FleetEndpoint{Address: e.address})
+		g.cfg.MemoryMB = 8
+		address := serveGateway(t, g)
+		body := bytes.Repeat([]byte("0123456789abcdef"), (g.cfg.maxAllBodyBytes()/2+1000)/16)
+		first := make(chan int)
+		go func() { first <- post(t, address, "first", body, chunked).StatusCode }()
+		<-running
+		if resp := post(t, address, "second", body, chunked); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("chunked %v: second body: status %d, want 503 with a time to come back", chunked, resp.StatusCode)
+		}
+		end <- struct{}{}
+		if status := <-first; status != 200 {
+			t.Errorf("chunked %v: first body: status %d, want 200", chunked, status)
+		}
+		go func() { first <- post(t, address, "third", body, chunked).StatusCode }()
+		<-running
+		end <- struct{}{}
+		if status := <-first; status != 200 {
+			t.Errorf("chunked %v: a body after the first has ended: status %d, want 200", chunked, status)
+		}
+		for range 100 {
+			if g.bodies.used.Load() == 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if held := g.bodies.used.Load(); held != 0 || len(e.requests()) != 2 {
+			t.Errorf("chunked %v: %d bytes still count, and the endpoint got %d requests; want 0 and 2", chunked, held, len(e.requests()))
+		}
+	}
+}
+
+func TestBodyIsReadWholeUpToItsLimit(t *testing.T) {
+	const limit = 300000
+	for _, c := range []struct{ size, want int }{{0, 200}, {1, 200}, {bodyChunkBytes, 200}, {bodyChunkBytes + 1, 200}, {limit, 200}, {limit + 1, 413}} {
+		for _, chunked := range []bool{false, true} {
+			received := make(chan []byte, 1)
+			g := newTestGateway(t, nonIdempotent, document.Service{})
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				q := &request{g: g, w: w, httpRequest: r}
+				if err := q.readBody(r.Context(), limit); err != nil {
+					g.reject(w, r, RequestInfo{}, err)
+					return
+				}
+				received <- q.body
+			})
+			body := bytes.Repeat([]byte{'x'}, c.size)
+			resp := post(t, serveHandler(t, handler), "a", body, chunked)
+			if resp.StatusCode != c.want {
+				t.Errorf("%d bytes, chunked %v: status %d, want %d", c.size, chunked, resp.StatusCode, c.want)
+			}
+			if c.want == 200 && !bytes.Equal(<-received, body) {
+				t.Errorf("%d bytes, chunked %v: another body was read", c.size, chunked)
+			}
+		}
+	}
+}
+
+func serveHandler(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := transport.ListenClients("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := transport.ServeClients(l, h)
+	t.Cleanup(func() { s.Close() })
+	return s.Address()
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -17,8 +16,6 @@
 )
 
 const (
-	// defaultBodyBytes bounds a request body if the fleet document sets no limit.
-	defaultBodyBytes = 4 << 20
 	// startupWait is how long a request waits at a gateway that has just started
 	// and has no fleet document or view yet. It is at most startupWaitRatio of the
 	// client's time-out.
@@ -73,6 +70,8 @@
 	// permit is that for the next send, if it needs one, and unusedPermit one of a suspect
 	// that was not used and has not been returned.
 	permit, unusedPermit *permit
+	// bodyBytes is what the body takes of the budget of all bodies.
+	bodyBytes int
 	// bufferedBytes counts the bytes of responses that are held in memory.
 	bufferedBytes int
 	// tokens are what the request was charged, and mayHaveRun is set once an endpoint may have
@@ -123,7 +122,8 @@
 		q.reject(err)
 		return
 	}
-	if q.body, err = readBody(requestCtx, w, r, table.Document.Limits.BodyBytes); err != nil {
+	defer q.returnBody()
+	if err := q.readBody(requestCtx, table.Document.Limits.BodyBytes); err != nil {
 		q.reject(err)
 		return
 	}
@@ -179,29 +179,6 @@
 	}
 }
 
-// readBody reads the body of the request until ctx ends.
-func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	stop := context.AfterFunc(ctx, func() {
-		// An error means that the connection is closed.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-	})
-	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err != nil && errors.Is(context.Cause(ctx), errShutdown):
-		return nil, errShutdown
-	case errors.As(err, &tooLarge):
-		return nil, fail.Wrap(err, fail.BodyTooLarge, "the request body exceeds the size limit")
-	case err != nil:
-		return nil, fail.Wrap(err, fail.BadRequest, "cannot read the request body")
-	}
-	return body, nil
-}
-
 // service returns the service that the request goes to.
 func (q *request) service() string {
 	if q.hop != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -176,12 +176,12 @@
 // another goroutine, which sends its result on the returned channel.
 func (c *conn) send(r *Request) (<-chan error, error) {
 	c.used = true
-	payload := encode(r)
+	head := encodeHead(r)
 	if r.MayWrite != nil && !r.MayWrite() {
 		return nil, ErrMayNotWrite
 	}
-	if len(payload) <= concurrentWriteBytes {
-		n, err := c.Write(payload)
+	if len(head)+len(r.Body) <= concurrentWriteBytes {
+		n, err := c.Write(append(head, r.Body...))
 		if err == nil {
 			return nil, nil
 		}
@@ -193,7 +193,11 @@
 	}
 	done := make(chan error, 1)
 	go func() {
-		_, err := c.Write(payload)
+		// The body may be large, so it is not copied behind the head.
+		_, err := c.Write(head)
+		if err == nil && len(r.Body) > 0 {
+			_, err = c.Write(r.Body)
+		}
 		done <- err
 	}()
 	return done, nil
@@ -269,9 +273,9 @@
 	return out
 }
 
-func encode(r *Request) []byte {
+func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a buffer does not fail, and net/http, which parsed the header,
 	// rejects line breaks in it.
@@ -280,7 +284,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
