--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -252,12 +252,18 @@
 
 // serveGateway starts a server for the gateway and returns its address.
 func serveGateway(t *testing.T, g *Gateway) string {
+	t.Helper()
+	return serveHandler(t, g)
+}
+
+// serveHandler serves clients and returns the address.
+func serveHandler(t *testing.T, h http.Handler) string {
 	t.Helper()
 	l, err := transport.ListenClients("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := transport.ServeClients(l, g)
+	s := transport.ServeClients(l, h)
 	t.Cleanup(func() { s.Close() })
 	return s.Address()
 }
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"parsleyramp/internal/document"
-	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wire"
 )
 
@@ -100,14 +99,3 @@
 		}
 	}
 }
-
-func serveHandler(t *testing.T, h http.Handler) string {
-	t.Helper()
-	l, err := transport.ListenClients("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := transport.ServeClients(l, h)
-	t.Cleanup(func() { s.Close() })
-	return s.Address()
-}
