--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -22,7 +22,7 @@
 	joinInterval = 300 * time.Millisecond
 	// joinTimeout bounds one attempt to join, including a redirect to the leader.
 	joinTimeout = time.Second
-	// joinFailuresPerLog is the number of attempts to join, one line for which is logged.
+	// joinFailuresPerLog is how many attempts to join share one line in the log.
 	joinFailuresPerLog = 10
 	// repairInterval is the time between two checks of the membership.
 	repairInterval = 250 * time.Millisecond
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -137,8 +137,8 @@
 }
 
 // Next returns the response that follows on the connection, in place of this one, which
-// belongs to an earlier request and whose body must have been read. Close must then be
-// called for both.
+// belongs to an earlier request and whose body must have been read. If it succeeds, only
+// the returned response needs Close.
 func (r *Response) Next() (*Response, error) {
 	resp, err := r.conn.readHeader(r.request.Method, nil)
 	if err != nil {
