--- a/internal/consensus/lostdisk_test.go
+++ b/internal/consensus/lostdisk_test.go
@@ -163,3 +163,40 @@
 		}
 	}
 }
+
+// TestGroupsOfAnySizeElectALeaderAfterALostDisk guards against a discounted voter that leaves a
+// group of another size than four without a leader.
+func TestGroupsOfAnySizeElectALeaderAfterALostDisk(t *testing.T) {
+	for _, n := range []int{2, 3, 5, 6} {
+		s := newSim(uint64(n), n)
+		for s.leader() == nil || s.now < 3*time.Second {
+			s.step()
+		}
+		// The leader's disk is lost, and besides as many are gone as leave a majority of
+		// the others.
+		lost := s.leader()
+		lost.up, s.lostDisk = false, lost.id
+		gone := (n - 1) - majority(n-1)
+		for _, id := range s.ids {
+			if r := s.replicas[id]; r.up && gone > 0 {
+				r.up = false
+				gone--
+			}
+		}
+		for range 800 {
+			for _, r := range s.replicas {
+				if r.up {
+					r.core.MarkLost(lost.id)
+				}
+			}
+			s.step()
+		}
+		before := s.maxCommit
+		for range 300 {
+			s.step()
+		}
+		if s.violation != "" || s.leader() == nil || s.maxCommit <= before {
+			t.Errorf("group of %d: leader %v, commit index %d, before %d; %s", n, s.leader(), s.maxCommit, before, s.violation)
+		}
+	}
+}
--- a/internal/fleetcontrol/replacement_test.go
+++ b/internal/fleetcontrol/replacement_test.go
@@ -253,3 +253,24 @@
 	}
 	return nil
 }
+
+// TestGroupBearsTheLossOfADiskWhileAllAreKilled guards against a group that waits for a voter
+// that is gone for good, after all processes were killed at once and one disk was lost.
+func TestGroupBearsTheLossOfADiskWhileAllAreKilled(t *testing.T) {
+	b := newBed(t)
+	b.formGroup()
+	b.add(4, false)
+	b.awaitVoters(4)
+	b.put(7)
+	for _, m := range b.machines {
+		m.kill()
+	}
+	for _, id := range []int{3, 4} {
+		b.machines[id].cfg.FirstStart = false
+		b.start(b.machines[id])
+	}
+	b.wipe(b.machines[2], 0)
+	b.want(7)
+	b.put(9)
+	b.awaitVoters(3)
+}
