--- a/internal/orders/tracker.go
+++ b/internal/orders/tracker.go
@@ -38,48 +38,6 @@
 	}
 }
 
-// Snapshot is a consistent copy of the replicated state, as the leader of one
-// term reads it.
-type Snapshot struct {
-	Term      uint64
-	Endpoints []*wire.Endpoint
-	Residents []*wire.Resident
-	// Orders are the open orders. Copies are resolved orders of which a copy may
-	// still arrive.
-	Orders    []*wire.Order
-	Copies    []*wire.Order
-	SendTerms []*wire.SendTerm
-	// Members are the IDs of the control replicas. A replica that was removed
-	// is considered stopped: whoever removes it must ensure that first.
-	Members []uint64
-}
-
-// Effects lists the actions that the leader must take.
-type Effects struct {
-	Send    []*wire.Order
-	Resolve []Resolution
-	// Clear and DrainMissing are commands to commit. DrainMissing drains
-	// residents that their engine no longer lists.
-	Clear        []*wire.ClearCopies
-	DrainMissing []*wire.SetResident
-	// QueryReplicas lists former leaders that have not yet confirmed that they
-	// have stopped sending.
-	QueryReplicas []uint64
-}
-
-// Resolution is the outcome of an order with the evidence for it.
-type Resolution struct {
-	Command  *wire.ResolveOrder
-	Order    *wire.Order
-	Evidence string
-}
-
-// fenceToken identifies an order to one engine. Later orders have a higher term, or
-// the same term and a higher sequence.
-type fenceToken struct{ term, sequence uint64 }
-
-func tokenOf(o *wire.Order) fenceToken { return fenceToken{o.FenceTerm, o.FenceSequence} }
-
 // Tracker tracks the orders that the leader sends and the state of the
 // engines. It starts empty in every term. It is not safe for concurrent use.
 type Tracker struct {
@@ -94,38 +52,6 @@
 // NewTracker returns an empty tracker.
 func NewTracker(cfg Config) *Tracker { return &Tracker{cfg: cfg} }
 
-// engine is the state of one engine as observed in this term.
-type engine struct {
-	incarnation string
-	// inFlight is the token of the order that is being sent, or zero.
-	inFlight fenceToken
-	order    openOrder
-	// copiesIdleSince holds, by resolved order, since when this leader is not
-	// sending it.
-	copiesIdleSince map[fenceToken]time.Duration
-	// readySince holds, by state revision, since when this leader has seen the
-	// resident as ready.
-	readySince map[uint64]time.Duration
-	// lastState is the result of the latest state read, or nil if that read
-	// failed. lastReadStart is when the latest successful read began, and
-	// respondingSince when the first read of the current run of successful
-	// reads of one incarnation began.
-	lastState       *endpoint.EngineState
-	lastReadStart   time.Duration
-	respondingSince time.Duration
-}
-
-// openOrder is the one order to an engine whose outcome is not yet proved.
-type openOrder struct {
-	token         fenceToken
-	firstSeen     time.Duration
-	nextSend      time.Duration
-	retryInterval time.Duration
-	rejections    int
-	// executed is true once the engine has confirmed that it executed the order.
-	executed bool
-}
-
 // enterTerm drops all state if the term is a new one.
 func (t *Tracker) enterTerm(term uint64) {
 	if t.term == term && t.engines != nil {
@@ -260,47 +186,6 @@
 	return since, stopped
 }
 
-// updateIncarnation drops the state of an earlier incarnation.
-func (t *Tracker) updateIncarnation(e *engine, vm *wire.Endpoint) {
-	if e.incarnation == vm.Incarnation {
-		return
-	}
-	e.incarnation = vm.Incarnation
-	e.order = openOrder{}
-	clear(e.copiesIdleSince)
-	clear(e.readySince)
-}
-
-// updateCopies updates since when this leader is not sending each copy.
-func (e *engine) updateCopies(now time.Duration, copies []*wire.Order) {
-	known := e.copiesIdleSince
-	e.copiesIdleSince = map[fenceToken]time.Duration{}
-	for _, c := range copies {
-		token := tokenOf(c)
-		since, ok := known[token]
-		if !ok || e.inFlight == token {
-			since = now
-		}
-		e.copiesIdleSince[token] = since
-	}
-}
-
-// updateReady updates since when this leader has seen each resident as ready.
-func (e *engine) updateReady(now time.Duration, residents []*wire.Resident) {
-	known := e.readySince
-	e.readySince = map[uint64]time.Duration{}
-	for _, r := range residents {
-		if r.State != wire.ResidentState_RESIDENT_STATE_READY {
-			continue
-		}
-		since, ok := known[r.StateRevision]
-		if !ok {
-			since = now
-		}
-		e.readySince[r.StateRevision] = since
-	}
-}
-
 // clearCopies considers a copy dead if, for CopyLifetime, neither this leader
 // nor a former one has sent it and every state read has succeeded.
 func (t *Tracker) clearCopies(e *engine, vm *wire.Endpoint, stoppedSince time.Duration, term uint64, out *Effects) {
@@ -328,105 +213,3 @@
 		out.Clear = append(out.Clear, &wire.ClearCopies{Endpoint: vm.Id, Incarnation: vm.Incarnation, ThroughSequence: through, Term: term})
 	}
 }
-
-// hasCurrentState reports whether the latest read succeeded and returned the
-// recorded incarnation.
-func (e *engine) hasCurrentState(vm *wire.Endpoint) bool {
-	return e.lastState != nil && e.lastState.Incarnation == vm.Incarnation
-}
-
-func (t *Tracker) advanceOrder(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order, copies []*wire.Order, out *Effects) {
-	if e.order.token != tokenOf(o) {
-		e.order = openOrder{token: tokenOf(o), firstSeen: now, nextSend: now, retryInterval: t.cfg.RetryInterval}
-	}
-	if outcome, evidence := t.determineOutcome(now, e, vm, o, copies); outcome != wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED {
-		out.Resolve = append(out.Resolve, Resolution{Order: o, Evidence: evidence, Command: &wire.ResolveOrder{
-			Endpoint: o.Endpoint, FenceTerm: o.FenceTerm, FenceSequence: o.FenceSequence, Outcome: outcome,
-		}})
-		return
-	}
-	current := e.lastState == nil || e.lastState.Incarnation == o.Incarnation
-	if e.inFlight == (fenceToken{}) && !e.order.executed && current && now >= e.order.nextSend {
-		e.inFlight = tokenOf(o)
-		out.Send = append(out.Send, o)
-	}
-}
-
-// determineOutcome returns the outcome that the evidence proves, if any, and the
-// evidence in words.
-func (t *Tracker) determineOutcome(now time.Duration, e *engine, vm *wire.Endpoint, o *wire.Order, copies []*wire.Order) (wire.OrderOutcome, string) {
-	const (
-		none    = wire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED
-		done    = wire.OrderOutcome_ORDER_OUTCOME_DONE
-		unknown = wire.OrderOutcome_ORDER_OUTCOME_UNKNOWN
-	)
-	fresh := e.hasCurrentState(vm) && e.lastReadStart > e.order.firstSeen
-	isLoad := o.Kind == wire.OrderKind_ORDER_KIND_LOAD
-	switch {
-	case isLoad && fresh && listsResidentOf(e.lastState, o):
-		return done, "the engine lists the resident"
-	case !isLoad && fresh && !listsResidentOf(e.lastState, o) && e.earlierOrdersDead(vm, o, copies) && (e.order.executed || allMemoryListed(e.lastState)):
-		return done, "the engine does not list the resident, and no earlier order can load it again"
-	case e.order.rejections >= t.cfg.MaxRejections:
-		return unknown, "the engine rejected the order too often"
-	case now-e.order.firstSeen >= t.cfg.OrderTimeout:
-		return unknown, "no outcome was proved before the order time-out"
-	}
-	return none, ""
-}
-
-// earlierOrdersDead reports whether no earlier order can take effect on the
-// engine any more. An engine that checks fencing tokens must have seen the token
-// of this order or a later one. For an engine that does not check them, all
-// earlier copies for the same resident must be dead. The ledger admits no order
-// before that, but the document may have declared otherwise whether the engine
-// checks tokens when this order was issued.
-func (e *engine) earlierOrdersDead(vm *wire.Endpoint, o *wire.Order, copies []*wire.Order) bool {
-	if !vm.ChecksFencing {
-		return !slices.ContainsFunc(copies, func(c *wire.Order) bool {
-			return c.Model == o.Model && c.Version == o.Version && c.Adapter == o.Adapter
-		})
-	}
-	s := e.lastState
-	return s.FenceTerm > o.FenceTerm || (s.FenceTerm == o.FenceTerm && s.FenceSequence >= o.FenceSequence)
-}
-
-func listsResidentOf(s *endpoint.EngineState, o *wire.Order) bool {
-	return listsResident(s, o.Model, o.Version, o.Adapter)
-}
-
-func listsResident(s *endpoint.EngineState, model, version, adapter string) bool {
-	return slices.ContainsFunc(s.Residents, func(r endpoint.ResidentState) bool {
-		return r.Model == model && r.Version == version && r.Adapter == adapter
-	})
-}
-
-// allMemoryListed reports whether the listed residents account for all memory
-// that the engine uses, so that no unlisted load is in flight.
-func allMemoryListed(s *endpoint.EngineState) bool {
-	var sum uint64
-	for _, r := range s.Residents {
-		sum += r.MemoryBytes
-	}
-	return s.UsedBytes <= sum
-}
-
-// drainMissing drains ready residents that the engine does not list. Their
-// memory stays charged until an unload is proved.
-func (e *engine) drainMissing(vm *wire.Endpoint, residents []*wire.Resident, out *Effects) {
-	if !e.hasCurrentState(vm) {
-		return
-	}
-	for _, r := range residents {
-		since, ok := e.readySince[r.StateRevision]
-		if !ok || r.State != wire.ResidentState_RESIDENT_STATE_READY || e.lastReadStart <= since {
-			continue
-		}
-		if !listsResident(e.lastState, r.Model, r.Version, r.Adapter) {
-			out.DrainMissing = append(out.DrainMissing, &wire.SetResident{
-				Endpoint: r.Endpoint, Model: r.Model, Version: r.Version, Adapter: r.Adapter,
-				State: wire.ResidentState_RESIDENT_STATE_DRAINING, ExpectedStateRevision: r.StateRevision,
-			})
-		}
-	}
-}
