Accept the connections that wait in the kernel's queue before a listener closes

Callers saw: a connection that the kernel had completed, and on which a request had been sent, was reset without an answer when the gateway closed its listener 1.5 s into a drain.

Cause: Shutdown closed the listener at once. Where the process has not run its accept loop for a moment, completed connections wait in the kernel's queue, which resets them at the close.

Change: a deadline in place of the close ends the waiting Accept, which then accepts for 50 ms more and closes the listener. The server closes these connections between two requests, as it does with those accepted before: each gets an answer or a refusal.

What remains: connections that are completed in the moment of the close itself, or while the process stands still in these 50 ms.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -19,7 +19,9 @@
 	*Server
 	draining atomic.Bool
 	minTimes minTimes
-	mu       sync.Mutex
+	// accepting is the listener.
+	accepting *trackingListener
+	mu        sync.Mutex
 	// stopping is set once Shutdown has been called.
 	stopping bool
 	conns    map[*trackedConn]bool
@@ -30,7 +32,8 @@
 // ServeClients starts to serve the handler on the listener, over HTTP/1.1.
 func ServeClients(l net.Listener, h http.Handler) *ClientFacingServer {
 	s := &ClientFacingServer{conns: map[*trackedConn]bool{}}
-	s.Server = newServer(&trackingListener{Listener: l, server: s}, s.announceClose(recordUnreadBody(resetAborted(h))))
+	s.accepting = &trackingListener{Listener: l, server: s}
+	s.Server = newServer(s.accepting, s.announceClose(recordUnreadBody(resetAborted(h))))
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
 	s.http.ConnState = s.recordState
@@ -86,8 +89,8 @@
 	s.stopping = true
 	s.closeIdleLocked()
 	s.mu.Unlock()
-	// Serve returns once the listener is closed, also if closing it fails.
-	_ = s.listener.Close()
+	// Serve returns once the listener is closed.
+	s.accepting.stop()
 	serveErr := s.serveError(net.ErrClosed, http.ErrServerClosed)
 	if err := s.awaitConns(ctx); err != nil {
 		return fail.Wrap(err, fail.Internal, "shut down HTTP server")
@@ -168,19 +171,3 @@
 	delete(s.conns, c)
 	s.open.Done()
 }
-
-type trackingListener struct {
-	net.Listener
-	server *ClientFacingServer
-}
-
-// Accept waits for the next connection.
-func (l *trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tracked := &trackedConn{Conn: c, minTimes: &l.server.minTimes}
-	l.server.add(tracked)
-	return tracked, nil
-}
--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -214,6 +214,52 @@
 	})
 }
 
+// heldListener holds each Accept while its gate is shut.
+type heldListener struct {
+	*countingListener
+	gate gate
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	l.gate.pass()
+	return l.countingListener.Accept()
+}
+
+// The kernel has completed the connection, and the process accepts none until Shutdown has begun.
+func TestConnectionThatWaitsToBeAcceptedAtShutdownIsServed(t *testing.T) {
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &heldListener{countingListener: inner.(*countingListener)}
+	l.gate.close()
+	s := ServeClients(l, http.HandlerFunc(respondComplete))
+	t.Cleanup(func() { s.Close() })
+	c := dialServer(t, s)
+	sendRequest(t, c)
+	begun, stopped := make(chan struct{}), make(chan error, 1)
+	go func() {
+		close(begun)
+		stopped <- s.Shutdown(t.Context())
+	}()
+	<-begun
+	time.Sleep(50 * time.Millisecond)
+	l.gate.open()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%v, want a response", err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "complete" || !resp.Close {
+		t.Errorf("body %q, error %v, close %t, want the whole response and the close announced", body, err, resp.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp4", s.Address()); err == nil {
+		t.Error("connected after Shutdown, want the listener closed")
+	}
+}
+
 // The HTTP server has buffered the second request when the first response ends.
 func TestPipelinedRequestIsNotCanceledByCloseIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/count.go
+++ b/internal/transport/count.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -70,6 +72,14 @@
 	bytes byteCounters
 }
 
+// SetDeadline sets the time at which Accept fails.
+func (l *countingListener) SetDeadline(t time.Time) error {
+	if d, ok := l.Listener.(deadlineListener); ok {
+		return d.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
 // Accept waits for the next connection.
 func (l *countingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
