Answer the requests that are pipelined behind one that ends in a drain

Callers saw, in every planned stop of a gateway (and of an entry): a client that writes several requests at once got the answer to the first with "Connection: close", and the others, which the process had read whole, ended with their connection, up to seconds after they were sent.

Cause: the drain announced the close of every connection by the next response, whatever had arrived behind it. net/http drops what it has read behind such a response.

Ruled out: that pipelined requests are canceled by the closing (TestPipelinedRequestIsNotCanceledByCloseIdle held); that they run (none of those without an answer had reached an endpoint).

TestRequestsPipelinedBehindOneThatEndsInADrainAreAnswered failed in 6 of 6 forms before: the first of three responses announced the close.

Change: a connection follows the bytes that were read from it as far as the blank lines that end heads and bodies in chunks, and knows whether bytes lie behind the request that is served. The last response announces the close. Requests that arrive late are refused as before, one after another. A blank line in a body of known length may be taken for a further request: then the close is not announced, and the connection is closed between two requests.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -55,7 +55,8 @@
 }
 
 // Drain adds "Connection: close" to the header of every response that is written
-// from now on, so that clients send their next request on another connection.
+// from now on, so that clients send their next request on another connection, but for one
+// behind which another request has arrived.
 func (s *ClientFacingServer) Drain() { s.draining.Store(true) }
 
 // AllowClients makes the server wait at least that long for the header of a request, and for the
@@ -128,11 +129,15 @@
 	return false
 }
 
-// announceClose adds "Connection: close" to the responses that are written while
-// the server drains.
+// announceClose adds "Connection: close" to the last responses that are written while the server
+// drains.
 func (s *ClientFacingServer) announceClose(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		out := &drainWriter{ResponseWriter: w, server: s}
+		c, ok := r.Context().Value(connKey{}).(*trackedConn)
+		if ok {
+			c.beginRequest(r.ContentLength)
+		}
+		out := &drainWriter{ResponseWriter: w, server: s, conn: c}
 		h.ServeHTTP(out, r)
 		out.announceClose() // A handler may write nothing.
 	})
--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -280,6 +281,43 @@
 	})
 }
 
+func TestRequestsPipelinedBehindOneThatEndsInADrainAreAnswered(t *testing.T) {
+	const post, chunked = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+	for name, parts := range map[string][]string{
+		"in one write":           {getRequest + getRequest + getRequest},
+		"in separate writes":     {getRequest, getRequest, getRequest},
+		"with bodies":            {post + post + post},
+		"with bodies in chunks":  {chunked + chunked + chunked},
+		"in writes across heads": {getRequest + getRequest[:20], getRequest[20:] + getRequest[:len(getRequest)-1], "\n"},
+		"byte by byte":           strings.Split(post+chunked+getRequest, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, l := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					time.Sleep(2 * finalReadTimeout)
+					respondComplete(w, r)
+				})
+				c := l.dial(t)
+				go func() {
+					for _, p := range parts {
+						_, _ = io.WriteString(c, p)
+					}
+				}()
+				synctest.Wait()
+				s.Drain()
+				s.CloseIdle()
+				for i := range 3 {
+					if resp := c.expectResponse(t); resp == nil || resp.Close != (i == 2) {
+						t.Fatalf("response %d: %v, want the close announced by the last of 3", i, resp)
+					}
+				}
+				c.expectClosed(t)
+			})
+		})
+	}
+}
+
 // The header of the first response is sent before the drain begins.
 func TestRequestAfterResponseEndingInShutdownIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/drainwriter.go
+++ b/internal/transport/drainwriter.go
@@ -6,7 +6,9 @@
 // the server drains, whatever the handler has done to the header before.
 type drainWriter struct {
 	http.ResponseWriter
-	server      *ClientFacingServer
+	server *ClientFacingServer
+	// conn is the connection; nil if it is not known.
+	conn        *trackedConn
 	wroteHeader bool
 }
 
@@ -34,9 +36,10 @@
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
-// announceClose must be called before the header is written.
+// announceClose must be called before the header is written. The close is announced by the last
+// response: the HTTP server drops requests that it has read behind one that announces it.
 func (w *drainWriter) announceClose() {
-	if !w.wroteHeader && w.server.draining.Load() {
+	if !w.wroteHeader && w.server.draining.Load() && (w.conn == nil || !w.conn.requestBehind()) {
 		w.Header().Set("Connection", "close")
 	}
 	w.wroteHeader = true
--- a/internal/transport/tracked.go
+++ b/internal/transport/tracked.go
@@ -43,6 +43,8 @@
 	// linger is set if the connection is to be closed only after lingerTime, or once its
 	// client has closed it. It is not set while the connection may serve another request.
 	linger bool
+	// ahead tells of requests behind the one that is served.
+	ahead lookahead
 }
 
 // minTimes are how long clients may take at least. Their zero value leaves the deadlines of the
@@ -156,16 +158,47 @@
 
 // Read reads from the connection.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	c.resetAheadIfIdle()
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginFinalRead() {
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
 		c.setInFlight(true)
+		c.recordRead(p[:n])
 	}
 	return n, err
 }
 
+func (c *trackedConn) resetAheadIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inFlight {
+		c.ahead.reset()
+	}
+}
+
+func (c *trackedConn) recordRead(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead.read(p)
+}
+
+// beginRequest records that a request is served, whose body has the length; below zero for one
+// in chunks.
+func (c *trackedConn) beginRequest(body int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead.begin(body)
+}
+
+// requestBehind reports whether a part of another request has been read.
+func (c *trackedConn) requestBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead.more()
+}
+
 // beginFinalRead permits one more read from a closing connection whose deadline
 // has expired, because an expired deadline fails a read even if bytes have arrived.
 func (c *trackedConn) beginFinalRead() bool {
