Refuse what an entry that stops may not have the time to end

Callers saw: parsleyramp-entry takes requests through its whole shutdown, as long as any is in flight, and 12 s before the end of its 5 minutes ends those that still run: 502 or a stream cut, though the request arrived seconds before, at an entry that is listed no more.

Cause: the drain waits for the requests in flight, and nothing bounds when a request may arrive, the same class as late requests at a gateway (docs/incidents/late-requests-cut-at-grace-end.md).

Evidence: TestRequestThatMayNotEndBeforeTheEntryDoesIsRefusedAtOnce failed before: status 200 for a request that arrives when no time is left for it, want 503, ran no.

Change: a request that arrives when less time is left than body_timeout, request_timeout and write_timeout together is refused at once, with the entries to use instead. What was taken ends in time by these same limits.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -36,13 +36,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entries", s.serveEntries)
 	mux.HandleFunc("GET /v1/models", s.serveModels)
-	mux.HandleFunc("POST /v1/chat/completions", s.serveCompletion)
-	mux.HandleFunc("POST /v1/completions", s.serveCompletion)
-	mux.HandleFunc("GET /v1/overnight/{id}", s.serveDeferred)
+	mux.HandleFunc("POST /v1/chat/completions", s.admit(s.serveCompletion))
+	mux.HandleFunc("POST /v1/completions", s.admit(s.serveCompletion))
+	mux.HandleFunc("GET /v1/overnight/{id}", s.admit(s.serveDeferred))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.collectMetrics))
-	mux.HandleFunc("/", s.serveService)
+	mux.HandleFunc("/", s.admit(s.serveService))
 	return s.trackRequest(mux)
 }
 
@@ -53,8 +53,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		limit := s.cfg.BodyTimeout.D() + s.cfg.RequestTimeout.D() + s.cfg.WriteTimeout.D()
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.requestLimit()))
 		if s.draining.Load() {
 			w.Header().Set(HeaderUseEntries, strings.Join(s.otherEntries(), ","))
 		}
@@ -65,6 +64,22 @@
 	})
 }
 
+// requestLimit is the longest time from the arrival of a request to the end of its response.
+func (s *Server) requestLimit() time.Duration {
+	return s.cfg.BodyTimeout.D() + s.cfg.RequestTimeout.D() + s.cfg.WriteTimeout.D()
+}
+
+// admit refuses requests that arrive too late in a shutdown to end before the entry does.
+func (s *Server) admit(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if until := s.admitUntil.Load(); until != nil && time.Now().After(*until) {
+			writeError(w, errStopping)
+			return
+		}
+		next(w, r)
+	}
+}
+
 // otherEntries returns the addresses that clients may use instead of this entry.
 func (s *Server) otherEntries() []string {
 	c, err := s.session.catalog()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -54,7 +54,10 @@
 	clientServer *transport.ClientFacingServer
 	peerServer   *transport.Server
 	draining     atomic.Bool
-	inFlight     atomic.Int64
+	// admitUntil is when the last request of a client may arrive that a shutdown leaves the time
+	// to end; nil for any time.
+	admitUntil atomic.Pointer[time.Time]
+	inFlight   atomic.Int64
 	// runningDeferred holds the keys of the deferred requests that run here.
 	runningDeferred sync.Map
 	// serving is the context of the requests of clients and other entries.
@@ -130,10 +133,15 @@
 
 // Shutdown drains and stops the entry. The entry is no longer listed for clients,
 // serves for as long as clients may cache its address, waits for the handover of
-// its endpoints and for requests in flight, and then closes. It ends requests that
+// its endpoints and for requests in flight, and then closes. It refuses requests that
+// arrive too late to end in time, and ends requests that
 // are still in flight stopReserve before the deadline of ctx, so that each is
 // answered before its connection closes.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		until := deadline.Add(-stopReserve - s.requestLimit())
+		s.admitUntil.Store(&until)
+	}
 	s.draining.Store(true)
 	s.clientServer.Drain()
 	s.session.triggerHeartbeat()
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -119,6 +119,32 @@
 	checkOutcome(t, "waiting for a slot, relayed by another entry", <-relayed, http.StatusOK, "")
 }
 
+func TestRequestThatMayNotEndBeforeTheEntryDoesIsRefusedAtOnce(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	s := deploy(t, 1, nil, newBlockingEngine(begun)).servers[0]
+	complete := func() chan outcome {
+		return request(func() (*http.Response, error) {
+			return post(&http.Client{Transport: &http.Transport{}}, s.cfg.CallerAddress, "prompt")
+		})
+	}
+	first := complete()
+	<-begun
+	ctx, cancel := context.WithTimeout(t.Context(), stopReserve+s.requestLimit())
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = s.Shutdown(ctx)
+	}()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	checkOutcome(t, "sent when no time is left for it", <-complete(), http.StatusServiceUnavailable, fail.RanNo)
+	cancel()
+	checkOutcome(t, "sent before", <-first, http.StatusBadGateway, fail.RanUnknown)
+	<-stopped
+}
+
 func TestStatusRequestWithoutControlLeaderIsAnsweredAtShutdown(t *testing.T) {
 	d := deploy(t, 1, nil)
 	s := d.servers[0]
