Read what has arrived of a response when a drain ends its request

Cause: the end of a request closed the connection to its endpoint at once, whatever had arrived.

Evidence: TestWhatHasArrivedOfAResponseIsReadWhenADrainEndsItsRequest failed before: body "1234", read/write on closed pipe, want all of 8 bytes.

Change: when a drain ends a request whose response has begun, the response may be read for 50 ms more; one that is whole by then is delivered. Streams are ended 50 ms sooner for it, so that an unfinished one is cut at the same time as before. Other causes close at once as before.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyramp/internal/transport"
+	"parsleyramp/internal/upstream"
 	"parsleyramp/internal/wait"
 )
 
@@ -90,7 +91,7 @@
 	g.logInFlight("request unfinished at the end of the grace period")
 	g.inFlight.cancelBefore(phaseStreaming)
 	// The answers need their time also if ctx has ended or the process paused.
-	if err := g.awaitRequests(context.WithoutCancel(ctx), time.Now().Add(answerReserve)); err == nil {
+	if err := g.awaitRequests(context.WithoutCancel(ctx), time.Now().Add(answerReserve-upstream.FinalReadTime)); err == nil {
 		return
 	}
 	g.log.WithFields(g.inFlight.countFields()).Warn("requests aborted at the end of the grace period")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"parsleyramp/internal/fail"
 )
 
 const (
@@ -86,6 +88,18 @@
 	return failure
 }
 
+// FinalReadTime is how long what has arrived of a response can be read after a drain has ended
+// its request.
+const FinalReadTime = 50 * time.Millisecond
+
+// endReads ends the reading of a response for the cause.
+func (c *conn) endReads(cause error) {
+	if fail.Is(cause, fail.Draining) && c.SetReadDeadline(time.Now().Add(FinalReadTime)) == nil {
+		return
+	}
+	c.Close()
+}
+
 // clean reports whether an idle connection is open and has no unread bytes.
 // Such bytes belong to no request, and EOF means that the endpoint closed the
 // connection.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,7 +101,8 @@
 
 // Do sends the request and returns the first response for whose header accept
 // returns true; a nil accept stands for any header. The error states whether the
-// request can have run. The connection is closed when ctx ends.
+// request can have run. The connection is closed when ctx ends, but if it ends because the
+// process drains, the rest of a response that has begun may be read for FinalReadTime.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, accept func(http.Header) bool) (*Response, error) {
 	c, err := p.connect(ctx, address, r)
 	if err != nil {
@@ -128,6 +129,9 @@
 		return nil, fail.Wrap(err, fail.EndpointFailed, "read response from "+address).WithRan(fail.RanUnknown)
 	}
 	c.applyKeepAlive(resp.Header)
+	if stop() {
+		stop = context.AfterFunc(ctx, func() { c.endReads(context.Cause(ctx)) })
+	}
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Head: answer.HeadOf(resp),
 		Reused: reused, pool: p, conn: c, resp: resp, stop: stop, writeResult: written, request: r,
