Refuse at once what is relayed to a gateway that stops

Callers saw: a stream that a sound gateway sends by way of another one, because it reaches no endpoint itself, is cut when that one ends its drain, though the caller's own gateway goes on. Only streams of a resumable route go on then.

Cause: a gateway that drains took relayed requests for 2.5 s, as it takes those of clients that cannot know yet. The gateway that relays can choose another one at once: a refusal as draining is no attempt, and the request goes by way of the next.

Evidence: TestRequestThatAStoppingGatewayRefusesToRelayGoesByWayOfAnother, in a drain that has just begun, failed before: the answer came by way of the stopping gateway. The test had a drain without time; it now has one in which a client's request would be served, and says by which gateway the answer came, so that it demands more.

What remains: a stream that was relayed before the SIGTERM and outlasts the grace period.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -53,7 +53,8 @@
 }
 
 // Shutdown drains the gateway, waits for the requests in flight and stops. Requests
-// that arrive later than admitTime, would be sent in the second half of the grace period, or
+// that other gateways relay, which have gateways to choose from that do not stop, those that
+// arrive later than admitTime, would be sent in the second half of the grace period, or
 // are not expected to end in time, are rejected before they are sent. Requests that last to
 // the end of the grace period are rejected if they have not run, and answered with a failure
 // otherwise; it aborts only responses that have begun, those that are complete at the gateway
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -137,10 +137,11 @@
 }
 
 func TestRequestThatAStoppingGatewayRefusesToRelayGoesByWayOfAnother(t *testing.T) {
-	e := startEngine(t, response(200, "Signed: 1\r\n", "fine"))
+	e, atStopping := startEngine(t, response(200, "Signed: 1\r\n", "fine")), startEngine(t, response(200, "Signed: 1\r\n", "by way of the stopping one"))
 	p := startCutPair(t, nonIdempotent, versioned(e, "v1"))
-	stopping := newTestGateway(t, nonIdempotent, document.Service{}, versioned(e, "v1"))
-	stopping.drain.Store(&drainTimes{})
+	stopping := newTestGateway(t, nonIdempotent, document.Service{}, versioned(atStopping, "v1"))
+	// It has just begun to drain.
+	stopping.drain.Store(&drainTimes{admitUntil: time.Hour, sendUntil: time.Hour, cancelAt: time.Hour})
 	next := *p.cut.view.Load()
 	next.Gateways = append([]*wire.Gateway{{Id: "stopping", Accepting: true, PeerAddress: serveRelay(t, stopping)}}, next.Gateways...)
 	p.cut.view.Store(&next)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -132,7 +132,7 @@
 	}
 	readAt := g.clock()
 	state.readAt.Store(int64(readAt))
-	if !g.drain.Load().admits(readAt) {
+	if d := g.drain.Load(); !d.admits(readAt) || d != nil && hop != nil {
 		q.reject(errShutdown)
 		return
 	}
