Play the forms of lost requests one by one in the soak

The soak mixes all faults, so that a build that loses requests in one form only cannot be told from another one. bin/soak -forms starts nine gateways with a grace period of 8 s, three control replicas and 21 endpoints, and plays eight forms one after another, with six styles of clients on raw connections: one by one, ignoring an announced close, pipelining, byte by byte, reading slowly, sending a body slowly. It prints for each form the attempts, those passed on, those without an answer, those lost, and why the others are excused. -network lets more than one soak run at a time.

--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -211,12 +211,17 @@
 // putDocument sends the next version of the fleet document and reports whether it
 // was acknowledged.
 func (d *driver) putDocument(ctx context.Context, o *standin.Operator, operatorAddress string) bool {
+	return d.putDocumentWith(ctx, o, operatorAddress, fleetLimits)
+}
+
+// putDocumentWith is putDocument with the limits, and so the models, of the engines.
+func (d *driver) putDocumentWith(ctx context.Context, o *standin.Operator, operatorAddress string, limits *standin.Limits) bool {
 	d.mu.Lock()
 	d.version += 1 + uint64(d.version%3)
 	version := d.version
 	d.mu.Unlock()
 	d.s.checker.RecordSent(version)
-	status := o.Put(ctx, operatorAddress, standin.Document(version, fleetLimits, d.workspaces))
+	status := o.Put(ctx, operatorAddress, standin.Document(version, limits, d.workspaces))
 	if status >= 400 && status < 500 {
 		d.s.checker.RecordViolation("version %d of the fleet document was rejected with status %d", version, status)
 	}
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -32,11 +32,16 @@
 	ledger := flag.Int("ledger", defaultSize.ledger, "number of endpoints of the plain service, out of all")
 	workspaces := flag.Bool("workspaces", false, "declare workspaces with keys and quotas, and send beyond a quota")
 	special := flag.Bool("special", true, "add faults of versions, links to endpoints, brittle engines and limits, after the random ones")
+	lossForms := flag.Bool("forms", false, "play the forms of lost requests on nine gateways in place of faults")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
+	network := flag.Int("network", 0, "number of the loopback networks of the first concurrent run, for more than one soak at a time")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
 	flag.Parse()
 	size := defaultSize
 	size.gateways, size.ledger = *gateways, *ledger
+	if *lossForms {
+		size = formSize
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
 	fmt.Println("| seed | faults | served | refused | failed | broken off | not reached | newest version " +
@@ -48,7 +53,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: *special, versions: *special, cutOff: *special, brittle: *special, workspaces: *workspaces}
+				o := options{bin: *bin, run: *network + run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: *special, versions: *special, cutOff: *special, brittle: *special, workspaces: *workspaces, forms: *lossForms}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
@@ -91,6 +96,9 @@
 	fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d | %s | %d | %d | %d |\n", seed, r.steps,
 		n[standin.Served], n[standin.Rejected], n[standin.Failed], n[standin.Aborted], n[standin.Unreachable],
 		r.newestVersion, r.stops, r.takenUp, r.wentOn, len(r.violations))
+	for _, line := range r.forms {
+		fmt.Println(line)
+	}
 	for _, cut := range slices.Sorted(maps.Keys(r.cuts)) {
 		fmt.Printf("   cut in planned stops: %d x %s\n", r.cuts[cut], cut)
 	}
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -40,6 +40,8 @@
 	stops           string
 	cuts            map[string]int
 	takenUp, wentOn int64
+	// forms are the lines of the table of the forms.
+	forms []string
 }
 
 // options configures a run.
@@ -73,12 +75,20 @@
 	// workspaces is set if the documents declare workspaces with keys, which change, and
 	// quotas, one of which is exceeded.
 	workspaces bool
+	// forms is set if the forms of lost requests are played in place of faults.
+	forms bool
 	// logLine logs a fault.
 	logLine func(string)
 }
 
 // runSoak injects the faults of one seed and checks the guarantees.
 func runSoak(ctx context.Context, o options) (result, error) {
+	if o.forms {
+		var lines []string
+		r, err := runWith(ctx, o, func(d *driver, _ options) { lines = d.runForms() })
+		r.forms = lines
+		return r, err
+	}
 	steps := schedule(o.seed, o.length, o.size)
 	r, err := runWith(ctx, o, func(d *driver, o options) { d.checkAll(o, steps) })
 	r.steps = len(steps)
@@ -105,7 +115,11 @@
 		return result{}, err
 	}
 	go s.restartStopped()
-	d.start()
+	if o.forms {
+		d.all.Go(d.watchStalls)
+	} else {
+		d.start()
+	}
 	checks(d, o)
 	cancel()
 	d.all.Wait()
--- a/scripts/soak/schedule.go
+++ b/scripts/soak/schedule.go
@@ -60,7 +60,11 @@
 
 // sizes holds the number of targets of each type. ledger is how many of the endpoints, the
 // last ones, belong to the plain service.
-type sizes struct{ controls, gateways, endpoints, ledger int }
+type sizes struct {
+	controls, gateways, endpoints, ledger int
+	// grace is the grace period of the gateways.
+	grace time.Duration
+}
 
 const (
 	// firstFaultDelay is the time for the system to start and form its group.
--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -19,9 +19,9 @@
 
 // defaultSize is the size of a run unless a flag changes it: seven processes of the
 // system and eight endpoints.
-var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8, ledger: 2}
+var defaultSize = sizes{controls: 3, gateways: 4, endpoints: 8, ledger: 2, grace: gracePeriod}
 
-// gracePeriod is the grace period of the gateways.
+// gracePeriod is the grace period of the gateways unless a run has another one.
 const gracePeriod = 4 * time.Second
 
 // retryBudget is the budget that the gateways share.
@@ -194,7 +194,7 @@
 	values := map[string]any{
 		"id": n.name, "caller_address": n.clientAddress, "ready_address": address(run, gatewayVM, i, readyPort),
 		"metrics_address": address(run, gatewayVM, i, metricsPort), "peer_address": address(run, gatewayVM, i, peerPort), "endpoint_source_ip": n.ip(), "domain": domain(i), "region": "r",
-		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": gracePeriod.String(),
+		"control_seeds": s.seeds(run), "control_port": internalPort, "grace": s.size.grace.String(),
 		"retry_ratio": retryBudget.Ratio, "retry_slack": retryBudget.Slack, "retry_window": retryBudget.Window.String(),
 	}
 	if s.failClosed {
@@ -280,18 +280,18 @@
 	if err := p.Stop(); err != nil && !isExpectedExit(err, up) {
 		s.checker.RecordViolation("%s did not stop gracefully: %v", n.name, err)
 	}
-	n.checkExitTime(s.checker)
+	n.checkExitTime(s.checker, s.size.grace)
 }
 
 // checkExitTime checks that a gateway that was not paused has exited within the
 // grace period.
-func (n *node) checkExitTime(c *standin.Checker) {
+func (n *node) checkExitTime(c *standin.Checker, grace time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.exitedAt = time.Now()
 	took := n.exitedAt.Sub(n.stopSignalAt)
-	if n.clientAddress != "" && took > gracePeriod && n.pauses == n.stopPauses {
-		c.RecordViolation("%s exited %v after SIGTERM, the grace period is %v", n.name, took, gracePeriod)
+	if n.clientAddress != "" && took > grace && n.pauses == n.stopPauses {
+		c.RecordViolation("%s exited %v after SIGTERM, the grace period is %v", n.name, took, grace)
 	}
 }
 
