--- a/scripts/soak/formclient.go
+++ b/scripts/soak/formclient.go
@@ -86,8 +86,14 @@
 	if x.random.IntN(2) == 0 {
 		a.Work = time.Duration(x.random.Int64N(int64(maxFormWork)))
 	}
-	if x.style == slowBody {
+	switch x.style {
+	case slowBody:
 		a.BodyTime = time.Duration(x.random.Int64N(int64(maxBodyTime)))
+	case longStreams:
+		for a.Kind != standin.Stream {
+			a = x.d.randomAttempt(x.random)
+		}
+		a.Work = maxFormWork/2 + time.Duration(x.random.Int64N(int64(maxFormWork/2)))
 	}
 	// The address is valid.
 	req, _ := a.Request(context.Background(), x.n.clientAddress)
--- a/scripts/soak/forms.go
+++ b/scripts/soak/forms.go
@@ -44,9 +44,10 @@
 	byteByByte    style = "sends byte by byte"
 	slowReading   style = "reads slowly"
 	slowBody      style = "sends its body slowly"
+	longStreams   style = "one long stream after another"
 )
 
-var styles = []style{oneByOne, ignoringClose, pipelining, byteByByte, slowReading, slowBody}
+var styles = []style{oneByOne, ignoringClose, pipelining, byteByByte, slowReading, slowBody, longStreams}
 
 // form is one way in which requests might end without an answer.
 type form struct {
