Let a stopping control replica repeat its request to leave

A leader that has just been elected has heard from no voter, so that no quorum of those that remain is reachable, and it gave the same answer as for a group that needs the voter for good.

Change: the leader tells the two apart, and the replica repeats its request for up to 3 s after the first, unless its disk has stalled. It goes on voting meanwhile.

Evidence: TestVoterLeavesOnlyIfEnoughRemain failed in three cases with "too few voters would remain" where a later request may succeed. Tests missed it because the simulation repeats each request to leave whatever the answer.

--- a/internal/fleetcontrol/leave.go
+++ b/internal/fleetcontrol/leave.go
@@ -18,15 +18,20 @@
 const (
 	// leaveTimeout bounds all attempts of a stopping replica to leave the membership,
 	// and leaveRetryInterval is the time between two of them.
-	leaveTimeout       = time.Second
+	leaveTimeout       = 3 * time.Second
 	leaveRetryInterval = 20 * time.Millisecond
 	// maxLeaveSteps is the number of membership changes that one request to leave may
 	// need: a learner becomes a voter, and the stopping voter is removed.
 	maxLeaveSteps = 2
 )
 
-// errTooFewVoters means that the group needs the voter that asks to leave.
-var errTooFewVoters = fail.New(fail.MembershipChange, "too few voters would remain")
+// errTooFewVoters means that the group needs the voter that asks to leave, and
+// errTooFewReachable that the leader has not heard from enough others: one that has just been
+// elected has heard from none.
+var (
+	errTooFewVoters    = fail.New(fail.MembershipChange, "too few voters would remain")
+	errTooFewReachable = fail.New(fail.Unavailable, "too few of the voters that would remain have responded yet")
+)
 
 // leaveGroup asks the leader to remove this voter, which is about to stop, from the
 // membership, so that the quorum doesn't count it while it is gone. Nothing tells a
@@ -103,9 +108,9 @@
 		if !slices.ContainsFunc(status.Membership.GetReplicas(), func(x *wire.Replica) bool { return x.Id == r.Id }) {
 			return nil
 		}
-		next := membershipWithoutLeaving(status, r.Id, s.cfg.minVoters())
-		if next == nil {
-			return errTooFewVoters
+		next, err := membershipWithoutLeaving(status, r.Id, s.cfg.minVoters())
+		if err != nil {
+			return err
 		}
 		if err := s.node.ProposeMembership(ctx, next); err != nil {
 			return err
--- a/internal/fleetcontrol/leave_test.go
+++ b/internal/fleetcontrol/leave_test.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -76,20 +77,24 @@
 		replicas []*wire.Replica
 		reached  []uint64
 		want     string
+		// err tells whether a later request may succeed.
+		err error
 	}{
-		{"three voters", []*wire.Replica{voter(1), voter(2), voter(3)}, []uint64{1, 2, 3}, "none"},
-		{"four voters", []*wire.Replica{voter(1), voter(2), voter(3), voter(4)}, []uint64{1, 2, 3, 4}, "without 1"},
-		{"four voters, two of which respond", []*wire.Replica{voter(1), voter(2), voter(3), voter(4)}, []uint64{1, 2}, "none"},
-		{"three voters and a learner", []*wire.Replica{voter(1), voter(2), voter(3), learner(4)}, []uint64{1, 2, 3, 4}, "4 votes"},
-		{"three voters and a lost learner", []*wire.Replica{voter(1), voter(2), voter(3), learner(4)}, []uint64{1, 2, 3}, "none"},
+		{"three voters", []*wire.Replica{voter(1), voter(2), voter(3)}, []uint64{1, 2, 3}, "none", errTooFewVoters},
+		{"four voters", []*wire.Replica{voter(1), voter(2), voter(3), voter(4)}, []uint64{1, 2, 3, 4}, "without 1", nil},
+		{"four voters, two of which respond", []*wire.Replica{voter(1), voter(2), voter(3), voter(4)}, []uint64{1, 2}, "none", errTooFewReachable},
+		{"a leader that has just been elected", []*wire.Replica{voter(1), voter(2), voter(3), voter(4), voter(5), voter(6)}, []uint64{2}, "none", errTooFewReachable},
+		{"three voters and a learner", []*wire.Replica{voter(1), voter(2), voter(3), learner(4)}, []uint64{1, 2, 3, 4}, "4 votes", nil},
+		{"three voters and a lost learner", []*wire.Replica{voter(1), voter(2), voter(3), learner(4)}, []uint64{1, 2, 3}, "none", errTooFewReachable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := replica.Status{Membership: &wire.Membership{Replicas: c.replicas}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
 			for _, id := range c.reached {
 				s.Reachable[id], s.CaughtUp[id] = true, true
 			}
-			if got := describe(s.Membership, membershipWithoutLeaving(s, 1, smallestGroup)); got != c.want {
-				t.Errorf("membership change %q, want %q", got, c.want)
+			next, err := membershipWithoutLeaving(s, 1, smallestGroup)
+			if got := describe(s.Membership, next); got != c.want || !errors.Is(err, c.err) {
+				t.Errorf("membership change %q and %v, want %q and %v", got, err, c.want, c.err)
 			}
 		})
 	}
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -64,8 +64,9 @@
 
 // membershipWithoutLeaving returns the membership without a voter that is about to
 // stop, or a step towards it: one with a caught-up learner as another voter. It returns
-// nil if fewer than minVoters, or no quorum of those that remain, would be left.
-func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) *wire.Membership {
+// errTooFewVoters if fewer than minVoters would be left, and errTooFewReachable if that, or
+// no quorum of those that remain, is so only as long as no more replicas respond.
+func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) (*wire.Membership, error) {
 	var voters []*wire.Replica
 	var successor *wire.Replica
 	for _, r := range s.Membership.GetReplicas() {
@@ -77,12 +78,15 @@
 		}
 	}
 	if len(voters) > minVoters && keepsQuorum(s, voters, leaving) {
-		return withoutReplica(s.Membership, leaving)
+		return withoutReplica(s.Membership, leaving), nil
 	}
 	if successor != nil && len(voters) < maxVoters {
-		return withVoter(s.Membership, successor.Id)
+		return withVoter(s.Membership, successor.Id), nil
 	}
-	return nil
+	if len(s.Membership.GetReplicas()) > minVoters {
+		return nil, errTooFewReachable
+	}
+	return nil, errTooFewVoters
 }
 
 // removableVoter returns an unresponsive voter without which the group has a lower
--- a/internal/fleetcontrol/powerloss_test.go
+++ b/internal/fleetcontrol/powerloss_test.go
@@ -107,7 +107,7 @@
 			}
 			s := l.status()
 			isMember := slices.ContainsFunc(s.Membership.Replicas, func(r *wire.Replica) bool { return r.Id == n.core.ID() })
-			if next := membershipWithoutLeaving(s, n.core.ID(), g.minVoters); next != nil && isMember {
+			if next, _ := membershipWithoutLeaving(s, n.core.ID(), g.minVoters); next != nil && isMember {
 				// The proposal fails while an earlier change is not committed.
 				_, _ = l.core.ProposeMembership(next)
 			}
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -172,14 +172,17 @@
 // this replica, finishes the operator requests in flight,
 // ends the consensus node by calling stopNode and closes the data folder. Requests
 // that wait for the node when it ends fail, and are answered too. It takes at most
-// shutdownTimeout, nodeStopTimeout and answerTimeout, also if the disk stalls.
+// shutdownTimeout, nodeStopTimeout and answerTimeout if the disk stalls, and up to
+// leaveTimeout more if it doesn't.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.WithField("reason", s.stopReason()).Info("draining")
 	s.operatorServer.Drain()
 	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	s.node.TransferLeadership(finishCtx)
-	s.leaveGroup(finishCtx)
+	if finishCtx.Err() == nil {
+		s.leaveGroup(ctx)
+	}
 	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
 	nodeErr := s.awaitNode()
