Tell streams that endpoints complete after the cut from those completed before, in the soak

The soak took any stream whose endpoint had completed it for lost. Between a gateway and an endpoint of the soak is a proxy, which takes the endpoint's last bytes although the gateway has closed, so that an endpoint that works on after the cut completes the stream too.

The two streams of KNOWN-RED that were aborted 3.61 s and 3.62 s after SIGTERM are of this picture.

A stream that its endpoint completed before 3.4 s of 4 s, one that was sent late, and a response that is no stream are lost as before. The users' rule allows more: an endpoint at work in the last sixth.

--- a/scripts/soak/abort.go
+++ b/scripts/soak/abort.go
@@ -15,6 +15,8 @@
 	// exitReserve is the last part of the grace period, in which a gateway closes
 	// the connections that are left.
 	exitReserve = 700 * time.Millisecond
+	// cutReserve is the last part of the grace period, before which no stream is cut.
+	cutReserve = 600 * time.Millisecond
 	// noticeTime bounds the time until a client notices that its connection is closed.
 	noticeTime = 300 * time.Millisecond
 	// lateTime is the time after SIGTERM from which a request that is sent must not be cut, and
@@ -64,7 +66,9 @@
 		return "crossed the close", false
 	case a.state == standin.NotRun && underLoad && atGraceEnd && !a.sent:
 		return "not sent whole", false
-	case a.state == standin.NotRun || a.state == standin.Completed || !underLoad || !isStream:
+	case a.state == standin.Completed && (!atGraceEnd || a.workedUntil < gracePeriod-cutReserve):
+		return a.state.String(), true
+	case a.state == standin.NotRun || !underLoad || !isStream:
 		return a.state.String(), true
 	case a.state == standin.BrokenOff:
 		return "broken off by the endpoint", false
