Let the soak wait for the end of a run before it says who broke it off

The soak read the state of a run when its client noticed the end of the connection. An endpoint that crashes closes its connections before its handlers have noted that.

What is not broken off by the endpoint is judged as before.

--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -135,6 +135,9 @@
 	if !plannedOnly {
 		return
 	}
+	if outcome == standin.Aborted {
+		d.awaitRunEnd(attempt.ID)
+	}
 	state := d.s.checker.RunState(attempt.ID)
 	stoppedAt, during := n.lastStop(started)
 	a := abort{
@@ -155,6 +158,19 @@
 	}
 }
 
+// runEndTime bounds the time from the end of a connection until an endpoint has noticed it.
+const runEndTime = 500 * time.Millisecond
+
+// awaitRunEnd waits until the endpoint that runs the attempt has ended the run, which tells who has
+// broken it off, or for runEndTime.
+func (d *driver) awaitRunEnd(attempt string) {
+	for end := time.Now().Add(runEndTime); time.Now().Before(end); {
+		if d.s.checker.RunState(attempt) == standin.NotRun || !d.s.checker.RunEnd(attempt).IsZero() || !d.wait(10*time.Millisecond) {
+			return
+		}
+	}
+}
+
 // recordAbort counts an attempt without a complete response, and checks whether it is lost.
 func (d *driver) recordAbort(n *node, attempt standin.Attempt, a abort, underLoad bool) {
 	reason, lost := a.reason(underLoad)
--- a/scripts/soak/formclient.go
+++ b/scripts/soak/formclient.go
@@ -161,6 +161,7 @@
 // set if it was pipelined behind another one without an answer, which had to end the connection.
 func (x *formClient) recordUnanswered(a *pendingAttempt, err error, behind bool) {
 	ended, checker := time.Now(), x.d.s.checker
+	x.d.awaitRunEnd(a.ID)
 	state := checker.RunState(a.ID)
 	stoppedAt, during := x.n.lastStop(a.begun)
 	worked := checker.RunEnd(a.ID)
