Measure in the soak since when a request was being sent that crosses the close

The soak excused a request that had not run only if it failed within 200 ms of its start. A client connects, and sends its first byte when it gets to run.

The 200 ms now run from the first byte that the client writes, which its connection notes; a request that began to be sent before is judged as before, and the line tells both times.

--- a/scripts/soak/abort.go
+++ b/scripts/soak/abort.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// closeRaceWindow bounds the duration of a request that fails because the
+	// closeRaceWindow bounds the time from the first byte of a request that fails because the
 	// gateway closes the idle connection at the same time.
 	closeRaceWindow = 200 * time.Millisecond
 	// exitReserve is the last part of the grace period, in which a gateway closes
@@ -33,9 +33,9 @@
 	sent          bool
 	sentSinceStop time.Duration
 	state         standin.RunState
-	// lasted is the time from its start, and sinceStop that since its gateway last
-	// received SIGTERM.
-	lasted, sinceStop time.Duration
+	// lasted is the time from its start, silent that from its start until its first byte was
+	// written, and sinceStop that since its gateway last received SIGTERM.
+	lasted, silent, sinceStop time.Duration
 	// workedUntil is the time from that SIGTERM until the endpoint ended its run; zero if it
 	// has not.
 	workedUntil time.Duration
@@ -46,7 +46,8 @@
 	if !a.sent {
 		state = "not sent"
 	}
-	out := fmt.Sprintf("%s, %s, after %v, %v after SIGTERM", a.kind, state, a.lasted.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
+	out := fmt.Sprintf("%s, %s, after %v, of these %v without a byte, %v after SIGTERM",
+		a.kind, state, a.lasted.Round(time.Millisecond), a.silent.Round(time.Millisecond), a.sinceStop.Round(time.Millisecond))
 	if a.workedUntil != 0 {
 		out += fmt.Sprintf(", its endpoint worked until %v after it", a.workedUntil.Round(time.Millisecond))
 	}
@@ -60,8 +61,8 @@
 	// Other responses are buffered, so a gateway can always answer in their place.
 	isStream := a.kind == standin.Stream || a.kind == standin.ResumableStream
 	switch {
-	case a.state == standin.NotRun && a.lasted <= closeRaceWindow:
-		// The client sent it while the gateway closed the idle connection, so it was
+	case a.state == standin.NotRun && a.lasted-a.silent <= closeRaceWindow:
+		// The client began to send it while the gateway closed the connection, so it was
 		// not received.
 		return "crossed the close", false
 	case a.state == standin.NotRun && underLoad && atGraceEnd && !a.sent:
--- a/scripts/soak/abort_test.go
+++ b/scripts/soak/abort_test.go
@@ -17,6 +17,8 @@
 	}{
 		{"crosses the close of an idle connection", abort{kind: standin.Stream, sent: true, state: standin.NotRun, lasted: 150 * time.Millisecond, sinceStop: 1500 * time.Millisecond}, true, false},
 		{"the same, under load", abort{kind: standin.Stream, sent: true, state: standin.NotRun, lasted: 150 * time.Millisecond, sinceStop: 1500 * time.Millisecond}, true, true},
+		{"begins to send when its new connection has been closed", abort{kind: standin.Stream, state: standin.NotRun, lasted: time.Second, silent: 900 * time.Millisecond, sinceStop: 2500 * time.Millisecond}, true, true},
+		{"began to send long before", abort{kind: standin.Stream, state: standin.NotRun, lasted: time.Second, silent: 700 * time.Millisecond, sinceStop: 2500 * time.Millisecond}, false, true},
 		{"waits for an endpoint until the grace period ends", abort{kind: standin.ResumableStream, sent: true, state: standin.NotRun, lasted: 2 * time.Second, sinceStop: cutOff}, false, true},
 		{"is being received at the end of the grace period", abort{kind: standin.Stream, sent: false, state: standin.NotRun, lasted: 2 * time.Second, sinceStop: cutOff}, true, true},
 		{"is being received before the end of the grace period", abort{kind: standin.Stream, sent: false, state: standin.NotRun, lasted: 2 * time.Second, sinceStop: 1500 * time.Millisecond}, false, true},
--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	plannedOnly, underLoad := d.plannedStopsOnly.Load(), d.stopsUnderLoad.Load()
 	started := time.Now()
-	outcome, sentAt := client.Do(ctx, n.clientAddress, attempt)
+	outcome, sending := client.Do(ctx, n.clientAddress, attempt)
 	ended := time.Now()
 	if d.ctx.Err() != nil {
 		return
@@ -141,8 +141,11 @@
 	state := d.s.checker.RunState(attempt.ID)
 	stoppedAt, during := n.lastStop(started)
 	a := abort{
-		kind: attempt.Kind, sent: !sentAt.IsZero(), sentSinceStop: sentAt.Sub(stoppedAt), state: state,
-		lasted: ended.Sub(started), sinceStop: ended.Sub(stoppedAt),
+		kind: attempt.Kind, sent: !sending.Whole.IsZero(), sentSinceStop: sending.Whole.Sub(stoppedAt), state: state,
+		lasted: ended.Sub(started), silent: ended.Sub(started), sinceStop: ended.Sub(stoppedAt),
+	}
+	if !sending.Begun.IsZero() {
+		a.silent = sending.Begun.Sub(started)
 	}
 	if end := d.s.checker.RunEnd(attempt.ID); !end.IsZero() {
 		a.workedUntil = end.Sub(stoppedAt)
