Remove the voter that has been silent for longest

A leader that may remove one of two silent voters took the first in the membership. That could be one that is only cut off and comes back, while the one that is gone for good stays and counts; a loss of disks right after it then leaves too few voters for good.

TestNextMembership failed: "without 5", want "without 6", and "without 4", want "without 5". A leader that was elected after both fell silent still can't tell them apart.

--- a/internal/fleetcontrol/group_test.go
+++ b/internal/fleetcontrol/group_test.go
@@ -64,6 +64,8 @@
 		{"emptied disk at the same address", []*wire.Replica{r(1, false), r(2, false), r(3, false), {Id: 9, Address: "a3", Learner: true}}, []uint64{1, 2, 9}, nil, nil, "without 3"},
 		{"one of four voters unresponsive", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false)}, []uint64{1, 2, 4}, nil, map[uint64]time.Duration{3: time.Minute}, "without 3"},
 		{"no voter removed if the remaining ones lack a quorum", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 4}, nil, map[uint64]time.Duration{2: time.Minute, 3: time.Minute}, "4 votes"},
+		{"longest silent of two voters", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false), r(5, false), r(6, false)}, []uint64{1, 2, 3, 4}, nil, map[uint64]time.Duration{5: 3 * time.Second, 6: time.Minute}, "without 6"},
+		{"longest silent of two voters replaced by learner", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false), r(5, false), r(6, true)}, []uint64{1, 2, 3, 6}, nil, map[uint64]time.Duration{4: 3 * time.Second, 5: time.Minute}, "without 5"},
 		{"unresponsive learner", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 3}, nil, map[uint64]time.Duration{4: time.Minute}, "without 4"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -106,12 +107,17 @@
 	default:
 		return nil
 	}
-	for _, v := range voters {
-		if sinceResponse[v.Id] >= timeout && keepsQuorum(s, voters, v.Id) {
-			return v
-		}
+	v := longestSilent(voters, sinceResponse)
+	if sinceResponse[v.Id] < timeout || !keepsQuorum(s, voters, v.Id) {
+		return nil
 	}
-	return nil
+	return v
+}
+
+// longestSilent returns the voter that has not responded for the longest time: a voter that
+// is gone for good is silent for longer than one that is cut off and comes back.
+func longestSilent(voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+	return slices.MaxFunc(voters, func(a, b *wire.Replica) int { return cmp.Compare(sinceResponse[a.Id], sinceResponse[b.Id]) })
 }
 
 // voterReplacedBy returns the voter that the learner replaces, or nil.
@@ -121,10 +127,8 @@
 			return v
 		}
 	}
-	for _, v := range voters {
-		if sinceResponse[v.Id] >= voterTimeout {
-			return v
-		}
+	if v := longestSilent(voters, sinceResponse); sinceResponse[v.Id] >= voterTimeout {
+		return v
 	}
 	return nil
 }
