Announce orders to load in the replicated state before they are sent

Change: an order to load is committed, with the process and the sequence that it names, before it is sent; it is withdrawn once it has a response, or 15 s after its last copy without one. A leader that finds the order of another leadership, for another process than the present one, keeps the room until the engine's sequence has passed it, as it does for its own. The commit is that of the intent. Engines that wait for a commit share the next one, so that many loads do not wait for each other.

The room is kept for one order only, instead of all loads being held back for 15 s after a restart: that would delay every start of all processes.

--- a/internal/fleetcontrol/engineorders.go
+++ b/internal/fleetcontrol/engineorders.go
@@ -11,6 +11,7 @@
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/residency"
 	"parsleyramp/internal/wait"
+	"parsleyramp/internal/wire"
 )
 
 const (
@@ -184,10 +185,12 @@
 func (e *engineState) sendOrder(ctx context.Context, o Order) OrderResult {
 	e.orderMu.Lock()
 	defer e.orderMu.Unlock()
-	sent, result := e.sendOrderOnce(ctx, o)
+	announced := e.announceLoad(o)
+	sent, result := e.sendOrderOnce(ctx, o, announced)
 	unknown := result == OrderUnknown
+	defer func() { e.leader.endLoad(announced, unknown) }()
 	for attempt := 1; attempt < maxOrderAttempts && (result == OrderUnknown || sent.unconnected) && e.prepareResend(sent); attempt++ {
-		sent, result = e.sendOrderOnce(ctx, o)
+		sent, result = e.sendOrderOnce(ctx, o, announced)
 		unknown = unknown || result == OrderUnknown
 		if result == OrderConflict && e.tookEffect(ctx, o) {
 			result = OrderAccepted
@@ -237,8 +240,8 @@
 	inPlace logrus.Fields
 }
 
-// sendOrderOnce makes one attempt to send an order.
-func (e *engineState) sendOrderOnce(ctx context.Context, o Order) (sentOrder, OrderResult) {
+// sendOrderOnce makes one attempt to send an order. One to load is sent as it was announced.
+func (e *engineState) sendOrderOnce(ctx context.Context, o Order, announced *wire.LoadOrder) (sentOrder, OrderResult) {
 	x := e.listing()
 	until, ok := e.leader.orderAllowed(ctx, x)
 	if !ok {
@@ -246,7 +249,7 @@
 	}
 	// A pause of the process may separate the check from the write.
 	mayWrite := func() bool { return e.leader.s.clock() < until }
-	sent, ok := e.prepareOrder(x, o)
+	sent, ok := e.prepareOrder(x, o, announced)
 	if !ok {
 		e.logAttempt(x, sent, OrderNotSent, 0)
 		return sent, OrderNotSent
@@ -294,15 +297,15 @@
 }
 
 // prepareOrder returns the order with the sequence at which the engine may accept it, or
-// false if that is not known or the engine has no room for it.
-func (e *engineState) prepareOrder(x ListedEndpoint, o Order) (sentOrder, bool) {
+// false if that is not known, is not the announced one, or the engine has no room for it.
+func (e *engineState) prepareOrder(x ListedEndpoint, o Order, announced *wire.LoadOrder) (sentOrder, bool) {
 	e.leader.mu.Lock()
 	defer e.leader.mu.Unlock()
 	o.ExpectedSequence, o.Holder, o.FencingToken = e.sequence, e.leader.s.cfg.ID, e.leader.term
 	e.orderedAt = e.leader.s.clock()
 	// A step or an adapter job may outlive the engine's entry in the list.
 	listed := e.leader.engines[x.ID] == e
-	ready := listed && e.sequenceKnown && (!o.Load || e.fits(o))
+	ready := listed && e.sequenceKnown && (!o.Load || e.isAnnounced(announced) && e.fits(o))
 	return sentOrder{Order: o, process: e.startedUnixMs, inPlace: e.describeInPlace()}, ready
 }
 
--- a/internal/fleetcontrol/intents.go
+++ b/internal/fleetcontrol/intents.go
@@ -39,6 +39,9 @@
 	observedIndex uint64
 	// own holds, by key, when this replica last started to commit an intent.
 	own map[string]time.Duration
+	// loads holds the committed orders to load by engine, as of the log index loadsIndex.
+	loads      map[string][]observedLoad
+	loadsIndex uint64
 }
 
 type observedIntent struct {
@@ -158,11 +161,13 @@
 func (s *Server) refreshIntents(ctx context.Context) {
 	var index uint64
 	var intents []*wire.OrderNote
-	err := s.node.ReadStale(ctx, func(m *state.Machine) { index, intents = m.AppliedIndex(), m.OrderIntents() })
+	var loads []*wire.LoadOrder
+	err := s.node.ReadStale(ctx, func(m *state.Machine) { index, intents, loads = m.AppliedIndex(), m.OrderIntents(), m.LoadOrders() })
 	if err != nil {
 		return
 	}
 	s.intents.observe(index, intents, s.clock())
+	s.intents.observeLoads(index, loads, s.clock())
 }
 
 // mayOrder reports whether this replica may send the engine an order now: it
@@ -206,32 +211,57 @@
 	return until
 }
 
-// commitIntent commits an order intent for the engine unless one is valid for
-// minIntentLeft, and withdraws expired ones. Commits are serialized, so that none of
-// them withdraws a newer intent.
+// covered reports whether intents are committed that are valid for minIntentLeft, and all
+// orders to load that are about to be sent to the engine.
+func (l *leaderState) covered(x ListedEndpoint) bool {
+	return l.coveredUntil(x)-l.s.clock() >= minIntentLeft && l.announced.committed(x.ID)
+}
+
+// commitIntent commits an order intent for the engine unless it is covered, and withdraws
+// expired ones. Commits are serialized, so that none of them withdraws a newer intent; the
+// engines that wait for one share the next.
 func (l *leaderState) commitIntent(ctx context.Context, x ListedEndpoint) bool {
-	if l.coveredUntil(x)-l.s.clock() >= minIntentLeft {
+	if l.covered(x) {
 		return true
 	}
+	l.announced.request(x)
 	l.intentMu.Lock()
 	defer l.intentMu.Unlock()
-	at := l.s.clock()
-	if l.coveredUntil(x)-at >= minIntentLeft {
+	if l.covered(x) {
 		return true
 	}
+	// The commit of another engine, which failed, may have taken the request.
+	l.announced.request(x)
 	ctx, cancel := context.WithTimeout(ctx, intentValidity)
 	defer cancel()
-	keys := intentKeys(x)
-	expired := l.s.intents.expired(l.s.cfg.OrderLease.D(), at)
-	expired = slices.DeleteFunc(expired, func(key string) bool { return slices.Contains(keys, key) })
-	c := &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: &wire.NoteOrders{Holder: l.s.cfg.ID, Endpoints: keys, Settled: expired}}}
-	if _, err := l.s.node.ProposeInTerm(ctx, l.term, c); err != nil {
+	if err := l.commitRequested(ctx); err != nil {
 		l.s.log.WithError(err).WithField("endpoint", x.ID).Warn("failed to commit order intent; order not sent")
 		return false
 	}
-	l.s.intents.drop(expired)
-	for _, key := range keys {
+	return true
+}
+
+// commitRequested commits the intents and the orders to load of all engines that wait for
+// that. l.intentMu must be held.
+func (l *leaderState) commitRequested(ctx context.Context) error {
+	at := l.s.clock()
+	engines, loads := l.announced.take()
+	n := &wire.NoteOrders{Holder: l.s.cfg.ID, SettledLoads: l.settledLoads(at)}
+	for _, x := range engines {
+		n.Endpoints = append(n.Endpoints, intentKeys(x)...)
+	}
+	for _, o := range loads {
+		n.Loads = append(n.Loads, o.order)
+	}
+	n.Settled = slices.DeleteFunc(l.s.intents.expired(l.s.cfg.OrderLease.D(), at), func(key string) bool { return slices.Contains(n.Endpoints, key) })
+	if _, err := l.s.node.ProposeInTerm(ctx, l.term, &wire.Command{Body: &wire.Command_NoteOrders{NoteOrders: n}}); err != nil {
+		return err
+	}
+	l.s.intents.drop(n.Settled)
+	for _, key := range n.Endpoints {
 		l.s.intents.recordOwn(key, at)
 	}
-	return true
+	l.announced.recordCommitted(loads)
+	l.announced.drop(n.SettledLoads)
+	return nil
 }
--- a/internal/fleetcontrol/lateorders.go
+++ b/internal/fleetcontrol/lateorders.go
@@ -36,7 +36,8 @@
 
 // pendingLoads returns the orders to load that the engine may still accept although nothing
 // is known of that: the unresolved one, and those without a response whose sequence it has
-// not passed, also if they were sent to a former process. e.leader.mu must be held.
+// not passed, also if they were sent to a former process, by this leader or an earlier one.
+// e.leader.mu must be held.
 func (e *engineState) pendingLoads() []Order {
 	var out []Order
 	if e.unresolved != nil {
@@ -49,6 +50,13 @@
 			out = append(out, u.Order)
 		}
 	}
+	for _, x := range e.leader.s.intents.lateLoads(e.listed.ID, e.leader.leadership, now) {
+		same := func(o Order) bool { return o.Model == x.Model && o.Adapter == x.Adapter }
+		// The sequence tells orders to this process apart.
+		if x.StartedUnixMs != e.startedUnixMs && e.shownSequence <= x.ExpectedSequence && !slices.ContainsFunc(out, same) {
+			out = append(out, Order{Load: true, Model: x.Model, Adapter: x.Adapter, ExpectedSequence: x.ExpectedSequence})
+		}
+	}
 	return out
 }
 
--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -58,6 +58,8 @@
 
 	// intentMu serializes commits of order intents.
 	intentMu sync.Mutex
+	// announced has a mutex of its own.
+	announced *announcedLoads
 
 	mu  sync.Mutex
 	doc *document.Document
@@ -214,7 +216,7 @@
 		gateways: map[string]*gatewayState{}, engines: map[string]*engineState{}, loads: map[string]*wire.InProgress{},
 		demand: residency.NewDemand(), prefill: prefill.NewRates(), slowness: prefill.NewSlowness(), budgets: map[string]*residency.StoreBudget{},
 		requestedUntil: map[string]time.Duration{}, requestedVersions: map[modelVersion]time.Duration{}, waits: map[string]modelWait{}, roomGrants: roomGrants{}, placementLoggedAt: map[string]time.Duration{}, jobs: map[adapterRequest]*adapterJob{},
-		unanswered: map[string][]unansweredOrder{}, detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
+		announced: newAnnouncedLoads(leadership), unanswered: map[string][]unansweredOrder{}, detector: newFailureDetector(s.log), published: newPublishedView(s.viewRevision.Load()),
 		shares: fairShares{services: map[string]*fairshare.Service{}}, suspects: quarantine.NewPool(leadership), recordedSuspects: map[uint64]*wire.Suspect{},
 	}
 	l.orderAllowed = l.mayOrder
@@ -237,6 +239,9 @@
 	if r := l.evaluateSuspects(now); r != nil {
 		go l.recordSuspects(ctx, r)
 	}
+	if len(l.settledLoads(now-settleDelay)) > 0 {
+		go l.withdrawLoads(ctx)
+	}
 }
 
 // triggerStep makes leaderLoop run a step without waiting for the plan interval.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -44,6 +44,8 @@
 	document *wire.Document
 	// orderIntents is keyed by endpoint.
 	orderIntents map[string]*wire.OrderNote
+	// loadOrders are the announced orders to load that are not settled.
+	loadOrders map[loadOrderKey]*wire.LoadOrder
 
 	// claimsExpiredBefore is the time in Unix milliseconds before which claims
 	// may have been dropped; older keys are rejected.
@@ -66,6 +68,7 @@
 		suspects:     map[uint64]*wire.Suspect{},
 
 		orderIntents: map[string]*wire.OrderNote{},
+		loadOrders:   map[loadOrderKey]*wire.LoadOrder{},
 	}
 }
 
--- a/internal/state/order_intents.go
+++ b/internal/state/order_intents.go
@@ -25,6 +25,7 @@
 	for len(m.orderIntents) > maxOrderIntents {
 		m.dropOldestIntent()
 	}
+	m.recordLoadOrders(n)
 	return applied()
 }
 
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -30,6 +30,7 @@
 		SendTerms:                 m.sendTerms,
 		Document:                  m.document,
 		OrderNotes:                m.OrderIntents(),
+		LoadOrders:                m.LoadOrders(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
@@ -52,6 +53,9 @@
 	for _, v := range s.OrderNotes {
 		m.orderIntents[v.Endpoint] = v
 	}
+	for _, v := range s.LoadOrders {
+		m.loadOrders[keyOfLoadOrder(v)] = v
+	}
 	for _, v := range s.Sections {
 		m.sections[v.Team] = v
 	}
