--- a/internal/transport/lookahead_test.go
+++ b/internal/transport/lookahead_test.go
@@ -19,7 +19,7 @@
 			if body < 0 {
 				text.WriteString(chunkedBody)
 			} else {
-				text.WriteString(strings.Repeat("b\n"[:1+body%2], body)[:body])
+				text.WriteString(rapid.StringOfN(rapid.SampledFrom([]rune("b\r\n")), body, body, -1).Draw(t, "text"))
 			}
 			ends, bodies = append(ends, text.Len()), append(bodies, body)
 		}
