Play stops of gateways that relay for one that is cut off, in the soak's forms

A sound gateway that reaches no endpoint sends by way of others; half of these stop at overlapping times. -form plays only forms whose names contain a text. The refusal at the proxies of endpoints, which stood twice, is one function.

--- a/scripts/soak/cutoff.go
+++ b/scripts/soak/cutoff.go
@@ -46,10 +46,9 @@
 		n := d.s.gateways[i%len(d.s.gateways)]
 		ips[n.ip()], cut[n] = true, true
 	}
-	links := d.s.links[d.s.size.controls:]
-	for _, p := range links {
-		p.refuse(ips)
-		if resetOpen {
+	d.s.refuseAtEndpoints(ips)
+	if resetOpen {
+		for _, p := range d.s.endpointLinks() {
 			p.resetFrom(ips)
 		}
 	}
@@ -69,13 +68,22 @@
 		}
 	}
 	clients.Wait()
-	for _, p := range links {
-		p.refuse(nil)
-	}
+	d.s.refuseAtEndpoints(nil)
 	d.judgeCutOff(&atCut, &atOthers)
 	d.wait(time.Second)
 }
 
+// endpointLinks returns the proxies of the endpoints.
+func (s *system) endpointLinks() []*proxy { return s.links[s.size.controls:] }
+
+// refuseAtEndpoints makes the proxies of endpoints refuse new connections of the gateways with
+// the IPs; nil for none.
+func (s *system) refuseAtEndpoints(ips map[string]bool) {
+	for _, p := range s.endpointLinks() {
+		p.refuse(ips)
+	}
+}
+
 // countFirstAttempt sends a request to a gateway of those that in accepts.
 func (d *driver) countFirstAttempt(r *rand.Rand, c *servedCount, in func(*node) bool) {
 	var nodes []*node
--- a/scripts/soak/forms.go
+++ b/scripts/soak/forms.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -54,33 +55,35 @@
 	name string
 	// targets is how many gateways clients send to.
 	targets int
+	// prepare is called before clients send; nil for nothing.
+	prepare func(*driver, []*node)
 	// disturb returns once the disturbance is over.
 	disturb func(*driver, []*node, *rand.Rand)
 }
 
 var forms = []form{
-	{"calm", 1, func(d *driver, _ []*node, _ *rand.Rand) { d.wait(calmTime) }},
-	{"SIGHUP again and again", 1, func(d *driver, targets []*node, _ *rand.Rand) {
+	{"calm", 1, nil, func(d *driver, _ []*node, _ *rand.Rand) { d.wait(calmTime) }},
+	{"SIGHUP again and again", 1, nil, func(d *driver, targets []*node, _ *rand.Rand) {
 		for end := time.Now().Add(calmTime); time.Now().Before(end) && d.wait(20*time.Millisecond); {
 			targets[0].signal(syscall.SIGHUP)
 		}
 	}},
-	{"documents in a row, with and without a model in use", 1, (*driver).alternateModels},
-	{"stop of one gateway", 1, (*driver).stopAll},
-	{"stops of three gateways at overlapping times", 3, (*driver).stopAll},
-	{"stop beside that of a control replica", 1, func(d *driver, targets []*node, r *rand.Rand) {
+	{"documents in a row, with and without a model in use", 1, nil, (*driver).alternateModels},
+	{"stop of one gateway", 1, nil, (*driver).stopAll},
+	{"stops of three gateways at overlapping times", 3, nil, (*driver).stopAll},
+	{"stop beside that of a control replica", 1, nil, func(d *driver, targets []*node, r *rand.Rand) {
 		control := d.s.controls[r.IntN(len(d.s.controls))]
 		var all sync.WaitGroup
 		all.Go(func() { d.stopAndRestart(control) })
 		d.stopAll(targets, r)
 		all.Wait()
 	}},
-	{"stop right after a start", 1, func(d *driver, targets []*node, r *rand.Rand) {
+	{"stop right after a start", 1, nil, func(d *driver, targets []*node, r *rand.Rand) {
 		d.stopAndRestart(targets[0])
 		d.waitReady(targets[0])
 		d.stopAndRestart(targets[0])
 	}},
-	{"more SIGTERM and SIGHUP within the grace period", 1, func(d *driver, targets []*node, _ *rand.Rand) {
+	{"more SIGTERM and SIGHUP within the grace period", 1, nil, func(d *driver, targets []*node, _ *rand.Rand) {
 		incarnation, done := targets[0].incarnation(), make(chan struct{})
 		go func() {
 			defer close(done)
@@ -94,6 +97,25 @@
 		}
 		<-done
 	}},
+	{"stops of gateways that relay for one that is cut off", 1, (*driver).cutOffFromEndpoints, func(d *driver, targets []*node, r *rand.Rand) {
+		others := slices.DeleteFunc(slices.Clone(d.s.gateways), func(n *node) bool { return n == targets[0] })
+		r.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		d.stopAll(others[:len(others)/2], r)
+		d.s.refuseAtEndpoints(nil)
+	}},
+}
+
+// cutOffFromEndpoints cuts the gateways off from all endpoints, until the cut has been noticed.
+func (d *driver) cutOffFromEndpoints(targets []*node) {
+	ips := map[string]bool{}
+	for _, n := range targets {
+		ips[n.ip()] = true
+	}
+	d.s.refuseAtEndpoints(ips)
+	for _, p := range d.s.endpointLinks() {
+		p.resetFrom(ips)
+	}
+	d.wait(cutOffGrace)
 }
 
 // stopAll stops the gateways at overlapping times and starts them again.
@@ -156,17 +178,24 @@
 	c.reasons[string(s)+", "+reason]++
 }
 
-// runForms plays the forms of one seed, one after another, and returns the lines of a table.
-func (d *driver) runForms() []string {
+// runForms plays the forms of one seed whose names contain the text, one after another, and
+// returns the lines of a table.
+func (d *driver) runForms(text string) []string {
 	r := rand.New(rand.NewPCG(d.seed, formStream))
 	var lines []string
 	for _, f := range forms {
+		if !strings.Contains(f.name, text) {
+			continue
+		}
 		c := &formCounts{reasons: map[string]int{}}
 		var targets []*node
 		for _, i := range r.Perm(len(d.s.gateways))[:f.targets] {
 			targets = append(targets, d.s.gateways[i])
 		}
 		d.logLine(f.name)
+		if f.prepare != nil {
+			f.prepare(d, targets)
+		}
 		load, cancel := context.WithCancel(d.ctx)
 		var clients sync.WaitGroup
 		for _, n := range targets {
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -33,6 +33,7 @@
 	workspaces := flag.Bool("workspaces", false, "declare workspaces with keys and quotas, and send beyond a quota")
 	special := flag.Bool("special", true, "add faults of versions, links to endpoints, brittle engines and limits, after the random ones")
 	lossForms := flag.Bool("forms", false, "play the forms of lost requests on nine gateways in place of faults")
+	formName := flag.String("form", "", "with -forms, play only the forms whose names contain it")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
 	network := flag.Int("network", 0, "number of the loopback networks of the first concurrent run, for more than one soak at a time")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
@@ -53,7 +54,7 @@
 	for run := range *jobs {
 		all.Go(func() {
 			for i := next.Add(1) - 1; i < uint64(*seeds) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				o := options{bin: *bin, run: *network + run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: *special, versions: *special, cutOff: *special, brittle: *special, workspaces: *workspaces, forms: *lossForms}
+				o := options{bin: *bin, run: *network + run, seed: *first + i, size: size, length: *length, series: *series, crashingRequest: *crashing, crashingPart: *crashing, crashingRead: *crashing, limits: *special, versions: *special, cutOff: *special, brittle: *special, workspaces: *workspaces, forms: *lossForms, form: *formName}
 				if !runSeed(ctx, o, *keep) {
 					failed.Store(true)
 				}
--- a/scripts/soak/run.go
+++ b/scripts/soak/run.go
@@ -75,8 +75,10 @@
 	// workspaces is set if the documents declare workspaces with keys, which change, and
 	// quotas, one of which is exceeded.
 	workspaces bool
-	// forms is set if the forms of lost requests are played in place of faults.
+	// forms is set if the forms of lost requests are played in place of faults, those whose
+	// names contain form.
 	forms bool
+	form  string
 	// logLine logs a fault.
 	logLine func(string)
 }
@@ -85,7 +87,7 @@
 func runSoak(ctx context.Context, o options) (result, error) {
 	if o.forms {
 		var lines []string
-		r, err := runWith(ctx, o, func(d *driver, _ options) { lines = d.runForms() })
+		r, err := runWith(ctx, o, func(d *driver, _ options) { lines = d.runForms(o.form) })
 		r.forms = lines
 		return r, err
 	}
