--- a/scripts/soak/formclient.go
+++ b/scripts/soak/formclient.go
@@ -162,31 +162,42 @@
 func (x *formClient) recordUnanswered(a *pendingAttempt, err error, behind bool) {
 	ended, checker := time.Now(), x.d.s.checker
 	x.d.awaitRunEnd(a.ID)
-	state := checker.RunState(a.ID)
+	state, worked := checker.RunState(a.ID), checker.RunEnd(a.ID)
+	stoppedAt, _ := x.n.lastStop(a.begun)
+	reason, lost := x.reason(a, ended, behind && !x.announced)
+	x.counts.count(x.style, state != standin.NotRun, reason, lost)
+	text := fmt.Sprintf("attempt %s (%s, %s, %s) at %s has no answer: %s; sent %v, ended %v, worked until %v after SIGTERM; answer %d on the connection, announced %t: %v",
+		a.ID, a.Kind, x.style, state, x.n.name, reason, a.sent.Sub(stoppedAt), ended.Sub(stoppedAt), worked.Sub(stoppedAt), x.served+1, x.announced, err)
+	if lost {
+		// The logs of a run with a violation are kept.
+		checker.RecordViolation("%s", text)
+		return
+	}
+	x.d.logLine(text)
+}
+
+// reason returns why an attempt has no answer, and whether it is lost by that. behind is set if
+// the one before it on the connection had none.
+func (x *formClient) reason(a *pendingAttempt, ended time.Time, behind bool) (reason string, lost bool) {
+	state, worked := x.d.s.checker.RunState(a.ID), x.d.s.checker.RunEnd(a.ID)
 	stoppedAt, during := x.n.lastStop(a.begun)
-	worked := checker.RunEnd(a.ID)
-	reason, lost := "", true
 	atEnd := during && (worked.IsZero() || worked.Sub(stoppedAt) >= x.d.s.size.grace*5/6) && a.sent.Sub(stoppedAt) <= excusedSent
 	isStream := a.Kind == standin.Stream || a.Kind == standin.ResumableStream
 	switch {
 	case state == standin.NotRun && a.sent.IsZero():
-		reason, lost = "not sent whole", false
+		return "not sent whole", false
 	case state == standin.NotRun && ended.Sub(a.sent) <= lossSlack:
-		reason, lost = "crossed the close", false
-	case state == standin.NotRun && behind && !x.announced:
-		reason, lost = "behind one without an answer", false
+		return "crossed the close", false
+	case state == standin.NotRun && behind:
+		return "behind one without an answer", false
 	case state == standin.NotRun:
-		reason = "not run, its connection ended later"
+		return "not run, its connection ended later", true
 	case state == standin.BrokenOff:
-		reason, lost = "broken off by the endpoint", false
+		return "broken off by the endpoint", false
 	case ended.Sub(a.begun) >= standin.Timeout:
-		reason, lost = "timed out", false
+		return "timed out", false
 	case isStream && atEnd:
-		reason, lost = "endpoint at work at the end", false
-	default:
-		reason = state.String()
+		return "endpoint at work at the end", false
 	}
-	x.counts.count(x.style, state != standin.NotRun, reason, lost)
-	x.d.logLine(fmt.Sprintf("attempt %s (%s, %s, %s) at %s has no answer: %s, lost %t; sent %v, ended %v, worked until %v after SIGTERM; answer %d on the connection, announced %t: %v",
-		a.ID, a.Kind, x.style, state, x.n.name, reason, lost, a.sent.Sub(stoppedAt), ended.Sub(stoppedAt), worked.Sub(stoppedAt), x.served+1, x.announced, err))
+	return state.String(), true
 }
