--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -64,8 +65,9 @@
 
 // membershipWithoutLeaving returns the membership without a voter that is about to
 // stop, or a step towards it: one with a caught-up learner as another voter. It returns
-// nil if fewer than minVoters, or no quorum of those that remain, would be left.
-func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) *wire.Membership {
+// errTooFewVoters if fewer than minVoters would be left, and errTooFewReachable if that, or
+// no quorum of those that remain, is so only as long as no more replicas respond.
+func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) (*wire.Membership, error) {
 	var voters []*wire.Replica
 	var successor *wire.Replica
 	for _, r := range s.Membership.GetReplicas() {
@@ -77,12 +79,15 @@
 		}
 	}
 	if len(voters) > minVoters && keepsQuorum(s, voters, leaving) {
-		return withoutReplica(s.Membership, leaving)
+		return withoutReplica(s.Membership, leaving), nil
 	}
 	if successor != nil && len(voters) < maxVoters {
-		return withVoter(s.Membership, successor.Id)
+		return withVoter(s.Membership, successor.Id), nil
 	}
-	return nil
+	if len(s.Membership.GetReplicas()) > minVoters {
+		return nil, errTooFewReachable
+	}
+	return nil, errTooFewVoters
 }
 
 // removableVoter returns an unresponsive voter without which the group has a lower
@@ -102,12 +107,17 @@
 	default:
 		return nil
 	}
-	for _, v := range voters {
-		if sinceResponse[v.Id] >= timeout && keepsQuorum(s, voters, v.Id) {
-			return v
-		}
+	v := longestSilent(voters, sinceResponse)
+	if sinceResponse[v.Id] < timeout || !keepsQuorum(s, voters, v.Id) {
+		return nil
 	}
-	return nil
+	return v
+}
+
+// longestSilent returns the voter that has not responded for the longest time: a voter that
+// is gone for good is silent for longer than one that is cut off and comes back.
+func longestSilent(voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+	return slices.MaxFunc(voters, func(a, b *wire.Replica) int { return cmp.Compare(sinceResponse[a.Id], sinceResponse[b.Id]) })
 }
 
 // voterReplacedBy returns the voter that the learner replaces, or nil.
@@ -117,10 +127,8 @@
 			return v
 		}
 	}
-	for _, v := range voters {
-		if sinceResponse[v.Id] >= voterTimeout {
-			return v
-		}
+	if v := longestSilent(voters, sinceResponse); sinceResponse[v.Id] >= voterTimeout {
+		return v
 	}
 	return nil
 }
