Let successors wait for the places of voters that are gone

Cause: a leader knows only 2 s after its election that a voter is gone. A successor that caught up before that became a voter beside the voters that were gone: seven, of which two were gone, and of an odd number a gone voter leaves only after 4 s. Three of seven sound voters elect no leader.

Change: while several voters are silent and may turn out to be gone, a caught-up learner waits, 2 s at most, and then takes the place of one. Below the number of voters that the tolerated losses need it does not wait, and none that is silent is replaced before it votes.

TestNextMembership failed: "6 votes", want "none".

--- a/internal/fleetcontrol/group_test.go
+++ b/internal/fleetcontrol/group_test.go
@@ -66,6 +66,7 @@
 		{"no voter removed if the remaining ones lack a quorum", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 4}, nil, map[uint64]time.Duration{2: time.Minute, 3: time.Minute}, "4 votes"},
 		{"longest silent of two voters", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false), r(5, false), r(6, false)}, []uint64{1, 2, 3, 4}, nil, map[uint64]time.Duration{5: 3 * time.Second, 6: time.Minute}, "without 6"},
 		{"longest silent of two voters replaced by learner", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false), r(5, false), r(6, true)}, []uint64{1, 2, 3, 6}, nil, map[uint64]time.Duration{4: 3 * time.Second, 5: time.Minute}, "without 5"},
+		{"two voters briefly silent", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, false), r(5, false), r(6, true)}, []uint64{1, 2, 3, 6}, nil, map[uint64]time.Duration{4: time.Second, 5: time.Second}, "none"},
 		{"unresponsive learner", []*wire.Replica{r(1, false), r(2, false), r(3, false), r(4, true)}, []uint64{1, 2, 3}, nil, map[uint64]time.Duration{4: time.Minute}, "without 4"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -156,6 +157,8 @@
 	// slowSyncs makes some writes take several steps, and a loss of power leaves them out or not.
 	slowSyncs bool
 	minVoters int
+	// halves holds the half of each address while the group is split.
+	halves map[string]int
 	// acknowledged are the commands that a leader has applied.
 	acknowledged []string
 }
@@ -241,6 +244,9 @@
 // deliver passes a message to the replica with the id of its recipient. A replica
 // without a group joins it with the first message of a leader.
 func (g *simGroup) deliver(m *wire.RaftMessage) {
+	if g.isCut(m) {
+		return
+	}
 	for _, n := range g.nodes {
 		if !n.up || n.core.ID() != m.To {
 			continue
@@ -260,6 +266,15 @@
 	g.reportLost(m)
 }
 
+// isCut reports whether the message would leave its half of a split group.
+func (g *simGroup) isCut(m *wire.RaftMessage) bool {
+	half := map[uint64]int{}
+	for _, n := range g.nodes {
+		half[n.core.ID()] = g.halves[n.address]
+	}
+	return half[m.From] != half[m.To]
+}
+
 func (g *simGroup) leaders() []*simReplica {
 	var out []*simReplica
 	for _, n := range g.nodes {
@@ -278,7 +293,7 @@
 		l.reach.record(s, g.now)
 		next, _ := nextMembership(s, l.reach.sinceResponse(s, g.now), g.minVoters)
 		for _, n := range g.nodes {
-			if n.up && next == nil {
+			if n.up && next == nil && g.halves[n.address] == g.halves[l.address] {
 				next = withLearner(s.Membership, n.core.ID(), n.address)
 			}
 		}
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -26,7 +26,9 @@
 //     voter's disk is gone, or if it is unresponsive and a caught-up learner can
 //     replace it. It is removed before the learner becomes a voter, because until
 //     then it only raises the quorum.
-//   - A caught-up learner becomes a voter.
+//   - A caught-up learner becomes a voter. While several voters are silent and may turn
+//     out to be gone, it waits, unless there are fewer than minVoters: more voters
+//     would raise the quorum further.
 //   - An unresponsive voter is removed if the number of voters is even, which
 //     lowers the quorum, or if several are gone, because the removal of two lowers it
 //     too. At least minVoters remain, so that a commit is on as many disks as the group
@@ -45,10 +47,11 @@
 		if !s.Reachable[l.Id] || !s.CaughtUp[l.Id] {
 			continue
 		}
-		if v := voterReplacedBy(voters, l, sinceResponse); v != nil && keepsQuorum(s, voters, v.Id) {
+		v := voterReplacedBy(voters, l, sinceResponse, minVoters)
+		if v != nil && keepsQuorum(s, voters, v.Id) {
 			return withoutReplica(s.Membership, v.Id), "voter replaced"
 		}
-		if len(voters) < maxVoters {
+		if len(voters) < maxVoters && (v != nil || len(voters) < minVoters || unreachable(s, voters) < 2) {
 			return withVoter(s.Membership, l.Id), "learner caught up"
 		}
 	}
@@ -120,19 +123,31 @@
 	return slices.MaxFunc(voters, func(a, b *wire.Replica) int { return cmp.Compare(sinceResponse[a.Id], sinceResponse[b.Id]) })
 }
 
-// voterReplacedBy returns the voter that the learner replaces, or nil.
-func voterReplacedBy(voters []*wire.Replica, l *wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+// voterReplacedBy returns the voter that the learner replaces, or nil. An unresponsive voter is
+// replaced only if there are minVoters with it.
+func voterReplacedBy(voters []*wire.Replica, l *wire.Replica, sinceResponse map[uint64]time.Duration, minVoters int) *wire.Replica {
 	for _, v := range voters {
 		if v.Address == l.Address {
 			return v
 		}
 	}
-	if v := longestSilent(voters, sinceResponse); sinceResponse[v.Id] >= voterTimeout {
+	if v := longestSilent(voters, sinceResponse); sinceResponse[v.Id] >= voterTimeout && len(voters) >= minVoters {
 		return v
 	}
 	return nil
 }
 
+// unreachable returns the number of voters that have not responded within an election timeout.
+func unreachable(s replica.Status, voters []*wire.Replica) int {
+	n := 0
+	for _, v := range voters {
+		if !s.Reachable[v.Id] {
+			n++
+		}
+	}
+	return n
+}
+
 // keepsQuorum reports whether a majority of the voters that remain without the
 // given one is reachable.
 func keepsQuorum(s replica.Status, voters []*wire.Replica, without uint64) bool {
