Repair the membership of a control group without pauses

The repair after the loss of two replicas takes four changes, one every 250 ms, and begins 2 s after the election of the leader that makes them.

A leader now makes the next change as soon as the one before is committed.

--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -175,24 +175,32 @@
 			return
 		case <-tick.C:
 		}
-		status, err := s.node.Status(ctx)
-		if err != nil || !status.Leading {
-			reach = reachability{}
-			continue
-		}
-		reach.record(status, s.clock())
-		next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()), s.cfg.minVoters())
-		if next == nil {
-			continue
+		for s.changeMembership(ctx, &reach) {
 		}
-		if err := s.node.ProposeMembership(ctx, next); err != nil {
-			s.log.WithError(err).WithField("reason", reason).Warn("failed to change membership")
-			continue
-		}
-		s.log.WithFields(logrus.Fields{"reason": reason, "replicas": len(next.Replicas)}).Info("membership changed")
 	}
 }
 
+// changeMembership proposes the next membership change, if there is one, and reports
+// whether it was committed.
+func (s *Server) changeMembership(ctx context.Context, reach *reachability) bool {
+	status, err := s.node.Status(ctx)
+	if err != nil || !status.Leading {
+		*reach = reachability{}
+		return false
+	}
+	reach.record(status, s.clock())
+	next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()), s.cfg.minVoters())
+	if next == nil {
+		return false
+	}
+	if err := s.node.ProposeMembership(ctx, next); err != nil {
+		s.log.WithError(err).WithField("reason", reason).Warn("failed to change membership")
+		return false
+	}
+	s.log.WithFields(logrus.Fields{"reason": reason, "replicas": len(next.Replicas)}).Info("membership changed")
+	return true
+}
+
 // reachability holds the time at which each replica last responded to this
 // leader.
 type reachability struct {
