Add a command that plays losses of control replicas as real processes

scripts/losses starts three or five control replicas and two gateways, plays one of 30 orders of kills, emptied disks, replacements and pauses by a seed, and checks that the newest acknowledged document is read back by way of each replica, never an older one, that another change is acknowledged, and that the gateways apply it.

--- /dev/null
+++ b/scripts/losses/cases.go
@@ -0,0 +1,305 @@
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+// lossCase is an order of events after which the newest acknowledged document must be served.
+type lossCase struct {
+	name string
+	// replicas is the number of replicas at the start: three bear the loss of one disk
+	// at a time and five that of two.
+	replicas int
+	play     func(*bed) error
+}
+
+// replacementTime is how long a successor has run when the machine that it replaces is removed.
+const replacementTime = 2 * catchUp
+
+var cases = []lossCase{
+	{"all-killed", 3, func(b *bed) error { return b.lose(false, 0) }},
+	{"all-killed-acker-emptied", 3, func(b *bed) error { return b.lose(true, 1) }},
+	{"acker-emptied", 3, func(b *bed) error { return b.lose(false, 1) }},
+	{"unacknowledged-all-killed", 3, unacknowledged},
+	{"replaced-acker-emptied", 3, func(b *bed) error { return replaced(b, 1, false, false) }},
+	{"replaced-killed-acker-emptied", 3, func(b *bed) error { return replaced(b, 1, true, false) }},
+	{"replaced-all-killed", 3, func(b *bed) error { return replaced(b, 1, false, true) }},
+	{"replaced-killed-all-killed", 3, func(b *bed) error { return replaced(b, 1, true, true) }},
+	{"all-replaced-acker-emptied", 3, func(b *bed) error { return replaced(b, 3, false, false) }},
+	{"all-replaced-all-killed", 3, func(b *bed) error { return replaced(b, 3, false, true) }},
+	{"successor-joins", 3, func(b *bed) error { return joining(b, 1) }},
+	{"two-join", 3, func(b *bed) error { return joining(b, 2) }},
+	{"gone-then-successor", 3, func(b *bed) error { return goneFirst(b, 1) }},
+	{"two-added", 3, func(b *bed) error { return added(b, 2) }},
+	{"emptied-in-turn", 3, emptiedInTurn},
+	{"repair-interrupted", 3, func(b *bed) error { return repairInterrupted(b, 1) }},
+	{"paused-half", 3, pausedHalf},
+	{"paused-leader", 3, pausedLeader},
+	{"paused-then-all-killed", 3, pausedThenKilled},
+	{"seeds-exchanged", 3, seedsExchanged},
+	{"rolling-restart", 3, rollingRestart},
+	{"five-acker-and-one-emptied", 5, func(b *bed) error { return b.lose(false, 2) }},
+	{"five-all-killed-two-emptied", 5, func(b *bed) error { return b.lose(true, 2) }},
+	{"five-two-emptied-in-turn", 5, emptiedWithin},
+	{"five-replaced-two-emptied", 5, func(b *bed) error { return replaced(b, 2, false, false) }},
+	{"five-replaced-all-killed", 5, func(b *bed) error { return replaced(b, 2, false, true) }},
+	{"five-one-killed-two-emptied", 5, func(b *bed) error { return replaced(b, 1, true, false) }},
+	{"five-two-gone-then-successors", 5, func(b *bed) error { return goneFirst(b, 2) }},
+	{"five-two-join", 5, func(b *bed) error { return joining(b, 2) }},
+	{"five-repair-interrupted", 5, func(b *bed) error { return repairInterrupted(b, 2) }},
+}
+
+// lose has a document acknowledged and then empties disks at once, the one of the replica that
+// acknowledged it first. All processes are killed, or only those of the lost disks.
+func (b *bed) lose(killAll bool, disks int) error {
+	acker, err := b.put()
+	if err != nil {
+		return err
+	}
+	emptied := append(b.present(acker), b.others(0, acker)...)[:disks]
+	if killAll || disks == 0 {
+		return b.crash(b.all(), emptied)
+	}
+	return b.wipe(emptied...)
+}
+
+// present returns the replica, or nothing if it has been removed: a replica that stops as planned
+// still acknowledges what it has accepted.
+func (b *bed) present(id int) []int {
+	if b.cores[id] == nil {
+		return nil
+	}
+	return []int{id}
+}
+
+// loseAny is lose with random disks.
+func (b *bed) loseAny(killAll bool, disks int) error {
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	emptied := b.others(disks)
+	if killAll {
+		return b.crash(b.all(), emptied)
+	}
+	return b.wipe(emptied...)
+}
+
+// nextID returns an id that no replica has had.
+func (b *bed) nextID() int {
+	b.added++
+	return 10 + b.added
+}
+
+// addNew starts n replicas with empty disks at new addresses.
+func (b *bed) addNew(n int) ([]int, error) {
+	var ids []int
+	for range n {
+		id := b.nextID()
+		ids = append(ids, id)
+		if err := b.add(id, false); err != nil {
+			return nil, err
+		}
+	}
+	return ids, nil
+}
+
+func unacknowledged(b *bed) error {
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	b.sendOnly()
+	b.wait(0, 10*time.Millisecond)
+	return b.crash(b.all(), b.others(1))
+}
+
+// replaced removes n replicas whose successors have caught up, the leader among them, and
+// then empties as many disks as may be lost.
+func replaced(b *bed, n int, killed, killAll bool) error {
+	successors, err := b.addNew(n)
+	if err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime+time.Second)
+	leader, err := b.put()
+	if err != nil {
+		return err
+	}
+	old := []int{leader}
+	if n > 1 {
+		old = append(old, b.others(n-1, append(successors, leader)...)...)
+	}
+	b.remove(killed, old...)
+	return b.lose(killAll, b.tolerated)
+}
+
+// joining loses a disk at any step of the joining of n replicas.
+func joining(b *bed, n int) error {
+	original := b.all()
+	if _, err := b.addNew(n); err != nil {
+		return err
+	}
+	b.wait(0, 2*time.Second)
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	b.random.Shuffle(len(original), func(i, j int) { original[i], original[j] = original[j], original[i] })
+	return b.crash(b.all(), original[:b.tolerated])
+}
+
+// goneFirst kills n replicas for good and adds their successors later; disks are lost as soon as
+// the successors count.
+func goneFirst(b *bed, n int) error {
+	b.remove(true, b.others(n)...)
+	b.wait(300*time.Millisecond, time.Second)
+	if _, err := b.addNew(n); err != nil {
+		return err
+	}
+	b.wait(catchUp+200*time.Millisecond, catchUp+time.Second)
+	return b.loseAny(true, b.tolerated)
+}
+
+func added(b *bed, n int) error {
+	if _, err := b.addNew(n); err != nil {
+		return err
+	}
+	b.wait(catchUp+200*time.Millisecond, catchUp+time.Second)
+	return b.lose(true, b.tolerated)
+}
+
+// emptiedInTurn empties one disk after the other, each as soon as the one before no longer counts
+// as lost, and at last one while all others are killed.
+func emptiedInTurn(b *bed) error {
+	for range 2 {
+		if err := b.lose(false, 1); err != nil {
+			return err
+		}
+		b.wait(catchUp+100*time.Millisecond, catchUp+500*time.Millisecond)
+	}
+	return b.lose(true, 1)
+}
+
+// emptiedWithin empties a second disk during the repair after the first.
+func emptiedWithin(b *bed) error {
+	first, err := b.put()
+	if err != nil {
+		return err
+	}
+	if err := b.wipe(first); err != nil {
+		return err
+	}
+	b.wait(0, 2*time.Second)
+	acker, err := b.put()
+	if err != nil {
+		return err
+	}
+	if acker == first {
+		acker = b.others(1, first)[0]
+	}
+	return b.wipe(acker)
+}
+
+// repairInterrupted kills all processes, or pauses some, in the middle of the repair.
+func repairInterrupted(b *bed, disks int) error {
+	if err := b.loseAny(false, disks); err != nil {
+		return err
+	}
+	for range 3 {
+		b.wait(0, 1500*time.Millisecond)
+		if b.random.IntN(2) == 0 {
+			if err := b.crash(b.all(), nil); err != nil {
+				return err
+			}
+			continue
+		}
+		paused := b.others(1)
+		b.signal(syscall.SIGSTOP, paused...)
+		b.wait(450*time.Millisecond, 450*time.Millisecond)
+		b.signal(syscall.SIGCONT, paused...)
+	}
+	return nil
+}
+
+// pausedHalf empties the disk of the replica that acknowledged a document without the paused one.
+func pausedHalf(b *bed) error {
+	paused := b.others(1)
+	b.signal(syscall.SIGSTOP, paused...)
+	acker, err := b.put()
+	if err == nil && acker != paused[0] {
+		err = b.wipe(acker)
+	}
+	b.wait(0, 3*time.Second)
+	b.signal(syscall.SIGCONT, paused...)
+	return err
+}
+
+// pausedLeader pauses the leader until another one has acknowledged a document, and empties a disk
+// of the other half.
+func pausedLeader(b *bed) error {
+	leader, err := b.put()
+	if err != nil {
+		return err
+	}
+	b.signal(syscall.SIGSTOP, leader)
+	b.sendOnly()
+	acker, err := b.put()
+	if err != nil {
+		return err
+	}
+	b.kill(acker)
+	if err := b.empty(acker); err != nil {
+		return err
+	}
+	b.signal(syscall.SIGCONT, leader)
+	b.wait(0, time.Second)
+	return b.start(acker)
+}
+
+// pausedThenKilled kills all at the moment at which a paused replica goes on, and empties the disk
+// of another one.
+func pausedThenKilled(b *bed) error {
+	paused := b.others(1)[0]
+	b.signal(syscall.SIGSTOP, paused)
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	b.signal(syscall.SIGCONT, paused)
+	b.wait(0, 50*time.Millisecond)
+	return b.crash(b.all(), b.others(1, paused))
+}
+
+// seedsExchanged replaces two seeds, whose successors are the seeds from then on, and empties the
+// disk of the third.
+func seedsExchanged(b *bed) error {
+	successors, err := b.addNew(2)
+	if err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime)
+	old := b.others(2, successors...)
+	b.remove(false, old...)
+	b.wait(catchUp, catchUp)
+	remaining := b.others(1, successors...)[0]
+	for _, id := range b.all() {
+		b.cores[id].seeds = append(successors, remaining)
+	}
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	return b.crash(b.all(), []int{remaining})
+}
+
+// rollingRestart stops and starts each replica as planned, and then loses a disk.
+func rollingRestart(b *bed) error {
+	for _, id := range b.all() {
+		b.event("SIGTERM to core-%d", id)
+		if err := b.cores[id].process.Stop(); err != nil {
+			return err
+		}
+		if err := b.start(id); err != nil {
+			return err
+		}
+		b.wait(catchUp, catchUp+time.Second)
+	}
+	return b.lose(true, 1)
+}
