Keep the logs of soak tests on demand, and tell when the soak stood still

The entries of KNOWN-RED.txt could not be told from load: a failed test removed its programs' logs, and a stall of the test's own process had no time that could be held against them. Now the logs stay with `go test -artifacts`, and the line of a stall ends with its time. The checks are as before.

--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -90,7 +90,7 @@
 	for d.wait(tickInterval) {
 		now := time.Now()
 		if stall := now.Sub(last) - tickInterval; stall >= minStall {
-			d.logLine(fmt.Sprintf("this process stood still for %v", stall.Round(time.Millisecond)))
+			d.logLine(fmt.Sprintf("this process stood still for %v, until %s", stall.Round(time.Millisecond), now.Format("15:04:05.000")))
 		}
 		last = now
 	}
--- a/scripts/soak/soak_test.go
+++ b/scripts/soak/soak_test.go
@@ -142,7 +142,7 @@
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			t.Parallel()
 			r, err := runSoak(t.Context(), options{
-				dir: t.TempDir(), bin: bin, run: firstTestRun + i, seed: c.seed, size: defaultSize, length: 7 * time.Second, series: 1,
+				dir: t.ArtifactDir(), bin: bin, run: firstTestRun + i, seed: c.seed, size: defaultSize, length: 7 * time.Second, series: 1,
 				logLine: func(line string) { t.Log(line) },
 			})
 			if err != nil {
@@ -224,7 +224,7 @@
 // checkWithoutFaults runs the checks, without other faults than theirs.
 func checkWithoutFaults(t *testing.T, o options, checks func(*driver, options)) {
 	t.Parallel()
-	o.dir, o.bin, o.seed = t.TempDir(), buildPrograms(t), 1
+	o.dir, o.bin, o.seed = t.ArtifactDir(), buildPrograms(t), 1
 	if o.size.endpoints == 0 {
 		o.size = defaultSize
 	}
