Wait until a control process has read its first settings in the soak

No program was at fault.

Change: the soak waits for the identity in the data folder, which a process writes after it has read its settings, instead of 150 ms. The check, that a document is acknowledged within 15 s, is as before.

Test that failed before: TestSlowProcessReadsTheSettingsOfItsFirstStart (the process had read nothing when the settings of the next start were written).

--- a/scripts/soak/system.go
+++ b/scripts/soak/system.go
@@ -215,14 +215,31 @@
 	if n.folder == "" {
 		return nil
 	}
+	if err := awaitFile(filepath.Join(n.folder, identityFile), formTimeout); err != nil {
+		return fmt.Errorf("%s has no identity after its start: %w", n.name, err)
+	}
 	// Only the first start may form a group.
 	settings["first_start"] = false
-	time.Sleep(settingsReadTime)
 	return writeSettings(n.settings, settings)
 }
 
-// settingsReadTime is the time for a process to read its settings.
-const settingsReadTime = 150 * time.Millisecond
+const (
+	// identityFile is written to the data folder by a control process that has read its
+	// settings.
+	identityFile = "identity.json"
+	// filePollInterval is the time between two looks for a file.
+	filePollInterval = 10 * time.Millisecond
+)
+
+// awaitFile waits until the file exists, for the timeout at most.
+func awaitFile(path string, timeout time.Duration) error {
+	for end := time.Now().Add(timeout); ; time.Sleep(filePollInterval) {
+		_, err := os.Stat(path)
+		if err == nil || !errors.Is(err, os.ErrNotExist) || time.Now().After(end) {
+			return err
+		}
+	}
+}
 
 func writeSettings(path string, settings map[string]any) error {
 	data, err := json.Marshal(settings)
