--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -412,3 +412,27 @@
 		t.Fatalf("longest failover took %v, longer than maxFailover", longest)
 	}
 }
+
+// TestLostSnapshotIsNotAskedForWithEachReply guards against a leader and a follower that exchange
+// messages without a pause until the lost snapshot is sent again.
+func TestLostSnapshotIsNotAskedForWithEachReply(t *testing.T) {
+	c := newLeader(t)
+	ack(c, 3)
+	c.Persisted(c.Effects())
+	c.Compact(&wire.Snapshot{Index: 3, Term: 3, Membership: threeReplicas}, 0, 0)
+	appendReply := &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY, From: 3, To: 1, Term: 3, LogIndex: 1}
+	kinds := map[wire.RaftMessageType]int{}
+	for range 5 {
+		c.Step(c.now, appendReply)
+		c.Flush()
+		e := c.Effects()
+		for _, m := range append(e.EarlyMessages, e.Messages...) {
+			if m.To == 3 {
+				kinds[m.Type]++
+			}
+		}
+	}
+	if n := kinds[wire.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND]; n > 1 || kinds[wire.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT] != 1 {
+		t.Errorf("%v for five replies of a replica that lacks a snapshot, want one snapshot and no append for each reply", kinds)
+	}
+}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -52,7 +52,7 @@
 	}
 	for _, id := range c.peers() {
 		if p := c.progressOf(id); !p.probing && p.next <= c.log.lastIndex() {
-			c.sendAppend(id, c.rounds.sequence)
+			c.continueAppend(id, p)
 		}
 	}
 }
