Keep a replica up while its disk refuses writes

A supervisor with a start limit or a growing delay then leaves replicas down for good. A seed whose disk refused the first membership once never tried again.

A node now suspends itself at a failed write. It hands its leadership over, forgets the core that ran ahead of the disk, neither votes nor stores nor campaigns, sends callers to the leader it hears, answers changes at once, and every 250 ms opens the folder again: it reads what the failed write has left, rewrites it to a new file, syncs, renames and syncs the folder, and starts a new core from that, as a restart of the process does. The start waits in the same way on a full, failing or read-only disk; a folder that is locked, corrupt, foreign or not permitted still ends the process. A first membership is installed once the disk takes it. The gauge parsleyramp_storage_failing and one log line each tell when a disk is lost and regained, a line every 10 s while it lasts.

Nothing that was not synced leaves the replica, as before; what was applied is committed and stored, so the rebuilt state machine is not older. Terms fence orders and proposals as across a restart.

The existing test of a storage that is not reopened (fullDisk) is unchanged.

--- a/cmd/parsleyramp-control/main.go
+++ b/cmd/parsleyramp-control/main.go
@@ -36,8 +36,14 @@
 func run(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), cfg control.Settings, log *logrus.Entry) error {
 	nodeCtx, cancelNode := context.WithCancel(context.Background())
 	defer cancelNode()
+	stopWaiting := context.AfterFunc(ctx, cancelNode)
 	s, err := control.Start(nodeCtx, cfg, 0, log)
-	if err != nil {
+	stopWaiting()
+	switch {
+	case err != nil && ctx.Err() != nil:
+		log.WithError(err).Info("stopped before the replica had started")
+		return nil
+	case err != nil:
 		return err
 	}
 	select {
--- a/cmd/parsleyramp-fleet/main.go
+++ b/cmd/parsleyramp-fleet/main.go
@@ -47,8 +47,14 @@
 func run(ctx context.Context, newShutdownContext func() (context.Context, context.CancelFunc), cfg fleetcontrol.Settings, reloads *program.ReloadTarget[fleetcontrol.Settings], log *logrus.Entry) error {
 	nodeCtx, cancelNode := context.WithCancel(context.Background())
 	defer cancelNode()
+	stopWaiting := context.AfterFunc(ctx, cancelNode)
 	s, err := fleetcontrol.Start(nodeCtx, cfg, dependencies(cfg, log), log)
-	if err != nil {
+	stopWaiting()
+	switch {
+	case err != nil && ctx.Err() != nil:
+		log.WithError(err).Info("stopped before the replica had started")
+		return nil
+	case err != nil:
 		return err
 	}
 	reloads.Started(s.Reload)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -60,6 +60,9 @@
 	// Snapshot is nil for a replica without stored state.
 	Snapshot *wire.Snapshot
 	Entries  []*wire.LogEntry
+	// Committed is the index up to which the entries are known to be committed, whatever the
+	// hard state tells.
+	Committed uint64
 }
 
 // Core is the Raft state of one replica. It is not safe for concurrent use.
@@ -139,7 +142,7 @@
 	}
 	c.log.entries = initial.Entries
 	c.log.stable = c.log.lastIndex()
-	c.commitIndex = max(c.commitIndex, min(initial.HardState.GetCommit(), c.log.stable))
+	c.commitIndex = max(c.commitIndex, min(max(initial.Committed, initial.HardState.GetCommit()), c.log.stable))
 	c.recordMemberships(initial.Entries)
 	if t := c.log.lastTerm(); t > c.term {
 		// The replica may have crashed after it synced a snapshot and before it
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -74,6 +74,27 @@
 	return true
 }
 
+// StepDown ends the leadership of a replica that can store nothing any more. It returns the
+// request to the reachable voter with the longest log to campaign, or nil. Entries that this
+// replica has not synced may be the last ones there; an election decides whether they stay.
+func (c *Core) StepDown() *wire.RaftMessage {
+	if c.role != Leader {
+		return nil
+	}
+	target, match := uint64(0), uint64(0)
+	for _, id := range voters(c.Membership()) {
+		p := c.progressOf(id)
+		if id != c.id && c.Reachable(id) && !p.stopping && p.match >= match {
+			target, match = id, p.match
+		}
+	}
+	c.becomeFollower(c.term, 0)
+	if target == 0 {
+		return nil
+	}
+	return &wire.RaftMessage{Type: wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER, From: c.id, To: target, Term: c.term}
+}
+
 // transferTarget returns a reachable voter that stores the complete log, preferably one
 // that isn't about to stop itself, or zero.
 func (c *Core) transferTarget() uint64 {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -24,7 +24,11 @@
 	if err != nil {
 		return
 	}
-	leading := 0.0
+	leading, failing := 0.0, 0.0
+	if status.StorageFailing {
+		failing = 1
+	}
+	gauge("parsleyramp_storage_failing", failing)
 	if status.Leading {
 		leading = 1
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,10 +49,10 @@
 	nodeErr error
 }
 
-// Start opens the data folder and starts a control replica. The node and the
+// Start opens the data folder, once its disk takes writes, and starts a control replica. The node and the
 // leader loop run until ctx ends; Shutdown also stops the HTTP server.
 func Start(ctx context.Context, cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
-	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(seed) })
+	j, recovered, err := replica.OpenJournal(ctx, cfg.DataFolder, func() uint64 { return newReplicaID(seed) }, log)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +70,7 @@
 	s.group = replica.NewGroup(identity.Group, j.SetGroup)
 	s.sender = replica.NewNetworkSender(ctx, transport.NewPeerClient(), cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: consensus.DefaultConfig(),
+		Recovered: recovered, Storage: j, Reopen: j.Reopen, Sender: s.sender, Consensus: consensus.DefaultConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: seed, Log: log,
 	})
 	if err != nil {
--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -35,22 +35,25 @@
 )
 
 // joinGroup installs the initial membership on seeds at the first start, and asks
-// the group to admit this replica as long as it is not a member.
+// the group to admit this replica as long as it is not a member. It tries again after a
+// disk has refused either.
 func (s *Server) joinGroup(ctx context.Context) {
-	if s.cfg.isSeed() {
-		if err := s.bootstrap(ctx); err != nil {
-			s.log.WithError(err).Error("failed to install initial membership")
-		}
-	}
+	bootstrapped := !s.cfg.isSeed()
 	tick := time.NewTicker(joinInterval)
 	defer tick.Stop()
 	for attempt := 0; ; attempt++ {
+		if !bootstrapped {
+			err := s.bootstrap(ctx)
+			if bootstrapped = err == nil; err != nil && attempt%joinFailuresPerLog == 0 {
+				s.log.WithError(err).Error("failed to install initial membership")
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		if status, err := s.node.Status(ctx); err != nil || s.isMember(status) || s.leaving.Load() {
+		if status, err := s.node.Status(ctx); err != nil || status.StorageFailing || s.isMember(status) || s.leaving.Load() {
 			continue
 		}
 		s.requestJoin(ctx, attempt)
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -51,6 +51,11 @@
 	set.NewGauge("parsleyramp_fleet_suspects", func() float64 { return suspects })
 	set.NewGauge("parsleyramp_fleet_workspaces_over_share", func() float64 { return over })
 	set.NewGauge("parsleyramp_fleet_unequal_endpoints", func() float64 { return unequal })
+	failing := 0.0
+	if s.node.StorageFailing() {
+		failing = 1
+	}
+	set.NewGauge("parsleyramp_storage_failing", func() float64 { return failing })
 	version := 0.0
 	if err := s.node.ReadStale(ctx, func(m *state.Machine) { version = float64(m.Document().GetVersion()) }); err != nil {
 		s.log.WithError(err).Debug("failed to read document version for metrics")
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -62,12 +62,13 @@
 	nodeErr error
 }
 
-// Start opens the data folder, starts the replica and serves until ctx ends.
+// Start opens the data folder, starts the replica and serves until ctx ends. While the disk
+// refuses writes, it waits until it doesn't or ctx ends.
 func Start(ctx context.Context, cfg Settings, deps Dependencies, log *logrus.Entry) (*Server, error) {
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * gcMemoryShare * (1 << 20)))
 	}
-	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(cfg) })
+	j, recovered, err := replica.OpenJournal(ctx, cfg.DataFolder, func() uint64 { return newReplicaID(cfg) }, log)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +80,7 @@
 	s.Reload(cfg)
 	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: cfg.consensusConfig(),
+		Recovered: recovered, Storage: j, Reopen: j.Reopen, Sender: s.sender, Consensus: cfg.consensusConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log, OnChange: s.news.publish,
 	})
 	if err != nil {
--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -27,6 +28,9 @@
 	Group string `json:"group"`
 }
 
+// ErrLocked is wrapped by the error of Open while another process uses the data folder.
+var ErrLocked = errors.New("the data folder is locked")
+
 // lockFolder creates the folder if needed and locks it against other processes.
 // Closing the returned file releases the lock.
 func lockFolder(dir string) (*os.File, error) {
@@ -39,7 +43,7 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		f.Close()
-		return nil, fail.Wrap(err, fail.StorageFailed, "another process uses the data folder "+dir)
+		return nil, fail.Wrap(errors.Join(ErrLocked, err), fail.StorageFailed, "another process uses the data folder "+dir)
 	}
 	return f, nil
 }
@@ -59,20 +63,32 @@
 	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
 		return fail.Wrap(err, fail.StorageFailed, "create data folder")
 	}
-	return syncDir(parent)
+	if err := syncDir(parent); err != nil {
+		// The next attempt must sync it.
+		os.Remove(dir)
+		return err
+	}
+	return nil
 }
 
 // loadIdentity returns the folder's identity. In an empty folder it creates one
 // with newID; a folder that holds other files and no identity is rejected.
 func loadIdentity(dir string, newID func() uint64) (Identity, error) {
-	content, err := os.ReadFile(filepath.Join(dir, identityName))
-	if errors.Is(err, os.ErrNotExist) {
-		if err := checkEmpty(dir); err != nil {
-			return Identity{}, err
-		}
-		id := Identity{ID: newID()}
-		return id, saveIdentity(dir, id)
+	id, err := readIdentity(dir)
+	if !errors.Is(err, os.ErrNotExist) {
+		return id, err
+	}
+	if err := checkEmpty(dir); err != nil {
+		return Identity{}, err
 	}
+	id = Identity{ID: newID()}
+	return id, saveIdentity(dir, id)
+}
+
+// readIdentity returns the folder's identity, or an error that wraps os.ErrNotExist if it
+// has none.
+func readIdentity(dir string) (Identity, error) {
+	content, err := os.ReadFile(filepath.Join(dir, identityName))
 	if err != nil {
 		return Identity{}, fail.Wrap(err, fail.StorageFailed, "read identity")
 	}
@@ -118,7 +134,7 @@
 	// A temporary file that a crash left has the permissions that it was created with.
 	err = f.Chmod(0o600)
 	if err == nil {
-		_, err = f.Write(content)
+		err = writeAll(f, content)
 	}
 	if err == nil {
 		err = f.Sync()
@@ -134,6 +150,14 @@
 	return syncFolder(dir)
 }
 
+// writeAll writes the content. Its error names the bytes that were written.
+func writeAll(f *os.File, content []byte) error {
+	if n, err := f.Write(content); err != nil {
+		return fmt.Errorf("%d of %d bytes written: %w", n, len(content), err)
+	}
+	return nil
+}
+
 func syncFolder(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -32,7 +32,7 @@
 }
 
 // Journal appends to the log in one data folder. After a failed write all further
-// writes fail, because the content of the disk is unknown until the next Open.
+// writes fail, because the content of the disk is unknown, until Reopen succeeds.
 type Journal struct {
 	dir       string
 	lock      *os.File
@@ -53,7 +53,7 @@
 		return nil, nil, err
 	}
 	j := &Journal{dir: dir, lock: lock}
-	r, err := j.recover(newID)
+	r, err := j.open(newID)
 	if err != nil {
 		j.Close()
 		return nil, nil, err
@@ -61,12 +61,36 @@
 	return j, r, nil
 }
 
-func (j *Journal) recover(newID func() uint64) (*Recovered, error) {
+func (j *Journal) open(newID func() uint64) (*Recovered, error) {
 	identity, err := loadIdentity(j.dir, newID)
 	if err != nil {
 		return nil, err
 	}
 	j.identity = identity
+	return j.recover(identity)
+}
+
+// Reopen does what Open does, in the folder that is locked already: it reads the log
+// that a failed write has left and rewrites it. Writes fail until it succeeds. It may be
+// called concurrently with SetGroup, but not with Save or SaveSnapshot. A folder
+// that was emptied or replaced meanwhile has the code foreign_folder.
+func (j *Journal) Reopen() (*Recovered, error) {
+	identity, err := readIdentity(j.dir)
+	switch {
+	case errors.Is(err, os.ErrNotExist) || err == nil && identity.ID != j.identity.ID:
+		err = fail.New(fail.ForeignFolder, "the replica's identity in "+j.dir+" was removed or replaced")
+	case err == nil:
+		var r *Recovered
+		if r, err = j.recover(identity); err == nil {
+			j.writeErr = nil
+			return r, nil
+		}
+	}
+	j.writeErr = err
+	return nil, err
+}
+
+func (j *Journal) recover(identity Identity) (*Recovered, error) {
 	r := &Recovered{Identity: identity, HardState: &wire.HardState{}}
 	path := filepath.Join(j.dir, logName)
 	content, err := os.ReadFile(path)
@@ -81,7 +105,10 @@
 		}
 	}
 	j.hardState = r.HardState
-	return r, j.rewrite(r.Snapshot, r.Entries)
+	if err := j.rewrite(r.Snapshot, r.Entries); err != nil {
+		return nil, err
+	}
+	return r, nil
 }
 
 // read applies all records of the log and checks that they are consistent.
@@ -191,7 +218,7 @@
 	if cap(buf) > maxRetainedBufferBytes {
 		j.buf = nil
 	}
-	if _, err := j.log.Write(buf); err != nil {
+	if err := writeAll(j.log, buf); err != nil {
 		return fail.Wrap(err, fail.StorageFailed, "write log")
 	}
 	if err := j.log.Sync(); err != nil {
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -112,8 +112,12 @@
 	g.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	var reopen func() (*journal.Recovered, error)
+	if d, ok := s.(*refusingStorage); ok {
+		reopen = d.reopen
+	}
 	node, err := NewNode(Options{
-		Recovered: r, Storage: s, Sender: sender, Consensus: consensusConfig,
+		Recovered: r, Storage: s, Reopen: reopen, Sender: sender, Consensus: consensusConfig,
 		SnapshotEntries: snapshotEntries, Now: func() time.Duration { return time.Since(g.start) }, Seed: id, Log: logrus.NewEntry(log),
 	})
 	if err != nil {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -53,6 +53,10 @@
 type Options struct {
 	Recovered *journal.Recovered
 	Storage   Storage
+	// Reopen opens the Storage again after a write to it failed with the code
+	// storage_failed, and returns what it holds. An error with that code is retried; any other
+	// one ends the node. Without Reopen the node ends at the first failed write.
+	Reopen    func() (*journal.Recovered, error)
 	Sender    Sender
 	Consensus consensus.Config
 	// SnapshotEntries is the number of applied entries that triggers a snapshot.
@@ -109,6 +113,9 @@
 	campaignLoggedAt time.Duration
 	// storageErr is the error of a write outside of processEffects.
 	storageErr error
+	// outage is nil unless the storage refuses writes. The core must not be used meanwhile.
+	outage         *outage
+	storageFailing atomic.Bool
 }
 
 type pendingProposal struct {
@@ -123,28 +130,28 @@
 
 // NewNode restores a node from its recovered journal.
 func NewNode(opt Options) (*Node, error) {
-	machine, err := state.Restore(opt.Recovered.Snapshot.GetData())
-	if err != nil {
+	n := &Node{opt: opt, inbox: make(chan func(), inboxSize), stopped: make(chan struct{}), pending: map[uint64]pendingProposal{}}
+	if err := n.restore(opt.Recovered, 0); err != nil {
 		return nil, err
 	}
-	initial := consensus.InitialState{
-		ID:        opt.Recovered.Identity.ID,
-		HardState: opt.Recovered.HardState,
-		Snapshot:  opt.Recovered.Snapshot,
-		Entries:   opt.Recovered.Entries,
+	return n, nil
+}
+
+// restore starts the core and the state machine from the stored state, of which the entries
+// up to the index committed are known to be committed.
+func (n *Node) restore(r *journal.Recovered, committed uint64) error {
+	machine, err := state.Restore(r.Snapshot.GetData())
+	if err != nil {
+		return err
 	}
-	return &Node{
-		opt:           opt,
-		core:          consensus.New(opt.Consensus, initial, opt.Now(), opt.Seed),
-		machine:       machine,
-		inbox:         make(chan func(), inboxSize),
-		stopped:       make(chan struct{}),
-		pending:       map[uint64]pendingProposal{},
-		snapshotIndex: opt.Recovered.Snapshot.GetIndex(),
-	}, nil
+	initial := consensus.InitialState{ID: r.Identity.ID, HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries, Committed: committed}
+	n.core = consensus.New(n.opt.Consensus, initial, n.opt.Now(), n.opt.Seed)
+	n.machine = machine
+	n.snapshotIndex, n.sinceSnapshot = r.Snapshot.GetIndex(), 0
+	return nil
 }
 
-// Run runs the replica until ctx ends or the storage fails.
+// Run runs the replica until ctx ends. It returns an error if the storage fails for good.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.stopped)
 	defer n.failAllPending()
@@ -159,21 +166,42 @@
 			n.drainInbox()
 		case <-tick.C:
 		}
-		n.core.Tick(n.opt.Now())
-		n.core.Flush()
-		err := n.storageErr
-		if err == nil {
-			err = n.processEffects()
-		}
-		if err != nil {
+		if err := n.step(); err != nil {
 			n.opt.Log.WithError(err).Error("persisting the replica's state failed; stopping the replica")
 			return err
 		}
-		n.updateRole()
-		n.logMissingVotes()
-		n.updateSummary()
-		tick.Reset(max(minTick, n.core.Deadline()-n.opt.Now()))
+		tick.Reset(max(minTick, n.deadline()-n.opt.Now()))
+	}
+}
+
+// step does the work that is due. It returns an error if the node must end.
+func (n *Node) step() error {
+	if n.outage != nil {
+		if err := n.resume(); err != nil || n.outage != nil {
+			return err
+		}
+	}
+	n.core.Tick(n.opt.Now())
+	n.core.Flush()
+	err := n.storageErr
+	if err == nil {
+		err = n.processEffects()
+	}
+	if err != nil {
+		return n.suspend(err)
+	}
+	n.updateRole()
+	n.logMissingVotes()
+	n.updateSummary()
+	return nil
+}
+
+// deadline returns the time at which step must be called next.
+func (n *Node) deadline() time.Duration {
+	if n.outage != nil {
+		return n.outage.retryAt
 	}
+	return n.core.Deadline()
 }
 
 // drainInbox runs the functions that already wait in the inbox, so that they share
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -98,11 +98,17 @@
 // repair replaces a lost replica in the way an operator does: it adds a learner,
 // removes the lost replica once the learner has caught up, and promotes the learner.
 func repair(t *testing.T, g *group, lost, added uint64, left ...uint64) {
+	t.Helper()
+	g.add(added)
+	replace(t, g, lost, added, left...)
+}
+
+// replace is repair with a replica that was added already.
+func replace(t *testing.T, g *group, lost, added uint64, left ...uint64) {
 	t.Helper()
 	all := append(slices.Clone(left), lost)
 	learner := membershipOf(all...)
 	learner.Replicas = append(learner.Replicas, &wire.Replica{Id: added, Learner: true})
-	g.add(added)
 	g.change(learner)
 	for {
 		s, err := g.leader().Status(context.Background())
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -30,6 +30,9 @@
 	// MembershipCommitted is true if the replica knows that the membership is committed.
 	// Until then, a decision needs a quorum of the one before, too.
 	MembershipCommitted bool
+	// StorageFailing is true while the storage of this replica refuses writes. It then takes
+	// no part in the group, and the other fields are those of before, except for the leader.
+	StorageFailing bool
 	// Reachable and CaughtUp are known only to a leader: the replicas that
 	// responded within an election timeout, and those that store nearly the whole
 	// log.
@@ -60,6 +63,10 @@
 	}
 	f := func() {
 		n.inboxBytes.Add(-size)
+		if n.outage != nil {
+			n.outage.hear(messages)
+			return
+		}
 		now := n.opt.Now()
 		for _, m := range messages {
 			n.core.Step(now, m)
@@ -77,6 +84,9 @@
 // and the next answer repeats it.
 func (n *Node) MarkLost(id uint64) {
 	f := func() {
+		if n.outage != nil {
+			return
+		}
 		n.core.MarkLost(id)
 		if n.core.LostVoter() == id && n.lostVoter != id {
 			n.lostVoter = id
@@ -103,9 +113,24 @@
 	return n
 }
 
-// do runs f on the Run goroutine and waits for it. After an error with an unknown
-// outcome f may still run, so the caller must not read what f writes.
+// do runs f, which may use the core, on the Run goroutine and waits for it, or returns
+// errStorageFailing. After an error with an unknown outcome f may still run, so the caller must
+// not read what f writes.
 func (n *Node) do(ctx context.Context, f func()) error {
+	failing := false
+	err := n.doAlways(ctx, func() {
+		if failing = n.outage != nil; !failing {
+			f()
+		}
+	})
+	if err == nil && failing {
+		return errStorageFailing
+	}
+	return err
+}
+
+// doAlways is do for a function that handles an outage itself.
+func (n *Node) doAlways(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
 	case n.inbox <- func() { f(); close(done) }:
@@ -187,8 +212,12 @@
 func (n *Node) TransferLeadership(ctx context.Context) {
 	for wasLeader := false; ; {
 		done := false
-		err := n.do(ctx, func() {
+		err := n.doAlways(ctx, func() {
 			n.transferring = true
+			if n.outage != nil {
+				done = true
+				return
+			}
 			n.core.SetStopping()
 			leading := n.core.Role() == consensus.Leader
 			if leading && len(n.pending) == 0 {
@@ -239,22 +268,19 @@
 // lack commands that others have acknowledged. f must not block or retain the
 // machine.
 func (n *Node) ReadStale(ctx context.Context, f func(*state.Machine)) error {
-	return n.do(ctx, func() { f(n.machine) })
+	return n.doAlways(ctx, func() { f(n.machine) })
 }
 
 // Status returns the state of the group as this replica knows it, on a leader or
 // not.
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	var s Status
-	err := n.do(ctx, func() {
-		s = Status{
-			ID: n.core.ID(), Leader: n.core.Leader(), Term: n.core.Term(), Commit: n.core.Commit(),
-			Leading: n.core.Role() == consensus.Leader, Membership: proto.Clone(n.core.Membership()).(*wire.Membership),
-			MembershipCommitted: n.core.MembershipCommitted(), Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{},
-		}
-		for _, r := range s.Membership.Replicas {
-			s.Reachable[r.Id], s.CaughtUp[r.Id] = n.core.Reachable(r.Id), n.core.CaughtUp(r.Id)
+	err := n.doAlways(ctx, func() {
+		if n.outage != nil {
+			s = n.outage.status
+			return
 		}
+		s = n.coreStatus()
 	})
 	if err != nil {
 		return Status{}, err
@@ -262,6 +288,18 @@
 	return s, nil
 }
 
+func (n *Node) coreStatus() Status {
+	s := Status{
+		ID: n.core.ID(), Leader: n.core.Leader(), Term: n.core.Term(), Commit: n.core.Commit(),
+		Leading: n.core.Role() == consensus.Leader, Membership: proto.Clone(n.core.Membership()).(*wire.Membership),
+		MembershipCommitted: n.core.MembershipCommitted(), Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{},
+	}
+	for _, r := range s.Membership.Replicas {
+		s.Reachable[r.Id], s.CaughtUp[r.Id] = n.core.Reachable(r.Id), n.core.CaughtUp(r.Id)
+	}
+	return s
+}
+
 // RPCError converts an error for an RPC response, with the address of the leader if it is
 // known. A replica that leads and is not ready yet names itself.
 func (n *Node) RPCError(ctx context.Context, err error) error {
