--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -19,6 +19,26 @@
 	tempSuffix   = ".tmp"
 )
 
+// disk holds the operations of which a disk that is full or faulty refuses some.
+type disk struct {
+	// create creates or empties a file.
+	create     func(path string) (*os.File, error)
+	write      func(f *os.File, content []byte) (int, error)
+	sync       func(f *os.File) error
+	rename     func(from, to string) error
+	syncFolder func(dir string) error
+}
+
+var systemDisk = disk{
+	create: func(path string) (*os.File, error) {
+		return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	},
+	write:      (*os.File).Write,
+	sync:       (*os.File).Sync,
+	rename:     os.Rename,
+	syncFolder: syncFolder,
+}
+
 // Identity identifies a replica for the lifetime of its data folder. An emptied
 // folder gets a new identity: a replica that lost its stored vote must not vote
 // again under the same id.
@@ -73,7 +93,7 @@
 
 // loadIdentity returns the folder's identity. In an empty folder it creates one
 // with newID; a folder that holds other files and no identity is rejected.
-func loadIdentity(dir string, newID func() uint64) (Identity, error) {
+func (d disk) loadIdentity(dir string, newID func() uint64) (Identity, error) {
 	id, err := readIdentity(dir)
 	if !errors.Is(err, os.ErrNotExist) {
 		return id, err
@@ -82,7 +102,7 @@
 		return Identity{}, err
 	}
 	id = Identity{ID: newID()}
-	return id, saveIdentity(dir, id)
+	return id, d.saveIdentity(dir, id)
 }
 
 // readIdentity returns the folder's identity, or an error that wraps os.ErrNotExist if it
@@ -115,44 +135,44 @@
 	return nil
 }
 
-func saveIdentity(dir string, id Identity) error {
+func (d disk) saveIdentity(dir string, id Identity) error {
 	content, err := json.Marshal(id)
 	if err != nil {
 		return fail.Wrap(err, fail.Internal, "encode identity")
 	}
-	return replaceFile(dir, identityName, content)
+	return d.replaceFile(dir, identityName, content)
 }
 
 // replaceFile replaces a file atomically: after a crash it holds either the old
 // or the new content.
-func replaceFile(dir, name string, content []byte) error {
+func (d disk) replaceFile(dir, name string, content []byte) error {
 	path := filepath.Join(dir, name)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	f, err := d.create(path + tempSuffix)
 	if err != nil {
 		return fail.Wrap(err, fail.StorageFailed, "create "+name)
 	}
 	// A temporary file that a crash left has the permissions that it was created with.
 	err = f.Chmod(0o600)
 	if err == nil {
-		err = writeAll(f, content)
+		err = d.writeAll(f, content)
 	}
 	if err == nil {
-		err = f.Sync()
+		err = d.sync(f)
 	}
 	err = errors.Join(err, f.Close())
 	if err == nil {
-		err = os.Rename(path+tempSuffix, path)
+		err = d.rename(path+tempSuffix, path)
 	}
 	if err != nil {
 		os.Remove(path + tempSuffix)
 		return fail.Wrap(err, fail.StorageFailed, "replace "+name)
 	}
-	return syncFolder(dir)
+	return d.syncFolder(dir)
 }
 
 // writeAll writes the content. Its error names the bytes that were written.
-func writeAll(f *os.File, content []byte) error {
-	if n, err := f.Write(content); err != nil {
+func (d disk) writeAll(f *os.File, content []byte) error {
+	if n, err := d.write(f, content); err != nil {
 		return fmt.Errorf("%d of %d bytes written: %w", n, len(content), err)
 	}
 	return nil
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -35,6 +35,7 @@
 // writes fail, because the content of the disk is unknown, until Reopen succeeds.
 type Journal struct {
 	dir       string
+	disk      disk
 	lock      *os.File
 	log       *os.File
 	identity  Identity
@@ -48,11 +49,15 @@
 // rewrites the whole log before it returns, so that the recovered state is durable
 // even if an earlier sync failed.
 func Open(dir string, newID func() uint64) (*Journal, *Recovered, error) {
+	return openOn(systemDisk, dir, newID)
+}
+
+func openOn(d disk, dir string, newID func() uint64) (*Journal, *Recovered, error) {
 	lock, err := lockFolder(dir)
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{dir: dir, lock: lock}
+	j := &Journal{dir: dir, disk: d, lock: lock}
 	r, err := j.open(newID)
 	if err != nil {
 		j.Close()
@@ -62,7 +67,7 @@
 }
 
 func (j *Journal) open(newID func() uint64) (*Recovered, error) {
-	identity, err := loadIdentity(j.dir, newID)
+	identity, err := j.disk.loadIdentity(j.dir, newID)
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +196,7 @@
 // SetGroup stores the group that the replica belongs to. It may be called
 // concurrently with Save and SaveSnapshot.
 func (j *Journal) SetGroup(group string) error {
-	return saveIdentity(j.dir, Identity{ID: j.identity.ID, Group: group})
+	return j.disk.saveIdentity(j.dir, Identity{ID: j.identity.ID, Group: group})
 }
 
 // Save appends the hard state, unless it is nil, and the entries, and syncs the log.
@@ -218,10 +223,10 @@
 	if cap(buf) > maxRetainedBufferBytes {
 		j.buf = nil
 	}
-	if err := writeAll(j.log, buf); err != nil {
+	if err := j.disk.writeAll(j.log, buf); err != nil {
 		return fail.Wrap(err, fail.StorageFailed, "write log")
 	}
-	if err := j.log.Sync(); err != nil {
+	if err := j.disk.sync(j.log); err != nil {
 		return fail.Wrap(err, fail.StorageFailed, "sync log")
 	}
 	j.sequence++
@@ -253,7 +258,7 @@
 	if err != nil {
 		return fail.Wrap(err, fail.Internal, "encode journal")
 	}
-	if err := replaceFile(j.dir, logName, buf); err != nil {
+	if err := j.disk.replaceFile(j.dir, logName, buf); err != nil {
 		return err
 	}
 	f, err := os.OpenFile(filepath.Join(j.dir, logName), os.O_WRONLY|os.O_APPEND, 0o600)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -173,7 +173,7 @@
 	})
 	t.Run("another replica's log", func(t *testing.T) {
 		dir := filled(t)
-		saveIdentity(dir, Identity{ID: 8, Group: "g"})
+		systemDisk.saveIdentity(dir, Identity{ID: 8, Group: "g"})
 		requireOpenError(t, dir, fail.ForeignFolder)
 	})
 	t.Run("log lost", func(t *testing.T) {
