Test that the membership is whole after full disks in turn

A voter whose disk is full answers no message of consensus, so that the leader takes it for unreachable. Of three voters none is removed; of four, one that is full for longer than 2 s is, and joins again with its log as a learner once its disk takes writes. The simulation suspends each of three or four replicas in turn, twice, for up to 6 s, and then wants all of them as voters.

--- a/internal/fleetcontrol/fulldisk_test.go
+++ b/internal/fleetcontrol/fulldisk_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/wire"
 )
 
 // limitFiles lets no file of this process grow beyond the size in bytes, as on a full disk, until
@@ -85,3 +89,56 @@
 		}
 	}
 }
+
+// suspend does what a replica does whose disk refuses a write: it hands its leadership over and
+// takes no part in the group for d. Half of the refused writes are found on the disk later.
+func (g *simGroup) suspend(i int, d time.Duration) {
+	n := g.nodes[i]
+	if n.syncing != nil && g.random.IntN(2) == 0 {
+		n.save(*n.syncing)
+	}
+	if request := n.core.StepDown(); request != nil {
+		g.queue = append(g.queue, request)
+	}
+	n.up = false
+	g.run(d, 0)
+	n.initial.HardState, n.initial.Entries, n.initial.Committed = n.hard, slices.Clone(n.entries), n.core.Applied()
+	g.nodes[i] = g.start(n.address, n.initial, n.group)
+}
+
+// TestMembershipIsWholeAfterFullDisksInTurn guards against voters that are removed while their
+// disks are full and don't vote again.
+func TestMembershipIsWholeAfterFullDisksInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newSimGroup(t)
+		g.slowSyncs = true
+		if rapid.Bool().Draw(t, "four") {
+			g.nodes = append(g.nodes, g.blank("a3"))
+		}
+		g.run(catchUp, 0)
+		for range 2 {
+			for i := range g.nodes {
+				g.propose()
+				g.suspend(i, time.Duration(g.random.Int64N(int64(6*time.Second))))
+				g.run(time.Second, rapid.IntRange(0, 2).Draw(t, "loss percent"))
+				g.check()
+			}
+		}
+		g.run(catchUp, 0)
+		before := len(g.acknowledged)
+		for end := g.now + catchUp; g.now < end && len(g.acknowledged) == before; g.run(100*time.Millisecond, 0) {
+			g.propose()
+		}
+		g.check()
+		leaders := g.leaders()
+		if len(g.acknowledged) == before || len(leaders) != 1 {
+			t.Fatalf("%d leaders, and no change was acknowledged: %v", len(leaders), g.nodes[0].core.Membership())
+		}
+		for _, n := range g.nodes {
+			isVoter := func(r *wire.Replica) bool { return r.Id == n.core.ID() && !r.Learner }
+			if m := leaders[0].core.Membership(); !slices.ContainsFunc(m.Replicas, isVoter) {
+				t.Errorf("replica %d at %s does not vote: %v", n.core.ID(), n.address, m)
+			}
+		}
+	})
+}
