--- a/internal/fleetcontrol/adaptertransit_test.go
+++ b/internal/fleetcontrol/adaptertransit_test.go
@@ -29,6 +29,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEngine{held: map[string]map[string]bool{"m0": {}}}
 		l, _ := newTestLeader(t, f, HeldModel{Name: "m0"})
+		// The first report of the engine is read in the background.
+		synctest.Wait()
 		l.s.deps.Platform = transitEngine{f}
 		more := newAdapterRequest("m0", "a6")
 		more.additional = true
