--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -35,22 +35,25 @@
 )
 
 // joinGroup installs the initial membership on seeds at the first start, and asks
-// the group to admit this replica as long as it is not a member.
+// the group to admit this replica as long as it is not a member. It tries again after a
+// disk has refused either.
 func (s *Server) joinGroup(ctx context.Context) {
-	if s.cfg.isSeed() {
-		if err := s.bootstrap(ctx); err != nil {
-			s.log.WithError(err).Error("failed to install initial membership")
-		}
-	}
+	bootstrapped := !s.cfg.isSeed()
 	tick := time.NewTicker(joinInterval)
 	defer tick.Stop()
 	for attempt := 0; ; attempt++ {
+		if !bootstrapped {
+			err := s.bootstrap(ctx)
+			if bootstrapped = err == nil; err != nil && attempt%joinFailuresPerLog == 0 {
+				s.log.WithError(err).Error("failed to install initial membership")
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		if status, err := s.node.Status(ctx); err != nil || s.isMember(status) || s.leaving.Load() {
+		if status, err := s.node.Status(ctx); err != nil || status.StorageFailing || s.isMember(status) || s.leaving.Load() {
 			continue
 		}
 		s.requestJoin(ctx, attempt)
@@ -175,24 +178,32 @@
 			return
 		case <-tick.C:
 		}
-		status, err := s.node.Status(ctx)
-		if err != nil || !status.Leading {
-			reach = reachability{}
-			continue
-		}
-		reach.record(status, s.clock())
-		next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()), s.cfg.minVoters())
-		if next == nil {
-			continue
-		}
-		if err := s.node.ProposeMembership(ctx, next); err != nil {
-			s.log.WithError(err).WithField("reason", reason).Warn("failed to change membership")
-			continue
+		for s.changeMembership(ctx, &reach) {
 		}
-		s.log.WithFields(logrus.Fields{"reason": reason, "replicas": len(next.Replicas)}).Info("membership changed")
 	}
 }
 
+// changeMembership proposes the next membership change, if there is one, and reports
+// whether it was committed.
+func (s *Server) changeMembership(ctx context.Context, reach *reachability) bool {
+	status, err := s.node.Status(ctx)
+	if err != nil || !status.Leading {
+		*reach = reachability{}
+		return false
+	}
+	reach.record(status, s.clock())
+	next, reason := nextMembership(status, reach.sinceResponse(status, s.clock()), s.cfg.minVoters())
+	if next == nil {
+		return false
+	}
+	if err := s.node.ProposeMembership(ctx, next); err != nil {
+		s.log.WithError(err).WithField("reason", reason).Warn("failed to change membership")
+		return false
+	}
+	s.log.WithFields(logrus.Fields{"reason": reason, "replicas": len(next.Replicas)}).Info("membership changed")
+	return true
+}
+
 // reachability holds the time at which each replica last responded to this
 // leader.
 type reachability struct {
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +26,9 @@
 //     voter's disk is gone, or if it is unresponsive and a caught-up learner can
 //     replace it. It is removed before the learner becomes a voter, because until
 //     then it only raises the quorum.
-//   - A caught-up learner becomes a voter.
+//   - A caught-up learner becomes a voter. While several voters are silent and may turn
+//     out to be gone, it waits, unless there are fewer than minVoters: more voters
+//     would raise the quorum further.
 //   - An unresponsive voter is removed if the number of voters is even, which
 //     lowers the quorum, or if several are gone, because the removal of two lowers it
 //     too. At least minVoters remain, so that a commit is on as many disks as the group
@@ -44,10 +47,11 @@
 		if !s.Reachable[l.Id] || !s.CaughtUp[l.Id] {
 			continue
 		}
-		if v := voterReplacedBy(voters, l, sinceResponse); v != nil && keepsQuorum(s, voters, v.Id) {
+		v := voterReplacedBy(voters, l, sinceResponse, minVoters)
+		if v != nil && keepsQuorum(s, voters, v.Id) {
 			return withoutReplica(s.Membership, v.Id), "voter replaced"
 		}
-		if len(voters) < maxVoters {
+		if len(voters) < maxVoters && (v != nil || len(voters) < minVoters || unreachable(s, voters) < 2) {
 			return withVoter(s.Membership, l.Id), "learner caught up"
 		}
 	}
@@ -64,8 +68,9 @@
 
 // membershipWithoutLeaving returns the membership without a voter that is about to
 // stop, or a step towards it: one with a caught-up learner as another voter. It returns
-// nil if fewer than minVoters, or no quorum of those that remain, would be left.
-func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) *wire.Membership {
+// errTooFewVoters if fewer than minVoters would be left, and errTooFewReachable if that, or
+// no quorum of those that remain, is so only as long as no more replicas respond.
+func membershipWithoutLeaving(s replica.Status, leaving uint64, minVoters int) (*wire.Membership, error) {
 	var voters []*wire.Replica
 	var successor *wire.Replica
 	for _, r := range s.Membership.GetReplicas() {
@@ -77,12 +82,15 @@
 		}
 	}
 	if len(voters) > minVoters && keepsQuorum(s, voters, leaving) {
-		return withoutReplica(s.Membership, leaving)
+		return withoutReplica(s.Membership, leaving), nil
 	}
 	if successor != nil && len(voters) < maxVoters {
-		return withVoter(s.Membership, successor.Id)
+		return withVoter(s.Membership, successor.Id), nil
 	}
-	return nil
+	if len(s.Membership.GetReplicas()) > minVoters {
+		return nil, errTooFewReachable
+	}
+	return nil, errTooFewVoters
 }
 
 // removableVoter returns an unresponsive voter without which the group has a lower
@@ -102,27 +110,42 @@
 	default:
 		return nil
 	}
-	for _, v := range voters {
-		if sinceResponse[v.Id] >= timeout && keepsQuorum(s, voters, v.Id) {
-			return v
-		}
+	v := longestSilent(voters, sinceResponse)
+	if sinceResponse[v.Id] < timeout || !keepsQuorum(s, voters, v.Id) {
+		return nil
 	}
-	return nil
+	return v
 }
 
-// voterReplacedBy returns the voter that the learner replaces, or nil.
-func voterReplacedBy(voters []*wire.Replica, l *wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+// longestSilent returns the voter that has not responded for the longest time: a voter that
+// is gone for good is silent for longer than one that is cut off and comes back.
+func longestSilent(voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
+	return slices.MaxFunc(voters, func(a, b *wire.Replica) int { return cmp.Compare(sinceResponse[a.Id], sinceResponse[b.Id]) })
+}
+
+// voterReplacedBy returns the voter that the learner replaces, or nil. An unresponsive voter is
+// replaced only if there are minVoters with it.
+func voterReplacedBy(voters []*wire.Replica, l *wire.Replica, sinceResponse map[uint64]time.Duration, minVoters int) *wire.Replica {
 	for _, v := range voters {
 		if v.Address == l.Address {
 			return v
 		}
 	}
+	if v := longestSilent(voters, sinceResponse); sinceResponse[v.Id] >= voterTimeout && len(voters) >= minVoters {
+		return v
+	}
+	return nil
+}
+
+// unreachable returns the number of voters that have not responded within an election timeout.
+func unreachable(s replica.Status, voters []*wire.Replica) int {
+	n := 0
 	for _, v := range voters {
-		if sinceResponse[v.Id] >= voterTimeout {
-			return v
+		if !s.Reachable[v.Id] {
+			n++
 		}
 	}
-	return nil
+	return n
 }
 
 // keepsQuorum reports whether a majority of the voters that remain without the
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -62,12 +62,13 @@
 	nodeErr error
 }
 
-// Start opens the data folder, starts the replica and serves until ctx ends.
+// Start opens the data folder, starts the replica and serves until ctx ends. While the disk
+// refuses writes, it waits until it doesn't or ctx ends.
 func Start(ctx context.Context, cfg Settings, deps Dependencies, log *logrus.Entry) (*Server, error) {
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * gcMemoryShare * (1 << 20)))
 	}
-	j, recovered, err := journal.Open(cfg.DataFolder, func() uint64 { return newReplicaID(cfg) })
+	j, recovered, err := replica.OpenJournal(ctx, cfg.DataFolder, func() uint64 { return newReplicaID(cfg) }, log)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +80,7 @@
 	s.Reload(cfg)
 	s.sender = replica.NewNetworkSender(ctx, s.peers, cfg.Address, s.group.Name)
 	s.node, err = replica.NewNode(replica.Options{
-		Recovered: recovered, Storage: j, Sender: s.sender, Consensus: cfg.consensusConfig(),
+		Recovered: recovered, Storage: j, Reopen: j.Reopen, Sender: s.sender, Consensus: cfg.consensusConfig(),
 		SnapshotEntries: cfg.SnapshotEntries, Now: s.clock, Seed: rand.Uint64(), Log: log, OnChange: s.news.publish,
 	})
 	if err != nil {
@@ -172,14 +173,17 @@
 // this replica, finishes the operator requests in flight,
 // ends the consensus node by calling stopNode and closes the data folder. Requests
 // that wait for the node when it ends fail, and are answered too. It takes at most
-// shutdownTimeout, nodeStopTimeout and answerTimeout, also if the disk stalls.
+// shutdownTimeout, nodeStopTimeout and answerTimeout if the disk stalls, and up to
+// leaveTimeout more if it doesn't.
 func (s *Server) Shutdown(ctx context.Context, stopNode context.CancelFunc) error {
 	s.log.WithField("reason", s.stopReason()).Info("draining")
 	s.operatorServer.Drain()
 	finishCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	s.node.TransferLeadership(finishCtx)
-	s.leaveGroup(finishCtx)
+	if finishCtx.Err() == nil {
+		s.leaveGroup(ctx)
+	}
 	err := s.operatorServer.Shutdown(finishCtx)
 	stopNode()
 	nodeErr := s.awaitNode()
--- a/scripts/soak/drive.go
+++ b/scripts/soak/drive.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	plannedOnly, underLoad := d.plannedStopsOnly.Load(), d.stopsUnderLoad.Load()
 	started := time.Now()
-	outcome, sentAt := client.Do(ctx, n.clientAddress, attempt)
+	outcome, sending := client.Do(ctx, n.clientAddress, attempt)
 	ended := time.Now()
 	if d.ctx.Err() != nil {
 		return
@@ -135,11 +135,17 @@
 	if !plannedOnly {
 		return
 	}
+	if outcome == standin.Aborted {
+		d.awaitRunEnd(attempt.ID)
+	}
 	state := d.s.checker.RunState(attempt.ID)
 	stoppedAt, during := n.lastStop(started)
 	a := abort{
-		kind: attempt.Kind, sent: !sentAt.IsZero(), sentSinceStop: sentAt.Sub(stoppedAt), state: state,
-		lasted: ended.Sub(started), sinceStop: ended.Sub(stoppedAt),
+		kind: attempt.Kind, sent: !sending.Whole.IsZero(), sentSinceStop: sending.Whole.Sub(stoppedAt), state: state,
+		lasted: ended.Sub(started), silent: ended.Sub(started), sinceStop: ended.Sub(stoppedAt),
+	}
+	if !sending.Begun.IsZero() {
+		a.silent = sending.Begun.Sub(started)
 	}
 	if end := d.s.checker.RunEnd(attempt.ID); !end.IsZero() {
 		a.workedUntil = end.Sub(stoppedAt)
@@ -155,6 +161,19 @@
 	}
 }
 
+// runEndTime bounds the time from the end of a connection until an endpoint has noticed it.
+const runEndTime = 500 * time.Millisecond
+
+// awaitRunEnd waits until the endpoint that runs the attempt has ended the run, which tells who has
+// broken it off, or for runEndTime.
+func (d *driver) awaitRunEnd(attempt string) {
+	for end := time.Now().Add(runEndTime); time.Now().Before(end); {
+		if d.s.checker.RunState(attempt) == standin.NotRun || !d.s.checker.RunEnd(attempt).IsZero() || !d.wait(10*time.Millisecond) {
+			return
+		}
+	}
+}
+
 // recordAbort counts an attempt without a complete response, and checks whether it is lost.
 func (d *driver) recordAbort(n *node, attempt standin.Attempt, a abort, underLoad bool) {
 	reason, lost := a.reason(underLoad)
@@ -211,12 +230,17 @@
 // putDocument sends the next version of the fleet document and reports whether it
 // was acknowledged.
 func (d *driver) putDocument(ctx context.Context, o *standin.Operator, operatorAddress string) bool {
+	return d.putDocumentWith(ctx, o, operatorAddress, fleetLimits)
+}
+
+// putDocumentWith is putDocument with the limits, and so the models, of the engines.
+func (d *driver) putDocumentWith(ctx context.Context, o *standin.Operator, operatorAddress string, limits *standin.Limits) bool {
 	d.mu.Lock()
 	d.version += 1 + uint64(d.version%3)
 	version := d.version
 	d.mu.Unlock()
 	d.s.checker.RecordSent(version)
-	status := o.Put(ctx, operatorAddress, standin.Document(version, fleetLimits, d.workspaces))
+	status := o.Put(ctx, operatorAddress, standin.Document(version, limits, d.workspaces))
 	if status >= 400 && status < 500 {
 		d.s.checker.RecordViolation("version %d of the fleet document was rejected with status %d", version, status)
 	}
