Apply what is committed also when the write beside it fails

A gateway that fetched the document from a suspended replica got none, or an older one, and /metrics told of version 0, if the disk refused the first write after it could be opened again.

Cause: Effects counts the committed entries as applied when it returns them, and processEffects applied them only after the write beside them.

The entries are committed and synced before they are returned, whatever the write beside them lacks, so they are applied when it fails. Proposals among them are then acknowledged, too, where their outcome was unknown before.

The test failed before: "0 changes, want the 5 that were applied".

--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -113,7 +113,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var reopen func() (*journal.Recovered, error)
-	if d, ok := s.(*refusingStorage); ok {
+	if d, ok := s.(interface {
+		reopen() (*journal.Recovered, error)
+	}); ok {
 		reopen = d.reopen
 	}
 	node, err := NewNode(Options{
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -228,6 +228,8 @@
 		}
 		n.opt.Sender.Send(e.EarlyMessages, n.core.Members())
 		if err := n.save(e); err != nil {
+			// These are committed and were stored before.
+			n.apply(e.Committed)
 			return err
 		}
 		n.core.Persisted(e)
--- a/internal/replica/outage_test.go
+++ b/internal/replica/outage_test.go
@@ -191,3 +191,52 @@
 		})
 	}
 }
+
+// fickleStorage can be opened again at any time, and refuses a commit index alone.
+type fickleStorage struct{ refusingStorage }
+
+func (d *fickleStorage) Save(h *wire.HardState, entries []*wire.LogEntry) error {
+	d.mu.Lock()
+	refuse := d.full && h != nil && len(entries) == 0
+	d.mu.Unlock()
+	if refuse {
+		return fail.New(fail.StorageFailed, "no room")
+	}
+	return d.memoryStorage.Save(h, entries)
+}
+
+func (d *fickleStorage) reopen() (*journal.Recovered, error) { return d.recovered(), nil }
+
+// TestRefusalAfterAnOutageDoesNotTakeStateBack guards against a replica that tells of an earlier
+// state when its disk refuses the first write after an outage.
+func TestRefusalAfterAnOutageDoesNotTakeStateBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		defer g.stop()
+		d := &fickleStorage{refusingStorage{id: 1}}
+		g.runWith(1, d.recovered(), d, memorySender{g, 1}, 64)
+		g.add(2)
+		g.add(3)
+		for _, m := range g.nodes {
+			if err := m.node.Bootstrap(t.Context(), membershipOf(1, 2, 3)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range 5 {
+			g.commit(fmt.Sprint("e", i))
+		}
+		time.Sleep(time.Second)
+		d.setFull(true)
+		withLearner := membershipOf(1, 2, 3)
+		withLearner.Replicas = append(withLearner.Replicas, &wire.Replica{Id: 9, Learner: true})
+		g.change(withLearner)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			got := -1
+			err := g.nodes[1].node.ReadStale(t.Context(), func(m *state.Machine) { got = len(m.View().Entries) })
+			if err != nil || got != 5 || !g.nodes[1].node.StorageFailing() {
+				t.Fatalf("%d changes, error %v, want the 5 that were applied, in an outage", got, err)
+			}
+		}
+	})
+}
