Count the silence of a control replica from when it joins again

A replica that was removed and joined again under its id more than 8 s later, as one does whose disk was full for that long in a group of four, could be removed in the moment of its admission, and so could it at each further try.

Cause: reachability kept the last response of replicas that were not in the membership any more. One that was admitted again counted as silent since then, until its first response; a check of the membership in between removed it as an unresponsive learner.

Now only members are remembered. The test failed before: "at 1m0s: learner unresponsive, want no change".

--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -204,8 +204,8 @@
 	return true
 }
 
-// reachability holds the time at which each replica last responded to this
-// leader.
+// reachability holds the time at which each replica in the membership last responded to
+// this leader.
 type reachability struct {
 	lastResponse map[uint64]time.Duration
 }
@@ -213,14 +213,15 @@
 // record sets the time of the last response to now for each reachable replica, and for
 // each replica that is new in the membership.
 func (r *reachability) record(status replica.Status, now time.Duration) {
-	if r.lastResponse == nil {
-		r.lastResponse = map[uint64]time.Duration{}
-	}
+	lastResponse := map[uint64]time.Duration{}
 	for _, x := range status.Membership.GetReplicas() {
-		if _, ok := r.lastResponse[x.Id]; !ok || status.Reachable[x.Id] {
-			r.lastResponse[x.Id] = now
+		at, known := r.lastResponse[x.Id]
+		if !known || status.Reachable[x.Id] {
+			at = now
 		}
+		lastResponse[x.Id] = at
 	}
+	r.lastResponse = lastResponse
 }
 
 func (r *reachability) sinceResponse(status replica.Status, now time.Duration) map[uint64]time.Duration {
--- a/internal/fleetcontrol/group_test.go
+++ b/internal/fleetcontrol/group_test.go
@@ -400,3 +400,30 @@
 		}
 	})
 }
+
+// TestReplicaThatJoinsAgainIsNotTakenForSilent guards against the removal of a replica that has
+// just been admitted for the time in which it was no member.
+func TestReplicaThatJoinsAgainIsNotTakenForSilent(t *testing.T) {
+	status := func(learner bool) replica.Status {
+		s := replica.Status{Membership: &wire.Membership{}, Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}}
+		for id := uint64(1); id <= 3; id++ {
+			s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{Id: id})
+			s.Reachable[id], s.CaughtUp[id] = true, true
+		}
+		if learner {
+			s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{Id: 4, Learner: true})
+		}
+		return s
+	}
+	var r reachability
+	for _, step := range []struct {
+		at      time.Duration
+		learner bool
+	}{{0, true}, {time.Second, false}, {time.Minute, true}} {
+		s := status(step.learner)
+		r.record(s, step.at)
+		if next, reason := nextMembership(s, r.sinceResponse(s, step.at), smallestGroup); next != nil {
+			t.Errorf("at %v: %s, want no change", step.at, reason)
+		}
+	}
+}
