Run the tests that fill a disk in processes of their own

Cause: the tests of full disks lower the limit on the size of files of the test process, into which the testing package writes a log of its own at any time.

Change: these tests run in a child process, which has no such log; their checks are the same.

--- a/internal/control/fulldisk_test.go
+++ b/internal/control/fulldisk_test.go
@@ -13,6 +13,9 @@
 // TestReplicaCommitsAgainOnceItsDiskHasRoom guards against a replica that ends because its disk
 // was full for a moment. A limit on the size of files simulates the full disk.
 func TestReplicaCommitsAgainOnceItsDiskHasRoom(t *testing.T) {
+	if !runAlone(t) {
+		return
+	}
 	s := blankServer(t)
 	m := &wire.Membership{Replicas: []*wire.Replica{{Id: s.node.Identity().ID, Address: s.http.Address()}}}
 	if err := s.bootstrap(t.Context(), &wire.BootstrapRequest{Group: replica.GroupName(m), Membership: m}); err != nil {
--- a/internal/fleetcontrol/fulldisk_test.go
+++ b/internal/fleetcontrol/fulldisk_test.go
@@ -35,6 +35,9 @@
 // TestServerStaysUpWhileItsDiskIsFull guards against a replica that ends, that leaves callers
 // without an answer, or that stores nothing once there is room.
 func TestServerStaysUpWhileItsDiskIsFull(t *testing.T) {
+	if !runAlone(t) {
+		return
+	}
 	const answerWithin = time.Second
 	cfg := singleSettings(t)
 	s, stop := startSingle(t, cfg)
@@ -62,6 +65,9 @@
 // TestServerStartsOnceItsDiskHasRoom also guards against a first start whose membership is not
 // installed because the disk refused it once.
 func TestServerStartsOnceItsDiskHasRoom(t *testing.T) {
+	if !runAlone(t) {
+		return
+	}
 	cfg := singleSettings(t)
 	deps := Dependencies{Platform: &fakeEngine{}, Decode: decodeVersion, OperatorHandler: func(DocumentStore) http.Handler { return http.NewServeMux() }}
 	// The limits refuse the identity, the log and the membership of the first start.
