--- a/scripts/losses/bed.go
+++ b/scripts/losses/bed.go
@@ -1,16 +1,13 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -272,142 +269,6 @@
 	time.Sleep(least + time.Duration(b.random.Float64()*float64(most-least)))
 }
 
-// put sends the next document until it is acknowledged, and returns the replica that
-// acknowledged it.
-func (b *bed) put() (int, error) {
-	b.version++
-	version := b.version
-	text := standin.Document(uint64(version), engineLimits, nil)
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(retryPause) {
-		id := b.others(1)[0]
-		status, _, by := b.call(http.MethodPost, id, "/config/put", text)
-		if status == http.StatusOK {
-			b.newest, b.ackedAt = version, time.Now()
-			b.event("core-%d acknowledged version %d", by, version)
-			return by, nil
-		}
-	}
-	return 0, fmt.Errorf("version %d was never acknowledged", version)
-}
-
-// sendOnly sends the next document and does not wait for its acknowledgement.
-func (b *bed) sendOnly() {
-	b.version++
-	text := standin.Document(uint64(b.version), engineLimits, nil)
-	for _, id := range b.all() {
-		go func() {
-			status, _, by := b.call(http.MethodPost, id, "/config/put", text)
-			b.event("core-%d answered %d to version %d, which nobody awaits", by, status, b.version)
-		}()
-	}
-}
-
-// read returns the version that the replica, or the leader that it names, shows.
-func (b *bed) read(id int) (version int, err error) {
-	status, text, _ := b.call(http.MethodGet, id, "/config/get", nil)
-	var got struct {
-		Version int `json:"version"`
-	}
-	if status != http.StatusOK {
-		return 0, fmt.Errorf("core-%d answered a read with status %d", id, status)
-	}
-	return got.Version, json.Unmarshal(text, &got)
-}
-
-// call calls a replica, follows one redirect and returns which replica answered. The
-// status is zero without an answer.
-func (b *bed) call(method string, id int, path string, body []byte) (status int, text []byte, by int) {
-	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.address(id, operatorPort)+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, 0
-	}
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil, 0
-	}
-	defer resp.Body.Close()
-	if text, err = io.ReadAll(resp.Body); err != nil {
-		return 0, nil, 0
-	}
-	for id := range maxCores {
-		if resp.Request.URL.Host == b.address(id, operatorPort) {
-			by = id
-		}
-	}
-	return resp.StatusCode, text, by
-}
-
-// maxCores bounds the ids of replicas.
-const maxCores = 20
-
-// check reads the newest acknowledged document back by way of each replica, has another one
-// acknowledged and awaits it at each gateway. It returns how long the reads took.
-func (b *bed) check() (time.Duration, error) {
-	start := time.Now()
-	newest := b.newest
-	for _, id := range b.all() {
-		if err := b.awaitRead(id, newest, start.Add(patience)); err != nil {
-			return 0, wrap(err, "read back")
-		}
-	}
-	for _, id := range b.all() {
-		if !b.cores[id].process.Running() {
-			return 0, fmt.Errorf("core-%d has exited", id)
-		}
-	}
-	took := time.Since(start)
-	b.event("read back after %v", took)
-	time.Sleep(max(0, catchUp-took))
-	if _, err := b.put(); err != nil {
-		return 0, wrap(err, "next change")
-	}
-	for _, id := range b.all() {
-		if err := b.awaitRead(id, b.newest, time.Now().Add(patience)); err != nil {
-			return 0, wrap(err, "after the next change")
-		}
-	}
-	return took, b.awaitGateways(b.ackedAt.Add(applyTime))
-}
-
-// awaitRead reads from a replica until it shows the version or a newer one. An older one is
-// an error, as is none until the deadline.
-func (b *bed) awaitRead(id, version int, deadline time.Time) error {
-	for {
-		got, err := b.read(id)
-		switch {
-		case err == nil && got < version:
-			return fmt.Errorf("core-%d shows version %d, acknowledged was %d", id, got, version)
-		case err == nil:
-			return nil
-		case time.Now().After(deadline):
-			return wrap(err, "never")
-		}
-		time.Sleep(retryPause)
-	}
-}
-
-// awaitGateways waits until each gateway applies the newest document. An answer by an older
-// one is an error after the deadline, no answer only after patience.
-func (b *bed) awaitGateways(deadline time.Time) error {
-	client := standin.NewClient(standin.NewChecker())
-	for i := range gatewayCount {
-		for {
-			applied, known := client.Applied(b.ctx, b.gatewayAddress(i+1, clientPort), uint64(b.newest))
-			if applied {
-				break
-			}
-			if late := time.Since(deadline); late > 0 && known || late > patience {
-				return fmt.Errorf("gateway-%d does not apply version %d, answers %t", i+1, b.newest, known)
-			}
-			time.Sleep(retryPause)
-		}
-	}
-	return nil
-}
-
 // stop kills all processes.
 func (b *bed) stop() {
 	close(b.stopped)
