Make two tests of the gateway pass with Go 1.27

And its servers take 500 header lines, so that the test's own endpoint refused the request with 500 lines and Host.

The bubble now lasts until the server has closed; the endpoint is a server of transport. Both tests check what they did.

--- a/internal/gateway/keptconnection_test.go
+++ b/internal/gateway/keptconnection_test.go
@@ -46,6 +46,10 @@
 	})
 }
 
+// serverCloseTime is more than what net/http waits, since Go 1.27, between a response to a request with an unread
+// body and the close of its connection.
+const serverCloseTime = time.Second
+
 func TestRequestsThatComeAfterTheCancellationAreRefusedWithATimeToComeBack(t *testing.T) {
 	for name, request := range map[string]string{
 		"no body":        "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -62,6 +66,8 @@
 					if err != nil {
 						t.Fatal(err)
 					}
+					// The server closes a connection with an unread body only after a time.
+					defer time.Sleep(serverCloseTime)
 					defer c.Close()
 					go io.WriteString(c, request)
 					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/internal/gateway/oddrequests_test.go
+++ b/internal/gateway/oddrequests_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -16,7 +15,8 @@
 // startEchoEngine starts an engine that answers with the method, target and body that it got.
 func startEchoEngine(t *testing.T) *wire.FleetEndpoint {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	// A server of transport takes as many header lines as a gateway does.
+	address := serveHandler(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			t.Error(err)
@@ -25,8 +25,7 @@
 		w.Header().Set("Id", r.Header.Get("Id"))
 		fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 	}))
-	t.Cleanup(s.Close)
-	return &wire.FleetEndpoint{Address: s.Listener.Addr().String()}
+	return &wire.FleetEndpoint{Address: address}
 }
 
 func TestOddButProperRequestsAreAnsweredOnTheirKeptConnection(t *testing.T) {
