--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,13 @@
 faults: build
 	go run ./scripts/faults -bin bin
 
-# Runs all tests. The seeds of rapid are fixed, so that results are reproducible.
+# Runs all tests. The seeds of rapid are fixed, so that results are reproducible. Those of scripts/abusive
+# measure memory and descriptors of processes, and run after the others, apart from their load.
 test:
-	go test ./... -timeout 20m
+	@status=0; \
+	go test $$(go list ./... | grep -v /scripts/abusive) -timeout 20m || status=1; \
+	go test ./scripts/abusive -count=1 -timeout 40m || status=1; \
+	exit $$status
 
 build:
 	@mkdir -p bin
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -17,6 +17,7 @@
 	"parsleyramp/internal/journal"
 	"parsleyramp/internal/livelist"
 	"parsleyramp/internal/placement"
+	"parsleyramp/internal/program"
 	"parsleyramp/internal/replica"
 	"parsleyramp/internal/telemetry"
 	"parsleyramp/internal/transport"
@@ -52,6 +53,7 @@
 // Start opens the data folder, once its disk takes writes, and starts a control replica. The node and the
 // leader loop run until ctx ends; Shutdown also stops the HTTP server.
 func Start(ctx context.Context, cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
+	program.LimitMemory(cfg.MemoryMB)
 	j, recovered, err := replica.OpenJournal(ctx, cfg.DataFolder, func() uint64 { return newReplicaID(seed) }, log)
 	if err != nil {
 		return nil, err
@@ -80,7 +82,8 @@
 	s.sender.ReportLost(s.node.MarkLost)
 	s.orders = newOrderSender(s)
 	s.health = placement.NewHealthTable()
-	listener, err := transport.Listen(cfg.Address)
+	limits := transport.NewClientLimits(cfg.ClientLimits.Config(cfg.MemoryMB), log)
+	listener, err := limits.ListenPeers(cfg.Address, "control")
 	if err != nil {
 		j.Close()
 		return nil, err
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -5,6 +5,7 @@
 
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
 )
 
 // Settings are the settings of parsleyramp-control.
@@ -63,7 +64,11 @@
 	SuspectRetention settings.Duration `json:"suspect_retention"`
 	// TeamTokens holds, by team, the token that authorizes changes of its section.
 	TeamTokens map[string]settings.Secret `json:"team_tokens"`
-	Telemetry  telemetry.Settings         `json:"telemetry"`
+	// MemoryMB is the memory that the process may use, in MB; zero for no limit.
+	MemoryMB int `json:"memory_mb"`
+	// ClientLimits bounds what clients take of it.
+	ClientLimits transport.ClientLimitSettings `json:"client_limits"`
+	Telemetry    telemetry.Settings            `json:"telemetry"`
 }
 
 // DefaultSettings returns the defaults for fields that a settings file omits.
@@ -113,5 +118,7 @@
 	c.Require(s.DeferredBytes > s.DeferredReserveBytes, "deferred_bytes", "more than deferred_reserve_bytes")
 	c.Positive("suspect_retention", s.SuspectRetention)
 	c.Require(len(s.TeamTokens) > 0, "team_tokens", "a token for one team or more")
+	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
+	s.ClientLimits.Check(c)
 	s.Telemetry.Check(c)
 }
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -13,6 +13,7 @@
 
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
 )
 
 // Headers that clients send and receive.
@@ -194,6 +195,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, fail.Wrap(err, fail.BodyTooLarge, "the body exceeds the limit of "+strconv.FormatInt(s.cfg.MaxBodyBytes, 10)+" bytes")
 	}
+	if errors.Is(err, transport.ErrBodiesFull) {
+		return nil, transport.ErrBodiesFull.WithRetryAfter(defaultRetryAfter)
+	}
 	if err != nil {
 		return nil, fail.Wrap(err, fail.BadRequest, "cannot read the request body")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/program"
 	"parsleyramp/internal/transport"
 	"parsleyramp/internal/wait"
 	"parsleyramp/internal/wire"
@@ -73,6 +74,7 @@
 // Start listens on the configured addresses and begins to request a lease from the
 // control plane. The entry serves requests once it holds a lease.
 func Start(cfg Settings, seed uint64, log *logrus.Entry) (*Server, error) {
+	program.LimitMemory(cfg.MemoryMB)
 	start := time.Now()
 	background, stop := context.WithCancel(context.Background())
 	s := &Server{
@@ -99,11 +101,12 @@
 }
 
 func (s *Server) listen() error {
-	clientListener, err := transport.ListenClients(s.cfg.CallerAddress)
+	limits := transport.NewClientLimits(s.cfg.ClientLimits.Config(s.cfg.MemoryMB), s.log)
+	clientListener, err := limits.Listen(s.cfg.CallerAddress, "caller", transport.PeerKindClient)
 	if err != nil {
 		return err
 	}
-	peerListener, err := transport.Listen(s.cfg.PeerAddress)
+	peerListener, err := limits.ListenPeers(s.cfg.PeerAddress, "peer")
 	if err != nil {
 		clientListener.Close()
 		return err
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,7 @@
 	"parsleyramp/internal/routing"
 	"parsleyramp/internal/settings"
 	"parsleyramp/internal/telemetry"
+	"parsleyramp/internal/transport"
 )
 
 // Settings of parsleyramp-entry.
@@ -44,8 +45,12 @@
 	// service serves.
 	ServiceSlots int `json:"service_slots"`
 	// ClaimRetention must equal the claim retention of the control plane.
-	ClaimRetention settings.Duration  `json:"claim_retention"`
-	Telemetry      telemetry.Settings `json:"telemetry"`
+	ClaimRetention settings.Duration `json:"claim_retention"`
+	// MemoryMB is the memory that the process may use, in MB; zero for no limit.
+	MemoryMB int `json:"memory_mb"`
+	// ClientLimits bounds what clients take of it.
+	ClientLimits transport.ClientLimitSettings `json:"client_limits"`
+	Telemetry    telemetry.Settings            `json:"telemetry"`
 }
 
 // DefaultSettings returns the defaults for fields that a settings file omits.
@@ -87,5 +92,7 @@
 	c.Positive("request_timeout", s.RequestTimeout)
 	c.Require(s.ServiceSlots > 0, "service_slots", "1 or more")
 	c.Positive("claim_retention", s.ClaimRetention)
+	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
+	s.ClientLimits.Check(c)
 	s.Telemetry.Check(c)
 }
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -135,17 +135,18 @@
 	mux.Handle(wireconnect.NewReplicaServiceHandler(replica.NewService(s.node, s.group, s.sender), options...))
 	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, append(options, connect.WithConditionalHandlerOptions(compression))...))
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.collectMetrics))
-	internalListener, err := transport.Listen(cmp.Or(s.cfg.ListenAddress, s.cfg.Address))
+	limits := transport.NewClientLimits(s.cfg.ClientLimits.Config(s.cfg.MemoryMB), s.log)
+	internalListener, err := limits.ListenPeers(cmp.Or(s.cfg.ListenAddress, s.cfg.Address), "internal")
 	if err != nil {
 		return err
 	}
-	operatorListener, err := transport.Listen(s.cfg.OperatorAddress)
+	operatorListener, err := limits.Listen(s.cfg.OperatorAddress, "operator", transport.PeerKindSystem)
 	if err != nil {
 		internalListener.Close()
 		return err
 	}
 	s.internalServer = transport.Serve(internalListener, mux)
-	s.operatorServer = transport.ServeClients(operatorListener, s.deps.OperatorHandler(s))
+	s.operatorServer = transport.ServeProbes(operatorListener, s.deps.OperatorHandler(s))
 	return nil
 }
 
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -53,8 +53,10 @@
 	// SnapshotEntries is the number of log entries after which a snapshot is taken.
 	SnapshotEntries uint64 `json:"snapshot_entries"`
 	// MemoryMB is the memory that the process may use; zero for no limit.
-	MemoryMB  int                `json:"memory_mb"`
-	Telemetry telemetry.Settings `json:"telemetry"`
+	MemoryMB int `json:"memory_mb"`
+	// ClientLimits bounds what operators, gateways and other clients take of it.
+	ClientLimits transport.ClientLimitSettings `json:"client_limits"`
+	Telemetry    telemetry.Settings            `json:"telemetry"`
 }
 
 // DefaultSettings returns the default values of the settings.
@@ -98,6 +100,7 @@
 	c.Require(s.SnapshotEntries >= 16, "snapshot_entries", "16 or more")
 	c.Require(s.ToleratedLosses >= 0, "tolerated_losses", "0 or more")
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
+	s.ClientLimits.Check(c)
 	s.Telemetry.Check(c)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
+	"parsleyramp/internal/program"
 	"parsleyramp/internal/quarantine"
 	"parsleyramp/internal/retry"
 	"parsleyramp/internal/telemetry"
@@ -27,9 +27,6 @@
 )
 
 const (
-	// memoryLimitRatio is the share of the process's memory that is set as the
-	// soft memory limit of the garbage collector.
-	memoryLimitRatio = 0.6
 	// controlTimeout bounds one call to a control replica, and controlRetryDelay
 	// is the pause before the next replica is called.
 	controlTimeout    = 500 * time.Millisecond
@@ -98,14 +95,16 @@
 	peers         peerClients
 	buffers       bufferBudget
 	// bodies is the budget of the bodies of requests.
-	bodies       bufferBudget
-	streams      streamWriters
-	quotas       quotas
-	pool         *upstream.Pool
-	control      *controlclient.Client
-	leaderHint   leaderHint
-	fetches      documentFetches
-	servers      []io.Closer
+	bodies     bufferBudget
+	streams    streamWriters
+	quotas     quotas
+	pool       *upstream.Pool
+	control    *controlclient.Client
+	leaderHint leaderHint
+	fetches    documentFetches
+	servers    []io.Closer
+	// clientLimits bounds what clients take, at all addresses.
+	clientLimits *transport.ClientLimits
 	clientServer *transport.ClientFacingServer
 	// peerServer serves the other gateways; nil if there is no address for it.
 	peerServer *transport.ClientFacingServer
@@ -116,16 +115,15 @@
 
 // Start starts a gateway, which serves until Shutdown.
 func Start(cfg Settings, deps Dependencies, log *logrus.Entry) (*Gateway, error) {
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryLimitRatio * (1 << 20)))
-	}
+	program.LimitMemory(cfg.MemoryMB)
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	g := &Gateway{
 		cfg: cfg, deps: deps, log: log, clock: clock, bootClock: boottime.NewClock(), incarnation: uuid.NewString(),
 		loads: fleet.NewLoads(rand.IntN), serviceTimes: fleet.NewServiceTimes(), waits: fleet.NewWaitHistory(), pool: deps.Pool, randFloat: rand.Float64,
-		retries: retry.NewGatewayBudget(cfg.retryConfig(), 0),
-		control: controlclient.New(transport.NewPeerClient(), cfg.controlAddresses()),
+		retries:      retry.NewGatewayBudget(cfg.retryConfig(), 0),
+		control:      controlclient.New(transport.NewPeerClient(), cfg.controlAddresses()),
+		clientLimits: transport.NewClientLimits(cfg.ClientLimits.Config(cfg.MemoryMB), log),
 	}
 	g.control.SetTimeouts(controlTimeout, controlRetryDelay)
 	g.changed.init()
@@ -148,14 +146,14 @@
 func (g *Gateway) listen() error {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", telemetry.MetricsHandler(g.collectMetrics))
-	if err := g.startServer(g.cfg.MetricsAddress, metrics); err != nil {
+	if err := g.startServer(g.cfg.MetricsAddress, "metrics", metrics); err != nil {
 		return err
 	}
-	if err := g.startServer(g.cfg.ReadyAddress, g.deps.Ready(g)); err != nil {
+	if err := g.startServer(g.cfg.ReadyAddress, "ready", g.deps.Ready(g)); err != nil {
 		return err
 	}
 	if g.cfg.PeerAddress != "" {
-		l, err := transport.Listen(g.cfg.PeerAddress)
+		l, err := g.clientLimits.ListenPeers(g.cfg.PeerAddress, "peer")
 		if err != nil {
 			return err
 		}
@@ -163,11 +161,11 @@
 		g.servers = append(g.servers, g.peerServer)
 	}
 	if g.cfg.DirectoryAddress != "" {
-		if err := g.startServer(g.cfg.DirectoryAddress, g.deps.Directory(g)); err != nil {
+		if err := g.startServer(g.cfg.DirectoryAddress, "directory", g.deps.Directory(g)); err != nil {
 			return err
 		}
 	}
-	l, err := transport.ListenClients(g.cfg.CallerAddress)
+	l, err := g.clientLimits.Listen(g.cfg.CallerAddress, "caller", transport.PeerKindClient)
 	if err != nil {
 		return err
 	}
@@ -240,13 +238,13 @@
 	return append(own, others...)
 }
 
-// startServer starts one server of the gateway.
-func (g *Gateway) startServer(address string, h http.Handler) error {
-	l, err := transport.Listen(address)
+// startServer starts one server of the gateway, whose address has a name.
+func (g *Gateway) startServer(address, name string, h http.Handler) error {
+	l, err := g.clientLimits.Listen(address, name, transport.PeerKindSystem)
 	if err != nil {
 		return err
 	}
-	g.servers = append(g.servers, transport.Serve(l, h))
+	g.servers = append(g.servers, transport.ServeProbes(l, h))
 	return nil
 }
 
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -45,6 +45,17 @@
 	headerRelayRetryAfter = relayHeaderPrefix + "Retry-After-Ms"
 )
 
+// relayHeaderBytes is more than what a relaying gateway adds to a head.
+const relayHeaderBytes = 8 << 10
+
+// limitHeads sets the largest size of the heads of clients' requests; zero for the default.
+func (g *Gateway) limitHeads(bytes int) {
+	g.clientServer.LimitHeads(bytes)
+	if bytes > 0 && g.peerServer != nil {
+		g.peerServer.LimitHeads(bytes + relayHeaderBytes)
+	}
+}
+
 // outOfReachRetryAfter is the Retry-After of a request that no gateway could send.
 const outOfReachRetryAfter = 400 * time.Millisecond
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -52,8 +52,10 @@
 	FailClosed bool              `json:"fail_closed"`
 	KeyMaxAge  settings.Duration `json:"key_max_age"`
 	// MemoryMB is the memory that the process may use; zero for no limit.
-	MemoryMB  int                `json:"memory_mb"`
-	Telemetry telemetry.Settings `json:"telemetry"`
+	MemoryMB int `json:"memory_mb"`
+	// ClientLimits bounds what clients take of it.
+	ClientLimits transport.ClientLimitSettings `json:"client_limits"`
+	Telemetry    telemetry.Settings            `json:"telemetry"`
 }
 
 // DefaultSettings returns the defaults of fields that a file omits.
@@ -97,6 +99,7 @@
 	c.Positive("retry_window", s.RetryWindow)
 	c.Positive("key_max_age", s.KeyMaxAge)
 	c.Require(s.MemoryMB >= 0, "memory_mb", "0 or more")
+	s.ClientLimits.Check(c)
 	s.Telemetry.Check(c)
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -182,6 +182,7 @@
 	g.table.Store(table)
 	if g.clientServer != nil {
 		g.clientServer.AllowClients(decoded.Limits.HeaderTimeout, decoded.Limits.IdleTimeout)
+		g.limitHeads(decoded.Limits.HeaderBytes)
 	}
 	g.quotas.retain(table)
 	g.workspaces.retain(decoded.Workspaces)
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -29,17 +29,30 @@
 	open sync.WaitGroup
 }
 
+// maxClientHeaderBytes bounds the head that clients may be told they can send.
+const maxClientHeaderBytes = 256 << 10
+
+// ServeProbes starts to serve the handler on the listener, over HTTP/1.1 and for clients whose requests are small.
+func ServeProbes(l net.Listener, h http.Handler) *ClientFacingServer {
+	s := ServeClients(l, h)
+	s.LimitHeads(probeHeadBytes)
+	return s
+}
+
+// probeHeadBytes is the largest head of a probe, or of a request of the platform or an operator.
+const probeHeadBytes = 16 << 10
+
 // ServeClients starts to serve the handler on the listener, over HTTP/1.1.
 func ServeClients(l net.Listener, h http.Handler) *ClientFacingServer {
 	s := &ClientFacingServer{conns: map[*trackedConn]bool{}}
 	s.accepting = &trackingListener{Listener: l, server: s}
 	s.Server = newServer(s.accepting, s.announceClose(recordUnreadBody(resetAborted(h))))
+	// The listener limits heads further.
+	s.http.MaxHeaderBytes = maxClientHeaderBytes
+	allowHeaderLines(s.http)
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
 	s.http.ConnState = s.recordState
-	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, c)
-	}
 	s.start()
 	return s
 }
@@ -66,6 +79,16 @@
 	s.minTimes.idle.Store(int64(idle))
 }
 
+// LimitHeads sets the largest size of a request's head in bytes; zero for the default. It needs a listener with limits.
+func (s *ClientFacingServer) LimitHeads(bytes int) {
+	if bytes <= 0 {
+		bytes = maxHeaderBytes
+	}
+	if l, ok := s.accepting.Listener.(*limitedListener); ok {
+		l.address.headLimit.Store(int64(min(bytes, maxClientHeaderBytes-headSlack)))
+	}
+}
+
 // CloseIdle starts to close the connections on which no request is in flight. A
 // connection on which a request arrives in the meantime serves it.
 func (s *ClientFacingServer) CloseIdle() {
@@ -145,6 +168,7 @@
 
 // recordState records the state that the HTTP server reports of a connection.
 func (s *ClientFacingServer) recordState(conn net.Conn, state http.ConnState) {
+	recordIdle(conn, state)
 	c, ok := conn.(*trackedConn)
 	if !ok {
 		return
--- a/internal/transport/count.go
+++ b/internal/transport/count.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -59,12 +58,7 @@
 }
 
 // SetLinger sets what becomes of unsent bytes when the connection is closed.
-func (c *countingConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(lingerSetter); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
+func (c *countingConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
 
 // countingListener counts the bytes of accepted connections.
 type countingListener struct {
@@ -73,12 +67,7 @@
 }
 
 // SetDeadline sets the time at which Accept fails.
-func (l *countingListener) SetDeadline(t time.Time) error {
-	if d, ok := l.Listener.(deadlineListener); ok {
-		return d.SetDeadline(t)
-	}
-	return errors.ErrUnsupported
-}
+func (l *countingListener) SetDeadline(t time.Time) error { return setAcceptDeadline(l.Listener, t) }
 
 // Accept waits for the next connection.
 func (l *countingListener) Accept() (net.Conn, error) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -24,6 +24,14 @@
 // deadlineListener is a listener whose Accept can be ended without closing it.
 type deadlineListener interface{ SetDeadline(t time.Time) error }
 
+// setAcceptDeadline sets the time at which Accept of the listener fails.
+func setAcceptDeadline(l net.Listener, t time.Time) error {
+	if d, ok := l.(deadlineListener); ok {
+		return d.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
 // stop makes Accept return the connections that wait, and then close the listener.
 func (l *trackingListener) stop() {
 	l.stopOnce.Do(func() {
--- a/internal/transport/tracked.go
+++ b/internal/transport/tracked.go
@@ -80,12 +80,18 @@
 // lingerSetter is a connection that can be reset in place of an orderly close.
 type lingerSetter interface{ SetLinger(seconds int) error }
 
+// setLinger sets what becomes of unsent bytes when the connection is closed, if it can.
+func setLinger(c net.Conn, seconds int) error {
+	if l, ok := c.(lingerSetter); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // resetOnClose makes Close reset the connection.
 func (c *trackedConn) resetOnClose() {
-	if l, ok := c.Conn.(lingerSetter); ok {
-		// An error means that the connection is closed.
-		_ = l.SetLinger(0)
-	}
+	// An error means that the connection is closed.
+	_ = setLinger(c.Conn, 0)
 }
 
 // Close closes the connection. A connection that lingers first discards what its client
@@ -97,7 +103,7 @@
 	c.mu.Unlock()
 	if linger && c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
 		// The connection is closed next, whatever ends the read.
-		_, _ = io.Copy(io.Discard, c.Conn)
+		_, _ = io.Copy(io.Discard, withoutLimits(c.Conn))
 	}
 	return c.Conn.Close()
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"parsleyramp/internal/fail"
@@ -18,7 +19,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxIdlePerPeer    = 2
-	maxHeaderBytes    = 64 << 10
+	// maxHeaderBytes bounds a head, unless clients are told another limit.
+	maxHeaderBytes = 64 << 10
 	// peerPingInterval and peerPingTimeout detect an unresponsive connection
 	// between the system's own processes.
 	peerPingInterval = time.Second
@@ -27,19 +29,32 @@
 
 // Listen listens on a numeric IPv4 address for connections of the system's own
 // processes.
-func Listen(address string) (net.Listener, error) { return listen(address, PeerKindSystem) }
+func Listen(address string) (net.Listener, error) { return listen(address, PeerKindSystem, 0) }
 
 // ListenClients listens on a numeric IPv4 address for connections of clients.
-func ListenClients(address string) (net.Listener, error) { return listen(address, PeerKindClient) }
+func ListenClients(address string) (net.Listener, error) { return listen(address, PeerKindClient, 0) }
 
-func listen(address string, kind PeerKind) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+func listen(address string, kind PeerKind, receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: setReceiveBuffer(receiveBuffer)}
+	l, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, fail.Wrap(err, fail.BadSettings, "listen on "+address)
 	}
 	return &countingListener{Listener: l, bytes: newByteCounters(kind, "accepted")}, nil
 }
 
+// setReceiveBuffer returns a function that sets the receive buffer, in bytes, of the connections that a listener accepts; zero
+// leaves that to the system.
+func setReceiveBuffer(bytes int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		if bytes == 0 {
+			return nil
+		}
+		// Without it the system bounds the buffer, at more.
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
+	}
+}
+
 func dial(ctx context.Context, _, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp4", address)
@@ -114,14 +129,22 @@
 	p.SetUnencryptedHTTP2(true)
 	return &Server{
 		http: &http.Server{
-			Handler: h, Protocols: &p, ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: limitRequests(h), Protocols: &p, ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: recordIdle,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		},
 		listener: l,
 		done:     make(chan error, 1),
 	}
 }
 
+// recordIdle records for the limits that no request is in flight on a connection.
+func recordIdle(conn net.Conn, state http.ConnState) {
+	if c := limitedConnOf(conn); c != nil && state == http.StateIdle {
+		c.becomeIdle()
+	}
+}
+
 func (s *Server) start() { go func() { s.done <- s.http.Serve(s.listener) }() }
 
 // Address returns the address that the server listens on.
