--- a/internal/fail/fail.go
+++ b/internal/fail/fail.go
@@ -17,6 +17,7 @@
 const (
 	BadRequest       Code = "bad_request"
 	BodyTooLarge     Code = "body_too_large"
+	RequestTimeout   Code = "request_timeout"
 	UnknownModel     Code = "unknown_model"
 	UnknownPath      Code = "unknown_path"
 	UnknownRequest   Code = "unknown_request"
@@ -133,6 +134,7 @@
 var statuses = map[Code]int{
 	BadRequest:      http.StatusBadRequest,
 	BodyTooLarge:    http.StatusRequestEntityTooLarge,
+	RequestTimeout:  http.StatusRequestTimeout,
 	UnknownModel:    http.StatusNotFound,
 	UnknownPath:     http.StatusNotFound,
 	UnknownRequest:  http.StatusNotFound,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,15 +94,13 @@
 	relays        relayPeers
 	peers         peerClients
 	buffers       bufferBudget
-	// bodies is the budget of the bodies of requests.
-	bodies     bufferBudget
-	streams    streamWriters
-	quotas     quotas
-	pool       *upstream.Pool
-	control    *controlclient.Client
-	leaderHint leaderHint
-	fetches    documentFetches
-	servers    []io.Closer
+	streams       streamWriters
+	quotas        quotas
+	pool          *upstream.Pool
+	control       *controlclient.Client
+	leaderHint    leaderHint
+	fetches       documentFetches
+	servers       []io.Closer
 	// clientLimits bounds what clients take, at all addresses.
 	clientLimits *transport.ClientLimits
 	clientServer *transport.ClientFacingServer
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -257,7 +257,14 @@
 // serveGateway starts a server for the gateway and returns its address.
 func serveGateway(t *testing.T, g *Gateway) string {
 	t.Helper()
-	return serveHandler(t, g)
+	g.clientLimits = transport.NewClientLimits(g.cfg.ClientLimits.Config(g.cfg.MemoryMB), g.log)
+	l, err := g.clientLimits.Listen("127.0.0.1:0", "caller", transport.PeerKindClient)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := transport.ServeClients(l, g)
+	t.Cleanup(func() { s.Close() })
+	return s.Address()
 }
 
 // serveHandler serves clients and returns the address.
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -8,36 +8,35 @@
 	"time"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/transport"
 )
 
 const (
 	// defaultBodyBytes bounds a request body if the fleet document sets no limit.
 	defaultBodyBytes = 4 << 20
-	// bodyMemoryRatio is the share of the process's memory that the bodies of all requests
-	// in flight may take together, and defaultAllBodyBytes the bound without a memory limit.
-	bodyMemoryRatio     = 0.25
-	defaultAllBodyBytes = 128 << 20
-	// bodyChunkBytes is the first step in which a body of unknown length is read; each
-	// further one doubles it.
-	bodyChunkBytes = 64 << 10
+	// bodyChunkBytes is the first step in which a body is read; each further one doubles it, up to
+	// the length that the client states. One that states a long body and does not send it holds little.
+	bodyChunkBytes = 8 << 10
 	// bodiesRetryAfter is the Retry-After of a request whose body does not fit.
 	bodiesRetryAfter = 500 * time.Millisecond
 )
 
-// errBodiesFull rejects a request whose body does not fit beside those in flight.
-var errBodiesFull = fail.New(fail.Unavailable, "the bodies of the requests in flight take all the memory that is meant for them").WithRetryAfter(bodiesRetryAfter)
+var (
+	// errBodiesFull rejects a request whose body does not fit beside those in flight.
+	errBodiesFull = transport.ErrBodiesFull.WithRetryAfter(bodiesRetryAfter)
+	// errBodyLate rejects a request whose body has not arrived when the request times out.
+	errBodyLate = fail.New(fail.RequestTimeout, "the request body did not arrive within the time of the request")
+)
 
-// maxAllBodyBytes returns the bound on the bodies of all requests in flight together.
-func (s *Settings) maxAllBodyBytes() int {
-	if s.MemoryMB == 0 {
-		return defaultAllBodyBytes
-	}
-	return int(float64(s.MemoryMB) * bodyMemoryRatio * (1 << 20))
+// readBodyInTime is readBody until the request times out.
+func (q *request) readBodyInTime(ctx context.Context, limit int64) error {
+	ctx, cancel := context.WithTimeout(ctx, q.deadline-q.g.clock())
+	defer cancel()
+	return q.readBody(ctx, limit)
 }
 
-// readBody reads the body of the request, of limit bytes at most, until ctx ends. It takes
-// the body's memory from the budget of all bodies, which returnBody gives back. A body that
-// does not fit is read and discarded, so that the client receives the rejection.
+// readBody reads the body of the request, of limit bytes at most, until ctx ends. A body that
+// does not fit beside those in flight is read and discarded, so that the client receives the rejection.
 func (q *request) readBody(ctx context.Context, limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -48,42 +47,45 @@
 	})
 	defer stop()
 	reader := http.MaxBytesReader(q.w, q.httpRequest.Body, limit)
-	err := q.readBodyFrom(reader, min(q.httpRequest.ContentLength, limit))
-	if errors.Is(err, errBodiesFull) {
-		q.returnBody()
+	err := q.readBodyFrom(ctx, reader, min(q.httpRequest.ContentLength, limit))
+	if errors.Is(err, transport.ErrBodiesFull) {
+		q.body = nil
 		// An error leaves the rejection as it is.
 		_, _ = io.Copy(io.Discard, reader)
+		return errBodiesFull
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil || errors.Is(err, errBodiesFull):
-		return err
+	case err == nil:
+		return nil
 	case errors.Is(context.Cause(ctx), errShutdown):
 		return errShutdown
 	case errors.As(err, &tooLarge):
 		return fail.Wrap(err, fail.BodyTooLarge, "the request body exceeds the size limit")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errBodyLate
 	}
 	return fail.Wrap(err, fail.BadRequest, "cannot read the request body")
 }
 
 // readBodyFrom reads the body into q.body. length is what the client states, or negative.
-func (q *request) readBodyFrom(reader io.Reader, length int64) error {
+func (q *request) readBodyFrom(ctx context.Context, reader io.Reader, length int64) error {
 	for {
-		next := int64(max(bodyChunkBytes, len(q.body)))
+		size := max(bodyChunkBytes, 2*int64(len(q.body)))
 		if length >= 0 {
-			next = length - int64(len(q.body))
+			size = min(size, length)
 		}
-		if next > 0 && !q.takeBody(int(next)) {
-			return errBodiesFull
+		if err := q.growBody(ctx, int(size)); err != nil {
+			return err
 		}
 		n, err := io.ReadFull(reader, q.body[len(q.body):cap(q.body)])
 		q.body = q.body[:len(q.body)+n]
 		switch {
-		case err == io.EOF || err == io.ErrUnexpectedEOF && length < 0:
+		case err == io.EOF && length <= 0 || err == io.ErrUnexpectedEOF && length < 0:
 			return nil
 		case err != nil:
 			return err
-		case length >= 0:
+		case length >= 0 && int64(len(q.body)) == length:
 			// Reads the end, or that the body exceeds the limit.
 			var end [1]byte
 			_, err := io.ReadFull(reader, end[:])
@@ -95,21 +97,14 @@
 	}
 }
 
-// takeBody grows the capacity of q.body by n bytes, or returns false if the budget of all
-// bodies does not allow it.
-func (q *request) takeBody(n int) bool {
-	if !q.g.bodies.take(n, q.g.cfg.maxAllBodyBytes()) {
-		return false
+// growBody grows the capacity of q.body to size bytes, or returns an error if they do not fit beside the bodies
+// in flight.
+func (q *request) growBody(ctx context.Context, size int) error {
+	if err := transport.ReserveBody(ctx, size-len(q.body)); err != nil {
+		return err
 	}
-	q.bodyBytes += n
-	grown := make([]byte, len(q.body), len(q.body)+n)
+	grown := make([]byte, len(q.body), size)
 	copy(grown, q.body)
 	q.body = grown
-	return true
-}
-
-// returnBody returns the body's memory to the budget.
-func (q *request) returnBody() {
-	q.g.bodies.give(q.bodyBytes)
-	q.body, q.bodyBytes = nil, 0
+	return nil
 }
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -45,7 +45,8 @@
 		g := newTestGateway(t, nonIdempotent, document.Service{}, &wire.FleetEndpoint{Address: e.address})
 		g.cfg.MemoryMB = 8
 		address := serveGateway(t, g)
-		body := bytes.Repeat([]byte("0123456789abcdef"), (g.cfg.maxAllBodyBytes()/2+1000)/16)
+		limit := int(g.cfg.ClientLimits.Config(g.cfg.MemoryMB).BodyBytes)
+		body := bytes.Repeat([]byte("0123456789abcdef"), (limit/2+1000)/16)
 		first := make(chan int)
 		go func() { first <- post(t, address, "first", body, chunked).StatusCode }()
 		<-running
@@ -62,13 +63,17 @@
 		if status := <-first; status != 200 {
 			t.Errorf("chunked %v: a body after the first has ended: status %d, want 200", chunked, status)
 		}
+		held := func() int64 {
+			_, _, bytes := g.clientLimits.Taken()
+			return bytes
+		}
 		for range 100 {
-			if g.bodies.used.Load() == 0 {
+			if held() == 0 {
 				break
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		if held := g.bodies.used.Load(); held != 0 || len(e.requests()) != 2 {
+		if held := held(); held != 0 || len(e.requests()) != 2 {
 			t.Errorf("chunked %v: %d bytes still count, and the endpoint got %d requests; want 0 and 2", chunked, held, len(e.requests()))
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -73,8 +73,6 @@
 	// permit is that for the next send, if it needs one, and unusedPermit one of a suspect
 	// that was not used and has not been returned.
 	permit, unusedPermit *permit
-	// bodyBytes is what the body takes of the budget of all bodies.
-	bodyBytes int
 	// bufferedBytes counts the bytes of responses that are held in memory.
 	bufferedBytes int
 	// tokens are what the request was charged, and mayHaveRun is set once an endpoint may have
@@ -125,8 +123,11 @@
 		q.reject(err)
 		return
 	}
-	defer q.returnBody()
-	if err := q.readBody(requestCtx, table.Document.Limits.BodyBytes); err != nil {
+	q.deadline = arrived + route.Timeout
+	if info.Timeout > 0 {
+		q.deadline = min(q.deadline, arrived+info.Timeout)
+	}
+	if err := q.readBodyInTime(requestCtx, table.Document.Limits.BodyBytes); err != nil {
 		q.reject(err)
 		return
 	}
@@ -136,10 +137,6 @@
 		q.reject(errShutdown)
 		return
 	}
-	q.deadline = arrived + route.Timeout
-	if info.Timeout > 0 {
-		q.deadline = min(q.deadline, arrived+info.Timeout)
-	}
 	service := q.service()
 	q.info = info.boundTokens(table.Document.Service(service))
 	q.requirements = g.requirementsOf(table.Document, route, q.info, service)
