--- a/internal/fleetcontrol/documents.go
+++ b/internal/fleetcontrol/documents.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/state"
 	"parsleyramp/internal/transport"
@@ -16,7 +17,7 @@
 
 // Put checks and commits a fleet document.
 func (s *Server) Put(ctx context.Context, text []byte) error {
-	d, err := s.deps.Decode(text)
+	d, err := s.decode(text)
 	if err != nil {
 		s.log.WithError(err).Info("invalid document rejected")
 		return err
@@ -35,6 +36,13 @@
 	return nil
 }
 
+// decode decodes a document of an operator, one at a time, as a decoded document takes many times its bytes.
+func (s *Server) decode(text []byte) (*document.Document, error) {
+	s.decoding.Lock()
+	defer s.decoding.Unlock()
+	return s.deps.Decode(text)
+}
+
 // Newest commits a no-op to confirm that this replica still leads, and returns
 // the document as of that commit.
 func (s *Server) Newest(ctx context.Context) ([]byte, error) {
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 	peers   *http.Client
 	group   *replica.Group
 	news    *news
+	// decoding is held while a document of an operator is decoded.
+	decoding sync.Mutex
 	// compressed is the newest document as gateways fetch it.
 	compressed compressedDocument
 	// seeds are the internal addresses of the seeds in the current settings.
--- a/scripts/abusive/abusive_test.go
+++ b/scripts/abusive/abusive_test.go
@@ -96,6 +96,7 @@
 func TestFleetBearsSilentConnections(t *testing.T) { bear(t, startFleet, fleetAddresses, silent) }
 func TestFleetBearsIdleConnections(t *testing.T)   { bear(t, startFleet, fleetAddresses, idle) }
 func TestFleetBearsHeldBodies(t *testing.T)        { bear(t, startFleet, fleetAddresses, bodies) }
+func TestFleetBearsDenseBodies(t *testing.T)       { bear(t, startFleet, fleetAddresses, denseBodies) }
 func TestFleetBearsEndlessBodies(t *testing.T)     { bear(t, startFleet, fleetAddresses, endlessBodies) }
 func TestFleetBearsEndlessTrailers(t *testing.T) {
 	bear(t, startFleet, fleetAddresses, endlessTrailers)
