--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -83,7 +83,7 @@
 	s.orders = newOrderSender(s)
 	s.health = placement.NewHealthTable()
 	limits := transport.NewClientLimits(cfg.ClientLimits.Config(cfg.MemoryMB), log)
-	listener, err := limits.ListenPeers(cfg.Address, "control")
+	listener, err := limits.Listen(cfg.Address, "control", transport.PeerKindSystem)
 	if err != nil {
 		j.Close()
 		return nil, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	peerListener, err := limits.ListenPeers(s.cfg.PeerAddress, "peer")
+	peerListener, err := limits.Listen(s.cfg.PeerAddress, "peer", transport.PeerKindSystem)
 	if err != nil {
 		clientListener.Close()
 		return err
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -139,7 +139,7 @@
 	mux.Handle(wireconnect.NewFleetServiceHandler(&fleetService{s}, append(options, connect.WithConditionalHandlerOptions(compression))...))
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.collectMetrics))
 	limits := transport.NewClientLimits(s.cfg.ClientLimits.Config(s.cfg.MemoryMB), s.log)
-	internalListener, err := limits.ListenPeers(cmp.Or(s.cfg.ListenAddress, s.cfg.Address), "internal")
+	internalListener, err := limits.Listen(cmp.Or(s.cfg.ListenAddress, s.cfg.Address), "internal", transport.PeerKindSystem)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,7 @@
 		return err
 	}
 	if g.cfg.PeerAddress != "" {
-		l, err := g.clientLimits.ListenPeers(g.cfg.PeerAddress, "peer")
+		l, err := g.clientLimits.Listen(g.cfg.PeerAddress, "peer", transport.PeerKindSystem)
 		if err != nil {
 			return err
 		}
--- a/internal/transport/clientlimits.go
+++ b/internal/transport/clientlimits.go
@@ -19,8 +19,7 @@
 	connectionBytes = 32 << 10
 	// receiveBufferBytes bounds what the kernel holds of what a client has sent and the process has not read. A body
 	// arrives at this much in each round trip.
-	receiveBufferBytes     = 32 << 10
-	peerReceiveBufferBytes = 128 << 10
+	receiveBufferBytes = 32 << 10
 	// http2ConnectionBytes is what an HTTP/2 connection takes in addition: its tables, and a header
 	// block that has not ended.
 	http2ConnectionBytes = 64 << 10
@@ -79,6 +78,8 @@
 	// total is the sum over all addresses.
 	total     taken
 	addresses []*addressLimits
+	// refusing counts the connections whose clients have the time to read why their heads were refused.
+	refusing int
 	// closed counts the connections closed or refused since reportedAt.
 	closed     int
 	reportedAt time.Time
@@ -132,16 +133,7 @@
 
 // Listen listens on a numeric IPv4 address, under a name for metrics and logs.
 func (l *ClientLimits) Listen(address, name string, kind PeerKind) (net.Listener, error) {
-	return l.listen(address, name, kind, receiveBufferBytes)
-}
-
-// ListenPeers listens for connections of the system's own processes, which may be far away and send much.
-func (l *ClientLimits) ListenPeers(address, name string) (net.Listener, error) {
-	return l.listen(address, name, PeerKindSystem, peerReceiveBufferBytes)
-}
-
-func (l *ClientLimits) listen(address, name string, kind PeerKind, receiveBuffer int) (net.Listener, error) {
-	inner, err := listen(address, kind, receiveBuffer)
+	inner, err := listen(address, kind, receiveBufferBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/limitedconn.go
+++ b/internal/transport/limitedconn.go
@@ -22,8 +22,10 @@
 	maxHeadCost = 2 << 20
 	// headSlack is how much more than a head may have been read of a connection when the head ends.
 	headSlack = 4 << 10
-	// refusalTime is how long the client has to read why its head is refused.
+	// refusalTime is how long the client has to read why its head is refused, and maxRefusing how many clients
+	// have it at the same time.
 	refusalTime = 300 * time.Millisecond
+	maxRefusing = 32
 	// http2Preface begins the first bytes of an HTTP/2 connection.
 	http2Preface = "PRI * HTTP/2"
 )
@@ -154,19 +156,35 @@
 
 // Close closes the connection.
 func (c *limitedConn) Close() error {
+	c.awaitRefusalRead()
 	l := c.address.limits
 	l.mu.Lock()
-	refused := c.refused && !c.released
+	c.releaseLocked()
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// awaitRefusalRead gives the client of a refused head the time to read why, unless many others have it: bytes that
+// arrive at a closed connection reset it, and a reset can overtake the response.
+func (c *limitedConn) awaitRefusalRead() {
+	l := c.address.limits
+	l.mu.Lock()
+	waits := c.refused && !c.released && l.refusing < maxRefusing
 	c.refused = false
+	if waits {
+		l.refusing++
+	}
 	l.mu.Unlock()
-	if refused && c.Conn.SetReadDeadline(time.Now().Add(refusalTime)) == nil {
-		// Bytes that arrive at a closed connection reset it, and a reset can overtake the response.
+	if !waits {
+		return
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(refusalTime)) == nil {
+		// Whatever ends the read, the connection is closed next.
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	l.mu.Lock()
-	c.releaseLocked()
+	l.refusing--
 	l.mu.Unlock()
-	return c.Conn.Close()
 }
 
 // Read reads from the connection. It fails if the head that it reads finds no room.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -19,8 +19,10 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxIdlePerPeer    = 2
-	// maxHeaderBytes bounds a head, unless clients are told another limit.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the head of a request, unless clients are told another limit, and
+	// maxResponseHeaderBytes that of an endpoint's response.
+	maxHeaderBytes         = 32 << 10
+	maxResponseHeaderBytes = 64 << 10
 	// peerPingInterval and peerPingTimeout detect an unresponsive connection
 	// between the system's own processes.
 	peerPingInterval = time.Second
@@ -101,7 +103,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: writeCountingDial(countingDial(PeerKindEndpoint)), Protocols: &p, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
