--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -78,25 +78,34 @@
 		if err := q.growBody(ctx, int(size)); err != nil {
 			return err
 		}
-		n, err := io.ReadFull(reader, q.body[len(q.body):cap(q.body)])
-		q.body = q.body[:len(q.body)+n]
-		switch {
-		case err == io.EOF && length <= 0 || err == io.ErrUnexpectedEOF && length < 0:
-			return nil
-		case err != nil:
-			return err
-		case length >= 0 && int64(len(q.body)) == length:
+		err := q.fillBody(reader)
+		if err == nil && int64(len(q.body)) == length {
 			// Reads the end, or that the body exceeds the limit.
 			var end [1]byte
-			_, err := io.ReadFull(reader, end[:])
-			if err == io.EOF {
-				return nil
-			}
+			_, err = io.ReadFull(reader, end[:])
+		}
+		if err == io.EOF && int64(len(q.body)) >= length {
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 	}
 }
 
+// fillBody reads into the rest of q.body's capacity. It returns io.EOF only where the body has ended, and not where it
+// breaks off.
+func (q *request) fillBody(reader io.Reader) error {
+	for len(q.body) < cap(q.body) {
+		n, err := reader.Read(q.body[len(q.body):cap(q.body)])
+		q.body = q.body[:len(q.body)+n]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // growBody grows the capacity of q.body to size bytes, or returns an error if they do not fit beside the bodies
 // in flight.
 func (q *request) growBody(ctx context.Context, size int) error {
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -104,3 +105,33 @@
 		}
 	}
 }
+
+// TestBodyThatBreaksOffIsNotSent guards against a request that reaches an endpoint with a part of its body, as if that were
+// the whole.
+func TestBodyThatBreaksOffIsNotSent(t *testing.T) {
+	for name, request := range map[string]string{
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "part of a chunk": "Transfer-Encoding: chunked\r\n\r\n8\r\nbody",
+		"length": "Content-Length: 8\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEngine(t, response(200, "Signed: 1\r\n", "one"))
+			address := serveGateway(t, newTestGateway(t, nonIdempotent, document.Service{}, &wire.FleetEndpoint{Address: e.address}))
+			c, err := net.Dial("tcp4", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, "POST /a/x HTTP/1.1\r\nHost: h\r\nId: a\r\n"+request); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			// The gateway closes the connection once it has dealt with the request.
+			answer, _ := io.ReadAll(c)
+			if n := len(e.requests()); n != 0 || bytes.HasPrefix(answer, []byte("HTTP/1.1 200")) {
+				t.Errorf("the endpoint got %d requests, and the client %q; want none, and no success", n, answer)
+			}
+		})
+	}
+}
--- a/internal/transport/clientlimits.go
+++ b/internal/transport/clientlimits.go
@@ -153,7 +153,7 @@
 		a.closed[r] = metrics.GetOrCreateCounter("parsleyramp_waiting_connections_closed_total" + labels)
 		a.refusals[r] = metrics.GetOrCreateCounter("parsleyramp_client_limit_refusals_total" + labels)
 	}
-	a.headLimit.Store(maxHeaderBytes)
+	a.headLimit.Store(defaultHeadBytes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addresses = append(l.addresses, a)
--- a/internal/transport/clientlimits_test.go
+++ b/internal/transport/clientlimits_test.go
@@ -158,7 +158,7 @@
 		const smallestMemoryMB = 64
 		s := serveLimited(t, ClientLimitSettings{}.Config(smallestMemoryMB), 1, ok)
 		head := strings.TrimSuffix(getRequest, "\r\n")
-		for i := 0; len(head) < maxHeaderBytes-100; i++ {
+		for i := 0; len(head) < defaultHeadBytes-100; i++ {
 			head += fmt.Sprintf("h%d:\r\n", i)
 		}
 		if got := status(s.connect(t, 0, head+"\r\n")); got != 200 {
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -82,7 +82,7 @@
 // LimitHeads sets the largest size of a request's head in bytes; zero for the default. It needs a listener with limits.
 func (s *ClientFacingServer) LimitHeads(bytes int) {
 	if bytes <= 0 {
-		bytes = maxHeaderBytes
+		bytes = defaultHeadBytes
 	}
 	if l, ok := s.accepting.Listener.(*limitedListener); ok {
 		l.address.headLimit.Store(int64(min(bytes, maxClientHeaderBytes-headSlack)))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -19,8 +19,10 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxIdlePerPeer    = 2
-	// maxHeaderBytes bounds the head of a request, unless clients are told another limit, and
-	// maxResponseHeaderBytes that of an endpoint's response.
+	// defaultHeadBytes bounds the head of a request at a listener with limits that has no other limit. It is below
+	// maxHeaderBytes, the bound of net/http, which leaves unread for a time what follows a head that it refuses.
+	// maxResponseHeaderBytes bounds the head of an endpoint's response.
+	defaultHeadBytes       = 24 << 10
 	maxHeaderBytes         = 32 << 10
 	maxResponseHeaderBytes = 64 << 10
 	// peerPingInterval and peerPingTimeout detect an unresponsive connection
