Count what HTTP/2 connections take exactly, by a clock that does not step

A stream that its client resets makes its connection idle before its handler ends: the request's head was given back twice, and the common count fell below what is taken (by reading; TestLimitsAreGivenBack covers HTTP/1.1). What was read and what requests take are now given back apart. Whether a body or a write stalls was told by the time of day, which may step.

--- a/internal/transport/clientlimits.go
+++ b/internal/transport/clientlimits.go
@@ -186,14 +186,15 @@
 
 // admit returns the connection with the limits on it, or nil if there is no room for it.
 func (a *addressLimits) admit(inner net.Conn) *limitedConn {
-	c := &limitedConn{Conn: inner, address: a, base: connectionBytes}
+	c := &limitedConn{Conn: inner, address: a}
+	more := taken{connections: 1, heads: connectionBytes}
 	l := a.limits
 	l.mu.Lock()
-	victims, short := l.makeRoomLocked(taken{connections: 1, heads: c.base})
+	victims, short := l.makeRoomLocked(more)
 	if short == "" {
 		a.conns[c] = true
 		a.open.Inc()
-		c.takeLocked(taken{connections: 1, heads: c.base})
+		c.takeLocked(more)
 		c.updateLocked()
 	} else {
 		a.refuseLocked(short)
--- a/internal/transport/limitedconn.go
+++ b/internal/transport/limitedconn.go
@@ -36,17 +36,17 @@
 	address *addressLimits
 	// busy is set from the head of a request to the end of the last one in flight.
 	busy atomic.Bool
-	// progressAt is when the client last made progress with a body, in Unix nanoseconds, and
+	// progressAt is when the client last made progress with a body, and
 	// received counts the bytes since. Only Read uses the latter.
 	progressAt atomic.Int64
 	received   int
-	// writingSince is when the write in progress has begun, in Unix nanoseconds; zero for none.
+	// writingSince is when the write in progress has begun; zero for none.
 	writingSince atomic.Int64
 
 	// The mutex of the limits guards what follows.
 	taken
-	// base is what the connection takes without a request.
-	base int64
+	// unparsed is the part of heads that counts for bytes that have been read since the connection was idle.
+	unparsed int64
 	// position is that in the list of connections that wait for their clients; nil if the
 	// process works on a request.
 	position *list.Element
@@ -140,15 +140,20 @@
 	}
 }
 
+// processStart is the origin of times in nanoseconds, which steps of the time of day do not change.
+var processStart = time.Now()
+
+func nanoseconds(t time.Time) int64 { return int64(t.Sub(processStart)) }
+
 // stalled reports whether the body that is being received makes no progress.
 func (c *limitedConn) stalled(now time.Time) bool {
-	return now.UnixNano()-c.progressAt.Load() >= int64(stallTime)
+	return nanoseconds(now)-c.progressAt.Load() >= int64(stallTime)
 }
 
 // blocked reports whether a write waits for the client.
 func (c *limitedConn) blocked(now time.Time) bool {
 	since := c.writingSince.Load()
-	return since != 0 && now.UnixNano()-since >= int64(blockTime)
+	return since != 0 && nanoseconds(now)-since >= int64(blockTime)
 }
 
 // SetLinger sets what becomes of unsent bytes when the connection is closed.
@@ -205,7 +210,7 @@
 func (c *limitedConn) recordProgress(n int) {
 	if c.received += n; c.received >= progressBytes {
 		c.received = 0
-		c.progressAt.Store(time.Now().UnixNano())
+		c.progressAt.Store(nanoseconds(time.Now()))
 	}
 }
 
@@ -237,10 +242,7 @@
 	cost := int64(headByteCost*len(p) + headLineCost*bytes.Count(p, []byte{'\n'}))
 	if !c.readAny && bytes.HasPrefix(p, []byte(http2Preface)) {
 		c.http2 = true
-		c.base += http2ConnectionBytes
-		cost += http2ConnectionBytes
 	}
-	c.readAny = true
 	if c.idle {
 		// The wait for the rest of the request begins.
 		c.idle = false
@@ -251,12 +253,18 @@
 		c.refused = true
 		return nil, errHeadTooLarge
 	}
-	cost = max(min(cost, maxHeadCost-c.heads), 0)
-	victims, ok := c.address.limits.takeOrCloseLocked(c, taken{heads: cost})
+	cost = max(min(cost, maxHeadCost-c.unparsed), 0)
+	more := taken{heads: cost}
+	if c.http2 && !c.readAny {
+		more.heads += http2ConnectionBytes
+	}
+	c.readAny = true
+	victims, ok := c.address.limits.takeOrCloseLocked(c, more)
 	if !ok {
-		err = errNoRoom
+		return victims, errNoRoom
 	}
-	return victims, err
+	c.unparsed += cost
+	return victims, nil
 }
 
 // SetDeadline sets the deadlines of reads and writes.
@@ -284,7 +292,7 @@
 		if err := c.renewWriteDeadline(now); err != nil {
 			return total, err
 		}
-		c.writingSince.Store(now.UnixNano())
+		c.writingSince.Store(nanoseconds(now))
 		n, err := c.Conn.Write(part)
 		c.writingSince.Store(0)
 		total += n
--- a/internal/transport/limitedrequest.go
+++ b/internal/transport/limitedrequest.go
@@ -71,7 +71,7 @@
 	if r.ProtoMajor > 1 {
 		cost = headerCost(r.Header)
 	}
-	c.progressAt.Store(time.Now().UnixNano())
+	c.progressAt.Store(nanoseconds(time.Now()))
 	l := c.address.limits
 	l.mu.Lock()
 	victims, ok := l.takeOrCloseLocked(c, taken{heads: cost})
@@ -168,7 +168,7 @@
 	c.updateLocked()
 }
 
-// becomeIdle records that no request is in flight: those that were have given their heads back.
+// becomeIdle records that no request is in flight on the connection, so that what was read belongs to none.
 func (c *limitedConn) becomeIdle() {
 	l := c.address.limits
 	l.mu.Lock()
@@ -176,7 +176,8 @@
 	if c.released {
 		return
 	}
-	c.takeLocked(taken{heads: c.base - c.heads})
+	c.takeLocked(taken{heads: -c.unparsed})
+	c.unparsed = 0
 	c.busy.Store(false)
 	c.headBytes, c.idle = 0, true
 	if !c.served {
