--- a/internal/transport/clientlimits.go
+++ b/internal/transport/clientlimits.go
@@ -19,7 +19,7 @@
 	connectionBytes = 32 << 10
 	// receiveBufferBytes bounds what the kernel holds of what a client has sent and the process has not read. A body
 	// arrives at this much in each round trip.
-	receiveBufferBytes = 32 << 10
+	receiveBufferBytes = 16 << 10
 	// http2ConnectionBytes is what an HTTP/2 connection takes in addition: its tables, and a header
 	// block that has not ended.
 	http2ConnectionBytes = 64 << 10
--- a/scripts/abusive/crowd_test.go
+++ b/scripts/abusive/crowd_test.go
@@ -68,13 +68,13 @@
 		return sendAll(c, get(g), lines(endlessBytes))
 	}}
 	endlessLines = kind{crowd: 800, send: func(c io.Writer, g target) error {
-		return sendAll(c, "GET /", strings.Repeat("a", endlessBytes))
+		return sendAll(c, "GET /", repeat("a", endlessBytes))
 	}}
 	blankLines = kind{crowd: 800, send: func(c io.Writer, g target) error {
-		return sendAll(c, strings.Repeat("\r\n", endlessBytes/2))
+		return sendAll(c, repeat("\r\n", endlessBytes/2))
 	}}
 	blankLinesBehindRequests = kind{crowd: 800, send: func(c io.Writer, g target) error {
-		return sendAll(c, post(g, 4), "body", strings.Repeat("\r\n", endlessBytes/2))
+		return sendAll(c, post(g, 4), "body", repeat("\r\n", endlessBytes/2))
 	}}
 	// heads that are whole but for their end.
 	heldHeads     = kind{crowd: 800, send: func(c io.Writer, g target) error { return sendAll(c, get(g), lines(heldHeadBytes)) }}
@@ -87,16 +87,16 @@
 	// idle clients keep their connections after a request.
 	idle   = kind{crowd: 1500, send: func(c io.Writer, g target) error { return sendAll(c, get(g), "\r\n") }}
 	bodies = kind{crowd: 200, send: func(c io.Writer, g target) error {
-		return sendAll(c, post(g, heldBodyBytes), strings.Repeat("b", heldBodyBytes-1))
+		return sendAll(c, post(g, heldBodyBytes), repeat("b", heldBodyBytes-1))
 	}}
 	// dense bodies are whole, and hold as many elements as their size allows.
 	denseBodies = kind{crowd: 40, send: func(c io.Writer, g target) error {
 		const begin, element, end = `{"version":9,"routes":[`, `{},`, `{}]}`
-		body := begin + strings.Repeat(element, (heldBodyBytes-len(begin)-len(end))/len(element)) + end
+		body := begin + repeat(element, (heldBodyBytes-len(begin)-len(end))/len(element)) + end
 		return sendAll(c, post(g, len(body)), body)
 	}}
 	endlessBodies = kind{crowd: 200, send: func(c io.Writer, g target) error {
-		return sendAll(c, post(g, -1), strings.Repeat("400\r\n"+strings.Repeat("b", kib)+"\r\n", endlessBytes/kib))
+		return sendAll(c, post(g, -1), repeat("400\r\n"+strings.Repeat("b", kib)+"\r\n", endlessBytes/kib))
 	}}
 	endlessTrailers = kind{crowd: 800, send: func(c io.Writer, g target) error {
 		return sendAll(c, post(g, -1), "0\r\n", lines(endlessBytes))
@@ -182,14 +182,38 @@
 func shortLines(n int) string { return repeatLines(n, "%x:\r\n") }
 
 func repeatLines(n int, format string) string {
-	var out strings.Builder
-	for i := 0; ; i++ {
-		line := fmt.Sprintf(format, i)
-		if out.Len()+len(line) > n {
-			return out.String()
+	return texts.get(fmt.Sprint(n, format), func() string {
+		var out strings.Builder
+		for i := 0; ; i++ {
+			line := fmt.Sprintf(format, i)
+			if out.Len()+len(line) > n {
+				return out.String()
+			}
+			out.WriteString(line)
 		}
-		out.WriteString(line)
+	})
+}
+
+func repeat(text string, n int) string {
+	return texts.get(fmt.Sprint(n, text), func() string { return strings.Repeat(text, n) })
+}
+
+// textCache holds texts that many clients send.
+type textCache struct {
+	mu    sync.Mutex
+	texts map[string]string
+}
+
+var texts = textCache{texts: map[string]string{}}
+
+// get returns the text with the key, which is made once.
+func (c *textCache) get(key string, text func() string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.texts[key]; !ok {
+		c.texts[key] = text()
 	}
+	return c.texts[key]
 }
 
 func sendAll(c io.Writer, parts ...string) error {
@@ -219,6 +243,10 @@
 
 // headerBlock returns the fields of a POST request to the target, with short literal fields of different names up to n bytes.
 func headerBlock(n int, g target) string {
+	return texts.get(fmt.Sprint("block", n, g.post, g.host, g.contentType), func() string { return newHeaderBlock(n, g) })
+}
+
+func newHeaderBlock(n int, g target) string {
 	var out strings.Builder
 	field := func(name, value string) {
 		out.WriteByte(0)
