--- a/scripts/abusive/abusive_test.go
+++ b/scripts/abusive/abusive_test.go
@@ -73,6 +73,9 @@
 func TestGatewayBearsEndlessBodies(t *testing.T) {
 	bear(t, startFleet, gatewayAddresses, endlessBodies)
 }
+func TestGatewayBearsCompressedBodies(t *testing.T) {
+	bear(t, startFleet, gatewayAddresses, compressedBodies)
+}
 func TestGatewayBearsEndlessTrailers(t *testing.T) {
 	bear(t, startFleet, gatewayAddresses, endlessTrailers)
 }
@@ -98,6 +101,9 @@
 func TestFleetBearsHeldBodies(t *testing.T)        { bear(t, startFleet, fleetAddresses, bodies) }
 func TestFleetBearsDenseBodies(t *testing.T)       { bear(t, startFleet, fleetAddresses, denseBodies) }
 func TestFleetBearsEndlessBodies(t *testing.T)     { bear(t, startFleet, fleetAddresses, endlessBodies) }
+func TestFleetBearsCompressedBodies(t *testing.T) {
+	bear(t, startFleet, fleetAddresses, compressedBodies)
+}
 func TestFleetBearsEndlessTrailers(t *testing.T) {
 	bear(t, startFleet, fleetAddresses, endlessTrailers)
 }
@@ -123,6 +129,9 @@
 func TestEntryBearsHeldBodies(t *testing.T)        { bear(t, startEntry, entryAddresses, bodies) }
 func TestEntryBearsDenseBodies(t *testing.T)       { bear(t, startEntry, entryAddresses, denseBodies) }
 func TestEntryBearsEndlessBodies(t *testing.T)     { bear(t, startEntry, entryAddresses, endlessBodies) }
+func TestEntryBearsCompressedBodies(t *testing.T) {
+	bear(t, startEntry, entryAddresses, compressedBodies)
+}
 func TestEntryBearsEndlessTrailers(t *testing.T) {
 	bear(t, startEntry, entryAddresses, endlessTrailers)
 }
@@ -152,6 +161,9 @@
 func TestControlBearsEndlessBodies(t *testing.T) {
 	bear(t, startEntry, controlAddresses, endlessBodies)
 }
+func TestControlBearsCompressedBodies(t *testing.T) {
+	bear(t, startEntry, controlAddresses, compressedBodies)
+}
 func TestControlBearsEndlessTrailers(t *testing.T) {
 	bear(t, startEntry, controlAddresses, endlessTrailers)
 }
--- a/scripts/abusive/crowd_test.go
+++ b/scripts/abusive/crowd_test.go
@@ -1,6 +1,8 @@
 package abusive
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -15,6 +17,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"parsleyramp/platform/standin"
 )
 
 const (
@@ -32,6 +36,8 @@
 	lineBytes = 125
 	// heldBodyBytes is the size of a body, below the limits of all addresses, of which the last byte is not sent.
 	heldBodyBytes = 1 * mib
+	// compressedBytes is the size of a message that is compressed to a thousandth.
+	compressedBytes = 60 * mib
 	// unreadRequests is the number of requests that are sent on a connection whose responses are not read.
 	unreadRequests = 200
 	// heldStreams is the number of HTTP/2 streams on a connection.
@@ -95,6 +101,11 @@
 		body := begin + repeat(element, (heldBodyBytes-len(begin)-len(end))/len(element)) + end
 		return sendAll(c, post(g, len(body)), body)
 	}}
+	// compressed bodies are small, and within the limit on a message between processes once they are decompressed.
+	compressedBodies = kind{crowd: 10, send: func(c io.Writer, g target) error {
+		body := texts.get("gzip", func() string { return compress(compressedBytes) })
+		return sendAll(c, strings.TrimSuffix(post(g, len(body)), "\r\n"), "Content-Encoding: gzip\r\n\r\n", body)
+	}}
 	endlessBodies = kind{crowd: 200, send: func(c io.Writer, g target) error {
 		return sendAll(c, post(g, -1), repeat("400\r\n"+strings.Repeat("b", kib)+"\r\n", endlessBytes/kib))
 	}}
@@ -108,7 +119,7 @@
 	names = kind{crowd: 40, send: func(c io.Writer, g target) error {
 		for range namedRequests {
 			id := uuid.NewString()
-			if err := sendAll(c, fmt.Sprintf("GET %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n", g.named, id, g.host, id), namesOf(id), "\r\n"); err != nil {
+			if err := sendAll(c, fmt.Sprintf("GET %s%s HTTP/1.1\r\nHost: %s\r\n", g.named, id, g.host), standin.RawHeaders(id), namesOf(id), "\r\n"); err != nil {
 				return err
 			}
 		}
@@ -147,7 +158,7 @@
 	if path == "" {
 		path = g.post
 	}
-	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a\r\nDeadline-Ms: 60000\r\n", path, g.host)
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s", path, g.host, standin.RawHeaders("a"))
 }
 
 // post returns the head of a POST request whose body has the length, or comes in chunks if that is below zero.
@@ -159,18 +170,14 @@
 	if g.contentType != "" {
 		framing += "Content-Type: " + g.contentType + "\r\n"
 	}
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a\r\nDeadline-Ms: 60000\r\n%s\r\n", g.post, g.host, framing)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s%s\r\n", g.post, g.host, standin.RawHeaders("a"), framing)
 }
 
 // namesOf returns headers in which clients name things, with values that begin with the id.
 func namesOf(id string) string {
 	var out strings.Builder
-	for _, h := range []string{"Model", "Prompt-Prefix", "Resumes", "Last-Event-Id", "Authorization: Bearer", "Idempotency-Key", "Parsleyramp-Class"} {
-		name, scheme, found := strings.Cut(h, ":")
-		if found {
-			scheme += " "
-		}
-		fmt.Fprintf(&out, "%s: %s%s%s\r\n", name, scheme, id, strings.Repeat("n", nameBytes))
+	for name, begin := range standin.NamingHeaders {
+		fmt.Fprintf(&out, "%s: %s%s%s\r\n", name, begin, id, strings.Repeat("n", nameBytes))
 	}
 	return out.String()
 }
@@ -216,6 +223,16 @@
 	return c.texts[key]
 }
 
+// compress returns n zeros, compressed.
+func compress(n int) string {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// Writes to a buffer never fail.
+	_, _ = w.Write(make([]byte, n))
+	_ = w.Close()
+	return out.String()
+}
+
 func sendAll(c io.Writer, parts ...string) error {
 	for _, p := range parts {
 		if _, err := io.WriteString(c, p); err != nil {
