--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -88,7 +88,7 @@
 		j.Close()
 		return nil, err
 	}
-	s.http = transport.Serve(listener, s.handler())
+	s.http = transport.Serve(listener, transport.RefuseCompressed(s.handler()))
 	go func() {
 		s.nodeErr = s.node.Run(ctx)
 		close(s.stopped)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -114,7 +114,7 @@
 	s.clientServer = transport.ServeClients(clientListener, s.clientMux())
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewEntryServiceHandler(&peerService{s.owner, s.serving}, transport.PeerHandlerOptions()...))
-	s.peerServer = transport.Serve(peerListener, mux)
+	s.peerServer = transport.Serve(peerListener, transport.RefuseCompressed(mux))
 	return nil
 }
 
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -148,7 +148,7 @@
 		internalListener.Close()
 		return err
 	}
-	s.internalServer = transport.Serve(internalListener, mux)
+	s.internalServer = transport.Serve(internalListener, transport.RefuseCompressed(mux))
 	s.operatorServer = transport.ServeProbes(operatorListener, s.deps.OperatorHandler(s))
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,11 +65,12 @@
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewPeerServiceHandler(&peerService{g}, transport.PeerHandlerOptions()...))
+	calls := transport.RefuseCompressed(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if isRelayed(r.Header) {
 			g.serveRelayed(w, r)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		calls.ServeHTTP(w, r)
 	})
 }
