--- a/internal/fleetcontrol/leader.go
+++ b/internal/fleetcontrol/leader.go
@@ -83,6 +83,7 @@
 	speeds         speedLog
 	budgets        map[string]*residency.StoreBudget
 	requestedUntil map[string]time.Duration
+	models         declaredModels
 	// requestedVersions holds until when models are requested on engines of a version.
 	requestedVersions map[modelVersion]time.Duration
 	// waits are those of clients for models without a replica.
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -81,7 +81,9 @@
 	l.ingestUse(r, now)
 	l.ingestSpeeds(r.Loads, now)
 	for _, d := range r.Demand {
-		l.demand.Record(requestsOf(d), now)
+		if l.declaresModel(d.Model) {
+			l.demand.Record(requestsOf(d), now)
+		}
 	}
 	if changed {
 		l.publish(now)
@@ -187,6 +189,12 @@
 	}
 	m := req.Msg
 	resp := &wire.WantResponse{}
+	l.mu.Lock()
+	declared := l.declaresModel(m.Model)
+	l.mu.Unlock()
+	if !declared {
+		return connect.NewResponse(resp), nil
+	}
 	if m.Adapter != "" {
 		resp.Endpoint = l.ensureAdapter(ctx, adapterRequest{service: m.Service, adapterName: adapterName{m.Model, m.Adapter}, additional: m.More, version: m.Version})
 	}
