--- a/internal/streamorigin/book.go
+++ b/internal/streamorigin/book.go
@@ -2,7 +2,10 @@
 // decides which gateways keep that. It does no I/O and reads no clock.
 package streamorigin
 
-import "time"
+import (
+	"crypto/sha256"
+	"time"
+)
 
 // Origin states where a stream began.
 type Origin struct {
@@ -23,6 +26,8 @@
 	MaxOrigins = 1 << 15
 	// maxRecordings bounds how often the origins of one book have been recorded.
 	maxRecordings = 2 * MaxOrigins
+	// maxKeyBytes bounds what is kept of an id. Clients choose the ids.
+	maxKeyBytes = 64
 )
 
 // Book holds the origins of streams by the id of the attempt that brought the first event.
@@ -43,10 +48,20 @@
 	at time.Duration
 }
 
+// keyOf returns what is kept of an id: the id itself, or the digest of a long one.
+func keyOf(id string) string {
+	if len(id) <= maxKeyBytes {
+		return id
+	}
+	digest := sha256.Sum256([]byte(id))
+	return string(digest[:])
+}
+
 // Record records the origin of a stream. If another one is known, neither is trusted: the
 // version becomes unknown.
 func (b *Book) Record(id string, o Origin, now time.Duration) {
 	b.expire(now)
+	id = keyOf(id)
 	if b.entries == nil {
 		b.entries = map[string]entry{}
 	}
@@ -62,7 +77,7 @@
 
 // Find returns the origin of the stream, or false if it is not known.
 func (b *Book) Find(id string, now time.Duration) (Origin, bool) {
-	x, ok := b.entries[id]
+	x, ok := b.entries[keyOf(id)]
 	if !ok || now-x.at >= TTL {
 		return Origin{}, false
 	}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +98,21 @@
 		}
 	})
 }
+
+// TestLongIDsAreKeptByTheirDigests guards against callers that take a gateway's memory with the ids of attempts.
+func TestLongIDsAreKeptByTheirDigests(t *testing.T) {
+	var b Book
+	one, two := strings.Repeat("i", 10_000)+"1", strings.Repeat("i", 10_000)+"2"
+	b.Record(one, Origin{Service: "s", Version: "v1"}, 0)
+	b.Record(two, Origin{Service: "s", Version: "v2"}, 0)
+	for id, want := range map[string]string{one: "v1", two: "v2"} {
+		if got, ok := b.Find(id, 0); !ok || got.Version != want {
+			t.Errorf("the origin of a long id is %+v, known %v, want version %s", got, ok, want)
+		}
+	}
+	for id := range b.entries {
+		if len(id) > maxKeyBytes {
+			t.Errorf("%d bytes are kept of an id, want %d at most", len(id), maxKeyBytes)
+		}
+	}
+}
