--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -27,6 +27,12 @@
 	startupRetryJitter = 500 * time.Millisecond
 )
 
+// maxNameBytes bounds the names of the model and adapter of a request, which tables of gateways and of control keep.
+const maxNameBytes = 512
+
+// errNameTooLong rejects a request for a model or adapter whose name exceeds maxNameBytes.
+var errNameTooLong = fail.New(fail.NoReplica, "no engine holds a model or adapter with so long a name")
+
 // request is the state of one client request.
 type request struct {
 	g           *Gateway
@@ -140,6 +146,10 @@
 	service := q.service()
 	q.info = info.boundTokens(table.Document.Service(service))
 	q.requirements = g.requirementsOf(table.Document, route, q.info, service)
+	if len(q.requirements.Model)+len(q.requirements.Adapter) > maxNameBytes {
+		q.reject(errNameTooLong)
+		return
+	}
 	if q.suspected() {
 		q.requirements.Session = q.suspectSession()
 	}
