--- a/internal/transport/clientlimits.go
+++ b/internal/transport/clientlimits.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -166,6 +167,24 @@
 	address *addressLimits
 }
 
+// limitedListenerOf returns the limited listener that a server's listener wraps, or nil.
+func limitedListenerOf(l net.Listener) *limitedListener {
+	if t, ok := l.(*trackingListener); ok {
+		l = t.Listener
+	}
+	limited, _ := l.(*limitedListener)
+	return limited
+}
+
+// errorLog writes what net/http logs to the log of the process, whose size is bounded.
+type errorLog struct{ log *logrus.Entry }
+
+// Write logs one line.
+func (e errorLog) Write(line []byte) (int, error) {
+	e.log.WithField("error", strings.TrimSpace(string(line))).Warn("HTTP server")
+	return len(line), nil
+}
+
 // SetDeadline sets the time at which Accept fails.
 func (l *limitedListener) SetDeadline(t time.Time) error { return setAcceptDeadline(l.Listener, t) }
 
--- a/internal/transport/clientlimits_test.go
+++ b/internal/transport/clientlimits_test.go
@@ -281,3 +281,19 @@
 		}
 	})
 }
+
+// TestErrorsOfTheHTTPServerAreLogged checks that they go to the log of the process, which is bounded.
+func TestErrorsOfTheHTTPServerAreLogged(t *testing.T) {
+	testLimits(t, func(t *testing.T) {
+		s := serveLimited(t, roomy, 1, func(http.ResponseWriter, *http.Request) { panic("broken") })
+		var out strings.Builder
+		s.limits.log.Logger.SetOutput(&out)
+		if got := status(s.connect(t, 0, getRequest)); got != 0 {
+			t.Errorf("status %d of a handler that panics, want none", got)
+		}
+		synctest.Wait()
+		if !strings.Contains(out.String(), "broken") {
+			t.Errorf("the log has %q, want the panic", out.String())
+		}
+	})
+}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -84,7 +84,7 @@
 	if bytes <= 0 {
 		bytes = defaultHeadBytes
 	}
-	if l, ok := s.accepting.Listener.(*limitedListener); ok {
+	if l := limitedListenerOf(s.accepting); l != nil {
 		l.address.headLimit.Store(int64(min(bytes, maxClientHeaderBytes-headSlack)))
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"syscall"
@@ -131,7 +132,7 @@
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	return &Server{
+	s := &Server{
 		http: &http.Server{
 			Handler: limitRequests(h), Protocols: &p, ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: recordIdle,
@@ -140,6 +141,10 @@
 		listener: l,
 		done:     make(chan error, 1),
 	}
+	if limited := limitedListenerOf(l); limited != nil {
+		s.http.ErrorLog = log.New(errorLog{limited.address.limits.log}, "", 0)
+	}
+	return s
 }
 
 // recordIdle records for the limits that no request is in flight on a connection.
