--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,15 +1,11 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,31 +45,6 @@
 	LastOnConnection bool
 }
 
-// Response is a response whose header has been read. Body returns io.EOF only
-// if the response is complete. Close must be called once.
-type Response struct {
-	Status int
-	Header http.Header
-	// Length of the body in bytes, or -1 if unknown.
-	Length int64
-	// Head is what the head states about the body.
-	Head answer.Head
-	// Reused is set if the connection has carried another request before, whose response may
-	// come once more.
-	Reused bool
-	Body   io.Reader
-
-	pool       *Pool
-	conn       *conn
-	resp       *http.Response
-	stop       func() bool
-	reachedEOF bool
-	// moved is set if the connection belongs to the next response.
-	moved       bool
-	writeResult <-chan error
-	request     *Request
-}
-
 // Pool is a pool of connections to endpoints.
 type Pool struct {
 	dial   DialFunc
@@ -140,22 +111,6 @@
 	return out, nil
 }
 
-// Next returns the response that follows on the connection, in place of this one, which
-// belongs to an earlier request and whose body must have been read. If it succeeds, only
-// the returned response needs Close.
-func (r *Response) Next() (*Response, error) {
-	resp, err := r.conn.readHeader(r.request.Method, nil)
-	if err != nil {
-		return nil, fail.Wrap(err, fail.EndpointFailed, "read response from "+r.conn.address).WithRan(fail.RanUnknown)
-	}
-	out := *r
-	out.Status, out.Header, out.Length, out.Head = resp.StatusCode, resp.Header, resp.ContentLength, answer.HeadOf(resp)
-	out.resp, out.reachedEOF, out.moved = resp, false, false
-	out.Body = &bodyReader{&out}
-	r.moved = true
-	return &out, nil
-}
-
 // HoldTime is how long a new connection must usually stay open to count as accepted: a proxy
 // before an endpoint that has ended accepts it and closes it at once.
 const HoldTime = 150 * time.Millisecond
@@ -211,127 +166,6 @@
 // nothing about the endpoint.
 var ErrMayNotWrite = fail.New(fail.DeadlinePassed, "the request expired before it was written").WithRan(fail.RanNo)
 
-// readHeader reads the response header. It skips interim responses, and complete
-// responses that accept rejects, as far as maxSkippedBytes allow.
-func (c *conn) readHeader(method string, accept func(http.Header) bool) (*http.Response, error) {
-	defer c.limit.lift()
-	skipped, left := 0, int64(maxSkippedBytes)
-	for {
-		resp, err := c.readOneHeader(method, &left)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		if accept == nil || accept(resp.Header) {
-			return resp, nil
-		}
-		if skipped++; skipped > maxSkippedResponses {
-			return nil, errForeignResponses
-		}
-		c.limit.set(left)
-		_, err = io.Copy(io.Discard, resp.Body)
-		left = c.limit.left
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// readOneHeader reads the next header, and takes what it reads from left.
-func (c *conn) readOneHeader(method string, left *int64) (*http.Response, error) {
-	allowed := min(*left, maxHeadBytes)
-	c.limit.set(allowed)
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	*left -= allowed - c.limit.left
-	return resp, err
-}
-
-var errForeignResponses = fail.New(fail.ForeignAnswer, "the responses belong to other requests").WithRan(fail.RanUnknown)
-
-// hopByHopHeaders concern one connection only and are not forwarded.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// RemoveHopByHopHeaders removes the headers that concern one connection only,
-// including those listed in the Connection header.
-func RemoveHopByHopHeaders(h http.Header) {
-	for _, name := range connectionOptions(h) {
-		h.Del(name)
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
-
-func connectionOptions(h http.Header) []string {
-	var out []string
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			out = append(out, strings.TrimSpace(name))
-		}
-	}
-	return out
-}
-
-func encodeHead(r *Request) []byte {
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// Writing to a buffer does not fail, and net/http, which parsed the header,
-	// rejects line breaks in it.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-// bodyReader records that the complete response was read.
-type bodyReader struct{ r *Response }
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.r.resp.Body.Read(p)
-	if err == io.EOF {
-		b.r.reachedEOF = true
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if the complete request was written,
-// the complete response was read and no bytes follow it. Otherwise it closes
-// the connection.
-func (r *Response) Close() {
-	if r.moved {
-		return
-	}
-	open := r.stop()
-	if !open || !r.reusable() {
-		r.conn.Close()
-		return
-	}
-	r.pool.put(r.conn)
-}
-
-func (r *Response) reusable() bool {
-	if r.request.LastOnConnection || !r.reachedEOF || r.resp.Close || r.conn.reader.Buffered() > 0 {
-		return false
-	}
-	if r.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // connect returns the most recently used idle connection that is clean and within its
 // idle timeout, or a new one. It closes the connections that it skips. A required new one
 // that is kept afterwards takes the place of an idle one.
