--- a/scripts/abusive/abusive_test.go
+++ b/scripts/abusive/abusive_test.go
@@ -61,11 +61,15 @@
 func TestGatewayBearsBlankLinesBehindRequests(t *testing.T) {
 	bear(t, startFleet, gatewayAddresses, blankLinesBehindRequests)
 }
+func TestGatewayBearsBareBlankLines(t *testing.T) {
+	bear(t, startFleet, gatewayAddresses, bareBlankLines)
+}
 func TestGatewayBearsHeldHeads(t *testing.T) { bear(t, startFleet, gatewayAddresses, heldHeads) }
 func TestGatewayBearsHeldLongHeads(t *testing.T) {
 	bear(t, startFleet, gatewayAddresses, heldLongHeads)
 }
 func TestGatewayBearsHeldRequests(t *testing.T)      { bear(t, startFleet, gatewayAddresses, heldRequests) }
+func TestGatewayBearsTinyFields(t *testing.T)        { bear(t, startFleet, gatewayAddresses, tinyFields) }
 func TestGatewayBearsSilentConnections(t *testing.T) { bear(t, startFleet, gatewayAddresses, silent) }
 func TestGatewayBearsIdleConnections(t *testing.T)   { bear(t, startFleet, gatewayAddresses, idle) }
 func TestGatewayBearsHeldBodies(t *testing.T)        { bear(t, startFleet, gatewayAddresses, bodies) }
@@ -93,9 +97,11 @@
 func TestFleetBearsBlankLinesBehindRequests(t *testing.T) {
 	bear(t, startFleet, fleetAddresses, blankLinesBehindRequests)
 }
+func TestFleetBearsBareBlankLines(t *testing.T)    { bear(t, startFleet, fleetAddresses, bareBlankLines) }
 func TestFleetBearsHeldHeads(t *testing.T)         { bear(t, startFleet, fleetAddresses, heldHeads) }
 func TestFleetBearsHeldLongHeads(t *testing.T)     { bear(t, startFleet, fleetAddresses, heldLongHeads) }
 func TestFleetBearsHeldRequests(t *testing.T)      { bear(t, startFleet, fleetAddresses, heldRequests) }
+func TestFleetBearsTinyFields(t *testing.T)        { bear(t, startFleet, fleetAddresses, tinyFields) }
 func TestFleetBearsSilentConnections(t *testing.T) { bear(t, startFleet, fleetAddresses, silent) }
 func TestFleetBearsIdleConnections(t *testing.T)   { bear(t, startFleet, fleetAddresses, idle) }
 func TestFleetBearsHeldBodies(t *testing.T)        { bear(t, startFleet, fleetAddresses, bodies) }
@@ -121,9 +127,11 @@
 func TestEntryBearsBlankLinesBehindRequests(t *testing.T) {
 	bear(t, startEntry, entryAddresses, blankLinesBehindRequests)
 }
+func TestEntryBearsBareBlankLines(t *testing.T)    { bear(t, startEntry, entryAddresses, bareBlankLines) }
 func TestEntryBearsHeldHeads(t *testing.T)         { bear(t, startEntry, entryAddresses, heldHeads) }
 func TestEntryBearsHeldLongHeads(t *testing.T)     { bear(t, startEntry, entryAddresses, heldLongHeads) }
 func TestEntryBearsHeldRequests(t *testing.T)      { bear(t, startEntry, entryAddresses, heldRequests) }
+func TestEntryBearsTinyFields(t *testing.T)        { bear(t, startEntry, entryAddresses, tinyFields) }
 func TestEntryBearsSilentConnections(t *testing.T) { bear(t, startEntry, entryAddresses, silent) }
 func TestEntryBearsIdleConnections(t *testing.T)   { bear(t, startEntry, entryAddresses, idle) }
 func TestEntryBearsHeldBodies(t *testing.T)        { bear(t, startEntry, entryAddresses, bodies) }
@@ -149,11 +157,15 @@
 func TestControlBearsBlankLinesBehindRequests(t *testing.T) {
 	bear(t, startEntry, controlAddresses, blankLinesBehindRequests)
 }
+func TestControlBearsBareBlankLines(t *testing.T) {
+	bear(t, startEntry, controlAddresses, bareBlankLines)
+}
 func TestControlBearsHeldHeads(t *testing.T) { bear(t, startEntry, controlAddresses, heldHeads) }
 func TestControlBearsHeldLongHeads(t *testing.T) {
 	bear(t, startEntry, controlAddresses, heldLongHeads)
 }
 func TestControlBearsHeldRequests(t *testing.T)      { bear(t, startEntry, controlAddresses, heldRequests) }
+func TestControlBearsTinyFields(t *testing.T)        { bear(t, startEntry, controlAddresses, tinyFields) }
 func TestControlBearsSilentConnections(t *testing.T) { bear(t, startEntry, controlAddresses, silent) }
 func TestControlBearsIdleConnections(t *testing.T)   { bear(t, startEntry, controlAddresses, idle) }
 func TestControlBearsHeldBodies(t *testing.T)        { bear(t, startEntry, controlAddresses, bodies) }
--- a/scripts/abusive/crowd_test.go
+++ b/scripts/abusive/crowd_test.go
@@ -79,6 +79,9 @@
 	blankLines = kind{crowd: 800, send: func(c io.Writer, g target) error {
 		return sendAll(c, repeat("\r\n", endlessBytes/2))
 	}}
+	bareBlankLines = kind{crowd: 800, send: func(c io.Writer, g target) error {
+		return sendAll(c, repeat("\n", endlessBytes))
+	}}
 	blankLinesBehindRequests = kind{crowd: 800, send: func(c io.Writer, g target) error {
 		return sendAll(c, post(g, 4), "body", repeat("\r\n", endlessBytes/2))
 	}}
@@ -89,6 +92,10 @@
 	heldRequests = kind{crowd: 800, send: func(c io.Writer, g target) error {
 		return sendAll(c, strings.TrimSuffix(post(g, heldBodyBytes), "\r\n"), lines(heldHeadBytes), "\r\n")
 	}}
+	// the same with heads of as many fields as fit, each of which costs far more than its bytes once it is parsed.
+	tinyFields = kind{crowd: 800, send: func(c io.Writer, g target) error {
+		return sendAll(c, strings.TrimSuffix(post(g, heldBodyBytes), "\r\n"), shortLines(heldHeadBytes), "\r\n")
+	}}
 	silent = kind{crowd: 1500, send: func(io.Writer, target) error { return nil }}
 	// idle clients keep their connections after a request.
 	idle   = kind{crowd: 1500, send: func(c io.Writer, g target) error { return sendAll(c, get(g), "\r\n") }}
