--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -7,7 +7,7 @@
 	"parsleyramp/internal/fail"
 )
 
-// bufferBudget bounds the bytes, of responses or of requests, that are held in memory at the same time. Its
+// bufferBudget bounds the bytes of responses that are held in memory at the same time. Its
 // zero value is unused. It is safe for concurrent use.
 type bufferBudget struct{ used atomic.Int64 }
 
