--- a/review/standin-2/invalidconfig.go
+++ b/review/standin-2/invalidconfig.go
@@ -25,7 +25,7 @@
 	status, body := s.put(document)
 	s.record.add("sent: %s", document)
 	s.record.add("answered %d %s", status, body)
-	time.Sleep(applyMs * time.Millisecond)
+	time.Sleep(applyTime)
 	_, newest := s.get()
 	inForce := bytes.Contains([]byte(newest), []byte(`"ghost"`))
 	s.record.conclude("a configuration whose first route names the service %s was answered %d; it is read back: %v", service, status, inForce)
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -19,9 +19,9 @@
 const (
 	controlCount = 3
 	readyTimeout = 25 * time.Second
-	drainMs      = 3000
-	contactMs    = 3000
-	applyMs      = 2000
+	drainTime    = 3 * time.Second
+	contactTime  = 3 * time.Second
+	applyTime    = 2 * time.Second
 )
 
 var zones = []string{"riga-a", "riga-b", "riga-c"}
