--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 var plans = map[string]plan{
 	"malformed-model": {gateways: 2, add: addServers, play: playMalformedModel},
 	"odd-entry":       {gateways: 2, add: addServers, play: playOddEntry},
+	"successors":      {gateways: 1, add: addServers, play: playSuccessors},
 	"invalid-config":  {gateways: 1, add: addServers, play: playInvalidConfig},
 }
 
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -107,18 +107,58 @@
 	return net.JoinHostPort(s.host(kind, i), strconv.Itoa(s.ports[port]))
 }
 
-// startControl starts a control replica with the settings of deploy/fleet.jsonc.
+// startControl starts a control replica at the first start of the system.
 func (s *system) startControl(i int) error {
-	name := fmt.Sprintf("core-%s-1", zones[i%len(zones)])
-	p, err := s.start(name, "parsleyramp-fleet", map[string]any{
-		"id": name, "address": s.address(controlHosts, i, "internal"), "operator_address": s.operators[i], "domain": zones[i%len(zones)],
-		"data_folder": filepath.Join(s.dir, name), "live_list": s.list.address, "seeds": s.operators, "tolerated_losses": 1, "first_start": true,
-		"order_lease": "3000ms", "store_window": "5s", "memory_mb": 280, "client_limits": map[string]any{"descriptors": 4096},
-	})
+	p, err := s.start(controlName(i), "parsleyramp-fleet", s.controlSettings(i, true))
+	s.controls = append(s.controls, p)
+	return err
+}
+
+func controlName(i int) string { return fmt.Sprintf("core-%s-%d", zones[i%len(zones)], i/len(zones)+1) }
+
+// controlSettings returns the settings of deploy/fleet.jsonc for a control replica.
+func (s *system) controlSettings(i int, firstStart bool) map[string]any {
+	return map[string]any{
+		"id": controlName(i), "address": s.address(controlHosts, i, "internal"), "operator_address": s.address(controlHosts, i, "operator"),
+		"domain": zones[i%len(zones)], "data_folder": s.dataFolder(i), "live_list": s.list.address, "seeds": s.seeds(), "tolerated_losses": 1,
+		"first_start": firstStart, "order_lease": "3000ms", "store_window": "5s", "memory_mb": 280, "client_limits": map[string]any{"descriptors": 4096},
+	}
+}
+
+func (s *system) dataFolder(i int) string { return filepath.Join(s.dir, "data-"+controlName(i)) }
+
+// seeds returns the operator addresses of the replicas of the first start.
+func (s *system) seeds() []string { return s.operators[:controlCount] }
+
+// addControl starts one more control replica, with an empty disk.
+func (s *system) addControl() error {
+	i := len(s.controls)
+	s.operators = append(s.operators, s.address(controlHosts, i, "operator"))
+	p, err := s.start(controlName(i), "parsleyramp-fleet", s.controlSettings(i, false))
 	s.controls = append(s.controls, p)
 	return err
 }
 
+// kill ends a process at once.
+func (s *system) kill(p *process) {
+	s.record.add("SIGKILL to %s", p.name)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// loseDisk kills a control replica, empties its folder and starts it again after the pause, at the same address.
+func (s *system) loseDisk(i int, pause time.Duration) error {
+	s.kill(s.controls[i])
+	if err := os.RemoveAll(s.dataFolder(i)); err != nil {
+		return err
+	}
+	s.record.add("the disk of %s is lost", s.controls[i].name)
+	time.Sleep(pause)
+	p, err := s.start(controlName(i), "parsleyramp-fleet", s.controlSettings(i, false))
+	s.controls[i] = p
+	return err
+}
+
 // startGateway starts a gateway with the settings of deploy/gateway.jsonc.
 func (s *system) startGateway(i int) error {
 	name := fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1)
@@ -127,7 +167,7 @@
 	n.process, err = s.start(name, "parsleyramp-gateway", map[string]any{
 		"id": name, "caller_address": n.client, "ready_address": n.ready, "directory_address": s.address(gatewayHosts, i, "directory"),
 		"metrics_address": n.metrics, "peer_address": s.address(gatewayHosts, i, "peer"), "domain": zones[i%len(zones)], "region": "riga",
-		"control_seeds": s.operators, "control_port": s.ports["internal"], "grace": "8s", "retry_ratio": 0.2, "retry_slack": 58, "retry_window": "10s",
+		"control_seeds": s.seeds(), "control_port": s.ports["internal"], "grace": "8s", "retry_ratio": 0.2, "retry_slack": 58, "retry_window": "10s",
 		"memory_mb": 284, "client_limits": map[string]any{"descriptors": 4100},
 	})
 	s.gateways = append(s.gateways, n)
