review: one lost disk ends the control group after two replacements

A successor becomes a voter beside the old ones, and a silent one of an odd number stays a voter until another one is silent too.

Nothing outside review/ changes.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review-2" ] || { echo "run review/build-2.sh first"; exit 2; }
-exec "$root/target/review-2" -case malformed-model -bin "$root/target" -record "$here/record.txt"
+exec "$root/target/review-2" -case successors -bin "$root/target" -record "$here/record.txt"
