--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -104,13 +104,16 @@
 var errRepeatedEvent = fail.New(fail.ForeignAnswer, "the endpoint repeats an event of the stream").WithRan(fail.RanUnknown)
 
 // drainRejection reads the rest of a response that states that the request did
-// not run, so that the connection can be reused.
+// not run, so that the connection can be reused, unless the response ends with it.
 func (r *relay) drainRejection(resp *upstream.Response, info ResponseInfo) sendResult {
 	out := sendResult{outcome: attempt.Rejected}
 	if info.fromAnother(r.endpoint) {
 		out.otherEndpoint = info.Endpoint
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
+	var err error
+	if resp.Head.Framing != answer.ByConnection {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
+	}
 	message := "the endpoint did not run the request: status " + strconv.Itoa(resp.Status)
 	if err != nil {
 		out.err = fail.Wrap(err, fail.EndpointFailed, message)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,7 +89,7 @@
 		discard()
 		return nil, fail.Wrap(ctx.Err(), fail.EndpointFailed, "connect to "+address)
 	}
-	written, err := c.send(r)
+	sent, err := c.send(r)
 	if err != nil {
 		discard()
 		return nil, err
@@ -105,7 +105,7 @@
 	}
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Head: answer.HeadOf(resp),
-		Reused: reused, pool: p, conn: c, resp: resp, stop: stop, writeResult: written, request: r,
+		Reused: reused, pool: p, conn: c, resp: resp, stop: stop, delivery: sent, ended: ctx.Done(), request: r,
 	}
 	out.Body = &bodyReader{out}
 	return out, nil
@@ -131,18 +131,19 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// send writes the request. A request above concurrentWriteBytes is written by
-// another goroutine, which sends its result on the returned channel.
-func (c *conn) send(r *Request) (<-chan error, error) {
+// send writes the request. A request above concurrentWriteBytes is written by another goroutine.
+func (c *conn) send(r *Request) (*delivery, error) {
 	c.used = true
 	head := encodeHead(r)
 	if r.MayWrite != nil && !r.MayWrite() {
 		return nil, ErrMayNotWrite
 	}
+	d := newDelivery()
 	if len(head)+len(r.Body) <= concurrentWriteBytes {
 		n, err := c.Write(append(head, r.Body...))
 		if err == nil {
-			return nil, nil
+			d.finish(nil)
+			return d, nil
 		}
 		ran := fail.RanUnknown
 		if n == 0 {
@@ -150,16 +151,15 @@
 		}
 		return nil, fail.Wrap(err, fail.EndpointFailed, "send to "+c.address).WithRan(ran)
 	}
-	done := make(chan error, 1)
 	go func() {
 		// The body may be large, so it is not copied behind the head.
 		_, err := c.Write(head)
 		if err == nil && len(r.Body) > 0 {
 			_, err = c.Write(r.Body)
 		}
-		done <- err
+		d.finish(err)
 	}()
-	return done, nil
+	return d, nil
 }
 
 // ErrMayNotWrite is the failure of a request that MayWrite kept from being written. It says
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -28,9 +28,11 @@
 	stop       func() bool
 	reachedEOF bool
 	// moved is set if the connection belongs to the next response.
-	moved       bool
-	writeResult <-chan error
-	request     *Request
+	moved    bool
+	delivery *delivery
+	// ended is closed when the request ends.
+	ended   <-chan struct{}
+	request *Request
 }
 
 // Next returns the response that follows on the connection, in place of this one, which
@@ -55,11 +57,23 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.resp.Body.Read(p)
 	if err == io.EOF {
-		b.r.reachedEOF = true
+		err = b.r.end()
 	}
 	return n, err
 }
 
+// end returns io.EOF at the end of the body. The end of a connection ends a response only if
+// nothing else on the connection has failed: the endpoint must have received the whole request.
+func (r *Response) end() error {
+	if r.Head.Framing == answer.ByConnection {
+		if err := r.conn.confirmDelivery(r.delivery, r.ended); err != nil {
+			return fail.Wrap(err, fail.TruncatedAnswer, "the connection ended before the request was delivered").WithRan(fail.RanUnknown)
+		}
+	}
+	r.reachedEOF = true
+	return io.EOF
+}
+
 // Close returns the connection to the pool if the complete request was written,
 // the complete response was read and no bytes follow it. Otherwise it closes
 // the connection.
@@ -79,13 +93,5 @@
 	if r.request.LastOnConnection || !r.reachedEOF || r.resp.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if r.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
+	return r.delivery.written()
 }
