--- a/internal/testnet/writefirst.go
+++ b/internal/testnet/writefirst.go
@@ -1,6 +1,9 @@
 package testnet
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // WriteFirst is a connection from which nothing is read after the first bytes until a write has
 // failed. The write then gets the error of the connection, which the kernel reports once.
@@ -16,14 +19,20 @@
 	return &WriteFirst{TCPConn: tcp, failed: make(chan struct{})}, tcp.SetWriteBuffer(sendBufferBytes)
 }
 
-// sendBufferBytes is the size of the send buffer of a WriteFirst.
-const sendBufferBytes = 64 << 10
+const (
+	// sendBufferBytes is the size of the send buffer of a WriteFirst.
+	sendBufferBytes = 64 << 10
+	// returnDelay is how long a write that has failed takes to return, so that a read that waits
+	// for it returns first.
+	returnDelay = 20 * time.Millisecond
+)
 
 // Write writes to the connection. No other write may follow one that has failed.
 func (c *WriteFirst) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	if err != nil {
 		close(c.failed)
+		time.Sleep(returnDelay)
 	}
 	return n, err
 }
--- a/internal/upstream/delivery.go
+++ b/internal/transport/delivery.go
@@ -1,6 +1,7 @@
-package upstream
+package transport
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -12,23 +13,27 @@
 // acknowledgmentInterval is the time between two looks at what of a request is not acknowledged.
 const acknowledgmentInterval = 5 * time.Millisecond
 
-// delivery is the writing of one request.
-type delivery struct {
+// errRequestEnded is the failure of a request that ends before the endpoint has all of it.
+var errRequestEnded = fail.New(fail.Canceled, "the request ended before it was delivered")
+
+// Delivery is the writing of one request, beside which its response is read.
+type Delivery struct {
 	// done is closed once the request is written or the write has failed with err.
 	done chan struct{}
 	err  error
 }
 
-func newDelivery() *delivery { return &delivery{done: make(chan struct{})} }
+// NewDelivery returns the delivery of a request that is about to be written.
+func NewDelivery() *Delivery { return &Delivery{done: make(chan struct{})} }
 
-// finish records the result of the write, once.
-func (d *delivery) finish(err error) {
+// Finish records the result of the write. It must be called once.
+func (d *Delivery) Finish(err error) {
 	d.err = err
 	close(d.done)
 }
 
-// written reports whether the whole request has been written.
-func (d *delivery) written() bool {
+// Written reports whether the whole request has been written.
+func (d *Delivery) Written() bool {
 	select {
 	case <-d.done:
 		return d.err == nil
@@ -37,8 +42,18 @@
 	}
 }
 
+// Confirm waits until the peer has acknowledged the whole request, written to c. It fails if the
+// connection has failed, or once ended is closed. The kernel reports the failure of a connection
+// once: if a write gets it, the reads after it see an orderly end.
+func (d *Delivery) Confirm(c net.Conn, ended <-chan struct{}) error {
+	if err := d.wait(ended); err != nil {
+		return err
+	}
+	return awaitAcknowledgment(c, ended)
+}
+
 // wait waits for the end of the write, or until ended is closed.
-func (d *delivery) wait(ended <-chan struct{}) error {
+func (d *Delivery) wait(ended <-chan struct{}) error {
 	select {
 	case <-d.done:
 		return d.err
@@ -52,18 +67,11 @@
 	}
 }
 
-var errRequestEnded = fail.New(fail.Canceled, "the request ended before it was delivered")
-
-// confirmDelivery waits until the endpoint has acknowledged the whole request. It fails if the
-// connection has failed, or once ended is closed. The kernel reports the failure of a connection
-// once: if a write gets it, the reads after it see an orderly end.
-func (c *conn) confirmDelivery(d *delivery, ended <-chan struct{}) error {
-	if err := d.wait(ended); err != nil {
-		return err
-	}
+// awaitAcknowledgment waits until the peer has acknowledged all that was written to the connection.
+func awaitAcknowledgment(c net.Conn, ended <-chan struct{}) error {
 	for {
-		unacknowledged, err := c.unacknowledged()
-		if err != nil || unacknowledged == 0 {
+		bytes, err := unacknowledged(c)
+		if err != nil || bytes == 0 {
 			return err
 		}
 		select {
@@ -74,10 +82,13 @@
 	}
 }
 
-// unacknowledged returns how many bytes that were written the endpoint has not acknowledged, zero if
-// the system does not tell, or the error of the connection.
-func (c *conn) unacknowledged() (bytes int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
+// unacknowledged returns how many bytes that were written to the connection the peer has not
+// acknowledged, zero if the system does not tell, or the error of the connection.
+func unacknowledged(c net.Conn) (bytes int, err error) {
+	if counting, ok := c.(*countingConn); ok {
+		c = counting.Conn
+	}
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, nil
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -101,17 +101,30 @@
 // NewEndpointClient returns an HTTP client for engines, services and the
 // platform. It does not follow redirects and never resends a request on its own.
 func NewEndpointClient(maxConnsPerHost int) *http.Client {
+	return newEndpointClient(countingDial(PeerKindEndpoint), maxConnsPerHost)
+}
+
+func newEndpointClient(dial dialFunc, maxConnsPerHost int) *http.Client {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: writeCountingDial(countingDial(PeerKindEndpoint)), Protocols: &p, IdleConnTimeout: idleTimeout,
+		Transport: &endpointTransport{&http.Transport{
+			DialContext: writeCountingDial(dial), Protocols: &p, IdleConnTimeout: idleTimeout,
 			MaxIdleConnsPerHost: maxConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// endpointTransport sends requests to endpoints.
+type endpointTransport struct{ *http.Transport }
+
+// RoundTrip sends the request. A response that ends with its connection ends in order only once
+// the whole request is delivered.
+func (t *endpointTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.Transport.RoundTrip(r.WithContext(traceDelivery(r.Context())))
+}
+
 // Server is an HTTP server with a graceful shutdown.
 type Server struct {
 	http     *http.Server
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/transport"
 )
 
 const (
@@ -132,17 +133,17 @@
 }
 
 // send writes the request. A request above concurrentWriteBytes is written by another goroutine.
-func (c *conn) send(r *Request) (*delivery, error) {
+func (c *conn) send(r *Request) (*transport.Delivery, error) {
 	c.used = true
 	head := encodeHead(r)
 	if r.MayWrite != nil && !r.MayWrite() {
 		return nil, ErrMayNotWrite
 	}
-	d := newDelivery()
+	d := transport.NewDelivery()
 	if len(head)+len(r.Body) <= concurrentWriteBytes {
 		n, err := c.Write(append(head, r.Body...))
 		if err == nil {
-			d.finish(nil)
+			d.Finish(nil)
 			return d, nil
 		}
 		ran := fail.RanUnknown
@@ -157,7 +158,7 @@
 		if err == nil && len(r.Body) > 0 {
 			_, err = c.Write(r.Body)
 		}
-		d.finish(err)
+		d.Finish(err)
 	}()
 	return d, nil
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -6,6 +6,7 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/transport"
 )
 
 // Response is a response whose header has been read. Body returns io.EOF only
@@ -29,7 +30,7 @@
 	reachedEOF bool
 	// moved is set if the connection belongs to the next response.
 	moved    bool
-	delivery *delivery
+	delivery *transport.Delivery
 	// ended is closed when the request ends.
 	ended   <-chan struct{}
 	request *Request
@@ -66,7 +67,7 @@
 // nothing else on the connection has failed: the endpoint must have received the whole request.
 func (r *Response) end() error {
 	if r.Head.Framing == answer.ByConnection {
-		if err := r.conn.confirmDelivery(r.delivery, r.ended); err != nil {
+		if err := r.delivery.Confirm(r.conn.Conn, r.ended); err != nil {
 			return fail.Wrap(err, fail.TruncatedAnswer, "the connection ended before the request was delivered").WithRan(fail.RanUnknown)
 		}
 	}
@@ -93,5 +94,5 @@
 	if r.request.LastOnConnection || !r.reachedEOF || r.resp.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
-	return r.delivery.written()
+	return r.delivery.Written()
 }
