--- a/internal/gateway/oddrequests_test.go
+++ b/internal/gateway/oddrequests_test.go
@@ -117,7 +117,7 @@
 		"one length twice":              {"GET", plain + "Content-Length: 2\r\n\r\nok", 200},
 		"two lengths":                   {"GET", plain + "Content-Length: 3\r\n\r\nok", 502},
 		"invalid length":                {"GET", ok + "Content-Length: x\r\n\r\nok", 502},
-		"invalid header name":           {"GET", plain + "A b: c\r\n\r\nok", 200},
+		"invalid header name":           {"GET", plain + "A b: c\r\n\r\nok", 502},
 		"invalid header value":          {"GET", plain + "A: b\x00\x7f\xff\r\n\r\nok", 502},
 		"trailer":                       {"GET", ok + "Trailer: T\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: 1\r\n\r\n", 200},
 		"Connection lists":              {"GET", plain + "Connection: close, A\r\nA: b\r\n\r\nok", 200},
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
@@ -42,9 +43,18 @@
 func (c *conn) readOneHeader(method string, left *int64) (*http.Response, error) {
 	allowed := min(*left, maxHeadBytes)
 	c.limit.set(allowed)
+	// Peek does not fail for bytes that have been read.
+	begun, _ := c.reader.Peek(c.reader.Buffered())
+	var head answer.HeadScanner
+	head.Scan(begun)
+	c.limit.head = &head
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.limit.head = nil
 	*left -= allowed - c.limit.left
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return resp, head.Check(resp.ProtoAtLeast(1, 1))
 }
 
 var errForeignResponses = fail.New(fail.ForeignAnswer, "the responses belong to other requests").WithRan(fail.RanUnknown)
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
@@ -21,6 +22,8 @@
 	r       io.Reader
 	limited bool
 	left    int64
+	// head scans what is read of a head; nil for other bytes.
+	head *answer.HeadScanner
 }
 
 // set allows n more bytes to be read.
@@ -39,5 +42,8 @@
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if l.head != nil {
+		l.head.Scan(p[:n])
+	}
 	return n, err
 }
