--- a/internal/gateway/malformedhead_test.go
+++ b/internal/gateway/malformedhead_test.go
@@ -83,3 +83,20 @@
 		}
 	}
 }
+
+func TestInvalidStatusIsNotForwardedWhateverTheFraming(t *testing.T) {
+	for _, status := range []string{"000", "099", "007", "+20", "-01", "1 2", "0x1"} {
+		for kind, route := range routesOfAnswers {
+			for framing, frame := range framings {
+				t.Run(status+"/"+kind+"/"+framing, func(t *testing.T) {
+					t.Parallel()
+					text := strings.Replace(frame(event(1)), " 200 ", " "+status+" ", 1)
+					address := startGatewayTo(t, route, startAnsweringEngine(t, text))
+					if resp, body, err := call(t, t.Context(), address); err != nil || resp.StatusCode != http.StatusBadGateway {
+						t.Errorf("response %v with body %q, error %v, want status 502", resp, body, err)
+					}
+				})
+			}
+		}
+	}
+}
