--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"parsleyramp/internal/answer"
 	"parsleyramp/internal/fail"
 )
 
@@ -120,9 +121,17 @@
 type endpointTransport struct{ *http.Transport }
 
 // RoundTrip sends the request. A response that ends with its connection ends in order only once
-// the whole request is delivered.
+// the whole request is delivered. A response whose head is malformed is an error.
 func (t *endpointTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.Transport.RoundTrip(r.WithContext(traceDelivery(r.Context())))
+	resp, err := t.Transport.RoundTrip(r.WithContext(traceDelivery(r.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := answer.CheckFields(resp.Header); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // Server is an HTTP server with a graceful shutdown.
