--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -74,6 +74,12 @@
 	}
 }
 
+func TestAnswerWithAnInvalidStatusIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "099", "007", "+20", "-01", "101"} {
+		t.Run(status, func(t *testing.T) { checkNoAnswer(t, status, "") })
+	}
+}
+
 func TestAnswerWithAMalformedNameOfAFieldIsRejected(t *testing.T) {
 	for _, line := range []string{"My Field: 1", "Content-Length : 3", "Transfer-Encoding : chunked", HeaderRequestID + " : 8", "A\tB: 1", "A\x00: 1", ": 1"} {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkNoAnswer(t, "200", line+"\r\n") })
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -31,6 +31,9 @@
 
 func TestMalformedAnswerOfAnEngineReachesNoClient(t *testing.T) {
 	for name, engine := range map[string]http.HandlerFunc{
+		"status 000":         newRawEngine("HTTP/1.1 000 X", ""),
+		"status 099":         newRawEngine("HTTP/1.1 099 X", ""),
+		"status 007":         newRawEngine("HTTP/1.1 007 X", ""),
 		"blank in a name":    newRawEngine("HTTP/1.1 200 OK", "My Field: 1\r\n"),
 		"blank after a name": newRawEngine("HTTP/1.1 200 OK", "Content-Length : 3\r\n"),
 	} {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -127,13 +127,24 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := answer.CheckFields(resp.Header); err != nil {
+	if err := checkHead(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
 	return resp, nil
 }
 
+// errInvalidStatus is the failure of a response with a status that HTTP does not define for final
+// responses.
+var errInvalidStatus = fail.New(fail.ForeignAnswer, "the status of the response is invalid").WithRan(fail.RanUnknown)
+
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return errInvalidStatus
+	}
+	return answer.CheckFields(resp.Header)
+}
+
 // Server is an HTTP server with a graceful shutdown.
 type Server struct {
 	http     *http.Server
