--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -4,15 +4,14 @@
 	"io"
 	"sync/atomic"
 
-	"parsleyramp/internal/fail"
+	"parsleyramp/internal/buffers"
 )
 
-// bufferBudget bounds the bytes of responses that are held in memory at the same time. Its
-// zero value is unused. It is safe for concurrent use.
-type bufferBudget struct{ used atomic.Int64 }
+// byteBudget bounds a number of bytes. Its zero value is unused. It is safe for concurrent use.
+type byteBudget struct{ used atomic.Int64 }
 
 // take reports whether n more bytes may be held, which give returns, with a total of at most limit.
-func (b *bufferBudget) take(n, limit int) bool {
+func (b *byteBudget) take(n, limit int) bool {
 	for {
 		used := b.used.Load()
 		if used+int64(n) > int64(limit) {
@@ -24,20 +23,21 @@
 	}
 }
 
-func (b *bufferBudget) give(n int) { b.used.Add(-int64(n)) }
+func (b *byteBudget) give(n int) { b.used.Add(-int64(n)) }
 
-// bufferedBody is the body of a response that is held in memory until its request ends.
+// bufferedBody is the body of a response that is held in memory.
 type bufferedBody struct {
 	io.Reader
-	q *request
+	share *buffers.Share
+	bytes int64
 }
 
 // Read reads from the body, unless too many bytes are held.
 func (b *bufferedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if !b.q.g.buffers.take(n, maxAllBufferedBytes) {
-		return 0, fail.New(fail.Overloaded, "too many bytes of responses are being buffered")
+	b.bytes += int64(n)
+	if failure := b.share.Resize(b.bytes); failure != nil {
+		return 0, failure
 	}
-	b.q.bufferedBytes += n
 	return n, err
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleyramp/internal/attempt"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
@@ -60,6 +61,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// share is what the response holds in memory, if it is kept; nil otherwise.
+	share *buffers.Share
 }
 
 // run executes the steps that package attempt decides until the client has a
@@ -73,6 +76,7 @@
 	}
 	defer q.returnUnusedPermit()
 	defer out.stop()
+	defer out.dropLastFailure()
 	for {
 		e, s, err := q.selectAndSend(tried, out)
 		q.mayHaveRun = q.mayHaveRun || err == nil && s.mayHaveRun()
@@ -238,6 +242,8 @@
 	defer out.recordPrefill()
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
+	out.share = g.buffers.Begin(ctx, cancel)
+	defer out.endShare()
 	resp, err := g.pool.Do(ctx, e.Address, q.upstreamRequest(e, out), func(header http.Header) bool {
 		return g.deps.Protocol.MatchesRequest(header, q.info.ID)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"parsleyramp/internal/boottime"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
@@ -93,7 +94,7 @@
 	reach         reach
 	relays        relayPeers
 	peers         peerClients
-	buffers       bufferBudget
+	buffers       *buffers.Budget
 	streams       streamWriters
 	quotas        quotas
 	pool          *upstream.Pool
@@ -126,6 +127,7 @@
 	g.control.SetTimeouts(controlTimeout, controlRetryDelay)
 	g.changed.init()
 	g.streams.init(clock, log)
+	g.buffers = buffers.NewBudget(maxAllBufferedBytes)
 	g.quotas.init(cfg.ID, g.incarnation, boottime.NewClock())
 	g.loads.OnRoom(g.roomAppeared)
 	if err := g.listen(); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fleet"
@@ -213,6 +214,7 @@
 	g.cfg.ID, g.bootClock = "g", g.clock
 	g.changed.init()
 	g.streams.init(g.clock, g.log)
+	g.buffers = buffers.NewBudget(maxAllBufferedBytes)
 	g.quotas.init("g", "test", g.clock)
 	g.loads.OnRoom(g.roomAppeared)
 	service.Name = "s"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/attempt"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
@@ -35,6 +36,8 @@
 	// lastFailure is the last response by which an endpoint reported its own
 	// failure; nil for none.
 	lastFailure *bufferedResponse
+	// share is what the response of the current send holds in memory; nil for none.
+	share *buffers.Share
 	// lastEventAt is when bytes of a stream were last received.
 	lastEventAt time.Duration
 	// endpoint is the id of the current endpoint, chunks counts the chunks that it
@@ -144,7 +147,7 @@
 // response with a status below 500, and keeps a signed server error in
 // lastFailure for the case that no other endpoint serves the request.
 func (r *relay) forwardFailure(resp *upstream.Response, info ResponseInfo) sendResult {
-	body, err := answer.ReadAll(&bufferedBody{resp.Body, r.q}, resp.Head, maxBufferedBytes)
+	body, err := r.readBuffered(resp)
 	if err != nil {
 		return r.unusable(err)
 	}
@@ -157,13 +160,15 @@
 		r.writeBuffered(buffered)
 		return sendResult{complete: true, err: failure}
 	}
+	r.dropLastFailure()
+	buffered.share, r.share = r.share, nil
 	r.lastFailure = buffered
 	return sendResult{outcome: attempt.Failed, err: failure}
 }
 
 // forwardComplete reads the complete response before it forwards any of it.
 func (r *relay) forwardComplete(resp *upstream.Response) sendResult {
-	body, err := answer.ReadAll(&bufferedBody{resp.Body, r.q}, resp.Head, maxBufferedBytes)
+	body, err := r.readBuffered(resp)
 	if err != nil {
 		return r.unusable(err)
 	}
@@ -171,6 +176,31 @@
 	return sendResult{complete: true}
 }
 
+// readBuffered reads a complete body, which is held in memory until the share ends.
+func (r *relay) readBuffered(resp *upstream.Response) ([]byte, error) {
+	body, err := answer.ReadAll(&bufferedBody{Reader: resp.Body, share: r.share}, resp.Head, maxBufferedBytes)
+	if err != nil {
+		return nil, err
+	}
+	return body, r.share.Complete()
+}
+
+// endShare returns what the response of the current send holds, unless it is kept.
+func (r *relay) endShare() {
+	if r.share != nil {
+		r.share.End()
+		r.share = nil
+	}
+}
+
+// dropLastFailure drops the last failure of an endpoint, if any.
+func (r *relay) dropLastFailure() {
+	if r.lastFailure != nil {
+		r.lastFailure.share.End()
+		r.lastFailure = nil
+	}
+}
+
 // writeBuffered writes a buffered response to the client.
 func (r *relay) writeBuffered(resp *bufferedResponse) {
 	r.q.state.setPhase(phaseDelivering)
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -226,6 +226,8 @@
 	out.beginRelayedSend(now)
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
+	out.share = g.buffers.Begin(ctx, cancel)
+	defer out.endShare()
 	resp, err := g.relays.connections().Do(ctx, peer.PeerAddress, q.relayedRequest(out), func(http.Header) bool { return true })
 	if err != nil {
 		s := out.failedSend(err)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,8 +79,6 @@
 	// permit is that for the next send, if it needs one, and unusedPermit one of a suspect
 	// that was not used and has not been returned.
 	permit, unusedPermit *permit
-	// bufferedBytes counts the bytes of responses that are held in memory.
-	bufferedBytes int
 	// tokens are what the request was charged, and mayHaveRun is set once an endpoint may have
 	// run it.
 	tokens     quota.Receipt
@@ -162,7 +160,6 @@
 	ctx, cancel := context.WithTimeout(requestCtx, q.deadline-g.clock())
 	defer cancel()
 	q.ctx = ctx
-	defer func() { g.buffers.give(q.bufferedBytes) }()
 	if err := q.findOriginOrHop(); err != nil {
 		q.reject(err)
 		return
--- a/internal/gateway/streamwriters.go
+++ b/internal/gateway/streamwriters.go
@@ -30,7 +30,7 @@
 // streamWriters are the streams that are being written. Its zero value is empty. It is safe for
 // concurrent use.
 type streamWriters struct {
-	budget bufferBudget
+	budget byteBudget
 	clock  func() time.Duration
 	log    *logrus.Entry
 
