--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -12,11 +12,16 @@
 	MaxEventBytes   = 256 << 10
 	MaxStreamBytes  = 64 << 20
 	readBufferBytes = 8 << 10
+	// MinHeldBytes is the least size of a part of an answer that is reported as held in memory.
+	MinHeldBytes = 4 << 10
 )
 
 // Events reads a stream of server-sent events (WHATWG HTML, section 9.2.6). A line ends
 // with CR, LF or both, an event with an empty line; comments belong to no event.
 type Events struct {
+	// Hold, if not nil, is called with the number of bytes that are held in memory for an event of
+	// MinHeldBytes or more, and with zero once they are not. If it fails, so does the stream.
+	Hold    func(bytes int) error
 	body    io.Reader
 	framing Framing
 	buffer  []byte
@@ -29,6 +34,8 @@
 	position          position
 	// any is set once an event is complete.
 	any bool
+	// held is set while bytes are reported as held.
+	held bool
 	// cut is set if the body has ended inside an event.
 	cut bool
 	err error
@@ -47,6 +54,7 @@
 	e.pending = append(e.pending[:0], e.pending[e.complete:]...)
 	e.scanned -= e.complete
 	e.complete = 0
+	e.release()
 	for e.err == nil {
 		n, err := e.body.Read(e.buffer)
 		if e.total += n; e.total > MaxStreamBytes {
@@ -55,6 +63,9 @@
 		}
 		e.pending = append(e.pending, e.buffer[:n]...)
 		e.scan()
+		if e.err = e.hold(); e.err != nil {
+			break
+		}
 		if err != nil {
 			e.err = e.end(err)
 		}
@@ -68,6 +79,29 @@
 	return nil, e.err
 }
 
+// hold reports the bytes of a long event.
+func (e *Events) hold() error {
+	if e.Hold == nil || len(e.pending) < MinHeldBytes {
+		return nil
+	}
+	e.held = true
+	if err := e.Hold(cap(e.pending)); err != nil {
+		return truncated(err, "an event of the stream cannot be held")
+	}
+	return nil
+}
+
+// release drops the memory of a long event that was returned.
+func (e *Events) release() {
+	if !e.held || len(e.pending) >= MinHeldBytes {
+		return
+	}
+	e.held = false
+	e.pending = append([]byte(nil), e.pending...)
+	// Holding nothing does not fail, unless the stream has been given up, which its reader notices.
+	_ = e.Hold(0)
+}
+
 // Any reports whether an event is complete.
 func (e *Events) Any() bool { return e.any }
 
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -22,6 +22,8 @@
 // Transfer-Encoding before HTTP/1.1. The zero value is the start of a head.
 type HeadScanner struct {
 	state headState
+	// bytes counts the bytes of the head.
+	bytes int
 	// name holds the name of the current field, as far as it may be Transfer-Encoding.
 	name []byte
 	// encoded is set once a field is named Transfer-Encoding.
@@ -47,10 +49,14 @@
 		if s.state == afterHead || s.err != nil {
 			return
 		}
+		s.bytes++
 		s.step(b)
 	}
 }
 
+// Bytes returns how many bytes of the head have been scanned.
+func (s *HeadScanner) Bytes() int { return s.bytes }
+
 func (s *HeadScanner) step(b byte) {
 	switch s.state {
 	case inStatusLine, inValue:
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -25,18 +25,37 @@
 
 func (b *byteBudget) give(n int) { b.used.Add(-int64(n)) }
 
+// headByteCost is what a byte of a head takes once it is parsed.
+const headByteCost = 6
+
+// heldResponse is what the response of one send holds in memory: its head, and what has been read of
+// its body or of an event.
+type heldResponse struct {
+	share *buffers.Share
+	head  int64
+}
+
+// holdHead records the size of a long head.
+func (h *heldResponse) holdHead(bytes int) error {
+	h.head = headByteCost * int64(bytes)
+	return h.share.Resize(h.head)
+}
+
+// hold records how many bytes are held beside the head.
+func (h *heldResponse) hold(bytes int) error { return h.share.Resize(h.head + int64(bytes)) }
+
 // bufferedBody is the body of a response that is held in memory.
 type bufferedBody struct {
 	io.Reader
-	share *buffers.Share
-	bytes int64
+	held  *heldResponse
+	bytes int
 }
 
 // Read reads from the body, unless too many bytes are held.
 func (b *bufferedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	b.bytes += int64(n)
-	if failure := b.share.Resize(b.bytes); failure != nil {
+	b.bytes += n
+	if failure := b.held.hold(b.bytes); failure != nil {
 		return 0, failure
 	}
 	return n, err
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -242,8 +242,8 @@
 	defer out.recordPrefill()
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	out.share = g.buffers.Begin(ctx, cancel)
-	defer out.endShare()
+	out.beginHold(ctx, cancel)
+	defer out.endHold()
 	resp, err := g.pool.Do(ctx, e.Address, q.upstreamRequest(e, out), func(header http.Header) bool {
 		return g.deps.Protocol.MatchesRequest(header, q.info.ID)
 	})
@@ -319,6 +319,6 @@
 	})
 	return &upstream.Request{
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body, MayWrite: q.mayWrite(q.permitHolds()),
-		NewConnection: q.info.ID == "",
+		NewConnection: q.info.ID == "", HoldHead: out.held.holdHead,
 	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -8,10 +8,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"parsleyramp/internal/document"
+	"parsleyramp/internal/fleet"
 	"parsleyramp/internal/wire"
 )
 
@@ -87,11 +89,18 @@
 	}
 }
 
-// startStallingEngine starts an engine that answers a request with the header Sound with soundBytes, and
-// any other with the text, after which it is silent. stalled receives when it falls silent.
-func startStallingEngine(t *testing.T, text string, soundBytes int) (e *wire.FleetEndpoint, stalled chan struct{}) {
+// stallingEngine answers a request with the header Sound with soundBytes, and any other with a text, after
+// which it is silent.
+type stallingEngine struct {
+	*wire.FleetEndpoint
+	// stalled receives when a connection falls silent, and open counts those that are.
+	stalled chan struct{}
+	open    atomic.Int64
+}
+
+func startStallingEngine(t *testing.T, text string, soundBytes int) *stallingEngine {
 	t.Helper()
-	stalled = make(chan struct{}, 1000)
+	e := &stallingEngine{stalled: make(chan struct{}, 1000)}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		if r.Header.Get("Sound") != "" {
@@ -105,12 +114,43 @@
 		}
 		defer c.Close()
 		io.WriteString(c, text)
-		stalled <- struct{}{}
+		e.open.Add(1)
+		defer e.open.Add(-1)
+		e.stalled <- struct{}{}
 		// It returns when the gateway closes the connection.
 		_, _ = c.Read(make([]byte, 1))
 	}))
 	t.Cleanup(s.Close)
-	return &wire.FleetEndpoint{Address: s.Listener.Addr().String()}, stalled
+	e.FleetEndpoint = &wire.FleetEndpoint{Address: s.Listener.Addr().String()}
+	return e
+}
+
+// stall sends requests, waits until the engine has fallen silent on each of them, and ends them with the
+// test.
+func (e *stallingEngine) stall(t *testing.T, address string, requests int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		all.Wait()
+	})
+	for range requests {
+		all.Go(func() { _, _, _ = call(t, ctx, address) })
+	}
+	for range requests {
+		<-e.stalled
+	}
+}
+
+// expectSoon waits for the condition.
+func expectSoon(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
 }
 
 // TestSoundAnswerIsServedBesideAnswersWithoutEnd fills the memory for responses with such as hold more than
@@ -122,23 +162,11 @@
 		"connection": "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n", "length": "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 8000000\r\n\r\n", "failure": "HTTP/1.1 500 X\r\nSigned: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			e, stalled := startStallingEngine(t, head+strings.Repeat("x", held), soundBytes)
-			g := newTestGateway(t, nonIdempotent, document.Service{}, e)
+			e := startStallingEngine(t, head+strings.Repeat("x", held), soundBytes)
+			g := newTestGateway(t, nonIdempotent, document.Service{}, e.FleetEndpoint)
 			address := serveGateway(t, g)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			var all sync.WaitGroup
-			defer all.Wait()
-			defer cancel()
-			for range endless {
-				all.Go(func() { _, _, _ = call(t, ctx, address) })
-				<-stalled
-			}
-			for end := time.Now().Add(5 * time.Second); g.buffers.Used() < endless*held; time.Sleep(time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatalf("%d bytes are held, want %d", g.buffers.Used(), endless*held)
-				}
-			}
+			e.stall(t, address, endless)
+			expectSoon(t, "the answers are not held", func() bool { return g.buffers.Used() >= endless*held })
 			resp, body, err := call(t, t.Context(), address, "Sound", "1")
 			if err != nil || resp.StatusCode != http.StatusOK || len(body) != soundBytes {
 				t.Errorf("response %v with %d bytes, error %v, want the sound one served", resp, len(body), err)
@@ -146,3 +174,34 @@
 		})
 	}
 }
+
+// TestLongHeadsAndEventsAreBoundedTogether holds many answers of which no part is forwarded yet.
+func TestLongHeadsAndEventsAreBoundedTogether(t *testing.T) {
+	const requests, eventBytes, headBytes = 300, 200 << 10, 60 << 10
+	const line = "A: b\r\n"
+	for name, c := range map[string]struct {
+		route document.Route
+		text  string
+		bytes int64
+	}{
+		"event": {stream, "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n" + strings.Repeat("x", eventBytes), eventBytes},
+		"head":  {nonIdempotent, "HTTP/1.1 200 OK\r\nSigned: 1\r\n" + strings.Repeat(line, headBytes/len(line)), headByteCost * headBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const soundBytes = 64 << 10
+			e := startStallingEngine(t, c.text, soundBytes)
+			g := newTestGateway(t, c.route, document.Service{}, e.FleetEndpoint)
+			e.Slots = 2 * requests
+			g.view.Store(fleet.NewView(&wire.FleetView{Endpoints: []*wire.FleetEndpoint{e.FleetEndpoint}}))
+			address := serveGateway(t, g)
+			e.stall(t, address, requests)
+			expectSoon(t, "more answers are held than the limit on their bytes allows", func() bool { return e.open.Load()*c.bytes <= maxAllBufferedBytes })
+			if resp, _, err := call(t, t.Context(), address, "Sound", "1"); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("response %v, error %v, want the sound one served", resp, err)
+			}
+			if used := g.buffers.Used(); used > maxAllBufferedBytes {
+				t.Errorf("%d bytes are held, want %d at most", used, maxAllBufferedBytes)
+			}
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,7 +9,6 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/attempt"
-	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
@@ -36,8 +36,8 @@
 	// lastFailure is the last response by which an endpoint reported its own
 	// failure; nil for none.
 	lastFailure *bufferedResponse
-	// share is what the response of the current send holds in memory; nil for none.
-	share *buffers.Share
+	// held is what the response of the current send holds in memory; nil for none.
+	held *heldResponse
 	// lastEventAt is when bytes of a stream were last received.
 	lastEventAt time.Duration
 	// endpoint is the id of the current endpoint, chunks counts the chunks that it
@@ -161,7 +161,7 @@
 		return sendResult{complete: true, err: failure}
 	}
 	r.dropLastFailure()
-	buffered.share, r.share = r.share, nil
+	buffered.share, r.held = r.held.share, nil
 	r.lastFailure = buffered
 	return sendResult{outcome: attempt.Failed, err: failure}
 }
@@ -178,18 +178,23 @@
 
 // readBuffered reads a complete body, which is held in memory until the share ends.
 func (r *relay) readBuffered(resp *upstream.Response) ([]byte, error) {
-	body, err := answer.ReadAll(&bufferedBody{Reader: resp.Body, share: r.share}, resp.Head, maxBufferedBytes)
+	body, err := answer.ReadAll(&bufferedBody{Reader: resp.Body, held: r.held}, resp.Head, maxBufferedBytes)
 	if err != nil {
 		return nil, err
 	}
-	return body, r.share.Complete()
+	return body, r.held.share.Complete()
 }
 
-// endShare returns what the response of the current send holds, unless it is kept.
-func (r *relay) endShare() {
-	if r.share != nil {
-		r.share.End()
-		r.share = nil
+// beginHold begins to record what the response of a send holds. cancel ends ctx and the send.
+func (r *relay) beginHold(ctx context.Context, cancel context.CancelFunc) {
+	r.held = &heldResponse{share: r.q.g.buffers.Begin(ctx, cancel)}
+}
+
+// endHold returns what the response of the current send holds, unless it is kept.
+func (r *relay) endHold() {
+	if r.held != nil {
+		r.held.share.End()
+		r.held = nil
 	}
 }
 
@@ -354,6 +359,7 @@
 // off can be resumed after its last whole event.
 func (r *relay) forwardEvents(resp *upstream.Response) sendResult {
 	events := answer.NewEvents(resp.Body, resp.Head.Framing)
+	events.Hold = r.held.hold
 	goesOn := r.headerSent
 	for {
 		p, err := events.Next()
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -226,8 +226,8 @@
 	out.beginRelayedSend(now)
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	out.share = g.buffers.Begin(ctx, cancel)
-	defer out.endShare()
+	out.beginHold(ctx, cancel)
+	defer out.endHold()
 	resp, err := g.relays.connections().Do(ctx, peer.PeerAddress, q.relayedRequest(out), func(http.Header) bool { return true })
 	if err != nil {
 		s := out.failedSend(err)
@@ -284,6 +284,7 @@
 	setOrigin(header, q.origin)
 	return &upstream.Request{
 		Method: q.httpRequest.Method, Target: q.httpRequest.RequestURI, Host: q.httpRequest.Host, Header: header, Body: q.body, MayWrite: q.mayWrite(nil),
+		HoldHead: out.held.holdHead,
 	}
 }
 
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -24,13 +24,15 @@
 	left    int64
 	// head scans what is read of a head; nil for other bytes.
 	head *answer.HeadScanner
+	// hold is called with the size of a long head that is being read; nil for none.
+	hold func(bytes int) error
 }
 
 // set allows n more bytes to be read.
 func (l *readLimit) set(n int64) { l.limited, l.left = true, n }
 
-// lift removes the limit.
-func (l *readLimit) lift() { l.limited = false }
+// lift removes the limit. Later heads are not held.
+func (l *readLimit) lift() { l.limited, l.hold = false, nil }
 
 // Read reads within the limit.
 func (l *readLimit) Read(p []byte) (int, error) {
@@ -42,8 +44,20 @@
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
-	if l.head != nil {
-		l.head.Scan(p[:n])
+	if failure := l.scan(p[:n]); failure != nil {
+		return 0, failure
 	}
 	return n, err
 }
+
+// scan scans what has been read of a head.
+func (l *readLimit) scan(p []byte) error {
+	if l.head == nil {
+		return nil
+	}
+	l.head.Scan(p)
+	if l.hold == nil || l.head.Bytes() < answer.MinHeldBytes {
+		return nil
+	}
+	return l.hold(l.head.Bytes())
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,6 +42,9 @@
 	// NewConnection requires a connection that has carried no request, so that the response
 	// cannot be an earlier one.
 	NewConnection bool
+	// HoldHead, if not nil, is called with the size in bytes of a long head that is being read and
+	// is held in memory. If it fails, so does the request.
+	HoldHead func(bytes int) error
 	// LastOnConnection makes the connection be closed after the response.
 	LastOnConnection bool
 }
@@ -95,6 +98,7 @@
 		discard()
 		return nil, err
 	}
+	c.limit.hold = r.HoldHead
 	resp, err := c.readHeader(r.Method, accept)
 	if err != nil {
 		discard()
