--- a/internal/endpoint/bound_test.go
+++ b/internal/endpoint/bound_test.go
@@ -18,7 +18,7 @@
 	resp := &http.Response{
 		StatusCode: http.StatusOK, ProtoMajor: 1, ContentLength: -1, TransferEncoding: []string{"chunked"}, Header: http.Header{}, Body: endless{},
 	}
-	out, err := checkResponse(Request{}, resp)
+	out, err := checkResponse(Request{}, NewHTTP(nil).begin(t.Context(), func() {}, resp))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,7 +31,7 @@
 func TestPassedOnBodyWithinItsBoundIsWhole(t *testing.T) {
 	const text = "an answer"
 	resp := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ContentLength: int64(len(text)), Header: http.Header{}, Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(text)))}
-	out, err := checkResponse(Request{}, resp)
+	out, err := checkResponse(Request{}, NewHTTP(nil).begin(t.Context(), func() {}, resp))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -6,6 +6,8 @@
 	"context"
 	"io"
 	"net/http"
+
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/ratelimit"
 )
 
@@ -64,10 +66,14 @@
 // this package.
 type HTTP struct {
 	client *http.Client
+	// buffers bounds what the responses to attempts hold that cannot be passed on yet.
+	buffers *buffers.Budget
 }
 
 // NewHTTP returns a client of engines and services.
-func NewHTTP(client *http.Client) *HTTP { return &HTTP{client: client} }
+func NewHTTP(client *http.Client) *HTTP {
+	return &HTTP{client: client, buffers: buffers.NewBudget(maxAllBufferedBytes)}
+}
 
 var (
 	_ Engine = (*HTTP)(nil)
--- a/internal/endpoint/response.go
+++ b/internal/endpoint/response.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 
 	"parsleyramp/internal/answer"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/fail"
 )
 
@@ -17,6 +17,8 @@
 	// and maxPassedBytes one that is passed on as it arrives.
 	maxJSONBytes   = 16 << 20
 	maxPassedBytes = 64 << 20
+	// maxAllBufferedBytes bounds what all responses hold that cannot be passed on yet.
+	maxAllBufferedBytes = 32 << 20
 )
 
 // doneData is the data of the last event of a complete OpenAI-style stream.
@@ -51,9 +53,11 @@
 	err        error
 }
 
-func newEventStream(resp *http.Response, r Request) *eventStream {
+func newEventStream(resp *heldResponse, r Request) *eventStream {
+	events := answer.NewEvents(resp.Body, answer.HeadOf(resp.Response).Framing)
+	events.Hold = resp.hold
 	return &eventStream{
-		body: resp.Body, events: answer.NewEvents(resp.Body, answer.HeadOf(resp).Framing),
+		body: resp.Body, events: events,
 		requestID: r.ID, responseID: r.ResponseID, requireID: r.RequireID,
 	}
 }
@@ -230,7 +234,7 @@
 // jsonBody passes on a JSON response once it has been read to its end and found
 // complete. If requestID is set, the response must carry it.
 type jsonBody struct {
-	body      io.ReadCloser
+	resp      *heldResponse
 	head      answer.Head
 	requestID string
 	checked   *bytes.Reader
@@ -249,10 +253,10 @@
 }
 
 // Close closes the body of the response.
-func (j *jsonBody) Close() error { return j.body.Close() }
+func (j *jsonBody) Close() error { return j.resp.Body.Close() }
 
 func (j *jsonBody) readAll() {
-	data, err := answer.ReadAll(j.body, j.head, maxJSONBytes)
+	data, err := answer.ReadAll(buffers.NewReader(j.resp.Body, j.resp.hold), j.head, maxJSONBytes)
 	object := bytes.TrimSpace(data)
 	isContainer := len(object) > 0 && (object[0] == '{' || object[0] == '[')
 	switch {
--- a/internal/endpoint/run.go
+++ b/internal/endpoint/run.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"parsleyramp/internal/answer"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/ratelimit"
 	"parsleyramp/internal/telemetry"
@@ -26,7 +27,7 @@
 func (h *HTTP) Run(ctx context.Context, address string, r Request) (*Response, error) {
 	for stale := 0; ; stale++ {
 		tracker := &sendTracker{beforeSend: r.BeforeSend}
-		resp, err := h.send(ctx, address, r, tracker)
+		resp, err := h.sendHeld(ctx, address, r, tracker)
 		if err == nil {
 			return checkResponse(r, resp)
 		}
@@ -41,6 +42,49 @@
 	}
 }
 
+// heldResponse is a response with its share of the budget for buffers.
+type heldResponse struct {
+	*http.Response
+	share *buffers.Share
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+}
+
+// hold records how many bytes are held of the response.
+func (h *heldResponse) hold(bytes int) error { return h.share.Resize(int64(bytes)) }
+
+// heldBody is a body that returns the share of its response when it is closed.
+type heldBody struct {
+	io.ReadCloser
+	held *heldResponse
+}
+
+// Close closes the body.
+func (b *heldBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.held.cancel()
+	b.held.share.End()
+	return err
+}
+
+// sendHeld sends the attempt and returns a response whose body must be closed.
+func (h *HTTP) sendHeld(ctx context.Context, address string, r Request, tracker *sendTracker) (*heldResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := h.send(ctx, address, r, tracker)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return h.begin(ctx, cancel, resp), nil
+}
+
+// begin returns the response with a share of the budget. cancel ends ctx and the attempt.
+func (h *HTTP) begin(ctx context.Context, cancel context.CancelFunc, resp *http.Response) *heldResponse {
+	held := &heldResponse{Response: resp, share: h.buffers.Begin(ctx, cancel), cancel: cancel}
+	resp.Body = &heldBody{resp.Body, held}
+	return held
+}
+
 func (h *HTTP) send(ctx context.Context, address string, r Request, tracker *sendTracker) (*http.Response, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
 	// A body without GetBody keeps net/http from sending the request twice.
@@ -143,7 +187,7 @@
 
 // checkResponse rejects a response that carries the ID of another request, and
 // wraps the body so that reading it returns io.EOF only if it is complete.
-func checkResponse(r Request, resp *http.Response) (*Response, error) {
+func checkResponse(r Request, resp *heldResponse) (*Response, error) {
 	id := resp.Header.Get(HeaderRequestID)
 	missing := r.RequireID && id == "" && resp.StatusCode == http.StatusOK
 	if missing || (id != "" && id != r.ID) {
@@ -152,14 +196,14 @@
 	}
 	out := &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), HasRequestID: id == r.ID, Body: http.MaxBytesReader(nil, resp.Body, maxPassedBytes)}
 	out.Limit = ratelimit.ParseLimit(resp.Header.Values(HeaderLimit))
-	head := answer.HeadOf(resp)
+	head := answer.HeadOf(resp.Response)
 	switch {
 	case IsEventStream(out.Status, out.ContentType):
 		out.Body = newEventStream(resp, r)
 	case r.RequireID && resp.StatusCode == http.StatusOK:
-		out.Body = &jsonBody{body: resp.Body, head: head, requestID: r.ID}
+		out.Body = &jsonBody{resp: resp, head: head, requestID: r.ID}
 	case head.Framing == answer.ByConnection:
-		out.Body = &jsonBody{body: resp.Body, head: head}
+		out.Body = &jsonBody{resp: resp, head: head}
 	}
 	return out, nil
 }
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"sync/atomic"
 
 	"parsleyramp/internal/buffers"
@@ -43,20 +42,3 @@
 
 // hold records how many bytes are held beside the head.
 func (h *heldResponse) hold(bytes int) error { return h.share.Resize(h.head + int64(bytes)) }
-
-// bufferedBody is the body of a response that is held in memory.
-type bufferedBody struct {
-	io.Reader
-	held  *heldResponse
-	bytes int
-}
-
-// Read reads from the body, unless too many bytes are held.
-func (b *bufferedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.bytes += n
-	if failure := b.held.hold(b.bytes); failure != nil {
-		return 0, failure
-	}
-	return n, err
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"parsleyramp/internal/answer"
 	"parsleyramp/internal/attempt"
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/document"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/fleet"
@@ -178,7 +179,7 @@
 
 // readBuffered reads a complete body, which is held in memory until the share ends.
 func (r *relay) readBuffered(resp *upstream.Response) ([]byte, error) {
-	body, err := answer.ReadAll(&bufferedBody{Reader: resp.Body, held: r.held}, resp.Head, maxBufferedBytes)
+	body, err := answer.ReadAll(buffers.NewReader(resp.Body, r.held.hold), resp.Head, maxBufferedBytes)
 	if err != nil {
 		return nil, err
 	}
