--- a/internal/entry/errors_test.go
+++ b/internal/entry/errors_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/wire"
 )
@@ -21,7 +22,7 @@
 	start := time.Now()
 	cfg := DefaultSettings()
 	cfg.ID, cfg.MaxBodyBytes = "entry-1", maxBody
-	s := &Server{cfg: cfg, serving: context.Background(), session: &session{cfg: cfg, clock: func() time.Duration { return time.Since(start) }}}
+	s := &Server{cfg: cfg, serving: context.Background(), answers: buffers.NewBudget(maxAllAnswerBytes), session: &session{cfg: cfg, clock: func() time.Duration { return time.Since(start) }}}
 	s.dispatcher = newDispatcher(s.session, nil, nil, nil, 1)
 	if section != "" {
 		view := &wire.View{Revision: 1, Sections: []*wire.Section{{Team: "desk", Text: []byte(section)}}}
--- a/internal/entry/responses.go
+++ b/internal/entry/responses.go
@@ -6,10 +6,14 @@
 	"strconv"
 	"time"
 
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/fail"
 	"parsleyramp/internal/wire"
 )
 
+// maxAllAnswerBytes bounds the responses that are collected at the same time.
+const maxAllAnswerBytes = 32 << 20
+
 // respond runs the job and sends its response to the client.
 func (s *Server) respond(ctx context.Context, w http.ResponseWriter, j *job, stream bool) {
 	w.Header().Set(HeaderRequestID, j.id)
@@ -51,6 +55,19 @@
 
 // collect runs the job and returns its complete response.
 func (s *Server) collect(ctx context.Context, j *job) (*wire.RecordedAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	share := s.answers.Begin(ctx, cancel)
+	defer share.End()
+	response, err := s.collectHeld(ctx, j, share)
+	if failure := share.Complete(); failure != nil {
+		return nil, fail.Wrap(failure, fail.TruncatedAnswer, "the response cannot be held").WithRan(fail.RanUnknown)
+	}
+	return response, err
+}
+
+// collectHeld collects the response as far as the share allows.
+func (s *Server) collectHeld(ctx context.Context, j *job, share *buffers.Share) (*wire.RecordedAnswer, error) {
 	response := &wire.RecordedAnswer{}
 	err := s.dispatcher.run(ctx, j, func(e *wire.ForwardEvent) error {
 		if head := e.GetHead(); head != nil {
@@ -62,7 +79,7 @@
 		if int64(len(response.Body)) > s.cfg.MaxAnswerBytes {
 			return fail.New(fail.TruncatedAnswer, "the response exceeds max_answer_bytes").WithRan(fail.RanYes)
 		}
-		return nil
+		return share.Resize(int64(len(response.Body)))
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"parsleyramp/internal/buffers"
 	"parsleyramp/internal/controlclient"
 	"parsleyramp/internal/endpoint"
 	"parsleyramp/internal/fail"
@@ -45,9 +46,11 @@
 
 // Server is one entry process.
 type Server struct {
-	cfg          Settings
-	log          *logrus.Entry
-	incarnation  string
+	cfg         Settings
+	log         *logrus.Entry
+	incarnation string
+	// answers bounds the responses that are collected before they are sent to clients.
+	answers      *buffers.Budget
 	session      *session
 	owner        *owner
 	dispatcher   *dispatcher
@@ -80,7 +83,7 @@
 	s := &Server{
 		cfg: cfg, log: log, incarnation: uuid.NewString(),
 		control:    controlclient.New(transport.NewPeerClient(), cfg.Control),
-		background: background, stop: stop,
+		background: background, stop: stop, answers: buffers.NewBudget(maxAllAnswerBytes),
 	}
 	s.serving, s.endRequests = context.WithCancelCause(context.Background())
 	s.session = &session{
