--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -17,6 +17,9 @@
 
 var errReset = errors.New("connection reset")
 
+// event is one short event.
+const event = "data: a\n\n"
+
 // readEvents returns what the stream passes on, and the error that ends it.
 func readEvents(body io.Reader, f Framing) (string, error) {
 	e := NewEvents(body, f)
@@ -78,6 +81,35 @@
 	}
 }
 
+func TestLongEventIsReportedAsHeldUntilItIsReturned(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 3*MinHeldBytes) + "\n\n"
+	e := NewEvents(iotest.HalfReader(strings.NewReader(event+long+event)), ByChunks)
+	var held []int
+	e.Hold = func(bytes int) error {
+		held = append(held, bytes)
+		return nil
+	}
+	var got strings.Builder
+	p, err := e.Next()
+	for ; err == nil; p, err = e.Next() {
+		got.Write(p)
+	}
+	if err != io.EOF || got.String() != event+long+event {
+		t.Errorf("%d bytes, error %v, want the stream as it is", got.Len(), err)
+	}
+	if len(held) < 2 || held[len(held)-2] < MinHeldBytes || held[len(held)-1] != 0 {
+		t.Errorf("held %v, want the bytes of the long event and then none", held)
+	}
+}
+
+func TestStreamWhoseEventCannotBeHeldFails(t *testing.T) {
+	e := NewEvents(strings.NewReader("data: "+strings.Repeat("x", 2*MinHeldBytes)), ByChunks)
+	e.Hold = func(int) error { return errReset }
+	if _, err := e.Next(); !fail.Is(err, fail.TruncatedAnswer) {
+		t.Errorf("error %v, want a truncated answer", err)
+	}
+}
+
 func TestStreamWithoutEndIsBounded(t *testing.T) {
 	for name, line := range map[string]string{"events": "data: x\n\n", "comments": ": x\n", "empty lines": "\n"} {
 		e := NewEvents(&repeatingReader{text: strings.Repeat(line, 4096)}, ByChunks)
--- a/internal/answer/events.go
+++ b/internal/answer/events.go
@@ -19,8 +19,8 @@
 // Events reads a stream of server-sent events (WHATWG HTML, section 9.2.6). A line ends
 // with CR, LF or both, an event with an empty line; comments belong to no event.
 type Events struct {
-	// Hold, if not nil, is called with the number of bytes that are held in memory for an event of
-	// MinHeldBytes or more, and with zero once they are not. If it fails, so does the stream.
+	// Hold, if not nil, is called with the number of bytes that are held in memory for an event that
+	// is not complete after MinHeldBytes, and with zero once they are not. If it fails, so does the stream.
 	Hold    func(bytes int) error
 	body    io.Reader
 	framing Framing
@@ -79,9 +79,9 @@
 	return nil, e.err
 }
 
-// hold reports the bytes of a long event.
+// hold reports the bytes of a long event that is not complete.
 func (e *Events) hold() error {
-	if e.Hold == nil || len(e.pending) < MinHeldBytes {
+	if e.Hold == nil || e.complete > 0 || len(e.pending) < MinHeldBytes {
 		return nil
 	}
 	e.held = true
