--- a/scripts/abusive/endlessanswers_test.go
+++ b/scripts/abusive/endlessanswers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -98,7 +99,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(behind.Crash)
-	proxy := &httputil.ReverseProxy{Director: func(r *http.Request) { r.URL.Scheme, r.URL.Host = "http", behind.Address() }}
+	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: behind.Address()}) }}
 	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		t.Fatal(err)
