--- a/internal/buffers/buffers_test.go
+++ b/internal/buffers/buffers_test.go
@@ -32,7 +32,8 @@
 		go func() { done <- next.Resize(20) }()
 		synctest.Wait()
 		if largeCtx.Err() == nil || smallCtx.Err() != nil || len(done) != 0 {
-			t.Errorf("large given up: %v, small given up: %v, resized: %d, want only the large one given up, and its bytes waited for", largeCtx.Err(), smallCtx.Err(), len(done))
+			t.Errorf("large given up: %v, small given up: %v, resized: %d, want the large one given up and waited for",
+				largeCtx.Err(), smallCtx.Err(), len(done))
 		}
 		if err := large.Resize(80); !fail.Is(err, fail.Overloaded) {
 			t.Errorf("a response that was given up goes on: %v", err)
--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -9,30 +9,21 @@
 	"testing"
 
 	"parsleyramp/internal/fail"
+	"parsleyramp/internal/testnet"
 	"parsleyramp/internal/transport"
 )
 
 // runOnce runs an attempt on an endpoint that answers with the text, and reads the response.
 func runOnce(t *testing.T, requireID bool, text string) (string, error) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer l.Close()
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	address := testnet.Serve(t, func(c *net.TCPConn) {
 		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			io.Copy(io.Discard, req.Body)
 			io.WriteString(c, text)
 		}
-	}()
+	})
 	h := NewHTTP(transport.NewEndpointClient(1))
-	resp, err := h.Run(t.Context(), l.Addr().String(), Request{ID: "7", Method: http.MethodPost, Path: "/", Body: []byte("x"), RequireID: requireID})
+	resp, err := h.Run(t.Context(), address, Request{ID: "7", Method: http.MethodPost, Path: "/", Body: []byte("x"), RequireID: requireID})
 	if err != nil {
 		return "", err
 	}
--- a/internal/entry/errors_test.go
+++ b/internal/entry/errors_test.go
@@ -22,7 +22,9 @@
 	start := time.Now()
 	cfg := DefaultSettings()
 	cfg.ID, cfg.MaxBodyBytes = "entry-1", maxBody
-	s := &Server{cfg: cfg, serving: context.Background(), answers: buffers.NewBudget(maxAllAnswerBytes), session: &session{cfg: cfg, clock: func() time.Duration { return time.Since(start) }}}
+	s := &Server{cfg: cfg, serving: context.Background()}
+	s.answers = buffers.NewBudget(maxAllAnswerBytes)
+	s.session = &session{cfg: cfg, clock: func() time.Duration { return time.Since(start) }}
 	s.dispatcher = newDispatcher(s.session, nil, nil, nil, 1)
 	if section != "" {
 		view := &wire.View{Revision: 1, Sections: []*wire.Section{{Team: "desk", Text: []byte(section)}}}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -25,7 +25,8 @@
 		defer c.Close()
 		id := r.Header.Get(endpoint.HeaderRequestID)
 		body := fmt.Sprintf("data: {\"id\":%q}\n\ndata: [DONE]\n\n", id)
-		fmt.Fprintf(c, "%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, endpoint.HeaderRequestID, id, line, len(body), body)
+		head := fmt.Sprintf("%s\r\n%s: %s\r\n%s", statusLine, endpoint.HeaderRequestID, id, line)
+		fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	}
 }
 
--- a/internal/gateway/connectionend_test.go
+++ b/internal/gateway/connectionend_test.go
@@ -21,28 +21,14 @@
 // the body, and then resets the connection.
 func startResettingEngine(t *testing.T, text string) *wire.FleetEndpoint {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := c.Read(make([]byte, 4096)); err != nil {
-					return
-				}
-				io.WriteString(c, text)
-				c.(*net.TCPConn).SetLinger(0)
-			}()
+	address := testnet.Serve(t, func(c *net.TCPConn) {
+		if _, err := c.Read(make([]byte, 4096)); err != nil {
+			return
 		}
-	}()
-	return &wire.FleetEndpoint{Address: l.Addr().String()}
+		io.WriteString(c, text)
+		c.SetLinger(0)
+	})
+	return &wire.FleetEndpoint{Address: address}
 }
 
 // writeFirstPool returns a pool whose writes get the resets of connections to the endpoint.
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -159,7 +159,9 @@
 	const held, soundBytes = 6 << 20, 4 << 20
 	const endless = maxAllBufferedBytes / held
 	for name, head := range map[string]string{
-		"connection": "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n", "length": "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 8000000\r\n\r\n", "failure": "HTTP/1.1 500 X\r\nSigned: 1\r\n\r\n",
+		"connection": "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n",
+		"length":     "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 8000000\r\n\r\n",
+		"failure":    "HTTP/1.1 500 X\r\nSigned: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startStallingEngine(t, head+strings.Repeat("x", held), soundBytes)
--- a/internal/transport/endpointclient_test.go
+++ b/internal/transport/endpointclient_test.go
@@ -23,26 +23,11 @@
 // head has been read, and closes the connection after that. It returns the address.
 func answerEarly(t *testing.T, respond func(c *net.TCPConn, body io.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					respond(c.(*net.TCPConn), req.Body)
-				}
-			}()
+	return testnet.Serve(t, func(c *net.TCPConn) {
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			respond(c, req.Body)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 func resetConn(c *net.TCPConn) {
@@ -75,7 +60,11 @@
 }
 
 func TestResetThatTheWriterOfTheRequestGetsIsNoEndOfTheBody(t *testing.T) {
-	for name, head := range map[string]string{"HTTP/1.1": unframed, "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n", "Connection: close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"} {
+	for name, head := range map[string]string{
+		"HTTP/1.1":          unframed,
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\n",
+		"Connection: close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	} {
 		t.Run(name, func(t *testing.T) {
 			address := answerEarly(t, func(c *net.TCPConn, _ io.Reader) {
 				io.WriteString(c, head+"part")
