--- a/scripts/abusive/endlessanswers_test.go
+++ b/scripts/abusive/endlessanswers_test.go
@@ -67,6 +67,7 @@
 		"trailer":            {"/post/x", signedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", 0},
 		"failure":            {"/post/x", "HTTP/1.1 500 X\r\n" + standin.SignatureLine + "\r\n", line, 0},
 		"event":              {"/draft/x", eventsHead, line, 0},
+		"events":             {"/draft/x", eventsHead, "data: x\n\n", 0},
 		"event that stops":   {"/draft/x", eventsHead, line, 250 << 10},
 		"head that stops":    {"/post/x", "HTTP/1.1 200 OK\r\n", "A: b\r\n", 60 << 10},
 		"body that stops":    {"/post/x", signedHead + "\r\n", line, 1 << 20},
