--- a/scripts/losses/cases.go
+++ b/scripts/losses/cases.go
@@ -14,8 +14,12 @@
 	play     func(*bed) error
 }
 
-// replacementTime is how long a successor has run when the machine that it replaces is removed.
-const replacementTime = 2 * catchUp
+const (
+	// replacementTime is how long a successor has run when the machine that it replaces is removed.
+	replacementTime = 2 * catchUp
+	// removalGap is the time between the removals of two machines whose successors run.
+	removalGap = 10 * time.Second
+)
 
 var cases = []lossCase{
 	{"all-killed", 3, func(b *bed) error { return b.lose(false, 0) }},
@@ -28,6 +32,9 @@
 	{"replaced-killed-all-killed", 3, func(b *bed) error { return replaced(b, 1, true, true) }},
 	{"all-replaced-acker-emptied", 3, func(b *bed) error { return replaced(b, 3, false, false) }},
 	{"all-replaced-all-killed", 3, func(b *bed) error { return replaced(b, 3, false, true) }},
+	{"removed-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
+	{"removed-in-turn-all-killed", 3, func(b *bed) error { return removedInTurn(b, 2, true, true) }},
+	{"stopped-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, false, false) }},
 	{"successor-joins", 3, func(b *bed) error { return joining(b, 1) }},
 	{"two-join", 3, func(b *bed) error { return joining(b, 2) }},
 	{"gone-then-successor", 3, func(b *bed) error { return goneFirst(b, 1) }},
@@ -45,6 +52,7 @@
 	{"five-replaced-two-emptied", 5, func(b *bed) error { return replaced(b, 2, false, false) }},
 	{"five-replaced-all-killed", 5, func(b *bed) error { return replaced(b, 2, false, true) }},
 	{"five-one-killed-two-emptied", 5, func(b *bed) error { return replaced(b, 1, true, false) }},
+	{"five-removed-in-turn-two-emptied", 5, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
 	{"five-two-gone-then-successors", 5, func(b *bed) error { return goneFirst(b, 2) }},
 	{"five-two-join", 5, func(b *bed) error { return joining(b, 2) }},
 	{"five-repair-interrupted", 5, func(b *bed) error { return repairInterrupted(b, 2) }},
@@ -133,6 +141,23 @@
 	return b.lose(killAll, b.tolerated)
 }
 
+// removedInTurn removes n replicas one after the other, whose successors have caught up before the
+// first of them goes, and empties as many disks as may be lost right after the last removal.
+func removedInTurn(b *bed, n int, killed, killAll bool) error {
+	old := b.others(n)
+	if _, err := b.addNew(n); err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime+time.Second)
+	for i, id := range old {
+		if i > 0 {
+			b.wait(removalGap, removalGap)
+		}
+		b.remove(killed, id)
+	}
+	return b.lose(killAll, b.tolerated)
+}
+
 // joining loses a disk at any step of the joining of n replicas.
 func joining(b *bed, n int) error {
 	original := b.all()
