--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// goneTimeout is the time since its last response after which a voter may be removed
-	// while others are unresponsive too, unless that lowers the quorum.
+	// goneTimeout is used in place of voterTimeout while several voters are unresponsive and
+	// the removal of one doesn't lower the quorum.
 	goneTimeout = 4 * time.Second
 	// maxVoters bounds the number of voters; further replicas stay learners.
 	maxVoters = 9
@@ -29,10 +29,9 @@
 //   - A caught-up learner becomes a voter. While several voters are silent and may turn
 //     out to be gone, it waits, unless there are fewer than minVoters: more voters
 //     would raise the quorum further.
-//   - An unresponsive voter is removed, whether or not that lowers the quorum: the next
-//     one that is gone, or a lost disk, would meet a group in which it still counts. At
-//     least minVoters remain, so that a commit is on as many disks as the group needs to
-//     bear the losses that it tolerates.
+//   - An unresponsive voter is removed, whether or not that lowers the quorum, because
+//     it would count against the next loss. At least minVoters remain, so that a commit is
+//     on as many disks as the group needs to bear the losses that it tolerates.
 //   - An unresponsive learner is removed.
 func nextMembership(s replica.Status, sinceResponse map[uint64]time.Duration, minVoters int) (*wire.Membership, string) {
 	var voters, learners []*wire.Replica
@@ -93,9 +92,9 @@
 	return nil, errTooFewVoters
 }
 
-// removableVoter returns an unresponsive voter whose removal never raises the quorum and lets
-// the group bear the next loss, or nil. If several voters are unresponsive and the removal of
-// one doesn't lower the quorum, they may be cut off together, so it takes longer.
+// removableVoter returns the voter that has been unresponsive for the longest time, if the group
+// can do without it, or nil. Several unresponsive voters may be cut off together, so the timeout
+// is longer for them unless the removal of one lowers the quorum.
 func removableVoter(s replica.Status, voters []*wire.Replica, sinceResponse map[uint64]time.Duration) *wire.Replica {
 	timeout := voterTimeout
 	if len(voters)%2 == 1 && unreachable(s, voters) > 1 {
