--- a/scripts/soak/node.go
+++ b/scripts/soak/node.go
@@ -48,6 +48,9 @@
 	return host
 }
 
+// logPath returns the path of the log of all processes of the node.
+func (n *node) logPath(s *system) string { return filepath.Join(s.dir, n.name+".log") }
+
 // start starts the process unless it runs or a fault prevents that.
 func (n *node) start(s *system) error {
 	n.mu.Lock()
@@ -55,7 +58,7 @@
 	if n.holds > 0 || n.process != nil && n.process.Running() {
 		return nil
 	}
-	p, err := testbed.Start(filepath.Join(s.dir, n.name+".log"), n.name, filepath.Join(s.bin, n.program), "-settings", n.settings)
+	p, err := testbed.Start(n.logPath(s), n.name, filepath.Join(s.bin, n.program), "-settings", n.settings)
 	if err != nil {
 		return err
 	}
--- a/scripts/soak/versions.go
+++ b/scripts/soak/versions.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -120,7 +123,8 @@
 		nodes = append(nodes, d.s.controls...)
 	}
 	engine := d.s.endpoints[i]
-	d.logLine(fmt.Sprintf("all gateways of %s and %s are killed", domain(i), engine.Address()))
+	d.logLine(fmt.Sprintf("%s: all gateways of %s and %s, of %s, are killed; engines by version: %s",
+		time.Now().Format("15:04:05.000"), domain(i), engine.Address(), engine.SoftwareVersion(), d.runningVersions()))
 	// All at once: stopAndHold then finds them dead.
 	for _, n := range nodes {
 		n.signal(syscall.SIGKILL)
@@ -130,6 +134,7 @@
 	if err := engine.Start(); err != nil {
 		d.s.checker.RecordViolation("the engine %s did not start again: %v", engine.Address(), err)
 	}
+	d.logLine(fmt.Sprintf("%s: %s runs again, of %s", time.Now().Format("15:04:05.000"), engine.Address(), engine.SoftwareVersion()))
 }
 
 // doLongStream sends a stream and takes it up again at other gateways while it is broken off.
@@ -183,6 +188,39 @@
 	d.logLine(fmt.Sprintf("streams: %d of %d began, %d of %d taken up went on; %d runs went on with a stream, %d at another version",
 		c.begun.Load(), c.sent.Load(), c.wentOn.Load(), c.takenUp.Load(), resumed, mixed))
 	if c.takenUp.Load() >= minTakenUp && wentOn < minTakenUpRatio*begun && d.ctx.Err() == nil {
+		d.logRefusedTakeUps()
 		d.s.checker.RecordViolation("a share of %.2f of the %d streams that were taken up went on, one of %.2f of new streams began", wentOn, c.takenUp.Load(), begun)
 	}
 }
+
+// logRefusedTakeUps logs what the gateways logged of the streams that were taken up and not
+// served, since a failed test may leave nothing else.
+func (d *driver) logRefusedTakeUps() {
+	for _, n := range d.s.gateways {
+		text, err := os.ReadFile(n.logPath(d.s))
+		if err != nil {
+			d.logLine(fmt.Sprintf("the log of %s cannot be read: %v", n.name, err))
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, " resumes=") && !strings.Contains(line, " outcome=served ") {
+				d.logLine(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
+// runningVersions returns how many engines run each software version, as in "v1:4 v1.1:2".
+func (d *driver) runningVersions() string {
+	counts := map[string]int{}
+	for _, e := range d.s.endpoints[:d.s.size.endpoints-d.s.size.ledger] {
+		if e.Running() {
+			counts[e.SoftwareVersion()]++
+		}
+	}
+	var out []string
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%s:%d", version, counts[version]))
+	}
+	return strings.Join(out, " ")
+}
