--- a/internal/quarantine/pool_test.go
+++ b/internal/quarantine/pool_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// TestCrashSoonAfterASurvivedResetIsFound guards against a crash that is taken for a part of an
+// earlier reset, which the endpoint survived, because it was heard of until it crashed.
+func TestCrashSoonAfterASurvivedResetIsFound(t *testing.T) {
+	p := newTestPool()
+	for i := range convictingCrashes {
+		endpoint := fmt.Sprint("e", i)
+		p.now += testReportLag + 1
+		p.breakAt(endpoint, uint64(100+i))
+		p.now += 2 * testReportLag
+		p.Responded(endpoint, p.now, testReportLag)
+		p.breakAt(endpoint, 7)
+		p.evaluate()
+	}
+	if got := p.state(7); got != wire.SuspectState_SUSPECT_STATE_CONVICTED {
+		t.Errorf("state %v after %d crashes, want convicted", got, convictingCrashes)
+	}
+}
+
 func TestRequestSentToEndpointThatHasCrashedIsNoSuspect(t *testing.T) {
 	p := newTestPool()
 	for range 3 {
