--- a/review/standin-3/leaver.go
+++ b/review/standin-3/leaver.go
@@ -27,7 +27,7 @@
 	late, lost := 0, 0
 	engines := s.addPlain(ledger, 4)
 	for _, e := range engines {
-		c := &crashing{engine: e}
+		c := &crashing{e}
 		e.handler = func(w http.ResponseWriter, q *http.Request) {
 			id := q.Header.Get(headerID)
 			if q.URL.Path == "/read/bad" {
--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -22,12 +22,8 @@
 	allowedRetries = 3
 )
 
-// crashing is a server that a request with the method HEAD crashes.
-type crashing struct {
-	*engine
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-}
+// crashing is a server that crashes, and comes back.
+type crashing struct{ *engine }
 
 // restart ends the server at once and starts its next process after downTime.
 func (c *crashing) restart() {
@@ -52,7 +48,7 @@
 	late, lost := 0, 0
 	engines := s.addPlain(ledger, 4)
 	for _, e := range engines {
-		c := &crashing{engine: e}
+		c := &crashing{e}
 		e.handler = func(w http.ResponseWriter, q *http.Request) {
 			id := q.Header.Get(headerID)
 			if q.Method == http.MethodHead {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -157,9 +157,6 @@
 	}
 }
 
-// running reports whether the process runs.
-func (n *node) running() bool { return !n.wait(0) }
-
 // stop ends all processes.
 func (s *system) stop() {
 	for _, n := range s.all() {
@@ -200,17 +197,6 @@
 	return resp.StatusCode
 }
 
-// get reads the configuration back from the node.
-func (n *node) get() (int, []byte) {
-	resp, err := operatorClient.Get(fmt.Sprintf("http://%s:%d/config/get", n.ip, portControl))
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	data, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, data
-}
-
 // ready reports whether the gateway says that it is ready.
 func (n *node) ready() bool {
 	resp, err := operatorClient.Get(fmt.Sprintf("http://%s:%d/ready", n.ip, portReady))
