--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -28,11 +28,6 @@
 
 // sendFor is send, and leaves after the time.
 func sendFor(address, method, target, id, body string, deadline, wait time.Duration) answer {
-	return sendWith(address, method, target, id, "", body, deadline, wait)
-}
-
-// sendWith is sendFor with further lines of the head.
-func sendWith(address, method, target, id, lines, body string, deadline, wait time.Duration) answer {
 	c, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		return answer{err: err}
@@ -41,7 +36,7 @@
 	_ = c.SetDeadline(time.Now().Add(wait))
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, headerID, id, headerDeadline, deadline.Milliseconds())
-	fmt.Fprintf(&b, "%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	if _, err := io.WriteString(c, b.String()); err != nil {
 		return answer{err: err}
 	}
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -182,8 +182,6 @@
 	server  *http.Server
 	mu      sync.Mutex
 	engines []*engine
-	// odd are entries of another writer, which come first.
-	odd []map[string]any
 }
 
 func newPlatformList(address string) *platformList {
@@ -205,16 +203,10 @@
 	p.engines = engines
 }
 
-func (p *platformList) setOdd(entries ...map[string]any) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.odd = entries
-}
-
 func (p *platformList) handle(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	engines := append([]*engine{}, p.engines...)
-	all := append([]map[string]any{}, p.odd...)
+	all := []map[string]any{}
 	p.mu.Unlock()
 	for _, e := range engines {
 		e.mu.Lock()
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -43,6 +43,8 @@
 	fleet    []*node
 	gateways []*node
 	rec      *record
+	// machines is how many fleet nodes there have been.
+	machines int
 }
 
 // freeBase returns the first two octets of a loopback network whose ports are free.
@@ -71,16 +73,8 @@
 	if len(seeds) > 3 {
 		seeds = seeds[:3]
 	}
-	zones := []string{"za", "zb", "zc"}
-	for i := range fleets {
-		n := &node{name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("%s.1.%d", s.base, i+1), program: "parsleyramp-fleet"}
-		n.settings = map[string]any{
-			"id": n.name, "address": fmt.Sprintf("%s:%d", n.ip, portInternal), "operator_address": fmt.Sprintf("%s:%d", n.ip, portControl),
-			"domain": zones[i%3], "data_folder": filepath.Join(dir, n.name), "live_list": s.list.address, "seeds": seeds,
-			"tolerated_losses": 1, "first_start": true, "order_lease": "3000ms", "store_window": "5s", "memory_mb": 280,
-			"client_limits": map[string]any{"descriptors": 4096},
-		}
-		s.fleet = append(s.fleet, n)
+	for range fleets {
+		s.newFleet(seeds)
 	}
 	for i := range gateways {
 		n := &node{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.2.%d", s.base, i+1), program: "parsleyramp-gateway"}
@@ -101,6 +95,51 @@
 	return s
 }
 
+// zones are the platform's zones.
+var zones = []string{"za", "zb", "zc"}
+
+// newFleet adds a fleet node, which is not started yet.
+func (s *system) newFleet(seeds []string) *node {
+	i := s.machines
+	s.machines++
+	n := &node{name: fmt.Sprintf("core-%d", i+1), ip: fmt.Sprintf("%s.1.%d", s.base, i+1), program: "parsleyramp-fleet"}
+	n.settings = map[string]any{
+		"id": n.name, "address": fmt.Sprintf("%s:%d", n.ip, portInternal), "operator_address": fmt.Sprintf("%s:%d", n.ip, portControl),
+		"domain": zones[i%3], "data_folder": filepath.Join(s.dir, n.name), "live_list": s.list.address, "seeds": seeds,
+		"tolerated_losses": 1, "first_start": true, "order_lease": "3000ms", "store_window": "5s", "memory_mb": 280,
+		"client_limits": map[string]any{"descriptors": 4096},
+	}
+	s.fleet = append(s.fleet, n)
+	return n
+}
+
+// successor starts a fleet node with an empty disk in the given zone.
+func (s *system) successor(zone int) {
+	n := s.newFleet(s.fleet[0].settings["seeds"].([]string))
+	n.settings["domain"], n.settings["first_start"] = zones[zone], false
+	n.file, n.log = filepath.Join(s.dir, n.name+".json"), filepath.Join(s.dir, n.name+".log")
+	must(n.write())
+	must(n.start(s.bin))
+	s.rec.add("%s is started at a new address with an empty disk", n.name)
+}
+
+// loseDisk kills the node, empties its folder, and starts it again after the pause with
+// first_start false and the seeds in force.
+func (s *system) loseDisk(n *node, pause time.Duration) {
+	n.kill()
+	must(os.RemoveAll(n.settings["data_folder"].(string)))
+	s.rec.add("%s loses its disk", n.name)
+	time.Sleep(pause)
+	var seeds []string
+	for _, m := range s.fleet {
+		seeds = append(seeds, m.settings["operator_address"].(string))
+	}
+	n.settings["first_start"], n.settings["seeds"] = false, seeds
+	must(n.write())
+	must(n.start(s.bin))
+	s.rec.add("%s is started again with an empty disk", n.name)
+}
+
 func (s *system) all() []*node { return append(append([]*node{}, s.fleet...), s.gateways...) }
 
 func (n *node) write() error {
