--- a/review/standin-3/removals.go
+++ b/review/standin-3/removals.go
@@ -44,7 +44,7 @@
 		time.Sleep(betweenLosses)
 		s.remove(second)
 		time.Sleep(betweenLosses)
-		s.successor(0)
+		s.successor(1)
 	}
 	return s.readBack()
 }
