consensus: a voter that an uncommitted membership leaves out campaigns

If the leader is lost when only the voter to be removed has stored the removal, no read and no change of the configuration is ever answered again.

Cause: a replica campaigned only if it votes in the newest membership it knows. Until that one is committed the membership before it decides too. The others need the vote of the replica and can't get it, because its log is longer, and it never asks for theirs.

Evidence: TestVoterThatLosesItsVoteCampaignsUntilThatIsCommitted failed before: "replica 1 with the votes of 3 and 4 is a follower and lacks [1 2 3 4]".

Change: a voter of any active membership campaigns, also when asked to take over. Once elected, its first entry commits the change and it steps down, which advanceCommit did already.

Measured: the tests of internal/consensus pass, among them the property tests.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -222,10 +222,12 @@
 }
 
 // campaign starts an election as a Candidate, or a pre-vote as a PreCandidate,
-// which leaves the term unchanged.
+// which leaves the term unchanged. A voter that an uncommitted membership leaves out
+// campaigns too: it may be the only one left that stores that membership and whose vote the
+// others need (Ongaro 2014, 4.2.2).
 func (c *Core) campaign(role Role) {
 	c.resetElection()
-	if !isVoter(c.Membership(), c.id) {
+	if !c.isActiveVoter(c.id) {
 		return
 	}
 	if role == PreCandidate {
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -44,7 +44,7 @@
 		c.followLeader(m.From)
 		c.handleSnapshot(m)
 	case wire.RaftMessageType_RAFT_MESSAGE_TYPE_HAND_OVER:
-		if c.role == Follower && isVoter(c.Membership(), c.id) {
+		if c.role == Follower && c.isActiveVoter(c.id) {
 			c.leadershipTransfer = true
 			c.campaign(Candidate)
 		}
