losses: removals and losses within 2 s of each other

scripts/losses kept 10 s between removals, and its domains did not tell which machine a successor replaces. Seven orders are new: replicas whose successors run are removed at once, with SIGTERM or without, and disks are emptied or others lost for good within 1.9 s, with three replicas and five.

--- a/scripts/losses/bed.go
+++ b/scripts/losses/bed.go
@@ -50,6 +50,7 @@
 type core struct {
 	id      int
 	folder  string
+	domain  string
 	process *testbed.Process
 	// firstStart is the setting with which the process is started next.
 	firstStart bool
@@ -95,7 +96,7 @@
 	b.liveList.Add(b.endpoint, b.endpoint.Address())
 	go b.liveList.Run(b.stopped)
 	for id := 1; id <= replicas; id++ {
-		if err := b.add(id, true); err != nil {
+		if err := b.add(id, true, fmt.Sprint("d", id)); err != nil {
 			return b, err
 		}
 	}
@@ -127,9 +128,9 @@
 	return out
 }
 
-// add starts a replica with an empty disk.
-func (b *bed) add(id int, first bool) error {
-	c := &core{id: id, folder: filepath.Join(b.dir, fmt.Sprint("core-", id)), firstStart: first}
+// add starts a replica with an empty disk in the failure domain.
+func (b *bed) add(id int, first bool, domain string) error {
+	c := &core{id: id, folder: filepath.Join(b.dir, fmt.Sprint("core-", id)), domain: domain, firstStart: first}
 	for seed := range seedCount {
 		c.seeds = append(c.seeds, seed+1)
 	}
@@ -142,7 +143,7 @@
 	for _, id := range ids {
 		c := b.cores[id]
 		process, err := b.launch(fmt.Sprint("core-", id), "parsleyramp-fleet", map[string]any{
-			"id": fmt.Sprint("core-", id), "address": b.address(id, internalPort), "operator_address": b.address(id, operatorPort), "domain": fmt.Sprint("d", id%3),
+			"id": fmt.Sprint("core-", id), "address": b.address(id, internalPort), "operator_address": b.address(id, operatorPort), "domain": c.domain,
 			"data_folder": c.folder, "live_list": b.liveList.Address(), "seeds": b.seedAddresses(c.seeds), "first_start": c.firstStart, "tolerated_losses": b.tolerated,
 		})
 		if err != nil {
--- a/scripts/losses/cases.go
+++ b/scripts/losses/cases.go
@@ -19,6 +19,8 @@
 	replacementTime = 2 * catchUp
 	// removalGap is the time between the removals of two machines whose successors run.
 	removalGap = 10 * time.Second
+	// shortGap bounds the time between two losses that follow each other at once.
+	shortGap = 1900 * time.Millisecond
 )
 
 var cases = []lossCase{
@@ -35,6 +37,10 @@
 	{"removed-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
 	{"removed-in-turn-all-killed", 3, func(b *bed) error { return removedInTurn(b, 2, true, true) }},
 	{"stopped-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, false, false) }},
+	{"removed-then-one-gone", 3, func(b *bed) error { return removedThenGone(b, 1) }},
+	{"removed-together-acker-emptied", 3, func(b *bed) error { return removedTogether(b, 2, false) }},
+	{"removed-together-all-killed", 3, func(b *bed) error { return removedTogether(b, 2, true) }},
+	{"all-removed-together-acker-emptied", 3, func(b *bed) error { return removedTogether(b, 3, false) }},
 	{"successor-joins", 3, func(b *bed) error { return joining(b, 1) }},
 	{"two-join", 3, func(b *bed) error { return joining(b, 2) }},
 	{"gone-then-successor", 3, func(b *bed) error { return goneFirst(b, 1) }},
@@ -53,6 +59,9 @@
 	{"five-replaced-all-killed", 5, func(b *bed) error { return replaced(b, 2, false, true) }},
 	{"five-one-killed-two-emptied", 5, func(b *bed) error { return replaced(b, 1, true, false) }},
 	{"five-removed-in-turn-two-emptied", 5, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
+	{"five-removed-then-two-gone", 5, func(b *bed) error { return removedThenGone(b, 2) }},
+	{"five-removed-together-two-emptied", 5, func(b *bed) error { return removedTogether(b, 2, false) }},
+	{"five-removed-together-all-killed", 5, func(b *bed) error { return removedTogether(b, 3, true) }},
 	{"five-two-gone-then-successors", 5, func(b *bed) error { return goneFirst(b, 2) }},
 	{"five-two-join", 5, func(b *bed) error { return joining(b, 2) }},
 	{"five-repair-interrupted", 5, func(b *bed) error { return repairInterrupted(b, 2) }},
@@ -99,19 +108,29 @@
 	return 10 + b.added
 }
 
-// addNew starts n replicas with empty disks at new addresses.
-func (b *bed) addNew(n int) ([]int, error) {
+// addSuccessors starts replicas with empty disks at new addresses, each in the failure domain of
+// one of the old ones.
+func (b *bed) addSuccessors(old ...*core) ([]int, error) {
 	var ids []int
-	for range n {
+	for _, c := range old {
 		id := b.nextID()
 		ids = append(ids, id)
-		if err := b.add(id, false); err != nil {
+		if err := b.add(id, false, c.domain); err != nil {
 			return nil, err
 		}
 	}
 	return ids, nil
 }
 
+// some returns the replicas with the ids.
+func (b *bed) some(ids []int) []*core {
+	var out []*core
+	for _, id := range ids {
+		out = append(out, b.cores[id])
+	}
+	return out
+}
+
 func unacknowledged(b *bed) error {
 	if _, err := b.put(); err != nil {
 		return err
@@ -124,18 +143,20 @@
 // replaced removes n replicas whose successors have caught up, the leader among them, and
 // then empties as many disks as may be lost.
 func replaced(b *bed, n int, killed, killAll bool) error {
-	successors, err := b.addNew(n)
-	if err != nil {
-		return err
-	}
-	b.wait(replacementTime, replacementTime+time.Second)
 	leader, err := b.put()
 	if err != nil {
 		return err
 	}
 	old := []int{leader}
 	if n > 1 {
-		old = append(old, b.others(n-1, append(successors, leader)...)...)
+		old = append(old, b.others(n-1, leader)...)
+	}
+	if _, err := b.addSuccessors(b.some(old)...); err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime+time.Second)
+	if _, err := b.put(); err != nil {
+		return err
 	}
 	b.remove(killed, old...)
 	return b.lose(killAll, b.tolerated)
@@ -145,7 +166,7 @@
 // first of them goes, and empties as many disks as may be lost right after the last removal.
 func removedInTurn(b *bed, n int, killed, killAll bool) error {
 	old := b.others(n)
-	if _, err := b.addNew(n); err != nil {
+	if _, err := b.addSuccessors(b.some(old)...); err != nil {
 		return err
 	}
 	b.wait(replacementTime, replacementTime+time.Second)
@@ -158,10 +179,46 @@
 	return b.lose(killAll, b.tolerated)
 }
 
+// removedTogether removes n replicas whose successors have caught up, all within shortGap or so, and
+// empties as many disks as may be lost at once.
+func removedTogether(b *bed, n int, killAll bool) error {
+	old := b.others(n)
+	if _, err := b.addSuccessors(b.some(old)...); err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime+time.Second)
+	for _, id := range old {
+		b.remove(b.random.IntN(3) > 0, id)
+		b.wait(0, shortGap/time.Duration(n))
+	}
+	return b.lose(killAll, b.tolerated)
+}
+
+// removedThenGone removes a replica whose successor has caught up, and within shortGap loses n others for
+// good, the successor or not. Their own successors come a second later.
+func removedThenGone(b *bed, n int) error {
+	old := b.others(1)
+	if _, err := b.addSuccessors(b.some(old)...); err != nil {
+		return err
+	}
+	b.wait(replacementTime, replacementTime+time.Second)
+	if _, err := b.put(); err != nil {
+		return err
+	}
+	b.remove(true, old...)
+	b.wait(0, shortGap)
+	lost := b.others(n)
+	replaced := b.some(lost)
+	b.remove(true, lost...)
+	b.wait(time.Second, time.Second)
+	_, err := b.addSuccessors(replaced...)
+	return err
+}
+
 // joining loses a disk at any step of the joining of n replicas.
 func joining(b *bed, n int) error {
 	original := b.all()
-	if _, err := b.addNew(n); err != nil {
+	if _, err := b.addSuccessors(b.some(b.others(n))...); err != nil {
 		return err
 	}
 	b.wait(0, 2*time.Second)
@@ -175,9 +232,11 @@
 // goneFirst kills n replicas for good and adds their successors later; disks are lost as soon as
 // the successors count.
 func goneFirst(b *bed, n int) error {
-	b.remove(true, b.others(n)...)
+	gone := b.others(n)
+	replaced := b.some(gone)
+	b.remove(true, gone...)
 	b.wait(300*time.Millisecond, time.Second)
-	if _, err := b.addNew(n); err != nil {
+	if _, err := b.addSuccessors(replaced...); err != nil {
 		return err
 	}
 	b.wait(catchUp+200*time.Millisecond, catchUp+time.Second)
@@ -185,7 +244,7 @@
 }
 
 func added(b *bed, n int) error {
-	if _, err := b.addNew(n); err != nil {
+	if _, err := b.addSuccessors(b.some(b.others(n))...); err != nil {
 		return err
 	}
 	b.wait(catchUp+200*time.Millisecond, catchUp+time.Second)
@@ -296,12 +355,12 @@
 // seedsExchanged replaces two seeds, whose successors are the seeds from then on, and empties the
 // disk of the third.
 func seedsExchanged(b *bed) error {
-	successors, err := b.addNew(2)
+	old := b.others(2)
+	successors, err := b.addSuccessors(b.some(old)...)
 	if err != nil {
 		return err
 	}
 	b.wait(replacementTime, replacementTime)
-	old := b.others(2, successors...)
 	b.remove(false, old...)
 	b.wait(catchUp, catchUp)
 	remaining := b.others(1, successors...)[0]
