fleetcontrol: a replica that replaces no known voter votes beside the others

Cause: a successor in a shared domain took the vote of the oldest replica there, a guess, and one without a domain none. With a wrong guess the removed replica counts, and the emptied disks leave two votes of five.

Change: a replica takes the vote of the only voter of its domain. If its domain is not known, or has no voter or several, it votes beside the others until one of them is silent, so that a lost disk is discounted and the rest decides. The membership remembers a voter that lost its vote while it was silent (suspended), and whose vote a replica of another domain has (substitute_for), so that nobody takes such replicas for replaced ones. Both fields are unknown to older builds.

Ruled out by the simulation, each with its trace: counting the voters outside a domain to tell how many votes it needs (votes beside others miscount it); a substitute without the domain that it stands in for (its vote went to another domain's replica); a suspended replica that forgot so when it became a substitute.

--- a/internal/fleetcontrol/lossorder_test.go
+++ b/internal/fleetcontrol/lossorder_test.go
@@ -108,7 +108,6 @@
 		o.leave(old, o.upTo(200*time.Millisecond), o.random.IntN(4))
 	}
 	o.remove(old)
-	o.awaitRepair()
 }
 
 // remove ends a replica for good.
@@ -116,9 +115,10 @@
 	o.nodes = slices.DeleteFunc(o.nodes, func(n *simReplica) bool { return n.address == old.address })
 }
 
-// awaitRepair lets time pass after the removal of a replica whose successor runs, if it shared its
-// domain with others: which of them is about to be removed can't be known before, so that the
-// successor may have the vote of another one. Otherwise the group needs no time.
+// awaitRepair lets time pass after the removal of a replica whose successor runs and before others
+// are lost for good or a split, if it shared its domain: which replica of the domain the successor replaces
+// can't be known before, so that it votes beside them. Otherwise the group needs no time, and neither
+// before the loss of disks.
 func (o *lossOrder) awaitRepair() {
 	if o.shared {
 		o.pass(catchUp)
@@ -130,6 +130,7 @@
 	if len(o.lost) > 0 {
 		return
 	}
+	o.awaitRepair()
 	for range 1 + o.random.IntN(o.tolerated) {
 		old := o.nodes[o.random.IntN(len(o.nodes))]
 		o.remove(old)
@@ -142,6 +143,7 @@
 
 // split cuts the group into two halves.
 func (o *lossOrder) split() {
+	o.awaitRepair()
 	o.halves = map[string]int{}
 	for _, n := range o.nodes {
 		o.halves[n.address] = o.random.IntN(2)
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -23,17 +23,19 @@
 // nextMembership returns the next membership and the reason for the change, or nil if there
 // is nothing to change.
 //
-// A group has minVoters voters, as many as the losses that it tolerates need, and never more: a
-// voter beside them raises the quorum, and counts against the next loss once it is gone. The other
-// replicas are learners with the whole log, which may take the place of a voter at any time.
-// Nothing tells a voter that is gone from one that is cut off, so the place is taken while all
-// respond, where possible: the newest replica of a failure domain has the vote of its domain.
+// A voter that is gone counts against the next loss, and nothing tells it from one that is cut
+// off. So a vote moves while all voters respond: the newest replica of a failure domain takes the
+// vote of its domain, and the older one becomes a learner with the whole log, which may take the
+// place of a voter at any time. A group has minVoters voters then, as many as the losses that it
+// tolerates need. Only a replica of which nobody knows whose place it takes votes beside the others,
+// until one of them is silent.
 //
 //   - A voter whose disk is lost, or that is silent, changes places with a learner.
-//   - A learner becomes a voter if there are fewer than minVoters. A voter becomes a learner if
-//     there are more.
-//   - A learner takes the place of an older voter of its domain, or of a voter whose domain has
-//     another one if its own has none.
+//   - A learner becomes a voter if there are fewer than minVoters. A silent voter becomes a
+//     learner if there are more.
+//   - A learner takes the place of a substitute, which has the vote of its domain, or of the only
+//     voter of its domain if that is older. It votes beside the others if its domain is not known,
+//     or has no voter or several, or if it did before and was silent.
 //   - A learner that is silent for learnerTimeout is removed.
 func nextMembership(s replica.Status, contacts map[uint64]contact, minVoters int) (*wire.Membership, string) {
 	g := newMembers(s, contacts, minVoters)
@@ -143,14 +145,14 @@
 	if !g.allVotersRespond() {
 		return nil, ""
 	}
-	if g.tooManyVoters() {
-		return exchanged(g.status.Membership, g.leastNeededVoter(), nil), "too many voters"
+	if v, l := g.returning(); l != nil {
+		return exchanged(g.status.Membership, v, l), "domain has a replica again"
 	}
 	if v, l := g.replacement(); l != nil {
 		return exchanged(g.status.Membership, v, l), "newer replica of the domain"
 	}
-	if v, l := g.spreading(); l != nil {
-		return exchanged(g.status.Membership, v, l), "domain without a voter"
+	if l := g.withoutPredecessor(); l != nil {
+		return exchanged(g.status.Membership, nil, l), "replaces no known voter"
 	}
 	return nil, ""
 }
@@ -199,47 +201,30 @@
 	return slices.MinFunc(g.ready, func(a, b *wire.Replica) int { return cmp.Compare(g.votersNear(a), g.votersNear(b)) })
 }
 
-// leastNeededVoter returns the oldest voter of the domain with the most voters.
-func (g *members) leastNeededVoter() *wire.Replica {
-	return slices.MaxFunc(g.voters, func(a, b *wire.Replica) int {
-		return cmp.Or(cmp.Compare(g.votersNear(a), g.votersNear(b)), cmp.Compare(g.age[b.Id], g.age[a.Id]))
-	})
-}
-
-// votersNear returns how many voters, the replica itself included, are in its domain.
+// votersNear returns how many voters are in the domain of the replica.
 func (g *members) votersNear(r *wire.Replica) int {
 	n := 0
 	for _, v := range g.voters {
-		if v.Id == r.Id || sameDomain(v, r) {
+		if sameDomain(v, r) {
 			n++
 		}
 	}
 	return n
 }
 
-// replacement returns the oldest voter of a domain and a newer learner of that domain, or nil.
-// Which of several voters of a domain is about to be removed isn't known; the oldest is as good a
-// guess as any, and keeping all of them would be wrong in any case.
-func (g *members) replacement() (*wire.Replica, *wire.Replica) {
-	return g.change(func(v, l *wire.Replica) bool { return sameDomain(v, l) && g.age[v.Id] < g.age[l.Id] })
-}
-
-// spreading returns a voter whose domain has another one and a learner whose domain has none.
-func (g *members) spreading() (*wire.Replica, *wire.Replica) {
-	return g.change(func(v, l *wire.Replica) bool { return l.Domain != "" && g.votersNear(l) == 0 && g.votersNear(v) > 1 })
+// settled returns the learners that may take the vote of a voter that responds.
+func (g *members) settled() []*wire.Replica {
+	return slices.DeleteFunc(slices.Clone(g.ready), func(l *wire.Replica) bool { return g.contacts[l.Id].steady < settleTime })
 }
 
-// change returns the oldest voter and a settled learner that may change places, or nil. The
-// leader changes places last, since that makes another replica the leader.
-func (g *members) change(may func(v, l *wire.Replica) bool) (*wire.Replica, *wire.Replica) {
+// replacement returns the only voter of a domain and a newer learner of it, or nil. The leader
+// is replaced last, since that makes another replica the leader.
+func (g *members) replacement() (*wire.Replica, *wire.Replica) {
 	var leader, forLeader *wire.Replica
-	for _, l := range g.ready {
-		if g.contacts[l.Id].steady < settleTime {
-			continue
-		}
-		i := slices.IndexFunc(g.voters, func(v *wire.Replica) bool { return may(v, l) })
+	for _, l := range g.settled() {
+		i := slices.IndexFunc(g.voters, func(v *wire.Replica) bool { return sameDomain(v, l) && v.SubstituteFor == "" })
 		switch {
-		case i < 0:
+		case i < 0 || l.Suspended || g.ownVoters(l) > 1 || g.age[g.voters[i].Id] > g.age[l.Id]:
 		case g.voters[i].Id == g.status.ID:
 			leader, forLeader = g.voters[i], l
 		default:
@@ -249,6 +234,39 @@
 	return leader, forLeader
 }
 
+// returning returns a substitute and a learner of the domain whose vote it has, or nil.
+func (g *members) returning() (*wire.Replica, *wire.Replica) {
+	for _, l := range g.settled() {
+		i := slices.IndexFunc(g.voters, func(v *wire.Replica) bool { return l.Domain != "" && v.SubstituteFor == l.Domain })
+		if i >= 0 {
+			return g.voters[i], l
+		}
+	}
+	return nil, nil
+}
+
+// withoutPredecessor returns a learner that votes beside the others, or nil: nobody knows which
+// voter it replaces, or it replaces none.
+func (g *members) withoutPredecessor() *wire.Replica {
+	for _, l := range g.settled() {
+		if l.Suspended || g.ownVoters(l) != 1 {
+			return l
+		}
+	}
+	return nil
+}
+
+// ownVoters returns how many voters in the domain of the replica have votes of that domain.
+func (g *members) ownVoters(r *wire.Replica) int {
+	n := 0
+	for _, v := range g.voters {
+		if sameDomain(v, r) && v.SubstituteFor == "" {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *members) allVotersRespond() bool {
 	return !slices.ContainsFunc(g.voters, func(v *wire.Replica) bool { return !g.status.Reachable[v.Id] })
 }
@@ -279,7 +297,9 @@
 }
 
 // sameDomain reports whether two replicas are known to be in one failure domain.
-func sameDomain(a, b *wire.Replica) bool { return a.Domain != "" && a.Domain == b.Domain }
+func sameDomain(a, b *wire.Replica) bool {
+	return a.GetDomain() != "" && a.GetDomain() == b.GetDomain()
+}
 
 func withoutReplica(m *wire.Membership, id uint64) *wire.Membership {
 	next := proto.Clone(m).(*wire.Membership)
@@ -288,15 +308,21 @@
 }
 
 // exchanged returns the membership in which the voter is a learner and the learner a voter. Either
-// may be nil.
+// may be nil: a voter without a successor is suspended until it has a vote of its own domain again. A
+// learner becomes a substitute if it takes the vote of another domain than its own, which has a voter.
 func exchanged(m *wire.Membership, voter, learner *wire.Replica) *wire.Membership {
 	next := proto.Clone(m).(*wire.Membership)
+	domainVotes := slices.ContainsFunc(m.GetReplicas(), func(r *wire.Replica) bool { return !r.Learner && sameDomain(r, learner) })
+	substituteFor := cmp.Or(voter.GetSubstituteFor(), voter.GetDomain())
+	if !domainVotes || substituteFor == learner.GetDomain() {
+		substituteFor = ""
+	}
 	for _, r := range next.Replicas {
 		switch r.Id {
 		case voter.GetId():
-			r.Learner = true
+			r.Learner, r.Suspended, r.SubstituteFor = true, r.Suspended || learner == nil, ""
 		case learner.GetId():
-			r.Learner = false
+			r.Learner, r.Suspended, r.SubstituteFor = false, r.Suspended && substituteFor != "", substituteFor
 		}
 	}
 	return next
@@ -323,6 +349,7 @@
 	}
 	if i := slices.IndexFunc(next.Replicas, func(x *wire.Replica) bool { return x.Address == r.Address }); i >= 0 {
 		position = i + 1
+		added.Suspended = next.Replicas[i].Suspended
 	}
 	next.Replicas = slices.Insert(next.Replicas, position, added)
 	next.Replicas = slices.DeleteFunc(next.Replicas, func(x *wire.Replica) bool { return x.Learner && x.Address == r.Address && x != added })
--- a/internal/fleetcontrol/removals_test.go
+++ b/internal/fleetcontrol/removals_test.go
@@ -38,7 +38,6 @@
 			}
 			o.pass(o.upTo(gap))
 		}
-		o.awaitRepair()
 		o.propose()
 		switch rapid.SampledFrom([]string{"disks", "power", "gone"}).Draw(t, "loss") {
 		case "disks":
@@ -130,7 +129,6 @@
 				o.leave(o.nodes[i], o.upTo(200*time.Millisecond), o.random.IntN(4))
 			}
 			o.remove(n)
-			o.awaitRepair()
 			if rapid.Bool().Draw(t, "commit") {
 				o.propose()
 			}
