losses: the class of removals and losses as a table of orders

scripts/losses had single orders with random pauses. removalOrders plays all of them: three cores and five, domains of their own or three shared by five, one and two removed without SIGTERM while their successors run, pauses of 0 and 1 s, the leader or a successor lost first, disks emptied or machines lost for good. Orders that a group may not bear (shared domains, but for one removed and disks emptied) are played by name only.

--- a/internal/fleetcontrol/membership_test.go
+++ b/internal/fleetcontrol/membership_test.go
@@ -38,7 +38,9 @@
 		if parts[4] != "" {
 			address = parts[4]
 		}
-		s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{Id: id, Address: address, Domain: parts[2], Learner: has("L"), Suspended: has("x"), SubstituteFor: parts[5]})
+		s.Membership.Replicas = append(s.Membership.Replicas, &wire.Replica{
+			Id: id, Address: address, Domain: parts[2], Learner: has("L"), Suspended: has("x"), SubstituteFor: parts[5],
+		})
 		c := contact{steady: time.Minute}
 		switch {
 		case has("s"):
@@ -168,6 +170,7 @@
 		{voters: 7, gone: 3, tolerated: 2, silent: time.Minute, want: "-5"},
 		{voters: 5, gone: 2, tolerated: 1, silent: 3 * time.Second, want: "-4"},
 		{voters: 5, gone: 1, tolerated: 1, silent: time.Minute, want: "-5"},
+		{voters: 5, gone: 1, tolerated: 1, silent: 3 * time.Second, want: "-5"},
 		{voters: 5, gone: 1, tolerated: 1, silent: time.Second, want: "-5"},
 		{voters: 5, gone: 1, tolerated: 1, silent: silentTimeout - 1, want: "none"},
 		{voters: 7, gone: 1, tolerated: 2, silent: 3 * time.Second, want: "-7"},
--- a/internal/fleetcontrol/powerloss_test.go
+++ b/internal/fleetcontrol/powerloss_test.go
@@ -51,7 +51,10 @@
 }
 
 func (n *simReplica) status() replica.Status {
-	s := replica.Status{ID: n.core.ID(), Leading: true, Membership: n.core.Membership(), Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}, Stopping: map[uint64]bool{}}
+	s := replica.Status{
+		ID: n.core.ID(), Leading: true, Membership: n.core.Membership(),
+		Reachable: map[uint64]bool{}, CaughtUp: map[uint64]bool{}, Stopping: map[uint64]bool{},
+	}
 	for _, r := range s.Membership.Replicas {
 		s.Reachable[r.Id], s.CaughtUp[r.Id], s.Stopping[r.Id] = n.core.Reachable(r.Id), n.core.CaughtUp(r.Id), n.core.Stopping(r.Id)
 	}
--- a/internal/fleetcontrol/removals_test.go
+++ b/internal/fleetcontrol/removals_test.go
@@ -9,6 +9,33 @@
 	"pgregory.net/rapid"
 )
 
+// removeOld ends the replica at the address for good, with SIGTERM or without, and may commit a command.
+func (o *lossOrder) removeOld(t *rapid.T, address string) {
+	// Its disk may have been lost before.
+	i := slices.IndexFunc(o.nodes, func(n *simReplica) bool { return n.address == address })
+	old := o.nodes[i]
+	if rapid.Bool().Draw(t, "stopped") {
+		o.leave(old, o.upTo(200*time.Millisecond), o.random.IntN(4))
+	}
+	o.remove(old)
+	if rapid.Bool().Draw(t, "commit") {
+		o.propose()
+	}
+}
+
+// lose loses as many disks or replicas as the group tolerates, or nothing.
+func (o *lossOrder) lose(how string) {
+	switch how {
+	case "disks":
+		o.emptyDisks()
+	case "power":
+		o.losePower(o.loseDisks())
+		o.allBack()
+	case "gone":
+		o.succeed()
+	}
+}
+
 // TestGroupBearsLossesAtAnyTimeAfterRemovals guards against a group that never commits again,
 // because replicas that were removed for good while their successors ran still have votes: the
 // successors of any replicas have run for catchUp, these are removed, and as many others as the
@@ -29,25 +56,11 @@
 		o.pass(catchUp + o.upTo(catchUp))
 		gap := rapid.SampledFrom([]time.Duration{1, time.Second, 4 * time.Second}).Draw(t, "gap")
 		for _, n := range old {
-			if rapid.Bool().Draw(t, "stopped") {
-				o.leave(n, o.upTo(200*time.Millisecond), o.random.IntN(4))
-			}
-			o.remove(n)
-			if rapid.Bool().Draw(t, "commit") {
-				o.propose()
-			}
+			o.removeOld(t, n.address)
 			o.pass(o.upTo(gap))
 		}
 		o.propose()
-		switch rapid.SampledFrom([]string{"disks", "power", "gone"}).Draw(t, "loss") {
-		case "disks":
-			o.emptyDisks()
-		case "power":
-			o.losePower(o.loseDisks())
-			o.allBack()
-		case "gone":
-			o.succeed()
-		}
+		o.lose(rapid.SampledFrom([]string{"disks", "power", "gone"}).Draw(t, "loss"))
 		o.checkCommits()
 	})
 }
@@ -123,22 +136,8 @@
 		o.pass(2 * catchUp)
 		for _, n := range old {
 			o.pass(2*catchUp + o.upTo(2*time.Second))
-			// The disk of the replica may have been lost since.
-			i := slices.IndexFunc(o.nodes, func(x *simReplica) bool { return x.address == n.address })
-			if rapid.Bool().Draw(t, "stopped") {
-				o.leave(o.nodes[i], o.upTo(200*time.Millisecond), o.random.IntN(4))
-			}
-			o.remove(n)
-			if rapid.Bool().Draw(t, "commit") {
-				o.propose()
-			}
-			switch rapid.SampledFrom([]string{"none", "disks", "power"}).Draw(t, "loss") {
-			case "disks":
-				o.emptyDisks()
-			case "power":
-				o.losePower(o.loseDisks())
-				o.allBack()
-			}
+			o.removeOld(t, n.address)
+			o.lose(rapid.SampledFrom([]string{"none", "disks", "power"}).Draw(t, "loss"))
 		}
 		o.checkCommits()
 	})
--- a/scripts/losses/bed.go
+++ b/scripts/losses/bed.go
@@ -79,7 +79,7 @@
 
 // newBed starts the replicas, of which the first three are the seeds, and the gateways,
 // and waits until a document is acknowledged.
-func newBed(ctx context.Context, dir, bin string, net, replicas int, random *rand.Rand) (*bed, error) {
+func newBed(ctx context.Context, dir, bin string, net, replicas, domains int, random *rand.Rand) (*bed, error) {
 	b := &bed{ctx: ctx, dir: dir, bin: bin, net: net, random: random, cores: map[int]*core{}, tolerated: (replicas - 1) / 2, stopped: make(chan struct{})}
 	events, err := os.Create(filepath.Join(dir, "events.log"))
 	if err != nil {
@@ -96,7 +96,7 @@
 	b.liveList.Add(b.endpoint, b.endpoint.Address())
 	go b.liveList.Run(b.stopped)
 	for id := 1; id <= replicas; id++ {
-		if err := b.add(id, true, fmt.Sprint("d", id)); err != nil {
+		if err := b.add(id, true, fmt.Sprint("d", id%domains)); err != nil {
 			return b, err
 		}
 	}
--- a/scripts/losses/cases.go
+++ b/scripts/losses/cases.go
@@ -12,6 +12,16 @@
 	// at a time and five that of two.
 	replicas int
 	play     func(*bed) error
+	// domains is the number of failure domains, zero if each replica has its own.
+	domains int
+	// notBorne is true for an order that may end the group; it is played only by name.
+	notBorne bool
+}
+
+func init() {
+	for _, o := range removalOrders() {
+		cases = append(cases, lossCase{name: o.name(), replicas: o.replicas, play: o.play, domains: o.domains, notBorne: !o.borne()})
+	}
 }
 
 const (
@@ -24,47 +34,47 @@
 )
 
 var cases = []lossCase{
-	{"all-killed", 3, func(b *bed) error { return b.lose(false, 0) }},
-	{"all-killed-acker-emptied", 3, func(b *bed) error { return b.lose(true, 1) }},
-	{"acker-emptied", 3, func(b *bed) error { return b.lose(false, 1) }},
-	{"unacknowledged-all-killed", 3, unacknowledged},
-	{"replaced-acker-emptied", 3, func(b *bed) error { return replaced(b, 1, false, false) }},
-	{"replaced-killed-acker-emptied", 3, func(b *bed) error { return replaced(b, 1, true, false) }},
-	{"replaced-all-killed", 3, func(b *bed) error { return replaced(b, 1, false, true) }},
-	{"replaced-killed-all-killed", 3, func(b *bed) error { return replaced(b, 1, true, true) }},
-	{"all-replaced-acker-emptied", 3, func(b *bed) error { return replaced(b, 3, false, false) }},
-	{"all-replaced-all-killed", 3, func(b *bed) error { return replaced(b, 3, false, true) }},
-	{"removed-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
-	{"removed-in-turn-all-killed", 3, func(b *bed) error { return removedInTurn(b, 2, true, true) }},
-	{"stopped-in-turn-acker-emptied", 3, func(b *bed) error { return removedInTurn(b, 2, false, false) }},
-	{"removed-then-one-gone", 3, func(b *bed) error { return removedThenGone(b, 1) }},
-	{"removed-together-acker-emptied", 3, func(b *bed) error { return removedTogether(b, 2, false) }},
-	{"removed-together-all-killed", 3, func(b *bed) error { return removedTogether(b, 2, true) }},
-	{"all-removed-together-acker-emptied", 3, func(b *bed) error { return removedTogether(b, 3, false) }},
-	{"successor-joins", 3, func(b *bed) error { return joining(b, 1) }},
-	{"two-join", 3, func(b *bed) error { return joining(b, 2) }},
-	{"gone-then-successor", 3, func(b *bed) error { return goneFirst(b, 1) }},
-	{"two-added", 3, func(b *bed) error { return added(b, 2) }},
-	{"emptied-in-turn", 3, emptiedInTurn},
-	{"repair-interrupted", 3, func(b *bed) error { return repairInterrupted(b, 1) }},
-	{"paused-half", 3, pausedHalf},
-	{"paused-leader", 3, pausedLeader},
-	{"paused-then-all-killed", 3, pausedThenKilled},
-	{"seeds-exchanged", 3, seedsExchanged},
-	{"rolling-restart", 3, rollingRestart},
-	{"five-acker-and-one-emptied", 5, func(b *bed) error { return b.lose(false, 2) }},
-	{"five-all-killed-two-emptied", 5, func(b *bed) error { return b.lose(true, 2) }},
-	{"five-two-emptied-in-turn", 5, emptiedWithin},
-	{"five-replaced-two-emptied", 5, func(b *bed) error { return replaced(b, 2, false, false) }},
-	{"five-replaced-all-killed", 5, func(b *bed) error { return replaced(b, 2, false, true) }},
-	{"five-one-killed-two-emptied", 5, func(b *bed) error { return replaced(b, 1, true, false) }},
-	{"five-removed-in-turn-two-emptied", 5, func(b *bed) error { return removedInTurn(b, 2, true, false) }},
-	{"five-removed-then-two-gone", 5, func(b *bed) error { return removedThenGone(b, 2) }},
-	{"five-removed-together-two-emptied", 5, func(b *bed) error { return removedTogether(b, 2, false) }},
-	{"five-removed-together-all-killed", 5, func(b *bed) error { return removedTogether(b, 3, true) }},
-	{"five-two-gone-then-successors", 5, func(b *bed) error { return goneFirst(b, 2) }},
-	{"five-two-join", 5, func(b *bed) error { return joining(b, 2) }},
-	{"five-repair-interrupted", 5, func(b *bed) error { return repairInterrupted(b, 2) }},
+	{name: "all-killed", replicas: 3, play: func(b *bed) error { return b.lose(false, 0) }},
+	{name: "all-killed-acker-emptied", replicas: 3, play: func(b *bed) error { return b.lose(true, 1) }},
+	{name: "acker-emptied", replicas: 3, play: func(b *bed) error { return b.lose(false, 1) }},
+	{name: "unacknowledged-all-killed", replicas: 3, play: unacknowledged},
+	{name: "replaced-acker-emptied", replicas: 3, play: func(b *bed) error { return replaced(b, 1, false, false) }},
+	{name: "replaced-killed-acker-emptied", replicas: 3, play: func(b *bed) error { return replaced(b, 1, true, false) }},
+	{name: "replaced-all-killed", replicas: 3, play: func(b *bed) error { return replaced(b, 1, false, true) }},
+	{name: "replaced-killed-all-killed", replicas: 3, play: func(b *bed) error { return replaced(b, 1, true, true) }},
+	{name: "all-replaced-acker-emptied", replicas: 3, play: func(b *bed) error { return replaced(b, 3, false, false) }},
+	{name: "all-replaced-all-killed", replicas: 3, play: func(b *bed) error { return replaced(b, 3, false, true) }},
+	{name: "removed-in-turn-acker-emptied", replicas: 3, play: func(b *bed) error { return removedInTurn(b, 2, true, false) }},
+	{name: "removed-in-turn-all-killed", replicas: 3, play: func(b *bed) error { return removedInTurn(b, 2, true, true) }},
+	{name: "stopped-in-turn-acker-emptied", replicas: 3, play: func(b *bed) error { return removedInTurn(b, 2, false, false) }},
+	{name: "removed-then-one-gone", replicas: 3, play: func(b *bed) error { return removedThenGone(b, 1) }},
+	{name: "removed-together-acker-emptied", replicas: 3, play: func(b *bed) error { return removedTogether(b, 2, false) }},
+	{name: "removed-together-all-killed", replicas: 3, play: func(b *bed) error { return removedTogether(b, 2, true) }},
+	{name: "all-removed-together-acker-emptied", replicas: 3, play: func(b *bed) error { return removedTogether(b, 3, false) }},
+	{name: "successor-joins", replicas: 3, play: func(b *bed) error { return joining(b, 1) }},
+	{name: "two-join", replicas: 3, play: func(b *bed) error { return joining(b, 2) }},
+	{name: "gone-then-successor", replicas: 3, play: func(b *bed) error { return goneFirst(b, 1) }},
+	{name: "two-added", replicas: 3, play: func(b *bed) error { return added(b, 2) }},
+	{name: "emptied-in-turn", replicas: 3, play: emptiedInTurn},
+	{name: "repair-interrupted", replicas: 3, play: func(b *bed) error { return repairInterrupted(b, 1) }},
+	{name: "paused-half", replicas: 3, play: pausedHalf},
+	{name: "paused-leader", replicas: 3, play: pausedLeader},
+	{name: "paused-then-all-killed", replicas: 3, play: pausedThenKilled},
+	{name: "seeds-exchanged", replicas: 3, play: seedsExchanged},
+	{name: "rolling-restart", replicas: 3, play: rollingRestart},
+	{name: "five-acker-and-one-emptied", replicas: 5, play: func(b *bed) error { return b.lose(false, 2) }},
+	{name: "five-all-killed-two-emptied", replicas: 5, play: func(b *bed) error { return b.lose(true, 2) }},
+	{name: "five-two-emptied-in-turn", replicas: 5, play: emptiedWithin},
+	{name: "five-replaced-two-emptied", replicas: 5, play: func(b *bed) error { return replaced(b, 2, false, false) }},
+	{name: "five-replaced-all-killed", replicas: 5, play: func(b *bed) error { return replaced(b, 2, false, true) }},
+	{name: "five-one-killed-two-emptied", replicas: 5, play: func(b *bed) error { return replaced(b, 1, true, false) }},
+	{name: "five-removed-in-turn-two-emptied", replicas: 5, play: func(b *bed) error { return removedInTurn(b, 2, true, false) }},
+	{name: "five-removed-then-two-gone", replicas: 5, play: func(b *bed) error { return removedThenGone(b, 2) }},
+	{name: "five-removed-together-two-emptied", replicas: 5, play: func(b *bed) error { return removedTogether(b, 2, false) }},
+	{name: "five-removed-together-all-killed", replicas: 5, play: func(b *bed) error { return removedTogether(b, 3, true) }},
+	{name: "five-two-gone-then-successors", replicas: 5, play: func(b *bed) error { return goneFirst(b, 2) }},
+	{name: "five-two-join", replicas: 5, play: func(b *bed) error { return joining(b, 2) }},
+	{name: "five-repair-interrupted", replicas: 5, play: func(b *bed) error { return repairInterrupted(b, 2) }},
 }
 
 // lose has a document acknowledged and then empties disks at once, the one of the replica that
@@ -208,11 +218,7 @@
 	b.remove(true, old...)
 	b.wait(0, shortGap)
 	lost := b.others(n)
-	replaced := b.some(lost)
-	b.remove(true, lost...)
-	b.wait(time.Second, time.Second)
-	_, err := b.addSuccessors(replaced...)
-	return err
+	return b.loseAfterRemovals(lost, false)
 }
 
 // joining loses a disk at any step of the joining of n replicas.
--- a/scripts/losses/main.go
+++ b/scripts/losses/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -19,7 +20,7 @@
 
 func main() {
 	bin := flag.String("bin", "bin", "folder with the built programs")
-	names := flag.String("cases", "", "comma-separated names of cases; all if empty")
+	names := flag.String("cases", "", "comma-separated names of cases; all that a group bears if empty")
 	runs := flag.Int("runs", 1, "runs of each case, with one seed each")
 	first := flag.Uint64("first", 1, "first seed")
 	jobs := flag.Int("jobs", 2, "number of concurrent runs")
@@ -28,7 +29,7 @@
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
-	selected := cases
+	selected := slices.DeleteFunc(slices.Clone(cases), func(c lossCase) bool { return c.notBorne })
 	if *names != "" {
 		selected = slices.DeleteFunc(slices.Clone(cases), func(c lossCase) bool { return !slices.Contains(strings.Split(*names, ","), c.name) })
 	}
@@ -119,7 +120,7 @@
 	if err != nil {
 		return 0, err
 	}
-	b, err := newBed(ctx, dir, o.bin, net, c.replicas, rand.New(rand.NewPCG(seed, 0)))
+	b, err := newBed(ctx, dir, o.bin, net, c.replicas, cmp.Or(c.domains, c.replicas), rand.New(rand.NewPCG(seed, 0)))
 	defer func() {
 		b.stop()
 		if err != nil || o.keep {
