fleetcontrol: votes move although leaders last for less than a second

Cause: a learner took a vote only after it had responded to one leader for 1 s without a gap. A leader that loses its lease in a stall is followed by one that begins to count anew.

Change: a learner waits for settleTime only if this leader has known it as silent, which is what keeps two replicas from changing places again and again.

--- a/internal/fleetcontrol/group.go
+++ b/internal/fleetcontrol/group.go
@@ -209,38 +209,45 @@
 	return true
 }
 
-// contact tells for how long a replica has not responded to this leader, or has without a gap.
+// contact tells for how long a replica has not responded to this leader, and for how long it has
+// not been silent.
 type contact struct{ silent, steady time.Duration }
 
 // reachability holds the time at which each replica in the membership last responded to
-// this leader, and since when it has responded without a gap.
+// this leader, and at which it was last silent; a replica without the latter never was.
 type reachability struct {
 	lastResponse map[uint64]time.Duration
-	steadySince  map[uint64]time.Duration
+	lastSilent   map[uint64]time.Duration
 }
 
 // record sets the time of the last response to now for each reachable replica, and for
 // each replica that is new in the membership.
 func (r *reachability) record(status replica.Status, now time.Duration) {
-	lastResponse, steadySince := map[uint64]time.Duration{}, map[uint64]time.Duration{}
+	lastResponse, lastSilent := map[uint64]time.Duration{}, map[uint64]time.Duration{}
 	for _, x := range status.Membership.GetReplicas() {
 		at, known := r.lastResponse[x.Id]
-		since, steady := r.steadySince[x.Id]
 		if !known || status.Reachable[x.Id] {
 			at = now
 		}
-		if !steady || !status.Reachable[x.Id] {
-			since = now
+		lastResponse[x.Id] = at
+		if since, silent := r.lastSilent[x.Id]; silent {
+			lastSilent[x.Id] = since
+		}
+		if now-at >= silentTimeout {
+			lastSilent[x.Id] = now
 		}
-		lastResponse[x.Id], steadySince[x.Id] = at, since
 	}
-	r.lastResponse, r.steadySince = lastResponse, steadySince
+	r.lastResponse, r.lastSilent = lastResponse, lastSilent
 }
 
 func (r *reachability) contacts(status replica.Status, now time.Duration) map[uint64]contact {
 	out := map[uint64]contact{}
 	for _, x := range status.Membership.GetReplicas() {
-		out[x.Id] = contact{silent: now - r.lastResponse[x.Id], steady: now - r.steadySince[x.Id]}
+		c := contact{silent: now - r.lastResponse[x.Id], steady: settleTime}
+		if since, silent := r.lastSilent[x.Id]; silent {
+			c.steady = now - since
+		}
+		out[x.Id] = c
 	}
 	return out
 }
--- a/internal/fleetcontrol/membership.go
+++ b/internal/fleetcontrol/membership.go
@@ -15,8 +15,9 @@
 	// silentTimeout is the time without a response after which a voter loses its vote. It
 	// may be short, because a learner that has lost its vote gets it back.
 	silentTimeout = 300 * time.Millisecond
-	// settleTime is how long a learner has responded before it takes the vote of a voter that
-	// responds.
+	// settleTime is the time since a learner was last silent after which it may take the vote of
+	// a voter that responds. One that this leader has not known as silent need not wait: leaders
+	// may last for less.
 	settleTime = time.Second
 )
 
--- a/internal/fleetcontrol/membership_test.go
+++ b/internal/fleetcontrol/membership_test.go
@@ -18,7 +18,7 @@
 
 // parseMembers returns the status of replica 1 as a leader, of replicas in the order of admission.
 // "4aLb@3" is replica 4 in domain a, at the address that replica 3 had. Flags: L a learner, s silent
-// for less than silentTimeout, M for some seconds, S for a minute, b behind, n not settled, t about to stop,
+// for less than silentTimeout, M for some seconds, S for a minute, b behind, n silent until less than settleTime ago, t about to stop,
 // x suspended. "1a/b" is a substitute for domain b.
 func parseMembers(t *testing.T, text string) (replica.Status, map[uint64]contact) {
 	t.Helper()
